--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -316,6 +316,19 @@
     BadValue(KvName, String),
     /// The view was formed without this process; it finishes what runs and ends.
     Removed,
+    /// The ledger answered a change of a holding.
+    Drawn {
+        /// The budget.
+        budget: BudgetId,
+        /// Its limit.
+        limit: Tokens,
+        /// What was handed out.
+        granted: Tokens,
+        /// What is left in the ledger.
+        left: Tokens,
+        /// What the process holds now, parked or not.
+        held: Tokens,
+    },
     /// The budget period has ended and a new one is in force.
     Renewed(BudgetId),
 }
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -17,7 +17,7 @@
 use self::holding::{Holding, Hunt, Waiter};
 use self::transfer::Transfers;
 use crate::amount::{Percent, Time, Tokens};
-use crate::event::{Outbox, due};
+use crate::event::{Note, Order, Outbox, due};
 use crate::ids::{BudgetId, Incarnation, Period, Region, RunId};
 use crate::ledger::{LedgerOp, LedgerReply, Plan, Terms};
 use crate::message::{Ask, Message, ParkItem, Transfer};
@@ -303,6 +303,13 @@
                 let closed = holding.op.take().is_some_and(|(op, _)| op.close);
                 holding.free = holding.free.saturating_plus(*granted);
                 holding.left = Some(*left);
+                out.push(Order::Note(Note::Drawn {
+                    budget: budget.clone(),
+                    limit: holding.terms.limit,
+                    granted: *granted,
+                    left: *left,
+                    held: holding.unspent(),
+                }));
                 holding.down = false;
                 holding.plan = *plan;
                 holding.others.clone_from(others);
--- a/crates/badgerfield-core/src/ledger.rs
+++ b/crates/badgerfield-core/src/ledger.rs
@@ -18,6 +18,9 @@
 /// How much demand, in time, a holder may hold after its first change; it doubles with
 /// each further change, so that the demand of all is known before much is handed out.
 const FIRST_HORIZON: Duration = Duration::from_secs(10);
+/// The first horizon is at most this part of the longest one: the rate of a holder that
+/// has just begun is little known.
+const FIRST_PART: u32 = 16;
 /// How often the horizon doubles.
 const MAX_DOUBLINGS: u64 = 9;
 /// A budget is low when the share of a holder is less than this many requests.
@@ -347,14 +350,23 @@
             return Tokens::ZERO;
         }
         let target = match self.plan(op) {
-            Plan::Share(share) => share.min(op.rate.over(horizon(op.seq).min(op.ahead))),
+            Plan::Share(share) => share.min(op.rate.over(horizon(op.seq, op.ahead))),
             Plan::Collect(share) => share,
             Plan::Defer(_) => Tokens::ZERO,
         };
-        let wanted = target.saturating_minus(op.held);
+        let wanted = target.saturating_minus(op.held).min(self.ahead_left(op.spread));
         wanted.max(op.need).min(self.left())
     }
 
+    /// Returns how much more may be held ahead of demand by all holders together.
+    ///
+    /// Shares are reckoned one after the other, by the rates that are known then; without
+    /// this bound their sum comes to nearly the whole budget while demand is young.
+    fn ahead_left(&self, spread: Percent) -> Tokens {
+        let held: Tokens = self.holders.values().map(|h| h.held).sum();
+        spread.of(self.left().saturating_plus(held)).saturating_minus(held)
+    }
+
     /// Ends a holder's part; its record stays, so that old changes do not count again.
     fn close(&mut self, id: Incarnation) {
         let Some(holder) = self.holders.get_mut(&id) else {
@@ -382,8 +394,9 @@
 }
 
 /// Returns how much demand a holder may hold ahead of time.
-fn horizon(seq: u64) -> Duration {
-    FIRST_HORIZON.saturating_mul(1 << seq.min(MAX_DOUBLINGS))
+fn horizon(seq: u64, ahead: Duration) -> Duration {
+    let first = FIRST_HORIZON.min(ahead / FIRST_PART);
+    first.saturating_mul(1 << seq.min(MAX_DOUBLINGS)).min(ahead)
 }
 
 /// Returns the shard that a budget falls into.
--- a/crates/badgerfield-core/src/replicas.rs
+++ b/crates/badgerfield-core/src/replicas.rs
@@ -5,7 +5,7 @@
 //! answer is expected soonest: prompt parts that the upstream has read before need not
 //! be read again, and work under way delays it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -35,8 +35,9 @@
 const OUTCOME_WEIGHT: f64 = 0.15;
 /// The expected delay by a failing share of one, in milliseconds.
 const FAILING_MS: f64 = 2000.0;
-/// How long an entry that vanished together with most others may still be used.
-const MASS_GRACE: Duration = Duration::from_millis(1500);
+/// How long an upstream may still be used whose entry vanished together with those of all
+/// others of its service.
+const LAPSE_GRACE: Duration = Duration::from_millis(1300);
 
 /// A part of a prompt that requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -124,6 +125,9 @@
     running: u32,
     /// When the list had it last, if it has vanished from the list since.
     vanished: Option<Time>,
+    /// Whether all entries of its service vanished at once, as they do when the platform
+    /// lets leases lapse; upstreams that leave do so one after the other.
+    lapsed: bool,
     failing: f64,
     failures: u32,
     rests_until: Time,
@@ -149,7 +153,7 @@
         self.revision = list.revision;
         self.learned = Some(now);
         let mut changed = Vec::new();
-        let present: std::collections::BTreeSet<_> =
+        let present: BTreeSet<_> =
             list.replicas.iter().map(|r| r.id.clone()).collect();
         for info in list.replicas {
             if let Some(known) = self.table.get_mut(&info.id) {
@@ -163,9 +167,11 @@
             changed.push(info.id.clone());
             self.table.insert(info.id.clone(), Replica::new(info));
         }
+        let lapsed = self.lapsed_services(&present);
         for (id, replica) in &mut self.table {
             if !present.contains(id) && replica.vanished.is_none() {
                 replica.vanished = Some(now);
+                replica.lapsed = lapsed.contains(&replica.info.service);
                 changed.push(id.clone());
             }
         }
@@ -175,6 +181,21 @@
         changed
     }
 
+    /// Returns the services of which every entry is missing at once.
+    fn lapsed_services(&self, present: &BTreeSet<UpstreamId>) -> BTreeSet<Service> {
+        let mut counts: BTreeMap<&Service, (usize, usize)> = BTreeMap::new();
+        for (id, replica) in &self.table {
+            if replica.vanished.is_some() || replica.info.leaving {
+                continue;
+            }
+            let (listed, missing) = counts.entry(&replica.info.service).or_default();
+            *listed += 1;
+            *missing += usize::from(!present.contains(id));
+        }
+        let all = counts.into_iter().filter(|(_, (listed, missing))| *listed > 1 && listed == missing);
+        all.map(|(service, _)| service.clone()).collect()
+    }
+
     /// Returns the revision of the list in force, and when it was learned.
     #[must_use]
     pub fn age(&self) -> (u64, Option<Time>) {
@@ -186,11 +207,10 @@
     pub fn choose(&self, now: Time, wanted: &Wanted<'_>) -> Option<Chosen> {
         let all: Vec<_> =
             self.table.values().filter(|r| r.info.service == *wanted.service).collect();
-        let mass = is_mass_loss(&all);
         let fit: Vec<_> = all
             .iter()
             .copied()
-            .filter(|r| r.is_usable(now, mass))
+            .filter(|r| r.is_usable(now))
             .filter(|r| !wanted.tried.contains(&r.info.id))
             .filter(|r| r.running < wanted.connections)
             .collect();
@@ -245,13 +265,13 @@
     /// Tells whether any upstream of a service may be used.
     #[must_use]
     pub fn serves(&self, now: Time, service: &Service) -> bool {
-        self.table.values().any(|r| r.info.service == *service && r.is_usable(now, false))
+        self.table.values().any(|r| r.info.service == *service && r.is_usable(now))
     }
 
     /// Tells whether an upstream may still get requests.
     #[must_use]
     pub fn is_usable(&self, now: Time, id: &UpstreamId) -> bool {
-        self.table.get(id).is_some_and(|r| r.is_usable(now, false))
+        self.table.get(id).is_some_and(|r| r.is_usable(now))
     }
 
     /// Returns how many upstreams the list names.
@@ -275,6 +295,7 @@
             seed,
             running: 0,
             vanished: None,
+            lapsed: false,
             failing: 0.0,
             failures: 0,
             rests_until: Time::default(),
@@ -282,13 +303,13 @@
         }
     }
 
-    fn is_usable(&self, now: Time, mass: bool) -> bool {
+    fn is_usable(&self, now: Time) -> bool {
         if self.info.leaving {
             return false;
         }
         match self.vanished {
             None => true,
-            Some(at) => mass && now.since(at) < MASS_GRACE,
+            Some(at) => self.lapsed && now.since(at) < LAPSE_GRACE,
         }
     }
 
@@ -334,13 +355,6 @@
     }
 }
 
-/// Tells whether most of a service's entries vanished, as they do when the platform
-/// lets leases lapse.
-fn is_mass_loss(all: &[&Replica]) -> bool {
-    let gone = all.iter().filter(|r| r.vanished.is_some()).count();
-    gone * 2 > all.len()
-}
-
 /// Returns the parts that other requests may share: all but the last.
 fn shared(parts: &[PromptPart]) -> &[PromptPart] {
     parts.split_last().map_or(&[], |(_, rest)| rest)
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -393,6 +393,10 @@
                 log::error!(target: PLATFORM, "cannot use {name:?}: {error}");
             }
             Note::Removed => log::error!(target: NODE, "removed from the view; ends when idle"),
+            Note::Drawn { budget, limit, granted, left, held } => log::info!(
+                target: NODE,
+                "drawn budget={budget} limit={limit} granted={granted} left={left} held={held}"
+            ),
             Note::Renewed(budget) => log::info!(target: NODE, "budget {budget} renewed"),
         }
     }
