--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -84,6 +84,11 @@
                 if holding.op.is_none() {
                     holding.make_op(now, budget, self.me, Tokens::ZERO, false);
                 }
+                // While the platform is away others are asked at once; the change is on
+                // its way beside that, should the platform be back.
+                if holding.down {
+                    self.ask_peers(now, budget, out);
+                }
             }
             (Some(_), _) => {}
         }
