Give rights back while requests still run, and let a refusal hold for a moment

A retiring holding reports no demand now. A budget that nobody had anything left of was searched for anew with each request; the last refusal now holds for 0.8 s. A share is bounded by the horizon, so that surplus goes back.

--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -7,10 +7,13 @@
 use crate::ids::{BudgetId, Incarnation, Region, RunId};
 use crate::ledger::{LedgerOp, Plan, Terms};
 use crate::rate::Meter;
+use crate::refusal::Refusal;
 
 /// How much demand, in time, a holding keeps ready to spend; the rest is parked.
 const WORKING: Duration = Duration::from_secs(1);
 
+/// How long a refusal holds for further requests.
+const REFUSAL_HOLDS: Duration = Duration::from_millis(800);
 /// After how long without use a holding is given back.
 const IDLE: Duration = Duration::from_mins(1);
 
@@ -85,6 +88,10 @@
     /// Whether everything is to go back, because the budget was lowered.
     pub(crate) recall: bool,
     pub(crate) closed: bool,
+    /// Whether the holding wants nothing more, because its process is stopping.
+    pub(crate) retiring: bool,
+    /// The last refusal, when it was made, and the least need that was refused.
+    pub(crate) refused: Option<(Refusal, Time, Tokens)>,
 }
 
 impl Holding {
@@ -122,6 +129,8 @@
             passed: None,
             recall: false,
             closed: false,
+            retiring: false,
+            refused: None,
         }
     }
 
@@ -204,6 +213,15 @@
         true
     }
 
+    /// Returns the refusal of a moment ago, if it holds for this need too.
+    ///
+    /// A budget that nobody has anything left of is not looked for again with each
+    /// request: the refusal comes at once, and costs the platform no call.
+    pub(crate) fn refused_lately(&self, now: Time, need: Tokens) -> Option<Refusal> {
+        let (refusal, at, least) = self.refused?;
+        (need >= least && now.since(at) < REFUSAL_HOLDS).then_some(refusal)
+    }
+
     /// Makes the next change for the ledger.
     pub(crate) fn make_op(
         &mut self,
@@ -218,7 +236,7 @@
         self.seq += 1;
         // A holding that is not in use has no share.
         let least = if self.is_idle(now) { Rate(0) } else { Rate(1) };
-        let rate = self.meter.rate(now).max(least);
+        let rate = if self.retiring { Rate(0) } else { self.meter.rate(now).max(least) };
         let op = LedgerOp {
             budget: budget.clone(),
             terms: self.terms,
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -199,6 +199,9 @@
             self.touched.insert(budget.clone());
             return Reserved::Done;
         }
+        if let Some(refusal) = holding.refused_lately(now, need) {
+            return Reserved::Refused(refusal);
+        }
         holding.waiters.push_back(Waiter { run, need, until });
         holding.used_at = now;
         self.pursue(now, budget, out);
@@ -300,6 +303,9 @@
                 if !mine {
                     return;
                 }
+                if !left.is_zero() {
+                    holding.refused = None;
+                }
                 let closed = holding.op.take().is_some_and(|(op, _)| op.close);
                 holding.free = holding.free.saturating_plus(*granted);
                 holding.left = Some(*left);
@@ -405,6 +411,7 @@
         let new = self.transfers.is_new(from, transfer);
         if new && transfer.period == holding.terms.period {
             holding.free = holding.free.saturating_plus(transfer.amount);
+            holding.refused = None;
             holding.used_at = now;
             self.touched.insert(transfer.budget.clone());
             self.answered(from, &transfer.budget, true);
--- a/crates/badgerfield-core/src/holdings/parking.rs
+++ b/crates/badgerfield-core/src/holdings/parking.rs
@@ -32,6 +32,7 @@
             return;
         }
         if self.closing {
+            holding.retiring = true;
             let ready = holding.reserved.is_zero()
                 && holding.waiters.is_empty()
                 && holding.parked_amount().is_zero();
--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -24,6 +24,8 @@
 const MAX_ASKED: usize = 8;
 /// When to come back if the rest of a budget is reserved.
 const COME_BACK: Duration = Duration::from_secs(1);
+/// The same while the platform is away.
+const COME_BACK_DOWN: Duration = Duration::from_secs(3);
 
 impl Holdings {
     pub(super) fn serve_waiters(&mut self, now: Time, budget: &BudgetId) {
@@ -216,8 +218,11 @@
         let refusal = if sure {
             Refusal::not_run(Cause::BudgetSpent)
         } else {
-            Refusal::not_run(Cause::BudgetHeld).after(COME_BACK)
+            let after = if holding.down { COME_BACK_DOWN } else { COME_BACK };
+            Refusal::not_run(Cause::BudgetHeld).after(after)
         };
+        let least = holding.waiters.iter().map(|w| w.need).min();
+        holding.refused = least.map(|least| (refusal, now, least));
         holding.hunt = None;
         let period = holding.terms.period;
         for waiter in std::mem::take(&mut holding.waiters) {
--- a/crates/badgerfield-core/src/ledger.rs
+++ b/crates/badgerfield-core/src/ledger.rs
@@ -322,7 +322,8 @@
         let count = u64::try_from(self.busy().count()).unwrap_or(u64::MAX);
         let rates: u64 = self.busy().map(|(_, h)| h.rate.0).sum();
         if remaining.0 >= count.saturating_mul(unit).saturating_mul(LOW) {
-            return Plan::Share(remaining.part(op.rate.0, rates.max(1)));
+            let share = remaining.part(op.rate.0, rates.max(1));
+            return Plan::Share(share.min(op.rate.over(horizon(op.seq, op.ahead))));
         }
         let last = remaining.0 < unit.saturating_mul(LAST);
         let near = |h: &HolderEntry| last || h.region.as_ref() == Some(&op.region);
@@ -350,8 +351,7 @@
             return Tokens::ZERO;
         }
         let target = match self.plan(op) {
-            Plan::Share(share) => share.min(op.rate.over(horizon(op.seq, op.ahead))),
-            Plan::Collect(share) => share,
+            Plan::Share(share) | Plan::Collect(share) => share,
             Plan::Defer(_) => Tokens::ZERO,
         };
         let wanted = target.saturating_minus(op.held).min(self.ahead_left(op.spread));
