Seal what is held ahead, so that the end of all processes does not lose it

The ledger now records how much of a holding is sealed and when that was said; the successor on the same VM gives untouched tokens back. Ruled out: the VM's steady clock (a power loss sets it anew), the store's revisions and the upstreams' sequence numbers (neither moves by itself).

--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -36,16 +36,16 @@
 
     /// Sends a sign of life to all neighbours, with the versions in force.
     pub(crate) fn spread(&self, now: Time, out: &mut Outbox) {
-        let (neighbours, epoch, serving) = {
+        let (neighbours, epoch, serving, wall) = {
             let mut members = self.board.members();
             members.beat_at = Some(now);
             let serving = members.serving && members.stopping.is_none();
-            (members.neighbours(), members.view.epoch, serving)
+            (members.neighbours(), members.view.epoch, serving, members.wall(now))
         };
         let version = self.board.templates().version;
         let complete = self.board.claims().complete();
         for to in neighbours {
-            out.send(to, Message::Heartbeat(Heartbeat { epoch, complete, version, serving }));
+            out.send(to, Message::Heartbeat(Heartbeat { epoch, complete, version, serving, wall }));
         }
     }
 
--- a/crates/badgerfield-core/src/control/rights.rs
+++ b/crates/badgerfield-core/src/control/rights.rs
@@ -13,6 +13,9 @@
 use crate::node::Node;
 use crate::runs::Stage;
 
+/// Up to how many budgets are opened before a request asks for them.
+const MAX_OPENED: usize = 256;
+
 impl Node {
     /// Sets aside the most that a run can cost.
     pub(crate) fn reserve(&self, now: Time, id: RunId, out: &mut Outbox) {
@@ -80,9 +83,30 @@
 
     /// Does the regular work of the holdings.
     pub(crate) fn rights_tick(&self, now: Time, out: &mut Outbox) {
+        self.open_holdings(now);
         self.board.holdings().tick(now, out);
     }
 
+    /// Opens a holding of every budget where tokens are sealed, so that what earlier
+    /// processes of this VM left is settled before it is missed.
+    fn open_holdings(&self, now: Time) {
+        if !self.config.pacing.seals || !self.is_ready() {
+            return;
+        }
+        let version = self.board.templates().version;
+        if self.board.holdings().opened == Some(version) {
+            return;
+        }
+        let budgets: Vec<_> = self.board.templates().budgets.keys().cloned().collect();
+        self.board.holdings().opened = Some(version);
+        if budgets.len() > MAX_OPENED {
+            return;
+        }
+        for budget in budgets {
+            self.learn_terms(now, &budget);
+        }
+    }
+
     /// Does what any event may have made due: sends changes, answers waiting runs.
     pub(crate) fn rights_due(&self, now: Time, out: &mut Outbox) {
         let (ops, decisions) = {
--- a/crates/badgerfield-core/src/drawer.rs
+++ b/crates/badgerfield-core/src/drawer.rs
@@ -69,15 +69,18 @@
     shards: BTreeMap<u32, Shard>,
     gone: VecDeque<Incarnation>,
     stretch: u32,
+    pace: Duration,
     conflicts: u64,
     writes: u64,
 }
 
 impl Drawer {
-    /// Makes an empty drawer of a ledger with a number of shards.
+    /// Makes an empty drawer of a ledger with a number of shards, for holders that report
+    /// this often.
     #[must_use]
-    pub fn new(shards: u32) -> Self {
-        Self { stretch: shards.div_ceil(FULL_PACE).max(1), ..Self::default() }
+    pub fn new(shards: u32, report: Duration) -> Self {
+        let stretch = shards.div_ceil(FULL_PACE).max(1);
+        Self { stretch, pace: PACE.min(report), ..Self::default() }
     }
 
     /// Returns how many writes met another value, and how many there were.
@@ -124,7 +127,7 @@
         let mut calls = Vec::new();
         let gone: Vec<_> = self.gone.iter().copied().collect();
         for (id, shard) in &mut self.shards {
-            if let Some(call) = shard.next(now, *id, &gone, self.stretch) {
+            if let Some(call) = shard.next(now, *id, &gone, (self.stretch, self.pace)) {
                 calls.push((*id, call));
             }
         }
@@ -165,15 +168,21 @@
 }
 
 impl Shard {
-    fn next(&mut self, now: Time, id: u32, gone: &[Incarnation], stretch: u32) -> Option<KvCall> {
+    fn next(
+        &mut self,
+        now: Time,
+        id: u32,
+        gone: &[Incarnation],
+        (stretch, slow): (u32, Duration),
+    ) -> Option<KvCall> {
         if !matches!(self.phase, Phase::Idle) || self.queue.is_empty() {
             return None;
         }
-        let urgent = self.queue.values().any(|op| !op.need.is_zero() || !op.back.is_zero());
+        let urgent = self.queue.values().any(|op| is_urgent(op));
         let pace = match (urgent, self.starved) {
             (true, false) => URGENT_PACE,
             (true, true) => STARVED_PACE,
-            (false, _) => PACE,
+            (false, _) => slow,
         };
         if !due(now, self.written, pace.saturating_mul(stretch)) || !due(now, self.failed, PAUSE) {
             return None;
@@ -239,6 +248,12 @@
     replies
 }
 
+/// Tells whether somebody waits for a change, or could use what it gives back.
+fn is_urgent(op: &LedgerOp) -> bool {
+    let releases = op.seal.as_ref().is_some_and(|seal| !seal.released.is_zero());
+    releases || !op.need.is_zero() || !op.back.is_zero()
+}
+
 fn handed_out(reply: &LedgerReply) -> bool {
     matches!(reply, LedgerReply::Applied { granted, .. } if !granted.is_zero())
 }
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -46,6 +46,8 @@
     Withdraw(ReserveAsk),
     /// A request on a route has ended, and this is what it used.
     Settle(Settlement),
+    /// The time of day, in milliseconds since 1970; one clock's opinion.
+    Clock(u64),
     /// Whether this process serves callers at present.
     Serving(bool),
     /// The process is asked to stop.
--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use crate::amount::{Percent, Rate, Time, Tokens};
-use crate::ids::{BudgetId, Incarnation, Region, RunId};
+use crate::ids::{BudgetId, Incarnation, Region, RunId, VmId};
 use crate::ledger::{LedgerOp, Plan, Terms};
 use crate::rate::Meter;
 use crate::refusal::Refusal;
+use crate::seal::{Claim, Estate, FleetClock, HOLDS, Seal};
 
 /// How much demand, in time, a holding keeps ready to spend; the rest is parked.
 const WORKING: Duration = Duration::from_secs(1);
@@ -17,6 +18,35 @@
 /// After how long without use a holding is given back.
 const IDLE: Duration = Duration::from_mins(1);
 
+/// How much demand, in time, is left unsealed.
+const OPEN: Duration = Duration::from_secs(3);
+/// After how long without the platform's word nothing is promised.
+const SURE: Duration = Duration::from_millis(1100);
+
+/// What a process needs for sealing tokens.
+#[derive(Debug)]
+pub(crate) struct Sealing {
+    pub(crate) vm: VmId,
+    pub(crate) clock: FleetClock,
+    /// When the ledger last answered a change.
+    pub(crate) heard: Option<Time>,
+}
+
+impl Sealing {
+    /// Tells whether the platform is known to be there.
+    fn is_sure(&self, now: Time) -> bool {
+        self.heard.is_some_and(|at| now.since(at) < SURE)
+    }
+}
+
+/// Who makes changes for the ledger.
+#[derive(Debug)]
+pub(crate) struct Maker {
+    pub(crate) me: Incarnation,
+    /// Nothing if the process seals no tokens and parks them instead.
+    pub(crate) sealing: Option<Sealing>,
+}
+
 /// A request that waits for tokens.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Waiter {
@@ -87,6 +117,14 @@
     pub(crate) passed: Option<Time>,
     /// Whether everything is to go back, because the budget was lowered.
     pub(crate) recall: bool,
+    /// What is held and promised not to be touched.
+    pub(crate) sealed: Tokens,
+    /// What the change under way unseals.
+    pub(crate) releasing: Tokens,
+    /// When the promise was last said.
+    pub(crate) said: Option<Time>,
+    /// Sealed tokens of earlier processes of this VM that were not looked at yet.
+    pub(crate) estates: Vec<Estate>,
     pub(crate) closed: bool,
     /// Whether the holding wants nothing more, because its process is stopping.
     pub(crate) retiring: bool,
@@ -128,6 +166,10 @@
             meter: Meter::default(),
             passed: None,
             recall: false,
+            sealed: Tokens::ZERO,
+            releasing: Tokens::ZERO,
+            said: None,
+            estates: Vec::new(),
             closed: false,
             retiring: false,
             refused: None,
@@ -136,7 +178,76 @@
 
     /// Returns what is neither spent nor set aside, parked or not.
     pub(crate) fn unspent(&self) -> Tokens {
-        self.free.saturating_plus(self.parked_amount())
+        self.free.saturating_plus(self.parked_amount()).saturating_plus(self.shut())
+    }
+
+    /// Returns what is sealed, or not unsealed yet.
+    pub(crate) fn shut(&self) -> Tokens {
+        self.sealed.saturating_plus(self.releasing)
+    }
+
+    /// Unseals everything if the promise is over.
+    pub(crate) fn unseal_late(&mut self, now: Time) {
+        if self.said.is_some_and(|at| now.since(at) < HOLDS) {
+            return;
+        }
+        self.free = self.free.saturating_plus(self.shut());
+        self.sealed = Tokens::ZERO;
+        self.releasing = Tokens::ZERO;
+    }
+
+    /// Takes tokens out for giving back, of what is free first, then of what is sealed.
+    fn take_back(&mut self, amount: Tokens) -> Tokens {
+        let taken = self.take(amount);
+        let more = amount.saturating_minus(taken).min(self.sealed);
+        self.sealed = self.sealed.saturating_minus(more);
+        taken.saturating_plus(more)
+    }
+
+    /// Seals what is beyond the needs of the next moments, or unseals what they lack.
+    fn balance(&mut self, now: Time) {
+        let keep = self.wanted().saturating_plus(self.open(now));
+        let margin = keep.part(1, 4);
+        if self.free > keep.saturating_plus(margin) {
+            let excess = self.take(self.free.saturating_minus(keep));
+            self.sealed = self.sealed.saturating_plus(excess);
+            return;
+        }
+        if self.free.saturating_plus(margin) > keep {
+            return;
+        }
+        let lack = keep.saturating_minus(self.free).min(self.sealed);
+        self.sealed = self.sealed.saturating_minus(lack);
+        self.releasing = self.releasing.saturating_plus(lack);
+    }
+
+    /// Returns how much to leave unsealed: what requests may need before the ledger can
+    /// be told that more is unsealed, and until a seal is over.
+    fn open(&self, now: Time) -> Tokens {
+        let flow = self.meter.rate(now).over(OPEN);
+        if now.since(self.used_at) < OPEN { flow.max(self.largest) } else { flow }
+    }
+
+    /// Says what is sealed, with a promise if the platform is known to be there.
+    fn seal(&mut self, now: Time, sealing: &Sealing, close: bool) -> Seal {
+        if !close {
+            self.balance(now);
+        }
+        let at = if sealing.is_sure(now) { sealing.clock.at(now) } else { None };
+        if at.is_some() {
+            self.said = Some(now);
+        }
+        let claims = sealing.clock.started.map_or_else(Vec::new, |started| {
+            let claim = |e: Estate| Claim { holder: e.holder, untouched: e.is_untouched(started) };
+            std::mem::take(&mut self.estates).into_iter().map(claim).collect()
+        });
+        Seal {
+            vm: sealing.vm.clone(),
+            amount: self.sealed,
+            released: self.releasing,
+            at,
+            claims,
+        }
     }
 
     /// Returns what is parked or on its way there.
@@ -227,12 +338,14 @@
         &mut self,
         now: Time,
         budget: &BudgetId,
-        me: Incarnation,
+        maker: &Maker,
         back: Tokens,
         close: bool,
     ) {
         // What is given back is deducted before anyone is told.
-        let back = self.take(back);
+        let back = self.take_back(back);
+        let seal = maker.sealing.as_ref().map(|sealing| self.seal(now, sealing, close));
+        let shortage = self.wanted().saturating_minus(self.free).saturating_minus(self.releasing);
         self.seq += 1;
         // A holding that is not in use has no share.
         let least = if self.is_idle(now) { Rate(0) } else { Rate(1) };
@@ -240,9 +353,9 @@
         let op = LedgerOp {
             budget: budget.clone(),
             terms: self.terms,
-            holder: me,
+            holder: maker.me,
             seq: self.seq,
-            need: self.wanted().saturating_minus(self.free),
+            need: shortage,
             back,
             held: self.unspent(),
             rate,
@@ -253,6 +366,7 @@
             billed: self.billed,
             wasted: self.wasted,
             close,
+            seal,
         };
         self.reported = (self.billed, self.wasted);
         self.drawn_at = Some(now);
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -14,15 +14,16 @@
 use std::time::Duration;
 
 use self::bank::Bank;
-use self::holding::{Holding, Hunt, Waiter};
+use self::holding::{Holding, Hunt, Maker, Sealing, Waiter};
 use self::transfer::Transfers;
 use crate::amount::{Percent, Time, Tokens};
 use crate::event::{Note, Order, Outbox, due};
-use crate::ids::{BudgetId, Incarnation, Period, Region, RunId};
+use crate::ids::{BudgetId, Incarnation, Period, Region, RunId, Version, VmId};
 use crate::ledger::{LedgerOp, LedgerReply, Plan, Terms};
 use crate::message::{Ask, Message, ParkItem, Transfer};
 use crate::node::Pacing;
 use crate::refusal::{Cause, Refusal};
+use crate::seal::FleetClock;
 use crate::view::View;
 
 /// How long an unconfirmed change waits before it is sent again.
@@ -75,8 +76,11 @@
 #[derive(Debug)]
 pub struct Holdings {
     me: Incarnation,
+    maker: Maker,
     region: Region,
     pacing: Pacing,
+    /// The version of the templates whose budgets were all opened.
+    pub(crate) opened: Option<Version>,
     table: BTreeMap<BudgetId, Holding>,
     transfers: Transfers,
     bank: Bank,
@@ -95,11 +99,15 @@
 impl Holdings {
     /// Makes an empty set of rights.
     #[must_use]
-    pub fn new(me: Incarnation, region: Region, pacing: Pacing) -> Self {
+    pub fn new(me: Incarnation, vm: VmId, region: Region, pacing: Pacing) -> Self {
+        let sealing =
+            pacing.seals.then(|| Sealing { vm, clock: FleetClock::default(), heard: None });
         Self {
             me,
+            maker: Maker { me, sealing },
             region,
             pacing,
+            opened: None,
             table: BTreeMap::new(),
             transfers: Transfers::default(),
             bank: Bank::default(),
@@ -114,6 +122,13 @@
         }
     }
 
+    /// Takes in the fleet's time.
+    pub(crate) fn set_clock(&mut self, clock: FleetClock) {
+        if let Some(sealing) = self.maker.sealing.as_mut() {
+            sealing.clock = clock;
+        }
+    }
+
     /// Returns the budgets that have a holding.
     pub fn budgets(&self) -> impl Iterator<Item = &BudgetId> {
         self.table.keys()
@@ -192,6 +207,9 @@
             return Reserved::Refused(Refusal::not_run(Cause::BudgetSpent));
         };
         holding.largest = holding.largest.max(need);
+        if holding.free < need && self.maker.sealing.is_some() {
+            holding.unseal_late(now);
+        }
         if need > holding.terms.limit {
             return Reserved::Refused(Refusal::not_run(Cause::BudgetSpent));
         }
@@ -298,7 +316,7 @@
             return;
         }
         match reply {
-            LedgerReply::Applied { seq, granted, left, others, plan } => {
+            LedgerReply::Applied { seq, granted, left, others, plan, estates } => {
                 let mine = holding.op.as_ref().is_some_and(|(op, _)| op.seq == *seq);
                 if !mine {
                     return;
@@ -307,8 +325,13 @@
                     holding.refused = None;
                 }
                 let closed = holding.op.take().is_some_and(|(op, _)| op.close);
-                holding.free = holding.free.saturating_plus(*granted);
+                let released = std::mem::take(&mut holding.releasing);
+                holding.free = holding.free.saturating_plus(*granted).saturating_plus(released);
                 holding.left = Some(*left);
+                if let Some(sealing) = self.maker.sealing.as_mut() {
+                    sealing.heard = Some(now);
+                    holding.estates.clone_from(estates);
+                }
                 out.push(Order::Note(Note::Drawn {
                     budget: budget.clone(),
                     limit: holding.terms.limit,
@@ -357,6 +380,9 @@
         };
         // Of two that both lack tokens, the one with the lower number collects.
         let collects = matches!(holding.plan, Plan::Collect(_));
+        if self.maker.sealing.is_some() {
+            holding.unseal_late(now);
+        }
         let keep = if collects || self.me < from { holding.wanted() } else { Tokens::ZERO };
         let spare = holding.free.saturating_minus(keep);
         if spare < ask.need && !holding.parked.total.is_zero() {
--- a/crates/badgerfield-core/src/holdings/parking.rs
+++ b/crates/badgerfield-core/src/holdings/parking.rs
@@ -28,48 +28,58 @@
             return;
         }
         if matches!(holding.hunt, Some(Hunt::Ledger { .. })) {
-            holding.make_op(now, budget, self.me, Tokens::ZERO, false);
+            holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
             return;
         }
         if self.closing {
             holding.retiring = true;
+            let shut = holding.shut();
             let ready = holding.reserved.is_zero()
                 && holding.waiters.is_empty()
                 && holding.parked_amount().is_zero();
-            if ready && holding.seq + holding.free.0 > 0 {
+            let all = holding.free.saturating_plus(shut);
+            if ready && holding.seq + all.0 > 0 {
                 if holding.seq == 0 {
                     // The first change registers the holder and gives nothing back.
-                    holding.make_op(now, budget, self.me, Tokens::ZERO, false);
+                    holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
                     return;
                 }
-                holding.make_op(now, budget, self.me, holding.free, true);
-            } else if holding.seq > 0 && !holding.spare().is_zero() {
+                holding.make_op(now, budget, &self.maker, all, true);
+            } else if holding.seq > 0 && !holding.spare().saturating_plus(shut).is_zero() {
                 // What runs keeps its tokens; the rest goes back now, should this process
                 // be ended before its requests are.
-                holding.make_op(now, budget, self.me, holding.spare(), false);
+                let rest = holding.spare().saturating_plus(shut);
+                holding.make_op(now, budget, &self.maker, rest, false);
             }
             return;
         }
+        if holding.seq == 0 && self.maker.sealing.is_some() {
+            // The first change tells what earlier processes of this VM left sealed.
+            holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
+            return;
+        }
         let idle = holding.is_idle(now);
         if holding.seq > 0 && (idle || holding.recall) && holding.parked_amount().is_zero() {
-            let back = holding.spare();
+            let back = holding.spare().saturating_plus(holding.sealed);
             let news = holding.reported != (holding.billed, holding.wasted);
             holding.recall = false;
             if !back.is_zero() || news {
-                holding.make_op(now, budget, self.me, back, false);
+                holding.make_op(now, budget, &self.maker, back, false);
             }
             return;
         }
         if !due(now, holding.drawn_at, report) || idle {
             return;
         }
-        let surplus = holding.surplus(now).min(holding.spare());
+        let surplus = holding.surplus(now).min(holding.spare().saturating_plus(holding.sealed));
         if !surplus.is_zero() && holding.seq > 0 {
-            holding.make_op(now, budget, self.me, surplus, false);
+            holding.make_op(now, budget, &self.maker, surplus, false);
             return;
         }
-        if holding.reported != (holding.billed, holding.wasted) {
-            holding.make_op(now, budget, self.me, Tokens::ZERO, false);
+        // A seal is said anew all the time, since it holds but for a moment.
+        let news = holding.reported != (holding.billed, holding.wasted);
+        if news || !holding.sealed.is_zero() || !holding.estates.is_empty() {
+            holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
         }
     }
 
@@ -79,7 +89,7 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        if holding.parked.sent.is_some() || self.removed {
+        if holding.parked.sent.is_some() || self.removed || self.maker.sealing.is_some() {
             return;
         }
         let bank = holding.parked.bank;
--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -32,6 +32,9 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
+        if !holding.waiters.is_empty() && self.maker.sealing.is_some() {
+            holding.unseal_late(now);
+        }
         let period = holding.terms.period;
         let mut waiting = std::mem::take(&mut holding.waiters);
         let mut done = Vec::new();
@@ -54,7 +57,8 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        if holding.hunt.is_none() && holding.covers_wanted() {
+        let parks = self.maker.sealing.is_none();
+        if holding.hunt.is_none() && parks && holding.covers_wanted() {
             holding.hunt = Some(Hunt::Bank { since: now });
         } else {
             self.look_elsewhere(now, budget, out);
@@ -84,7 +88,7 @@
             (None, None) => {
                 holding.hunt = Some(Hunt::Ledger { since: now });
                 if holding.op.is_none() {
-                    holding.make_op(now, budget, self.me, Tokens::ZERO, false);
+                    holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
                 }
                 // While the platform is away others are asked at once; the change is on
                 // its way beside that, should the platform be back.
@@ -119,7 +123,7 @@
         }
         holding.hunt = Some(Hunt::Ledger { since: now });
         if holding.op.is_none() {
-            holding.make_op(now, budget, self.me, Tokens::ZERO, false);
+            holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
         }
         self.touched.insert(budget.clone());
     }
@@ -136,8 +140,8 @@
                 if holding.op.is_some() {
                     return;
                 }
-                if !left.is_zero() {
-                    holding.make_op(now, budget, self.me, Tokens::ZERO, false);
+                if !left.is_zero() || !holding.sealed.is_zero() {
+                    holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
                     return;
                 }
                 self.ask_peers(now, budget, out);
--- a/crates/badgerfield-core/src/ledger.rs
+++ b/crates/badgerfield-core/src/ledger.rs
@@ -13,7 +13,8 @@
 use thiserror::Error;
 
 use crate::amount::{Percent, Rate, Tokens};
-use crate::ids::{BudgetId, Incarnation, Period, Region, Version, weigh};
+use crate::ids::{BudgetId, Incarnation, Period, Region, Version, VmId, weigh};
+use crate::seal::{Estate, Seal, SealRecord};
 
 /// How much demand, in time, a holder may hold after its first change; it doubles with
 /// each further change, so that the demand of all is known before much is handed out.
@@ -78,6 +79,9 @@
     /// Whether the holder has closed; it stays here so that old changes do not count again.
     #[serde(rename = "c", default, skip_serializing_if = "std::ops::Not::not")]
     pub closed: bool,
+    /// What the holder said of its sealed tokens.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub seal: Option<SealRecord>,
 }
 
 /// One budget's record.
@@ -143,6 +147,8 @@
     pub wasted: Tokens,
     /// Whether the holder is closing and wants nothing more.
     pub close: bool,
+    /// What the holder says about its sealed tokens, if it seals any.
+    pub seal: Option<Seal>,
 }
 
 /// What became of a change.
@@ -160,6 +166,8 @@
         others: Vec<Incarnation>,
         /// How the holder should hold the budget from now on.
         plan: Plan,
+        /// Sealed tokens of earlier processes of the holder's VM.
+        estates: Vec<Estate>,
     },
     /// The period has ended; nothing of the change took effect.
     Ended {
@@ -232,7 +240,10 @@
             self.gone.push_back(*id);
             for entry in self.budgets.values_mut() {
                 entry.close(*id);
-                entry.holders.remove(id);
+                // Sealed tokens wait for the holder's successor.
+                if entry.holders.get(id).is_some_and(|h| h.seal.is_none()) {
+                    entry.holders.remove(id);
+                }
             }
         }
         let excess = self.gone.len().saturating_sub(MAX_GONE);
@@ -290,6 +301,8 @@
         holder.region = Some(op.region.clone());
         holder.billed = op.billed;
         holder.wasted = op.wasted;
+        holder.seal = op.seal.as_ref().and_then(record_of);
+        self.settle_estates(op);
         let granted = self.grant(op);
         self.drawn = self.drawn.saturating_plus(granted);
         if op.close {
@@ -301,6 +314,33 @@
         self.applied(op, granted)
     }
 
+    /// Settles the sealed tokens of earlier processes: what is untouched goes back.
+    fn settle_estates(&mut self, op: &LedgerOp) {
+        let claims = op.seal.as_ref().map_or(&[][..], |seal| &seal.claims);
+        for claim in claims {
+            let holder = self.holders.get_mut(&claim.holder);
+            let Some(record) = holder.and_then(|h| h.seal.take()) else {
+                continue;
+            };
+            if claim.untouched {
+                self.drawn = self.drawn.saturating_minus(record.amount);
+            }
+            self.close(claim.holder);
+        }
+    }
+
+    /// Returns the sealed tokens of earlier processes of a VM.
+    fn estates(&self, vm: &VmId, holder: Incarnation) -> Vec<Estate> {
+        let others = self.holders.iter().filter(|(id, _)| **id != holder);
+        let sealed = others.filter_map(|(id, h)| Some((*id, h.seal.as_ref()?)));
+        let estate = |(holder, seal): (Incarnation, &SealRecord)| Estate {
+            holder,
+            amount: seal.amount,
+            at: seal.at,
+        };
+        sealed.filter(|(_, seal)| seal.vm == *vm).map(estate).collect()
+    }
+
     fn learn(&mut self, terms: Terms) {
         if terms.version <= self.terms.version {
             return;
@@ -389,10 +429,18 @@
         rich.sort_by_key(|(id, holder)| (std::cmp::Reverse(holder.held), **id));
         let others = rich.into_iter().take(MAX_NAMED).map(|(id, _)| *id).collect();
         let (seq, left, plan) = (op.seq, self.left(), self.plan(op));
-        LedgerReply::Applied { seq, granted, left, others, plan }
+        let estates = op.seal.as_ref().map_or_else(Vec::new, |s| self.estates(&s.vm, op.holder));
+        LedgerReply::Applied { seq, granted, left, others, plan, estates }
     }
 }
 
+/// Returns what the ledger keeps of what a holder says; nothing if it promises nothing.
+fn record_of(seal: &Seal) -> Option<SealRecord> {
+    let at = seal.at?;
+    let record = SealRecord { vm: seal.vm.clone(), amount: seal.amount, at };
+    (!seal.amount.is_zero()).then_some(record)
+}
+
 /// Returns how much demand a holder may hold ahead of time.
 fn horizon(seq: u64, ahead: Duration) -> Duration {
     let first = FIRST_HORIZON.min(ahead / FIRST_PART);
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod replicas;
 pub mod retry_budget;
 pub mod routing;
+pub mod seal;
 mod runs;
 pub mod template;
 pub mod upstream;
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -8,6 +8,7 @@
 use crate::event::KvName;
 use crate::ids::{Epoch, Incarnation, Ticket, Version, VmId};
 use crate::message::Heartbeat;
+use crate::seal::FleetClock;
 use crate::view::{Member, Standing, View};
 
 /// After how long without a sign of life a member is removed from the view.
@@ -54,6 +55,8 @@
     beat: (Epoch, Epoch, Version),
     /// Whether the member said that it does not serve callers.
     closed: bool,
+    /// The member's time of day, less this process's own time when it was heard.
+    offset: Option<u64>,
 }
 
 /// The table of members.
@@ -68,6 +71,8 @@
     pub(crate) stopping: Option<Time>,
     /// Since when nothing runs here, during a stop.
     pub(crate) quiet: Option<Time>,
+    /// This VM's time of day, less this process's own time.
+    offset: Option<u64>,
     /// Whether this process serves callers at present.
     pub(crate) serving: bool,
     /// After how long without a sign of life a member is in doubt.
@@ -98,6 +103,7 @@
             removed: false,
             stopping: None,
             quiet: None,
+            offset: None,
             serving: true,
             doubt: beat.saturating_mul(DOUBT_BEATS),
             next_ticket: 1,
@@ -196,6 +202,7 @@
         if let Some(beat) = beat {
             sign.beat = (beat.epoch, beat.complete, beat.version);
             sign.closed = !beat.serving;
+            sign.offset = beat.wall.map(|wall| wall.saturating_sub(millis(now)));
         }
     }
 
@@ -334,6 +341,23 @@
             .collect()
     }
 
+    /// Takes in this VM's time of day.
+    pub(crate) fn set_wall(&mut self, now: Time, wall: u64) {
+        self.offset = Some(wall.saturating_sub(millis(now)));
+    }
+
+    /// Returns this VM's time of day.
+    pub(crate) fn wall(&self, now: Time) -> Option<u64> {
+        self.offset.map(|offset| offset.saturating_add(millis(now)))
+    }
+
+    /// Reads the fleet's time off the clocks of all members that were heard of late.
+    pub(crate) fn clock(&self, now: Time) -> FleetClock {
+        let heard = self.signs.values().filter(|sign| now.since(sign.heard) < self.doubt);
+        let offsets = heard.filter_map(|sign| sign.offset).chain(self.offset).collect();
+        FleetClock::of(offsets, self.view.members.len())
+    }
+
     /// Tells whether a member does not serve callers, as far as it said.
     fn is_closed(&self, id: Incarnation) -> bool {
         if id == self.id() {
@@ -350,3 +374,7 @@
         self.signs.get(&id).map_or(Duration::ZERO, |sign| now.since(sign.heard))
     }
 }
+
+fn millis(now: Time) -> u64 {
+    u64::try_from(now.0.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -179,6 +179,8 @@
     pub version: Version,
     /// Whether the sender serves callers.
     pub serving: bool,
+    /// The time of day at the sender, in milliseconds since 1970, if it has told it.
+    pub wall: Option<u64>,
 }
 
 /// A holder's wish for tokens of another holder.
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -30,6 +30,8 @@
     pub report: Duration,
     /// How often signs of life are sent.
     pub beat: Duration,
+    /// Whether tokens that are held ahead are sealed, instead of parked with a peer.
+    pub seals: bool,
 }
 
 impl Default for Pacing {
@@ -38,6 +40,7 @@
             ahead: Duration::from_secs(7200),
             report: Duration::from_secs(5),
             beat: Duration::from_secs(1),
+            seals: false,
         }
     }
 }
@@ -122,8 +125,13 @@
         let members = Membership::new(config.member.clone(), config.pacing.beat);
         let runs = Runs::new(config.replay, config.max_replay);
         let claims = Claims::new(me, config.remember);
-        let drawer = Drawer::new(config.shards);
-        let holdings = Holdings::new(me, config.member.region.clone(), config.pacing);
+        let drawer = Drawer::new(config.shards, config.pacing.report);
+        let holdings = Holdings::new(
+            me,
+            config.member.vm.clone(),
+            config.member.region.clone(),
+            config.pacing,
+        );
         let board = Board::new(members, runs, claims, holdings, drawer);
         Self { board, config }
     }
@@ -276,13 +284,19 @@
             Event::Reserve(ask) => self.reserve_for(now, &ask, out),
             Event::Withdraw(ask) => self.withdraw(now, &ask, out),
             Event::Settle(end) => self.settle_reservation(now, &end, out),
+            Event::Clock(wall) => self.board.members().set_wall(now, wall),
             Event::Serving(serving) => self.board.members().serving = serving,
             Event::Stop => self.stop(now, out),
         }
     }
 
     fn tick(&self, now: Time, out: &mut Outbox) {
-        self.board.members().tick(now);
+        let clock = {
+            let mut members = self.board.members();
+            members.tick(now);
+            members.clock(now)
+        };
+        self.board.holdings().set_clock(clock);
         self.beat(now, out);
         self.read_platform(now, out);
         self.claim_tick(now, out);
--- /dev/null
+++ b/crates/badgerfield-core/src/seal.rs
@@ -0,0 +1,119 @@
+//! Sealed tokens: rights that a process holds and promises not to touch for a while.
+//!
+//! A process holds tokens ahead for the time in which the platform may be away. Were all
+//! processes to end at once, nobody could tell what was spent of them. So the ledger
+//! records how much of a holding is sealed, and when that was said. The holder touches
+//! sealed tokens only [`HOLDS`] after it last said so; its successor on the same VM, if
+//! it started earlier than that, knows that they are untouched and gives them back.
+//!
+//! What the promise rests on: one process at a time on a VM; the steady clock of the
+//! holder; and a time that more than half of the fleet's clocks agree on. Where they do
+//! not agree nothing is claimed, which costs tokens and breaks nothing.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::amount::{Time, Tokens};
+use crate::ids::{Incarnation, VmId};
+
+/// How long a seal holds after it was last said.
+pub const HOLDS: Duration = Duration::from_millis(2200);
+/// By how much clocks that agree may differ.
+pub const AGREE: Duration = Duration::from_millis(250);
+
+/// A time that the fleet's clocks agree on, in milliseconds since 1970.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct FleetTime(pub u64);
+
+/// What a holder says about its sealed tokens with each change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seal {
+    /// The VM of the holder.
+    pub vm: VmId,
+    /// How much is sealed from now on.
+    pub amount: Tokens,
+    /// How much this change unseals.
+    pub released: Tokens,
+    /// When this was said; nothing if the holder promises nothing.
+    pub at: Option<FleetTime>,
+    /// Earlier processes of this VM, and whether their sealed tokens go back.
+    pub claims: Vec<Claim>,
+}
+
+/// What a process found of the sealed tokens of an earlier one on its VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The earlier process.
+    pub holder: Incarnation,
+    /// Whether its tokens are untouched; otherwise they count as spent.
+    pub untouched: bool,
+}
+
+/// What the ledger knows of a holder's sealed tokens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SealRecord {
+    /// The VM of the holder.
+    #[serde(rename = "v")]
+    pub vm: VmId,
+    /// How much is sealed.
+    #[serde(rename = "a")]
+    pub amount: Tokens,
+    /// When that was said.
+    #[serde(rename = "t")]
+    pub at: FleetTime,
+}
+
+/// Sealed tokens of an earlier process of a VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Estate {
+    /// The earlier process.
+    pub holder: Incarnation,
+    /// What was sealed.
+    pub amount: Tokens,
+    /// When that was said.
+    pub at: FleetTime,
+}
+
+impl Estate {
+    /// Tells whether the tokens are untouched, to a process that started at this time.
+    #[must_use]
+    pub fn is_untouched(&self, started: FleetTime) -> bool {
+        let limit = self.at.0.saturating_add(millis(HOLDS));
+        started.0.saturating_add(millis(AGREE)) <= limit
+    }
+}
+
+/// The fleet's time, as the clocks of members that were heard of late tell it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FleetClock {
+    /// The fleet's time at the start of this process.
+    pub started: Option<FleetTime>,
+}
+
+impl FleetClock {
+    /// Reads the clock: each entry is a clock's time, less this process's own time since
+    /// its start; `members` is how many clocks there are.
+    ///
+    /// There is no time if fewer than half of the clocks are heard, or agree.
+    #[must_use]
+    pub fn of(mut offsets: Vec<u64>, members: usize) -> Self {
+        offsets.sort_unstable();
+        let Some(middle) = offsets.get(offsets.len() / 2).copied() else {
+            return Self::default();
+        };
+        let near = offsets.iter().filter(|o| o.abs_diff(middle) <= millis(AGREE)).count();
+        let started = (near * 2 > members).then_some(FleetTime(middle));
+        Self { started }
+    }
+
+    /// Returns the fleet's time at a time of this process.
+    #[must_use]
+    pub fn at(self, now: Time) -> Option<FleetTime> {
+        self.started.map(|started| FleetTime(started.0.saturating_add(millis(now.0))))
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/badgerfield-core/tests/ledger.rs
+++ b/crates/badgerfield-core/tests/ledger.rs
@@ -81,6 +81,7 @@
         billed: Tokens(holder.spent),
         wasted: Tokens::ZERO,
         close,
+        seal: None,
     }
 }
 
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use badgerfield_core::amount::Time;
 use badgerfield_core::event::{Answer, Bill, Dispatch, KvCall, KvName, KvResult, Note};
@@ -34,6 +34,8 @@
 use crate::sync::lock;
 use crate::upstreams::Upstreams;
 
+/// After how many ticks the time of day is read.
+const CLOCK_TICKS: u32 = 4;
 /// How long a failed watch of the templates rests.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
 
@@ -403,9 +405,14 @@
 
     async fn tick(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(TICK);
+        let mut count: u32 = 0;
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
+            if count % CLOCK_TICKS == 0 {
+                self.feed(Event::Clock(wall_clock()));
+            }
+            count = count.wrapping_add(1);
             self.feed(Event::Tick);
         }
     }
@@ -434,6 +441,12 @@
     }
 }
 
+/// Returns the time of day in milliseconds since 1970.
+fn wall_clock() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 async fn read_vms(client: &http::HttpClient, uri: &Uri, timeout: Duration) -> Option<VmList> {
     let request = Request::get(uri.clone()).body(Full::default()).ok()?;
     let value = http::call(client, request, timeout).await.ok()?;
--- a/crates/badgerfield-standin/src/capacity.rs
+++ b/crates/badgerfield-standin/src/capacity.rs
@@ -286,6 +286,7 @@
         billed: Tokens(1_234_567),
         wasted: Tokens::ZERO,
         close: false,
+        seal: None,
     }
 }
 
