Send ledger changes to a member that reaches the platform

Cause: the first writer by rank was a machine that the platform turned away; every holder in the fleet asked it first with every change, and waited 1 s for the next one. A member that said it cannot reach the platform is now passed over for 2 s, and a change goes to the next writer at once.

--- a/crates/badgerfield-core/src/control/rights.rs
+++ b/crates/badgerfield-core/src/control/rights.rs
@@ -142,7 +142,7 @@
         let mut batches: BTreeMap<Incarnation, Vec<LedgerOp>> = BTreeMap::new();
         for (op, tries) in ops {
             let shard = shard_of(&op.budget, self.config.shards);
-            let writer = self.writer(shard, tries);
+            let writer = self.writer(now, shard, tries);
             batches.entry(writer).or_default().push(op);
         }
         for (writer, ops) in batches {
@@ -155,15 +155,18 @@
     }
 
     /// Returns who writes a shard: the region's first by rank, then the second, then
-    /// the holder itself.
-    fn writer(&self, shard: u32, tries: u32) -> Incarnation {
+    /// the holder itself. Those that could not reach the platform of late are passed over.
+    fn writer(&self, now: Time, shard: u32, tries: u32) -> Incarnation {
         let members = self.board.members();
         let ranked = members.view.ranked(&shard.to_be_bytes(), Some(&members.me.region));
-        let choice = usize::try_from(tries % 3).unwrap_or(0);
-        if choice == 2 {
-            return self.id();
-        }
-        ranked.get(choice).map_or(self.id(), |m| m.incarnation)
+        let reaches = |id: &Incarnation| !members.is_away(now, *id);
+        let mut writers: Vec<_> =
+            ranked.iter().map(|m| m.incarnation).filter(reaches).take(2).collect();
+        if reaches(&self.id()) || writers.is_empty() {
+            writers.push(self.id());
+        }
+        let choice = usize::try_from(tries).unwrap_or(0) % writers.len();
+        writers.get(choice).copied().unwrap_or(self.id())
     }
 
     /// Takes in changes that this process is to write.
@@ -197,9 +200,13 @@
     pub(crate) fn drawn(
         &self,
         now: Time,
+        from: Incarnation,
         replies: Vec<(BudgetId, Period, LedgerReply)>,
         out: &mut Outbox,
     ) {
+        if replies.iter().any(|(_, _, reply)| *reply == LedgerReply::Down) {
+            self.board.members().note_away(now, from);
+        }
         let mut holdings = self.board.holdings();
         for (budget, period, reply) in replies {
             holdings.drawn(now, &budget, period, &reply, out);
@@ -226,7 +233,7 @@
         }
         for (holder, replies) in batches {
             if holder == self.id() {
-                self.drawn(now, replies, out);
+                self.drawn(now, holder, replies, out);
                 continue;
             }
             out.send(holder, Message::Drawn(replies));
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -28,6 +28,10 @@
 
 /// How long an unconfirmed change waits before it is sent again.
 const RESEND: Duration = Duration::from_secs(1);
+/// The same while a request waits for it.
+const URGENT_RESEND: Duration = Duration::from_millis(500);
+/// How many members are asked to write a change before the platform counts as away.
+const WRITERS: u32 = 3;
 /// How many times its need a holder may get at once, to ask less often.
 const LUMP: u64 = 8;
 
@@ -290,7 +294,8 @@
             let Some((op, sent)) = &mut holding.op else {
                 continue;
             };
-            if !due(now, *sent, RESEND) {
+            let resend = if op.need.is_zero() { RESEND } else { URGENT_RESEND };
+            if !due(now, *sent, resend) {
                 continue;
             }
             *sent = Some(now);
@@ -357,7 +362,14 @@
                     holding.left = Some(Tokens::ZERO);
                 }
             }
-            LedgerReply::Down => holding.down = true,
+            LedgerReply::Down => {
+                // Another member may reach the platform.
+                let again = holding.op.as_mut().filter(|_| holding.tries < WRITERS);
+                match again {
+                    Some((_, sent)) => *sent = None,
+                    None => holding.down = true,
+                }
+            }
         }
         self.touched.insert(budget.clone());
         self.serve_waiters(now, budget);
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -15,6 +15,8 @@
 const SILENCE: Duration = Duration::from_secs(20);
 /// After how many intervals without a sign of life a member is left out of the directory.
 const DOUBT_BEATS: u32 = 4;
+/// For how long a member is passed over that could not reach the platform.
+const AWAY: Duration = Duration::from_secs(2);
 /// After how long without a tick this process takes itself to have been paused.
 const PAUSED: Duration = Duration::from_secs(2);
 /// How much longer each further observer waits before it removes a member.
@@ -71,6 +73,8 @@
     pub(crate) stopping: Option<Time>,
     /// Since when nothing runs here, during a stop.
     pub(crate) quiet: Option<Time>,
+    /// Members that could not reach the platform, and when they said so.
+    away: BTreeMap<Incarnation, Time>,
     /// This VM's time of day, less this process's own time.
     offset: Option<u64>,
     /// Whether this process serves callers at present.
@@ -103,6 +107,7 @@
             removed: false,
             stopping: None,
             quiet: None,
+            away: BTreeMap::new(),
             offset: None,
             serving: true,
             doubt: beat.saturating_mul(DOUBT_BEATS),
@@ -341,6 +346,17 @@
             .collect()
     }
 
+    /// Notes that a member could not reach the platform.
+    pub(crate) fn note_away(&mut self, now: Time, id: Incarnation) {
+        self.away.retain(|_, at| now.since(*at) < AWAY);
+        self.away.insert(id, now);
+    }
+
+    /// Tells whether a member could not reach the platform a moment ago.
+    pub(crate) fn is_away(&self, now: Time, id: Incarnation) -> bool {
+        self.away.get(&id).is_some_and(|at| now.since(*at) < AWAY)
+    }
+
     /// Takes in this VM's time of day.
     pub(crate) fn set_wall(&mut self, now: Time, wall: u64) {
         self.offset = Some(wall.saturating_sub(millis(now)));
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -328,7 +328,7 @@
             Message::Delta(delta) => self.learn_delta(now, from, delta, out),
             Message::Templates(set) => self.learn_templates(now, *set, out),
             Message::Draw(ops) => self.draw(now, ops, out),
-            Message::Drawn(replies) => self.drawn(now, replies, out),
+            Message::Drawn(replies) => self.drawn(now, from, replies, out),
             Message::Ask(ask) => self.board.holdings().asked(now, from, &ask, out),
             Message::Nothing { budget, reserved, .. } => {
                 self.board.holdings().nothing(now, from, &budget, reserved, out);
