--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -7,11 +7,12 @@
 
 use bytes::Bytes;
 
-use crate::amount::{Time, Tokens};
+use crate::amount::{Rate, Time, Tokens};
 use crate::ids::{
     Account, Adapter, AttemptId, BudgetId, Incarnation, Model, Period, RequestId, RequestKey,
     ReservationId, RunId, Service, Ticket, UpstreamId,
 };
+use crate::ledger::Plan;
 use crate::message::{Envelope, Head, Message};
 use crate::refusal::Refusal;
 use crate::template::KeyDigest;
@@ -328,8 +329,12 @@
         granted: Tokens,
         /// What is left in the ledger.
         left: Tokens,
-        /// What the process holds now, parked or not.
+        /// What the process holds now, parked, sealed or free.
         held: Tokens,
+        /// How the ledger wants the budget held.
+        plan: Plan,
+        /// The demand that the process measured.
+        rate: Rate,
     },
     /// The budget period has ended and a new one is in force.
     Renewed(BudgetId),
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -343,6 +343,8 @@
                     granted: *granted,
                     left: *left,
                     held: holding.unspent(),
+                    plan: *plan,
+                    rate: holding.meter.rate(now),
                 }));
                 holding.down = false;
                 holding.plan = *plan;
--- a/crates/badgerfield-core/src/ledger.rs
+++ b/crates/badgerfield-core/src/ledger.rs
@@ -7,6 +7,7 @@
 //! after its reply was lost, has its effect once.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -194,6 +195,16 @@
     Defer(Incarnation),
 }
 
+impl fmt::Display for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Share(tokens) => write!(f, "share:{tokens}"),
+            Self::Collect(tokens) => write!(f, "collect:{tokens}"),
+            Self::Defer(id) => write!(f, "defer:{id}"),
+        }
+    }
+}
+
 /// Why a value is not a shard of the ledger.
 #[derive(Debug, Error)]
 #[error("expected a shard of the ledger in JSON: {0}")]
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -395,9 +395,10 @@
                 log::error!(target: PLATFORM, "cannot use {name:?}: {error}");
             }
             Note::Removed => log::error!(target: NODE, "removed from the view; ends when idle"),
-            Note::Drawn { budget, limit, granted, left, held } => log::info!(
+            Note::Drawn { budget, limit, granted, left, held, plan, rate } => log::info!(
                 target: NODE,
-                "drawn budget={budget} limit={limit} granted={granted} left={left} held={held}"
+                "drawn budget={budget} limit={limit} granted={granted} left={left} held={held} \
+                 plan={plan} rate={rate}"
             ),
             Note::Renewed(budget) => log::info!(target: NODE, "budget {budget} renewed"),
         }
