--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -348,7 +348,8 @@
         let shortage = self.wanted().saturating_minus(self.free).saturating_minus(self.releasing);
         self.seq += 1;
         // A holding that is not in use has no share.
-        let least = if self.is_idle(now) { Rate(0) } else { Rate(1) };
+        let unused = self.is_idle(now) || (self.waiters.is_empty() && self.reserved.is_zero());
+        let least = if unused { Rate(0) } else { Rate(1) };
         let rate = if self.retiring { Rate(0) } else { self.meter.rate(now).max(least) };
         let op = LedgerOp {
             budget: budget.clone(),
--- a/crates/badgerfield-core/src/ledger.rs
+++ b/crates/badgerfield-core/src/ledger.rs
@@ -29,6 +29,9 @@
 const LOW: u64 = 3;
 /// A low budget is collected in one place when this many requests are left of it.
 const LAST: u64 = 6;
+/// A holder with less than this part of the largest demand gets what it needs, and no
+/// share: many such holders would make a budget look low.
+const FAINT: u64 = 32;
 /// How many other holders a reply names.
 const MAX_NAMED: usize = 8;
 /// How many forgotten holders a shard remembers.
@@ -391,9 +394,11 @@
         }
     }
 
-    /// Returns the holders that have demand.
+    /// Returns the holders that have demand worth a share.
     fn busy(&self) -> impl Iterator<Item = (&Incarnation, &HolderEntry)> {
-        self.holders.iter().filter(|(_, h)| h.rate.0 > 0)
+        let most = self.holders.values().map(|h| h.rate.0).max().unwrap_or(0);
+        let least = (most / FAINT).max(1);
+        self.holders.iter().filter(move |(_, h)| h.rate.0 >= least)
     }
 
     /// Decides how much a holder gets: never less than it needs, if that is left.
