Watch from the store's own revision; watch the list of upstreams

Cause: a watch began at the revision of the configuration's last change. The list of upstreams, read each 0.7 s, hardly changes: it is watched now, with a read beside it.

--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -35,16 +35,26 @@
     pub dialect: Arc<dyn Dialect>,
 }
 
+/// What came of waiting for a change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Watched<T> {
+    /// There is a change; its revision is where the next wait goes on.
+    Changed(T),
+    /// Nothing changed up to this revision of the service.
+    Quiet(u64),
+    /// The wait failed, or changes may have been missed: what is watched is to be read.
+    Lost,
+}
+
 /// A key-value service with compare-and-swap.
 pub trait KeyValue: Debug + Send + Sync {
     /// Carries out a call.
     fn call<'a>(&'a self, call: &'a KvCall) -> BoxFuture<'a, KvResult>;
 
-    /// Waits until the templates differ from a revision, and returns them.
+    /// Waits for a change of the templates after a revision of the service.
     ///
-    /// Nothing means that the wait ended without news, or that history was lost; the
-    /// caller reads the templates then. A service without watches never answers.
-    fn watch_templates(&self, after: u64) -> BoxFuture<'_, Option<Versioned>>;
+    /// A service without watches never answers.
+    fn watch_templates(&self, after: u64) -> BoxFuture<'_, Watched<Versioned>>;
 }
 
 /// Why the list of upstreams could not be read.
@@ -65,6 +75,9 @@
 pub trait Discovery: Debug + Send + Sync {
     /// Reads the whole list.
     fn list(&self) -> BoxFuture<'_, Result<ReplicaList, DiscoveryError>>;
+
+    /// Waits for a change of the list after a revision; the list is to be read then.
+    fn watch(&self, after: u64) -> BoxFuture<'_, Watched<()>>;
 }
 
 /// What a caller's head says about its request.
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -22,7 +22,7 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::adapter::{Adapter, KeyValue};
+use crate::adapter::{Adapter, KeyValue, Watched};
 use crate::callers::Outgoing;
 use crate::gateway::directory;
 use crate::gateway::state::Gateway;
@@ -221,12 +221,9 @@
         loop {
             if after == 0 {
                 let call = KvCall::Get(KvName::Templates);
-                match self.store.call(&call).await {
-                    KvResult::Value(found) => {
-                        after = found.revision;
-                        self.feed(Event::Templates(found));
-                    }
-                    _ => tokio::time::sleep(WATCH_PAUSE).await,
+                if let KvResult::Value(found) = self.store.call(&call).await {
+                    after = found.revision;
+                    self.feed(Event::Templates(found));
                 }
                 if after == 0 {
                     tokio::time::sleep(WATCH_PAUSE).await;
@@ -234,11 +231,15 @@
                 }
             }
             match self.store.watch_templates(after).await {
-                Some(found) => {
+                Watched::Changed(found) => {
                     after = after.max(found.revision);
                     self.feed(Event::Templates(found));
                 }
-                None => after = 0,
+                Watched::Quiet(revision) => after = after.max(revision),
+                Watched::Lost => {
+                    after = 0;
+                    tokio::time::sleep(WATCH_PAUSE).await;
+                }
             }
         }
     }
@@ -248,6 +249,7 @@
         let every = self.settings.platform.replicas_poll;
         let mut lost: Option<Instant> = None;
         loop {
+            let mut after = None;
             match gateway.adapter.discovery.list().await {
                 Ok(list) => {
                     if let Some(since) = lost.take() {
@@ -256,6 +258,7 @@
                     }
                     let now = self.now();
                     let revision = list.revision;
+                    after = Some(revision);
                     let changed = gateway.replicas().learn(now, list);
                     for id in changed {
                         log::info!(target: PLATFORM, "upstream changed id={id} list={revision}");
@@ -270,7 +273,17 @@
             }
             gateway.sweep(self.now());
             self.feed(Event::Serving(directory::is_ready(&gateway)));
-            tokio::time::sleep(every).await;
+            let Some(revision) = after else {
+                tokio::time::sleep(WATCH_PAUSE).await;
+                continue;
+            };
+            // A watch brings changes at once; a read goes beside it, since a watch may
+            // hear nothing for a while.
+            let watched = gateway.adapter.discovery.watch(revision);
+            match tokio::time::timeout(every, watched).await {
+                Ok(Watched::Lost) => tokio::time::sleep(WATCH_PAUSE).await,
+                Ok(Watched::Changed(()) | Watched::Quiet(_)) | Err(_) => {}
+            }
         }
     }
 
--- a/crates/badgerfield-node/src/http.rs
+++ b/crates/badgerfield-node/src/http.rs
@@ -21,6 +21,9 @@
 
 /// How long a connection may take to open.
 const CONNECT: Duration = Duration::from_secs(1);
+/// After how long without a sign of life the other end of a connection is probed, so that
+/// a long wait on it ends soon after a cut.
+const PROBE: Duration = Duration::from_secs(1);
 /// The largest answer that is read whole, in bytes.
 const MAX_ANSWER: usize = 16_000_000;
 
@@ -52,6 +55,9 @@
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT));
     connector.set_nodelay(true);
+    connector.set_keepalive(Some(PROBE));
+    connector.set_keepalive_interval(Some(PROBE));
+    connector.set_keepalive_retries(Some(2));
     Client::builder(TokioExecutor::new())
         .pool_idle_timeout(Duration::from_secs(20))
         .build(connector)
--- a/crates/badgerfield-node/src/kv.rs
+++ b/crates/badgerfield-node/src/kv.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, Uri, header};
 use serde_json::{Value, json};
 
-use crate::adapter::KeyValue;
+use crate::adapter::{KeyValue, Watched};
 use crate::http::{self, CallError, HttpClient};
 
 /// A client of the key-value service.
@@ -35,7 +35,7 @@
         })
     }
 
-    fn watch_templates(&self, _after: u64) -> BoxFuture<'_, Option<Versioned>> {
+    fn watch_templates(&self, _after: u64) -> BoxFuture<'_, Watched<Versioned>> {
         Box::pin(futures::future::pending())
     }
 }
