--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -37,6 +37,8 @@
 const FAR: Duration = Duration::from_millis(15);
 /// By how much messages may overtake each other.
 const SPREAD: u64 = 3000;
+/// What right clocks show at the start, in milliseconds since 1970.
+const WALL: u64 = 1_800_000_000_000;
 
 /// How a request ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -94,6 +96,8 @@
 /// Many nodes with all that is around them.
 #[derive(Debug)]
 pub struct Fleet {
+    /// By how many milliseconds the clocks of VMs are ahead.
+    ahead: BTreeMap<usize, i64>,
     /// The present time.
     pub now: Time,
     /// The key-value service.
@@ -143,6 +147,7 @@
             cut: BTreeSet::new(),
             list: VmList { version: 1, vms: Vec::new() },
             kills: 0,
+            ahead: BTreeMap::new(),
             rng,
             messages: BTreeMap::new(),
             owners: HashMap::new(),
@@ -241,6 +246,7 @@
         let incarnation = Incarnation(self.next_incarnation * 7919 + self.shape.seed);
         self.next_incarnation += 1;
         let seed = self.rng.random();
+        let pacing = self.pacing();
         let vm = &mut self.vms[index];
         vm.member.incarnation = incarnation;
         vm.started = self.now;
@@ -254,7 +260,7 @@
             replay: Duration::from_mins(2),
             max_replay: 1_000_000,
             directory_ttl: Duration::from_secs(2),
-            pacing: Pacing::default(),
+            pacing,
             seed,
         }));
         self.owners.insert(incarnation, index);
@@ -264,6 +270,30 @@
         self.at(self.now.after(phase), Turn::Tick(incarnation));
     }
 
+    fn pacing(&self) -> Pacing {
+        if !self.shape.seals {
+            return Pacing::default();
+        }
+        Pacing {
+            ahead: Duration::from_secs(11),
+            report: Duration::from_millis(500),
+            beat: Duration::from_millis(400),
+            seals: true,
+        }
+    }
+
+    /// Returns what the clock of a VM shows; those of a minority are wrong.
+    fn wall_clock(&self, index: usize) -> u64 {
+        let truth = WALL.saturating_add(u64::try_from(self.now.0.as_millis()).unwrap_or(u64::MAX));
+        let ahead = self.ahead.get(&index).copied().unwrap_or_default();
+        truth.saturating_add_signed(ahead)
+    }
+
+    /// Sets the clock of a VM wrong by some milliseconds.
+    pub fn step_clock(&mut self, index: usize, millis: i64) {
+        self.ahead.insert(index, millis);
+    }
+
     /// Returns how many processes were killed.
     #[must_use]
     pub fn kills(&self) -> u64 {
@@ -412,6 +442,8 @@
                 let Some(index) = self.index_of(to).filter(|i| !self.vms[*i].frozen) else {
                     return;
                 };
+                let wall = self.wall_clock(index);
+                self.take(index, Event::Clock(wall));
                 self.take(index, Event::Tick);
                 self.at(self.now.after(TICK), Turn::Tick(to));
             }
--- a/crates/badgerfield-standin/src/fleet/shape.rs
+++ b/crates/badgerfield-standin/src/fleet/shape.rs
@@ -27,6 +27,8 @@
     pub engines: usize,
     /// The share of messages that are lost, and that come twice, in thousandths.
     pub noise: u64,
+    /// Whether tokens held ahead are sealed, instead of parked with a peer.
+    pub seals: bool,
     /// The seed of everything random.
     pub seed: u64,
 }
@@ -40,6 +42,7 @@
             shards: 4,
             engines: 4,
             noise: 5,
+            seals: false,
             seed: 1,
         }
     }
--- a/crates/badgerfield-standin/tests/histories.rs
+++ b/crates/badgerfield-standin/tests/histories.rs
@@ -41,6 +41,10 @@
     Renew(usize),
     Unlist(usize),
     KillEngine,
+    /// All processes end at once, and start again after so many milliseconds.
+    KillAll(u64),
+    /// The clock of a VM jumps by so many milliseconds.
+    StepClock(i64),
 }
 
 /// What the naive version knows: what is up, and what was asked.
@@ -105,6 +109,8 @@
             (1, (0..BUDGETS).prop_map(Step::Raise).boxed()),
             (1, (0..BUDGETS).prop_map(Step::Lower).boxed()),
             (1, (0..BUDGETS).prop_map(Step::Renew).boxed()),
+            (2, (100_u64..4000).prop_map(Step::KillAll).boxed()),
+            (1, (-6000_i64..6000).prop_map(Step::StepClock).boxed()),
         ];
         if state.engines_killed == 0 {
             steps.push((1, Just(Step::KillEngine).boxed()));
@@ -137,6 +143,10 @@
                 state.frozen.remove(vm);
             }
             Step::KillEngine => state.engines_killed += 1,
+            Step::KillAll(_) => {
+                state.down.clear();
+                state.frozen.clear();
+            }
             _ => {}
         }
         state
@@ -158,12 +168,13 @@
     }
 }
 
-struct Proof {
+/// A fleet under proof, which parks tokens held ahead or seals them.
+struct Proof<const SEALS: bool> {
     fleet: Fleet,
     once: BTreeSet<RequestKey>,
 }
 
-impl StateMachineTest for Proof {
+impl<const SEALS: bool> StateMachineTest for Proof<SEALS> {
     type SystemUnderTest = Self;
     type Reference = Naive;
 
@@ -173,6 +184,7 @@
             limits: vec![LIMIT; BUDGETS],
             engines: 2,
             shards: 2,
+            seals: SEALS,
             ..Shape::default()
         };
         Self { fleet: Fleet::started(shape), once: BTreeSet::new() }
@@ -213,6 +225,18 @@
             Step::Renew(budget) => change(fleet, budget, |l, p| (l, p + 1)),
             Step::Unlist(vm) => fleet.unlist(vm),
             Step::KillEngine => fleet.kill_engine(0),
+            Step::KillAll(millis) => {
+                for vm in 0..VMS {
+                    fleet.thaw(vm);
+                    fleet.kill(vm);
+                }
+                fleet.advance(Duration::from_millis(millis));
+                for vm in 0..VMS {
+                    fleet.start(vm);
+                }
+            }
+            // Only one clock is wrong: a majority that jumps together is not survived.
+            Step::StepClock(millis) => fleet.step_clock(1, millis),
         }
         fleet.advance(Duration::from_millis(1));
         proof
@@ -297,5 +321,8 @@
     })]
 
     #[test]
-    fn keeps_every_promise(sequential 20..90 => Proof);
+    fn keeps_every_promise(sequential 20..90 => Proof<false>);
+
+    #[test]
+    fn keeps_every_promise_with_seals(sequential 20..90 => Proof<true>);
 }
