--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -20,6 +20,8 @@
 
 /// How much demand, in time, is left unsealed.
 const OPEN: Duration = Duration::from_secs(3);
+/// The most of a holding that is left unsealed, in hundredths.
+const OPEN_PERCENT: u64 = 40;
 /// After how long without the platform's word nothing is promised.
 const SURE: Duration = Duration::from_millis(1100);
 
@@ -225,7 +227,10 @@
     /// be told that more is unsealed, and until a seal is over.
     fn open(&self, now: Time) -> Tokens {
         let flow = self.meter.rate(now).over(OPEN);
-        if now.since(self.used_at) < OPEN { flow.max(self.largest) } else { flow }
+        // A request's worth is left open only where it is soon spent.
+        let soon = flow.saturating_plus(flow) >= self.largest;
+        let open = if soon { flow.max(self.largest) } else { flow };
+        open.min(self.unspent().part(OPEN_PERCENT, 100))
     }
 
     /// Says what is sealed, with a promise if the platform is known to be there.
