--- a/crates/badgerfield-core/src/control/reservations.rs
+++ b/crates/badgerfield-core/src/control/reservations.rs
@@ -38,15 +38,10 @@
         holdings.settle(now, &end.budget, end.period, end.reserved, end.used);
         holdings.charge(&end.budget, end.period, end.used, true);
     }
+}
 
-    /// Tells a request that waited what became of its wish.
-    pub(crate) fn reservation_decided(
-        &self,
-        id: ReservationId,
-        decision: Decision,
-        out: &mut Outbox,
-    ) {
-        let result = decision.refusal.map_or(Ok(decision.period), Err);
-        out.push(Order::Reserved(id, result));
-    }
+/// Tells a request that waited what became of its wish.
+pub(crate) fn tell(id: ReservationId, decision: &Decision, out: &mut Outbox) {
+    let result = decision.refusal.map_or(Ok(decision.period), Err);
+    out.push(Order::Reserved(id, result));
 }
--- a/crates/badgerfield-core/src/control/rights.rs
+++ b/crates/badgerfield-core/src/control/rights.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::amount::Time;
+use crate::control::reservations;
 use crate::drawer;
 use crate::event::{KvResult, Order, Outbox};
 use crate::holdings::Reserved;
@@ -119,7 +120,7 @@
         for decision in decisions {
             let id = decision.run;
             if let Some(reservation) = ReservationId::of(id) {
-                self.reservation_decided(reservation, decision, out);
+                reservations::tell(reservation, &decision, out);
                 continue;
             }
             if let Some(refusal) = decision.refusal {
--- a/crates/badgerfield-core/src/drawer.rs
+++ b/crates/badgerfield-core/src/drawer.rs
@@ -178,7 +178,7 @@
         if !matches!(self.phase, Phase::Idle) || self.queue.is_empty() {
             return None;
         }
-        let urgent = self.queue.values().any(|op| is_urgent(op));
+        let urgent = self.queue.values().any(is_urgent);
         let pace = match (urgent, self.starved) {
             (true, false) => URGENT_PACE,
             (true, true) => STARVED_PACE,
--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -81,6 +81,17 @@
     pub(crate) sent: Option<(Tokens, Option<Time>)>,
 }
 
+/// Where a holding is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Life {
+    /// It serves requests.
+    Open,
+    /// Its process is stopping: it wants nothing more, and gives back what is not needed.
+    Retiring,
+    /// The ledger knows that everything was given back.
+    Closed,
+}
+
 /// What a process may spend of one budget.
 #[derive(Debug, Clone)]
 pub(crate) struct Holding {
@@ -127,9 +138,7 @@
     pub(crate) said: Option<Time>,
     /// Sealed tokens of earlier processes of this VM that were not looked at yet.
     pub(crate) estates: Vec<Estate>,
-    pub(crate) closed: bool,
-    /// Whether the holding wants nothing more, because its process is stopping.
-    pub(crate) retiring: bool,
+    pub(crate) life: Life,
     /// The last refusal, when it was made, and the least need that was refused.
     pub(crate) refused: Option<(Refusal, Time, Tokens)>,
 }
@@ -172,8 +181,7 @@
             releasing: Tokens::ZERO,
             said: None,
             estates: Vec::new(),
-            closed: false,
-            retiring: false,
+            life: Life::Open,
             refused: None,
         }
     }
@@ -349,7 +357,8 @@
         // A holding that is not in use has no share.
         let unused = self.is_idle(now) || (self.waiters.is_empty() && self.reserved.is_zero());
         let least = if unused { Rate(0) } else { Rate(1) };
-        let rate = if self.retiring { Rate(0) } else { self.meter.rate(now).max(least) };
+        let rate =
+            if self.life == Life::Retiring { Rate(0) } else { self.meter.rate(now).max(least) };
         let op = LedgerOp {
             budget: budget.clone(),
             terms: self.terms,
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use self::bank::Bank;
-use self::holding::{Holding, Hunt, Maker, Sealing, Waiter};
+use self::holding::{Holding, Hunt, Life, Maker, Sealing, Waiter};
 use self::transfer::Transfers;
 use crate::amount::{Percent, Time, Tokens};
 use crate::event::{Note, Order, Outbox, due};
@@ -349,7 +349,9 @@
                 holding.down = false;
                 holding.plan = *plan;
                 holding.others.clone_from(others);
-                holding.closed |= closed;
+                if closed {
+                    holding.life = Life::Closed;
+                }
             }
             // The new period's template is on its way; what was held is void.
             LedgerReply::Ended { .. } => {
@@ -445,7 +447,7 @@
         let Some(holding) = self.table.get_mut(&transfer.budget) else {
             return false;
         };
-        if transfer.period > holding.terms.period || holding.closed {
+        if transfer.period > holding.terms.period || holding.life == Life::Closed {
             return false;
         }
         let new = self.transfers.is_new(from, transfer);
@@ -573,7 +575,8 @@
     /// Tells whether everything is given back and nothing is parked here.
     #[must_use]
     pub fn is_closed(&self) -> bool {
-        let closed = self.table.values().all(|h| h.closed || (h.seq == 0 && h.unspent().is_zero()));
+        let is_done = |h: &Holding| h.life == Life::Closed || (h.seq == 0 && h.unspent().is_zero());
+        let closed = self.table.values().all(is_done);
         closed && self.transfers.is_done() && self.bank.is_empty()
     }
 
--- a/crates/badgerfield-core/src/holdings/parking.rs
+++ b/crates/badgerfield-core/src/holdings/parking.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Holdings;
-use super::holding::Hunt;
+use super::holding::{Hunt, Life};
 use crate::amount::{Time, Tokens};
 use crate::event::{Outbox, due};
 use crate::ids::{BudgetId, Incarnation};
@@ -24,7 +24,7 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        if holding.op.is_some() || holding.closed {
+        if holding.op.is_some() || holding.life == Life::Closed {
             return;
         }
         if matches!(holding.hunt, Some(Hunt::Ledger { .. })) {
@@ -32,7 +32,7 @@
             return;
         }
         if self.closing {
-            holding.retiring = true;
+            holding.life = Life::Retiring;
             let shut = holding.shut();
             let ready = holding.reserved.is_zero()
                 && holding.waiters.is_empty()
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use badgerfield_core::amount::Time;
-use badgerfield_core::event::{Answer, Bill, Dispatch, KvCall, KvName, KvResult, Note};
+use badgerfield_core::event::{Answer, Bill, Dispatch, Note};
 use badgerfield_core::ids::{AttemptId, Incarnation, Period, RequestId, ReservationId};
 use badgerfield_core::message::Envelope;
 use badgerfield_core::refusal::Refusal;
@@ -22,9 +22,9 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::adapter::{Adapter, KeyValue, Watched};
+use crate::adapter::{Adapter, KeyValue};
 use crate::callers::Outgoing;
-use crate::gateway::directory;
+use crate::follow;
 use crate::gateway::state::Gateway;
 use crate::http;
 use crate::logs::{BILLS, NODE, PLATFORM};
@@ -36,9 +36,6 @@
 
 /// After how many ticks the time of day is read.
 const CLOCK_TICKS: u32 = 4;
-/// How long a failed watch of the templates rests.
-const WATCH_PAUSE: Duration = Duration::from_millis(200);
-
 /// Why a process cannot start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -73,7 +70,7 @@
     pub(crate) settings: Settings,
     pub(crate) metrics: Metrics,
     started: Instant,
-    store: Arc<dyn KeyValue>,
+    pub(crate) store: Arc<dyn KeyValue>,
     gateway: Option<Arc<Gateway>>,
     reservations: Mutex<HashMap<ReservationId, ReservationAnswer>>,
     next_reservation: AtomicU64,
@@ -164,9 +161,9 @@
             return;
         };
         let driver = Arc::clone(self);
-        tokio::spawn(async move { driver.watch_templates().await });
+        tokio::spawn(follow::templates(driver));
         let driver = Arc::clone(self);
-        tokio::spawn(async move { driver.poll_replicas(gateway).await });
+        tokio::spawn(follow::upstreams(driver, gateway));
     }
 
     /// Starts a planned stop.
@@ -200,11 +197,6 @@
         &self.metrics.gateway
     }
 
-    /// Returns a random number.
-    pub(crate) fn draw(&self) -> u64 {
-        rand::random()
-    }
-
     /// Names a reservation and returns the line on which its answer comes.
     pub(crate) fn await_reservation(
         &self,
@@ -215,78 +207,6 @@
         (id, line)
     }
 
-    /// Follows the templates: every change comes by a watch, and a read goes beside it.
-    async fn watch_templates(self: Arc<Self>) {
-        let mut after = 0;
-        loop {
-            if after == 0 {
-                let call = KvCall::Get(KvName::Templates);
-                if let KvResult::Value(found) = self.store.call(&call).await {
-                    after = found.revision;
-                    self.feed(Event::Templates(found));
-                }
-                if after == 0 {
-                    tokio::time::sleep(WATCH_PAUSE).await;
-                    continue;
-                }
-            }
-            match self.store.watch_templates(after).await {
-                Watched::Changed(found) => {
-                    after = after.max(found.revision);
-                    self.feed(Event::Templates(found));
-                }
-                Watched::Quiet(revision) => after = after.max(revision),
-                Watched::Lost => {
-                    after = 0;
-                    tokio::time::sleep(WATCH_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    /// Follows the list of upstreams, and tells peers whether this process can serve.
-    async fn poll_replicas(self: Arc<Self>, gateway: Arc<Gateway>) {
-        let every = self.settings.platform.replicas_poll;
-        let mut lost: Option<Instant> = None;
-        loop {
-            let mut after = None;
-            match gateway.adapter.discovery.list().await {
-                Ok(list) => {
-                    if let Some(since) = lost.take() {
-                        let away = since.elapsed().as_millis();
-                        log::info!(target: PLATFORM, "list of upstreams regained away_ms={away}");
-                    }
-                    let now = self.now();
-                    let revision = list.revision;
-                    after = Some(revision);
-                    let changed = gateway.replicas().learn(now, list);
-                    for id in changed {
-                        log::info!(target: PLATFORM, "upstream changed id={id} list={revision}");
-                    }
-                }
-                Err(error) => {
-                    if lost.is_none() {
-                        log::warn!(target: PLATFORM, "list of upstreams lost: {error}");
-                        lost = Some(Instant::now());
-                    }
-                }
-            }
-            gateway.sweep(self.now());
-            self.feed(Event::Serving(directory::is_ready(&gateway)));
-            let Some(revision) = after else {
-                tokio::time::sleep(WATCH_PAUSE).await;
-                continue;
-            };
-            // A watch brings changes at once; a read goes beside it, since a watch may
-            // hear nothing for a while.
-            let watched = gateway.adapter.discovery.watch(revision);
-            match tokio::time::timeout(every, watched).await {
-                Ok(Watched::Lost) => tokio::time::sleep(WATCH_PAUSE).await,
-                Ok(Watched::Changed(()) | Watched::Quiet(_)) | Err(_) => {}
-            }
-        }
-    }
-
     pub(crate) fn upstreams(&self) -> &Upstreams {
         &self.upstreams
     }
@@ -423,7 +343,7 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            if count % CLOCK_TICKS == 0 {
+            if count.is_multiple_of(CLOCK_TICKS) {
                 self.feed(Event::Clock(wall_clock()));
             }
             count = count.wrapping_add(1);
--- a/crates/badgerfield-node/src/gateway/directory.rs
+++ b/crates/badgerfield-node/src/gateway/directory.rs
@@ -84,7 +84,7 @@
         return http::json(StatusCode::NOT_FOUND, &json!({ "error": "expected a question" }));
     };
     let members = driver.node.usable(driver.now());
-    let addresses = choose(members, ask.domain.as_ref());
+    let addresses = choose(&members, ask.domain.as_ref());
     if addresses.is_empty() {
         let error = json!({ "error": "no VM is ready; come back later" });
         return http::json(StatusCode::SERVICE_UNAVAILABLE, &error);
@@ -97,7 +97,7 @@
 }
 
 /// Chooses the VMs in the caller's own failure domain, unless they are too few.
-fn choose(members: Vec<Member>, domain: Option<&Domain>) -> Vec<SocketAddr> {
+fn choose(members: &[Member], domain: Option<&Domain>) -> Vec<SocketAddr> {
     let near = |m: &&Member| domain == Some(&m.domain);
     let close: Vec<_> = members.iter().filter(near).map(|m| m.caller).collect();
     let mut chosen =
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -131,16 +131,16 @@
     let table = &in_force.table;
     let host = host_of(&head.headers, &head.uri);
     let route = table.route(&host, head.uri.path()).ok_or_else(|| not_run(Cause::NoRoute))?;
-    let caller = caller_of(table, route, &terms).map_err(|cause| not_run(cause))?;
+    let caller = caller_of(table, route, &terms).map_err(&not_run)?;
     let account = caller.as_ref().map(|caller| caller.account.as_str());
     record::admitted(&id, &route.name, account, in_force.version);
 
     let patience = terms.patience.unwrap_or(route.timeout).min(route.timeout);
     let ends = arrived + patience;
     strip(&mut head.headers);
-    let body = read_body(body, table.limits().body, ends).await.map_err(|cause| not_run(cause))?;
+    let body = read_body(body, table.limits().body, ends).await.map_err(&not_run)?;
 
-    let service = route.service(driver.draw()).ok_or_else(|| not_run(Cause::NoUpstream))?.clone();
+    let service = route.service(rand::random()).ok_or_else(|| not_run(Cause::NoUpstream))?.clone();
     let spec = table.service(&service).cloned().ok_or_else(|| not_run(Cause::NoUpstream))?;
     let reservation = reserve(&driver, &terms, caller.as_ref(), ends).await;
     let reservation = reservation.map_err(|refusal| (Some(id.clone()), refusal))?;
@@ -354,7 +354,7 @@
             parts: &self.terms.parts,
             tried: &self.tried,
             connections: u32::try_from(connections).unwrap_or(u32::MAX).max(2),
-            draw: self.driver.draw(),
+            draw: rand::random(),
         };
         let chosen = replicas.choose(now, &wanted)?;
         let list = replicas.age();
--- a/crates/badgerfield-node/src/gateway/mod.rs
+++ b/crates/badgerfield-node/src/gateway/mod.rs
@@ -1,8 +1,8 @@
 //! Requests on routes: any method, plain or streamed, served by upstreams.
 //!
-//! [`listener`] takes connections of callers; [`flow`] holds the steps of one request,
-//! from its head to its bill; [`attempt`] is one try at one upstream; [`relay`] passes
-//! a streamed answer on; [`directory`] tells callers which VMs to use. What the heads
+//! [`listener`] takes connections of callers; `flow` holds the steps of one request,
+//! from its head to its bill; `attempt` is one try at one upstream; `relay` passes
+//! a streamed answer on; `directory` tells callers which VMs to use. What the heads
 //! look like is the business of the [`crate::adapter`].
 
 pub(crate) mod attempt;
--- a/crates/badgerfield-standin/tests/histories.rs
+++ b/crates/badgerfield-standin/tests/histories.rs
@@ -53,7 +53,7 @@
     /// All processes end at once, and start again after so many milliseconds.
     KillAll(u64),
     /// The clock of a VM jumps by so many milliseconds.
-    StepClock(i64),
+    JumpClock(i64),
 }
 
 /// What the naive version knows: what is up, and what was asked.
@@ -119,7 +119,7 @@
             (1, (0..BUDGETS).prop_map(Step::Lower).boxed()),
             (1, (0..BUDGETS).prop_map(Step::Renew).boxed()),
             (2, (100_u64..4000).prop_map(Step::KillAll).boxed()),
-            (1, (-6000_i64..6000).prop_map(Step::StepClock).boxed()),
+            (1, (-6000_i64..6000).prop_map(Step::JumpClock).boxed()),
         ];
         if state.engines_killed == 0 {
             steps.push((1, Just(Step::KillEngine).boxed()));
@@ -245,7 +245,7 @@
                 }
             }
             // Only one clock is wrong: a majority that jumps together is not survived.
-            Step::StepClock(millis) => fleet.step_clock(1, millis),
+            Step::JumpClock(millis) => fleet.step_clock(1, millis),
         }
         fleet.advance(Duration::from_millis(1));
         proof
