Keep parking as it was where nothing is sealed

They now hold for sealed ones only. A member that is away is passed over for 1 s, as long as it rests itself.

--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -294,7 +294,8 @@
             let Some((op, sent)) = &mut holding.op else {
                 continue;
             };
-            let resend = if op.need.is_zero() { RESEND } else { URGENT_RESEND };
+            let waits = !op.need.is_zero();
+            let resend = if waits { URGENT_RESEND } else { RESEND };
             if !due(now, *sent, resend) {
                 continue;
             }
--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -92,7 +92,7 @@
                 }
                 // While the platform is away others are asked at once; the change is on
                 // its way beside that, should the platform be back.
-                if holding.down {
+                if holding.down && self.maker.sealing.is_some() {
                     self.ask_peers(now, budget, out);
                 }
             }
--- a/crates/badgerfield-core/src/ledger.rs
+++ b/crates/badgerfield-core/src/ledger.rs
@@ -377,7 +377,9 @@
         let rates: u64 = self.busy().map(|(_, h)| h.rate.0).sum();
         if remaining.0 >= count.saturating_mul(unit).saturating_mul(LOW) {
             let share = remaining.part(op.rate.0, rates.max(1));
-            return Plan::Share(share.min(op.rate.over(horizon(op.seq, op.ahead))));
+            // Where nothing is parked, what exceeds the horizon goes back soon.
+            let most = op.rate.over(horizon(op.seq, op.ahead));
+            return Plan::Share(if op.seal.is_some() { share.min(most) } else { share });
         }
         let last = remaining.0 < unit.saturating_mul(LAST);
         let near = |h: &HolderEntry| last || h.region.as_ref() == Some(&op.region);
@@ -407,10 +409,14 @@
             return Tokens::ZERO;
         }
         let target = match self.plan(op) {
-            Plan::Share(share) | Plan::Collect(share) => share,
+            Plan::Share(share) => share.min(op.rate.over(horizon(op.seq, op.ahead))),
+            Plan::Collect(share) => share,
             Plan::Defer(_) => Tokens::ZERO,
         };
-        let wanted = target.saturating_minus(op.held).min(self.ahead_left(op.spread));
+        let mut wanted = target.saturating_minus(op.held);
+        if op.seal.is_some() {
+            wanted = wanted.min(self.ahead_left(op.spread));
+        }
         wanted.max(op.need).min(self.left())
     }
 
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -16,7 +16,7 @@
 /// After how many intervals without a sign of life a member is left out of the directory.
 const DOUBT_BEATS: u32 = 4;
 /// For how long a member is passed over that could not reach the platform.
-const AWAY: Duration = Duration::from_secs(2);
+const AWAY: Duration = Duration::from_secs(1);
 /// After how long without a tick this process takes itself to have been paused.
 const PAUSED: Duration = Duration::from_secs(2);
 /// How much longer each further observer waits before it removes a member.
