--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod http;
 pub mod ini;
 pub mod kv;
+pub mod log_lines;
 pub mod logs;
 pub mod metrics;
 pub mod operators;
--- a/crates/badgerfield-node/src/logs.rs
+++ b/crates/badgerfield-node/src/logs.rs
@@ -2,8 +2,10 @@
 
 use std::time::SystemTime;
 
-use log::{LevelFilter, SetLoggerError};
+use log::{LevelFilter, Log, SetLoggerError};
+use thiserror::Error;
 
+use crate::log_lines::LogLines;
 use crate::settings::LogSettings;
 
 /// Membership, templates and stops.
@@ -25,14 +27,26 @@
 /// All parts.
 pub const PARTS: [&str; 7] = [NODE, PEERS, PLATFORM, UPSTREAMS, CALLERS, BILLS, REQUESTS];
 
-/// Starts logging to standard error.
+/// Why logging cannot start.
+#[derive(Debug, Error)]
+pub enum LogError {
+    /// Logging has started already.
+    #[error(transparent)]
+    Started(#[from] SetLoggerError),
+    /// No thread can be started for it.
+    #[error("cannot start the thread that writes the log: {0}")]
+    Thread(#[from] std::io::Error),
+}
+
+/// Starts logging to standard output, by a thread of its own.
 ///
 /// # Errors
 ///
-/// Fails if logging has started already.
-pub fn start(settings: &LogSettings) -> Result<(), SetLoggerError> {
+/// Fails if logging has started already, or its thread cannot be started.
+pub fn start(settings: &LogSettings) -> Result<(), LogError> {
     let json = settings.json;
-    let mut dispatch = fern::Dispatch::new().level(LevelFilter::Warn).chain(std::io::stderr());
+    let lines: Box<dyn Log> = Box::new(LogLines::start(std::io::stdout())?);
+    let mut dispatch = fern::Dispatch::new().level(LevelFilter::Warn).chain(lines);
     for part in PARTS {
         dispatch = dispatch.level_for(part, settings.level);
     }
@@ -55,5 +69,6 @@
             let (level, part) = (record.level(), record.target());
             out.finish(format_args!("{at} {level:5} {part}: {message}"));
         })
-        .apply()
+        .apply()?;
+    Ok(())
 }
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -14,6 +14,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::log_lines;
+
 /// The reason of a refusal, and whether the request ran.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RefusalLabel {
@@ -104,6 +106,7 @@
     epoch: Gauge<u64, AtomicU64>,
     templates: Gauge<u64, AtomicU64>,
     conflicts: Gauge<u64, AtomicU64>,
+    dropped_lines: Gauge<u64, AtomicU64>,
 }
 
 impl Metrics {
@@ -137,6 +140,7 @@
             epoch: Gauge::default(),
             templates: Gauge::default(),
             conflicts: Gauge::default(),
+            dropped_lines: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -174,6 +178,11 @@
             "Ledger writes that met another value",
             self.conflicts.clone(),
         );
+        r.register(
+            "log_lines_dropped",
+            "Lines of the log that nobody took in time",
+            self.dropped_lines.clone(),
+        );
     }
 
     pub(crate) fn count_kv(&self, result: &KvResult) {
@@ -210,6 +219,7 @@
         self.epoch.set(status.epoch.0);
         self.templates.set(status.version.0);
         self.conflicts.set(status.conflicts.0);
+        self.dropped_lines.set(log_lines::dropped());
         for entry in &status.budgets {
             let label = BudgetLabel { budget: entry.budget.to_string() };
             let figures = entry.figures;
--- /dev/null
+++ b/crates/badgerfield-node/tests/log_lines.rs
@@ -0,0 +1,85 @@
+//! A reader of the log that is slow or blocked delays nobody, and costs bounded memory.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use badgerfield_node::log_lines::{LogLines, MAX_WAITING, dropped};
+use badgerfield_node::logs::{NODE, REQUESTS};
+use log::{Log, Record};
+
+/// A sink that never takes anything.
+struct Blocked;
+
+impl Write for Blocked {
+    fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        loop {
+            std::thread::park();
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A sink that tells what it was given.
+struct Told(Sender<Vec<u8>>);
+
+impl Write for Told {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.send(bytes.to_vec()).map_err(io::Error::other)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn log(lines: &LogLines, target: &str, text: &str) {
+    lines.log(&Record::builder().target(target).args(format_args!("{text}")).build());
+}
+
+fn text(told: &Receiver<Vec<u8>>) -> String {
+    let bytes: Vec<u8> = told.try_iter().flatten().collect();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+#[test]
+fn a_blocked_reader_delays_nobody() {
+    let lines = LogLines::start(Blocked).expect("a thread starts");
+    log(&lines, NODE, "first");
+    std::thread::sleep(Duration::from_millis(250));
+    let (before, started) = (dropped(), Instant::now());
+    for n in 0..100_000 {
+        log(&lines, REQUESTS, &format!("ended id={n} outcome=broken_off status=502"));
+    }
+    assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+    assert!(lines.waiting() <= MAX_WAITING);
+    assert!(dropped() > before);
+}
+
+#[test]
+fn lines_about_failures_outlast_those_about_successes() {
+    let lines = LogLines::start(Blocked).expect("a thread starts");
+    log(&lines, NODE, "first");
+    std::thread::sleep(Duration::from_millis(250));
+    for n in 0..10_000 {
+        log(&lines, REQUESTS, &format!("ended id={n} outcome=served status=200"));
+    }
+    let crowded = lines.waiting();
+    assert!(crowded < MAX_WAITING / 2 + 100);
+    log(&lines, REQUESTS, "ended id=x outcome=budget_held status=503");
+    assert!(lines.waiting() > crowded);
+}
+
+#[test]
+fn lines_come_out_whole_and_in_order() {
+    let (tell, told) = channel();
+    let lines = LogLines::start(Told(tell)).expect("a thread starts");
+    log(&lines, NODE, "one");
+    log(&lines, REQUESTS, "two");
+    lines.flush();
+    assert_eq!(text(&told), "one\ntwo\n");
+}
--- a/crates/badgerfield/src/run.rs
+++ b/crates/badgerfield/src/run.rs
@@ -23,7 +23,9 @@
     let path: &PathBuf = args.get_one("settings").expect("the argument is required");
     let settings = Settings::open(path)?;
     logs::start(&settings.log)?;
-    runtime()?.block_on(serve(path, settings))?;
+    let served = runtime()?.block_on(serve(path, settings));
+    log::logger().flush();
+    served?;
     Ok(DONE)
 }
 
