--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -34,6 +34,9 @@
 use crate::sync::lock;
 use crate::upstreams::Upstreams;
 
+/// The part of the grace of a stop, in hundredths, in which new requests are still taken:
+/// callers keep what the directory said for a while.
+const TAKING_PERCENT: u32 = 30;
 /// After how many ticks the time of day is read.
 const CLOCK_TICKS: u32 = 4;
 /// Why a process cannot start.
@@ -187,6 +190,14 @@
         }
     }
 
+    /// Tells whether so much of the grace of a stop has passed that a new request might be
+    /// cut off at its end.
+    pub(crate) fn refuses_new(&self) -> bool {
+        let grace = self.settings.gateway.map_or(Duration::ZERO, |gateway| gateway.grace);
+        let stopped = *self.stopped.borrow();
+        stopped.is_some_and(|at| at.elapsed() >= grace * TAKING_PERCENT / 100)
+    }
+
     /// Returns the tables of requests on routes, if this process takes them.
     pub(crate) fn gateway(&self) -> Option<&Arc<Gateway>> {
         self.gateway.as_ref()
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -46,6 +46,8 @@
 const BUDGET_WAIT: Duration = Duration::from_millis(1500);
 /// When to come back if this process cannot serve yet, or no upstream can be had.
 const COME_BACK: Duration = Duration::from_millis(500);
+/// When to come back to another VM.
+const ELSEWHERE: Duration = Duration::from_millis(50);
 /// How many upstreams may be unreachable before a request is given up.
 const MAX_UNREACHABLE: u32 = 4;
 /// How many times the objective an idempotent request waits for one upstream's answer.
@@ -128,6 +130,9 @@
     })?;
     let id = terms.id.clone();
     let not_run = |cause| (Some(id.clone()), Refusal::not_run(cause));
+    if driver.refuses_new() {
+        return Err((Some(id), Refusal::not_run(Cause::Stopping).after(ELSEWHERE)));
+    }
     let table = &in_force.table;
     let host = host_of(&head.headers, &head.uri);
     let route = table.route(&host, head.uri.path()).ok_or_else(|| not_run(Cause::NoRoute))?;
