--- a/crates/badgerfield-core/src/control/stopping.rs
+++ b/crates/badgerfield-core/src/control/stopping.rs
@@ -11,8 +11,6 @@
 const HAND_OVER: Duration = Duration::from_secs(30);
 /// When open charges go to another process because their arbiters do not answer.
 const HAND_CHARGES: Duration = Duration::from_secs(3);
-/// When holdings go to another process because the platform does not take them.
-const HAND_ON: Duration = Duration::from_secs(8);
 
 impl Node {
     /// Starts a planned stop.
@@ -59,7 +57,7 @@
         let closed = {
             let mut holdings = self.board.holdings();
             holdings.close();
-            if idle >= HAND_ON {
+            if idle >= self.config.pacing.hand_on {
                 holdings.hand_on(now, out);
             }
             holdings.is_closed() || removed
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -66,6 +66,8 @@
     pub reserved: Tokens,
     /// Parked with another process.
     pub parked: Tokens,
+    /// Promised not to be touched for a while.
+    pub sealed: Tokens,
     /// On the way to other holders.
     pub moving: Tokens,
     /// Parked here by other processes.
@@ -150,6 +152,7 @@
             free: holding.free,
             reserved: holding.reserved,
             parked: holding.parked_amount(),
+            sealed: holding.shut(),
             moving,
             banked,
             billed: holding.billed,
@@ -593,7 +596,10 @@
             return;
         };
         for (id, holding) in &mut self.table {
-            if holding.free.is_zero() || !holding.reserved.is_zero() {
+            if self.maker.sealing.is_some() {
+                holding.unseal_late(now);
+            }
+            if holding.free.is_zero() {
                 continue;
             }
             let amount = holding.take(holding.free);
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -30,6 +30,9 @@
     pub report: Duration,
     /// How often signs of life are sent.
     pub beat: Duration,
+    /// How long the platform may take at a stop to take holdings back; then they go to
+    /// another process.
+    pub hand_on: Duration,
     /// Whether tokens that are held ahead are sealed, instead of parked with a peer.
     pub seals: bool,
 }
@@ -40,6 +43,7 @@
             ahead: Duration::from_secs(7200),
             report: Duration::from_secs(5),
             beat: Duration::from_secs(1),
+            hand_on: Duration::from_secs(8),
             seals: false,
         }
     }
--- a/crates/badgerfield-node/src/operators.rs
+++ b/crates/badgerfield-node/src/operators.rs
@@ -76,6 +76,7 @@
                 "free": b.figures.free,
                 "reserved": b.figures.reserved,
                 "parked": b.figures.parked,
+                "sealed": b.figures.sealed,
                 "moving": b.figures.moving,
                 "banked": b.figures.banked,
                 "billed": b.figures.billed,
--- a/crates/badgerfield-node/src/settings.rs
+++ b/crates/badgerfield-node/src/settings.rs
@@ -242,6 +242,7 @@
         ahead: file.span_or("pacing", "ahead", other.ahead, (least, most)),
         report: file.span_or("pacing", "report", other.report, (least, most)),
         beat: file.span_or("pacing", "beat", other.beat, (least, most)),
+        hand_on: file.span_or("pacing", "hand_on", other.hand_on, (least, most)),
         seals: file.value_or("pacing", "seals", other.seals),
     }
 }
--- a/crates/badgerfield-standin/tests/seals.rs
+++ b/crates/badgerfield-standin/tests/seals.rs
@@ -118,3 +118,23 @@
     let count = ends.filter(|(end, _)| refused(end)).count();
     assert_eq!(count, 0, "refused while the platform was away");
 }
+
+#[test]
+fn a_vm_that_stops_while_the_platform_is_away_hands_on_what_it_holds() {
+    let mut fleet = fleet();
+    load(&mut fleet, 300);
+    fleet.advance(Duration::from_secs(1));
+    fleet.platform.down = true;
+    fleet.advance(Duration::from_secs(1));
+    let before = fleet.held(0);
+    fleet.stop(0);
+    // The platform ends a process eight seconds after it asked for its end.
+    fleet.advance(Duration::from_millis(7900));
+    if fleet.runs(0) {
+        fleet.kill(0);
+    }
+    fleet.advance(Duration::from_secs(1));
+    let after = fleet.held(0);
+    assert!(before > DEMAND, "{before} were held");
+    assert!(after >= before * 95 / 100, "{after} of {before} are left");
+}
