--- a/crates/badgerfield-core/src/seal.rs
+++ b/crates/badgerfield-core/src/seal.rs
@@ -18,7 +18,7 @@
 use crate::ids::{Incarnation, VmId};
 
 /// How long a seal holds after it was last said.
-pub const HOLDS: Duration = Duration::from_millis(2200);
+pub const HOLDS: Duration = Duration::from_millis(3200);
 /// By how much clocks that agree may differ.
 pub const AGREE: Duration = Duration::from_millis(250);
 
