--- a/crates/badgerfield-standin/src/site.rs
+++ b/crates/badgerfield-standin/src/site.rs
@@ -144,7 +144,7 @@
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
         let mut command = Command::new(self.programs.join("badgerfield"));
         command.arg("run").arg("--settings").arg(&self.vms[number].settings);
-        self.vms[number].child = Some(command.stderr(log).spawn()?);
+        self.vms[number].child = Some(command.stdout(log.try_clone()?).stderr(log).spawn()?);
         Ok(())
     }
 
