--- a/crates/badgerfield-node/tests/settings.rs
+++ b/crates/badgerfield-node/tests/settings.rs
@@ -74,3 +74,27 @@
         "{faults:#?}"
     );
 }
+
+#[test]
+fn gateway_and_pacing_are_read() {
+    let text = GOOD.replace("vm_list = http://127.0.0.1:5/", "adapter = platform")
+        + "[gateway]\nrequests = 127.0.0.1:6\nready = 127.0.0.1:7\ngrace = 8s\n\
+           [pacing]\nahead = 11s\nseals = true\n[retries]\nratio = 0.2\nallowance = 52\n";
+    let settings = read(&text).expect("the settings are good");
+    let gateway = settings.gateway.expect("the section is there");
+    assert_eq!(gateway.requests.port(), 6);
+    assert_eq!(gateway.directory, None);
+    assert_eq!(settings.platform.vm_list, None);
+    assert!(settings.pacing.seals);
+    assert_eq!(settings.pacing.ahead, std::time::Duration::from_secs(11));
+}
+
+#[test]
+fn faults_of_gateway_and_pacing_are_listed() {
+    let text = GOOD.replace("vm_list = http://127.0.0.1:5/", "adapter = cloud")
+        + "[gateway]\nrequests = here\nready = 127.0.0.1:7\n[pacing]\nseals = perhaps\n";
+    let found = faults(read(&text)).join("\n");
+    for wanted in ["expected etcd or platform", "requests", "seals"] {
+        assert!(found.contains(wanted), "{wanted:?} in {found}");
+    }
+}
