--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -192,7 +192,7 @@
         engines.map(|u| (u.info.id.clone(), u.info.address)).collect()
     }
 
-    /// Returns how many members the view has, and their number at the least one.
+    /// Returns how many members the view has; at least one, this process.
     #[must_use]
     pub fn member_count(&self) -> usize {
         self.board.members().view.members.len().max(1)
--- a/crates/badgerfield-core/src/retry_budget.rs
+++ b/crates/badgerfield-core/src/retry_budget.rs
@@ -57,7 +57,6 @@
         let span = self.bound.window;
         let window = self.window(now, service);
         window.requests.push_back(now);
-        // Half a window is enough to bound the ratio's share; older ones are dropped.
         drop_old(&mut window.requests, now, span);
     }
 
