Follow the list of upstreams by its changes

Cause: every machine asked the watch of the list again at once and read the whole list for each answer.

Change: the watch's own events are taken in, each entry by its revision so that none steps back; the watch is asked 400 ms after its last answer; the list is read whole when changes may have been missed, and every few seconds beside.

--- a/crates/badgerfield-core/src/replicas.rs
+++ b/crates/badgerfield-core/src/replicas.rs
@@ -35,6 +35,8 @@
 const OUTCOME_WEIGHT: f64 = 0.15;
 /// The expected delay by a failing share of one, in milliseconds.
 const FAILING_MS: f64 = 2000.0;
+/// How long an upstream is remembered after its entry is gone.
+const FORGET: Duration = Duration::from_secs(30);
 /// How long an upstream may still be used whose entry vanished together with those of all
 /// others of its service.
 const LAPSE_GRACE: Duration = Duration::from_millis(1300);
@@ -65,13 +67,33 @@
     pub leaving: bool,
 }
 
+/// One entry of the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaEntry {
+    /// The revision at which the entry was written last.
+    pub revision: u64,
+    /// What it says.
+    pub info: ReplicaInfo,
+}
+
 /// All upstreams, as of one revision of the platform's list.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaList {
-    /// The revision.
+    /// The revision; entries that were written while the list was read may be newer.
+    pub revision: u64,
+    /// The entries.
+    pub replicas: Vec<ReplicaEntry>,
+}
+
+/// What changed in the platform's list up to a revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaChanges {
+    /// The revision of the list up to which every change is known.
     pub revision: u64,
-    /// The upstreams.
-    pub replicas: Vec<ReplicaInfo>,
+    /// Entries that were written, in the order of their revisions.
+    pub written: Vec<ReplicaEntry>,
+    /// Entries that are gone, with the revision at which they went.
+    pub gone: Vec<(UpstreamId, u64)>,
 }
 
 /// How one try at an upstream ended, as far as it tells about the upstream.
@@ -121,6 +143,8 @@
 #[derive(Debug)]
 struct Replica {
     info: ReplicaInfo,
+    /// The revision of the list at which it was written or went last.
+    revision: u64,
     seed: u64,
     running: u32,
     /// When the list had it last, if it has vanished from the list since.
@@ -150,38 +174,67 @@
         if list.revision < self.revision {
             return Vec::new();
         }
-        self.revision = list.revision;
-        self.learned = Some(now);
-        let mut changed = Vec::new();
-        let present: BTreeSet<_> = list.replicas.iter().map(|r| r.id.clone()).collect();
-        for info in list.replicas {
-            if let Some(known) = self.table.get_mut(&info.id) {
-                if known.info != info || known.vanished.is_some() {
-                    changed.push(info.id.clone());
-                }
-                known.info = info;
-                known.vanished = None;
-                continue;
-            }
-            changed.push(info.id.clone());
-            self.table.insert(info.id.clone(), Replica::new(info));
+        let present: BTreeSet<_> = list.replicas.iter().map(|r| r.info.id.clone()).collect();
+        let missing = self.table.keys().filter(|id| !present.contains(*id));
+        let gone = missing.map(|id| (id.clone(), list.revision)).collect();
+        let (revision, written) = (list.revision, list.replicas);
+        self.change(now, ReplicaChanges { revision, written, gone })
+    }
+
+    /// Takes in changes of the platform's list; an entry never steps back.
+    ///
+    /// Returns the upstreams that were added, changed or removed.
+    pub fn change(&mut self, now: Time, changes: ReplicaChanges) -> Vec<UpstreamId> {
+        if changes.revision >= self.revision {
+            self.revision = changes.revision;
+            self.learned = Some(now);
         }
-        let lapsed = self.lapsed_services(&present);
-        for (id, replica) in &mut self.table {
-            if !present.contains(id) && replica.vanished.is_none() {
-                replica.vanished = Some(now);
-                replica.lapsed = lapsed.contains(&replica.info.service);
-                changed.push(id.clone());
-            }
+        let mut changed: Vec<_> =
+            changes.written.into_iter().filter_map(|entry| self.write(entry)).collect();
+        let gone: Vec<_> = changes.gone.into_iter().filter(|gone| self.is_news(gone)).collect();
+        let lapsed = self.lapsed_services(&gone);
+        for (id, revision) in gone {
+            let Some(replica) = self.table.get_mut(&id) else {
+                continue;
+            };
+            replica.vanished = Some(now);
+            replica.lapsed = lapsed.contains(&replica.info.service);
+            replica.revision = revision;
+            changed.push(id);
         }
-        self.table.retain(|_, r| {
-            r.running > 0 || r.vanished.is_none_or(|at| now.since(at) < Duration::from_secs(30))
-        });
+        self.table
+            .retain(|_, r| r.running > 0 || r.vanished.is_none_or(|at| now.since(at) < FORGET));
         changed
     }
 
-    /// Returns the services of which every entry is missing at once.
-    fn lapsed_services(&self, present: &BTreeSet<UpstreamId>) -> BTreeSet<Service> {
+    /// Takes in an entry that was written; returns its upstream if that is news.
+    fn write(&mut self, entry: ReplicaEntry) -> Option<UpstreamId> {
+        let ReplicaEntry { revision, info } = entry;
+        let id = info.id.clone();
+        let Some(known) = self.table.get_mut(&id) else {
+            self.table.insert(id.clone(), Replica::new(info, revision));
+            return Some(id);
+        };
+        if revision < known.revision {
+            return None;
+        }
+        let is_news = known.info != info || known.vanished.is_some();
+        known.revision = revision;
+        known.info = info;
+        known.vanished = None;
+        is_news.then_some(id)
+    }
+
+    /// Tells whether an entry was still there, and was not written after it is said to
+    /// have gone.
+    fn is_news(&self, (id, revision): &(UpstreamId, u64)) -> bool {
+        let known = self.table.get(id);
+        known.is_some_and(|known| known.vanished.is_none() && known.revision <= *revision)
+    }
+
+    /// Returns the services of which every entry goes at once.
+    fn lapsed_services(&self, gone: &[(UpstreamId, u64)]) -> BTreeSet<Service> {
+        let gone: BTreeSet<_> = gone.iter().map(|(id, _)| id).collect();
         let mut counts: BTreeMap<&Service, (usize, usize)> = BTreeMap::new();
         for (id, replica) in &self.table {
             if replica.vanished.is_some() || replica.info.leaving {
@@ -189,7 +242,7 @@
             }
             let (listed, missing) = counts.entry(&replica.info.service).or_default();
             *listed += 1;
-            *missing += usize::from(!present.contains(id));
+            *missing += usize::from(gone.contains(id));
         }
         let all =
             counts.into_iter().filter(|(_, (listed, missing))| *listed > 1 && listed == missing);
@@ -288,10 +341,11 @@
 }
 
 impl Replica {
-    fn new(info: ReplicaInfo) -> Self {
+    fn new(info: ReplicaInfo, revision: u64) -> Self {
         let seed = xxh3_64_with_seed(info.id.as_str().as_bytes(), 0);
         Self {
             info,
+            revision,
             seed,
             running: 0,
             vanished: None,
--- a/crates/badgerfield-core/tests/replicas.rs
+++ b/crates/badgerfield-core/tests/replicas.rs
@@ -5,7 +5,9 @@
 
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{Service, UpstreamId};
-use badgerfield_core::replicas::{Health, PromptPart, ReplicaInfo, ReplicaList, Replicas, Wanted};
+use badgerfield_core::replicas::{
+    Health, PromptPart, ReplicaChanges, ReplicaEntry, ReplicaInfo, ReplicaList, Replicas, Wanted,
+};
 
 fn service(name: &str) -> Service {
     name.parse().expect("the name is valid")
@@ -27,7 +29,8 @@
 }
 
 fn list(revision: u64, replicas: Vec<ReplicaInfo>) -> ReplicaList {
-    ReplicaList { revision, replicas }
+    let entry = |info| ReplicaEntry { revision, info };
+    ReplicaList { revision, replicas: replicas.into_iter().map(entry).collect() }
 }
 
 fn table(count: usize) -> Replicas {
@@ -144,3 +147,48 @@
     let table_age = table.age().1.map(|t| at(1).since(t));
     assert_eq!(table_age, Some(Duration::from_millis(1)));
 }
+
+#[test]
+fn an_entry_never_steps_back() {
+    let mut table = table(2);
+    let written = |revision, info| ReplicaEntry { revision, info };
+    // The list was read while the upstream began to leave: its entry is newer than the list.
+    table.learn(
+        at(10),
+        ReplicaList {
+            revision: 5,
+            replicas: vec![written(8, info(1, true)), written(4, info(2, false))],
+        },
+    );
+    // The watch goes on from the revision of the list, and tells an older state first.
+    let older =
+        ReplicaChanges { revision: 7, written: vec![written(6, info(1, false))], gone: Vec::new() };
+    assert!(table.change(at(20), older).is_empty());
+    assert_eq!(chosen(&table, at(20)), BTreeSet::from([id(2)]));
+}
+
+#[test]
+fn an_entry_written_after_a_late_word_of_its_end_stays() {
+    let mut table = table(2);
+    let rewritten = ReplicaChanges {
+        revision: 9,
+        written: vec![ReplicaEntry { revision: 9, info: info(1, false) }],
+        gone: Vec::new(),
+    };
+    table.change(at(10), rewritten);
+    let late = ReplicaChanges { revision: 8, written: Vec::new(), gone: vec![(id(1), 8)] };
+    assert!(table.change(at(20), late).is_empty());
+    assert_eq!(chosen(&table, at(20)), BTreeSet::from([id(1), id(2)]));
+}
+
+#[test]
+fn a_change_takes_an_upstream_out_at_once() {
+    let mut table = table(3);
+    let leaving = ReplicaChanges {
+        revision: 2,
+        written: vec![ReplicaEntry { revision: 2, info: info(1, true) }],
+        gone: vec![(id(2), 2)],
+    };
+    assert_eq!(table.change(at(10), leaving), vec![id(1), id(2)]);
+    assert_eq!(chosen(&table, at(10)), BTreeSet::from([id(3)]));
+}
--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -10,7 +10,7 @@
 
 use badgerfield_core::event::{KvCall, KvResult, Versioned};
 use badgerfield_core::ids::{Account, Domain, UpstreamId};
-use badgerfield_core::replicas::{PromptPart, ReplicaList};
+use badgerfield_core::replicas::{PromptPart, ReplicaChanges, ReplicaList};
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode, Uri};
@@ -76,8 +76,8 @@
     /// Reads the whole list.
     fn list(&self) -> BoxFuture<'_, Result<ReplicaList, DiscoveryError>>;
 
-    /// Waits for a change of the list after a revision; the list is to be read then.
-    fn watch(&self, after: u64) -> BoxFuture<'_, Watched<()>>;
+    /// Waits for changes of the list after a revision.
+    fn watch(&self, after: u64) -> BoxFuture<'_, Watched<ReplicaChanges>>;
 }
 
 /// What a caller's head says about its request.
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -5,6 +5,7 @@
 
 use badgerfield_core::Event;
 use badgerfield_core::event::{KvCall, KvName, KvResult};
+use badgerfield_core::ids::UpstreamId;
 
 use crate::adapter::Watched;
 use crate::driver::Driver;
@@ -14,6 +15,8 @@
 
 /// How long a failed watch rests.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
+/// How long the list of upstreams is left alone between two watches.
+const WATCH_PACE: Duration = Duration::from_millis(400);
 
 /// Follows the templates: every change comes by a watch, and a read goes beside it.
 pub(crate) async fn templates(driver: Arc<Driver>) {
@@ -45,44 +48,67 @@
 }
 
 /// Follows the list of upstreams, and tells peers whether this process can serve.
+///
+/// The list is read whole at first, when changes may have been missed, and now and then
+/// beside the watch, which may hear nothing for a while. Upstreams write their entries all
+/// the time, so the watch is asked at a pace rather than again at once.
 pub(crate) async fn upstreams(driver: Arc<Driver>, gateway: Arc<Gateway>) {
     let every = driver.settings.platform.replicas_poll;
     let mut away: Option<Instant> = None;
     loop {
-        let mut after = None;
-        match gateway.adapter.discovery.list().await {
-            Ok(list) => {
-                if let Some(since) = away.take() {
-                    let away = since.elapsed().as_millis();
-                    log::info!(target: PLATFORM, "list of upstreams regained away_ms={away}");
-                }
-                let now = driver.now();
-                let revision = list.revision;
-                after = Some(revision);
-                let changed = gateway.replicas().learn(now, list);
-                for id in changed {
-                    log::info!(target: PLATFORM, "upstream changed id={id} list={revision}");
-                }
-            }
-            Err(error) => {
-                if away.is_none() {
-                    log::warn!(target: PLATFORM, "list of upstreams lost: {error}");
-                    away = Some(Instant::now());
-                }
-            }
-        }
-        gateway.sweep(driver.now());
-        driver.feed(Event::Serving(directory::is_ready(&gateway)));
-        let Some(revision) = after else {
+        let Some(mut after) = read_list(&driver, &gateway, &mut away).await else {
+            refresh(&driver, &gateway);
             tokio::time::sleep(WATCH_PAUSE).await;
             continue;
         };
-        // A watch brings changes at once; a read goes beside it, since a watch may
-        // hear nothing for a while.
-        let watched = gateway.adapter.discovery.watch(revision);
-        match tokio::time::timeout(every, watched).await {
-            Ok(Watched::Lost) => tokio::time::sleep(WATCH_PAUSE).await,
-            Ok(Watched::Changed(()) | Watched::Quiet(_)) | Err(_) => {}
+        let read_at = tokio::time::Instant::now();
+        while read_at.elapsed() < every {
+            refresh(&driver, &gateway);
+            tokio::time::sleep(WATCH_PACE).await;
+            let watched = gateway.adapter.discovery.watch(after);
+            match tokio::time::timeout_at(read_at + every, watched).await {
+                Ok(Watched::Changed(changes)) => {
+                    after = after.max(changes.revision);
+                    let changed = gateway.replicas().change(driver.now(), changes);
+                    log_changed(&changed, after);
+                }
+                Ok(Watched::Quiet(revision)) => after = after.max(revision),
+                Ok(Watched::Lost) | Err(_) => break,
+            }
+        }
+    }
+}
+
+/// Reads the whole list; returns its revision, or nothing if it cannot be read.
+async fn read_list(driver: &Driver, gateway: &Gateway, away: &mut Option<Instant>) -> Option<u64> {
+    let list = match gateway.adapter.discovery.list().await {
+        Ok(list) => list,
+        Err(error) => {
+            if away.is_none() {
+                log::warn!(target: PLATFORM, "list of upstreams lost: {error}");
+                *away = Some(Instant::now());
+            }
+            return None;
         }
+    };
+    if let Some(since) = away.take() {
+        let away = since.elapsed().as_millis();
+        log::info!(target: PLATFORM, "list of upstreams regained away_ms={away}");
     }
+    let revision = list.revision;
+    let changed = gateway.replicas().learn(driver.now(), list);
+    log_changed(&changed, revision);
+    Some(revision)
+}
+
+fn log_changed(changed: &[UpstreamId], revision: u64) {
+    for id in changed {
+        log::info!(target: PLATFORM, "upstream changed id={id} list={revision}");
+    }
+}
+
+/// Closes what is of no more use, and tells whether this process can serve.
+fn refresh(driver: &Arc<Driver>, gateway: &Gateway) {
+    gateway.sweep(driver.now());
+    driver.feed(Event::Serving(directory::is_ready(gateway)));
 }
