Join a large fleet in few writes; name all who serve; follow the platform by turns

Processes that start at once race to write themselves into the view: 5,849 writes for 80 processes in the fleet of tests/joining.rs. Directories left out members that had said, while the view was small and everybody heard everybody, that they did not serve yet; what they said was never forgotten. It now counts while the word is fresh (tests/directory.rs). - While the store is away all machines asked it again and again. In a large view three follow it, nine more after 2.5 s without word, and all after 8 s; calls that fail rest longer each time, up to a second.

--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -7,6 +7,7 @@
 use crate::amount::Time;
 use crate::event::{KvCall, KvName, KvResult, Note, Order, Outbox, Versioned, due};
 use crate::ids::{Epoch, Incarnation, Ticket, Version};
+use crate::joining::Step;
 use crate::membership::{Purpose, Wish};
 use crate::message::{Heartbeat, Message};
 use crate::node::Node;
@@ -79,11 +80,11 @@
         }
     }
 
-    /// Tells whether this process follows the list of upstreams itself; `heard` is how long
-    /// ago it has heard of it.
+    /// Tells whether this process follows the platform's values itself; `heard` is how long
+    /// ago it has heard of the list of upstreams.
     #[must_use]
-    pub fn follows_list(&self, heard: Option<Duration>) -> bool {
-        self.board.members().follows_list(heard)
+    pub fn follows(&self, now: Time, heard: Option<Duration>) -> bool {
+        self.version() == Version(0) || self.board.members().follows(now, heard)
     }
 
     /// Takes in a sign of life; asks for what the sender has newer.
@@ -178,6 +179,15 @@
         self.write_view(now, out);
     }
 
+    /// Writes a process that asks for it into the view, with others that ask.
+    pub(crate) fn invite(&self, now: Time, from: Incarnation, guest: Member, out: &mut Outbox) {
+        if guest.incarnation != from {
+            return;
+        }
+        self.board.members().joining.invite(now, guest);
+        self.write_view(now, out);
+    }
+
     fn write_view(&self, now: Time, out: &mut Outbox) {
         let complete = self.board.claims().complete();
         let mut members = self.board.members();
@@ -189,13 +199,29 @@
         let me = members.me.clone();
         let present = members.view.member(me.incarnation).map(|m| m.standing);
         let next = match (&members.wish, present) {
-            (Wish::Join, None) if !members.removed => Some(members.view.with(me, handed_over)),
+            (Wish::Join, None) if !members.removed => {
+                let view = members.view.clone();
+                match members.joining.step(now, &view) {
+                    Step::Write => Some(view.with(me, handed_over)),
+                    Step::Ask(host) => {
+                        out.send(host, Message::Join(me));
+                        return;
+                    }
+                    Step::Wait => return,
+                }
+            }
             (Wish::Leave, Some(Standing::Active)) => {
                 Some(members.view.leaving(me.incarnation, handed_over))
             }
             (Wish::Quit, Some(_)) => Some(members.view.without(&[me.incarnation], handed_over)),
             (Wish::Join | Wish::Leave | Wish::Quit, _) => None,
         };
+        let next = next.or_else(|| {
+            let view = members.view.clone();
+            let guests = members.joining.guests(now, &view);
+            let may = members.is_member() && !guests.is_empty();
+            may.then(|| guests.into_iter().fold(view, |view, m| view.with(m, handed_over)))
+        });
         let next = next.or_else(|| {
             let gone = members.gone(now);
             let may = members.is_member() && !gone.is_empty();
@@ -234,7 +260,10 @@
             }
             (Purpose::Write(_), KvResult::Conflict(found)) => {
                 self.read_view(now, &found, out);
-                self.board.members().wrote_at = None;
+                let mut members = self.board.members();
+                members.wrote_at = None;
+                members.joining.lost();
+                drop(members);
                 self.write_view(now, out);
             }
             // Whether the write took effect is seen at the next read.
@@ -263,6 +292,7 @@
             }
             members.revision = found.revision;
             members.known = true;
+            members.joining.saw(&view);
         }
         self.adopt_view(now, &view, out);
     }
--- /dev/null
+++ b/crates/badgerfield-core/src/joining.rs
@@ -0,0 +1,93 @@
+//! Joining a large fleet: how many processes that start at once get into the view.
+//!
+//! Each of them could write itself into the view, but only one write of many at once wins,
+//! and each win makes all others try again: the writes grow with the square of the fleet.
+//! So whoever has lost a few times asks a member that has just joined, which writes all who
+//! asked it in one step.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::amount::Time;
+use crate::event::due;
+use crate::ids::{Incarnation, weigh};
+use crate::view::{Member, View};
+
+/// After how many lost writes a process asks a member instead.
+const LOST: u32 = 3;
+/// How often a member is asked.
+const ASK: Duration = Duration::from_millis(250);
+/// How many members are asked before the process writes for itself again.
+const ASKS: u32 = 4;
+/// How long an ask is remembered by the member that was asked.
+const REMEMBER: Duration = Duration::from_millis(500);
+
+/// What a process that wants to join does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// Write itself into the view.
+    Write,
+    /// Ask this member.
+    Ask(Incarnation),
+    /// Wait for the member that was asked.
+    Wait,
+}
+
+/// Both sides of joining.
+#[derive(Debug, Default)]
+pub(crate) struct Joining {
+    /// The members of the first view that was seen; they may have ended long ago.
+    first: Option<BTreeSet<Incarnation>>,
+    lost: u32,
+    asks: u32,
+    asked: Option<Time>,
+    /// Those who asked this process, and when.
+    guests: BTreeMap<Incarnation, (Member, Time)>,
+}
+
+impl Joining {
+    /// Notes a view that was read.
+    pub(crate) fn saw(&mut self, view: &View) {
+        self.first.get_or_insert_with(|| view.members.iter().map(|m| m.incarnation).collect());
+    }
+
+    /// Notes that another process's write of the view came first.
+    pub(crate) fn lost(&mut self) {
+        self.lost += 1;
+    }
+
+    /// Decides how a process gets into the view.
+    pub(crate) fn step(&mut self, now: Time, view: &View) -> Step {
+        let first = self.first.get_or_insert_default();
+        let alive = view.members.iter().map(|m| m.incarnation).filter(|id| !first.contains(id));
+        let mut alive: Vec<_> = alive.collect();
+        if self.lost < LOST || alive.is_empty() {
+            return Step::Write;
+        }
+        if !due(now, self.asked, ASK) {
+            return Step::Wait;
+        }
+        if self.asks >= ASKS {
+            self.asks = 0;
+            self.lost = 0;
+            return Step::Write;
+        }
+        // All ask the same member, so that few writes are made.
+        alive.sort_by_key(|id| std::cmp::Reverse(weigh(b"host", *id)));
+        let place = usize::try_from(self.asks).unwrap_or(0) % alive.len();
+        self.asked = Some(now);
+        self.asks += 1;
+        alive.get(place).map_or(Step::Write, |id| Step::Ask(*id))
+    }
+
+    /// Notes a process that asks to be written into the view.
+    pub(crate) fn invite(&mut self, now: Time, guest: Member) {
+        self.guests.insert(guest.incarnation, (guest, now));
+    }
+
+    /// Returns those who asked a moment ago and are not in the view.
+    pub(crate) fn guests(&mut self, now: Time, view: &View) -> Vec<Member> {
+        self.guests.retain(|id, (_, at)| now.since(*at) < REMEMBER && !view.has(*id));
+        self.guests.values().map(|(guest, _)| guest.clone()).collect()
+    }
+}
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod event_stream;
 pub mod holdings;
 pub mod ids;
+mod joining;
 pub mod ledger;
 mod lending;
 mod membership;
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -7,6 +7,7 @@
 use crate::amount::Time;
 use crate::event::KvName;
 use crate::ids::{Epoch, Incarnation, Ticket, Version, VmId};
+use crate::joining::Joining;
 use crate::message::Heartbeat;
 use crate::replicas::ListMark;
 use crate::seal::FleetClock;
@@ -26,10 +27,14 @@
 const MAX_FORMER: usize = 64;
 /// Up to how many members everyone sends signs of life to everyone.
 const MESH: usize = 16;
-/// How many members of a region follow the list of upstreams in a larger view.
+/// How many members of a region follow the platform's values in a larger view.
 const FOLLOWERS: usize = 3;
-/// After how long without word of the list of upstreams a process reads it itself.
+/// How many members of a region follow the platform's values if the first are cut off.
+const SUBSTITUTES: usize = 12;
+/// After how long without word of the list of upstreams substitutes follow it.
 const UNHEARD: Duration = Duration::from_millis(2500);
+/// After how long without word of the list of upstreams everybody follows it.
+const LONG_UNHEARD: Duration = Duration::from_secs(8);
 /// To how many members signs of life go in a larger view.
 const NEIGHBOURS: usize = 8;
 
@@ -58,7 +63,10 @@
 /// What is known of another member.
 #[derive(Debug, Clone, Copy, Default)]
 struct Sign {
+    /// When anything came from the member last.
     heard: Time,
+    /// When a sign of life came, which says all that follows.
+    told: Time,
     beat: (Epoch, Epoch, Version),
     /// Whether the member said that it does not serve callers.
     closed: bool,
@@ -74,6 +82,7 @@
     pub(crate) revision: u64,
     pub(crate) known: bool,
     pub(crate) wish: Wish,
+    pub(crate) joining: Joining,
     pub(crate) removed: bool,
     pub(crate) stopping: Option<Time>,
     /// Since when nothing runs here, during a stop.
@@ -112,6 +121,7 @@
             revision: 0,
             known: false,
             wish: Wish::Join,
+            joining: Joining::default(),
             removed: false,
             stopping: None,
             quiet: None,
@@ -216,6 +226,7 @@
         let sign = self.signs.entry(from).or_default();
         sign.heard = sign.heard.max(now);
         if let Some(beat) = beat {
+            sign.told = now;
             sign.beat = (beat.epoch, beat.complete, beat.version);
             sign.closed = !beat.serving;
             sign.offset = beat.wall.map(|wall| wall.saturating_sub(millis(now)));
@@ -268,25 +279,35 @@
     ///
     /// One that hears nobody may have been removed, and reads for itself to find out.
     pub(crate) fn is_reader(&self, now: Time) -> bool {
-        let alone = self.watched().all(|(_, m)| self.silence(now, m.incarnation) >= self.doubt);
-        if alone || !self.is_member() {
+        if self.is_alone(now) || !self.is_member() {
             return true;
         }
         let ranked = self.view.ranked(b"reader", Some(&self.me.region));
         ranked.iter().take(2).any(|m| m.incarnation == self.id())
     }
 
-    /// Tells whether this process follows the platform's list of upstreams itself.
+    /// Tells whether this process follows the platform's values itself; `heard` is how long
+    /// ago it has heard of the list of upstreams, which changes all the time.
     ///
-    /// In a small view everybody does. In a large one a few do, and pass on what changes;
-    /// the others read it only if they have heard nothing of it for a while.
-    pub(crate) fn follows_list(&self, heard: Option<Duration>) -> bool {
-        if self.view.members.len() <= MESH || !self.is_member() {
+    /// In a small view everybody does. In a large one a few do and pass on what changes,
+    /// some more if these seem to be cut off, and all only if nobody says anything.
+    pub(crate) fn follows(&self, now: Time, heard: Option<Duration>) -> bool {
+        if self.view.members.len() <= MESH || !self.is_member() || self.is_alone(now) {
             return true;
         }
-        let ranked = self.view.ranked(b"upstreams", Some(&self.me.region));
-        let duty = ranked.iter().take(FOLLOWERS).any(|m| m.incarnation == self.id());
-        duty || heard.is_none_or(|age| age >= UNHEARD)
+        let ranked = self.view.ranked(b"follower", Some(&self.me.region));
+        let place = ranked.iter().position(|m| m.incarnation == self.id());
+        let wait = match place.unwrap_or(usize::MAX) {
+            0..FOLLOWERS => return true,
+            FOLLOWERS..SUBSTITUTES => UNHEARD,
+            _ => LONG_UNHEARD,
+        };
+        heard.is_none_or(|age| age >= wait)
+    }
+
+    /// Tells whether this process hears no other member.
+    fn is_alone(&self, now: Time) -> bool {
+        self.watched().all(|(_, m)| self.silence(now, m.incarnation) >= self.doubt)
     }
 
     /// Tells whether every active member has confirmed the hand-overs of the view.
@@ -358,14 +379,14 @@
         let silent: BTreeSet<_> = self
             .watched()
             .map(|(_, m)| m.incarnation)
-            .filter(|id| self.silence(now, *id) >= self.doubt || self.is_closed(*id))
+            .filter(|id| self.silence(now, *id) >= self.doubt)
             .collect();
         self.view
             .members
             .iter()
             .filter(|m| m.standing == Standing::Active && !self.leaving.contains(&m.vm))
             .filter(|m| !self.unlisted.contains(&m.vm))
-            .filter(|m| !silent.contains(&m.incarnation) && !self.is_closed(m.incarnation))
+            .filter(|m| !silent.contains(&m.incarnation) && !self.is_closed(now, m.incarnation))
             .cloned()
             .collect()
     }
@@ -393,8 +414,8 @@
 
     /// Reads the fleet's time off the clocks of all members that were heard of late.
     pub(crate) fn clock(&self, now: Time) -> FleetClock {
-        let heard = self.signs.values().filter(|sign| now.since(sign.heard) < self.doubt);
-        let offsets = heard.filter_map(|sign| sign.offset).chain(self.offset).collect();
+        let told = self.signs.values().filter(|sign| now.since(sign.told) < self.doubt);
+        let offsets = told.filter_map(|sign| sign.offset).chain(self.offset).collect();
         FleetClock::of(offsets, self.clock_quorum())
     }
 
@@ -409,12 +430,16 @@
         (heard * 3).div_ceil(4)
     }
 
-    /// Tells whether a member does not serve callers, as far as it said.
-    fn is_closed(&self, id: Incarnation) -> bool {
+    /// Tells whether a member said a moment ago that it does not serve callers.
+    ///
+    /// In a large view most members say nothing to this process any more, and what they
+    /// said while the view was small is no longer true.
+    fn is_closed(&self, now: Time, id: Incarnation) -> bool {
         if id == self.id() {
             return !self.serving;
         }
-        self.signs.get(&id).is_some_and(|sign| sign.closed)
+        let sign = self.signs.get(&id);
+        sign.is_some_and(|sign| sign.closed && now.since(sign.told) < self.doubt)
     }
 
     fn is_near(&self, member: &Member) -> bool {
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -10,7 +10,7 @@
 use crate::ledger::{LedgerOp, LedgerReply};
 use crate::replicas::{ListMark, ReplicaChanges, ReplicaList};
 use crate::template::{TemplateDelta, TemplateSet};
-use crate::view::View;
+use crate::view::{Member, View};
 
 /// One message with its sender and receiver.
 ///
@@ -30,6 +30,8 @@
 pub enum Message {
     /// The sender is alive and has these versions in force.
     Heartbeat(Heartbeat),
+    /// Asks a member to write the sender into the view.
+    Join(Member),
     /// Asks for the view and for templates newer than a version.
     Fetch {
         /// The epoch that the sender has.
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -330,6 +330,7 @@
             Message::Fetch { epoch, version, whole } => {
                 self.fetch(from, epoch, version, whole, out);
             }
+            Message::Join(guest) => self.invite(now, from, guest, out),
             Message::View(view) => self.adopt_view(now, &view, out),
             Message::Delta(delta) => self.learn_delta(now, from, delta, out),
             Message::Templates(set) => self.learn_templates(now, *set, out),
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -13,15 +13,41 @@
 use crate::gateway::state::Gateway;
 use crate::logs::PLATFORM;
 
-/// How long a failed watch rests.
-const WATCH_PAUSE: Duration = Duration::from_millis(200);
+/// How long a call rests that failed once.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// How long a call rests at the most that failed again and again.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
 /// How long the list of upstreams is left alone between two watches.
 const WATCH_PACE: Duration = Duration::from_millis(400);
 
+/// The rests between calls that fail; each is twice as long as the one before.
+#[derive(Debug, Clone, Copy)]
+struct Pause(Duration);
+
+impl Default for Pause {
+    fn default() -> Self {
+        Self(FIRST_PAUSE)
+    }
+}
+
+impl Pause {
+    /// Rests before the next call.
+    async fn rest(&mut self) {
+        tokio::time::sleep(self.0).await;
+        self.0 = self.0.saturating_mul(2).min(MAX_PAUSE);
+    }
+}
+
 /// Follows the templates: every change comes by a watch, and a read goes beside it.
 pub(crate) async fn templates(driver: Arc<Driver>) {
     let mut after = 0;
+    let mut pause = Pause::default();
     loop {
+        if !is_on_duty(&driver) {
+            after = 0;
+            tokio::time::sleep(WATCH_PACE).await;
+            continue;
+        }
         if after == 0 {
             let call = KvCall::Get(KvName::Templates);
             if let KvResult::Value(found) = driver.store.call(&call).await {
@@ -29,19 +55,23 @@
                 driver.feed(Event::Templates(found));
             }
             if after == 0 {
-                tokio::time::sleep(WATCH_PAUSE).await;
+                pause.rest().await;
                 continue;
             }
         }
         match driver.store.watch_templates(after).await {
             Watched::Changed(found) => {
+                pause = Pause::default();
                 after = after.max(found.revision);
                 driver.feed(Event::Templates(found));
             }
-            Watched::Quiet(revision) => after = after.max(revision),
+            Watched::Quiet(revision) => {
+                pause = Pause::default();
+                after = after.max(revision);
+            }
             Watched::Lost => {
                 after = 0;
-                tokio::time::sleep(WATCH_PAUSE).await;
+                pause.rest().await;
             }
         }
     }
@@ -55,19 +85,21 @@
 pub(crate) async fn upstreams(driver: Arc<Driver>, gateway: Arc<Gateway>) {
     let every = driver.settings.platform.replicas_poll;
     let mut away: Option<Instant> = None;
+    let mut pause = Pause::default();
     loop {
-        if !is_on_duty(&driver, &gateway) {
+        if !is_on_duty(&driver) {
             refresh(&driver, &gateway);
             tokio::time::sleep(WATCH_PACE).await;
             continue;
         }
         let Some(mut after) = read_list(&driver, &gateway, &mut away).await else {
             refresh(&driver, &gateway);
-            tokio::time::sleep(WATCH_PAUSE).await;
+            pause.rest().await;
             continue;
         };
+        pause = Pause::default();
         let read_at = tokio::time::Instant::now();
-        while read_at.elapsed() < every && is_on_duty(&driver, &gateway) {
+        while read_at.elapsed() < every && is_on_duty(&driver) {
             refresh(&driver, &gateway);
             tokio::time::sleep(WATCH_PACE).await;
             let watched = gateway.adapter.discovery.watch(after);
@@ -112,11 +144,15 @@
     Some(revision)
 }
 
-/// Tells whether this process follows the list itself, and does not only hear of it.
-fn is_on_duty(driver: &Driver, gateway: &Gateway) -> bool {
+/// Tells whether this process follows the platform's values itself, and does not only hear
+/// of them.
+fn is_on_duty(driver: &Driver) -> bool {
+    let Some(gateway) = driver.gateway() else {
+        return true;
+    };
     let (_, learned) = gateway.replicas().age();
     let now = driver.now();
-    driver.node.follows_list(learned.map(|at| now.since(at)))
+    driver.node.follows(now, learned.map(|at| now.since(at)))
 }
 
 /// Closes what is of no more use, and tells whether this process can serve.
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -193,9 +193,13 @@
     pub fn directory(&self, region: usize) -> Vec<usize> {
         let usable = self.usable();
         let near = usable.iter().find(|i| self.region_of(**i) == region);
-        let Some(asked) = near.or_else(|| usable.first()).map(|i| &self.vms[*i]) else {
-            return Vec::new();
-        };
+        near.or_else(|| usable.first()).map(|vm| self.directory_of(*vm)).unwrap_or_default()
+    }
+
+    /// Returns the VMs that the directory names, as one VM answers.
+    #[must_use]
+    pub fn directory_of(&self, vm: usize) -> Vec<usize> {
+        let asked = &self.vms[vm];
         let local = Time(self.now.since(asked.started));
         let members = asked.node.as_ref().map(|n| n.usable(local)).unwrap_or_default();
         members.iter().filter_map(|m| self.owners.get(&m.incarnation).copied()).collect()
--- a/crates/badgerfield-standin/src/fleet/truth.rs
+++ b/crates/badgerfield-standin/src/fleet/truth.rs
@@ -141,7 +141,7 @@
 pub(super) fn kind(message: &Message) -> &'static str {
     match message {
         Message::Heartbeat(_) => "heartbeat",
-        Message::Fetch { .. } | Message::View(_) => "view",
+        Message::Fetch { .. } | Message::Join(_) | Message::View(_) => "view",
         Message::Delta(_) | Message::Templates(_) => "templates",
         Message::Draw(_) | Message::Drawn(_) => "draw",
         Message::UpstreamChanges(_) | Message::FetchUpstreams | Message::Upstreams(_) => {
