--- a/crates/badgerfield-core/src/joining.rs
+++ b/crates/badgerfield-core/src/joining.rs
@@ -13,8 +13,13 @@
 use crate::ids::{Incarnation, weigh};
 use crate::view::{Member, View};
 
-/// After how many lost writes a process asks a member instead.
-const LOST: u32 = 3;
+/// The most members of a small view.
+const SMALL: usize = 16;
+/// After how many lost writes a process asks a member instead, in a small view; a small
+/// fleet gets into its view before that.
+const LOST: u32 = 7;
+/// The same in a large view.
+const LOST_IN_LARGE: u32 = 2;
 /// How often a member is asked.
 const ASK: Duration = Duration::from_millis(250);
 /// How many members are asked before the process writes for itself again.
@@ -61,7 +66,9 @@
         let first = self.first.get_or_insert_default();
         let alive = view.members.iter().map(|m| m.incarnation).filter(|id| !first.contains(id));
         let mut alive: Vec<_> = alive.collect();
-        if self.lost < LOST || alive.is_empty() {
+        let is_large = first.len().max(view.members.len()) > SMALL;
+        let most = if is_large { LOST_IN_LARGE } else { LOST };
+        if self.lost < most || alive.is_empty() {
             return Step::Write;
         }
         if !due(now, self.asked, ASK) {
--- a/crates/badgerfield-standin/tests/joining.rs
+++ b/crates/badgerfield-standin/tests/joining.rs
@@ -6,7 +6,7 @@
 
 const VMS: usize = 80;
 /// How many writes to the platform a process may cost, on average.
-const WRITES: u64 = 8;
+const WRITES: u64 = 7;
 
 fn fleet() -> Fleet {
     let shape = Shape { regions: vec![VMS], seals: true, noise: 0, ..Shape::default() };
@@ -25,7 +25,8 @@
 fn all_join_with_few_writes() {
     let mut fleet = fleet();
     start_all(&mut fleet);
-    let writes = fleet.platform.writes + fleet.platform.conflicts;
+    // Writes that met another value are counted among them.
+    let writes = fleet.platform.writes;
     let most = WRITES * u64::try_from(VMS).expect("few VMs");
     assert!(writes <= most, "{writes} writes for {VMS} processes");
 }
@@ -34,13 +35,13 @@
 fn all_join_again_after_all_have_ended() {
     let mut fleet = fleet();
     start_all(&mut fleet);
-    let before = fleet.platform.writes + fleet.platform.conflicts;
+    let before = fleet.platform.writes;
     for vm in 0..VMS {
         fleet.kill(vm);
     }
     fleet.advance(Duration::from_secs(1));
     start_all(&mut fleet);
-    let writes = fleet.platform.writes + fleet.platform.conflicts - before;
+    let writes = fleet.platform.writes - before;
     let most = WRITES * u64::try_from(VMS).expect("few VMs");
     assert!(writes <= most, "{writes} writes for {VMS} processes");
 }
