Show the view to members that know too little to ask for it

In a large view it heard only from members that it did not know, had no address to ask them, and said its own signs of life to the first eleven, which took them for those of a neighbour that is about to ask. Ruled out: connections that fail (no such line).

Change: who gets a sign of life with an older view from a member that is no neighbour sends its view. The fleet of the tests now drops messages to addresses that a process does not know, as processes do: tests/joining.rs everybody_learns_the_whole_view was green without that and red with it (VM 0 knows 12 of 80), and is green with the change.

--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -105,6 +105,16 @@
                 out.send(from, Message::View(members.view.clone()));
                 return;
             }
+            // Who is behind, and not a neighbour, may hear only from members that it does
+            // not know yet, and so cannot ask.
+            if beat.epoch < members.view.epoch
+                && !members.neighbours().contains(&from)
+                && due(now, members.fetched.get(&from).copied(), FETCH)
+            {
+                members.fetched.insert(from, now);
+                out.send(from, Message::View(members.view.clone()));
+                return;
+            }
             let newer = beat.epoch > members.view.epoch || beat.version > version;
             if !newer || !due(now, members.fetched.get(&from).copied(), FETCH) {
                 return;
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -489,7 +489,13 @@
 
     fn carry_out(&mut self, index: usize, from: Incarnation, order: Order) {
         match order {
-            Order::Send(to, message) => self.send(index, &Envelope { from, to, message }),
+            Order::Send(to, message) => {
+                // As in a process: a message goes only to an address that is known.
+                let node = self.vms[index].node.as_ref();
+                if node.is_some_and(|node| node.peer_address(to).is_some()) {
+                    self.send(index, &Envelope { from, to, message });
+                }
+            }
             Order::KeyValue(ticket, call) => {
                 let at = self.now.after(self.platform.delay());
                 self.at(at, Turn::KvApply(from, ticket, call));
--- a/crates/badgerfield-standin/tests/joining.rs
+++ b/crates/badgerfield-standin/tests/joining.rs
@@ -45,3 +45,23 @@
     let most = WRITES * u64::try_from(VMS).expect("few VMs");
     assert!(writes <= most, "{writes} writes for {VMS} processes");
 }
+
+#[test]
+fn everybody_learns_the_whole_view() {
+    for seed in 1..=6 {
+        let shape = Shape { regions: vec![VMS], seals: true, noise: 0, seed, ..Shape::default() };
+        let mut fleet = Fleet::new(shape);
+        // Some are members while the fleet is small, and hear from few of the others later.
+        for vm in 0..VMS {
+            fleet.start(vm);
+            if vm == 11 {
+                fleet.advance(Duration::from_millis(700));
+            }
+        }
+        fleet.advance(Duration::from_secs(4));
+        for vm in 0..VMS {
+            let known = fleet.node(vm).map_or(0, |node| node.view().members.len());
+            assert_eq!(known, VMS, "seed {seed}: what VM {vm} knows");
+        }
+    }
+}
