Tell with each message where its sender takes answers

Change: a message names the address where its sender takes messages, and a process remembers those of processes that are not in its view. Test red before, green after; the whole of the tests green.

--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -23,7 +23,7 @@
 const PAUSED: Duration = Duration::from_secs(2);
 /// How much longer each further observer waits before it removes a member.
 const TURN: Duration = Duration::from_secs(3);
-/// How many removed members are still told so.
+/// How many processes that are not in the view are remembered, removed or about to join.
 const MAX_FORMER: usize = 64;
 /// Up to how many members everyone sends signs of life to everyone.
 const MESH: usize = 16;
@@ -162,7 +162,19 @@
         self.view.member(self.id()).is_some_and(|m| m.standing == Standing::Active)
     }
 
-    /// Returns the address of a member, or of one that was removed of late.
+    /// Notes where a process takes messages that is not in the view: it may have joined a
+    /// moment ago.
+    pub(crate) fn meet(&mut self, id: Incarnation, address: SocketAddr) {
+        if self.view.has(id) {
+            return;
+        }
+        self.former.insert(id, address);
+        while self.former.len() > MAX_FORMER {
+            self.former.pop_first();
+        }
+    }
+
+    /// Returns the address of a member, or of another process that was heard of late.
     pub(crate) fn address(&self, id: Incarnation) -> Option<SocketAddr> {
         let member = self.view.member(id).map(|m| m.peer);
         member.or_else(|| self.former.get(&id).copied())
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -1,5 +1,7 @@
 //! Messages between the processes of the system.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +21,8 @@
 pub struct Envelope {
     /// Who sent it.
     pub from: Incarnation,
+    /// Where the sender takes messages: the receiver may not know it as a member yet.
+    pub address: SocketAddr,
     /// For whom it is.
     pub to: Incarnation,
     /// What it says.
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -324,7 +324,11 @@
             return;
         }
         let from = envelope.from;
-        self.board.members().heard(now, from, None);
+        {
+            let mut members = self.board.members();
+            members.heard(now, from, None);
+            members.meet(from, envelope.address);
+        }
         match envelope.message {
             Message::Heartbeat(beat) => self.heartbeat(now, from, &beat, out),
             Message::Fetch { epoch, version, whole } => {
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -264,7 +264,8 @@
                 };
                 let from = self.node.id();
                 self.metrics.messages.inc();
-                self.peers.send(address, Envelope { from, to, message });
+                let envelope = Envelope { from, address: self.settings.peers, to, message };
+                self.peers.send(address, envelope);
             }
             Order::KeyValue(ticket, call) => {
                 let driver = Arc::clone(self);
--- a/crates/badgerfield-node/tests/peers.rs
+++ b/crates/badgerfield-node/tests/peers.rs
@@ -30,7 +30,12 @@
     });
     for _ in 0..8 {
         let message = Message::Heartbeat(Heartbeat::default());
-        let envelope = Envelope { from: Incarnation(1), to: Incarnation(2), message };
+        let envelope = Envelope {
+            from: Incarnation(1),
+            address: ([127, 0, 0, 1], 1).into(),
+            to: Incarnation(2),
+            message,
+        };
         from.send(SocketAddr::from(([127, 0, 0, 1], port)), envelope);
         if timeout(Duration::from_millis(300), line.recv()).await.is_ok() {
             return true;
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -493,7 +493,8 @@
                 // As in a process: a message goes only to an address that is known.
                 let node = self.vms[index].node.as_ref();
                 if node.is_some_and(|node| node.peer_address(to).is_some()) {
-                    self.send(index, &Envelope { from, to, message });
+                    let address = self.vms[index].member.peer;
+                    self.send(index, &Envelope { from, address, to, message });
                 }
             }
             Order::KeyValue(ticket, call) => {
