Tell borrowers when to come back as their lender was told; log lending

The lender's span now goes with its answer. Lines: "lending" when a view changes what is held and borrowed, "lender silent" when one is passed over.

--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -324,6 +324,22 @@
 pub enum Note {
     /// A newer view is in force.
     View(crate::ids::Epoch),
+    /// Other budgets are held or borrowed here, by the ranks of a view.
+    Lending {
+        /// The view.
+        epoch: crate::ids::Epoch,
+        /// How many budgets this process holds.
+        held: usize,
+        /// How many it borrows from others.
+        borrowed: usize,
+    },
+    /// A lender did not answer in time, and is passed over for a while.
+    LenderSilent {
+        /// The budget.
+        budget: BudgetId,
+        /// The lender.
+        lender: Incarnation,
+    },
     /// Newer templates are in force.
     Templates(crate::ids::Version),
     /// The value of the templates cannot be used; the last good one stays in force.
--- a/crates/badgerfield-core/src/holdings/lending.rs
+++ b/crates/badgerfield-core/src/holdings/lending.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use super::Holdings;
 use super::holding::{Holding, Hunt, Waiter, Wanter};
+use super::{COME_BACK, Holdings};
 use crate::amount::{Time, Tokens};
-use crate::event::Outbox;
+use crate::event::{Note, Order, Outbox};
 use crate::ids::{BudgetId, Incarnation, Period};
 use crate::lending::Lenders;
 use crate::message::{Ask, Lack, Message};
@@ -13,8 +13,6 @@
 
 /// How long a borrower's ask may wait at its lender.
 const WAIT: Duration = Duration::from_millis(1200);
-/// When to come back if what is left of a budget is reserved.
-const COME_BACK: Duration = Duration::from_secs(1);
 
 /// What became of a borrower's ask.
 #[derive(Debug)]
@@ -30,13 +28,21 @@
 
 impl Holdings {
     /// Ranks the lenders anew, and with them what this process holds or borrows.
-    pub(super) fn rank_lenders(&mut self) {
+    pub(super) fn rank_lenders(&mut self, out: &mut Outbox) {
         if self.maker.sealing.is_none() {
             return;
         }
         self.lenders = Lenders::of(&self.view, &self.region);
+        let mut changed = false;
         for (budget, holding) in &mut self.table {
-            holding.lenders = self.lenders.holders(budget, self.me);
+            let lenders = self.lenders.holders(budget, self.me);
+            changed |= lenders.is_empty() != holding.lenders.is_empty();
+            holding.lenders = lenders;
+        }
+        if changed {
+            let held = self.table.values().filter(|holding| !holding.borrows()).count();
+            let borrowed = self.table.len() - held;
+            out.push(Order::Note(Note::Lending { epoch: self.view.epoch, held, borrowed }));
         }
     }
 
@@ -72,7 +78,8 @@
                 continue;
             };
             let spent = refusal.cause == Cause::BudgetSpent;
-            let lack = if spent { Lack::Spent } else { Lack::Reserved };
+            let after = refusal.after.unwrap_or(COME_BACK);
+            let lack = if spent { Lack::Spent } else { Lack::Reserved(after) };
             out.send(to, Message::Nothing { budget, period, lack });
         }
     }
@@ -97,7 +104,8 @@
     pub(super) fn refuse_borrowing(&mut self, now: Time, budget: &BudgetId, lack: Lack) {
         let refusal = match lack {
             Lack::Spent => Refusal::not_run(Cause::BudgetSpent),
-            Lack::Reserved | Lack::NoHolder => Refusal::not_run(Cause::BudgetHeld).after(COME_BACK),
+            Lack::Reserved(after) => Refusal::not_run(Cause::BudgetHeld).after(after),
+            Lack::NoHolder => Refusal::not_run(Cause::BudgetHeld).after(COME_BACK),
         };
         self.refuse_waiters(now, budget, refusal);
     }
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -34,6 +34,8 @@
 const URGENT_RESEND: Duration = Duration::from_millis(500);
 /// How many members are asked to write a change before the platform counts as away.
 const WRITERS: u32 = 3;
+/// When to come back if the rest of a budget is reserved.
+const COME_BACK: Duration = Duration::from_secs(1);
 /// How many times its need a holder may get at once, to ask less often.
 const LUMP: u64 = 8;
 
@@ -433,7 +435,7 @@
             let lack = if holding.borrows() || self.closing {
                 Lack::NoHolder
             } else if holding.may_get_back(now) {
-                Lack::Reserved
+                Lack::Reserved(COME_BACK)
             } else {
                 Lack::Spent
             };
@@ -455,7 +457,7 @@
         lack: Lack,
         out: &mut Outbox,
     ) {
-        self.answered(from, budget, lack == Lack::Reserved);
+        self.answered(from, budget, matches!(lack, Lack::Reserved(_)));
         if self.is_refused_by_lender(from, budget, lack) {
             self.refuse_borrowing(now, budget, lack);
             return;
@@ -560,7 +562,7 @@
             self.touched.insert(windfall.budget);
         }
         self.reclaim_parked();
-        self.rank_lenders();
+        self.rank_lenders(out);
         for id in self.table.keys().cloned().collect::<Vec<_>>() {
             self.touched.insert(id.clone());
             self.serve_waiters(now, &id);
--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -5,9 +5,9 @@
 
 use super::holding::{Holding, Hunt, Waiter, Wanter};
 use super::lending::BorrowerAnswer;
-use super::{Decision, Holdings};
+use super::{COME_BACK, Decision, Holdings};
 use crate::amount::{Time, Tokens};
-use crate::event::Outbox;
+use crate::event::{Note, Order, Outbox};
 use crate::ids::{BudgetId, Incarnation};
 use crate::ledger::Plan;
 use crate::message::{Ask, Message};
@@ -28,8 +28,6 @@
 const PEER_WAIT: Duration = Duration::from_millis(400);
 /// How many members are asked besides the holders that the ledger named.
 const MAX_ASKED: usize = 8;
-/// When to come back if the rest of a budget is reserved.
-const COME_BACK: Duration = Duration::from_secs(1);
 /// The same while the platform is away.
 const COME_BACK_DOWN: Duration = Duration::from_secs(3);
 
@@ -312,8 +310,11 @@
                 self.look_elsewhere(now, budget, out);
             }
             Some(Hunt::Lender { since, asked }) if now.since(*since) >= wait => {
-                let silent = asked.last().copied();
-                self.mute.extend(silent.map(|id| (id, now)));
+                if let Some(lender) = asked.last().copied() {
+                    self.mute.insert(lender, now);
+                    let budget = budget.clone();
+                    out.push(Order::Note(Note::LenderSilent { budget, lender }));
+                }
                 self.skip_lender(now, budget, out);
             }
             Some(Hunt::Ledger { since }) if now.since(*since) >= LEDGER_WAIT => {
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between the processes of the system.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -214,8 +215,8 @@
 pub enum Lack {
     /// It does not hold the budget, or does not know its period.
     NoHolder,
-    /// Running requests may give something back.
-    Reserved,
+    /// Something may come back from running requests, or from the ledger, after a while.
+    Reserved(Duration),
     /// Nothing is left.
     Spent,
 }
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -395,6 +395,12 @@
                 "drawn budget={budget} limit={limit} granted={granted} left={left} held={held} \
                  plan={plan} rate={rate}"
             ),
+            Note::Lending { epoch, held, borrowed } => {
+                log::info!(target: NODE, "lending view={epoch} held={held} borrowed={borrowed}");
+            }
+            Note::LenderSilent { budget, lender } => {
+                log::warn!(target: NODE, "lender silent budget={budget} lender={lender}");
+            }
             Note::Renewed(budget) => log::info!(target: NODE, "budget {budget} renewed"),
         }
     }
