Prove under random trouble that lending never overspends

tests/lending.rs no_trouble_makes_lenders_and_borrowers_overspend: 48 VMs, 8 seeds, lost and doubled messages, kills (of single VMs and of all lenders), freezes, stops, a platform that is down, slow or loses replies, clocks that jump. With a lender that keeps what it lends (broken on purpose) it is red.

--- a/crates/badgerfield-standin/tests/lending.rs
+++ b/crates/badgerfield-standin/tests/lending.rs
@@ -4,6 +4,8 @@
 
 use badgerfield_core::ledger::HolderEntry;
 use badgerfield_standin::fleet::{End, Fleet, Shape, Wish};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 const VMS: usize = 48;
 /// The most that one request can cost, in tokens.
@@ -163,3 +165,52 @@
     assert!(conflicts < 60, "{conflicts} lost writes");
     assert_eq!(fleet.truth.overspend(), 0);
 }
+
+/// Does something at random to a fleet.
+fn trouble(fleet: &mut Fleet, rng: &mut ChaCha8Rng) {
+    let vm = rng.random_range(0..VMS);
+    match rng.random_range(0..12) {
+        0 => fleet.kill(vm),
+        1 | 2 if !fleet.runs(vm) => fleet.start(vm),
+        3 => fleet.freeze(vm),
+        4 => fleet.thaw(vm),
+        5 => fleet.stop(vm),
+        6 => fleet.platform.down = !fleet.platform.down,
+        7 => fleet.platform.lose_replies = rng.random_range(0..6),
+        8 => fleet.platform.slow = Duration::from_millis(rng.random_range(0..700)),
+        9 => fleet.step_clock(vm, rng.random_range(-9_000..9_000)),
+        10 => {
+            for lender in lenders(fleet) {
+                fleet.kill(lender);
+            }
+        }
+        _ => {}
+    }
+    // Whoever has ended comes back after a while, as the platform's processes do.
+    for vm in 0..VMS {
+        if !fleet.runs(vm) && rng.random_bool(0.2) {
+            fleet.start(vm);
+        }
+    }
+}
+
+#[test]
+fn no_trouble_makes_lenders_and_borrowers_overspend() {
+    for seed in 1..=8 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let limit = 200 * COST;
+        let mut fleet = Fleet::started(Shape { noise: 40, seed, ..shape(limit) });
+        for _ in 0..60 {
+            trouble(&mut fleet, &mut rng);
+            load(&mut fleet, 12);
+            assert_eq!(fleet.truth.overspend(), 0, "seed {seed}");
+        }
+        let all = (0..VMS).filter(|vm| !fleet.runs(*vm)).collect::<Vec<_>>();
+        for vm in all {
+            fleet.start(vm);
+        }
+        fleet.advance(Duration::from_secs(8));
+        assert_eq!(fleet.truth.overspend(), 0, "seed {seed}");
+        assert!(served(&fleet) > 0, "seed {seed}: nothing was served");
+    }
+}
