Test how word of the list of upstreams goes round

Tests only: who follows the platform in small and large fleets, lists compared by digest, changes passed on, entries and ends merged by revision.

--- a/crates/badgerfield-core/tests/replicas.rs
+++ b/crates/badgerfield-core/tests/replicas.rs
@@ -192,3 +192,32 @@
     assert_eq!(table.change(at(10), leaving), vec![id(1), id(2)]);
     assert_eq!(chosen(&table, at(10)), BTreeSet::from([id(3)]));
 }
+
+#[test]
+fn equal_lists_have_equal_digests_and_others_do_not() {
+    let (mut here, there) = (table(3), table(3));
+    assert_eq!(here.mark(), there.mark());
+    let leaving = ReplicaChanges {
+        revision: 2,
+        written: vec![ReplicaEntry { revision: 2, info: info(1, true) }],
+        gone: Vec::new(),
+    };
+    let news = here.change(at(10), leaving);
+    assert_ne!(here.mark().digest, there.mark().digest);
+    // What one passes on makes the other's list the same, but says nothing of its age.
+    let mut there = there;
+    there.change(at(20), here.changes_of(&news));
+    assert_eq!(here.mark().digest, there.mark().digest);
+    assert_eq!(there.mark().revision, 1);
+    there.confirm(at(30), 2);
+    assert_eq!(here.mark(), there.mark());
+}
+
+#[test]
+fn a_whole_list_of_another_process_brings_its_end_of_an_upstream() {
+    let (mut here, mut there) = (table(3), table(3));
+    let gone = ReplicaChanges { revision: 5, written: Vec::new(), gone: vec![(id(2), 5)] };
+    there.change(at(10), gone);
+    assert_eq!(here.learn(at(20), there.list()), vec![id(2)]);
+    assert_eq!(chosen(&here, at(20)), BTreeSet::from([id(1), id(3)]));
+}
--- /dev/null
+++ b/crates/badgerfield-standin/tests/upstream_list.rs
@@ -0,0 +1,84 @@
+//! How word of the list of upstreams goes round: who follows it, and how lists are compared.
+
+use std::time::Duration;
+
+use badgerfield_core::amount::Time;
+use badgerfield_core::event::Order;
+use badgerfield_core::ids::Incarnation;
+use badgerfield_core::message::{Envelope, Heartbeat, Message};
+use badgerfield_core::replicas::{ListMark, ReplicaChanges};
+use badgerfield_core::{Event, Node};
+use badgerfield_standin::fleet::{Fleet, Shape};
+
+const VMS: usize = 48;
+
+fn fleet(vms: usize) -> Fleet {
+    Fleet::started(Shape { regions: vec![vms], seals: true, noise: 0, ..Shape::default() })
+}
+
+/// Returns how many VMs follow the platform that heard of it so long ago.
+fn followers(fleet: &Fleet, heard: Option<Duration>) -> usize {
+    let now = Time::from_millis(5_000);
+    (0..fleet.size()).filter(|vm| node(fleet, *vm).follows(now, heard)).count()
+}
+
+fn node(fleet: &Fleet, vm: usize) -> &Node {
+    fleet.node(vm).expect("the VM runs")
+}
+
+/// Lets a node hear a neighbour's sign of life with a mark of its list; returns the orders.
+fn hear(node: &Node, from: Incarnation, list: ListMark) -> Vec<Order> {
+    let epoch = node.view().epoch;
+    let beat = Heartbeat { epoch, version: node.version(), list, ..Heartbeat::default() };
+    let address = ([127, 0, 0, 1], 1).into();
+    let message = Message::Heartbeat(beat);
+    let envelope = Envelope { from, address, to: node.id(), message };
+    node.handle(Time::from_millis(5_000), Event::Peer(envelope))
+}
+
+fn asks_for_list(orders: &[Order]) -> bool {
+    orders.iter().any(|order| matches!(order, Order::Send(_, Message::FetchUpstreams)))
+}
+
+#[test]
+fn a_few_follow_the_platform_and_more_when_they_hear_nothing() {
+    let fleet = fleet(VMS);
+    assert_eq!(followers(&fleet, Some(Duration::from_millis(400))), 3);
+    assert_eq!(followers(&fleet, Some(Duration::from_secs(3))), 12);
+    assert_eq!(followers(&fleet, Some(Duration::from_secs(8))), VMS);
+    assert_eq!(followers(&fleet, None), VMS);
+}
+
+#[test]
+fn everybody_follows_the_platform_in_a_small_fleet() {
+    let fleet = fleet(6);
+    assert_eq!(followers(&fleet, Some(Duration::from_millis(400))), 6);
+}
+
+#[test]
+fn a_newer_list_is_fetched_and_an_equal_one_confirms_what_is_known() {
+    let fleet = fleet(3);
+    let (here, other) = (node(&fleet, 0), node(&fleet, 1).id());
+    here.handle(Time::from_millis(5_000), Event::ListMark(ListMark { revision: 7, digest: 1 }));
+    let older = hear(here, other, ListMark { revision: 6, digest: 2 });
+    assert!(!asks_for_list(&older), "{older:?}");
+    let equal = hear(here, other, ListMark { revision: 9, digest: 1 });
+    assert!(equal.contains(&Order::ConfirmUpstreams(9)), "{equal:?}");
+    assert!(!asks_for_list(&equal), "{equal:?}");
+    let newer = hear(here, other, ListMark { revision: 11, digest: 3 });
+    assert!(asks_for_list(&newer), "{newer:?}");
+}
+
+#[test]
+fn what_is_news_goes_to_all_neighbours() {
+    let fleet = fleet(4);
+    let here = node(&fleet, 0);
+    let changes = ReplicaChanges {
+        gone: vec![("u-1".parse().expect("a name"), 3)],
+        ..ReplicaChanges::default()
+    };
+    let orders = here.handle(Time::from_millis(5_000), Event::UpstreamChanges(changes));
+    let told =
+        orders.iter().filter(|order| matches!(order, Order::Send(_, Message::UpstreamChanges(_))));
+    assert_eq!(told.count(), 3);
+}
