--- a/crates/badgerfield-core/src/control/rights.rs
+++ b/crates/badgerfield-core/src/control/rights.rs
@@ -13,10 +13,8 @@
 use crate::message::{Message, ParkItem, Transfer};
 use crate::node::Node;
 use crate::runs::Stage;
+use crate::view::SMALL_VIEW;
 
-/// In a view of more members than this, holders write for themselves only if nobody else
-/// reaches the platform.
-const MANY: usize = 16;
 /// Up to how many budgets are opened before a request asks for them.
 const MAX_OPENED: usize = 256;
 
@@ -168,7 +166,7 @@
             ranked.iter().map(|m| m.incarnation).filter(reaches).take(2).collect();
         // Many that write for themselves, because the first are slow, would only make each
         // other slower.
-        let many = members.view.members.len() > MANY;
+        let many = members.view.members.len() > SMALL_VIEW;
         if writers.is_empty() || (!many && reaches(&self.id())) {
             writers.push(self.id());
         }
--- a/crates/badgerfield-core/src/joining.rs
+++ b/crates/badgerfield-core/src/joining.rs
@@ -11,10 +11,8 @@
 use crate::amount::Time;
 use crate::event::due;
 use crate::ids::{Incarnation, weigh};
-use crate::view::{Member, View};
+use crate::view::{Member, SMALL_VIEW, View};
 
-/// The most members of a small view.
-const SMALL: usize = 16;
 /// After how many lost writes a process asks a member instead, in a small view; a small
 /// fleet gets into its view before that.
 const LOST: u32 = 7;
@@ -66,7 +64,7 @@
         let first = self.first.get_or_insert_default();
         let alive = view.members.iter().map(|m| m.incarnation).filter(|id| !first.contains(id));
         let mut alive: Vec<_> = alive.collect();
-        let is_large = first.len().max(view.members.len()) > SMALL;
+        let is_large = first.len().max(view.members.len()) > SMALL_VIEW;
         let most = if is_large { LOST_IN_LARGE } else { LOST };
         if self.lost < most || alive.is_empty() {
             return Step::Write;
--- a/crates/badgerfield-core/src/lending.rs
+++ b/crates/badgerfield-core/src/lending.rs
@@ -2,7 +2,7 @@
 //!
 //! Rights that are held ahead at every process are crumbs where processes are many: each
 //! crumb is smaller than a request, and the ledger would name every process. So a region
-//! with more than [`EVERYBODY`] members leaves each budget to a few of them. All others
+//! with more than [`SMALL_VIEW`] members leaves each budget to a few of them. All others
 //! borrow what one request needs, and give the rest back when it has ended.
 //!
 //! Lenders are ranked by their VMs, not by their processes: who starts anew on the VM of a
@@ -11,10 +11,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::{BudgetId, Incarnation, Region, weigh};
-use crate::view::{Member, Standing, View};
+use crate::view::{Member, SMALL_VIEW, Standing, View};
 
-/// Up to how many members of a region all hold rights of their own.
-const EVERYBODY: usize = 16;
 /// One member in so many lends.
 const MEMBERS_PER_LENDER: usize = 6;
 /// How many members hold one budget.
@@ -36,7 +34,7 @@
     pub(crate) fn of(view: &View, region: &Region) -> Self {
         let is_near = |m: &&Member| m.standing == Standing::Active && m.region == *region;
         let mut members: Vec<_> = view.members.iter().filter(is_near).map(Lender::of).collect();
-        if members.len() <= EVERYBODY {
+        if members.len() <= SMALL_VIEW {
             return Self::default();
         }
         let count = members.len().div_ceil(MEMBERS_PER_LENDER);
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -11,7 +11,7 @@
 use crate::message::Heartbeat;
 use crate::replicas::ListMark;
 use crate::seal::FleetClock;
-use crate::view::{Member, Standing, View};
+use crate::view::{Member, SMALL_VIEW, Standing, View};
 
 /// After how long without a sign of life a member is removed from the view.
 const SILENCE: Duration = Duration::from_secs(20);
@@ -25,8 +25,6 @@
 const TURN: Duration = Duration::from_secs(3);
 /// How many processes that are not in the view are remembered, removed or about to join.
 const MAX_FORMER: usize = 64;
-/// Up to how many members everyone sends signs of life to everyone.
-const MESH: usize = 16;
 /// How many members of a region follow the platform's values in a larger view.
 const FOLLOWERS: usize = 3;
 /// How many members of a region follow the platform's values if the first are cut off.
@@ -274,7 +272,7 @@
     pub(crate) fn neighbours(&self) -> Vec<Incarnation> {
         let ids: Vec<_> = self.view.members.iter().map(|m| m.incarnation).collect();
         let others = ids.iter().copied().filter(|id| *id != self.id());
-        if ids.len() <= MESH {
+        if ids.len() <= SMALL_VIEW {
             return others.collect();
         }
         // Members stand in a ring by number; steps that double reach everyone soon.
@@ -304,7 +302,7 @@
     /// In a small view everybody does. In a large one a few do and pass on what changes,
     /// some more if these seem to be cut off, and all only if nobody says anything.
     pub(crate) fn follows(&self, now: Time, heard: Option<Duration>) -> bool {
-        if self.view.members.len() <= MESH || !self.is_member() || self.is_alone(now) {
+        if self.view.members.len() <= SMALL_VIEW || !self.is_member() || self.is_alone(now) {
             return true;
         }
         let ranked = self.view.ranked(b"follower", Some(&self.me.region));
@@ -372,7 +370,7 @@
             if distance == 0 {
                 return None;
             }
-            if count <= MESH {
+            if count <= SMALL_VIEW {
                 return Some((u32::try_from(distance - 1).ok()?, member));
             }
             let step = distance.trailing_zeros();
@@ -435,7 +433,7 @@
     /// large to hear everyone, three quarters of those that are heard.
     fn clock_quorum(&self) -> usize {
         let members = self.view.members.len();
-        if members <= MESH {
+        if members <= SMALL_VIEW {
             return members / 2 + 1;
         }
         let heard = self.watched().count() + 1;
--- a/crates/badgerfield-core/src/view.rs
+++ b/crates/badgerfield-core/src/view.rs
@@ -12,6 +12,9 @@
 
 use crate::ids::{Domain, Epoch, Incarnation, Region, RequestKey, VmId, weigh};
 
+/// The most members of a small view, in which everybody does what in a large one is left to
+/// a few; `docs/PLATFORM.md` lists what that is.
+pub(crate) const SMALL_VIEW: usize = 16;
 /// How many doubts a view keeps.
 const MAX_DOUBTS: usize = 16;
 
