Log when the steps of a request happened

Cause: a late answer could not be told from the logs: no line said when the first event came, how long the longest pause was, or what was waited for. `ended` now says body_ms, sent_ms, head_ms, first_ms and pause_ms.

--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -33,7 +33,7 @@
 use crate::adapter::{CallTerms, RequestTerms};
 use crate::driver::Driver;
 use crate::gateway::attempt::{Answered, AttemptEnd, Original, attempt, strip};
-use crate::gateway::record;
+use crate::gateway::record::{self, Timing};
 use crate::gateway::relay;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::state::{Gateway, OpenRequest};
@@ -80,6 +80,7 @@
     tried: Vec<UpstreamId>,
     attempts: u32,
     may_have_run: bool,
+    timing: Timing,
     _open: OpenRequest,
 }
 
@@ -144,6 +145,7 @@
     let ends = arrived + patience;
     strip(&mut head.headers);
     let body = read_body(body, table.limits().body, ends).await.map_err(&not_run)?;
+    let timing = Timing { body: arrived.elapsed(), ..Timing::default() };
 
     let service = route.service(rand::random()).ok_or_else(|| not_run(Cause::NoUpstream))?.clone();
     let spec = table.service(&service).cloned().ok_or_else(|| not_run(Cause::NoUpstream))?;
@@ -167,6 +169,7 @@
         tried: Vec::new(),
         attempts: 0,
         may_have_run: false,
+        timing,
         gateway,
         _open: open,
     })
@@ -311,6 +314,7 @@
             };
             let limit = self.limit(left);
             let started = Instant::now();
+            self.timing.sent.get_or_insert(self.arrived.elapsed());
             let end =
                 attempt(&self.driver, &self.gateway, &self.original, chosen.address, &terms, limit);
             let end = end.await;
@@ -318,6 +322,7 @@
                 AttemptEnd::Answered(answered) => {
                     self.attempts += 1;
                     self.may_have_run = true;
+                    self.timing.head = Some(self.arrived.elapsed());
                     if answered.head.status.is_server_error() && self.may_try_again(vms) {
                         let mut answered = answered;
                         answered.hold.note(Health::Failed);
@@ -468,8 +473,14 @@
             took: self.arrived.elapsed(),
             events,
             tokens,
+            timing: self.timing,
         });
     }
+
+    /// Notes that events came from an upstream.
+    pub(crate) fn note_events(&mut self) {
+        self.timing.note_events(self.arrived.elapsed());
+    }
 }
 
 /// Names why an upstream did not run a request.
@@ -498,6 +509,7 @@
         took: arrived.elapsed(),
         events: 0,
         tokens: (0, 0),
+        timing: Timing::default(),
     });
 }
 
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -82,6 +82,40 @@
     pub(crate) took: Duration,
     pub(crate) events: u64,
     pub(crate) tokens: (u64, u64),
+    pub(crate) timing: Timing,
+}
+
+/// When the steps of a request were done, from its arrival on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Timing {
+    /// When its body had been read whole.
+    pub(crate) body: Duration,
+    /// When it was sent to an upstream first.
+    pub(crate) sent: Option<Duration>,
+    /// When the head of the last upstream's answer came.
+    pub(crate) head: Option<Duration>,
+    /// When the first event came.
+    pub(crate) first: Option<Duration>,
+    /// When the last event came.
+    pub(crate) last: Option<Duration>,
+    /// The longest pause between two events.
+    pub(crate) pause: Duration,
+}
+
+impl Timing {
+    /// Notes that events came, so long after the request.
+    pub(crate) fn note_events(&mut self, at: Duration) {
+        if let Some(last) = self.last {
+            self.pause = self.pause.max(at.saturating_sub(last));
+        }
+        self.first.get_or_insert(at);
+        self.last = Some(at);
+    }
+}
+
+/// Writes a span that may not have come to pass.
+fn millis_or_none(span: Option<Duration>) -> String {
+    span.map_or_else(|| "-".to_owned(), |span| span.as_millis().to_string())
 }
 
 /// Records the end of a request.
@@ -90,9 +124,13 @@
     let upstream = end.upstream.map_or("-", UpstreamId::as_str);
     let took = end.took.as_millis();
     let (reserved, used) = end.tokens;
+    let timing = &end.timing;
+    let (body, pause) = (timing.body.as_millis(), timing.pause.as_millis());
+    let [sent, head, first] = [timing.sent, timing.head, timing.first].map(millis_or_none);
     log::info!(
         target: REQUESTS,
         "ended id={id} outcome={outcome} status={status} attempts={attempts} upstream={upstream} \
-         took_ms={took} events={events} reserved={reserved} used={used}"
+         took_ms={took} body_ms={body} sent_ms={sent} head_ms={head} first_ms={first} \
+         pause_ms={pause} events={events} reserved={reserved} used={used}"
     );
 }
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -76,6 +76,7 @@
                     if whole.is_empty() {
                         continue;
                     }
+                    self.exchange.note_events();
                     self.count(0);
                     return Some(Ok(whole));
                 }
