Let a busy borrower keep its next moments' rights at hand

Cause: the VM that one account keeps to borrowed for each request by itself. A borrower that may need four large requests' tokens in 1.5 s now asks for that much ahead, and has asked for more before it runs dry. Test: lending, red before (0 at hand).

--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -30,6 +30,11 @@
 /// After how long without the platform's word nothing is promised.
 const SURE: Duration = Duration::from_millis(1100);
 
+/// How much demand, in time, a busy borrower keeps at hand: more than an answer of its lender
+/// takes, also where the VM's link is full, and little to lose when its process ends.
+const AT_HAND: Duration = Duration::from_millis(1500);
+/// A borrower is busy when it may need so many large requests' tokens in that time.
+const BUSY: u64 = 4;
 /// A holding is topped up when it lacks one part in so many of its share.
 const TOP_UP: u64 = 4;
 
@@ -140,6 +145,8 @@
     pub(crate) lenders: Vec<Incarnation>,
     /// When something was lent last.
     pub(crate) lent: Option<Time>,
+    /// When a lender was asked for what is to be kept at hand.
+    pub(crate) asked: Option<Time>,
     pub(crate) waiters: VecDeque<Waiter>,
     pub(crate) hunt: Option<Hunt>,
     /// Holders that asked for tokens while they were parked.
@@ -194,6 +201,7 @@
             plan: Plan::Share(Tokens::MAX),
             lenders: Vec::new(),
             lent: None,
+            asked: None,
             waiters: VecDeque::new(),
             hunt: None,
             owed: Vec::new(),
@@ -361,6 +369,13 @@
         if soon { flow.max(self.largest) } else { flow }
     }
 
+    /// Returns how much a borrower keeps at hand; nothing unless it is busy.
+    pub(crate) fn at_hand(&self, now: Time) -> Tokens {
+        let flow = self.meter.rate(now).over(AT_HAND);
+        let is_busy = !self.largest.is_zero() && flow >= self.largest.part(BUSY, 1);
+        if is_busy && self.life == Life::Open { flow } else { Tokens::ZERO }
+    }
+
     /// Tells whether this process borrows instead of holding rights of its own.
     pub(crate) fn borrows(&self) -> bool {
         !self.lenders.is_empty()
--- a/crates/badgerfield-core/src/holdings/lending.rs
+++ b/crates/badgerfield-core/src/holdings/lending.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use super::holding::{Holding, Hunt, Waiter, Wanter};
+use super::search::next_lender;
 use super::{COME_BACK, Holdings};
 use crate::amount::{Time, Tokens};
-use crate::event::{Note, Order, Outbox};
+use crate::event::{Note, Order, Outbox, due};
 use crate::ids::{BudgetId, Incarnation, Period};
+use crate::ledger::Plan;
 use crate::lending::Lenders;
 use crate::message::{Ask, Lack, Message};
 use crate::refusal::{Cause, Refusal};
@@ -14,6 +16,11 @@
 /// How long a borrower's ask may wait at its lender.
 const WAIT: Duration = Duration::from_millis(1200);
 
+/// How often a busy borrower asks for what it keeps at hand, until it has it.
+const ASK_AHEAD: Duration = Duration::from_millis(300);
+/// A borrower gets at most one part in so many of what is free beyond what it needs.
+const AHEAD_PART: u64 = 4;
+
 /// What became of a borrower's ask.
 #[derive(Debug)]
 pub(crate) struct BorrowerAnswer {
@@ -46,18 +53,46 @@
         }
     }
 
+    /// Asks a lender for the next moments' tokens before a request has to wait for them.
+    pub(super) fn borrow_ahead(&mut self, now: Time, budget: &BudgetId, out: &mut Outbox) {
+        let Some(holding) = self.table.get_mut(budget) else {
+            return;
+        };
+        let keep = holding.at_hand(now);
+        let has_enough = holding.free >= keep.part(1, 2).max(Tokens(1));
+        if has_enough || self.closing || holding.hunt.is_some() || !holding.borrows() {
+            return;
+        }
+        if !due(now, holding.asked, ASK_AHEAD) {
+            return;
+        }
+        let Some(to) = next_lender(holding, &self.view, &self.mute, now, &[]) else {
+            return;
+        };
+        holding.asked = Some(now);
+        let need = holding.largest;
+        let ahead = keep.saturating_minus(need);
+        let (budget, period) = (budget.clone(), holding.terms.period);
+        out.send(to, Message::Ask(Ask { budget, period, need, ahead }));
+    }
+
     /// Lends to a borrower, now or when the ledger has answered.
     pub(super) fn lend(&mut self, now: Time, from: Incarnation, ask: &Ask, out: &mut Outbox) {
         let Some(holding) = self.table.get_mut(&ask.budget) else {
             return;
         };
         let need = ask.need;
+        let lends_ahead = matches!(holding.plan, Plan::Share(_));
         holding.largest = holding.largest.max(need);
         if holding.free < need {
             holding.unseal_late(now);
         }
         let waiter = Waiter { wanter: Wanter::Borrower(from), need, until: now.after(WAIT) };
         if holding.lend(now, need) {
+            let spare = holding.free.saturating_minus(holding.wanted()).part(1, AHEAD_PART);
+            let ahead = if lends_ahead { ask.ahead.min(spare) } else { Tokens::ZERO };
+            holding.lend(now, ahead);
+            let waiter = Waiter { need: need.saturating_plus(ahead), ..waiter };
             self.decide(&ask.budget, vec![waiter], None);
         } else if let Some(refusal) = holding.refused_lately(now, need) {
             self.decide(&ask.budget, vec![waiter], Some(refusal));
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -237,6 +237,7 @@
         }
         if holding.set_aside(now, need) {
             self.touched.insert(budget.clone());
+            self.borrow_ahead(now, budget, out);
             return Reserved::Done;
         }
         if let Some(refusal) = holding.refused_lately(now, need) {
--- a/crates/badgerfield-core/src/holdings/parking.rs
+++ b/crates/badgerfield-core/src/holdings/parking.rs
@@ -17,6 +17,8 @@
 const PARK_RESEND: Duration = Duration::from_millis(100);
 /// How often a borrower gives back what it does not need.
 const RETURN: Duration = Duration::from_millis(100);
+/// How many times what it keeps at hand a borrower may have before it gives the rest back.
+const AT_HAND_MOST: u64 = 2;
 /// How often what is left over of a low budget is passed on.
 const PASS: Duration = Duration::from_millis(500);
 
@@ -203,7 +205,8 @@
         let period = holding.terms.period;
         for (to, need) in std::mem::take(&mut holding.owed) {
             let budget = budget.clone();
-            self.asked(now, to, &Ask { budget, period, need }, out);
+            let ahead = Tokens::ZERO;
+            self.asked(now, to, &Ask { budget, period, need, ahead }, out);
         }
     }
 
@@ -213,6 +216,8 @@
             return;
         };
         let borrows = holding.borrows();
+        let keep = if borrows && !self.closing { holding.at_hand(now) } else { Tokens::ZERO };
+        let spare = holding.free.saturating_minus(keep.part(AT_HAND_MOST, 1));
         let lender = next_lender(holding, &self.view, &self.mute, now, &[]);
         let Some(to) = lender.filter(|to| *to != self.me) else {
             return;
@@ -221,11 +226,11 @@
         let may = !waits && (borrows || !self.closing);
         // Two that take each other for the collector must not pass tokens to and fro.
         let pace = if borrows { RETURN } else { PASS };
-        if !may || holding.free.is_zero() || !due(now, holding.passed, pace) {
+        if !may || spare.is_zero() || !due(now, holding.passed, pace) {
             return;
         }
         holding.passed = Some(now);
-        let amount = holding.take(holding.free);
+        let amount = holding.take(spare);
         self.transfers.give(now, to, budget, holding.terms.period, amount, out);
     }
 
--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -139,7 +139,8 @@
                 holding.hunt.get_or_insert(Hunt::Lender { since: now, asked: vec![to] });
                 let (budget, period) = (budget.clone(), holding.terms.period);
                 let need = holding.waiters.back().map_or(Tokens::ZERO, |w| w.need);
-                out.send(to, Message::Ask(Ask { budget, period, need }));
+                let ahead = holding.at_hand(now);
+                out.send(to, Message::Ask(Ask { budget, period, need, ahead }));
             }
             (None, None) => {
                 holding.hunt = Some(Hunt::Ledger { since: now });
@@ -185,7 +186,8 @@
             holding.hunt = Some(Hunt::Lender { since: now, asked });
             for waiter in &holding.waiters {
                 let (budget, period) = (budget.clone(), holding.terms.period);
-                out.send(to, Message::Ask(Ask { budget, period, need: waiter.need }));
+                let (need, ahead) = (waiter.need, Tokens::ZERO);
+                out.send(to, Message::Ask(Ask { budget, period, need, ahead }));
             }
             return;
         }
@@ -241,7 +243,8 @@
         let need = holding.wanted().saturating_minus(holding.free);
         for to in &open {
             let (budget, period) = (budget.clone(), holding.terms.period);
-            out.send(*to, Message::Ask(Ask { budget, period, need }));
+            let ahead = Tokens::ZERO;
+            out.send(*to, Message::Ask(Ask { budget, period, need, ahead }));
         }
         let alone = open.is_empty();
         holding.hunt = Some(Hunt::Peers { since: now, open, reserved: false });
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -213,6 +213,8 @@
     pub period: Period,
     /// The least that would help.
     pub need: Tokens,
+    /// What a borrower wants beside that, for the requests of its next moments.
+    pub ahead: Tokens,
 }
 
 /// Why a process has no tokens to give.
--- a/crates/badgerfield-standin/tests/lending.rs
+++ b/crates/badgerfield-standin/tests/lending.rs
@@ -158,6 +158,27 @@
     assert!(lost <= 4 * demand, "{lost} of {limit} were lost");
 }
 
+#[test]
+fn a_busy_borrower_has_the_next_moments_rights_at_hand() {
+    let mut first = fleet(1_000_000);
+    load(&mut first, 60);
+    let vm = (0..VMS).find(|vm| !lenders(&first).contains(vm)).expect("most VMs borrow");
+    let mut fleet = fleet(1_000_000);
+    ask_at(&mut fleet, vm, 300);
+    let mut least = u64::MAX;
+    for _ in 0..100 {
+        ask_at(&mut fleet, vm, 1);
+        let free = fleet.node(vm).map_or(0, |node| node.figures(&Fleet::budget(0)).free.0);
+        least = least.min(free);
+    }
+    // Fifty requests come in a second; an answer of the lender may take a part of that.
+    assert!(least >= 20 * COST, "{least} were at hand at some moment");
+    // What the last moments did not need goes back once demand is over.
+    fleet.advance(Duration::from_secs(60));
+    let free = fleet.node(vm).map_or(0, |node| node.figures(&Fleet::budget(0)).free.0);
+    assert_eq!(free, 0, "tokens lie at an idle borrower");
+}
+
 #[test]
 fn a_large_request_that_is_refused_takes_no_small_one_with_it() {
     let limit = 600_000;
