--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -30,10 +30,8 @@
 /// After how long without the platform's word nothing is promised.
 const SURE: Duration = Duration::from_millis(1100);
 
-/// How much demand, in time, a busy borrower keeps at hand: more than an answer of its lender
-/// takes, also where the VM's link is full, and little to lose when its process ends.
-const AT_HAND: Duration = Duration::from_millis(1500);
-/// A borrower is busy when it may need so many large requests' tokens in that time.
+/// A borrower is busy when it may need so many large requests' tokens while it waits for a
+/// lender.
 const BUSY: u64 = 4;
 /// A holding is topped up when it lacks one part in so many of its share.
 const TOP_UP: u64 = 4;
@@ -369,9 +367,9 @@
         if soon { flow.max(self.largest) } else { flow }
     }
 
-    /// Returns how much a borrower keeps at hand; nothing unless it is busy.
-    pub(crate) fn at_hand(&self, now: Time) -> Tokens {
-        let flow = self.meter.rate(now).over(AT_HAND);
+    /// Returns how much a borrower keeps at hand for so long; nothing unless it is busy.
+    pub(crate) fn at_hand(&self, now: Time, span: Duration) -> Tokens {
+        let flow = self.meter.rate(now).over(span);
         let is_busy = !self.largest.is_zero() && flow >= self.largest.part(BUSY, 1);
         if is_busy && self.life == Life::Open { flow } else { Tokens::ZERO }
     }
--- a/crates/badgerfield-core/src/holdings/lending.rs
+++ b/crates/badgerfield-core/src/holdings/lending.rs
@@ -58,7 +58,7 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        let keep = holding.at_hand(now);
+        let keep = holding.at_hand(now, self.pacing.policy.at_hand);
         let has_enough = holding.free >= keep.part(1, 2).max(Tokens(1));
         if has_enough || self.closing || holding.hunt.is_some() || !holding.borrows() {
             return;
--- a/crates/badgerfield-core/src/holdings/parking.rs
+++ b/crates/badgerfield-core/src/holdings/parking.rs
@@ -87,7 +87,7 @@
         }
         // A seal is said anew all the time, since it holds but for a moment.
         let news = holding.reported != (holding.billed, holding.wasted);
-        let seals = self.maker.sealing.is_some();
+        let seals = self.maker.sealing.is_some() && self.pacing.policy.top_up;
         let unbalanced = seals && (holding.lacks_share() || holding.is_too_open(now));
         if news || unbalanced || !holding.sealed.is_zero() || !holding.estates.is_empty() {
             holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
@@ -216,7 +216,8 @@
             return;
         };
         let borrows = holding.borrows();
-        let keep = if borrows && !self.closing { holding.at_hand(now) } else { Tokens::ZERO };
+        let span = self.pacing.policy.at_hand;
+        let keep = if borrows && !self.closing { holding.at_hand(now, span) } else { Tokens::ZERO };
         let spare = holding.free.saturating_minus(keep.part(AT_HAND_MOST, 1));
         let lender = next_lender(holding, &self.view, &self.mute, now, &[]);
         let Some(to) = lender.filter(|to| *to != self.me) else {
--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -28,8 +28,10 @@
 const PEER_WAIT: Duration = Duration::from_millis(400);
 /// How many members are asked besides the holders that the ledger named.
 const MAX_ASKED: usize = 8;
-/// The same while the platform is away.
-const COME_BACK_DOWN: Duration = Duration::from_secs(3);
+/// When to come back while the platform is away, or nothing is left of a budget: outages of
+/// the users' platform last 4 to 9 s, and a spent budget is raised now and then. A caller
+/// that came back after a second would only be refused again.
+const COME_BACK_LATER: Duration = Duration::from_secs(5);
 
 impl Holdings {
     pub(super) fn serve_waiters(&mut self, now: Time, budget: &BudgetId) {
@@ -139,7 +141,7 @@
                 holding.hunt.get_or_insert(Hunt::Lender { since: now, asked: vec![to] });
                 let (budget, period) = (budget.clone(), holding.terms.period);
                 let need = holding.waiters.back().map_or(Tokens::ZERO, |w| w.need);
-                let ahead = holding.at_hand(now);
+                let ahead = holding.at_hand(now, self.pacing.policy.at_hand);
                 out.send(to, Message::Ask(Ask { budget, period, need, ahead }));
             }
             (None, None) => {
@@ -293,7 +295,8 @@
         let refusal = if sure {
             Refusal::not_run(Cause::BudgetSpent)
         } else {
-            let after = if holding.down { COME_BACK_DOWN } else { COME_BACK };
+            let is_spent = holding.left.is_some_and(Tokens::is_zero);
+            let after = if holding.down || is_spent { COME_BACK_LATER } else { COME_BACK };
             Refusal::not_run(Cause::BudgetHeld).after(after)
         };
         self.refuse_waiters(now, budget, Tokens::ZERO, refusal);
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod message;
 pub mod mix;
 mod node;
+pub mod policy;
 pub mod queue;
 mod rate;
 pub mod refusal;
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -12,6 +12,7 @@
 use crate::ids::{BudgetId, Epoch, Incarnation, RunId, UpstreamId, Version};
 use crate::membership::Membership;
 use crate::message::{Envelope, Message};
+use crate::policy::Policy;
 use crate::routing::RouteTable;
 use crate::runs::{Keyed, Runs};
 use crate::template::TemplateSet;
@@ -37,6 +38,8 @@
     pub notice: Duration,
     /// Whether tokens that are held ahead are sealed, instead of parked with a peer.
     pub seals: bool,
+    /// What may be set otherwise to measure its worth.
+    pub policy: Policy,
 }
 
 impl Default for Pacing {
@@ -48,6 +51,7 @@
             hand_on: Duration::from_secs(8),
             notice: Duration::from_secs(3),
             seals: false,
+            policy: Policy::default(),
         }
     }
 }
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -43,8 +43,6 @@
 const MAX_PLAIN: usize = 16 << 20;
 /// The least time in which an upstream can be asked for anything.
 const LEAST_TIME: Duration = Duration::from_millis(15);
-/// How long a request waits for tokens of its budget at the most.
-const BUDGET_WAIT: Duration = Duration::from_millis(1500);
 /// When to come back if this process cannot serve yet, or no upstream can be had.
 const COME_BACK: Duration = Duration::from_millis(500);
 /// When to come back to another VM.
@@ -152,13 +150,17 @@
 
     let service = route.service(rand::random()).ok_or_else(|| not_run(Cause::NoUpstream))?.clone();
     let spec = table.service(&service).cloned().ok_or_else(|| not_run(Cause::NoUpstream))?;
-    let reservation = reserve(&driver, &terms, caller.as_ref(), ends).await;
+    let objective = if route.objective.is_zero() { patience } else { route.objective };
+    let wait = objective * driver.settings.pacing.policy.budget_wait / 100;
+    let until = ends.min(arrived + wait);
+    let reservation = reserve(&driver, &terms, caller.as_ref(), until).await;
     let reservation = reservation.map_err(|refusal| (Some(id.clone()), refusal))?;
     driver.gateway_counts().admitted.inc();
     let now = driver.now();
     gateway.retries().count_request(now, &service);
     let original = Original { id: id.clone(), head, body };
-    if let Some(size) = size_of(&terms) {
+    let divides = driver.settings.pacing.policy.divide;
+    if let Some(size) = size_of(&terms).filter(|_| divides) {
         gateway.replicas().arrived(now, &service, &route.name, size);
     }
     Ok(Exchange {
@@ -224,7 +226,7 @@
     driver: &Arc<Driver>,
     terms: &RequestTerms,
     caller: Option<&Caller>,
-    ends: Instant,
+    until: Instant,
 ) -> Result<Option<Reservation>, Refusal> {
     let Some(caller) = caller.filter(|caller| caller.limit.is_some()) else {
         return Ok(None);
@@ -234,8 +236,7 @@
     };
     let amount = Tokens(prompt.saturating_add(output));
     let started = Instant::now();
-    let wait = ends.saturating_duration_since(started).min(BUDGET_WAIT);
-    let until = driver.now().after(wait);
+    let until = driver.now().after(until.saturating_duration_since(started));
     let result = Reservation::make(driver, &caller.budget, amount, until).await;
     let outcome = result.as_ref().map(|_| ());
     record::reserved(&terms.id, caller.budget.as_str(), amount.0, started.elapsed(), outcome);
--- a/crates/badgerfield-node/src/settings.rs
+++ b/crates/badgerfield-node/src/settings.rs
@@ -6,6 +6,7 @@
 
 use badgerfield_core::Pacing;
 use badgerfield_core::ids::{Domain, Region, VmId};
+use badgerfield_core::policy::Policy;
 use badgerfield_core::retry_budget::RetryBound;
 use hyper::Uri;
 use log::LevelFilter;
@@ -14,8 +15,8 @@
 use crate::peers::Secret;
 
 /// The sections that a settings file may have.
-const SECTIONS: [&str; 9] =
-    ["vm", "listen", "gateway", "platform", "keys", "limits", "pacing", "retries", "log"];
+const SECTIONS: [&str; 10] =
+    ["vm", "listen", "gateway", "platform", "keys", "limits", "pacing", "policy", "retries", "log"];
 
 /// All settings of one process.
 #[derive(Debug, Clone)]
@@ -245,6 +246,18 @@
         hand_on: file.span_or("pacing", "hand_on", other.hand_on, (least, most)),
         notice: file.span_or("pacing", "notice", other.notice, (least, most)),
         seals: file.value_or("pacing", "seals", other.seals),
+        policy: read_policy(file),
+    }
+}
+
+fn read_policy(file: &mut File) -> Policy {
+    let other = Policy::default();
+    let (least, most) = (Duration::ZERO, Duration::from_secs(60));
+    Policy {
+        divide: file.value_or("policy", "divide", other.divide),
+        top_up: file.value_or("policy", "top_up", other.top_up),
+        at_hand: file.span_or("policy", "at_hand", other.at_hand, (least, most)),
+        budget_wait: file.value_or("policy", "budget_wait", other.budget_wait),
     }
 }
 
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 use badgerfield_core::event::{Answer, Order};
 use badgerfield_core::ids::{Account, BudgetId, Incarnation, RequestId, Version};
 use badgerfield_core::message::Envelope;
+use badgerfield_core::policy::Policy;
 use badgerfield_core::refusal::Refusal;
 use badgerfield_core::template::TemplateSet;
 use badgerfield_core::upstream::{VmEntry, VmList};
@@ -285,6 +286,7 @@
             beat: Duration::from_millis(400),
             hand_on: Duration::from_secs(1),
             notice: Duration::from_secs(3),
+            policy: Policy::default(),
             seals: true,
         }
     }
--- a/crates/badgerfield/src/args.rs
+++ b/crates/badgerfield/src/args.rs
@@ -24,6 +24,7 @@
   [keys]      fleet*, accept                    see `badgerfield key --fleet`
   [limits]    body, requests, shards, remember, replay, replay_bytes, directory, silence
   [pacing]    ahead, report, beat, hand_on, notice, seals (true or false)
+  [policy]    divide, top_up (true or false), at_hand, budget_wait (docs/POLICY.md)
   [retries]   ratio, allowance, window
   [log]       level, format (text or json), and a level for each of
               node, peers, platform, upstreams, callers, bills, requests
