--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use badgerfield_core::ids::{UpstreamId, Version};
+use badgerfield_core::link::LinkQueue;
 use badgerfield_core::replicas::Replicas;
 use badgerfield_core::retry_budget::{RetryBound, RetryBudget};
 use badgerfield_core::routing::RouteTable;
@@ -29,18 +30,20 @@
     routes: Mutex<InForce>,
     replicas: Mutex<Replicas>,
     retries: Mutex<RetryBudget>,
+    link: Mutex<LinkQueue>,
     open: AtomicUsize,
     stopping: AtomicBool,
 }
 
 impl Gateway {
-    pub(crate) fn new(adapter: RouteAdapter, bound: RetryBound) -> Self {
+    pub(crate) fn new(adapter: RouteAdapter, bound: RetryBound, link: LinkQueue) -> Self {
         Self {
             adapter,
             connections: Arc::default(),
             routes: Mutex::default(),
             replicas: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(bound)),
+            link: Mutex::new(link),
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
         }
@@ -69,6 +72,11 @@
         lock(&self.retries)
     }
 
+    /// Locks the queue at the VM's link.
+    pub(crate) fn link(&self) -> MutexGuard<'_, LinkQueue> {
+        lock(&self.link)
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub(crate) fn open(self: &Arc<Self>) -> OpenRequest {
         self.open.fetch_add(1, Ordering::Relaxed);
