Tell the ledger when what was held has gone to lenders

The ledger bounds what all hold ahead, and took another VM to hold 2M: that one had begun to borrow after a change of the view, its tokens had gone to the lenders by transfer, and it said nothing more, since nothing was sealed there. Ruled out: that the tokens were somewhere (the lender asked the holders that the ledger named; none had any).

A process that begins to borrow now tells so once, and a borrower never counts as a holder.

--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -134,6 +134,8 @@
     pub(crate) down: bool,
     pub(crate) drawn_at: Option<Time>,
     pub(crate) reported: (Tokens, Tokens),
+    /// What the ledger takes to be held here.
+    pub(crate) known: Tokens,
     /// What the ledger had left, as far as it has said.
     pub(crate) left: Option<Tokens>,
     pub(crate) others: Vec<Incarnation>,
@@ -194,6 +196,7 @@
             down: false,
             drawn_at: None,
             reported: (Tokens::ZERO, Tokens::ZERO),
+            known: Tokens::ZERO,
             left: None,
             others: Vec::new(),
             plan: Plan::Share(Tokens::MAX),
@@ -451,7 +454,8 @@
             seq: self.seq,
             need: shortage,
             back,
-            held: self.unspent(),
+            // What a borrower has at hand is soon spent, and not held ahead.
+            held: if self.borrows() { Tokens::ZERO } else { self.unspent() },
             rate,
             unit: self.largest,
             region: self.region.clone(),
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -359,6 +359,8 @@
                 let op = holding.op.take().map(|(op, _)| op);
                 let closed = op.as_ref().is_some_and(|op| op.close);
                 let need = op.as_ref().map_or(Tokens::ZERO, |op| op.need);
+                let told = op.as_ref().map_or(Tokens::ZERO, |op| op.held);
+                holding.known = told.saturating_plus(*granted);
                 let promised = op.and_then(|op| op.seal).is_some_and(|seal| seal.at.is_some());
                 let released = std::mem::take(&mut holding.releasing);
                 let shut = if promised { sealed_part(*granted, need) } else { Tokens::ZERO };
--- a/crates/badgerfield-core/src/holdings/parking.rs
+++ b/crates/badgerfield-core/src/holdings/parking.rs
@@ -111,8 +111,11 @@
         if !due(now, holding.drawn_at, report) {
             return;
         }
-        if !shut.is_zero() || !holding.estates.is_empty() {
-            let back = holding.spare().saturating_plus(shut);
+        // What went to lenders is held there; the ledger hands out less while it takes it to
+        // be held here as well.
+        let is_stale = !holding.known.is_zero();
+        if !shut.is_zero() || !holding.estates.is_empty() || is_stale {
+            let back = if is_stale { shut } else { holding.spare().saturating_plus(shut) };
             holding.make_op(now, budget, &self.maker, back, false);
         }
     }
--- a/crates/badgerfield-standin/tests/lending.rs
+++ b/crates/badgerfield-standin/tests/lending.rs
@@ -158,6 +158,29 @@
     assert!(lost <= 4 * demand, "{lost} of {limit} were lost");
 }
 
+#[test]
+fn who_lends_no_more_tells_the_ledger_that_it_holds_nothing() {
+    let mut first = fleet(1_000_000);
+    load(&mut first, 200);
+    let ranked = lenders(&first);
+    let vm = (0..VMS).find(|vm| !ranked.contains(vm)).expect("most VMs borrow");
+    let mut fleet = fleet(1_000_000);
+    for lender in &ranked {
+        // Without it another VM holds the budget, until it is back.
+        fleet.kill(*lender);
+    }
+    fleet.advance(Duration::from_secs(40));
+    ask_at(&mut fleet, vm, 500);
+    for lender in &ranked {
+        fleet.start(*lender);
+    }
+    fleet.advance(Duration::from_secs(4));
+    ask_at(&mut fleet, vm, 200);
+    let known: u64 = holders(&fleet).iter().map(|holder| holder.held.0).sum();
+    let held = fleet.held(0);
+    assert!(known <= held + 50 * COST, "the ledger takes {known} to be held, {held} are");
+}
+
 #[test]
 fn a_busy_borrower_has_the_next_moments_rights_at_hand() {
     let mut first = fleet(1_000_000);
