--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -33,7 +33,6 @@
 mod joining;
 pub mod ledger;
 mod lending;
-pub mod link;
 mod membership;
 pub mod message;
 pub mod mix;
--- a/crates/badgerfield-core/src/policy.rs
+++ b/crates/badgerfield-core/src/policy.rs
@@ -22,18 +22,10 @@
     /// An answer may come late as well; a wait of 22 in 100, within what the users count as
     /// an early refusal, measured worse (docs/POLICY.md).
     pub budget_wait: u32,
-    /// Whether streams are refused while the VM's link is full.
-    pub link_limit: bool,
 }
 
 impl Default for Policy {
     fn default() -> Self {
-        Self {
-            divide: true,
-            top_up: true,
-            at_hand: Duration::from_millis(1500),
-            budget_wait: 150,
-            link_limit: true,
-        }
+        Self { divide: true, top_up: true, at_hand: Duration::from_millis(1500), budget_wait: 150 }
     }
 }
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -12,7 +12,6 @@
 use badgerfield_core::amount::Time;
 use badgerfield_core::event::{Answer, Bill, Dispatch, Note};
 use badgerfield_core::ids::{AttemptId, Incarnation, Period, RequestId, ReservationId, UpstreamId};
-use badgerfield_core::link::LinkQueue;
 use badgerfield_core::message::{Envelope, Message};
 use badgerfield_core::mix::{Division, Needs};
 use badgerfield_core::refusal::Refusal;
@@ -120,10 +119,7 @@
             seed,
         });
         let Adapter { store, routes } = adapter;
-        let megabits = settings.gateway.map_or(0.0, |gateway| gateway.link);
-        let limited = settings.pacing.policy.link_limit;
-        let link = LinkQueue::new(if limited { megabits } else { 0.0 });
-        let gateway = routes.map(|routes| Arc::new(Gateway::new(routes, settings.retries, link)));
+        let gateway = routes.map(|routes| Arc::new(Gateway::new(routes, settings.retries)));
         let upstreams = Upstreams::new(limits.silence);
         Ok(Arc::new(Self {
             node,
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -47,10 +47,6 @@
 const COME_BACK: Duration = Duration::from_millis(500);
 /// When to come back to another VM.
 const ELSEWHERE: Duration = Duration::from_millis(50);
-/// When to come back if the VM's link is full: a burst at one VM lasts for seconds.
-const LINK_FULL: Duration = Duration::from_secs(2);
-/// What the head of a request takes on the wire, in bytes: its size on the users' platform.
-const HEAD_BYTES: usize = 600;
 /// How many upstreams may be unreachable before a request is given up.
 const MAX_UNREACHABLE: u32 = 4;
 /// How many times the objective an idempotent request waits for one upstream's answer.
@@ -152,8 +148,6 @@
     let body = read_body(body, table.limits().body, ends).await.map_err(&not_run)?;
     let timing = Timing { body: arrived.elapsed(), ..Timing::default() };
 
-    check_link(&driver, &gateway, &id, route, caller.as_ref())
-        .map_err(|refusal| (Some(id.clone()), refusal))?;
     let service = route.service(rand::random()).ok_or_else(|| not_run(Cause::NoUpstream))?.clone();
     let spec = table.service(&service).cloned().ok_or_else(|| not_run(Cause::NoUpstream))?;
     let objective = if route.objective.is_zero() { patience } else { route.objective };
@@ -227,27 +221,6 @@
     }
 }
 
-/// Refuses a stream while the VM's link is full: it would be late, and make others late.
-fn check_link(
-    driver: &Driver,
-    gateway: &Gateway,
-    id: &str,
-    route: &Route,
-    caller: Option<&Caller>,
-) -> Result<(), Refusal> {
-    if !route.repeat.is_stream() {
-        return Ok(());
-    }
-    let now = driver.now();
-    let rank = caller.and_then(|caller| caller.rank).unwrap_or(route.rank);
-    let link = gateway.link();
-    if link.admits(now, rank) {
-        return Ok(());
-    }
-    record::link_full(id, rank, link.wait(now));
-    Err(Refusal::not_run(Cause::Overloaded).after(LINK_FULL))
-}
-
 /// Sets aside the most that a request can cost, if its account pays in advance.
 async fn reserve(
     driver: &Arc<Driver>,
@@ -283,7 +256,6 @@
         let upstream = answered.hold.id.clone();
         match exchange.collect(answered).await {
             Ok((head, body)) => {
-                exchange.count_sent(body.len());
                 exchange.end("served", head.status.as_u16(), Some(&upstream), 0);
                 let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
                 return Response::from_parts(head, body);
@@ -359,7 +331,6 @@
             let started = Instant::now();
             self.unread = chosen.unread.saturating_add(self.own_tokens());
             self.timing.note_sent(self.arrived.elapsed());
-            self.count_sent(self.original.body.len() + HEAD_BYTES);
             let end =
                 attempt(&self.driver, &self.gateway, &self.original, chosen.address, &terms, limit);
             let end = end.await;
@@ -550,11 +521,6 @@
         self.gateway.replicas().observed(&self.service, &self.route.name, &seen);
     }
 
-    /// Counts bytes that go out over the VM's link.
-    pub(crate) fn count_sent(&self, bytes: usize) {
-        self.gateway.link().send(self.now(), bytes);
-    }
-
     /// Notes that events came from an upstream.
     pub(crate) fn note_events(&mut self) {
         self.timing.note_events(self.arrived.elapsed());
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -30,12 +30,6 @@
     log::info!(target: REQUESTS, "reserved id={id} budget={budget} tokens={tokens} took_ms={took} outcome={outcome}");
 }
 
-/// Records that a stream was refused because the VM's link is full.
-pub(crate) fn link_full(id: &str, rank: u8, wait: Duration) {
-    let wait = wait.as_millis();
-    log::info!(target: REQUESTS, "link_full id={id} rank={rank} wait_ms={wait}");
-}
-
 /// Records which upstream was chosen, and which nearly was.
 pub(crate) fn chosen(
     id: &str,
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -77,7 +77,6 @@
                         continue;
                     }
                     self.exchange.note_events();
-                    self.exchange.count_sent(whole.len());
                     self.count(0);
                     return Some(Ok(whole));
                 }
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use badgerfield_core::ids::{UpstreamId, Version};
-use badgerfield_core::link::LinkQueue;
 use badgerfield_core::replicas::Replicas;
 use badgerfield_core::retry_budget::{RetryBound, RetryBudget};
 use badgerfield_core::routing::RouteTable;
@@ -30,20 +29,18 @@
     routes: Mutex<InForce>,
     replicas: Mutex<Replicas>,
     retries: Mutex<RetryBudget>,
-    link: Mutex<LinkQueue>,
     open: AtomicUsize,
     stopping: AtomicBool,
 }
 
 impl Gateway {
-    pub(crate) fn new(adapter: RouteAdapter, bound: RetryBound, link: LinkQueue) -> Self {
+    pub(crate) fn new(adapter: RouteAdapter, bound: RetryBound) -> Self {
         Self {
             adapter,
             connections: Arc::default(),
             routes: Mutex::default(),
             replicas: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(bound)),
-            link: Mutex::new(link),
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
         }
@@ -72,11 +69,6 @@
         lock(&self.retries)
     }
 
-    /// Locks the queue at the VM's link.
-    pub(crate) fn link(&self) -> MutexGuard<'_, LinkQueue> {
-        lock(&self.link)
-    }
-
     /// Counts a request as open until the guard is dropped.
     pub(crate) fn open(self: &Arc<Self>) -> OpenRequest {
         self.open.fetch_add(1, Ordering::Relaxed);
--- a/crates/badgerfield-node/src/settings.rs
+++ b/crates/badgerfield-node/src/settings.rs
@@ -83,8 +83,6 @@
     pub grace: Duration,
     /// How many connections of callers are open at once.
     pub connections: usize,
-    /// What the VM's link carries, in megabits a second; zero if that is not known.
-    pub link: f64,
 }
 
 /// What translates between the product and its surroundings.
@@ -234,8 +232,7 @@
         let secs = Duration::from_secs;
         let grace = file.span_or("gateway", "grace", secs(8), (secs(1), secs(600)));
         let connections = file.value_or("gateway", "connections", 2000);
-        let link = file.value_or("gateway", "link", 0.0);
-        Some(Self { requests: requests?, directory, ready: ready?, grace, connections, link })
+        Some(Self { requests: requests?, directory, ready: ready?, grace, connections })
     }
 }
 
@@ -261,7 +258,6 @@
         top_up: file.value_or("policy", "top_up", other.top_up),
         at_hand: file.span_or("policy", "at_hand", other.at_hand, (least, most)),
         budget_wait: file.value_or("policy", "budget_wait", other.budget_wait),
-        link_limit: file.value_or("policy", "link_limit", other.link_limit),
     }
 }
 
--- a/crates/badgerfield/src/args.rs
+++ b/crates/badgerfield/src/args.rs
@@ -17,15 +17,14 @@
   [vm]        name*, region*, domain*
   [listen]    callers*, peers*, operators*      addresses such as 10.0.0.1:8080
   [gateway]   requests*, ready*, directory      addresses for requests on routes; the
-              grace, connections, link          section may be left out
+              grace, connections                section may be left out
   [platform]  kv*, vm_list                      addresses such as http://10.0.0.9:2379
               adapter (etcd or platform; etcd needs vm_list), prefix, timeout, vm_poll,
               replicas_poll
   [keys]      fleet*, accept                    see `badgerfield key --fleet`
   [limits]    body, requests, shards, remember, replay, replay_bytes, directory, silence
   [pacing]    ahead, report, beat, hand_on, notice, seals (true or false)
-  [policy]    divide, top_up (true or false), link_limit (true or false), at_hand, budget_wait
-              (docs/POLICY.md)
+  [policy]    divide, top_up (true or false), at_hand, budget_wait (docs/POLICY.md)
   [retries]   ratio, allowance, window
   [log]       level, format (text or json), and a level for each of
               node, peers, platform, upstreams, callers, bills, requests
