Divide engines only where there are many

Hypothesis: dividing pays where groups still have many engines. A service is divided from 32 engines on; where between 18 and 140 it turns was not measured. Tests: replicas.

--- a/crates/badgerfield-core/src/replicas.rs
+++ b/crates/badgerfield-core/src/replicas.rs
@@ -42,6 +42,13 @@
 /// others of its service.
 const LAPSE_GRACE: Duration = Duration::from_millis(1300);
 
+/// From how many engines on a service is divided between long and short prompts.
+///
+/// Measured by docs/POLICY.md: 140 engines serve better when they are divided, 18 serve worse,
+/// since few engines in a group even out less and each move of the border costs prompts that
+/// were read before. Where between them it turns was not measured.
+const LEAST_ENGINES: usize = 32;
+
 /// A part of a prompt that requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptPart {
@@ -389,30 +396,36 @@
         self.mixes.entry(service.clone()).or_default().arrived(now, route, size);
     }
 
-    /// Returns what the requests of this process need of the engines of each service.
+    /// Returns what the requests of this process need of the engines of each service that
+    /// has enough engines to divide.
     pub fn needs(&mut self, now: Time) -> Vec<Needs> {
         let table = &self.table;
-        let slots = |service: &Service| {
-            let replica = table.values().find(|r| r.info.service == *service);
-            replica.map_or(1, |r| r.info.slots)
-        };
-        let mixes = self.mixes.iter_mut();
-        mixes.map(|(service, mix)| mix.needs(now, service, slots(service))).collect()
+        let mut needs = Vec::new();
+        for (service, mix) in &mut self.mixes {
+            let listed = |r: &&Replica| r.info.service == *service && r.vanished.is_none();
+            let engines = table.values().filter(listed).count();
+            let Some(first) = table.values().find(listed).filter(|_| engines >= LEAST_ENGINES)
+            else {
+                continue;
+            };
+            needs.push(mix.needs(now, service, first.info.slots));
+        }
+        needs
     }
 
     /// Divides the engines of each service by what all processes need.
     ///
     /// Returns the services that are divided anew.
     pub fn divide(&mut self, needs: &[Needs]) -> Vec<(Service, Division)> {
+        let services: BTreeSet<_> = self.table.values().map(|r| r.info.service.clone()).collect();
         let mut news = Vec::new();
-        for needs in needs {
-            let is_meant = |service: &&Service| service_number(service) == needs.service;
-            let services = self.table.values().map(|r| &r.info.service);
-            let Some(service) = services.clone().find(is_meant).cloned() else {
-                continue;
-            };
+        for service in services {
+            let number = service_number(&service);
+            let needs = needs.iter().find(|needs| needs.service == number);
             let mix = self.mixes.entry(service.clone()).or_default();
-            news.extend(mix.divide(needs).map(|division| (service, division)));
+            // A service that nobody has needs of is divided no more.
+            let division = mix.divide(&needs.copied().unwrap_or_default());
+            news.extend(division.map(|division| (service, division)));
         }
         news
     }
--- a/crates/badgerfield-core/tests/replicas.rs
+++ b/crates/badgerfield-core/tests/replicas.rs
@@ -5,6 +5,7 @@
 
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{Service, UpstreamId};
+use badgerfield_core::mix::Size;
 use badgerfield_core::replicas::{
     Health, PromptPart, ReplicaChanges, ReplicaEntry, ReplicaInfo, ReplicaList, Replicas, Wanted,
 };
@@ -228,3 +229,54 @@
     assert_eq!(here.learn(at(20), there.list()), vec![id(2)]);
     assert_eq!(chosen(&here, at(20)), BTreeSet::from([id(1), id(3)]));
 }
+
+#[test]
+fn few_engines_are_not_divided() {
+    let mut tables = [table(18), table(60)];
+    let divided = tables.each_mut().map(|table| {
+        for n in 0..20 {
+            for (route, prompt) in [("long", 9000), ("short", 800)] {
+                table.arrived(
+                    at(n * 50),
+                    &service("pool"),
+                    route,
+                    Size { prompt, own: prompt / 3 },
+                );
+            }
+        }
+        let needs = table.needs(at(1000));
+        table.divide(&needs).len()
+    });
+    assert_eq!(divided, [0, 1]);
+}
+
+#[test]
+fn long_and_short_prompts_go_to_different_engines() {
+    let mut table = table(60);
+    for n in 0..40 {
+        for (route, prompt) in [("long", 9000), ("short", 800)] {
+            table.arrived(at(n * 50), &service("pool"), route, Size { prompt, own: prompt / 3 });
+        }
+    }
+    let needs = table.needs(at(2000));
+    table.divide(&needs);
+    let service = service("pool");
+    let taken = [("long", 9000), ("short", 800)].map(|(route, tokens)| {
+        let mut taken = BTreeSet::new();
+        for id in 0..200 {
+            let parts = [PromptPart { id, tokens }, PromptPart { id: 1000 + id, tokens: 100 }];
+            let wanted = Wanted {
+                service: &service,
+                route,
+                parts: &parts,
+                tried: &[],
+                connections: 100,
+                draw: id * 7919,
+            };
+            taken.extend(table.choose(at(2000), &wanted).map(|chosen| chosen.id));
+        }
+        taken
+    });
+    assert!(taken[0].is_disjoint(&taken[1]), "some engines take both");
+    assert!(taken.iter().all(|taken| taken.len() >= 9), "{taken:?}");
+}
