Test that what the ledger takes to be sealed is not touched

Found by breaking the rule on purpose: with a holder that does not seal its part of a grant, and with a change that is sent again with what was spent meanwhile, all tests stayed green.

--- a/crates/badgerfield-standin/tests/lending.rs
+++ b/crates/badgerfield-standin/tests/lending.rs
@@ -1,8 +1,10 @@
 //! Budgets in a fleet of many VMs: a few of them hold each budget, and the others borrow.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use badgerfield_core::ledger::HolderEntry;
+use badgerfield_core::seal::{FleetTime, HOLDS};
 use badgerfield_standin::fleet::{End, Fleet, Shape, Wish};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -10,6 +12,8 @@
 const VMS: usize = 48;
 /// The most that one request can cost, in tokens.
 const COST: u64 = 100;
+/// The time of day at which simulated clocks begin, in milliseconds since 1970.
+const EPOCH_MS: u64 = 1_800_000_000_000;
 /// The most VMs that may hold one budget.
 const HOLDERS: usize = 3;
 
@@ -349,3 +353,69 @@
     assert!(writes <= 22, "{writes} writes in ten seconds");
     assert_eq!(refused(&fleet), 0);
 }
+
+/// What the ledger was promised of a VM's tokens: when, and how many.
+type Promise = (FleetTime, u64);
+
+/// Returns the promises in force that a VM holds too little for at this moment.
+///
+/// A change's answer may be on its way, so that one moment alone proves nothing.
+fn short_of_promise(fleet: &Fleet) -> BTreeMap<usize, Promise> {
+    let ledger = fleet.platform.ledger(0);
+    let entry = ledger.budgets.get(&Fleet::budget(0));
+    let mut short = BTreeMap::new();
+    for vm in 0..VMS {
+        let Some((entry, node)) = entry.zip(fleet.node(vm)) else {
+            continue;
+        };
+        let record = entry.holders.get(&node.id()).and_then(|holder| holder.seal.as_ref());
+        let Some(record) = record else {
+            continue;
+        };
+        let sealed = node.figures(&Fleet::budget(0)).sealed.0;
+        let now = EPOCH_MS + u64::try_from(fleet.now.0.as_millis()).expect("a short run");
+        let holds = u64::try_from(HOLDS.as_millis()).expect("a short span");
+        if record.amount.0 > sealed && now < record.at.0 + holds {
+            short.insert(vm, (record.at, record.amount.0));
+        }
+    }
+    short
+}
+
+/// Asks steadily at one VM; fails if a VM breaks the same promise for 0.2 s.
+fn ask_and_check(fleet: &mut Fleet, vm: usize, requests: usize) {
+    let mut before = BTreeMap::new();
+    for n in 0..requests {
+        ask_at(fleet, vm, 1);
+        if n % 10 != 9 {
+            continue;
+        }
+        let short = short_of_promise(fleet);
+        for (vm, promise) in &short {
+            assert_ne!(before.get(vm), Some(promise), "VM {vm} touched what it had sealed");
+        }
+        before = short;
+    }
+}
+
+#[test]
+fn what_the_ledger_takes_to_be_sealed_is_not_touched() {
+    let mut first = fleet(1_000_000);
+    load(&mut first, 60);
+    let vm = (0..VMS).find(|vm| !lenders(&first).contains(vm)).expect("most VMs borrow");
+    let mut fleet = fleet(1_000_000);
+    ask_and_check(&mut fleet, vm, 800);
+    for _ in 0..3 {
+        // Longer than seals hold: what was sealed is spent, and changes are sent again.
+        fleet.platform.down = true;
+        ask_at(&mut fleet, vm, 400);
+        fleet.platform.down = false;
+        // Once the first change is answered more is asked for than it leaves open.
+        for _ in 0..30 {
+            ask_and_check(&mut fleet, vm, 10);
+            for _ in 0..25 {
+                fleet.ask(vm, wish());
+            }
+        }
+    }
+}
