Let the test of a frozen VM wait for the whole view before it freezes one

A VM that has not yet learned of the third counts two as well, so the wait ended at once, the frozen VM was woken after 18.7 s, before the 20 s that a removal takes, and never ended. Ruled out: lost views or connections; its log shows view e3 and ledger changes that a removed holder would not get. The test is stricter: all must count three before.

--- a/crates/badgerfield/tests/processes.rs
+++ b/crates/badgerfield/tests/processes.rs
@@ -90,6 +90,10 @@
     for n in 0..6 {
         site.chat(n % 3, None, &format!("first {n}"), 30).await;
     }
+    // A VM that has not learned of the third member yet counts two before any removal.
+    for vm in 0..3 {
+        site.wait("the whole view", async |s| s.status(vm).await["members"] == json!(3)).await?;
+    }
     site.signal(0, "STOP")?;
     // The others remove it from the view after 20 s and spend what is left.
     site.wait("its removal", async |s| s.status(1).await["members"] == json!(2)).await?;
