--- a/crates/badgerfield-core/src/mix.rs
+++ b/crates/badgerfield-core/src/mix.rs
@@ -3,8 +3,8 @@
 //! An engine reads prompts in pieces between the tokens of the streams that it runs, so a
 //! long prompt holds up every stream beside it. Where the prompts of some routes are much
 //! longer than those of others, each group gets engines of its own (size-interval task
-//! assignment), by its share of the engines' time. That share, and how fast engines read
-//! and write, are learned from the requests of this process.
+//! assignment), by what it needs. What that is, and how fast engines read, is learned from the
+//! requests of this process and blended with what other processes learned.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -24,7 +24,8 @@
 /// own. Twice the length is within the spread of one route.
 const LEAST_RATIO: f64 = 2.5;
 /// The part of an engine's time that may go into reading prompts before those that wait
-/// for it wait too long: prompts are read one after the other.
+/// for it wait too long: prompts are read one after the other. Assumed, not tuned; only its
+/// ratio to [`SLOTS_IN_USE`] matters.
 const READING: f64 = 0.35;
 /// The part of the slots that may be in use before requests wait for one: many slots even
 /// out what one reader cannot.
@@ -41,9 +42,10 @@
 /// The least part of the engines that a group gets: a few engines may fail.
 const LEAST_SHARE: f64 = 0.15;
 /// The time that engines are taken to read a prompt token in until it was observed, in
-/// milliseconds: the middle of what the users' engines are listed with.
+/// milliseconds: the users' engines are listed with 0.018 to 0.031.
 pub(crate) const READ_MS_PRIOR: f64 = 0.025;
-/// What a learned reading time is held within, in milliseconds a token.
+/// What a learned reading time is held within, in milliseconds a token: ten times faster
+/// and slower than the engines that are known.
 const READ_MS_RANGE: (f64, f64) = (0.002, 0.5);
 /// How many prompts must have been read before the observed rate counts.
 const LEAST_READ: f64 = 12.0;
@@ -52,6 +54,7 @@
 /// The longest wait for a first event that says something about reading, in milliseconds;
 /// what takes longer was held up by a fault.
 const LONGEST_READ_MS: f64 = 3000.0;
+
 /// What a request asks of an engine, by its head.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Size {
@@ -321,7 +324,7 @@
     }
 }
 
-/// What processes need, blended over the fleet by word of mouth.
+/// What processes need, averaged over the fleet by gossip.
 ///
 /// Each process tells its neighbours a blend of its own needs and of what they told; after
 /// a few rounds everybody has nearly the mean of all.
