--- a/crates/badgerfield-core/src/board.rs
+++ b/crates/badgerfield-core/src/board.rs
@@ -15,6 +15,7 @@
 use crate::queue::Queue;
 use crate::runs::Runs;
 use crate::template::TemplateSet;
+use crate::template_history::TemplateHistory;
 use crate::upstream::Upstreams;
 
 /// The tables, in the order in which they may be locked.
@@ -22,6 +23,7 @@
 pub(crate) struct Board {
     members: Mutex<Membership>,
     templates: Mutex<TemplateSet>,
+    template_history: Mutex<TemplateHistory>,
     runs: Mutex<Runs>,
     charges: Mutex<Charges>,
     queue: Mutex<Queue>,
@@ -42,6 +44,7 @@
         Self {
             members: Mutex::new(members),
             templates: Mutex::default(),
+            template_history: Mutex::default(),
             runs: Mutex::new(runs),
             charges: Mutex::default(),
             queue: Mutex::default(),
@@ -62,6 +65,11 @@
         lock(&self.templates)
     }
 
+    /// Locks what the last sets of templates held.
+    pub(crate) fn template_history(&self) -> MutexGuard<'_, TemplateHistory> {
+        lock(&self.template_history)
+    }
+
     /// Locks the requests and their answers.
     pub(crate) fn runs(&self) -> MutexGuard<'_, Runs> {
         lock(&self.runs)
--- a/crates/badgerfield-core/src/claims.rs
+++ b/crates/badgerfield-core/src/claims.rs
@@ -5,10 +5,12 @@
 //! change of the view makes members hand over what others now decide about. The
 //! arbiter answers only for keys whose memory it is sure to have.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::amount::Time;
+use crate::confirmations::{Confirmations, Confirmed};
 use crate::event::Outbox;
 use crate::ids::{Epoch, Incarnation, Region, RequestKey, UpstreamId};
 use crate::message::{
@@ -62,10 +64,10 @@
     me: Incarnation,
     keep: Duration,
     entries: HashMap<RequestKey, Entry>,
-    view: View,
+    view: Arc<View>,
     complete: Epoch,
-    since: Vec<View>,
-    received: HashSet<Incarnation>,
+    since: Vec<Arc<View>>,
+    confirmations: Confirmations,
     moving: BTreeMap<Incarnation, Moving>,
     doubted: HashMap<Epoch, Time>,
     swept: Time,
@@ -76,7 +78,6 @@
 struct Moving {
     keys: BTreeSet<RequestKey>,
     part: u32,
-    last: bool,
     sent: Option<Time>,
 }
 
@@ -88,10 +89,10 @@
             me,
             keep,
             entries: HashMap::new(),
-            view: View::default(),
+            view: Arc::default(),
             complete: Epoch(0),
             since: Vec::new(),
-            received: HashSet::new(),
+            confirmations: Confirmations::default(),
             moving: BTreeMap::new(),
             doubted: HashMap::new(),
             swept: Time::default(),
@@ -123,29 +124,57 @@
     }
 
     /// Puts a newer view in force and starts the hand-overs that it asks for.
-    pub fn adopt(&mut self, now: Time, view: &View, out: &mut Outbox) {
+    pub fn adopt(&mut self, now: Time, view: &Arc<View>, out: &mut Outbox) {
         if view.epoch <= self.view.epoch {
             return;
         }
-        let old = std::mem::replace(&mut self.view, view.clone());
-        self.since.push(view.clone());
-        self.received.clear();
+        let old = std::mem::replace(&mut self.view, Arc::clone(view));
+        self.since.push(Arc::clone(view));
+        self.confirmations = Confirmations::of(view);
         for doubt in &view.doubts {
             self.doubted.entry(doubt.epoch).or_insert(now);
         }
         self.moving.retain(|id, _| view.has(*id));
-        for member in &view.members {
-            if member.incarnation != self.me {
-                let moving = self.moving.entry(member.incarnation).or_default();
-                moving.sent = None;
-                moving.part = 0;
-            }
+        for moving in self.moving.values_mut() {
+            moving.sent = None;
+            moving.part = 0;
         }
         self.plan_moves(&old);
-        self.check_complete();
+        self.confirm_own();
         self.resend(now, out);
     }
 
+    /// Returns what a sign of life says about the hand-overs of the view in force.
+    #[must_use]
+    pub fn confirmed(&self) -> Confirmed {
+        Confirmed { complete: self.complete, bits: self.confirmations.bits() }
+    }
+
+    /// Takes in what another process says about the hand-overs of an epoch.
+    ///
+    /// Returns whether that is news which others should hear soon.
+    pub fn confirm(&mut self, epoch: Epoch, theirs: &Confirmed) -> bool {
+        if epoch != self.view.epoch || self.complete == epoch {
+            return false;
+        }
+        let news = if theirs.complete == epoch {
+            self.confirmations.confirm_all();
+            true
+        } else {
+            self.confirmations.merge(&theirs.bits)
+        };
+        self.check_complete();
+        news
+    }
+
+    /// Confirms the view for this process once nothing is left to hand over.
+    fn confirm_own(&mut self) {
+        if self.moving.is_empty() {
+            self.confirmations.confirm(&self.view, self.me);
+            self.check_complete();
+        }
+    }
+
     /// Finds the claims that a new view makes this process hand over.
     fn plan_moves(&mut self, old: &View) {
         let view = &self.view;
@@ -290,7 +319,7 @@
             return false;
         }
         self.complete == self.view.epoch
-            || (self.complete > Epoch(0) && self.since.iter().all(first))
+            || (self.complete > Epoch(0) && self.since.iter().all(|view| first(view)))
     }
 
     /// Remembers a claim of which this process is the asker, or the second keeper.
@@ -438,14 +467,7 @@
         for record in &part.claims {
             self.merge(now, from, record);
         }
-        if part.epoch != self.view.epoch {
-            return false;
-        }
-        if part.last {
-            self.received.insert(from);
-            self.check_complete();
-        }
-        true
+        part.epoch == self.view.epoch
     }
 
     /// Notes that a member has everything of a hand-over, and sends what is left.
@@ -472,8 +494,9 @@
                 entry.keeper = Some(from);
             }
         }
-        if moving.last {
+        if moving.keys.is_empty() {
             self.moving.remove(&from);
+            self.confirm_own();
             return;
         }
         moving.part += 1;
@@ -505,13 +528,7 @@
                 .filter_map(|key| self.entries.get(key))
                 .map(|entry| entry.record.clone())
                 .collect();
-            let part = HandoverPart {
-                epoch: self.view.epoch,
-                part: moving.part,
-                last: moving.keys.len() <= BATCH,
-                claims,
-            };
-            moving.last = part.last;
+            let part = HandoverPart { epoch: self.view.epoch, part: moving.part, claims };
             out.send(*to, Message::Handover(part));
         }
     }
@@ -538,19 +555,10 @@
     }
 
     fn check_complete(&mut self) {
-        if !self.view.has(self.me) {
-            return;
-        }
-        let all = self
-            .view
-            .members
-            .iter()
-            .all(|m| m.incarnation == self.me || self.received.contains(&m.incarnation));
-        if !all {
-            return;
+        if self.view.has(self.me) && self.confirmations.is_complete() {
+            self.complete = self.view.epoch;
+            self.since = vec![Arc::clone(&self.view)];
         }
-        self.complete = self.view.epoch;
-        self.since = vec![self.view.clone()];
     }
 }
 
--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -1,5 +1,6 @@
 //! Membership: joins, leaves, removes the lost, and passes views and versions on.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,8 +12,8 @@
 use crate::membership::{Purpose, Wish};
 use crate::message::{Heartbeat, Message};
 use crate::node::Node;
-use crate::replicas::{ListMark, ReplicaChanges};
-use crate::view::{Member, Standing, View};
+use crate::view::{Member, SMALL_VIEW, Standing, View};
+use crate::view_update::ViewUpdate;
 
 /// How often the platform's values are read.
 const READ: Duration = Duration::from_secs(1);
@@ -30,10 +31,13 @@
 
     /// Sends signs of life when they are due.
     pub(crate) fn beat(&self, now: Time, out: &mut Outbox) {
-        if !due(now, self.board.members().beat_at, self.config.pacing.beat) {
-            return;
+        let is_due = {
+            let members = self.board.members();
+            members.news_at.is_some() || due(now, members.beat_at, self.config.pacing.beat)
+        };
+        if is_due {
+            self.spread(now, out);
         }
-        self.spread(now, out);
     }
 
     /// Sends a sign of life to all neighbours, with the versions in force.
@@ -41,47 +45,21 @@
         let (neighbours, epoch, serving, wall, list, needs) = {
             let mut members = self.board.members();
             members.beat_at = Some(now);
+            members.news_at = None;
             let serving = members.serving && members.stopping.is_none();
             let wall = members.wall(now);
             let needs = members.needs.blend(now);
             (members.neighbours(), members.view.epoch, serving, wall, members.list, needs)
         };
         let version = self.board.templates().version;
-        let complete = self.board.claims().complete();
+        let confirmed = self.board.claims().confirmed();
         for to in neighbours {
-            let beat =
-                Heartbeat { epoch, complete, version, serving, list, wall, needs: needs.clone() };
+            let (confirmed, needs) = (confirmed.clone(), needs.clone());
+            let beat = Heartbeat { epoch, confirmed, version, serving, list, wall, needs };
             out.send(to, Message::Heartbeat(beat));
         }
     }
 
-    /// Passes changes of the list of upstreams on.
-    ///
-    /// Everybody passes on what is news to it, so that word goes round without a centre.
-    pub(crate) fn pass_on_changes(&self, changes: &ReplicaChanges, out: &mut Outbox) {
-        let neighbours = self.board.members().neighbours();
-        for to in neighbours {
-            out.send(to, Message::UpstreamChanges(changes.clone()));
-        }
-    }
-
-    /// Compares what a neighbour knows of the list of upstreams with what is known here.
-    fn compare_lists(&self, now: Time, from: Incarnation, theirs: ListMark, out: &mut Outbox) {
-        let mut members = self.board.members();
-        if theirs.revision <= members.list.revision {
-            return;
-        }
-        if theirs.digest == members.list.digest {
-            members.list.revision = theirs.revision;
-            out.push(Order::ConfirmUpstreams(theirs.revision));
-            return;
-        }
-        if due(now, members.list_fetched.get(&from).copied(), FETCH) {
-            members.list_fetched.insert(from, now);
-            out.send(from, Message::FetchUpstreams);
-        }
-    }
-
     /// Tells whether this process follows the platform's values itself; `heard` is how long
     /// ago it has heard of the list of upstreams.
     #[must_use]
@@ -98,30 +76,26 @@
         out: &mut Outbox,
     ) {
         self.compare_lists(now, from, beat.list, out);
+        self.hear_confirmed(now, beat);
         let version = self.board.templates().version;
         let epoch = {
             let mut members = self.board.members();
             members.heard(now, from, Some(beat));
-            // One that was removed hears of it from those it still talks to.
-            if beat.epoch < members.view.epoch && !members.view.has(from) {
-                out.send(from, Message::View(members.view.clone()));
-                return;
-            }
-            // Who is behind, and not a neighbour, may hear only from members that it does
-            // not know yet, and so cannot ask.
-            if beat.epoch < members.view.epoch
-                && !members.neighbours().contains(&from)
-                && due(now, members.fetched.get(&from).copied(), FETCH)
-            {
-                members.fetched.insert(from, now);
-                out.send(from, Message::View(members.view.clone()));
+            let is_behind = beat.epoch < members.view.epoch;
+            // One that was removed hears of it from those it still talks to. Who is behind,
+            // and not a neighbour, may hear only from members that it does not know yet, and
+            // so cannot ask.
+            let cannot_ask = !members.view.has(from) || !members.neighbours().contains(&from);
+            if is_behind && cannot_ask && due(now, members.shown.get(&from).copied(), FETCH) {
+                members.shown.insert(from, now);
+                out.send(from, Message::View(members.log.update(&members.view, beat.epoch)));
                 return;
             }
             let newer = beat.epoch > members.view.epoch || beat.version > version;
-            if !newer || !due(now, members.fetched.get(&from).copied(), FETCH) {
+            if !newer || !due(now, members.fetched_at, FETCH) {
                 return;
             }
-            members.fetched.insert(from, now);
+            members.fetched_at = Some(now);
             members.view.epoch
         };
         out.send(from, Message::Fetch { epoch, version, whole: version == Version(0) });
@@ -136,24 +110,68 @@
         whole: bool,
         out: &mut Outbox,
     ) {
-        let view = self.board.members().view.clone();
-        if view.epoch > epoch {
-            out.send(from, Message::View(view));
+        {
+            let members = self.board.members();
+            if members.view.epoch > epoch {
+                out.send(from, Message::View(members.log.update(&members.view, epoch)));
+            }
         }
         let table = self.board.templates();
         if table.version <= version {
             return;
         }
-        let message = if whole {
-            Message::Templates(Box::new(table.clone()))
-        } else {
-            Message::Delta(table.since(version))
+        let delta = self.board.template_history().delta(&table, version).filter(|_| !whole);
+        let message = match delta {
+            Some(delta) => Message::Delta(Box::new(delta)),
+            None => Message::Templates(Box::new(table.clone())),
         };
         out.send(from, message);
     }
 
+    /// Takes in what a neighbour knows of hand-overs. Whoever remembers claims, or is one of
+    /// few, passes news on at its next tick, since callers wait for it; others with their next
+    /// sign of life.
+    fn hear_confirmed(&self, now: Time, beat: &Heartbeat) {
+        let (is_news, has_claims) = {
+            let mut claims = self.board.claims();
+            (claims.confirm(beat.epoch, &beat.confirmed), !claims.is_empty())
+        };
+        let mut members = self.board.members();
+        if is_news && (has_claims || members.view.members.len() <= SMALL_VIEW) {
+            members.news_at = Some(now);
+        }
+    }
+
+    /// Puts a newer view in force that a peer sent, or asks for the whole of it if what was
+    /// sent does not fit the one that is known.
+    pub(crate) fn update_view(
+        &self,
+        now: Time,
+        from: Incarnation,
+        update: &ViewUpdate,
+        out: &mut Outbox,
+    ) {
+        let next = {
+            let mut members = self.board.members();
+            let old = Arc::clone(&members.view);
+            if update.epoch <= old.epoch {
+                return;
+            }
+            // The answer has come: the next one may be asked for.
+            members.fetched_at = None;
+            update.apply(&old)
+        };
+        if let Some(view) = next {
+            self.adopt_view(now, &Arc::new(view), out);
+            return;
+        }
+        let version = self.board.templates().version;
+        let whole = version == Version(0);
+        out.send(from, Message::Fetch { epoch: Epoch(0), version, whole });
+    }
+
     /// Puts a newer view in force in every table that depends on it.
-    pub(crate) fn adopt_view(&self, now: Time, view: &View, out: &mut Outbox) {
+    pub(crate) fn adopt_view(&self, now: Time, view: &Arc<View>, out: &mut Outbox) {
         let (gone, removed) = {
             let mut members = self.board.members();
             let was = members.removed;
@@ -175,8 +193,9 @@
 
     /// Reads the platform's values, and writes the view, when that is due.
     pub(crate) fn read_platform(&self, now: Time, out: &mut Outbox) {
+        let complete = self.board.claims().complete();
         let mut members = self.board.members();
-        let reads = members.is_reader(now) || !members.known;
+        let reads = members.is_reader(now) || !members.known || members.marks_unread(complete);
         if due(now, members.read_at, READ) && reads {
             members.read_at = Some(now);
             for name in [KvName::View, KvName::Templates] {
@@ -207,41 +226,39 @@
         {
             return;
         }
-        let handed_over = members.handed_over(complete);
+        // A write builds on what the platform has, which says more than peers do.
+        let stored = Arc::clone(&members.stored);
+        let handed_over = complete == stored.epoch && complete > Epoch(0);
         let me = members.me.clone();
         let present = members.view.member(me.incarnation).map(|m| m.standing);
         let next = match (&members.wish, present) {
-            (Wish::Join, None) if !members.removed => {
-                let view = members.view.clone();
-                match members.joining.step(now, &view) {
-                    Step::Write => Some(view.with(me, handed_over)),
-                    Step::Ask(host) => {
-                        out.send(host, Message::Join(me));
-                        return;
-                    }
-                    Step::Wait => return,
+            (Wish::Join, None) if !members.removed => match members.joining.step(now, &stored) {
+                Step::Write => Some(stored.with(me, handed_over)),
+                Step::Ask(host) => {
+                    out.send(host, Message::Join(me));
+                    return;
                 }
-            }
+                Step::Wait => return,
+            },
             (Wish::Leave, Some(Standing::Active)) => {
-                Some(members.view.leaving(me.incarnation, handed_over))
+                Some(stored.leaving(me.incarnation, handed_over))
             }
-            (Wish::Quit, Some(_)) => Some(members.view.without(&[me.incarnation], handed_over)),
+            (Wish::Quit, Some(_)) => Some(stored.without(&[me.incarnation], handed_over)),
             (Wish::Join | Wish::Leave | Wish::Quit, _) => None,
         };
         let next = next.or_else(|| {
-            let view = members.view.clone();
-            let guests = members.joining.guests(now, &view);
+            let guests = members.joining.guests(now, &stored);
             let may = members.is_member() && !guests.is_empty();
-            may.then(|| guests.into_iter().fold(view, |view, m| view.with(m, handed_over)))
+            may.then(|| stored.with_all(guests, handed_over))
         });
         let next = next.or_else(|| {
             let gone = members.gone(now);
             let may = members.is_member() && !gone.is_empty();
-            may.then(|| members.view.without(&gone, handed_over))
+            may.then(|| stored.without(&gone, handed_over))
         });
         let next = next.or_else(|| {
-            let open = handed_over && members.view.complete < members.view.epoch;
-            (open && members.is_marker()).then(|| members.view.completed())
+            let open = handed_over && stored.complete < stored.epoch;
+            (open && members.is_marker()).then(|| stored.completed())
         });
         let Some(next) = next else {
             return;
@@ -267,7 +284,12 @@
                 self.read_view(now, &found, out);
             }
             (Purpose::Write(view), KvResult::Written(revision)) => {
-                self.board.members().revision = revision;
+                let view = Arc::new(view);
+                {
+                    let mut members = self.board.members();
+                    members.revision = revision;
+                    members.stored = Arc::clone(&view);
+                }
                 self.adopt_view(now, &view, out);
             }
             (Purpose::Write(_), KvResult::Conflict(found)) => {
@@ -290,7 +312,7 @@
 
     fn read_view(&self, now: Time, found: &Versioned, out: &mut Outbox) {
         let view = match View::decode(found.value.as_deref()) {
-            Ok(view) => view,
+            Ok(view) => Arc::new(view),
             Err(error) => {
                 out.push(Order::Note(Note::BadValue(KvName::View, error.to_string())));
                 return;
@@ -303,6 +325,7 @@
                 return;
             }
             members.revision = found.revision;
+            members.stored = Arc::clone(&view);
             members.known = true;
             members.joining.saw(&view);
         }
--- a/crates/badgerfield-core/src/control/mod.rs
+++ b/crates/badgerfield-core/src/control/mod.rs
@@ -11,3 +11,4 @@
 mod rights;
 mod settings;
 mod stopping;
+mod upstream_news;
--- a/crates/badgerfield-core/src/control/settings.rs
+++ b/crates/badgerfield-core/src/control/settings.rs
@@ -40,11 +40,13 @@
         delta: TemplateDelta,
         out: &mut Outbox,
     ) {
-        let (newer, fits, version) = {
+        let (newer, whole, fits, version) = {
             let mut table = self.board.templates();
             let newer = delta.version > table.version;
+            // One that starts elsewhere has been overtaken; the next one may fit.
+            let whole = delta.base == table.version;
             let fits = table.advance(delta);
-            (newer, fits, table.version)
+            (newer, whole, fits, table.version)
         };
         if fits {
             self.templates_changed(now, out);
@@ -52,7 +54,7 @@
         }
         if newer {
             let epoch = self.board.members().view.epoch;
-            out.send(from, Message::Fetch { epoch, version, whole: true });
+            out.send(from, Message::Fetch { epoch, version, whole });
         }
     }
 
@@ -72,7 +74,11 @@
     }
 
     fn templates_changed(&self, now: Time, out: &mut Outbox) {
-        let version = self.board.templates().version;
+        let version = {
+            let table = self.board.templates();
+            self.board.template_history().note(&table);
+            table.version
+        };
         out.push(Order::Note(Note::Templates(version)));
         let held: Vec<_> = self.board.holdings().budgets().cloned().collect();
         for budget in held {
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -53,8 +53,10 @@
     Clock(u64),
     /// Whether this process serves callers at present.
     Serving(bool),
-    /// Changes of the list of upstreams that were news to this process.
+    /// The list of upstreams was followed to this revision, and these changes were news.
     UpstreamChanges(ReplicaChanges),
+    /// What another process said of the list of upstreams does not lead to its list.
+    UpstreamsDiffer(Incarnation),
     /// How much of the list of upstreams is known here.
     ListMark(ListMark),
     /// What the requests of this process need of engines.
@@ -306,8 +308,9 @@
     Answer(RequestId, usize, Answer),
     /// Tell a request on a route that its tokens are set aside in this period, or why not.
     Reserved(ReservationId, Result<Period, Refusal>),
-    /// Take in changes of the list of upstreams that another process passed on.
-    LearnChanges(ReplicaChanges),
+    /// Take in changes of the list of upstreams that another process passed on, and compare
+    /// what they lead to.
+    LearnChanges(Incarnation, ReplicaChanges, ListMark),
     /// Take in the whole list of upstreams of another process.
     LearnUpstreams(ReplicaList),
     /// The list of upstreams is still as it is known here, up to a revision.
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -12,6 +12,7 @@
 mod transfer;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use self::bank::Bank;
@@ -94,7 +95,7 @@
     table: BTreeMap<BudgetId, Holding>,
     transfers: Transfers,
     bank: Bank,
-    view: View,
+    view: Arc<View>,
     lenders: Lenders,
     /// Lenders that did not answer, and when they were asked.
     mute: BTreeMap<Incarnation, Time>,
@@ -126,7 +127,7 @@
             table: BTreeMap::new(),
             transfers: Transfers::default(),
             bank: Bank::default(),
-            view: View::default(),
+            view: Arc::default(),
             lenders: Lenders::default(),
             mute: BTreeMap::new(),
             answers: Vec::new(),
@@ -563,12 +564,12 @@
     }
 
     /// Puts a newer view in force: settles what removed processes had parked or keep.
-    pub fn adopt(&mut self, now: Time, view: &View, out: &mut Outbox) {
+    pub fn adopt(&mut self, now: Time, view: &Arc<View>, out: &mut Outbox) {
         if view.epoch <= self.view.epoch {
             return;
         }
         self.removed |= self.view.has(self.me) && !view.has(self.me);
-        self.view = view.clone();
+        self.view = Arc::clone(view);
         self.transfers.adopt(view);
         if self.removed {
             self.lose_parked();
--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -279,12 +279,13 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        if holding.parked.sent.is_some() {
-            return;
-        }
-        let Some(Hunt::Peers { open, reserved, .. }) = &holding.hunt else {
+        let Some(Hunt::Peers { since, open, reserved }) = &holding.hunt else {
             return;
         };
+        // The bank may answer yet; one that is gone never does.
+        if holding.parked.sent.is_some() && now.since(*since) < PEER_WAIT {
+            return;
+        }
         // The ledger was asked and may answer yet.
         if holding.op.is_some() && !holding.down {
             holding.hunt = Some(Hunt::Ledger { since: now });
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -22,8 +22,10 @@
 
 pub mod amount;
 mod board;
+mod broadcast;
 mod charges;
 pub mod claims;
+pub mod confirmations;
 mod control;
 pub mod drawer;
 pub mod event;
@@ -47,8 +49,10 @@
 mod runs;
 pub mod seal;
 pub mod template;
+pub mod template_history;
 pub mod upstream;
 pub mod view;
+pub mod view_update;
 
 pub use event::{Event, Order};
 pub use node::{BudgetStatus, Config, Node, Pacing, Status, TICK};
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -2,17 +2,20 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::amount::Time;
+use crate::broadcast::{self, Leg};
 use crate::event::KvName;
-use crate::ids::{Epoch, Incarnation, Ticket, Version, VmId};
+use crate::ids::{Epoch, Incarnation, Ticket, VmId};
 use crate::joining::Joining;
 use crate::message::Heartbeat;
 use crate::mix::NeedsBlend;
 use crate::replicas::ListMark;
 use crate::seal::FleetClock;
 use crate::view::{Member, SMALL_VIEW, Standing, View};
+use crate::view_update::ViewLog;
 
 /// After how long without a sign of life a member is removed from the view.
 const SILENCE: Duration = Duration::from_secs(20);
@@ -68,7 +71,6 @@
     heard: Time,
     /// When a sign of life came, which says all that follows.
     told: Time,
-    beat: (Epoch, Epoch, Version),
     /// Whether the member said that it does not serve callers.
     closed: bool,
     /// The member's time of day, less this process's own time when it was heard.
@@ -79,7 +81,12 @@
 #[derive(Debug)]
 pub(crate) struct Membership {
     pub(crate) me: Member,
-    pub(crate) view: View,
+    /// The view in force.
+    pub(crate) view: Arc<View>,
+    /// How the view has changed of late, for members that are behind.
+    pub(crate) log: ViewLog,
+    /// The view as the platform had it at `revision`: what a write of the view builds on.
+    pub(crate) stored: Arc<View>,
     pub(crate) revision: u64,
     pub(crate) known: bool,
     pub(crate) wish: Wish,
@@ -99,6 +106,8 @@
     /// What requests need of engines, here and elsewhere.
     pub(crate) needs: NeedsBlend,
     pub(crate) list_fetched: HashMap<Incarnation, Time>,
+    /// When anybody told how new the list of upstreams is.
+    pub(crate) confirmed_at: Option<Time>,
     /// After how long without a sign of life a member is in doubt.
     doubt: Duration,
     /// How long upstreams that leave take requests after they have said so.
@@ -115,14 +124,21 @@
     pub(crate) beat_at: Option<Time>,
     pub(crate) read_at: Option<Time>,
     pub(crate) wrote_at: Option<Time>,
-    pub(crate) fetched: HashMap<Incarnation, Time>,
+    /// When a view or templates were asked for last; one member is asked at a time.
+    pub(crate) fetched_at: Option<Time>,
+    /// When members that were behind were sent the view unasked.
+    pub(crate) shown: HashMap<Incarnation, Time>,
+    /// When confirmations were heard that others wait for and have not been told.
+    pub(crate) news_at: Option<Time>,
 }
 
 impl Membership {
     pub(crate) fn new(me: Member, beat: Duration, notice: Duration) -> Self {
         Self {
             me,
-            view: View::default(),
+            view: Arc::default(),
+            log: ViewLog::default(),
+            stored: Arc::default(),
             revision: 0,
             known: false,
             wish: Wish::Join,
@@ -136,6 +152,7 @@
             list: ListMark::default(),
             needs: NeedsBlend::default(),
             list_fetched: HashMap::new(),
+            confirmed_at: None,
             doubt: beat.saturating_mul(DOUBT_BEATS),
             notice,
             next_ticket: 1,
@@ -150,7 +167,9 @@
             beat_at: None,
             read_at: None,
             wrote_at: None,
-            fetched: HashMap::new(),
+            fetched_at: None,
+            shown: HashMap::new(),
+            news_at: None,
         }
     }
 
@@ -210,15 +229,16 @@
     }
 
     /// Puts a newer view in force; returns the members that are gone.
-    pub(crate) fn adopt(&mut self, now: Time, view: &View) -> Option<Vec<Incarnation>> {
+    pub(crate) fn adopt(&mut self, now: Time, view: &Arc<View>) -> Option<Vec<Incarnation>> {
         if view.epoch == self.view.epoch && view.complete > self.view.complete {
-            self.view = view.clone();
+            self.view = Arc::clone(view);
         }
         if view.epoch <= self.view.epoch {
             return None;
         }
         let was = self.is_member();
-        let old = std::mem::replace(&mut self.view, view.clone());
+        let old = std::mem::replace(&mut self.view, Arc::clone(view));
+        self.log.note(&old, view);
         self.removed |= was && !self.is_member() && self.wish != Wish::Quit;
         for member in &self.view.members {
             let sign = Sign { heard: now, ..Sign::default() };
@@ -234,7 +254,7 @@
         }
         for id in &gone {
             self.signs.remove(id);
-            self.fetched.remove(id);
+            self.shown.remove(id);
             self.list_fetched.remove(id);
         }
         Some(gone)
@@ -246,7 +266,6 @@
         sign.heard = sign.heard.max(now);
         if let Some(beat) = beat {
             sign.told = now;
-            sign.beat = (beat.epoch, beat.complete, beat.version);
             sign.closed = !beat.serving;
             self.needs.hear(now, from, &beat.needs);
             sign.offset = beat.wall.map(|wall| wall.saturating_sub(millis(now)));
@@ -295,6 +314,16 @@
         chosen.into_iter().collect()
     }
 
+    /// Returns to whom news goes that this process passes on to some members before it.
+    pub(crate) fn legs(&self, now: Time, reach: u32) -> Vec<Leg> {
+        let silent: BTreeSet<_> = self
+            .watched()
+            .map(|(_, m)| m.incarnation)
+            .filter(|id| self.silence(now, *id) >= self.doubt)
+            .collect();
+        broadcast::legs(&self.view, self.id(), reach, |id| silent.contains(&id))
+    }
+
     /// Tells whether this process reads the platform's values for its region.
     ///
     /// One that hears nobody may have been removed, and reads for itself to find out.
@@ -331,23 +360,18 @@
         self.watched().all(|(_, m)| self.silence(now, m.incarnation) >= self.doubt)
     }
 
-    /// Tells whether every active member has confirmed the hand-overs of the view.
-    pub(crate) fn handed_over(&self, mine: Epoch) -> bool {
-        let epoch = self.view.epoch;
-        self.view.members.iter().filter(|m| m.standing == Standing::Active).all(|m| {
-            if m.incarnation == self.id() {
-                return mine == epoch;
-            }
-            self.signs.get(&m.incarnation).is_some_and(|s| s.beat.1 == epoch)
-        })
-    }
-
     /// Tells whether this process marks complete views.
     pub(crate) fn is_marker(&self) -> bool {
         let first = self.view.ranked(b"marker", None).into_iter().next();
         first.is_some_and(|m| m.incarnation == self.id())
     }
 
+    /// Tells whether this process has a view to mark as complete, up to this epoch, that it
+    /// knows from peers only.
+    pub(crate) fn marks_unread(&self, complete: Epoch) -> bool {
+        complete == self.view.epoch && self.stored.epoch < complete && self.is_marker()
+    }
+
     /// Returns the members that this process should remove from the view.
     ///
     /// Removing a member that is not gone breaks nothing, it only costs a restart.
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::amount::Tokens;
+use crate::confirmations::Confirmed;
 use crate::ids::{
     Account, BudgetId, Epoch, Incarnation, Period, Region, RequestKey, UpstreamId, Version,
 };
@@ -14,7 +15,8 @@
 use crate::mix::Needs;
 use crate::replicas::{ListMark, ReplicaChanges, ReplicaList};
 use crate::template::{TemplateDelta, TemplateSet};
-use crate::view::{Member, View};
+use crate::view::Member;
+use crate::view_update::ViewUpdate;
 
 /// One message with its sender and receiver.
 ///
@@ -47,14 +49,14 @@
         /// Whether the sender wants the whole set.
         whole: bool,
     },
-    /// A newer view.
-    View(View),
+    /// A newer view, as a difference where the sender knows one.
+    View(ViewUpdate),
     /// Newer templates, as a difference.
-    Delta(TemplateDelta),
+    Delta(Box<TemplateDelta>),
     /// Newer templates, whole.
     Templates(Box<TemplateSet>),
     /// Changes of the list of upstreams, passed on to all.
-    UpstreamChanges(ReplicaChanges),
+    UpstreamChanges(UpstreamNews),
     /// Asks for the whole list of upstreams.
     FetchUpstreams,
     /// The whole list of upstreams.
@@ -185,13 +187,32 @@
     },
 }
 
+impl Message {
+    /// Tells whether the message may as well be lost, since a newer one follows soon.
+    #[must_use]
+    pub fn is_repeated(&self) -> bool {
+        matches!(self, Self::Heartbeat(_))
+    }
+}
+
+/// News of the list of upstreams on its way to all members.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamNews {
+    /// What changed; it may be nothing but the revision.
+    pub changes: ReplicaChanges,
+    /// The list to which this leads, at whoever read it from the platform.
+    pub mark: ListMark,
+    /// To how many members before it in the ring the receiver passes this on.
+    pub reach: u32,
+}
+
 /// The regular sign of life.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The epoch that the sender has.
     pub epoch: Epoch,
-    /// The newest epoch whose hand-overs the sender has received from everyone.
-    pub complete: Epoch,
+    /// What the sender knows of the hand-overs of its epoch.
+    pub confirmed: Confirmed,
     /// The version of the templates in force at the sender.
     pub version: Version,
     /// Whether the sender serves callers.
@@ -426,8 +447,6 @@
     pub epoch: Epoch,
     /// The part's number, from 0 on.
     pub part: u32,
-    /// Whether this is the last part.
-    pub last: bool,
     /// The claims.
     pub claims: Vec<ClaimRecord>,
 }
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -17,7 +17,7 @@
 use crate::runs::{Keyed, Runs};
 use crate::template::TemplateSet;
 use crate::upstream::Kind;
-use crate::view::{Member, View};
+use crate::view::{Member, SMALL_VIEW, View};
 
 /// How often a driver sends [`Event::Tick`].
 pub const TICK: Duration = Duration::from_millis(50);
@@ -165,7 +165,7 @@
     /// Returns the view in force.
     #[must_use]
     pub fn view(&self) -> View {
-        self.board.members().view.clone()
+        View::clone(&self.board.members().view)
     }
 
     /// Returns the address for the messages of another process.
@@ -206,6 +206,12 @@
         self.board.members().view.members.len().max(1)
     }
 
+    /// Tells whether everybody does here what in a large fleet is left to a few.
+    #[must_use]
+    pub fn is_small_fleet(&self) -> bool {
+        self.board.members().view.members.len() <= SMALL_VIEW
+    }
+
     /// Makes the table in which requests on routes are looked up.
     #[must_use]
     pub fn route_table(&self) -> (Version, RouteTable) {
@@ -298,7 +304,8 @@
             Event::Settle(end) => self.settle_reservation(now, &end, out),
             Event::Clock(wall) => self.board.members().set_wall(now, wall),
             Event::Serving(serving) => self.board.members().serving = serving,
-            Event::UpstreamChanges(changes) => self.pass_on_changes(&changes, out),
+            Event::UpstreamChanges(changes) => self.tell_changes(now, &changes, out),
+            Event::UpstreamsDiffer(from) => self.fetch_upstreams(now, from, out),
             Event::ListMark(mark) => self.board.members().list = mark,
             Event::EngineNeeds(own) => {
                 let mut members = self.board.members();
@@ -348,10 +355,10 @@
                 self.fetch(from, epoch, version, whole, out);
             }
             Message::Join(guest) => self.invite(now, from, guest, out),
-            Message::View(view) => self.adopt_view(now, &view, out),
-            Message::Delta(delta) => self.learn_delta(now, from, delta, out),
+            Message::View(update) => self.update_view(now, from, &update, out),
+            Message::Delta(delta) => self.learn_delta(now, from, *delta, out),
             Message::Templates(set) => self.learn_templates(now, *set, out),
-            Message::UpstreamChanges(changes) => out.push(Order::LearnChanges(changes)),
+            Message::UpstreamChanges(news) => self.upstream_news(now, from, news, out),
             Message::FetchUpstreams => out.push(Order::TellUpstreams(from)),
             Message::Upstreams(list) => out.push(Order::LearnUpstreams(list)),
             Message::Draw(ops) => self.draw(now, ops, out),
--- a/crates/badgerfield-core/src/replicas.rs
+++ b/crates/badgerfield-core/src/replicas.rs
@@ -214,7 +214,7 @@
     /// Returns the upstreams that were added, changed or removed.
     pub fn change(&mut self, now: Time, changes: ReplicaChanges) -> Vec<UpstreamId> {
         let ReplicaChanges { revision, written, gone } = changes;
-        if revision >= self.revision {
+        if revision > 0 && revision >= self.revision {
             self.revision = revision;
             self.learned = Some(now);
         }
--- a/crates/badgerfield-core/src/routing.rs
+++ b/crates/badgerfield-core/src/routing.rs
@@ -162,6 +162,48 @@
     pub ranks: BTreeMap<Account, u8>,
 }
 
+/// How the routes and services of a set differ from those of an older one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutingDelta {
+    /// The routes, in their order.
+    pub parts: Vec<RoutePart>,
+    /// Services, limits and ranks, if they differ; it lists no routes.
+    pub rest: Option<Routing>,
+}
+
+/// Some routes of a set that follow each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RoutePart {
+    /// Routes that the older set has too.
+    Kept {
+        /// Where the first of them stands in the older set.
+        first: usize,
+        /// How many they are.
+        count: usize,
+    },
+    /// A route that the older set does not have.
+    New(Box<Route>),
+}
+
+impl RoutingDelta {
+    /// Returns the routing that this leads to from an older one; nothing if it does not fit.
+    #[must_use]
+    pub fn apply(&self, old: &Routing) -> Option<Routing> {
+        let mut routes = Vec::new();
+        for part in &self.parts {
+            match part {
+                RoutePart::Kept { first, count } => {
+                    let kept = old.routes.get(*first..first.checked_add(*count)?)?;
+                    routes.extend_from_slice(kept);
+                }
+                RoutePart::New(route) => routes.push(Route::clone(route)),
+            }
+        }
+        let rest = self.rest.as_ref().unwrap_or(old);
+        Some(Routing { routes, ..rest.clone() })
+    }
+}
+
 /// Who sends a request, as its key tells.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Caller {
--- a/crates/badgerfield-core/src/template.rs
+++ b/crates/badgerfield-core/src/template.rs
@@ -13,7 +13,7 @@
 use crate::ids::{
     Account, Adapter, Author, BudgetId, Hardware, IdError, Model, Period, Region, Service, Version,
 };
-use crate::routing::Routing;
+use crate::routing::{RoutePart, Routing, RoutingDelta};
 
 /// The largest priority of a client account.
 pub const MAX_PRIORITY: u32 = 1000;
@@ -297,6 +297,22 @@
         Ok(wanted)
     }
 
+    /// Tells whether every template counts as changed in this version.
+    pub(crate) fn is_rewritten(&self) -> bool {
+        let accounts = self.accounts.values().all(|t| t.changed == self.version);
+        accounts && self.budgets.values().all(|t| t.changed == self.version)
+    }
+
+    /// Marks every template as changed in this version.
+    fn rewrite(&mut self) {
+        for account in self.accounts.values_mut() {
+            account.changed = self.version;
+        }
+        for budget in self.budgets.values_mut() {
+            budget.changed = self.version;
+        }
+    }
+
     /// Encodes the set as the value that the platform keeps.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
@@ -332,7 +348,7 @@
                 delta.budgets.push((id.clone(), budget.clone()));
             }
         }
-        delta.routing = Some(self.routing.clone()).filter(|r| *r != Routing::default());
+        delta.routing = Some(&self.routing).filter(|r| **r != Routing::default()).map(whole);
         delta.base = version;
         delta.account_count = self.accounts.len();
         delta.budget_count = self.budgets.len();
@@ -344,16 +360,22 @@
     /// A delta does not fit if it is not newer, starts elsewhere, or if templates
     /// were removed; the whole set is asked for then.
     pub fn advance(&mut self, delta: TemplateDelta) -> bool {
-        if delta.version <= self.version || delta.base > self.version {
+        if delta.version <= self.version || delta.base != self.version {
             return false;
         }
         let mut next = self.clone();
         next.accounts.extend(delta.accounts);
         next.budgets.extend(delta.budgets);
         if let Some(routing) = delta.routing {
+            let Some(routing) = routing.apply(&next.routing) else {
+                return false;
+            };
             next.routing = routing;
         }
         next.version = delta.version;
+        if delta.is_rewritten {
+            next.rewrite();
+        }
         let complete =
             next.accounts.len() == delta.account_count && next.budgets.len() == delta.budget_count;
         if !complete || !next.faults().is_empty() {
@@ -384,7 +406,7 @@
 /// What changed between two versions of a set, as processes pass it on.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TemplateDelta {
-    /// The version that the receiver must have reached.
+    /// The version that the receiver must have.
     pub base: Version,
     /// The version that the delta leads to.
     pub version: Version,
@@ -392,8 +414,11 @@
     pub accounts: Vec<(Account, AccountTemplate)>,
     /// The budget templates that changed.
     pub budgets: Vec<(BudgetId, BudgetTemplate)>,
-    /// The routes and services, if there are any.
-    pub routing: Option<Routing>,
+    /// How routes and services differ, if they do.
+    pub routing: Option<RoutingDelta>,
+    /// Whether every template counts as changed in this version, as where a platform writes
+    /// them whole.
+    pub is_rewritten: bool,
     /// How many account templates there are, to notice removals.
     pub account_count: usize,
     /// How many budget templates there are, to notice removals.
@@ -411,6 +436,13 @@
     Faulty(Box<TemplateFault>),
 }
 
+/// Describes a whole routing to a process of which nothing is known.
+fn whole(routing: &Routing) -> RoutingDelta {
+    let parts = routing.routes.iter().map(|r| RoutePart::New(Box::new(r.clone()))).collect();
+    let rest = Routing { routes: Vec::new(), ..routing.clone() };
+    RoutingDelta { parts, rest: Some(rest) }
+}
+
 /// Returns the account part of a budget's name.
 #[must_use]
 pub fn account_name(id: &BudgetId) -> &str {
--- a/crates/badgerfield-core/src/view.rs
+++ b/crates/badgerfield-core/src/view.rs
@@ -5,6 +5,7 @@
 //! nothing else: which process decides about a request's key, and which of two
 //! processes keeps a parked amount when one of them is removed.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -136,15 +137,20 @@
     /// the VM's listener, so the old one has ended.
     #[must_use]
     pub fn with(&self, member: Member, handed_over: bool) -> Self {
-        let old: Vec<_> = self
-            .members
-            .iter()
-            .filter(|m| m.vm == member.vm && m.incarnation != member.incarnation)
-            .map(|m| m.incarnation)
-            .collect();
+        self.with_all(vec![member], handed_over)
+    }
+
+    /// Returns the view in which several processes have joined in one step.
+    #[must_use]
+    pub fn with_all(&self, mut guests: Vec<Member>, handed_over: bool) -> Self {
+        // Of two processes of one VM, one has ended.
+        let joins: BTreeMap<_, _> = guests.iter().map(|m| (m.vm.clone(), m.incarnation)).collect();
+        guests.retain(|m| joins.get(&m.vm) == Some(&m.incarnation));
+        let is_old = |m: &&Member| joins.get(&m.vm).is_some_and(|id| *id != m.incarnation);
+        let old: Vec<_> = self.members.iter().filter(is_old).map(|m| m.incarnation).collect();
         let mut next = self.without(&old, handed_over);
-        next.members.retain(|m| m.incarnation != member.incarnation);
-        next.members.push(member);
+        next.members.retain(|m| !joins.contains_key(&m.vm));
+        next.members.extend(guests);
         next.members.sort_by_key(|m| m.incarnation);
         next
     }
@@ -252,13 +258,21 @@
 
     /// Returns the member that keeps the parked amounts of another: of the same
     /// region, and of another failure domain where there is one.
+    ///
+    /// It is the next one in the ring of members, so that each keeps the amounts of few: what
+    /// is parked with a member that is gone is out of reach until the view says so.
     #[must_use]
     pub fn bank_of(&self, id: Incarnation) -> Option<&Member> {
-        let me = self.member(id)?;
-        let ranked = self.ranked(&id.0.to_be_bytes(), Some(&me.region));
-        let others = || ranked.iter().filter(|m| m.incarnation != id);
-        let apart = others().find(|m| m.domain != me.domain);
-        apart.or_else(|| others().next()).copied()
+        let place = self.members.iter().position(|m| m.incarnation == id)?;
+        let me = self.members.get(place)?;
+        let ring = self.members.iter().cycle().skip(place + 1).take(self.members.len() - 1);
+        let is_fit = |m: &&Member| m.standing == Standing::Active && m.region == me.region;
+        let mut others = ring.filter(is_fit);
+        let first = others.next()?;
+        if first.domain != me.domain {
+            return Some(first);
+        }
+        others.find(|m| m.domain != me.domain).or(Some(first))
     }
 
     /// Returns the epoch since which a key's memory may be lost, if it may.
--- a/crates/badgerfield-core/tests/holdings.rs
+++ b/crates/badgerfield-core/tests/holdings.rs
@@ -1,5 +1,6 @@
 //! Holdings of one process: what it tells the ledger when it begins to borrow.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use badgerfield_core::Pacing;
@@ -76,14 +77,14 @@
     let own = member(1);
     let mut holdings = Holdings::new(ME, own.vm.clone(), own.region.clone(), pacing);
     // In a small view every process holds rights of its own.
-    holdings.adopt(at(0), &view(4), &mut Outbox::default());
+    holdings.adopt(at(0), &Arc::new(view(4)), &mut Outbox::default());
     let terms = Terms { version: Version(1), period: Period(1), limit: Tokens(2_000_000) };
     holdings.learn(at(0), &budget(), terms, Percent::new(50).expect("a share"));
     pass(&mut holdings, 0, 200, HELD);
     assert_eq!(holdings.figures(&budget()).free, HELD);
     // Find a view in which others lend: then what is held goes to them.
     let grown = (17..200).find(|members| {
-        holdings.adopt(at(300), &view(*members), &mut Outbox::default());
+        holdings.adopt(at(300), &Arc::new(view(*members)), &mut Outbox::default());
         holdings.tick(at(400), &mut Outbox::default());
         holdings.figures(&budget()).free.is_zero()
     });
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -15,7 +15,7 @@
 use badgerfield_core::message::{Envelope, Message};
 use badgerfield_core::mix::{Division, Needs};
 use badgerfield_core::refusal::Refusal;
-use badgerfield_core::replicas::{ReplicaChanges, ReplicaList};
+use badgerfield_core::replicas::{ListMark, ReplicaChanges, ReplicaList};
 use badgerfield_core::upstream::VmList;
 use badgerfield_core::view::{Member, Standing};
 use badgerfield_core::{Config, Event, Node, Order, TICK};
@@ -41,6 +41,18 @@
 const TAKING_PERCENT: u32 = 30;
 /// After how many ticks the time of day is read.
 const CLOCK_TICKS: u32 = 4;
+/// How many upstreams that have changed a line of the log names.
+const LOGGED_UPSTREAMS: usize = 8;
+
+/// Who told something of the list of upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// The platform.
+    Platform,
+    /// Another process.
+    Peer,
+}
+
 /// Why a process cannot start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -293,8 +305,8 @@
                 // A request that has gone meanwhile settles what it was given.
                 let _ = answer.map(|answer| answer.send(result));
             }
-            Order::LearnChanges(changes) => self.learn_changes(changes),
-            Order::LearnUpstreams(list) => self.learn_list(list),
+            Order::LearnChanges(from, changes, mark) => self.hear_changes(from, changes, mark),
+            Order::LearnUpstreams(list) => self.learn_list(list, Source::Peer),
             Order::ConfirmUpstreams(revision) => {
                 if let Some(gateway) = &self.gateway {
                     gateway.replicas().confirm(self.now(), revision);
@@ -311,13 +323,35 @@
         }
     }
 
-    /// Takes in changes of the list of upstreams, and passes on what is news.
+    /// Takes in changes of the list of upstreams that the platform told.
     pub(crate) fn learn_changes(self: &Arc<Self>, changes: ReplicaChanges) {
         let Some(gateway) = &self.gateway else {
             return;
         };
         let news = gateway.replicas().change(self.now(), changes);
-        self.pass_on_upstreams(gateway, &news);
+        self.learned(gateway, &news, Source::Platform);
+    }
+
+    /// Takes in changes of the list of upstreams that a peer passed on; if they do not lead to
+    /// the list that they should, some were missed.
+    fn hear_changes(self: &Arc<Self>, from: Incarnation, changes: ReplicaChanges, mark: ListMark) {
+        let Some(gateway) = &self.gateway else {
+            return;
+        };
+        let (news, is_same) = {
+            let mut replicas = gateway.replicas();
+            let changes = ReplicaChanges { revision: 0, ..changes };
+            let news = replicas.change(self.now(), changes);
+            let is_same = replicas.mark().digest == mark.digest;
+            if is_same {
+                replicas.confirm(self.now(), mark.revision);
+            }
+            (news, is_same || replicas.mark().revision >= mark.revision)
+        };
+        self.learned(gateway, &news, Source::Peer);
+        if !is_same {
+            self.feed(Event::UpstreamsDiffer(from));
+        }
     }
 
     /// Divides the engines between long and short prompts.
@@ -335,28 +369,43 @@
         }
     }
 
-    /// Takes in a whole list of upstreams, and passes on what is news.
-    pub(crate) fn learn_list(self: &Arc<Self>, list: ReplicaList) {
+    /// Takes in a whole list of upstreams.
+    pub(crate) fn learn_list(self: &Arc<Self>, list: ReplicaList, source: Source) {
         let Some(gateway) = &self.gateway else {
             return;
         };
-        let news = gateway.replicas().learn(self.now(), list);
-        self.pass_on_upstreams(gateway, &news);
+        let (is_first, news) = {
+            let mut replicas = gateway.replicas();
+            (replicas.is_empty(), replicas.learn(self.now(), list))
+        };
+        // What is news to a process that has just started is not news to others.
+        let source = if is_first { Source::Peer } else { source };
+        self.learned(gateway, &news, source);
     }
 
-    fn pass_on_upstreams(self: &Arc<Self>, gateway: &Gateway, news: &[UpstreamId]) {
-        let (mark, changes) = {
+    /// Logs what was news in the list of upstreams, and tells others what the platform told.
+    fn learned(self: &Arc<Self>, gateway: &Gateway, news: &[UpstreamId], source: Source) {
+        let (mark, count, changes) = {
             let replicas = gateway.replicas();
-            (replicas.mark(), replicas.changes_of(news))
+            let changes = ReplicaChanges { revision: 0, ..replicas.changes_of(news) };
+            (replicas.mark(), replicas.len(), changes)
         };
         self.feed(Event::ListMark(mark));
-        if news.is_empty() {
-            return;
+        if !news.is_empty() {
+            let few: Vec<_> = news.iter().take(LOGGED_UPSTREAMS).map(UpstreamId::as_str).collect();
+            log::info!(
+                target: PLATFORM,
+                "upstreams changed list={} count={count} changed={} ids={}",
+                mark.revision,
+                news.len(),
+                few.join(",")
+            );
         }
-        for id in news {
-            log::info!(target: PLATFORM, "upstream changed id={id} list={}", mark.revision);
+        // In a small fleet everybody passes on what is news to it.
+        let is_small = self.node.is_small_fleet();
+        if source == Source::Platform || (is_small && !news.is_empty()) {
+            self.feed(Event::UpstreamChanges(changes));
         }
-        self.feed(Event::UpstreamChanges(changes));
     }
 
     fn tell_upstreams(self: &Arc<Self>, to: Incarnation) {
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -8,7 +8,7 @@
 use badgerfield_core::replicas::ReplicaChanges;
 
 use crate::adapter::Watched;
-use crate::driver::Driver;
+use crate::driver::{Driver, Source};
 use crate::gateway::directory;
 use crate::gateway::state::Gateway;
 use crate::logs::PLATFORM;
@@ -140,7 +140,7 @@
         log::info!(target: PLATFORM, "list of upstreams regained away_ms={away}");
     }
     let revision = list.revision;
-    driver.learn_list(list);
+    driver.learn_list(list, Source::Platform);
     Some(revision)
 }
 
--- a/crates/badgerfield-node/src/peers.rs
+++ b/crates/badgerfield-node/src/peers.rs
@@ -9,7 +9,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use badgerfield_core::ids::Incarnation;
@@ -40,8 +40,18 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// How long a peer that could not be reached is left alone.
 const PAUSE: Duration = Duration::from_millis(200);
-/// How long a connection may stay silent.
+/// How long a connection may stay silent. It is not kept alive: signs of life keep those of
+/// neighbours open, and all others are closed when they are no longer used.
 const IDLE: Duration = Duration::from_secs(10);
+/// How many bytes one stream may carry ahead of its reader. Most messages have 100 B; the
+/// largest, a whole set of templates, takes a few more round trips.
+const STREAM_WINDOW: u32 = 128 << 10;
+/// How many bytes all streams of a connection may carry ahead of their reader.
+const WINDOW: u32 = 512 << 10;
+/// How many batches one peer may send at once.
+const STREAMS: u32 = 64;
+/// How many bytes of signs of life may wait to be sent or read; older ones are dropped.
+const DATAGRAMS: usize = 16 << 10;
 /// The name of the protocol in the handshake.
 const PROTOCOL: &[u8] = b"badgerfield/1";
 /// What precedes the seed of an Ed25519 key in PKCS #8, by RFC 8410.
@@ -215,10 +225,29 @@
 /// Sends messages to peers and receives theirs.
 #[derive(Debug)]
 pub struct Peers {
-    endpoint: Endpoint,
+    network: Network,
     lines: Mutex<HashMap<Incarnation, Line>>,
 }
 
+/// What receives messages.
+type Deliver = Arc<dyn Fn(Envelope) + Send + Sync>;
+
+/// The connections of this process; one serves both directions, whoever opened it.
+#[derive(Clone)]
+struct Network {
+    endpoint: Endpoint,
+    /// A process that starts anew on a VM has the address of the one before, but none of its
+    /// connections, so these belong to incarnations.
+    open: Arc<Mutex<HashMap<Incarnation, Connection>>>,
+    deliver: Arc<OnceLock<Deliver>>,
+}
+
+impl fmt::Debug for Network {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Network").field("endpoint", &self.endpoint).finish_non_exhaustive()
+    }
+}
+
 #[derive(Debug)]
 struct Line {
     address: SocketAddr,
@@ -264,7 +293,15 @@
 
         let mut transport = TransportConfig::default();
         transport.max_idle_timeout(IDLE.try_into().ok());
-        transport.keep_alive_interval(Some(IDLE / 3));
+        transport.max_concurrent_bidi_streams(0_u32.into());
+        transport.max_concurrent_uni_streams(STREAMS.into());
+        transport.stream_receive_window(STREAM_WINDOW.into());
+        transport.receive_window(WINDOW.into());
+        transport.send_window(WINDOW.into());
+        transport.datagram_receive_buffer_size(Some(DATAGRAMS));
+        transport.datagram_send_buffer_size(DATAGRAMS);
+        // Messages are smaller than the least that every path carries.
+        transport.mtu_discovery_config(None);
         let transport = Arc::new(transport);
         let mut server =
             quinn::ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(server)?));
@@ -273,18 +310,21 @@
         client.transport_config(transport);
         let mut endpoint = Endpoint::server(server, address)?;
         endpoint.set_default_client_config(client);
-        Ok(Self { endpoint, lines: Mutex::default() })
+        let (open, deliver) = (Arc::default(), Arc::default());
+        Ok(Self { network: Network { endpoint, open, deliver }, lines: Mutex::default() })
     }
 
     /// Receives messages until the process ends.
-    pub async fn receive(&self, deliver: impl Fn(Envelope) + Clone + Send + 'static) {
-        while let Some(incoming) = self.endpoint.accept().await {
-            let deliver = deliver.clone();
+    pub async fn receive(&self, deliver: impl Fn(Envelope) + Send + Sync + 'static) {
+        // Only the first receiver is told anything; a process has one.
+        let _ = self.network.deliver.set(Arc::new(deliver));
+        while let Some(incoming) = self.network.endpoint.accept().await {
+            let network = self.network.clone();
             tokio::spawn(async move {
-                let Ok(connection) = incoming.await else {
-                    return;
-                };
-                serve(connection, deliver).await;
+                match incoming.await {
+                    Ok(connection) => network.serve(connection).await,
+                    Err(error) => log::debug!(target: PEERS, "no connection came up: {error}"),
+                }
             });
         }
     }
@@ -296,9 +336,12 @@
         if lines.get(&to).is_some_and(|line| line.address != address || line.queue.is_closed()) {
             lines.remove(&to);
         }
+        if !lines.contains_key(&to) {
+            lines.retain(|_, line| !line.queue.is_closed());
+        }
         let line = lines.entry(to).or_insert_with(|| {
             let (queue, waiting) = mpsc::channel(QUEUE);
-            tokio::spawn(pass_on(self.endpoint.clone(), address, waiting));
+            tokio::spawn(self.network.clone().pass_on(to, address, waiting));
             Line { address, queue }
         });
         if line.queue.try_send(envelope).is_err() {
@@ -314,8 +357,9 @@
 
     /// Closes all connections.
     pub async fn close(&self) {
-        self.endpoint.close(0_u32.into(), b"stopping");
-        let _ = tokio::time::timeout(Duration::from_millis(500), self.endpoint.wait_idle()).await;
+        let endpoint = &self.network.endpoint;
+        endpoint.close(0_u32.into(), b"stopping");
+        let _ = tokio::time::timeout(Duration::from_millis(500), endpoint.wait_idle()).await;
     }
 }
 
@@ -323,21 +367,6 @@
     key.cert.first().map(|c| c.as_ref().to_vec()).unwrap_or_default()
 }
 
-async fn serve(connection: Connection, deliver: impl Fn(Envelope) + Clone + Send + 'static) {
-    while let Ok(mut stream) = connection.accept_uni().await {
-        let deliver = deliver.clone();
-        tokio::spawn(async move {
-            let Ok(bytes) = stream.read_to_end(MAX_BATCH).await else {
-                return;
-            };
-            match decode(&bytes) {
-                Ok(batch) => batch.into_iter().for_each(&deliver),
-                Err(error) => log::warn!(target: PEERS, "dropped a batch: {error}"),
-            }
-        });
-    }
-}
-
 /// Encodes a batch of messages.
 #[must_use]
 pub fn encode(batch: &[Envelope]) -> Vec<u8> {
@@ -354,29 +383,136 @@
     postcard::from_bytes(bytes)
 }
 
-async fn pass_on(endpoint: Endpoint, address: SocketAddr, mut waiting: mpsc::Receiver<Envelope>) {
-    let mut connection: Option<Connection> = None;
-    let mut batch = Vec::new();
-    while waiting.recv_many(&mut batch, BATCH).await > 0 {
-        let bytes = encode(&batch);
-        batch.clear();
-        if connection.as_ref().is_none_or(|c| c.close_reason().is_some()) {
-            connection = connect(&endpoint, address).await;
-        }
-        let Some(open) = &connection else {
-            // Messages for a peer that cannot be reached are worth nothing later.
-            tokio::time::sleep(PAUSE).await;
-            while waiting.try_recv().is_ok() {}
-            continue;
+impl Network {
+    /// Receives messages on a connection until it is closed, whoever opened it.
+    async fn serve(self, connection: Connection) {
+        let ended = loop {
+            tokio::select! {
+                stream = connection.accept_uni() => match stream {
+                    Ok(mut stream) => {
+                        let (network, connection) = (self.clone(), connection.clone());
+                        tokio::spawn(async move {
+                            // A batch whose sender went away is sent again or not needed.
+                            if let Ok(bytes) = stream.read_to_end(MAX_BATCH).await {
+                                network.take(&connection, &bytes);
+                            }
+                        });
+                    }
+                    Err(error) => break error,
+                },
+                datagram = connection.read_datagram() => match datagram {
+                    Ok(bytes) => self.take(&connection, &bytes),
+                    Err(error) => break error,
+                },
+            }
         };
-        let Ok(mut stream) = open.open_uni().await else {
-            connection = None;
-            continue;
+        let address = connection.remote_address();
+        log::debug!(target: PEERS, "connection with {address} ended: {ended}");
+        lock(&self.open).retain(|_, open| open.stable_id() != connection.stable_id());
+    }
+
+    /// Hands on a batch, and notes whose connection it came on.
+    fn take(&self, connection: &Connection, bytes: &[u8]) {
+        let Some(deliver) = self.deliver.get() else {
+            return;
         };
-        if stream.write_all(&bytes).await.is_err() || stream.finish().is_err() {
-            connection = None;
+        match decode(bytes) {
+            Ok(batch) => {
+                if let Some(first) = batch.first() {
+                    self.note(first.from, connection);
+                }
+                for envelope in batch {
+                    deliver(envelope);
+                }
+            }
+            Err(error) => log::warn!(target: PEERS, "dropped a batch: {error}"),
+        }
+    }
+
+    fn note(&self, peer: Incarnation, connection: &Connection) {
+        let mut open = lock(&self.open);
+        let is_open = open.get(&peer).is_some_and(|c| c.close_reason().is_none());
+        if !is_open {
+            open.insert(peer, connection.clone());
+        }
+    }
+
+    /// Sends what is queued for one peer until nothing has come for a while.
+    async fn pass_on(
+        self,
+        to: Incarnation,
+        address: SocketAddr,
+        mut waiting: mpsc::Receiver<Envelope>,
+    ) {
+        let mut batch = Vec::new();
+        loop {
+            let received = waiting.recv_many(&mut batch, BATCH);
+            match tokio::time::timeout(IDLE, received).await {
+                Ok(count) if count > 0 => {}
+                Ok(_) | Err(_) => return,
+            }
+            let Some(connection) = self.connection(to, address).await else {
+                // Messages for a peer that cannot be reached are worth nothing later.
+                batch.clear();
+                tokio::time::sleep(PAUSE).await;
+                while waiting.try_recv().is_ok() {}
+                continue;
+            };
+            let (repeated, others): (Vec<_>, Vec<_>) =
+                batch.drain(..).partition(|envelope| envelope.message.is_repeated());
+            let unsent = send_datagram(&connection, repeated);
+            let rest: Vec<_> = unsent.into_iter().chain(others).collect();
+            if rest.is_empty() {
+                continue;
+            }
+            if let Err(error) = send_stream(&connection, &rest).await {
+                log::debug!(target: PEERS, "lost {} messages to {address}: {error}", rest.len());
+            }
+        }
+    }
+
+    /// Returns the connection with a peer, opening one if there is none.
+    async fn connection(&self, to: Incarnation, address: SocketAddr) -> Option<Connection> {
+        let open = lock(&self.open).get(&to).cloned();
+        if let Some(connection) = open.filter(|c| c.close_reason().is_none()) {
+            return Some(connection);
         }
+        let connection = connect(&self.endpoint, address).await?;
+        lock(&self.open).insert(to, connection.clone());
+        tokio::spawn(self.clone().serve(connection.clone()));
+        Some(connection)
+    }
+}
+
+/// Sends messages that may be lost in one packet; returns those that do not fit.
+fn send_datagram(connection: &Connection, batch: Vec<Envelope>) -> Vec<Envelope> {
+    if batch.is_empty() {
+        return batch;
+    }
+    let bytes = encode(&batch);
+    let fits = connection.max_datagram_size().is_some_and(|most| bytes.len() <= most);
+    if fits && connection.send_datagram(bytes.into()).is_ok() {
+        return Vec::new();
     }
+    batch
+}
+
+async fn send_stream(connection: &Connection, batch: &[Envelope]) -> Result<(), SendError> {
+    let mut stream = connection.open_uni().await?;
+    stream.write_all(&encode(batch)).await?;
+    stream.finish()?;
+    Ok(())
+}
+
+/// Why a batch was not sent.
+#[derive(Debug, Error)]
+enum SendError {
+    #[error(transparent)]
+    Connection(#[from] quinn::ConnectionError),
+    #[error(transparent)]
+    Write(#[from] quinn::WriteError),
+    #[error(transparent)]
+    Closed(#[from] quinn::ClosedStream),
 }
 
 async fn connect(endpoint: &Endpoint, address: SocketAddr) -> Option<Connection> {
--- a/crates/badgerfield-standin/src/capacity.rs
+++ b/crates/badgerfield-standin/src/capacity.rs
@@ -2,6 +2,7 @@
 //!
 //! Each table varies one size and keeps the others, so that a curve would show.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use badgerfield_core::amount::{Percent, Rate, Time, Tokens};
@@ -211,7 +212,7 @@
         let mut claims = Claims::new(me, Duration::from_secs(900));
         let mut out = Outbox::default();
         let view = View::default().with(member(0, 0, 0, me), true);
-        claims.adopt(Time::default(), &view, &mut out);
+        claims.adopt(Time::default(), &Arc::new(view.clone()), &mut out);
         let before = resident();
         let work = Instant::now();
         for n in 0..count {
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -508,7 +508,7 @@
             Order::Cancel(attempt) => self.cancel(from, attempt),
             Order::Answer(id, _, answer) => self.answered(id, answer),
             // These fleets have no routes, and so no list of their upstreams.
-            Order::LearnChanges(_)
+            Order::LearnChanges(..)
             | Order::LearnUpstreams(_)
             | Order::ConfirmUpstreams(_)
             | Order::DivideEngines(_)
--- /dev/null
+++ b/crates/badgerfield-standin/tests/large_fleet.rs
@@ -0,0 +1,150 @@
+//! What a fleet of hundreds of VMs says to itself and to the platform: nothing may grow with
+//! the square of the fleet. Each count is per VM, so that it may be compared between sizes.
+
+use std::time::Duration;
+
+use badgerfield_standin::fleet::{Fleet, Shape};
+
+const VMS: usize = 300;
+/// How long all VMs may take to get into the view, and to know it, when all start at once.
+const START: Duration = Duration::from_secs(6);
+
+/// What was sent and called in some span.
+#[derive(Debug, Clone, Copy, Default)]
+struct Traffic {
+    messages: u64,
+    bytes: u64,
+    handovers: u64,
+    views: u64,
+    writes: u64,
+}
+
+impl Traffic {
+    /// Returns what was counted since the fleet was made.
+    fn of(fleet: &Fleet) -> Self {
+        let mut all = Self { writes: fleet.platform.writes, ..Self::default() };
+        for (kind, (messages, bytes)) in fleet.messages() {
+            all.messages += messages;
+            all.bytes += bytes;
+            match *kind {
+                "handover" => all.handovers += messages,
+                "view" => all.views += bytes,
+                _ => {}
+            }
+        }
+        all
+    }
+
+    fn since(self, before: Self) -> Self {
+        Self {
+            messages: self.messages - before.messages,
+            bytes: self.bytes - before.bytes,
+            handovers: self.handovers - before.handovers,
+            views: self.views - before.views,
+            writes: self.writes - before.writes,
+        }
+    }
+
+    /// Divides the counts by the number of VMs.
+    fn per_vm(self, vms: usize) -> Self {
+        let vms = u64::try_from(vms).expect("few VMs");
+        Self {
+            messages: self.messages / vms,
+            bytes: self.bytes / vms,
+            handovers: self.handovers / vms,
+            views: self.views / vms,
+            writes: self.writes / vms,
+        }
+    }
+}
+
+fn start(vms: usize) -> Fleet {
+    let shape = Shape { regions: vec![vms], seals: true, noise: 0, ..Shape::default() };
+    let mut fleet = Fleet::new(shape);
+    for vm in 0..vms {
+        fleet.start(vm);
+    }
+    fleet.advance(START);
+    assert_knows_all(&fleet);
+    fleet
+}
+
+/// Checks that every VM that runs knows exactly those that run as members.
+fn assert_knows_all(fleet: &Fleet) {
+    let running = (0..fleet.size()).filter(|vm| fleet.runs(*vm)).count();
+    assert_eq!(fleet.usable().len(), running, "not all are in the view");
+    for node in (0..fleet.size()).filter_map(|vm| fleet.node(vm)) {
+        assert_eq!(node.view().members.len(), running, "what {} knows", node.id());
+        assert_eq!(node.view().members, fleet.platform.view().members, "members at {}", node.id());
+    }
+}
+
+#[test]
+fn a_start_of_all_costs_each_vm_little() {
+    let fleet = start(VMS);
+    let spent = Traffic::of(&fleet).per_vm(VMS);
+    println!("start of {VMS}: {spent:?} a VM");
+    assert_eq!(Traffic::of(&fleet).handovers, 0, "nobody has claims to hand over");
+    assert!(spent.messages <= 500, "{spent:?}");
+    assert!(spent.bytes <= 120_000, "{spent:?}");
+    assert!(spent.views <= 60_000, "{spent:?}");
+    assert!(spent.writes <= 7, "{spent:?}");
+}
+
+#[test]
+fn a_larger_fleet_says_little_more_a_vm() {
+    let (small, large) = (75, VMS);
+    let few = Traffic::of(&start(small)).per_vm(small);
+    let many = Traffic::of(&start(large)).per_vm(large);
+    println!("start of {small}: {few:?}, of {large}: {many:?} a VM");
+    // Neighbours stand in doubling steps, so that messages grow with the logarithm.
+    assert!(many.messages <= few.messages * 2, "{few:?} {many:?}");
+    // Each learns of every other once: bytes may grow with the fleet, but not faster.
+    assert!(many.bytes <= few.bytes * 4, "{few:?} {many:?}");
+}
+
+#[test]
+fn a_calm_fleet_stays_below_the_bytes_that_control_may_take() {
+    let mut fleet = start(VMS);
+    fleet.advance(Duration::from_secs(4));
+    let before = Traffic::of(&fleet);
+    fleet.advance(Duration::from_secs(5));
+    let spent = Traffic::of(&fleet).since(before).per_vm(VMS);
+    println!("5 s of calm: {spent:?} a VM");
+    assert!(spent.bytes / 5 <= 2_000, "{spent:?}");
+    assert_eq!(spent.handovers, 0, "{spent:?}");
+}
+
+#[test]
+fn the_view_becomes_complete_in_a_large_fleet() {
+    let mut fleet = start(VMS);
+    fleet.advance(Duration::from_secs(4));
+    let view = fleet.platform.view();
+    assert_eq!(view.complete, view.epoch, "the platform's view");
+    for node in (0..VMS).filter_map(|vm| fleet.node(vm)) {
+        let status = node.status();
+        assert_eq!(status.complete, status.epoch, "{} is not sure of its claims", node.id());
+    }
+}
+
+#[test]
+fn replacing_many_at_once_costs_each_vm_little() {
+    let mut fleet = start(VMS);
+    fleet.advance(Duration::from_secs(4));
+    let before = Traffic::of(&fleet);
+    let replaced = VMS * 45 / 100;
+    for vm in 0..replaced {
+        fleet.kill(vm);
+    }
+    fleet.advance(Duration::from_secs(1));
+    for vm in 0..replaced {
+        fleet.start(vm);
+    }
+    fleet.advance(START);
+    assert_knows_all(&fleet);
+    let spent = Traffic::of(&fleet).since(before).per_vm(VMS);
+    println!("45 in 100 replaced: {spent:?} a VM");
+    assert_eq!(spent.handovers, 0, "nobody has claims to hand over");
+    assert!(spent.messages <= 700, "{spent:?}");
+    assert!(spent.bytes <= 160_000, "{spent:?}");
+}
--- a/crates/badgerfield-standin/tests/promises.rs
+++ b/crates/badgerfield-standin/tests/promises.rs
@@ -134,3 +134,36 @@
     let case = Case::all(1).remove(3);
     assert_eq!(Ours.run(&case), Ours.run(&case), "the same seed gives the same figures");
 }
+
+#[test]
+fn who_cannot_reach_its_parked_tokens_answers_soon() {
+    // What a VM parked with a peer is out of its reach when that peer is gone and the platform,
+    // which would remove it from the view, does not answer.
+    for lost in 0..4 {
+        let shape = Shape { regions: vec![4], noise: 0, limits: vec![100_000], ..Shape::default() };
+        let mut fleet = Fleet::started(shape);
+        // Demand that makes every VM hold a part, and park most of it.
+        for round in 0..40 {
+            fleet.ask(round % 4, wish(0));
+            fleet.advance(Duration::from_millis(250));
+        }
+        fleet.advance(Duration::from_secs(10));
+        fleet.platform.down = true;
+        fleet.kill(lost);
+        let survivors: Vec<_> = (0..4).filter(|vm| *vm != lost).collect();
+        let mut asked = Vec::new();
+        for round in 0..400 {
+            asked.push(fleet.ask(survivors[round % survivors.len()], wish(0)));
+            fleet.advance(Duration::from_millis(50));
+        }
+        fleet.advance(Duration::from_secs(8));
+        for id in asked {
+            let request = &fleet.asked[&id];
+            let Some((End::Refused(refusal), at)) = &request.end else {
+                continue;
+            };
+            let waited = at.since(request.at);
+            assert!(waited < Duration::from_millis(1500), "VM {lost} gone: {waited:?} {refusal:?}");
+        }
+    }
+}
