Count the calls to the store by purpose, and keep ranks until the view changes

Ranks among the members were sorted anew at each tick of each process (three rankings of 295 members, 20 times a second).

--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -29,6 +29,8 @@
 const TURN: Duration = Duration::from_secs(3);
 /// How many processes that are not in the view are remembered, removed or about to join.
 const MAX_FORMER: usize = 64;
+/// How many members of a region read the platform's values all the time.
+const READERS: usize = 2;
 /// How many members of a region follow the platform's values in a larger view.
 const FOLLOWERS: usize = 3;
 /// How many members of a region follow the platform's values if the first are cut off.
@@ -77,12 +79,39 @@
     offset: Option<u64>,
 }
 
+/// Where this process stands by rank, in the duties that few members have. Ranks change with
+/// the view only, and are asked for at every tick.
+#[derive(Debug, Clone, Copy, Default)]
+struct Ranks {
+    /// Its place among the region's readers of the platform's values.
+    reader: Option<usize>,
+    /// Its place among the region's followers of the list of upstreams.
+    follower: Option<usize>,
+    /// Its place among those that mark complete views.
+    marker: Option<usize>,
+}
+
+impl Ranks {
+    fn of(view: &View, me: &Member) -> Self {
+        let place = |subject: &[u8], region| {
+            let ranked = view.ranked(subject, region);
+            ranked.iter().position(|m| m.incarnation == me.incarnation)
+        };
+        Self {
+            reader: place(b"reader", Some(&me.region)),
+            follower: place(b"follower", Some(&me.region)),
+            marker: place(b"marker", None),
+        }
+    }
+}
+
 /// The table of members.
 #[derive(Debug)]
 pub(crate) struct Membership {
     pub(crate) me: Member,
     /// The view in force.
     pub(crate) view: Arc<View>,
+    ranks: Ranks,
     /// How the view has changed of late, for members that are behind.
     pub(crate) log: ViewLog,
     /// The view as the platform had it at `revision`: what a write of the view builds on.
@@ -137,6 +166,7 @@
         Self {
             me,
             view: Arc::default(),
+            ranks: Ranks::default(),
             log: ViewLog::default(),
             stored: Arc::default(),
             revision: 0,
@@ -239,6 +269,7 @@
         let was = self.is_member();
         let old = std::mem::replace(&mut self.view, Arc::clone(view));
         self.log.note(&old, view);
+        self.ranks = Ranks::of(view, &self.me);
         self.removed |= was && !self.is_member() && self.wish != Wish::Quit;
         for member in &self.view.members {
             let sign = Sign { heard: now, ..Sign::default() };
@@ -331,8 +362,7 @@
         if self.is_alone(now) || !self.is_member() {
             return true;
         }
-        let ranked = self.view.ranked(b"reader", Some(&self.me.region));
-        ranked.iter().take(2).any(|m| m.incarnation == self.id())
+        self.ranks.reader.is_some_and(|place| place < READERS)
     }
 
     /// Tells whether this process follows the platform's values itself; `heard` is how long
@@ -344,9 +374,7 @@
         if self.view.members.len() <= SMALL_VIEW || !self.is_member() || self.is_alone(now) {
             return true;
         }
-        let ranked = self.view.ranked(b"follower", Some(&self.me.region));
-        let place = ranked.iter().position(|m| m.incarnation == self.id());
-        let wait = match place.unwrap_or(usize::MAX) {
+        let wait = match self.ranks.follower.unwrap_or(usize::MAX) {
             0..FOLLOWERS => return true,
             FOLLOWERS..SUBSTITUTES => SUBSTITUTES_AFTER,
             _ => ALL_AFTER,
@@ -362,8 +390,7 @@
 
     /// Tells whether this process marks complete views.
     pub(crate) fn is_marker(&self) -> bool {
-        let first = self.view.ranked(b"marker", None).into_iter().next();
-        first.is_some_and(|m| m.incarnation == self.id())
+        self.ranks.marker == Some(0)
     }
 
     /// Tells whether this process has a view to mark as complete, up to this epoch, that it
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -33,6 +33,7 @@
 use crate::metrics::{GatewayCounts, Metrics};
 use crate::peers::{PeerError, Peers};
 use crate::settings::Settings;
+use crate::store_calls::{self, CallKind};
 use crate::sync::lock;
 use crate::upstreams::Upstreams;
 
@@ -282,7 +283,7 @@
             }
             Order::KeyValue(ticket, call) => {
                 let driver = Arc::clone(self);
-                self.metrics.kv_calls.inc();
+                self.metrics.calls.count(CallKind::of(&call));
                 tokio::spawn(async move {
                     let result = driver.store.call(&call).await;
                     driver.metrics.count_kv(&result);
@@ -487,6 +488,7 @@
 
     async fn tick(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(TICK);
+        let mut logged = Instant::now();
         let mut count: u32 = 0;
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -495,6 +497,10 @@
                 self.feed(Event::Clock(wall_clock()));
             }
             count = count.wrapping_add(1);
+            if logged.elapsed() >= store_calls::LOG_EVERY {
+                logged = Instant::now();
+                self.metrics.calls.log();
+            }
             self.feed(Event::Tick);
         }
     }
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -12,6 +12,7 @@
 use crate::gateway::directory;
 use crate::gateway::state::Gateway;
 use crate::logs::PLATFORM;
+use crate::store_calls::CallKind;
 
 /// How long a call rests that failed once.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -50,6 +51,7 @@
         }
         if after == 0 {
             let call = KvCall::Get(KvName::Templates);
+            driver.metrics.calls.count(CallKind::of(&call));
             if let KvResult::Value(found) = driver.store.call(&call).await {
                 after = found.revision;
                 driver.feed(Event::Templates(found));
@@ -59,6 +61,7 @@
                 continue;
             }
         }
+        driver.metrics.calls.count(CallKind::TemplatesWatch);
         match driver.store.watch_templates(after).await {
             Watched::Changed(found) => {
                 pause = Pause::default();
@@ -102,6 +105,7 @@
         while read_at.elapsed() < every && is_on_duty(&driver) {
             refresh(&driver, &gateway);
             tokio::time::sleep(WATCH_PACE).await;
+            driver.metrics.calls.count(CallKind::UpstreamsWatch);
             let watched = gateway.adapter.discovery.watch(after);
             match tokio::time::timeout_at(read_at + every, watched).await {
                 Ok(Watched::Changed(changes)) => {
@@ -125,6 +129,7 @@
     gateway: &Gateway,
     away: &mut Option<Instant>,
 ) -> Option<u64> {
+    driver.metrics.calls.count(CallKind::UpstreamsRead);
     let list = match gateway.adapter.discovery.list().await {
         Ok(list) => list,
         Err(error) => {
--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod operators;
 pub mod peers;
 pub mod settings;
+mod store_calls;
 pub mod sync;
 pub mod templates;
 pub mod upstreams;
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::log_lines;
+use crate::store_calls::StoreCalls;
 
 /// The reason of a refusal, and whether the request ran.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -86,7 +87,7 @@
     pub(crate) gateway: GatewayCounts,
     pub(crate) requests: Counter,
     pub(crate) messages: Counter,
-    pub(crate) kv_calls: Counter,
+    pub(crate) calls: StoreCalls,
     pub(crate) bad_templates: Counter,
     kv_results: Family<KvLabel, Counter>,
     refusals: Family<RefusalLabel, Counter>,
@@ -120,7 +121,7 @@
             gateway,
             requests: Counter::default(),
             messages: Counter::default(),
-            kv_calls: Counter::default(),
+            calls: StoreCalls::default(),
             bad_templates: Counter::default(),
             kv_results: Family::default(),
             refusals: Family::default(),
@@ -150,7 +151,7 @@
         let r = &mut self.registry;
         r.register("requests", "Requests taken in", self.requests.clone());
         r.register("peer_messages", "Messages sent to peers", self.messages.clone());
-        r.register("kv_calls", "Calls to the key-value service", self.kv_calls.clone());
+        self.calls.register(r);
         r.register("kv_results", "Ends of calls to the key-value service", self.kv_results.clone());
         r.register("bad_templates", "Reads of unusable templates", self.bad_templates.clone());
         r.register("refusals", "Refusals by cause", self.refusals.clone());
--- /dev/null
+++ b/crates/badgerfield-node/src/store_calls.rs
@@ -0,0 +1,110 @@
+//! Counts the calls to the platform's store by what they are for.
+//!
+//! The store serves a limited rate of calls for the whole fleet and may price each, so an
+//! operator must see which mechanism makes them.
+
+use std::time::Duration;
+
+use badgerfield_core::event::{KvCall, KvName};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+
+use crate::logs::PLATFORM;
+
+/// How often a line of the log says what was called.
+pub(crate) const LOG_EVERY: Duration = Duration::from_secs(10);
+
+/// What a call is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallKind {
+    /// Reads the membership view.
+    ViewRead,
+    /// Writes the membership view.
+    ViewWrite,
+    /// Reads a shard of the ledger.
+    LedgerRead,
+    /// Writes a shard of the ledger.
+    LedgerWrite,
+    /// Reads the templates.
+    TemplatesRead,
+    /// Waits for a change of the templates.
+    TemplatesWatch,
+    /// Reads the list of upstreams.
+    UpstreamsRead,
+    /// Waits for a change of the list of upstreams.
+    UpstreamsWatch,
+}
+
+impl CallKind {
+    const ALL: [Self; 8] = [
+        Self::ViewRead,
+        Self::ViewWrite,
+        Self::LedgerRead,
+        Self::LedgerWrite,
+        Self::TemplatesRead,
+        Self::TemplatesWatch,
+        Self::UpstreamsRead,
+        Self::UpstreamsWatch,
+    ];
+
+    /// Tells what a call is for.
+    pub(crate) fn of(call: &KvCall) -> Self {
+        match call {
+            KvCall::Get(KvName::View) => Self::ViewRead,
+            KvCall::Get(KvName::Templates) | KvCall::Swap { name: KvName::Templates, .. } => {
+                Self::TemplatesRead
+            }
+            KvCall::Get(KvName::Ledger(_)) => Self::LedgerRead,
+            KvCall::Swap { name: KvName::View, .. } => Self::ViewWrite,
+            KvCall::Swap { name: KvName::Ledger(_), .. } => Self::LedgerWrite,
+        }
+    }
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::ViewRead => "view_read",
+            Self::ViewWrite => "view_write",
+            Self::LedgerRead => "ledger_read",
+            Self::LedgerWrite => "ledger_write",
+            Self::TemplatesRead => "templates_read",
+            Self::TemplatesWatch => "templates_watch",
+            Self::UpstreamsRead => "upstreams_read",
+            Self::UpstreamsWatch => "upstreams_watch",
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PurposeLabel {
+    purpose: &'static str,
+}
+
+/// The counts of calls since the process started.
+#[derive(Debug, Default)]
+pub(crate) struct StoreCalls {
+    counts: Family<PurposeLabel, Counter>,
+}
+
+impl StoreCalls {
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        let help = "Calls to the platform's store by purpose";
+        registry.register("kv_calls", help, self.counts.clone());
+    }
+
+    /// Counts a call.
+    pub(crate) fn count(&self, kind: CallKind) {
+        self.counts.get_or_create(&PurposeLabel { purpose: kind.as_str() }).inc();
+    }
+
+    /// Logs the counts in one line.
+    pub(crate) fn log(&self) {
+        let count = |kind: CallKind| {
+            let label = PurposeLabel { purpose: kind.as_str() };
+            format!("{}={}", kind.as_str(), self.counts.get_or_create(&label).get())
+        };
+        let counts: Vec<_> = CallKind::ALL.into_iter().map(count).collect();
+        log::info!(target: PLATFORM, "calls {}", counts.join(" "));
+    }
+}
