Let few draw from the ledger when the lenders of a budget do not answer

After three of them had been silent each borrower drew from the ledger itself; all eight VMs whose logs were read did, for several budgets, so that the ledger's one value named hundreds of holders. Its writes took 1.2 to 3.8 s, and since all holders share half of what is left, later draws were granted nothing with hundreds of thousands of tokens left (share:0).

Now three more members stand in for the lenders of a budget: only they draw when nobody lends, and lend to others. All other borrowers refuse when none of the six answers. A borrower whose lender has left the view asks anew at once instead of waiting 0.7 s for it.

Ruled out: the small first views of a start, which name few.

--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -143,6 +143,8 @@
     pub(crate) plan: Plan,
     /// Whom this process borrows from; none if it holds rights of its own.
     pub(crate) lenders: Vec<Incarnation>,
+    /// Whether this process stands in for lenders that do not answer.
+    pub(crate) stands_in: bool,
     /// When something was lent last.
     pub(crate) lent: Option<Time>,
     /// When a lender was asked for what is to be kept at hand.
@@ -201,6 +203,7 @@
             others: Vec::new(),
             plan: Plan::Share(Tokens::MAX),
             lenders: Vec::new(),
+            stands_in: false,
             lent: None,
             asked: None,
             waiters: VecDeque::new(),
@@ -382,6 +385,11 @@
         !self.lenders.is_empty()
     }
 
+    /// Tells whether this process may draw from the ledger for itself or for others.
+    pub(crate) fn may_draw(&self) -> bool {
+        !self.borrows() || self.stands_in
+    }
+
     /// Tells whether something may come back from requests here or at borrowers.
     pub(crate) fn may_get_back(&self, now: Time) -> bool {
         !self.reserved.is_zero() || self.lent.is_some_and(|at| now.since(at) < LENT)
--- a/crates/badgerfield-core/src/holdings/lending.rs
+++ b/crates/badgerfield-core/src/holdings/lending.rs
@@ -42,9 +42,10 @@
         self.lenders = Lenders::of(&self.view, &self.region);
         let mut changed = false;
         for (budget, holding) in &mut self.table {
-            let lenders = self.lenders.holders(budget, self.me);
-            changed |= lenders.is_empty() != holding.lenders.is_empty();
-            holding.lenders = lenders;
+            let part = self.lenders.part(budget, self.me);
+            changed |= part.lenders.is_empty() != holding.lenders.is_empty();
+            holding.lenders = part.lenders;
+            holding.stands_in = part.stands_in;
         }
         if changed {
             let held = self.table.values().filter(|holding| !holding.borrows()).count();
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -184,7 +184,9 @@
         let Some(holding) = self.table.get_mut(budget) else {
             let hold = (spread, self.pacing.ahead);
             let mut holding = Holding::new(now, terms, hold, self.region.clone());
-            holding.lenders = self.lenders.holders(budget, self.me);
+            let part = self.lenders.part(budget, self.me);
+            holding.lenders = part.lenders;
+            holding.stands_in = part.stands_in;
             self.table.insert(budget.clone(), holding);
             return;
         };
@@ -196,8 +198,10 @@
             let waiters = std::mem::take(&mut holding.waiters);
             let hold = (spread, self.pacing.ahead);
             let lenders = std::mem::take(&mut holding.lenders);
+            let stands_in = holding.stands_in;
             *holding = Holding::new(now, terms, hold, self.region.clone());
             holding.lenders = lenders;
+            holding.stands_in = stands_in;
             // Whoever waits is served from the new period, and the search starts anew.
             holding.hunt = (!waiters.is_empty()).then_some(Hunt::Ledger { since: now });
             holding.waiters = waiters;
@@ -438,7 +442,7 @@
             out.send(from, nothing(Lack::NoHolder));
             return;
         };
-        if !self.lenders.is_empty() && !holding.borrows() && !self.closing {
+        if !self.lenders.is_empty() && holding.may_draw() && !self.closing {
             self.lend(now, from, ask, out);
             return;
         }
@@ -592,6 +596,7 @@
             self.touched.insert(id.clone());
             self.serve_waiters(now, &id);
             self.drop_gone(&id);
+            self.leave_gone_lender(now, &id, out);
             self.next_hunt(now, &id, out);
         }
     }
--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -144,6 +144,7 @@
                 let ahead = holding.at_hand(now, self.pacing.policy.at_hand);
                 out.send(to, Message::Ask(Ask { budget, period, need, ahead }));
             }
+            (None, None) if !holding.may_draw() => self.refuse_silent(now, budget),
             (None, None) => {
                 holding.hunt = Some(Hunt::Ledger { since: now });
                 if holding.op.is_none() {
@@ -193,6 +194,10 @@
             }
             return;
         }
+        if !holding.may_draw() {
+            self.refuse_silent(now, budget);
+            return;
+        }
         holding.hunt = Some(Hunt::Ledger { since: now });
         if holding.op.is_none() {
             holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
@@ -200,6 +205,29 @@
         self.touched.insert(budget.clone());
     }
 
+    /// Refuses those who wait: no lender answers, nor any that stands in for them, and a
+    /// process that is neither does not draw from the ledger.
+    fn refuse_silent(&mut self, now: Time, budget: &BudgetId) {
+        let refusal = Refusal::not_run(Cause::BudgetHeld).after(COME_BACK);
+        self.refuse_waiters(now, budget, Tokens::ZERO, refusal);
+    }
+
+    /// Asks another lender at once when the one that was asked has left the view: a process
+    /// that has started anew on its VM may have taken its place.
+    pub(super) fn leave_gone_lender(&mut self, now: Time, budget: &BudgetId, out: &mut Outbox) {
+        let Some(holding) = self.table.get_mut(budget) else {
+            return;
+        };
+        let Some(Hunt::Lender { asked, .. }) = &holding.hunt else {
+            return;
+        };
+        let is_gone = asked.last().is_some_and(|id| !self.view.has(*id));
+        if is_gone && !holding.waiters.is_empty() {
+            holding.hunt = None;
+            self.look_elsewhere(now, budget, out);
+        }
+    }
+
     /// Moves a search on after an answer.
     pub(super) fn next_hunt(&mut self, now: Time, budget: &BudgetId, out: &mut Outbox) {
         let Some(holding) = self.table.get_mut(budget) else {
--- a/crates/badgerfield-core/src/lending.rs
+++ b/crates/badgerfield-core/src/lending.rs
@@ -5,6 +5,10 @@
 //! with more than [`SMALL_VIEW`] members leaves each budget to a few of them. All others
 //! borrow what one request needs, and give the rest back when it has ended.
 //!
+//! As many members again stand in for those that do not answer: they borrow as others do, and
+//! when nobody lends to them they draw from the ledger. All others never do, so that the ledger
+//! names few processes of a budget also when most lenders are gone.
+//!
 //! Lenders are ranked by their VMs, not by their processes: who starts anew on the VM of a
 //! lender has the same budgets, and finds what its predecessor left sealed.
 
@@ -17,6 +21,8 @@
 const MEMBERS_PER_LENDER: usize = 6;
 /// How many members hold one budget.
 const HOLDERS: usize = 3;
+/// How many more stand in for them.
+const SUBSTITUTES: usize = 3;
 
 /// The members of a region that lend; none where everybody holds rights of its own.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -43,20 +49,27 @@
         Self(members)
     }
 
-    /// Returns the holders of a budget in the order in which a process asks them; none if
-    /// the process holds rights of its own.
-    pub(crate) fn holders(&self, budget: &BudgetId, me: Incarnation) -> Vec<Incarnation> {
+    /// Returns what a process is to a budget.
+    pub(crate) fn part(&self, budget: &BudgetId, me: Incarnation) -> Part {
         let subject = budget.as_str().as_bytes();
         let mut ranked = self.0.clone();
         ranked.sort_by_key(|lender| std::cmp::Reverse(weigh(subject, lender.vm)));
-        ranked.truncate(HOLDERS);
-        if ranked.iter().any(|lender| lender.id == me) {
-            return Vec::new();
+        ranked.truncate(HOLDERS + SUBSTITUTES);
+        let mut substitutes = ranked.split_off(HOLDERS.min(ranked.len()));
+        let is_me = |lender: &Lender| lender.id == me;
+        if self.0.is_empty() || ranked.iter().any(is_me) {
+            return Part::default();
+        }
+        let stands_in = substitutes.iter().any(is_me);
+        if stands_in {
+            substitutes.clear();
         }
         // Each borrower has an order of its own, so that the holders share the work.
         let own = me.0.to_be_bytes();
         ranked.sort_by_key(|lender| std::cmp::Reverse(weigh(&own, lender.vm)));
-        ranked.into_iter().map(|lender| lender.id).collect()
+        substitutes.sort_by_key(|lender| std::cmp::Reverse(weigh(&own, lender.vm)));
+        ranked.append(&mut substitutes);
+        Part { lenders: ranked.into_iter().map(|lender| lender.id).collect(), stands_in }
     }
 
     /// Tells whether anybody lends.
@@ -65,6 +78,15 @@
     }
 }
 
+/// What a process is to a budget: it holds rights of its own if it has no lenders.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Part {
+    /// Whom it asks for tokens, in this order.
+    pub(crate) lenders: Vec<Incarnation>,
+    /// Whether it lends to others, and draws from the ledger, when no holder answers.
+    pub(crate) stands_in: bool,
+}
+
 impl Lender {
     fn of(member: &Member) -> Self {
         let vm = Incarnation(xxh3_64(member.vm.as_str().as_bytes()));
--- a/crates/badgerfield-standin/tests/lending.rs
+++ b/crates/badgerfield-standin/tests/lending.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use badgerfield_core::Node;
 use badgerfield_core::ledger::HolderEntry;
 use badgerfield_core::seal::{FleetTime, HOLDS};
 use badgerfield_standin::fleet::{End, Fleet, Shape, Wish};
@@ -413,3 +414,41 @@
         ask_and_check(&mut fleet, vm, 300);
     }
 }
+
+/// Returns how many members the ledger names for the first budget, busy or not.
+fn named(fleet: &Fleet) -> usize {
+    let (ledger, view) = (fleet.platform.ledger(0), fleet.platform.view());
+    let entry = ledger.budgets.get(&Fleet::budget(0));
+    entry.map_or(0, |entry| entry.holders.keys().filter(|id| view.has(**id)).count())
+}
+
+#[test]
+fn few_draw_from_the_ledger_when_all_lenders_are_lost() {
+    let mut fleet = fleet(50_000_000);
+    load(&mut fleet, 200);
+    let lost = lenders_of_view(&fleet);
+    assert_eq!(lost.len(), HOLDERS);
+    let before = named(&fleet);
+    for vm in lost {
+        fleet.kill(vm);
+    }
+    let refused_before = refused(&fleet);
+    load(&mut fleet, 600);
+    // The lost ones are in the view until they have been silent for long.
+    let drawing = named(&fleet) - before;
+    assert!(drawing <= HOLDERS, "{drawing} more processes draw from the ledger");
+    let refused = refused(&fleet) - refused_before;
+    assert!(refused <= 60, "{refused} of 600 refused");
+    assert_eq!(fleet.truth.overspend(), 0);
+}
+
+/// Returns the VMs that hold the first budget in the ledger.
+fn lenders_of_view(fleet: &Fleet) -> Vec<usize> {
+    let ledger = fleet.platform.ledger(0);
+    let entry = &ledger.budgets[&Fleet::budget(0)];
+    let has = |vm: &usize| {
+        let id = fleet.node(*vm).map(Node::id);
+        id.and_then(|id| entry.holders.get(&id)).is_some_and(|h| h.held.0 > 0)
+    };
+    (0..VMS).filter(has).collect()
+}
