Call the store less at a start and while it is away

Who has lost one write asks the member that it met. Where there are no templates yet, a watch waits for them. A process that is no member follows the list only when nobody tells it anything.

--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -64,7 +64,14 @@
     /// ago it has heard of the list of upstreams.
     #[must_use]
     pub fn follows(&self, now: Time, heard: Option<Duration>) -> bool {
-        self.version() == Version(0) || self.board.members().follows(now, heard)
+        self.board.members().follows(now, heard)
+    }
+
+    /// Tells whether this process is among the few that try the platform often while it does
+    /// not answer; they tell the others when it is back.
+    #[must_use]
+    pub fn probes_platform(&self) -> bool {
+        self.board.members().probes_platform()
     }
 
     /// Takes in a sign of life; asks for what the sender has newer.
--- a/crates/badgerfield-core/src/joining.rs
+++ b/crates/badgerfield-core/src/joining.rs
@@ -2,7 +2,7 @@
 //!
 //! Each of them could write itself into the view, but only one write of many at once wins,
 //! and each win makes all others try again: the writes grow with the square of the fleet.
-//! So whoever has lost a few times asks a member that has just joined, which writes all who
+//! So whoever has lost a write asks a member that has just joined, which writes all who
 //! asked it in one step.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,13 +11,11 @@
 use crate::amount::Time;
 use crate::event::due;
 use crate::ids::{Incarnation, weigh};
-use crate::view::{Member, SMALL_VIEW, View};
+use crate::view::{Member, View};
 
-/// After how many lost writes a process asks a member instead, in a small view; a small
-/// fleet gets into its view before that.
-const LOST: u32 = 7;
-/// The same in a large view.
-const LOST_IN_LARGE: u32 = 2;
+/// After how many lost writes a process asks a member instead: what the write has met names
+/// one that is alive.
+const LOST: u32 = 1;
 /// How often a member is asked.
 const ASK: Duration = Duration::from_millis(250);
 /// How many members are asked before the process writes for itself again.
@@ -64,9 +62,7 @@
         let first = self.first.get_or_insert_default();
         let alive = view.members.iter().map(|m| m.incarnation).filter(|id| !first.contains(id));
         let mut alive: Vec<_> = alive.collect();
-        let is_large = first.len().max(view.members.len()) > SMALL_VIEW;
-        let most = if is_large { LOST_IN_LARGE } else { LOST };
-        if self.lost < most || alive.is_empty() {
+        if self.lost < LOST || alive.is_empty() {
             return Step::Write;
         }
         if !due(now, self.asked, ASK) {
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -371,7 +371,9 @@
     /// In a small view everybody does. In a large one a few do and pass on what changes,
     /// some more if these seem to be cut off, and all only if nobody says anything.
     pub(crate) fn follows(&self, now: Time, heard: Option<Duration>) -> bool {
-        if self.view.members.len() <= SMALL_VIEW || !self.is_member() || self.is_alone(now) {
+        let is_member = self.is_member();
+        let is_small = self.view.members.len() <= SMALL_VIEW;
+        if is_member && (is_small || self.is_alone(now)) {
             return true;
         }
         let wait = match self.ranks.follower.unwrap_or(usize::MAX) {
@@ -383,6 +385,13 @@
         heard.is_none_or(|age| age >= wait)
     }
 
+    /// Tells whether this process is among the first followers of the platform's values, or
+    /// knows no rank of its own.
+    pub(crate) fn probes_platform(&self) -> bool {
+        let is_small = self.view.members.len() <= SMALL_VIEW;
+        is_small || self.ranks.follower.is_none_or(|place| place < SUBSTITUTES)
+    }
+
     /// Tells whether this process hears no other member.
     fn is_alone(&self, now: Time) -> bool {
         self.watched().all(|(_, m)| self.silence(now, m.incarnation) >= self.doubt)
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -5,6 +5,7 @@
 
 use badgerfield_core::Event;
 use badgerfield_core::event::{KvCall, KvName, KvResult};
+use badgerfield_core::ids::Version;
 use badgerfield_core::replicas::ReplicaChanges;
 
 use crate::adapter::Watched;
@@ -18,6 +19,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// How long a call rests at the most that failed again and again.
 const MAX_PAUSE: Duration = Duration::from_secs(1);
+/// The same at a process that others tell when the platform is back. With the call itself it
+/// stays close to the least `ContactMs` of the sheets (3 s), should nobody tell.
+const LONG_PAUSE: Duration = Duration::from_millis(2500);
 /// How long the list of upstreams is left alone between two watches.
 const WATCH_PACE: Duration = Duration::from_millis(400);
 
@@ -32,10 +36,15 @@
 }
 
 impl Pause {
-    /// Rests before the next call.
-    async fn rest(&mut self) {
-        tokio::time::sleep(self.0).await;
-        self.0 = self.0.saturating_mul(2).min(MAX_PAUSE);
+    /// Returns how long to rest before the next call: a short while at the few that try the
+    /// platform often.
+    fn next(&mut self, driver: &Driver) -> Duration {
+        if !driver.node.probes_platform() {
+            return LONG_PAUSE;
+        }
+        let span = self.0;
+        self.0 = span.saturating_mul(2).min(MAX_PAUSE);
+        span
     }
 }
 
@@ -44,7 +53,7 @@
     let mut after = 0;
     let mut pause = Pause::default();
     loop {
-        if !is_on_duty(&driver) {
+        if !follows_templates(&driver) {
             after = 0;
             tokio::time::sleep(WATCH_PACE).await;
             continue;
@@ -52,14 +61,13 @@
         if after == 0 {
             let call = KvCall::Get(KvName::Templates);
             driver.metrics.calls.count(CallKind::of(&call));
-            if let KvResult::Value(found) = driver.store.call(&call).await {
-                after = found.revision;
-                driver.feed(Event::Templates(found));
-            }
-            if after == 0 {
-                pause.rest().await;
+            let KvResult::Value(found) = driver.store.call(&call).await else {
+                tokio::time::sleep(pause.next(&driver)).await;
                 continue;
-            }
+            };
+            // Where there are none yet, the watch waits for the first.
+            after = found.revision;
+            driver.feed(Event::Templates(found));
         }
         driver.metrics.calls.count(CallKind::TemplatesWatch);
         match driver.store.watch_templates(after).await {
@@ -74,7 +82,7 @@
             }
             Watched::Lost => {
                 after = 0;
-                pause.rest().await;
+                tokio::time::sleep(pause.next(&driver)).await;
             }
         }
     }
@@ -96,8 +104,11 @@
             continue;
         }
         let Some(mut after) = read_list(&driver, &gateway, &mut away).await else {
-            refresh(&driver, &gateway);
-            pause.rest().await;
+            let until = Instant::now() + pause.next(&driver);
+            while Instant::now() < until && is_on_duty(&driver) {
+                refresh(&driver, &gateway);
+                tokio::time::sleep(FIRST_PAUSE).await;
+            }
             continue;
         };
         pause = Pause::default();
@@ -149,8 +160,8 @@
     Some(revision)
 }
 
-/// Tells whether this process follows the platform's values itself, and does not only hear
-/// of them.
+/// Tells whether this process follows the list of upstreams itself, and does not only hear of
+/// it.
 fn is_on_duty(driver: &Driver) -> bool {
     let Some(gateway) = driver.gateway() else {
         return true;
@@ -160,6 +171,12 @@
     driver.node.follows(now, learned.map(|at| now.since(at)))
 }
 
+/// Tells whether this process follows the templates itself: until it knows any, and whenever
+/// it follows the list of upstreams.
+fn follows_templates(driver: &Driver) -> bool {
+    driver.node.version() == Version(0) || is_on_duty(driver)
+}
+
 /// Closes what is of no more use, and tells what requests need and whether this process
 /// can serve.
 fn refresh(driver: &Arc<Driver>, gateway: &Gateway) {
--- a/crates/badgerfield-standin/tests/large_fleet.rs
+++ b/crates/badgerfield-standin/tests/large_fleet.rs
@@ -85,10 +85,10 @@
     let spent = Traffic::of(&fleet).per_vm(VMS);
     println!("start of {VMS}: {spent:?} a VM");
     assert_eq!(Traffic::of(&fleet).handovers, 0, "nobody has claims to hand over");
-    assert!(spent.messages <= 500, "{spent:?}");
-    assert!(spent.bytes <= 120_000, "{spent:?}");
-    assert!(spent.views <= 60_000, "{spent:?}");
-    assert!(spent.writes <= 7, "{spent:?}");
+    assert!(spent.messages <= 250, "{spent:?}");
+    assert!(spent.bytes <= 30_000, "{spent:?}");
+    assert!(spent.views <= 20_000, "{spent:?}");
+    assert!(spent.writes <= 2, "{spent:?}");
 }
 
 #[test]
@@ -145,6 +145,6 @@
     let spent = Traffic::of(&fleet).since(before).per_vm(VMS);
     println!("45 in 100 replaced: {spent:?} a VM");
     assert_eq!(spent.handovers, 0, "nobody has claims to hand over");
-    assert!(spent.messages <= 700, "{spent:?}");
-    assert!(spent.bytes <= 160_000, "{spent:?}");
+    assert!(spent.messages <= 300, "{spent:?}");
+    assert!(spent.bytes <= 30_000, "{spent:?}");
 }
