--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -42,21 +42,26 @@
 
     /// Sends a sign of life to all neighbours, with the versions in force.
     pub(crate) fn spread(&self, now: Time, out: &mut Outbox) {
-        let (neighbours, epoch, serving, wall, list, needs) = {
+        let version = self.board.templates().version;
+        let confirmed = self.board.claims().confirmed();
+        let (neighbours, beat) = {
             let mut members = self.board.members();
             members.beat_at = Some(now);
             members.news_at = None;
-            let serving = members.serving && members.stopping.is_none();
-            let wall = members.wall(now);
-            let needs = members.needs.blend(now);
-            (members.neighbours(), members.view.epoch, serving, wall, members.list, needs)
+            let beat = Heartbeat {
+                epoch: members.view.epoch,
+                confirmed,
+                version,
+                serving: members.serving && members.stopping.is_none(),
+                list: members.list,
+                wall: members.wall(now),
+                needs: members.needs.blend(now),
+                lags: members.lags.clone(),
+            };
+            (members.neighbours(), beat)
         };
-        let version = self.board.templates().version;
-        let confirmed = self.board.claims().confirmed();
         for to in neighbours {
-            let (confirmed, needs) = (confirmed.clone(), needs.clone());
-            let beat = Heartbeat { epoch, confirmed, version, serving, list, wall, needs };
-            out.send(to, Message::Heartbeat(beat));
+            out.send(to, Message::Heartbeat(beat.clone()));
         }
     }
 
@@ -84,6 +89,9 @@
     ) {
         self.compare_lists(now, from, beat.list, out);
         self.hear_confirmed(now, beat);
+        if !beat.lags.is_empty() {
+            out.push(Order::LearnLags(beat.lags.clone()));
+        }
         let version = self.board.templates().version;
         let epoch = {
             let mut members = self.board.members();
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -12,6 +12,7 @@
     Account, Adapter, AttemptId, BudgetId, Incarnation, Model, Period, RequestId, RequestKey,
     ReservationId, RunId, Service, Ticket, UpstreamId,
 };
+use crate::lag::LagNote;
 use crate::ledger::Plan;
 use crate::message::{Envelope, Head, Message};
 use crate::mix::Needs;
@@ -61,6 +62,8 @@
     ListMark(ListMark),
     /// What the requests of this process need of engines.
     EngineNeeds(Vec<Needs>),
+    /// The upstreams at which requests wait.
+    Lags(Vec<LagNote>),
     /// The process is asked to stop.
     Stop,
 }
@@ -317,6 +320,8 @@
     ConfirmUpstreams(u64),
     /// Divide the engines by what the requests of all processes need.
     DivideEngines(Vec<Needs>),
+    /// Take in at which upstreams requests of other processes wait.
+    LearnLags(Vec<LagNote>),
     /// Tell a process the whole list of upstreams.
     TellUpstreams(Incarnation),
     /// Record a charge.
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod holdings;
 pub mod ids;
 mod joining;
+pub mod lag;
 pub mod ledger;
 mod lending;
 mod membership;
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -10,6 +10,7 @@
 use crate::event::KvName;
 use crate::ids::{Epoch, Incarnation, Ticket, VmId};
 use crate::joining::Joining;
+use crate::lag::LagNote;
 use crate::message::Heartbeat;
 use crate::mix::NeedsBlend;
 use crate::replicas::ListMark;
@@ -134,6 +135,8 @@
     pub(crate) list: ListMark,
     /// What requests need of engines, here and elsewhere.
     pub(crate) needs: NeedsBlend,
+    /// The upstreams at which requests wait.
+    pub(crate) lags: Vec<LagNote>,
     pub(crate) list_fetched: HashMap<Incarnation, Time>,
     /// When anybody told how new the list of upstreams is.
     pub(crate) confirmed_at: Option<Time>,
@@ -181,6 +184,7 @@
             serving: true,
             list: ListMark::default(),
             needs: NeedsBlend::default(),
+            lags: Vec::new(),
             list_fetched: HashMap::new(),
             confirmed_at: None,
             doubt: beat.saturating_mul(DOUBT_BEATS),
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -11,6 +11,7 @@
 use crate::ids::{
     Account, BudgetId, Epoch, Incarnation, Period, Region, RequestKey, UpstreamId, Version,
 };
+use crate::lag::LagNote;
 use crate::ledger::{LedgerOp, LedgerReply};
 use crate::mix::Needs;
 use crate::replicas::{ListMark, ReplicaChanges, ReplicaList};
@@ -223,6 +224,8 @@
     pub wall: Option<u64>,
     /// What the sender takes requests to need of engines, its own and others'.
     pub needs: Vec<Needs>,
+    /// The upstreams at which requests wait, as far as the sender knows.
+    pub lags: Vec<LagNote>,
 }
 
 /// A holder's wish for tokens of another holder.
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -312,6 +312,7 @@
                 members.needs.set_own(own);
                 out.push(Order::DivideEngines(members.needs.blend(now)));
             }
+            Event::Lags(lags) => self.board.members().lags = lags,
             Event::Stop => self.stop(now, out),
         }
     }
--- a/crates/badgerfield-core/src/replicas.rs
+++ b/crates/badgerfield-core/src/replicas.rs
@@ -14,6 +14,7 @@
 
 use crate::amount::Time;
 use crate::ids::{Domain, Service, UpstreamId};
+use crate::lag::{self, Lag, LagNote};
 use crate::mix::{
     Division, Group, Mix, Needs, Observed, READ_MS_PRIOR, Size, float, service_number,
 };
@@ -154,6 +155,8 @@
     pub cost: f64,
     /// The prompt tokens that it is expected to read.
     pub unread: u64,
+    /// How long requests wait there at present beyond reading, in milliseconds.
+    pub lag: f64,
     /// The group of the request, where engines are divided, and whether the upstream is
     /// among those that take it.
     pub group: Option<(Group, bool)>,
@@ -182,6 +185,8 @@
     failures: u32,
     rests_until: Time,
     parts: HashMap<u64, Time>,
+    /// How long requests wait there beyond what their prompts take to read.
+    lag: Lag,
 }
 
 /// The table of upstreams.
@@ -382,6 +387,7 @@
         let is_home = home == Some(&replica.info.id);
         Some(Chosen {
             unread: replica.unread(now, wanted.parts, is_home),
+            lag: replica.lag.millis(now),
             group: weights.division.map(|(_, group)| (group, weights.takes(replica))),
             id: replica.info.id.clone(),
             address: replica.info.address,
@@ -437,6 +443,36 @@
         }
     }
 
+    /// Notes how long a request has waited for the first event of its answer, be it there or
+    /// not, at an engine that was expected to read so many tokens first.
+    pub fn waited(&mut self, now: Time, id: &UpstreamId, span: Duration, unread: u64) {
+        let Some(replica) = self.table.get_mut(id) else {
+            return;
+        };
+        let read_ms = self.mixes.get(&replica.info.service).map_or(READ_MS_PRIOR, Mix::read_ms);
+        let reading = Duration::from_secs_f64(float(unread) * read_ms / 1e3);
+        replica.lag.observe(now, span.saturating_sub(reading));
+    }
+
+    /// Returns the upstreams with a lag that other processes should know of, another few at
+    /// each turn where there are many.
+    #[must_use]
+    pub fn lags(&self, now: Time, turn: usize) -> Vec<LagNote> {
+        let all: Vec<_> = self.table.values().filter_map(|r| r.lag.note(now, r.number())).collect();
+        let start = if all.is_empty() { 0 } else { turn * lag::MAX_NOTES % all.len() };
+        all.iter().cycle().skip(start).take(all.len().min(lag::MAX_NOTES)).copied().collect()
+    }
+
+    /// Takes in what another process knows of lags.
+    pub fn learn_lags(&mut self, now: Time, notes: &[LagNote]) {
+        for replica in self.table.values_mut() {
+            let number = replica.number();
+            if let Some(note) = notes.iter().find(|note| note.upstream == number) {
+                replica.lag.hear(now, *note);
+            }
+        }
+    }
+
     /// Notes that a request goes to an upstream.
     pub fn begin(&mut self, now: Time, id: &UpstreamId, parts: &[PromptPart]) {
         let Some(replica) = self.table.get_mut(id) else {
@@ -529,9 +565,16 @@
             failures: 0,
             rests_until: Time::default(),
             parts: HashMap::new(),
+            lag: Lag::default(),
         }
     }
 
+    /// Returns the number that stands for the upstream in messages.
+    fn number(&self) -> u32 {
+        let [a, b, c, d, ..] = self.seed.to_be_bytes();
+        u32::from_be_bytes([a, b, c, d])
+    }
+
     fn is_usable(&self, now: Time) -> bool {
         if self.info.leaving {
             return false;
@@ -552,7 +595,7 @@
         }
         let read = float(self.unread(now, wanted.parts, is_home)) * weights.read_ms;
         let apart = if weights.takes(self) { 0.0 } else { weights.apart_ms };
-        read + apart + running * RUNNING_MS + failing + jitter
+        read + apart + running * RUNNING_MS + self.lag.cost(now) + failing + jitter
     }
 
     /// Returns how many tokens of a prompt's shared parts it is expected to read.
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -314,6 +314,11 @@
                 }
             }
             Order::DivideEngines(needs) => self.divide_engines(&needs),
+            Order::LearnLags(notes) => {
+                if let Some(gateway) = &self.gateway {
+                    gateway.replicas().learn_lags(self.now(), &notes);
+                }
+            }
             Order::TellUpstreams(to) => self.tell_upstreams(to),
             Order::Bill(bill) => self.record(&bill),
             Order::Note(note) => self.note(&note),
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -182,7 +182,11 @@
 fn refresh(driver: &Arc<Driver>, gateway: &Gateway) {
     let now = driver.now();
     gateway.sweep(now);
-    let needs = gateway.replicas().needs(now);
+    let (needs, lags) = {
+        let mut replicas = gateway.replicas();
+        (replicas.needs(now), replicas.lags(now, gateway.next_turn()))
+    };
     driver.feed(Event::EngineNeeds(needs));
+    driver.feed(Event::Lags(lags));
     driver.feed(Event::Serving(directory::is_ready(gateway)));
 }
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::header::HeaderName;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Request, StatusCode, header};
+use tokio::time::Instant;
 
 use crate::adapter::{CallTerms, Verdict};
 use crate::driver::Driver;
@@ -91,9 +92,51 @@
     connection: Option<Connection>,
     keep: Option<Duration>,
     closes: bool,
+    /// How long the first event has been waited for; nothing once it has come, or where that
+    /// tells nothing.
+    wait: Option<Wait>,
+}
+
+/// A wait for the first event of an engine's answer.
+#[derive(Debug, Clone, Copy)]
+struct Wait {
+    since: Instant,
+    /// The prompt tokens that the engine is expected to read first.
+    unread: u64,
 }
 
 impl UpstreamHold {
+    /// Makes a hold of an upstream; `unread` is what an engine is expected to read.
+    pub(crate) fn new(
+        driver: &Arc<Driver>,
+        gateway: &Arc<Gateway>,
+        id: &UpstreamId,
+        unread: Option<u64>,
+    ) -> Self {
+        Self {
+            driver: Arc::clone(driver),
+            gateway: Arc::clone(gateway),
+            id: id.clone(),
+            health: Health::Unknown,
+            connection: None,
+            keep: None,
+            closes: false,
+            wait: unread.map(|unread| Wait { since: Instant::now(), unread }),
+        }
+    }
+
+    /// Notes that an event of the answer has come; the first one tells how long it took.
+    pub(crate) fn note_first_event(&mut self) {
+        if let Some(wait) = self.wait.take() {
+            self.tell_wait(wait);
+        }
+    }
+
+    fn tell_wait(&self, wait: Wait) {
+        let now = self.driver.now();
+        self.gateway.replicas().waited(now, &self.id, wait.since.elapsed(), wait.unread);
+    }
+
     /// Notes how the upstream is doing.
     pub(crate) fn note(&mut self, health: Health) {
         self.health = health;
@@ -113,6 +156,8 @@
 
 impl Drop for UpstreamHold {
     fn drop(&mut self) {
+        // Whoever gave up has waited at least so long.
+        self.note_first_event();
         let now = self.driver.now();
         self.gateway.replicas().end(now, &self.id, self.health);
     }
@@ -120,31 +165,24 @@
 
 /// Sends a request to an upstream and waits for the head of its answer, so long.
 pub(crate) async fn attempt(
-    driver: &Arc<Driver>,
-    gateway: &Arc<Gateway>,
+    mut hold: UpstreamHold,
     original: &Original,
     address: SocketAddr,
     terms: &CallTerms<'_>,
     limit: Duration,
 ) -> AttemptEnd {
-    let mut hold = UpstreamHold {
-        driver: Arc::clone(driver),
-        gateway: Arc::clone(gateway),
-        id: terms.upstream.clone(),
-        health: Health::Unknown,
-        connection: None,
-        keep: None,
-        closes: false,
-    };
-    let request = call_of(gateway, original, terms);
-    let sent = tokio::time::timeout(limit, send(gateway, &hold.id, address, request)).await;
+    let gateway = Arc::clone(&hold.gateway);
+    let request = call_of(&gateway, original, terms);
+    let sent = tokio::time::timeout(limit, send(&gateway, &hold.id, address, request)).await;
     let (mut response, connection) = match sent {
         Ok(Ok(found)) => found,
         Ok(Err(Unsent::NotSent)) => {
+            hold.wait = None;
             hold.note(Health::Failed);
             return AttemptEnd::NotSent;
         }
         Ok(Err(Unsent::Broken)) => {
+            hold.wait = None;
             hold.note(Health::Failed);
             return AttemptEnd::Broken("broken");
         }
@@ -156,10 +194,12 @@
     let dialect = &gateway.adapter.dialect;
     match dialect.verdict(&original.id, response.status(), response.headers()) {
         Verdict::NotRun => {
+            hold.wait = None;
             hold.note(Health::Full);
             return AttemptEnd::NotRun(response.status());
         }
         Verdict::Foreign => {
+            hold.wait = None;
             hold.note(Health::Failed);
             return AttemptEnd::Broken("foreign");
         }
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -33,7 +33,7 @@
 
 use crate::adapter::{CallTerms, RequestTerms};
 use crate::driver::Driver;
-use crate::gateway::attempt::{Answered, AttemptEnd, Original, attempt, strip};
+use crate::gateway::attempt::{Answered, AttemptEnd, Original, UpstreamHold, attempt, strip};
 use crate::gateway::record::{self, Timing};
 use crate::gateway::relay;
 use crate::gateway::reservation::Reservation;
@@ -331,9 +331,10 @@
             let started = Instant::now();
             self.unread = chosen.unread.saturating_add(self.own_tokens());
             self.timing.note_sent(self.arrived.elapsed());
-            let end =
-                attempt(&self.driver, &self.gateway, &self.original, chosen.address, &terms, limit);
-            let end = end.await;
+            // Only engines read prompts; what waits elsewhere is counted as under way.
+            let reading = self.spec.engine.as_ref().map(|_| self.unread);
+            let hold = UpstreamHold::new(&self.driver, &self.gateway, &chosen.id, reading);
+            let end = attempt(hold, &self.original, chosen.address, &terms, limit).await;
             let outcome = match end {
                 AttemptEnd::Answered(answered) => {
                     self.attempts += 1;
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -47,7 +47,7 @@
         Some((Group::Long, false)) => "long_astray",
         None => "-",
     };
-    let unread = chosen.unread;
+    let (unread, lag) = (chosen.unread, chosen.lag);
     let (second, second_cost) = match &chosen.second {
         Some((id, cost)) => (id.as_str(), *cost),
         None => ("-", 0.0),
@@ -55,7 +55,7 @@
     log::info!(
         target: REQUESTS,
         "chosen id={id} attempt={attempt} upstream={upstream} cost_ms={cost:.0} group={group} \
-         unread={unread} weighed={weighed} \
+         unread={unread} lag_ms={lag:.0} weighed={weighed} \
          second={second} second_ms={second_cost:.0} list={revision} list_age_ms={age}"
     );
 }
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -77,6 +77,9 @@
                         continue;
                     }
                     self.exchange.note_events();
+                    if let Some(source) = &mut self.source {
+                        source.hold.note_first_event();
+                    }
                     self.count(0);
                     return Some(Ok(whole));
                 }
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -31,6 +31,8 @@
     retries: Mutex<RetryBudget>,
     open: AtomicUsize,
     stopping: AtomicBool,
+    /// How often lags of upstreams were noted for others.
+    turn: AtomicUsize,
 }
 
 impl Gateway {
@@ -43,6 +45,7 @@
             retries: Mutex::new(RetryBudget::new(bound)),
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
+            turn: AtomicUsize::new(0),
         }
     }
 
@@ -80,6 +83,11 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of the next turn of noting lags.
+    pub(crate) fn next_turn(&self) -> usize {
+        self.turn.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Tells whether the process is stopping.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -512,6 +512,7 @@
             | Order::LearnUpstreams(_)
             | Order::ConfirmUpstreams(_)
             | Order::DivideEngines(_)
+            | Order::LearnLags(_)
             | Order::TellUpstreams(_)
             | Order::Note(_)
             | Order::Reserved(..) => {}
