--- a/crates/badgerfield-core/tests/lag.rs
+++ b/crates/badgerfield-core/tests/lag.rs
@@ -24,7 +24,7 @@
     "engines".parse().expect("a name")
 }
 
-fn table() -> Replicas {
+fn new_table() -> Replicas {
     let entry = |n: u32| ReplicaEntry {
         revision: 1,
         info: ReplicaInfo {
@@ -45,7 +45,7 @@
 /// Plays a fleet whose first engine is slow in a span; returns how many of 100 requests went
 /// there in each second.
 fn play(seconds: u64, slow: std::ops::Range<u64>, tell: bool) -> Vec<u64> {
-    let mut tables: Vec<_> = (0..VMS).map(|_| table()).collect();
+    let mut tables: Vec<_> = (0..VMS).map(|_| new_table()).collect();
     let mut shares = Vec::new();
     let mut draw: u64 = 7;
     // Waits that end later, with the table that they belong to.
@@ -59,7 +59,7 @@
                 tables[vm].waited(now, &engine, span, 0);
                 tables[vm].end(now, &engine, Health::Good);
             }
-            for vm in 0..VMS {
+            for (vm, table) in tables.iter_mut().enumerate() {
                 let phase = u64::try_from(vm).expect("few VMs") * 100 % EVERY_MS;
                 if (ms + phase).is_multiple_of(EVERY_MS) {
                     draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
@@ -72,8 +72,8 @@
                         connections: 5,
                         draw: draw >> 7,
                     };
-                    let chosen = tables[vm].choose(now, &wanted).expect("there are engines").id;
-                    tables[vm].begin(now, &chosen, &parts);
+                    let chosen = table.choose(now, &wanted).expect("there are engines").id;
+                    table.begin(now, &chosen, &parts);
                     let is_slow = chosen == id(0) && slow.contains(&second);
                     let span = if is_slow { SLOW } else { WELL };
                     all += 1;
