Leave the ledger to its writers until this process has joined

One that knows the templates but no view yet took itself to be alone: it had no lenders, and was the only writer that it knew. Its writes conflicted with those of all others.

A process that has not been in a view looks for no tokens; requests wait for its first view, some hundred milliseconds, and their search starts with it. joining::who_has_not_joined_yet_leaves_the_ledger_to_its_writers was red before.

--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -101,6 +101,9 @@
     mute: BTreeMap<Incarnation, Time>,
     /// What became of borrowers' asks, to be sent.
     answers: Vec<lending::BorrowerAnswer>,
+    /// Whether this process has been in a view. Before that it does not know who lends and who
+    /// writes the ledger, and would write for itself beside all others that start.
+    joined: bool,
     removed: bool,
     closing: bool,
     decisions: Vec<Decision>,
@@ -131,6 +134,7 @@
             lenders: Lenders::default(),
             mute: BTreeMap::new(),
             answers: Vec::new(),
+            joined: false,
             removed: false,
             closing: false,
             decisions: Vec::new(),
@@ -574,6 +578,7 @@
         }
         self.removed |= self.view.has(self.me) && !view.has(self.me);
         self.view = Arc::clone(view);
+        self.joined |= view.has(self.me);
         self.transfers.adopt(view);
         if self.removed {
             self.lose_parked();
@@ -597,6 +602,7 @@
             self.serve_waiters(now, &id);
             self.drop_gone(&id);
             self.leave_gone_lender(now, &id, out);
+            self.start_waiting_search(now, &id, out);
             self.next_hunt(now, &id, out);
         }
     }
--- a/crates/badgerfield-core/src/holdings/parking.rs
+++ b/crates/badgerfield-core/src/holdings/parking.rs
@@ -29,7 +29,7 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        if holding.op.is_some() || holding.life == Life::Closed {
+        if holding.op.is_some() || holding.life == Life::Closed || !self.joined {
             return;
         }
         if matches!(holding.hunt, Some(Hunt::Ledger { .. })) {
--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -109,9 +109,15 @@
 
     /// Starts the search for tokens, or lets a running one see the new need.
     pub(super) fn pursue(&mut self, now: Time, budget: &BudgetId, out: &mut Outbox) {
+        let joined = self.joined;
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
+        if !joined {
+            // The search starts with the first view.
+            self.busy.insert(budget.clone());
+            return;
+        }
         let parks = self.maker.sealing.is_none();
         if holding.hunt.is_none() && parks && holding.covers_wanted() {
             holding.hunt = Some(Hunt::Bank { since: now });
@@ -212,6 +218,14 @@
         self.refuse_waiters(now, budget, Tokens::ZERO, refusal);
     }
 
+    /// Searches for those who came before this process had joined.
+    pub(super) fn start_waiting_search(&mut self, now: Time, budget: &BudgetId, out: &mut Outbox) {
+        let holding = self.table.get(budget);
+        if holding.is_some_and(|h| h.hunt.is_none() && !h.waiters.is_empty()) {
+            self.pursue(now, budget, out);
+        }
+    }
+
     /// Asks another lender at once when the one that was asked has left the view: a process
     /// that has started anew on its VM may have taken its place.
     pub(super) fn leave_gone_lender(&mut self, now: Time, budget: &BudgetId, out: &mut Outbox) {
--- a/crates/badgerfield-standin/tests/joining.rs
+++ b/crates/badgerfield-standin/tests/joining.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+use badgerfield_core::Event;
+use badgerfield_core::amount::{Time, Tokens};
+use badgerfield_core::event::{KvCall, KvName, Order, ReserveAsk, Versioned};
+use badgerfield_core::ids::ReservationId;
 use badgerfield_standin::fleet::{Fleet, Shape};
 
 const VMS: usize = 80;
@@ -65,3 +69,33 @@
         }
     }
 }
+
+/// Tells whether an order reads or writes the ledger.
+fn is_about_ledger(order: &Order) -> bool {
+    match order {
+        Order::KeyValue(_, KvCall::Get(name) | KvCall::Swap { name, .. }) => {
+            matches!(name, KvName::Ledger(_))
+        }
+        _ => false,
+    }
+}
+
+#[test]
+fn who_has_not_joined_yet_leaves_the_ledger_to_its_writers() {
+    let mut fleet = fleet();
+    fleet.start(0);
+    let node = fleet.node(0).expect("the VM runs");
+    let value = Some(fleet.templates.encode().into());
+    let at = Time::from_millis;
+    node.handle(at(1), Event::Templates(Versioned { value, revision: 1 }));
+    let (id, budget) = (ReservationId(1), Fleet::budget(0));
+    let ask = ReserveAsk { id, budget, amount: Tokens(100), until: at(900) };
+    let mut orders = node.handle(at(2), Event::Reserve(ask));
+    for tick in 1..=20 {
+        orders.extend(node.handle(at(tick * 50), Event::Tick));
+    }
+    assert!(!orders.iter().any(is_about_ledger), "{orders:?}");
+    // It waits for the view, and no longer than it may.
+    let refused = orders.iter().any(|o| matches!(o, Order::Reserved(_, Err(_))));
+    assert!(refused, "{orders:?}");
+}
