Count an engine's lag only where it is far above the ordinary

Cause: an ordinary wait of 60 to 500 ms, some long prompts that came together, is over when the next request comes, but sent that request away from the engine that keeps its shared parts; these were read again, which made all wait longer.

A lag counts only beyond 500 ms and four times the median of its service, each request takes it for half to one and a half of what it is so that a few try a slow engine before all do, and one observation weighs 0.6.

--- a/crates/badgerfield-core/src/lag.rs
+++ b/crates/badgerfield-core/src/lag.rs
@@ -14,20 +14,31 @@
 use crate::amount::Time;
 
 /// After how long a lag counts half. Trouble of upstreams on the users' sheets lasts 3 to 9 s.
-const HALF_LIFE: Duration = Duration::from_secs(2);
+const HALF_LIFE: Duration = Duration::from_secs(3);
 /// The weight of one observation against what is known.
-const WEIGHT: f64 = 0.4;
-/// A lag that every upstream may have for a moment, in milliseconds: it tells nothing, and if
-/// all processes shunned it they would crowd the others.
-const IGNORED_MS: f64 = 60.0;
+const WEIGHT: f64 = 0.6;
+/// A lag that an engine may have for a moment because some long prompts came together, in
+/// milliseconds. It is over when the next request comes, and a request that is sent elsewhere
+/// for it has its shared parts read again.
+const IGNORED_MS: f64 = 500.0;
+/// How many times the median of its service a lag may be before it counts: where all are
+/// crowded, none is to be avoided.
+const IGNORED_RATIO: f64 = 4.0;
 /// From which lag on others are told, in milliseconds.
-const NOTED_MS: f64 = 100.0;
+const NOTED_MS: f64 = 400.0;
 /// How many upstreams one sign of life tells of: some 60 B, 1.2 KB/s at 20 signs a second,
 /// and only while so many lag.
 pub(crate) const MAX_NOTES: usize = 8;
 /// The unit of a lag in a message, in milliseconds.
 const LAG_UNIT_MS: f64 = 10.0;
 
+/// Returns the lag that is ordinary for a service, from those of its upstreams.
+pub(crate) fn ordinary(mut lags: Vec<f64>) -> f64 {
+    lags.sort_unstable_by(f64::total_cmp);
+    let median = lags.get(lags.len() / 2).copied().unwrap_or_default();
+    (median * IGNORED_RATIO).max(IGNORED_MS)
+}
+
 /// What a sign of life says about one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LagNote {
@@ -57,9 +68,16 @@
         self.millis * (-halvings).exp2()
     }
 
-    /// Returns by how many milliseconds the lag delays a request beyond the ordinary.
-    pub(crate) fn cost(&self, now: Time) -> f64 {
-        (self.millis(now) - IGNORED_MS).max(0.0)
+    /// Returns by how many milliseconds the lag delays a request beyond what is ordinary for
+    /// its service.
+    ///
+    /// Each request takes it for half to one and a half of what it is, by a random number: as
+    /// a lag grows old a few requests try the upstream before all do, and what they see is
+    /// told to the others.
+    pub(crate) fn cost(&self, now: Time, ordinary: f64, draw: u64) -> f64 {
+        let [byte, ..] = draw.to_be_bytes();
+        let doubt = 0.5 + f64::from(byte) / f64::from(u8::MAX);
+        (self.millis(now) * doubt - ordinary).max(0.0)
     }
 
     /// Takes in how long a request waited beyond what its prompt takes to read.
--- a/crates/badgerfield-core/src/replicas.rs
+++ b/crates/badgerfield-core/src/replicas.rs
@@ -369,13 +369,17 @@
         let pool = if rested.is_empty() { fit } else { rested };
         let mix = self.mixes.get(wanted.service).filter(|_| !wanted.parts.is_empty());
         let weights = Weights::of(mix, wanted);
+        let ordinary = lag::ordinary(pool.iter().map(|r| r.lag.millis(now)).collect());
         let own: Vec<_> = pool.iter().copied().filter(|r| weights.takes(r)).collect();
         let home = home_of(if own.is_empty() { &pool } else { &own }, wanted.parts);
         let mut best: Option<(&Replica, f64)> = None;
         let mut second: Option<(&Replica, f64)> = None;
         for replica in &pool {
             let is_home = home.as_ref() == Some(&&replica.info.id);
-            let cost = replica.cost(now, wanted, &weights, is_home);
+            let mut cost = replica.cost(now, wanted, &weights, is_home);
+            if !wanted.parts.is_empty() {
+                cost += replica.lag.cost(now, ordinary, wanted.draw);
+            }
             if best.is_none_or(|(_, least)| cost < least) {
                 second = best;
                 best = Some((replica, cost));
@@ -595,7 +599,7 @@
         }
         let read = float(self.unread(now, wanted.parts, is_home)) * weights.read_ms;
         let apart = if weights.takes(self) { 0.0 } else { weights.apart_ms };
-        read + apart + running * RUNNING_MS + self.lag.cost(now) + failing + jitter
+        read + apart + running * RUNNING_MS + failing + jitter
     }
 
     /// Returns how many tokens of a prompt's shared parts it is expected to read.
--- a/crates/badgerfield-core/tests/lag.rs
+++ b/crates/badgerfield-core/tests/lag.rs
@@ -70,7 +70,7 @@
                         parts: &parts,
                         tried: &[],
                         connections: 5,
-                        draw: draw >> 7,
+                        draw: draw.rotate_left(17),
                     };
                     let chosen = table.choose(now, &wanted).expect("there are engines").id;
                     table.begin(now, &chosen, &parts);
