--- a/crates/badgerfield-core/src/board.rs
+++ b/crates/badgerfield-core/src/board.rs
@@ -9,8 +9,8 @@
 
 use crate::charges::Charges;
 use crate::claims::Claims;
-use crate::drawer::Drawer;
 use crate::holdings::Holdings;
+use crate::ledger_writer::LedgerWriter;
 use crate::membership::Membership;
 use crate::queue::Queue;
 use crate::runs::Runs;
@@ -30,7 +30,7 @@
     upstreams: Mutex<Upstreams>,
     claims: Mutex<Claims>,
     holdings: Mutex<Holdings>,
-    drawer: Mutex<Drawer>,
+    ledger_writer: Mutex<LedgerWriter>,
 }
 
 impl Board {
@@ -39,7 +39,7 @@
         runs: Runs,
         claims: Claims,
         holdings: Holdings,
-        drawer: Drawer,
+        ledger_writer: LedgerWriter,
     ) -> Self {
         Self {
             members: Mutex::new(members),
@@ -51,7 +51,7 @@
             upstreams: Mutex::default(),
             claims: Mutex::new(claims),
             holdings: Mutex::new(holdings),
-            drawer: Mutex::new(drawer),
+            ledger_writer: Mutex::new(ledger_writer),
         }
     }
 
@@ -101,8 +101,8 @@
     }
 
     /// Locks the changes that wait for the ledger.
-    pub(crate) fn drawer(&self) -> MutexGuard<'_, Drawer> {
-        lock(&self.drawer)
+    pub(crate) fn ledger_writer(&self) -> MutexGuard<'_, LedgerWriter> {
+        lock(&self.ledger_writer)
     }
 }
 
--- a/crates/badgerfield-core/src/claims.rs
+++ b/crates/badgerfield-core/src/claims/mod.rs
@@ -5,23 +5,19 @@
 //! change of the view makes members hand over what others now decide about. The
 //! arbiter answers only for keys whose memory it is sure to have.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod handover;
+
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::amount::Time;
-use crate::confirmations::{Confirmations, Confirmed};
+use crate::confirmations::Confirmations;
 use crate::event::Outbox;
 use crate::ids::{Epoch, Incarnation, Region, RequestKey, UpstreamId};
-use crate::message::{
-    ChargeId, ClaimAsk, ClaimRecord, HandoverPart, Message, Progress, SettleAsk, Verdict,
-};
-use crate::view::{Standing, View};
-
-/// How often unacknowledged hand-overs are sent again.
-const RESEND: Duration = Duration::from_millis(500);
-/// How many claims one hand-over message carries.
-const BATCH: usize = 500;
+use crate::message::{ChargeId, ClaimAsk, ClaimRecord, Message, Progress, SettleAsk, Verdict};
+use crate::view::View;
+use handover::Moving;
 
 /// One remembered claim.
 #[derive(Debug, Clone)]
@@ -73,14 +69,6 @@
     swept: Time,
 }
 
-/// Claims on their way to a member.
-#[derive(Debug, Default)]
-struct Moving {
-    keys: BTreeSet<RequestKey>,
-    part: u32,
-    sent: Option<Time>,
-}
-
 impl Claims {
     /// Makes an empty memory that keeps ended claims for a span.
     #[must_use]
@@ -123,84 +111,6 @@
         self.entries.is_empty()
     }
 
-    /// Puts a newer view in force and starts the hand-overs that it asks for.
-    pub fn adopt(&mut self, now: Time, view: &Arc<View>, out: &mut Outbox) {
-        if view.epoch <= self.view.epoch {
-            return;
-        }
-        let old = std::mem::replace(&mut self.view, Arc::clone(view));
-        self.since.push(Arc::clone(view));
-        self.confirmations = Confirmations::of(view);
-        for doubt in &view.doubts {
-            self.doubted.entry(doubt.epoch).or_insert(now);
-        }
-        self.moving.retain(|id, _| view.has(*id));
-        for moving in self.moving.values_mut() {
-            moving.sent = None;
-            moving.part = 0;
-        }
-        self.plan_moves(&old);
-        self.confirm_own();
-        self.resend(now, out);
-    }
-
-    /// Returns what a sign of life says about the hand-overs of the view in force.
-    #[must_use]
-    pub fn confirmed(&self) -> Confirmed {
-        Confirmed { complete: self.complete, bits: self.confirmations.bits() }
-    }
-
-    /// Takes in what another process says about the hand-overs of an epoch.
-    ///
-    /// Returns whether that is news which others should hear soon.
-    pub fn confirm(&mut self, epoch: Epoch, theirs: &Confirmed) -> bool {
-        if epoch != self.view.epoch || self.complete == epoch {
-            return false;
-        }
-        let news = if theirs.complete == epoch {
-            self.confirmations.confirm_all();
-            true
-        } else {
-            self.confirmations.merge(&theirs.bits)
-        };
-        self.check_complete();
-        news
-    }
-
-    /// Confirms the view for this process once nothing is left to hand over.
-    fn confirm_own(&mut self) {
-        if self.moving.is_empty() {
-            self.confirmations.confirm(&self.view, self.me);
-            self.check_complete();
-        }
-    }
-
-    /// Finds the claims that a new view makes this process hand over.
-    fn plan_moves(&mut self, old: &View) {
-        let view = &self.view;
-        let standing = |v: &View| v.member(self.me).map(|m| m.standing);
-        let leaves = standing(view) == Some(Standing::Leaving) && standing(old) != standing(view);
-        for entry in self.entries.values() {
-            let key = entry.record.key;
-            let home = entry.record.home.as_ref();
-            let (before, after) = (places(old, key, home), places(view, key, home));
-            // The other memory of a claim may have gone, or this one is about to go.
-            let alone = after[0] == Some(self.me) && entry.keeper.is_none_or(|k| !view.has(k));
-            if before == after && !alone && !leaves {
-                continue;
-            }
-            for place in after.into_iter().flatten().filter(|id| *id != self.me) {
-                self.moving.entry(place).or_default().keys.insert(key);
-            }
-        }
-    }
-
-    /// Tells whether everything that this process had to hand over has arrived.
-    #[must_use]
-    pub fn is_handed_over(&self) -> bool {
-        self.moving.is_empty()
-    }
-
     /// Decides about a wish; returns nothing while the second copy is on its way.
     pub fn decide(
         &mut self,
@@ -462,48 +372,6 @@
         None
     }
 
-    /// Takes in claims that another member hands over; tells whether they are for this view.
-    pub fn receive(&mut self, now: Time, from: Incarnation, part: &HandoverPart) -> bool {
-        for record in &part.claims {
-            self.merge(now, from, record);
-        }
-        part.epoch == self.view.epoch
-    }
-
-    /// Notes that a member has everything of a hand-over, and sends what is left.
-    pub fn handed_over(
-        &mut self,
-        now: Time,
-        from: Incarnation,
-        epoch: Epoch,
-        part: u32,
-        out: &mut Outbox,
-    ) {
-        if epoch != self.view.epoch {
-            return;
-        }
-        let Some(moving) = self.moving.get_mut(&from) else {
-            return;
-        };
-        if part != moving.part {
-            return;
-        }
-        for _ in 0..BATCH.min(moving.keys.len()) {
-            let key = moving.keys.pop_first();
-            if let Some(entry) = key.and_then(|key| self.entries.get_mut(&key)) {
-                entry.keeper = Some(from);
-            }
-        }
-        if moving.keys.is_empty() {
-            self.moving.remove(&from);
-            self.confirm_own();
-            return;
-        }
-        moving.part += 1;
-        moving.sent = None;
-        self.resend(now, out);
-    }
-
     /// Sends hand-overs again and forgets what is old.
     pub fn tick(&mut self, now: Time, out: &mut Outbox) {
         self.resend(now, out);
@@ -515,24 +383,6 @@
         self.entries.retain(|_, entry| now.since(entry.changed) < keep);
     }
 
-    fn resend(&mut self, now: Time, out: &mut Outbox) {
-        for (to, moving) in &mut self.moving {
-            if moving.sent.is_some_and(|sent| now.since(sent) < RESEND) {
-                continue;
-            }
-            moving.sent = Some(now);
-            let claims = moving
-                .keys
-                .iter()
-                .take(BATCH)
-                .filter_map(|key| self.entries.get(key))
-                .map(|entry| entry.record.clone())
-                .collect();
-            let part = HandoverPart { epoch: self.view.epoch, part: moving.part, claims };
-            out.send(*to, Message::Handover(part));
-        }
-    }
-
     /// Takes in a record that another member remembers too, unless a later one is here.
     fn merge(&mut self, now: Time, from: Incarnation, record: &ClaimRecord) {
         let keeper = (from != self.me).then_some(from);
@@ -553,13 +403,6 @@
         let mine = entry.record.owner == from && entry.record.serial == serial;
         mine.then_some(entry)
     }
-
-    fn check_complete(&mut self) {
-        if self.view.has(self.me) && self.confirmations.is_complete() {
-            self.complete = self.view.epoch;
-            self.since = vec![Arc::clone(&self.view)];
-        }
-    }
 }
 
 fn upstream(progress: &Progress) -> Option<UpstreamId> {
--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -196,7 +196,7 @@
             (gone, members.removed && !was)
         };
         self.board.claims().adopt(now, view, out);
-        self.board.drawer().forget(gone);
+        self.board.ledger_writer().forget(gone);
         self.board.holdings().adopt(now, view, out);
         out.push(Order::Note(Note::View(view.epoch)));
         if removed {
--- a/crates/badgerfield-core/src/control/rights.rs
+++ b/crates/badgerfield-core/src/control/rights.rs
@@ -4,11 +4,11 @@
 
 use crate::amount::Time;
 use crate::control::reservations;
-use crate::drawer;
 use crate::event::{KvResult, Order, Outbox};
 use crate::holdings::Reserved;
 use crate::ids::{BudgetId, Incarnation, Period, ReservationId, RunId};
 use crate::ledger::{LedgerOp, LedgerReply, shard_of};
+use crate::ledger_writer;
 use crate::membership::Purpose;
 use crate::message::{Message, ParkItem, Transfer};
 use crate::node::Node;
@@ -178,10 +178,10 @@
     pub(crate) fn draw(&self, now: Time, ops: Vec<LedgerOp>, out: &mut Outbox) {
         let mut refused = Vec::new();
         {
-            let mut drawer = self.board.drawer();
+            let mut ledger_writer = self.board.ledger_writer();
             for op in ops {
                 let shard = shard_of(&op.budget, self.config.shards);
-                refused.extend(drawer.add(now, shard, op));
+                refused.extend(ledger_writer.add(now, shard, op));
             }
         }
         self.tell(now, refused, out);
@@ -196,7 +196,7 @@
         result: KvResult,
         out: &mut Outbox,
     ) {
-        let replies = self.board.drawer().answered(now, shard, result);
+        let replies = self.board.ledger_writer().answered(now, shard, result);
         self.tell(now, replies, out);
         self.call_ledger(now, out);
     }
@@ -219,7 +219,7 @@
     }
 
     fn call_ledger(&self, now: Time, out: &mut Outbox) {
-        let calls = self.board.drawer().calls(now);
+        let calls = self.board.ledger_writer().calls(now);
         if calls.is_empty() {
             return;
         }
@@ -230,7 +230,7 @@
         }
     }
 
-    fn tell(&self, now: Time, results: Vec<drawer::Result>, out: &mut Outbox) {
+    fn tell(&self, now: Time, results: Vec<ledger_writer::Result>, out: &mut Outbox) {
         let mut batches: BTreeMap<Incarnation, Vec<_>> = BTreeMap::new();
         for result in results {
             let reply = (result.budget, result.period, result.reply);
--- a/crates/badgerfield-core/src/control/upstream_news.rs
+++ b/crates/badgerfield-core/src/control/upstream_news.rs
@@ -12,7 +12,7 @@
 use crate::ids::Incarnation;
 use crate::message::{Message, UpstreamNews};
 use crate::node::Node;
-use crate::replicas::{ListMark, ReplicaChanges};
+use crate::replica_list::{ListMark, ReplicaChanges};
 use crate::view::SMALL_VIEW;
 
 /// The least time between two fetches of the list from one member.
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -17,7 +17,7 @@
 use crate::message::{Envelope, Head, Message};
 use crate::mix::Needs;
 use crate::refusal::Refusal;
-use crate::replicas::{ListMark, ReplicaChanges, ReplicaList};
+use crate::replica_list::{ListMark, ReplicaChanges, ReplicaList};
 use crate::template::KeyDigest;
 use crate::upstream::{LoadReport, VmList};
 
--- a/crates/badgerfield-core/src/holdings/bank.rs
+++ b/crates/badgerfield-core/src/holdings/bank.rs
@@ -27,7 +27,7 @@
 
 /// An amount that has fallen to the bank.
 #[derive(Debug)]
-pub(crate) struct Windfall {
+pub(crate) struct Inherited {
     pub(crate) budget: BudgetId,
     pub(crate) period: Period,
     pub(crate) amount: Tokens,
@@ -54,11 +54,11 @@
     }
 
     /// Takes over what removed owners had parked.
-    pub(crate) fn adopt(&mut self, view: &View, me: Incarnation) -> Vec<Windfall> {
-        let mut windfalls = Vec::new();
+    pub(crate) fn adopt(&mut self, view: &View, me: Incarnation) -> Vec<Inherited> {
+        let mut inherited = Vec::new();
         if !view.has(me) {
             self.owners.clear();
-            return windfalls;
+            return inherited;
         }
         self.owners.retain(|owner, deposits| {
             if view.has(*owner) {
@@ -66,11 +66,11 @@
             }
             for (budget, deposit) in std::mem::take(deposits) {
                 let (period, amount) = (deposit.period, deposit.total);
-                windfalls.push(Windfall { budget, period, amount });
+                inherited.push(Inherited { budget, period, amount });
             }
             false
         });
-        windfalls
+        inherited
     }
 
     /// Tells whether nothing is parked here.
--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -8,7 +8,7 @@
 use crate::ledger::{LedgerOp, Plan, Terms};
 use crate::rate::Meter;
 use crate::refusal::Refusal;
-use crate::seal::{Claim, Estate, FleetClock, HOLDS, Seal};
+use crate::seal::{Claim, FleetClock, HOLDS, Orphan, Seal};
 
 /// How much demand, in time, a holding keeps ready to spend; the rest is parked.
 const WORKING: Duration = Duration::from_secs(1);
@@ -79,7 +79,7 @@
 
 /// Where the search for tokens stands.
 #[derive(Debug, Clone)]
-pub(crate) enum Hunt {
+pub(crate) enum Search {
     /// The bank was asked for what is parked there.
     Bank { since: Time },
     /// A lender, or the holder that collects a low budget, was asked.
@@ -150,7 +150,7 @@
     /// When a lender was asked for what is to be kept at hand.
     pub(crate) asked: Option<Time>,
     pub(crate) waiters: VecDeque<Waiter>,
-    pub(crate) hunt: Option<Hunt>,
+    pub(crate) search: Option<Search>,
     /// Holders that asked for tokens while they were parked.
     pub(crate) owed: Vec<(Incarnation, Tokens)>,
     pub(crate) used_at: Time,
@@ -169,7 +169,7 @@
     /// When the change under way was last given the time that its promise counts from.
     pub(crate) stamped: Option<Time>,
     /// Sealed tokens of earlier processes of this VM that were not looked at yet.
-    pub(crate) estates: Vec<Estate>,
+    pub(crate) orphans: Vec<Orphan>,
     pub(crate) life: Life,
     /// The last refusal, when it was made, and the least need that was refused.
     pub(crate) refused: Option<(Refusal, Time, Tokens)>,
@@ -207,7 +207,7 @@
             lent: None,
             asked: None,
             waiters: VecDeque::new(),
-            hunt: None,
+            search: None,
             owed: Vec::new(),
             used_at: now,
             largest: Tokens::ZERO,
@@ -218,7 +218,7 @@
             releasing: Tokens::ZERO,
             said: None,
             stamped: None,
-            estates: Vec::new(),
+            orphans: Vec::new(),
             life: Life::Open,
             refused: None,
         }
@@ -311,8 +311,8 @@
             self.said = Some(now);
         }
         let claims = sealing.clock.started.map_or_else(Vec::new, |started| {
-            let claim = |e: Estate| Claim { holder: e.holder, untouched: e.is_untouched(started) };
-            std::mem::take(&mut self.estates).into_iter().map(claim).collect()
+            let claim = |e: Orphan| Claim { holder: e.holder, untouched: e.is_untouched(started) };
+            std::mem::take(&mut self.orphans).into_iter().map(claim).collect()
         });
         Seal { vm: sealing.vm.clone(), amount, released: self.releasing, at, claims }
     }
@@ -397,7 +397,7 @@
 
     /// Tells whether the holding waits for somebody's answer.
     pub(crate) fn is_busy(&self) -> bool {
-        let waits = !self.waiters.is_empty() || self.hunt.is_some();
+        let waits = !self.waiters.is_empty() || self.search.is_some();
         waits || self.op.is_some() || self.parked.sent.is_some()
     }
 
--- a/crates/badgerfield-core/src/holdings/lending.rs
+++ b/crates/badgerfield-core/src/holdings/lending.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::holding::{Holding, Hunt, Waiter, Wanter};
+use super::holding::{Holding, Search, Waiter, Wanter};
 use super::search::next_lender;
 use super::{COME_BACK, Holdings};
 use crate::amount::{Time, Tokens};
@@ -61,7 +61,7 @@
         };
         let keep = holding.at_hand(now, self.pacing.policy.at_hand);
         let has_enough = holding.free >= keep.part(1, 2).max(Tokens(1));
-        if has_enough || self.closing || holding.hunt.is_some() || !holding.borrows() {
+        if has_enough || self.closing || holding.search.is_some() || !holding.borrows() {
             return;
         }
         if !due(now, holding.asked, ASK_AHEAD) {
@@ -130,7 +130,7 @@
         let Some(holding) = self.table.get(budget) else {
             return false;
         };
-        let Some(Hunt::Lender { asked, .. }) = &holding.hunt else {
+        let Some(Search::Lender { asked, .. }) = &holding.search else {
             return false;
         };
         holding.borrows() && asked.contains(&from) && lack != Lack::NoHolder
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use self::bank::Bank;
-use self::holding::{Holding, Hunt, Life, Maker, Sealing, Waiter, Wanter};
+use self::holding::{Holding, Life, Maker, Sealing, Search, Waiter, Wanter};
 use self::transfer::Transfers;
 use crate::amount::{Percent, Time, Tokens};
 use crate::event::{Note, Order, Outbox, due};
@@ -207,7 +207,7 @@
             holding.lenders = lenders;
             holding.stands_in = stands_in;
             // Whoever waits is served from the new period, and the search starts anew.
-            holding.hunt = (!waiters.is_empty()).then_some(Hunt::Ledger { since: now });
+            holding.search = (!waiters.is_empty()).then_some(Search::Ledger { since: now });
             holding.waiters = waiters;
             self.touched.insert(budget.clone());
             return;
@@ -357,7 +357,7 @@
             return;
         }
         match reply {
-            LedgerReply::Applied { seq, granted, left, others, plan, estates } => {
+            LedgerReply::Applied { seq, granted, left, others, plan, orphans } => {
                 let mine = holding.op.as_ref().is_some_and(|(op, _)| op.seq == *seq);
                 if !mine {
                     return;
@@ -382,7 +382,7 @@
                 holding.left = Some(*left);
                 if let Some(sealing) = self.maker.sealing.as_mut() {
                     sealing.heard = Some(now);
-                    holding.estates.clone_from(estates);
+                    holding.orphans.clone_from(orphans);
                 }
                 out.push(Order::Note(Note::Drawn {
                     budget: budget.clone(),
@@ -431,7 +431,7 @@
         if *reply == LedgerReply::Down {
             self.skip_ledger(now, budget, out);
         }
-        self.next_hunt(now, budget, out);
+        self.next_search(now, budget, out);
     }
 
     /// Answers a holder that asks for tokens.
@@ -496,7 +496,7 @@
             return;
         }
         self.skip_lender(now, budget, out);
-        self.next_hunt(now, budget, out);
+        self.next_search(now, budget, out);
     }
 
     /// Takes in tokens of another holder; tells whether to acknowledge them.
@@ -526,7 +526,7 @@
             self.mute.remove(&from);
             self.answered(from, &transfer.budget, true);
             self.serve_waiters(now, &transfer.budget);
-            self.next_hunt(now, &transfer.budget, out);
+            self.next_search(now, &transfer.budget, out);
         }
         true
     }
@@ -567,7 +567,7 @@
             self.touched.insert(item.budget.clone());
             self.serve_waiters(now, &item.budget);
             self.pay_owed(now, &item.budget, out);
-            self.next_hunt(now, &item.budget, out);
+            self.next_search(now, &item.budget, out);
         }
     }
 
@@ -585,15 +585,15 @@
             self.bank.adopt(view, self.me);
             return;
         }
-        for windfall in self.bank.adopt(view, self.me) {
-            let Some(holding) = self.table.get_mut(&windfall.budget) else {
+        for inherited in self.bank.adopt(view, self.me) {
+            let Some(holding) = self.table.get_mut(&inherited.budget) else {
                 continue;
             };
-            if holding.terms.period != windfall.period {
+            if holding.terms.period != inherited.period {
                 continue;
             }
-            holding.free = holding.free.saturating_plus(windfall.amount);
-            self.touched.insert(windfall.budget);
+            holding.free = holding.free.saturating_plus(inherited.amount);
+            self.touched.insert(inherited.budget);
         }
         self.reclaim_parked();
         self.rank_lenders(out);
@@ -603,7 +603,7 @@
             self.drop_gone(&id);
             self.leave_gone_lender(now, &id, out);
             self.start_waiting_search(now, &id, out);
-            self.next_hunt(now, &id, out);
+            self.next_search(now, &id, out);
         }
     }
 
--- a/crates/badgerfield-core/src/holdings/parking.rs
+++ b/crates/badgerfield-core/src/holdings/parking.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Holdings;
-use super::holding::{Hunt, Life};
+use super::holding::{Life, Search};
 use super::search::next_lender;
 use crate::amount::{Time, Tokens};
 use crate::event::{Outbox, due};
@@ -32,7 +32,7 @@
         if holding.op.is_some() || holding.life == Life::Closed || !self.joined {
             return;
         }
-        if matches!(holding.hunt, Some(Hunt::Ledger { .. })) {
+        if matches!(holding.search, Some(Search::Ledger { .. })) {
             holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
             return;
         }
@@ -89,7 +89,7 @@
         let news = holding.reported != (holding.billed, holding.wasted);
         let seals = self.maker.sealing.is_some() && self.pacing.policy.top_up;
         let unbalanced = seals && (holding.lacks_share() || holding.is_too_open(now));
-        if news || unbalanced || !holding.sealed.is_zero() || !holding.estates.is_empty() {
+        if news || unbalanced || !holding.sealed.is_zero() || !holding.orphans.is_empty() {
             holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
         }
     }
@@ -114,7 +114,7 @@
         // What went to lenders is held there; the ledger hands out less while it takes it to
         // be held here as well.
         let is_stale = !holding.known.is_zero();
-        if !shut.is_zero() || !holding.estates.is_empty() || is_stale {
+        if !shut.is_zero() || !holding.orphans.is_empty() || is_stale {
             let back = if is_stale { shut } else { holding.spare().saturating_plus(shut) };
             holding.make_op(now, budget, &self.maker, back, false);
         }
@@ -226,7 +226,7 @@
         let Some(to) = lender.filter(|to| *to != self.me) else {
             return;
         };
-        let waits = holding.hunt.is_some() || !holding.waiters.is_empty();
+        let waits = holding.search.is_some() || !holding.waiters.is_empty();
         let may = !waits && (borrows || !self.closing);
         // Two that take each other for the collector must not pass tokens to and fro.
         let pace = if borrows { RETURN } else { PASS };
--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::holding::{Holding, Hunt, Waiter, Wanter};
+use super::holding::{Holding, Search, Waiter, Wanter};
 use super::lending::BorrowerAnswer;
 use super::{COME_BACK, Decision, Holdings};
 use crate::amount::{Time, Tokens};
@@ -55,7 +55,7 @@
         });
         holding.waiters = waiting;
         if holding.waiters.is_empty() {
-            holding.hunt = None;
+            holding.search = None;
         }
         self.decide(budget, done, None);
     }
@@ -100,7 +100,7 @@
         let least = refused.iter().map(|w| w.need).min();
         holding.refused = least.map(|least| (refusal, now, least)).or(holding.refused);
         if holding.waiters.is_empty() {
-            holding.hunt = None;
+            holding.search = None;
         }
         self.decide(budget, refused, Some(refusal));
         self.touched.insert(budget.clone());
@@ -119,8 +119,8 @@
             return;
         }
         let parks = self.maker.sealing.is_none();
-        if holding.hunt.is_none() && parks && holding.covers_wanted() {
-            holding.hunt = Some(Hunt::Bank { since: now });
+        if holding.search.is_none() && parks && holding.covers_wanted() {
+            holding.search = Some(Search::Bank { since: now });
         } else {
             self.look_elsewhere(now, budget, out);
         }
@@ -136,15 +136,15 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        let lender = match &holding.hunt {
+        let lender = match &holding.search {
             None => next_lender(holding, &self.view, &self.mute, now, &[]),
-            Some(Hunt::Lender { asked, .. }) => asked.last().copied(),
+            Some(Search::Lender { asked, .. }) => asked.last().copied(),
             Some(_) => return,
         };
         let lender = lender.filter(|id| *id != self.me);
-        match (&holding.hunt, lender) {
-            (None | Some(Hunt::Lender { .. }), Some(to)) => {
-                holding.hunt.get_or_insert(Hunt::Lender { since: now, asked: vec![to] });
+        match (&holding.search, lender) {
+            (None | Some(Search::Lender { .. }), Some(to)) => {
+                holding.search.get_or_insert(Search::Lender { since: now, asked: vec![to] });
                 let (budget, period) = (budget.clone(), holding.terms.period);
                 let need = holding.waiters.back().map_or(Tokens::ZERO, |w| w.need);
                 let ahead = holding.at_hand(now, self.pacing.policy.at_hand);
@@ -152,7 +152,7 @@
             }
             (None, None) if !holding.may_draw() => self.refuse_silent(now, budget),
             (None, None) => {
-                holding.hunt = Some(Hunt::Ledger { since: now });
+                holding.search = Some(Search::Ledger { since: now });
                 if holding.op.is_none() {
                     holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
                 }
@@ -175,7 +175,7 @@
         if holding.covers_wanted() && holding.parked.sent.is_some() {
             return;
         }
-        holding.hunt = None;
+        holding.search = None;
         self.look_elsewhere(now, budget, out);
     }
 
@@ -185,14 +185,14 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        let Some(Hunt::Lender { asked, .. }) = &holding.hunt else {
+        let Some(Search::Lender { asked, .. }) = &holding.search else {
             return;
         };
         let mut asked = asked.clone();
         let next = next_lender(holding, &self.view, &self.mute, now, &asked);
         if let Some(to) = next.filter(|_| holding.borrows()) {
             asked.push(to);
-            holding.hunt = Some(Hunt::Lender { since: now, asked });
+            holding.search = Some(Search::Lender { since: now, asked });
             for waiter in &holding.waiters {
                 let (budget, period) = (budget.clone(), holding.terms.period);
                 let (need, ahead) = (waiter.need, Tokens::ZERO);
@@ -204,7 +204,7 @@
             self.refuse_silent(now, budget);
             return;
         }
-        holding.hunt = Some(Hunt::Ledger { since: now });
+        holding.search = Some(Search::Ledger { since: now });
         if holding.op.is_none() {
             holding.make_op(now, budget, &self.maker, Tokens::ZERO, false);
         }
@@ -221,7 +221,7 @@
     /// Searches for those who came before this process had joined.
     pub(super) fn start_waiting_search(&mut self, now: Time, budget: &BudgetId, out: &mut Outbox) {
         let holding = self.table.get(budget);
-        if holding.is_some_and(|h| h.hunt.is_none() && !h.waiters.is_empty()) {
+        if holding.is_some_and(|h| h.search.is_none() && !h.waiters.is_empty()) {
             self.pursue(now, budget, out);
         }
     }
@@ -232,23 +232,23 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        let Some(Hunt::Lender { asked, .. }) = &holding.hunt else {
+        let Some(Search::Lender { asked, .. }) = &holding.search else {
             return;
         };
         let is_gone = asked.last().is_some_and(|id| !self.view.has(*id));
         if is_gone && !holding.waiters.is_empty() {
-            holding.hunt = None;
+            holding.search = None;
             self.look_elsewhere(now, budget, out);
         }
     }
 
     /// Moves a search on after an answer.
-    pub(super) fn next_hunt(&mut self, now: Time, budget: &BudgetId, out: &mut Outbox) {
+    pub(super) fn next_search(&mut self, now: Time, budget: &BudgetId, out: &mut Outbox) {
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        match &holding.hunt {
-            Some(Hunt::Ledger { .. }) => {
+        match &holding.search {
+            Some(Search::Ledger { .. }) => {
                 // The change under way may not know of the need yet.
                 let left = holding.left.unwrap_or_default();
                 if holding.op.is_some() {
@@ -260,18 +260,18 @@
                 }
                 self.ask_peers(now, budget, out);
             }
-            Some(Hunt::Peers { open, .. }) if open.is_empty() => self.give_up(now, budget),
-            Some(Hunt::Bank { .. }) if holding.parked.sent.is_none() => {
+            Some(Search::Peers { open, .. }) if open.is_empty() => self.give_up(now, budget),
+            Some(Search::Bank { .. }) if holding.parked.sent.is_none() => {
                 self.after_bank(now, budget, out);
             }
-            Some(Hunt::Bank { .. } | Hunt::Peers { .. } | Hunt::Lender { .. }) | None => {}
+            Some(Search::Bank { .. } | Search::Peers { .. } | Search::Lender { .. }) | None => {}
         }
     }
 
     /// Turns to other holders because the platform does not answer.
     pub(super) fn skip_ledger(&mut self, now: Time, budget: &BudgetId, out: &mut Outbox) {
-        let hunt = self.table.get(budget).and_then(|h| h.hunt.as_ref());
-        if matches!(hunt, Some(Hunt::Ledger { .. })) {
+        let search = self.table.get(budget).and_then(|h| h.search.as_ref());
+        if matches!(search, Some(Search::Ledger { .. })) {
             self.ask_peers(now, budget, out);
         }
     }
@@ -291,7 +291,7 @@
             out.send(*to, Message::Ask(Ask { budget, period, need, ahead }));
         }
         let alone = open.is_empty();
-        holding.hunt = Some(Hunt::Peers { since: now, open, reserved: false });
+        holding.search = Some(Search::Peers { since: now, open, reserved: false });
         if alone {
             self.give_up(now, budget);
         }
@@ -301,7 +301,7 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        if let Some(Hunt::Peers { open, reserved, .. }) = &mut holding.hunt {
+        if let Some(Search::Peers { open, reserved, .. }) = &mut holding.search {
             open.remove(&from);
             *reserved |= has_more;
         }
@@ -311,7 +311,7 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        if let Some(Hunt::Peers { open, .. }) = &mut holding.hunt {
+        if let Some(Search::Peers { open, .. }) = &mut holding.search {
             open.retain(|id| self.view.has(*id));
         }
     }
@@ -321,7 +321,7 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        let Some(Hunt::Peers { since, open, reserved }) = &holding.hunt else {
+        let Some(Search::Peers { since, open, reserved }) = &holding.search else {
             return;
         };
         // The bank may answer yet; one that is gone never does.
@@ -330,7 +330,7 @@
         }
         // The ledger was asked and may answer yet.
         if holding.op.is_some() && !holding.down {
-            holding.hunt = Some(Hunt::Ledger { since: now });
+            holding.search = Some(Search::Ledger { since: now });
             return;
         }
         let open = open.is_empty() && !reserved;
@@ -357,7 +357,7 @@
             waiter.until > now
         });
         if holding.waiters.is_empty() {
-            holding.hunt = None;
+            holding.search = None;
         }
         let refusal = Refusal::not_run(Cause::BudgetHeld).after(COME_BACK);
         self.decide(budget, late, Some(refusal));
@@ -365,12 +365,12 @@
             return;
         };
         let wait = if holding.borrows() { LENDER_WAIT } else { COLLECTOR_WAIT };
-        match &holding.hunt {
-            Some(Hunt::Bank { since }) if now.since(*since) >= BANK_WAIT => {
-                self.forget_hunt(budget);
+        match &holding.search {
+            Some(Search::Bank { since }) if now.since(*since) >= BANK_WAIT => {
+                self.forget_search(budget);
                 self.look_elsewhere(now, budget, out);
             }
-            Some(Hunt::Lender { since, asked }) if now.since(*since) >= wait => {
+            Some(Search::Lender { since, asked }) if now.since(*since) >= wait => {
                 if let Some(lender) = asked.last().copied() {
                     self.mute.insert(lender, now);
                     let budget = budget.clone();
@@ -378,19 +378,19 @@
                 }
                 self.skip_lender(now, budget, out);
             }
-            Some(Hunt::Ledger { since }) if now.since(*since) >= LEDGER_WAIT => {
+            Some(Search::Ledger { since }) if now.since(*since) >= LEDGER_WAIT => {
                 self.ask_peers(now, budget, out);
             }
-            Some(Hunt::Peers { since, .. }) if now.since(*since) >= PEER_WAIT => {
+            Some(Search::Peers { since, .. }) if now.since(*since) >= PEER_WAIT => {
                 self.give_up(now, budget);
             }
             Some(_) | None => {}
         }
     }
 
-    fn forget_hunt(&mut self, budget: &BudgetId) {
+    fn forget_search(&mut self, budget: &BudgetId) {
         if let Some(holding) = self.table.get_mut(budget) {
-            holding.hunt = None;
+            holding.search = None;
         }
     }
 }
--- a/crates/badgerfield-core/src/ledger.rs
+++ b/crates/badgerfield-core/src/ledger.rs
@@ -15,7 +15,7 @@
 
 use crate::amount::{Percent, Rate, Tokens};
 use crate::ids::{BudgetId, Incarnation, Period, Region, Version, VmId, weigh};
-use crate::seal::{Estate, Seal, SealRecord, sealed_part};
+use crate::seal::{Orphan, Seal, SealRecord, sealed_part};
 
 /// How much demand, in time, a holder may hold after its first change; it doubles with
 /// each further change, so that the demand of all is known before much is handed out.
@@ -171,7 +171,7 @@
         /// How the holder should hold the budget from now on.
         plan: Plan,
         /// Sealed tokens of earlier processes of the holder's VM.
-        estates: Vec<Estate>,
+        orphans: Vec<Orphan>,
     },
     /// The period has ended; nothing of the change took effect.
     Ended {
@@ -315,7 +315,7 @@
         holder.region = Some(op.region.clone());
         holder.billed = op.billed;
         holder.wasted = op.wasted;
-        self.settle_estates(op);
+        self.settle_orphans(op);
         let granted = self.grant(op);
         let record = op.seal.as_ref().and_then(|seal| record_of(seal, granted, op.need));
         self.drawn = self.drawn.saturating_plus(granted);
@@ -333,7 +333,7 @@
     }
 
     /// Settles the sealed tokens of earlier processes: what is untouched goes back.
-    fn settle_estates(&mut self, op: &LedgerOp) {
+    fn settle_orphans(&mut self, op: &LedgerOp) {
         let claims = op.seal.as_ref().map_or(&[][..], |seal| &seal.claims);
         for claim in claims {
             let holder = self.holders.get_mut(&claim.holder);
@@ -348,15 +348,15 @@
     }
 
     /// Returns the sealed tokens of earlier processes of a VM.
-    fn estates(&self, vm: &VmId, holder: Incarnation) -> Vec<Estate> {
+    fn orphans(&self, vm: &VmId, holder: Incarnation) -> Vec<Orphan> {
         let others = self.holders.iter().filter(|(id, _)| **id != holder);
         let sealed = others.filter_map(|(id, h)| Some((*id, h.seal.as_ref()?)));
-        let estate = |(holder, seal): (Incarnation, &SealRecord)| Estate {
+        let orphan = |(holder, seal): (Incarnation, &SealRecord)| Orphan {
             holder,
             amount: seal.amount,
             at: seal.at,
         };
-        sealed.filter(|(_, seal)| seal.vm == *vm).map(estate).collect()
+        sealed.filter(|(_, seal)| seal.vm == *vm).map(orphan).collect()
     }
 
     fn learn(&mut self, terms: Terms) {
@@ -455,8 +455,8 @@
         rich.sort_by_key(|(id, holder)| (std::cmp::Reverse(holder.held), **id));
         let others = rich.into_iter().take(MAX_NAMED).map(|(id, _)| *id).collect();
         let (seq, left, plan) = (op.seq, self.left(), self.plan(op));
-        let estates = op.seal.as_ref().map_or_else(Vec::new, |s| self.estates(&s.vm, op.holder));
-        LedgerReply::Applied { seq, granted, left, others, plan, estates }
+        let orphans = op.seal.as_ref().map_or_else(Vec::new, |s| self.orphans(&s.vm, op.holder));
+        LedgerReply::Applied { seq, granted, left, others, plan, orphans }
     }
 }
 
--- a/crates/badgerfield-core/src/drawer.rs
+++ b/crates/badgerfield-core/src/ledger_writer.rs
@@ -1,4 +1,4 @@
-//! The drawer: writes the ledger changes of many holders in few writes.
+//! Writes the ledger changes of many holders in few writes.
 //!
 //! Any process can do this for any shard; by rank, the processes of a region choose
 //! the same one. Nothing depends on that choice being unique: the platform's
@@ -65,7 +65,7 @@
 
 /// The changes that wait for the platform, by shard.
 #[derive(Debug, Default)]
-pub struct Drawer {
+pub struct LedgerWriter {
     shards: BTreeMap<u32, Shard>,
     gone: VecDeque<Incarnation>,
     stretch: u32,
@@ -74,8 +74,8 @@
     writes: u64,
 }
 
-impl Drawer {
-    /// Makes an empty drawer of a ledger with a number of shards, for holders that report
+impl LedgerWriter {
+    /// Makes a writer without changes, of a ledger with a number of shards, for holders that report
     /// this often.
     #[must_use]
     pub fn new(shards: u32, report: Duration) -> Self {
--- a/crates/badgerfield-core/src/lending.rs
+++ b/crates/badgerfield-core/src/lending.rs
@@ -1,7 +1,7 @@
 //! Lending: who holds a budget in a large fleet, and who borrows from them.
 //!
-//! Rights that are held ahead at every process are crumbs where processes are many: each
-//! crumb is smaller than a request, and the ledger would name every process. So a region
+//! Where processes are many, a part of each budget at every one of them would be smaller than a
+//! request, and the ledger would name every process. So a region
 //! with more than [`SMALL_VIEW`] members leaves each budget to a few of them. All others
 //! borrow what one request needs, and give the rest back when it has ended.
 //!
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -13,7 +13,7 @@
 use crate::lag::LagNote;
 use crate::message::Heartbeat;
 use crate::mix::NeedsBlend;
-use crate::replicas::ListMark;
+use crate::replica_list::ListMark;
 use crate::seal::FleetClock;
 use crate::view::{Member, SMALL_VIEW, Standing, View};
 use crate::view_update::ViewLog;
@@ -63,7 +63,7 @@
     Read(KvName),
     /// Writes the view.
     Write(View),
-    /// Serves the drawer.
+    /// Reads or writes a shard of the ledger.
     Draw(u32),
 }
 
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -14,7 +14,7 @@
 use crate::lag::LagNote;
 use crate::ledger::{LedgerOp, LedgerReply};
 use crate::mix::Needs;
-use crate::replicas::{ListMark, ReplicaChanges, ReplicaList};
+use crate::replica_list::{ListMark, ReplicaChanges, ReplicaList};
 use crate::template::{TemplateDelta, TemplateSet};
 use crate::view::Member;
 use crate::view_update::ViewUpdate;
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -6,10 +6,10 @@
 use crate::amount::{Time, Tokens};
 use crate::board::Board;
 use crate::claims::Claims;
-use crate::drawer::Drawer;
 use crate::event::{Event, Order, Outbox};
 use crate::holdings::{Figures, Holdings};
 use crate::ids::{BudgetId, Epoch, Incarnation, RunId, UpstreamId, Version};
+use crate::ledger_writer::LedgerWriter;
 use crate::membership::Membership;
 use crate::message::{Envelope, Message};
 use crate::policy::Policy;
@@ -137,14 +137,14 @@
             Membership::new(config.member.clone(), config.pacing.beat, config.pacing.notice);
         let runs = Runs::new(config.replay, config.max_replay);
         let claims = Claims::new(me, config.remember);
-        let drawer = Drawer::new(config.shards, config.pacing.report);
+        let ledger_writer = LedgerWriter::new(config.shards, config.pacing.report);
         let holdings = Holdings::new(
             me,
             config.member.vm.clone(),
             config.member.region.clone(),
             config.pacing,
         );
-        let board = Board::new(members, runs, claims, holdings, drawer);
+        let board = Board::new(members, runs, claims, holdings, ledger_writer);
         Self { board, config }
     }
 
@@ -263,7 +263,7 @@
             };
             (table.excess(), table.budgets().map(status).collect())
         };
-        let conflicts = self.board.drawer().conflicts();
+        let conflicts = self.board.ledger_writer().conflicts();
         let incarnation = self.id();
         Status {
             incarnation,
--- /dev/null
+++ b/crates/badgerfield-core/src/replica_list.rs
@@ -0,0 +1,70 @@
+//! The platform's list of upstreams, and changes of it, as processes pass them on.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::{Domain, Service, UpstreamId};
+
+/// One upstream as the platform's list names it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaInfo {
+    /// The upstream, new at each of its starts.
+    pub id: UpstreamId,
+    /// Its service.
+    pub service: Service,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// One entry of the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaEntry {
+    /// The revision at which the entry was written last.
+    pub revision: u64,
+    /// What it says.
+    pub info: ReplicaInfo,
+}
+
+/// All upstreams, as of one revision of the platform's list.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaList {
+    /// The revision; entries that were written while the list was read may be newer.
+    pub revision: u64,
+    /// The entries.
+    pub replicas: Vec<ReplicaEntry>,
+}
+
+/// What changed in the platform's list up to a revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaChanges {
+    /// The revision of the list up to which every change is known.
+    pub revision: u64,
+    /// Entries that were written, in the order of their revisions.
+    pub written: Vec<ReplicaEntry>,
+    /// Entries that are gone, with the revision at which they went.
+    pub gone: Vec<(UpstreamId, u64)>,
+}
+
+/// How much a process knows of the platform's list.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListMark {
+    /// The revision up to which every change is known.
+    pub revision: u64,
+    /// Stands for all entries, so that equal lists are told apart from others.
+    pub digest: u64,
+}
+
+/// Returns a number that stands for what an entry says.
+pub(crate) fn digest_of(info: &ReplicaInfo) -> u64 {
+    // Plain fields always have a JSON form.
+    let text = serde_json::to_vec(info).unwrap_or_default();
+    xxh3_64_with_seed(&text, 0)
+}
--- a/crates/badgerfield-core/src/seal.rs
+++ b/crates/badgerfield-core/src/seal.rs
@@ -80,7 +80,7 @@
 
 /// Sealed tokens of an earlier process of a VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Estate {
+pub struct Orphan {
     /// The earlier process.
     pub holder: Incarnation,
     /// What was sealed.
@@ -89,7 +89,7 @@
     pub at: FleetTime,
 }
 
-impl Estate {
+impl Orphan {
     /// Tells whether the tokens are untouched, to a process that started at this time.
     #[must_use]
     pub fn is_untouched(&self, started: FleetTime) -> bool {
--- a/crates/badgerfield-core/tests/holdings.rs
+++ b/crates/badgerfield-core/tests/holdings.rs
@@ -48,7 +48,7 @@
         left: Tokens(1_000_000),
         others: Vec::new(),
         plan: Plan::Share(HELD),
-        estates: Vec::new(),
+        orphans: Vec::new(),
     };
     holdings.drawn(now, &budget(), Period(1), &reply, &mut Outbox::default());
 }
--- a/crates/badgerfield-core/tests/lag.rs
+++ b/crates/badgerfield-core/tests/lag.rs
@@ -4,9 +4,8 @@
 
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{Service, UpstreamId};
-use badgerfield_core::replicas::{
-    Health, PromptPart, ReplicaEntry, ReplicaInfo, ReplicaList, Replicas, Wanted,
-};
+use badgerfield_core::replica_list::{ReplicaEntry, ReplicaInfo, ReplicaList};
+use badgerfield_core::replicas::{Health, PromptPart, Replicas, Wanted};
 
 const ENGINES: u32 = 20;
 const VMS: usize = 60;
--- a/crates/badgerfield-core/tests/replicas.rs
+++ b/crates/badgerfield-core/tests/replicas.rs
@@ -6,9 +6,8 @@
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{Service, UpstreamId};
 use badgerfield_core::mix::Size;
-use badgerfield_core::replicas::{
-    Health, PromptPart, ReplicaChanges, ReplicaEntry, ReplicaInfo, ReplicaList, Replicas, Wanted,
-};
+use badgerfield_core::replica_list::{ReplicaChanges, ReplicaEntry, ReplicaInfo, ReplicaList};
+use badgerfield_core::replicas::{Health, PromptPart, Replicas, Wanted};
 
 fn service(name: &str) -> Service {
     name.parse().expect("the name is valid")
--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -10,7 +10,8 @@
 
 use badgerfield_core::event::{KvCall, KvResult, Versioned};
 use badgerfield_core::ids::{Account, Domain, UpstreamId};
-use badgerfield_core::replicas::{PromptPart, ReplicaChanges, ReplicaList};
+use badgerfield_core::replica_list::{ReplicaChanges, ReplicaList};
+use badgerfield_core::replicas::PromptPart;
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode, Uri};
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -15,7 +15,7 @@
 use badgerfield_core::message::{Envelope, Message};
 use badgerfield_core::mix::{Division, Needs};
 use badgerfield_core::refusal::Refusal;
-use badgerfield_core::replicas::{ListMark, ReplicaChanges, ReplicaList};
+use badgerfield_core::replica_list::{ListMark, ReplicaChanges, ReplicaList};
 use badgerfield_core::upstream::VmList;
 use badgerfield_core::view::{Member, Standing};
 use badgerfield_core::{Config, Event, Node, Order, TICK};
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -6,7 +6,7 @@
 use badgerfield_core::Event;
 use badgerfield_core::event::{KvCall, KvName, KvResult};
 use badgerfield_core::ids::Version;
-use badgerfield_core::replicas::ReplicaChanges;
+use badgerfield_core::replica_list::ReplicaChanges;
 
 use crate::adapter::Watched;
 use crate::driver::{Driver, Source};
--- a/crates/badgerfield-standin/tests/upstream_list.rs
+++ b/crates/badgerfield-standin/tests/upstream_list.rs
@@ -7,7 +7,7 @@
 use badgerfield_core::ids::Incarnation;
 use badgerfield_core::message::{Envelope, Heartbeat, Message};
 use badgerfield_core::mix::{Division, Needs};
-use badgerfield_core::replicas::{ListMark, ReplicaChanges};
+use badgerfield_core::replica_list::{ListMark, ReplicaChanges};
 use badgerfield_core::{Event, Node};
 use badgerfield_standin::fleet::{Fleet, Shape};
 
