Test the broadcast along the ring and the differences of templates

Both came after their code and were not seen red. The broadcast reaches each of 17, 48 and 100 members once, in as many steps as their number has binary digits; a change of one route and one budget is passed on in less than a tenth of the set, and any change of routes leads to the same routes (property test).

--- /dev/null
+++ b/crates/badgerfield-core/tests/template_history.rs
@@ -0,0 +1,114 @@
+//! What processes pass on of the templates: what differs, and no more.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use badgerfield_core::amount::{Percent, Tokens};
+use badgerfield_core::ids::{Period, Version};
+use badgerfield_core::routing::{Repeat, Route, Split};
+use badgerfield_core::template::{AccountTemplate, BudgetTemplate, KeyDigest, TemplateSet};
+use badgerfield_core::template_history::TemplateHistory;
+use proptest::prelude::*;
+
+const ACCOUNTS: u64 = 40;
+const ROUTES: u64 = 60;
+
+fn account(version: Version) -> AccountTemplate {
+    AccountTemplate {
+        changed: version,
+        priority: 1,
+        models: BTreeSet::from(["m".parse().expect("a name")]),
+        adapters: BTreeSet::new(),
+        hardware: BTreeSet::new(),
+        services: BTreeSet::new(),
+        unrepeatable: BTreeSet::new(),
+        home: None,
+        spread: Percent::new(80).expect("a share"),
+        output_limit: Tokens(100),
+        call_cost: Tokens(1),
+        queue_wait: Duration::from_secs(5),
+    }
+}
+
+fn route(n: u64) -> Route {
+    Route {
+        name: format!("route-{n}"),
+        host: "host.example".to_owned(),
+        prefix: format!("/p{n}/"),
+        repeat: Repeat::Safe,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(300),
+        rank: 1,
+        split: vec![Split { service: "pool".parse().expect("a name"), weight: 1 }],
+        attempts: 2,
+        anonymous: false,
+        affinity: false,
+        pause: None,
+    }
+}
+
+/// Makes a set as a platform writes it: all templates count as changed in its version.
+fn set(version: u64, limit: impl Fn(u64) -> u64, routes: Vec<Route>) -> TemplateSet {
+    let version = Version(version);
+    let mut set = TemplateSet { version, ..TemplateSet::default() };
+    for n in 0..ACCOUNTS {
+        let keys = BTreeSet::from([KeyDigest::of(&format!("key-{n}"))]);
+        let limit = Tokens(limit(n));
+        let budget = BudgetTemplate { changed: version, limit, period: Period(1), keys };
+        set.accounts.insert(format!("a{n}").parse().expect("a name"), account(version));
+        set.budgets.insert(format!("a{n}/prepaid").parse().expect("a name"), budget);
+    }
+    set.routing.routes = routes;
+    set
+}
+
+fn size(value: &impl serde::Serialize) -> usize {
+    serde_json::to_vec(value).expect("plain fields").len()
+}
+
+#[test]
+fn a_change_of_one_setting_is_passed_on_alone() {
+    let first = set(3, |_| 1000, (0..ROUTES).map(route).collect());
+    let mut routes: Vec<_> = (0..ROUTES).map(route).collect();
+    routes[7].timeout = Duration::from_secs(9);
+    let second = set(8, |n| if n == 4 { 2000 } else { 1000 }, routes);
+    let mut history = TemplateHistory::default();
+    history.note(&first);
+    let delta = history.delta(&second, first.version).expect("the version is known");
+    assert!(size(&delta) * 10 < size(&second), "{} of {}", size(&delta), size(&second));
+    let mut behind = first.clone();
+    assert!(behind.advance(delta));
+    assert_eq!(behind, second);
+}
+
+#[test]
+fn who_is_far_behind_or_elsewhere_gets_the_whole_set() {
+    let mut history = TemplateHistory::default();
+    for version in 1..=20 {
+        history.note(&set(version, |_| version, Vec::new()));
+    }
+    let last = set(21, |_| 21, Vec::new());
+    assert!(history.delta(&last, Version(2)).is_none());
+    let delta = history.delta(&last, Version(20)).expect("the version is known");
+    // One that has meanwhile gone on must not mix what it has with a change to something else.
+    let mut other = set(19, |_| 19, Vec::new());
+    assert!(!other.advance(delta));
+    assert_eq!(other.version, Version(19));
+}
+
+proptest! {
+    #[test]
+    fn any_change_of_routes_leads_to_the_same_routes(
+        old in prop::collection::vec(0..30_u64, 0..30),
+        new in prop::collection::vec(0..30_u64, 0..30),
+    ) {
+        let first = set(1, |_| 5, old.into_iter().map(route).collect());
+        let second = set(2, |_| 5, new.into_iter().map(route).collect());
+        let mut history = TemplateHistory::default();
+        history.note(&first);
+        let delta = history.delta(&second, first.version).expect("the version is known");
+        let mut behind = first;
+        prop_assert!(behind.advance(delta));
+        prop_assert_eq!(behind, second);
+    }
+}
--- a/crates/badgerfield-standin/tests/upstream_list.rs
+++ b/crates/badgerfield-standin/tests/upstream_list.rs
@@ -1,5 +1,6 @@
 //! How word of the list of upstreams goes round: who follows it, and how lists are compared.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
@@ -85,6 +86,36 @@
     assert_eq!(told.count(), 3);
 }
 
+#[test]
+fn news_reaches_every_member_of_a_large_fleet_once() {
+    for vms in [17, 48, 100] {
+        let fleet = fleet(vms);
+        let now = Time::from_millis(5_000);
+        let index: BTreeMap<_, _> = (0..vms).map(|vm| (node(&fleet, vm).id(), vm)).collect();
+        let gone = vec![("u-1".parse().expect("a name"), 3)];
+        let changes = ReplicaChanges { gone, ..ReplicaChanges::default() };
+        let orders = node(&fleet, 0).handle(now, Event::UpstreamChanges(changes));
+        let mut waiting: Vec<_> = orders.into_iter().map(|order| (0, 1, order)).collect();
+        let mut reached = vec![0; vms];
+        let mut steps = 0;
+        while let Some((from, step, order)) = waiting.pop() {
+            let Order::Send(to, message @ Message::UpstreamChanges(_)) = order else {
+                continue;
+            };
+            let vm = index[&to];
+            reached[vm] += 1;
+            steps = steps.max(step);
+            let (from, address) = (node(&fleet, from).id(), ([127, 0, 0, 1], 1).into());
+            let envelope = Envelope { from, address, to, message };
+            let orders = node(&fleet, vm).handle(now, Event::Peer(envelope));
+            waiting.extend(orders.into_iter().map(|order| (vm, step + 1, order)));
+        }
+        assert!(reached[1..].iter().all(|count| *count == 1), "{vms}: {reached:?}");
+        assert_eq!(reached[0], 0, "{vms}: it came back");
+        assert!(steps <= usize::BITS - vms.leading_zeros(), "{vms}: {steps} steps");
+    }
+}
+
 #[test]
 fn what_engines_are_needed_for_is_blended_over_the_fleet() {
     let mut fleet = fleet(VMS);
