Count the silence of members from when they are observed

These had no sign of life of them since the view was first adopted, took them for silent (`silent_ms=33257`, all removals the same moment) and removed them when the next view came more than 20 s after the start.

Ruled out: datagrams that are lost (with signs of life on streams 18 still ended), connections that do not come up (tests/peers.rs: 40 processes that start at once all hear their neighbours).

A removal is logged with the member, its VM and how long it was silent.

--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -269,6 +269,9 @@
         let next = next.or_else(|| {
             let gone = members.gone(now);
             let may = members.is_member() && !gone.is_empty();
+            for id in gone.iter().filter(|_| may) {
+                out.push(Order::Note(members.removal(now, *id)));
+            }
             may.then(|| stored.without(&gone, handed_over))
         });
         let next = next.or_else(|| {
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -10,7 +10,7 @@
 use crate::amount::{Rate, Time, Tokens};
 use crate::ids::{
     Account, Adapter, AttemptId, BudgetId, Incarnation, Model, Period, RequestId, RequestKey,
-    ReservationId, RunId, Service, Ticket, UpstreamId,
+    ReservationId, RunId, Service, Ticket, UpstreamId, VmId,
 };
 use crate::lag::LagNote;
 use crate::ledger::Plan;
@@ -359,6 +359,17 @@
     BadTemplates(String),
     /// A value of the platform cannot be used.
     BadValue(KvName, String),
+    /// This process writes the view without a member that it takes to be gone.
+    Removes {
+        /// The member.
+        member: Incarnation,
+        /// Its VM.
+        vm: VmId,
+        /// How long it has been silent here.
+        silence: Duration,
+        /// The epoch that the removal builds on.
+        epoch: crate::ids::Epoch,
+    },
     /// The view was formed without this process; it finishes what runs and ends.
     Removed,
     /// The ledger answered a change of a holding.
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -7,7 +7,7 @@
 
 use crate::amount::Time;
 use crate::broadcast::{self, Leg};
-use crate::event::KvName;
+use crate::event::{KvName, Note};
 use crate::ids::{Epoch, Incarnation, Ticket, VmId};
 use crate::joining::Joining;
 use crate::lag::LagNote;
@@ -271,6 +271,7 @@
             return None;
         }
         let was = self.is_member();
+        let observed: BTreeSet<_> = self.watched().map(|(_, m)| m.incarnation).collect();
         let old = std::mem::replace(&mut self.view, Arc::clone(view));
         self.log.note(&old, view);
         self.ranks = Ranks::of(view, &self.me);
@@ -279,6 +280,13 @@
             let sign = Sign { heard: now, ..Sign::default() };
             self.signs.entry(member.incarnation).or_insert(sign);
         }
+        // Each change moves the ring: those that this process has not observed until now have
+        // sent it no signs of life, and their silence counts from now on.
+        let newly: Vec<_> = self.watched().map(|(_, m)| m.incarnation).collect();
+        for id in newly.into_iter().filter(|id| !observed.contains(id)) {
+            let sign = self.signs.entry(id).or_default();
+            sign.heard = sign.heard.max(now);
+        }
         let ids = old.members.iter().map(|m| m.incarnation);
         let gone: Vec<_> = ids.filter(|id| !self.view.has(*id)).collect();
         for member in old.members.iter().filter(|m| !self.view.has(m.incarnation)) {
@@ -436,6 +444,13 @@
         gone
     }
 
+    /// Describes the removal of a member for the log.
+    pub(crate) fn removal(&self, now: Time, id: Incarnation) -> Note {
+        let vm = self.view.member(id).map_or_else(|| self.me.vm.clone(), |m| m.vm.clone());
+        let (silence, epoch) = (self.silence(now, id), self.stored.epoch);
+        Note::Removes { member: id, vm, silence, epoch }
+    }
+
     /// Returns the members whose signs of life come here, each with this process's turn.
     fn watched(&self) -> impl Iterator<Item = (u32, &Member)> {
         let count = self.view.members.len();
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -461,6 +461,11 @@
             Note::BadValue(name, error) => {
                 log::error!(target: PLATFORM, "cannot use {name:?}: {error}");
             }
+            Note::Removes { member, vm, silence, epoch } => log::warn!(
+                target: NODE,
+                "removes member={member} vm={vm} silent_ms={} view={epoch}",
+                silence.as_millis()
+            ),
             Note::Removed => log::error!(target: NODE, "removed from the view; ends when idle"),
             Note::Drawn {
                 budget,
--- a/crates/badgerfield-node/tests/peers.rs
+++ b/crates/badgerfield-node/tests/peers.rs
@@ -1,7 +1,8 @@
 //! Peers prove that they know the fleet's secret; others are refused.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anyhow::Result;
@@ -68,3 +69,57 @@
     assert!(arrives(&new, &old, 30_007).await);
     Ok(())
 }
+
+/// How many processes start at once.
+const FLEET: usize = 40;
+/// The neighbours of each, as steps round a ring.
+const STEPS: [usize; 6] = [1, 2, 4, 8, 16, 32];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn all_that_start_at_once_hear_their_neighbours() -> Result<()> {
+    let first = 30_100;
+    let port = |n: usize| first + u16::try_from(n).expect("few processes");
+    let heard = Arc::new(Mutex::new(BTreeMap::<(u64, u64), u32>::new()));
+    let mut fleet = Vec::new();
+    for n in 0..FLEET {
+        fleet.push(listen(port(n), '1', &[])?);
+    }
+    for (n, peers) in fleet.iter().enumerate() {
+        let (peers, heard) = (Arc::clone(peers), Arc::clone(&heard));
+        let me = u64::try_from(n)?;
+        tokio::spawn(async move {
+            let note = move |envelope: Envelope| {
+                let mut heard = heard.lock().expect("no test panics here");
+                *heard.entry((envelope.from.0, me)).or_default() += 1;
+            };
+            peers.receive(note).await;
+        });
+    }
+    for _ in 0..30 {
+        for (n, peers) in fleet.iter().enumerate() {
+            for step in STEPS {
+                let to = (n + step) % FLEET;
+                let envelope = Envelope {
+                    from: Incarnation(u64::try_from(n)?),
+                    address: ([127, 0, 0, 1], port(n)).into(),
+                    to: Incarnation(u64::try_from(to)?),
+                    message: Message::Heartbeat(Heartbeat::default()),
+                };
+                peers.send(([127, 0, 0, 1], port(to)).into(), envelope);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let heard = heard.lock().expect("no test panics here");
+    let mut silent = Vec::new();
+    for n in 0..FLEET {
+        for step in STEPS {
+            let pair = (u64::try_from(n)?, u64::try_from((n + step) % FLEET)?);
+            if heard.get(&pair).is_none_or(|count| *count < 10) {
+                silent.push((pair, heard.get(&pair).copied()));
+            }
+        }
+    }
+    assert!(silent.is_empty(), "{} pairs are silent: {silent:?}", silent.len());
+    Ok(())
+}
--- a/crates/badgerfield-standin/tests/large_fleet.rs
+++ b/crates/badgerfield-standin/tests/large_fleet.rs
@@ -148,3 +148,29 @@
     assert!(spent.messages <= 300, "{spent:?}");
     assert!(spent.bytes <= 30_000, "{spent:?}");
 }
+
+#[test]
+fn nobody_is_removed_from_a_calm_fleet() {
+    for vms in [17, 75, 120] {
+        let mut fleet = start(vms);
+        fleet.advance(Duration::from_secs(45));
+        assert_knows_all(&fleet);
+        assert_eq!(fleet.usable().len(), vms, "{vms}: somebody was removed");
+    }
+}
+
+#[test]
+fn who_comes_to_be_observed_by_others_is_not_taken_for_silent() {
+    for vms in [40, 75] {
+        let mut fleet = start(vms);
+        // Longer than the silence after which a member is removed.
+        fleet.advance(Duration::from_secs(45));
+        // A process that starts anew has another place in the ring, which moves all others.
+        fleet.kill(vms / 2);
+        fleet.start(vms / 2);
+        fleet.advance(Duration::from_secs(8));
+        let running = (0..vms).filter(|vm| fleet.runs(*vm)).count();
+        assert_eq!(running, vms, "{vms}: processes have ended by themselves");
+        assert_knows_all(&fleet);
+    }
+}
