--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -16,6 +16,10 @@
 //! bounds what is sent twice, and [`event_stream`] cuts streams so that they can go on
 //! elsewhere.
 //!
+//! Between processes only differences travel: [`view_update`] and [`template_history`] make
+//! them, `broadcast` carries news of upstreams along the ring of members, and signs of life
+//! carry the [`confirmations`] of a view and the [`lag`]s of engines.
+//!
 //! All state stands in the tables of `board`, with one lock order. The platform's
 //! key-value service holds three kinds of values: the templates, the membership
 //! [`view`], and the shards of the ledger.
