Have stand-ins for lenders in a fleet that is just large enough to lend

Found by reading the change again: one member in six lends, so that 17 VMs have three lenders, all of them the holders of each budget, and nobody who stands in for them.

--- a/crates/badgerfield-core/src/lending.rs
+++ b/crates/badgerfield-core/src/lending.rs
@@ -43,7 +43,8 @@
         if members.len() <= SMALL_VIEW {
             return Self::default();
         }
-        let count = members.len().div_ceil(MEMBERS_PER_LENDER);
+        // Each budget wants its holders and as many stand-ins, however small the fleet is.
+        let count = members.len().div_ceil(MEMBERS_PER_LENDER).max(HOLDERS + SUBSTITUTES);
         members.sort_by_key(|lender| std::cmp::Reverse(weigh(b"lender", lender.vm)));
         members.truncate(count);
         Self(members)
--- a/crates/badgerfield-standin/tests/lending.rs
+++ b/crates/badgerfield-standin/tests/lending.rs
@@ -452,3 +452,32 @@
     };
     (0..VMS).filter(has).collect()
 }
+
+#[test]
+fn a_fleet_just_large_enough_to_lend_survives_the_loss_of_its_lenders() {
+    for vms in [17, 18, 24] {
+        let shape = Shape { regions: vec![vms], ..shape(50_000_000) };
+        let mut fleet = Fleet::started(shape);
+        for n in 0..200 {
+            fleet.ask(n * 7 % vms, wish());
+            fleet.advance(Duration::from_millis(20));
+        }
+        let lost: Vec<_> = lenders_of_view(&fleet).into_iter().filter(|vm| *vm < vms).collect();
+        assert_eq!(lost.len(), HOLDERS, "{vms} VMs");
+        for vm in lost {
+            fleet.kill(vm);
+        }
+        let before = refused(&fleet);
+        // Less than the silence after which the lost ones leave the view.
+        for n in 0..600 {
+            let vm = n * 7 % vms;
+            if fleet.runs(vm) {
+                fleet.ask(vm, wish());
+            }
+            fleet.advance(Duration::from_millis(20));
+        }
+        let refused = refused(&fleet) - before;
+        assert!(refused <= 60, "{vms} VMs: {refused} of 600 refused");
+        assert_eq!(fleet.truth.overspend(), 0);
+    }
+}
