--- a/crates/badgerfield-core/src/board.rs
+++ b/crates/badgerfield-core/src/board.rs
@@ -9,6 +9,7 @@
 
 use crate::charges::Charges;
 use crate::claims::Claims;
+use crate::evacuation::Evacuations;
 use crate::holdings::Holdings;
 use crate::ledger_writer::LedgerWriter;
 use crate::membership::Membership;
@@ -24,6 +25,7 @@
     members: Mutex<Membership>,
     templates: Mutex<TemplateSet>,
     template_history: Mutex<TemplateHistory>,
+    evacuations: Mutex<Evacuations>,
     runs: Mutex<Runs>,
     charges: Mutex<Charges>,
     queue: Mutex<Queue>,
@@ -45,6 +47,7 @@
             members: Mutex::new(members),
             templates: Mutex::default(),
             template_history: Mutex::default(),
+            evacuations: Mutex::default(),
             runs: Mutex::new(runs),
             charges: Mutex::default(),
             queue: Mutex::default(),
@@ -70,6 +73,11 @@
         lock(&self.template_history)
     }
 
+    /// Locks what is known of evacuated failure domains.
+    pub(crate) fn evacuations(&self) -> MutexGuard<'_, Evacuations> {
+        lock(&self.evacuations)
+    }
+
     /// Locks the requests and their answers.
     pub(crate) fn runs(&self) -> MutexGuard<'_, Runs> {
         lock(&self.runs)
--- /dev/null
+++ b/crates/badgerfield-core/src/control/evacuations.rs
@@ -0,0 +1,122 @@
+//! News of evacuated failure domains: takes them in, passes them on, and compares beliefs.
+//!
+//! Whoever hears of a change from the platform tells all members by a broadcast. Signs of life
+//! carry a digest; members whose digests differ tell each other all that they know, so that one
+//! that has just joined, was cut off, or has no platform catches up with its first neighbour.
+
+use std::time::Duration;
+
+use crate::amount::Time;
+use crate::broadcast;
+use crate::evacuation::DomainChange;
+use crate::event::{OperatorChanges, OperatorValues, Order, Outbox, due};
+use crate::ids::Incarnation;
+use crate::message::{EvacuationNews, Message};
+use crate::node::Node;
+
+/// The least time between two comparisons with one member: half a sign of life, so that one
+/// whose answer was lost is asked again at its next.
+const COMPARE: Duration = Duration::from_millis(200);
+
+impl Node {
+    /// Takes in all that operators have at the platform.
+    pub(crate) fn read_operators(&self, now: Time, found: OperatorValues, out: &mut Outbox) {
+        let OperatorValues { revision, templates, evacuated } = found;
+        let turned = self.board.evacuations().learn_all(revision, evacuated);
+        self.tell_evacuations(now, &turned, out);
+        out.evacuated(None, turned);
+        if let Some(bytes) = templates {
+            self.decode_templates(now, &bytes, out);
+        }
+    }
+
+    /// Takes in what operators changed at the platform.
+    pub(crate) fn operators_changed(&self, now: Time, found: OperatorChanges, out: &mut Outbox) {
+        let OperatorChanges { templates, domains, .. } = found;
+        let turned = self.board.evacuations().learn(domains);
+        self.tell_evacuations(now, &turned, out);
+        out.evacuated(None, turned);
+        if let Some(bytes) = templates {
+            self.decode_templates(now, &bytes, out);
+        }
+    }
+
+    /// Takes in what another process tells, and passes it on to its part of the ring.
+    pub(crate) fn evacuation_news(
+        &self,
+        now: Time,
+        from: Incarnation,
+        news: EvacuationNews,
+        out: &mut Outbox,
+    ) {
+        if news.reach > 0 {
+            for (to, reach) in self.board.members().legs(now, news.reach) {
+                let news = EvacuationNews { reach, ..news.clone() };
+                out.send(to, Message::Evacuations(news));
+            }
+        }
+        let turned = self.board.evacuations().learn(news.changes);
+        out.evacuated(Some(from), turned);
+    }
+
+    /// Tells a neighbour whose digest differs all that is known here, and so asks it for what
+    /// it knows beyond that.
+    pub(crate) fn compare_evacuations(
+        &self,
+        now: Time,
+        from: Incarnation,
+        theirs: u64,
+        out: &mut Outbox,
+    ) {
+        let changes = {
+            let mut members = self.board.members();
+            let known = self.board.evacuations();
+            if known.digest() == theirs || !due(now, members.compared.get(&from).copied(), COMPARE)
+            {
+                return;
+            }
+            members.compared.insert(from, now);
+            known.changes()
+        };
+        out.send(from, Message::CompareEvacuations(changes));
+    }
+
+    /// Takes in what a neighbour knows, and answers if more is known here.
+    pub(crate) fn evacuations_compared(
+        &self,
+        from: Incarnation,
+        theirs: &[DomainChange],
+        out: &mut Outbox,
+    ) {
+        let (turned, more) = {
+            let mut known = self.board.evacuations();
+            let turned = known.learn(theirs.iter().cloned());
+            let changes = known.changes();
+            (turned, (changes != theirs).then_some(changes))
+        };
+        out.evacuated(Some(from), turned);
+        if let Some(changes) = more {
+            out.send(from, Message::Evacuations(EvacuationNews { changes, reach: 0 }));
+        }
+    }
+
+    /// Tells all members what the platform said.
+    fn tell_evacuations(&self, now: Time, turned: &[DomainChange], out: &mut Outbox) {
+        if turned.is_empty() {
+            return;
+        }
+        let members = self.board.members();
+        for (to, reach) in members.legs(now, broadcast::all(&members.view)) {
+            let news = EvacuationNews { changes: turned.to_vec(), reach };
+            out.send(to, Message::Evacuations(news));
+        }
+    }
+}
+
+impl Outbox {
+    fn evacuated(&mut self, from: Option<Incarnation>, changes: Vec<DomainChange>) {
+        if !changes.is_empty() {
+            self.push(Order::Evacuated(from, changes));
+        }
+    }
+}
--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -44,6 +44,7 @@
     pub(crate) fn spread(&self, now: Time, out: &mut Outbox) {
         let version = self.board.templates().version;
         let confirmed = self.board.claims().confirmed();
+        let evacuations = self.board.evacuations().digest();
         let (neighbours, beat) = {
             let mut members = self.board.members();
             members.beat_at = Some(now);
@@ -54,6 +55,7 @@
                 version,
                 serving: members.serving && members.stopping.is_none(),
                 list: members.list,
+                evacuations,
                 wall: members.wall(now),
                 needs: members.needs.blend(now),
                 lags: members.lags.clone(),
@@ -88,6 +90,7 @@
         out: &mut Outbox,
     ) {
         self.compare_lists(now, from, beat.list, out);
+        self.compare_evacuations(now, from, beat.evacuations, out);
         self.hear_confirmed(now, beat);
         if !beat.lags.is_empty() {
             out.push(Order::LearnLags(beat.lags.clone()));
@@ -300,6 +303,9 @@
             (Purpose::Read(KvName::Templates), KvResult::Value(found)) => {
                 self.read_templates(now, &found, out);
             }
+            (Purpose::Read(KvName::Templates), KvResult::Operators(found)) => {
+                self.read_operators(now, found, out);
+            }
             (Purpose::Read(KvName::View), KvResult::Value(found)) => {
                 self.read_view(now, &found, out);
             }
--- a/crates/badgerfield-core/src/control/mod.rs
+++ b/crates/badgerfield-core/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod claiming;
 mod directory;
 mod dispatch;
+mod evacuations;
 mod members;
 mod reservations;
 mod rights;
--- a/crates/badgerfield-core/src/control/settings.rs
+++ b/crates/badgerfield-core/src/control/settings.rs
@@ -11,9 +11,13 @@
 impl Node {
     /// Takes in the platform's value of the templates.
     pub(crate) fn read_templates(&self, now: Time, found: &Versioned, out: &mut Outbox) {
-        let Some(bytes) = &found.value else {
-            return;
-        };
+        if let Some(bytes) = &found.value {
+            self.decode_templates(now, bytes, out);
+        }
+    }
+
+    /// Takes in templates as operators wrote them.
+    pub(crate) fn decode_templates(&self, now: Time, bytes: &[u8], out: &mut Outbox) {
         match TemplateSet::decode(bytes) {
             Ok(set) => self.learn_templates(now, set, out),
             Err(error) => out.push(Order::Note(Note::BadTemplates(error.to_string()))),
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 
 use crate::amount::{Rate, Time, Tokens};
+use crate::evacuation::DomainChange;
 use crate::ids::{
     Account, Adapter, AttemptId, BudgetId, Incarnation, Model, Period, RequestId, RequestKey,
     ReservationId, RunId, Service, Ticket, UpstreamId, VmId,
@@ -44,6 +45,10 @@
     VmList(VmList),
     /// The templates were read, or have changed at the platform.
     Templates(Versioned),
+    /// All that operators have at the platform was read.
+    Operators(OperatorValues),
+    /// Operators have changed something at the platform.
+    OperatorChanges(OperatorChanges),
     /// A request on a route wants tokens set aside; [`Order::Reserved`] answers.
     Reserve(ReserveAsk),
     /// A request on a route that waits for tokens has gone.
@@ -203,11 +208,35 @@
     pub revision: u64,
 }
 
+/// All that operators have at the platform.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OperatorValues {
+    /// The platform's revision at which it was read.
+    pub revision: u64,
+    /// The templates, as the product writes them; nothing if there are none that can be used.
+    pub templates: Option<Bytes>,
+    /// The failure domains that are evacuated.
+    pub evacuated: Vec<DomainChange>,
+}
+
+/// What operators have changed at the platform.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OperatorChanges {
+    /// The platform's revision up to which every change is known.
+    pub revision: u64,
+    /// The newest templates, if they have changed and can be used.
+    pub templates: Option<Bytes>,
+    /// The failure domains that were evacuated or taken back.
+    pub domains: Vec<DomainChange>,
+}
+
 /// What became of a call to the key-value service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KvResult {
     /// The value that was read.
     Value(Versioned),
+    /// The values of operators, where the platform keeps more than templates.
+    Operators(OperatorValues),
     /// The value was written under this revision.
     Written(u64),
     /// Another value stands there; nothing was written.
@@ -322,6 +351,8 @@
     DivideEngines(Vec<Needs>),
     /// Take in at which upstreams requests of other processes wait.
     LearnLags(Vec<LagNote>),
+    /// Stop or begin to use the upstreams of failure domains, as the platform or a process told.
+    Evacuated(Option<Incarnation>, Vec<DomainChange>),
     /// Tell a process the whole list of upstreams.
     TellUpstreams(Incarnation),
     /// Record a charge.
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -18,7 +18,9 @@
 //!
 //! Between processes only differences travel: [`view_update`] and [`template_history`] make
 //! them, `broadcast` carries news of upstreams along the ring of members, and signs of life
-//! carry the [`confirmations`] of a view and the [`lag`]s of engines.
+//! carry the [`confirmations`] of a view and the [`lag`]s of engines. Which failure domains are
+//! evacuated is told by the same broadcast and compared by digests ([`evacuation`]); upstreams
+//! that come back from there start slowly ([`warm_up`]).
 //!
 //! All state stands in the tables of `board`, with one lock order. The platform's
 //! key-value service holds three kinds of values: the templates, the membership
@@ -31,6 +33,7 @@
 pub mod claims;
 pub mod confirmations;
 mod control;
+pub mod evacuation;
 pub mod event;
 pub mod event_stream;
 pub mod holdings;
@@ -59,6 +62,7 @@
 pub mod upstream;
 pub mod view;
 pub mod view_update;
+pub mod warm_up;
 
 pub use event::{Event, Order};
 pub use node::{BudgetStatus, Config, Node, Pacing, Status, TICK};
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -138,6 +138,8 @@
     /// The upstreams at which requests wait.
     pub(crate) lags: Vec<LagNote>,
     pub(crate) list_fetched: HashMap<Incarnation, Time>,
+    /// When evacuations were compared with each member last.
+    pub(crate) compared: HashMap<Incarnation, Time>,
     /// When anybody told how new the list of upstreams is.
     pub(crate) confirmed_at: Option<Time>,
     /// After how long without a sign of life a member is in doubt.
@@ -186,6 +188,7 @@
             needs: NeedsBlend::default(),
             lags: Vec::new(),
             list_fetched: HashMap::new(),
+            compared: HashMap::new(),
             confirmed_at: None,
             doubt: beat.saturating_mul(DOUBT_BEATS),
             notice,
@@ -299,6 +302,7 @@
             self.signs.remove(id);
             self.shown.remove(id);
             self.list_fetched.remove(id);
+            self.compared.remove(id);
         }
         Some(gone)
     }
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -8,6 +8,7 @@
 
 use crate::amount::Tokens;
 use crate::confirmations::Confirmed;
+use crate::evacuation::DomainChange;
 use crate::ids::{
     Account, BudgetId, Epoch, Incarnation, Period, Region, RequestKey, UpstreamId, Version,
 };
@@ -62,6 +63,10 @@
     FetchUpstreams,
     /// The whole list of upstreams.
     Upstreams(ReplicaList),
+    /// Failure domains were evacuated or taken back; passed on to all.
+    Evacuations(EvacuationNews),
+    /// All that the sender knows of evacuated domains; asks for what the receiver knows beyond.
+    CompareEvacuations(Vec<DomainChange>),
     /// Asks for changes in the ledger.
     Draw(Vec<LedgerOp>),
     /// What became of changes in the ledger.
@@ -207,6 +212,15 @@
     pub reach: u32,
 }
 
+/// News of evacuated failure domains on its way to all members.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationNews {
+    /// What operators did.
+    pub changes: Vec<DomainChange>,
+    /// To how many members before it in the ring the receiver passes this on.
+    pub reach: u32,
+}
+
 /// The regular sign of life.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -220,6 +234,8 @@
     pub serving: bool,
     /// How much the sender knows of the list of upstreams.
     pub list: ListMark,
+    /// Stands for all that the sender knows of evacuated failure domains.
+    pub evacuations: u64,
     /// The time of day at the sender, in milliseconds since 1970, if it has told it.
     pub wall: Option<u64>,
     /// What the sender takes requests to need of engines, its own and others'.
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -6,6 +6,7 @@
 use crate::amount::{Time, Tokens};
 use crate::board::Board;
 use crate::claims::Claims;
+use crate::evacuation::DomainChange;
 use crate::event::{Event, Order, Outbox};
 use crate::holdings::{Figures, Holdings};
 use crate::ids::{BudgetId, Epoch, Incarnation, RunId, UpstreamId, Version};
@@ -17,7 +18,8 @@
 use crate::runs::{Keyed, Runs};
 use crate::template::TemplateSet;
 use crate::upstream::Kind;
-use crate::view::{Member, SMALL_VIEW, View};
+use crate::view::{Member, SMALL_VIEW, Standing, View};
+use crate::warm_up::Senders;
 
 /// How often a driver sends [`Event::Tick`].
 pub const TICK: Duration = Duration::from_millis(50);
@@ -219,6 +221,20 @@
         (set.version, RouteTable::new(&set))
     }
 
+    /// Returns what is known of evacuated failure domains.
+    #[must_use]
+    pub fn evacuations(&self) -> Vec<DomainChange> {
+        self.board.evacuations().changes()
+    }
+
+    /// Returns who may send to cold upstreams by the view in force.
+    #[must_use]
+    pub fn senders(&self) -> Senders {
+        let members = self.board.members();
+        let active = members.view.members.iter().filter(|m| m.standing == Standing::Active);
+        Senders::new(&self.config.member.vm, active.map(|m| &m.vm))
+    }
+
     /// Returns the templates in force.
     #[must_use]
     pub fn templates(&self) -> TemplateSet {
@@ -299,6 +315,8 @@
                 self.board.upstreams().learn(&list);
             }
             Event::Templates(found) => self.read_templates(now, &found, out),
+            Event::Operators(found) => self.read_operators(now, found, out),
+            Event::OperatorChanges(found) => self.operators_changed(now, found, out),
             Event::Reserve(ask) => self.reserve_for(now, &ask, out),
             Event::Withdraw(ask) => self.withdraw(now, &ask, out),
             Event::Settle(end) => self.settle_reservation(now, &end, out),
@@ -362,6 +380,8 @@
             Message::UpstreamChanges(news) => self.upstream_news(now, from, news, out),
             Message::FetchUpstreams => out.push(Order::TellUpstreams(from)),
             Message::Upstreams(list) => out.push(Order::LearnUpstreams(list)),
+            Message::Evacuations(news) => self.evacuation_news(now, from, news, out),
+            Message::CompareEvacuations(theirs) => self.evacuations_compared(from, &theirs, out),
             Message::Draw(ops) => self.draw(now, ops, out),
             Message::Drawn(replies) => self.drawn(now, from, replies, out),
             Message::Ask(ask) => self.board.holdings().asked(now, from, &ask, out),
--- a/crates/badgerfield-core/src/policy.rs
+++ b/crates/badgerfield-core/src/policy.rs
@@ -22,10 +22,19 @@
     /// An answer may come late as well; a wait of 22 in 100, within what the users count as
     /// an early refusal, measured worse (docs/POLICY.md).
     pub budget_wait: u32,
+    /// How many VMs may send to an upstream that is cold; with 0 it gets nothing until it is
+    /// warm.
+    pub warm_up_senders: usize,
 }
 
 impl Default for Policy {
     fn default() -> Self {
-        Self { divide: true, top_up: true, at_hand: Duration::from_millis(1500), budget_wait: 150 }
+        Self {
+            divide: true,
+            top_up: true,
+            at_hand: Duration::from_millis(1500),
+            budget_wait: 150,
+            warm_up_senders: 3,
+        }
     }
 }
--- a/crates/badgerfield-core/src/replica_list.rs
+++ b/crates/badgerfield-core/src/replica_list.rs
@@ -1,6 +1,7 @@
 //! The platform's list of upstreams, and changes of it, as processes pass them on.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -31,6 +32,8 @@
     pub revision: u64,
     /// What it says.
     pub info: ReplicaInfo,
+    /// How much longer the upstream is cold, as far as is known; zero if it is warm.
+    pub warm_in: Duration,
 }
 
 /// All upstreams, as of one revision of the platform's list.
--- a/crates/badgerfield-core/src/replicas.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -3,49 +3,36 @@
 //! The platform's list says which upstreams there are and which are leaving; what this
 //! VM saw of each says how it is doing. A request goes where its first part of the
 //! answer is expected soonest: prompt parts that the upstream has read before need not
-//! be read again, and work under way delays it.
+//! be read again, and work under way delays it. Upstreams of an evacuated failure domain get
+//! nothing; those that are cold get little ([`crate::warm_up`]).
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod replica;
+mod starts;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use self::replica::{Replica, Weights, shared};
+use self::starts::Starts;
 use crate::amount::Time;
-use crate::ids::{Service, UpstreamId};
-use crate::lag::{self, Lag, LagNote};
+use crate::evacuation::DomainChange;
+use crate::ids::{Domain, Service, UpstreamId};
+use crate::lag::{self, LagNote};
 use crate::mix::{
     Division, Group, Mix, Needs, Observed, READ_MS_PRIOR, Size, float, service_number,
 };
-use crate::replica_list::{
-    ListMark, ReplicaChanges, ReplicaEntry, ReplicaInfo, ReplicaList, digest_of,
-};
+use crate::replica_list::{ListMark, ReplicaChanges, ReplicaEntry, ReplicaList, digest_of};
+use crate::warm_up::{HOLD_OFF, Senders, WarmUp, WarmUpBound};
 
-/// The expected delay by each request under way at an engine, in milliseconds.
-const RUNNING_MS: f64 = 1.5;
-/// The expected delay by each call under way at a plain service, in milliseconds.
-const CALL_MS: f64 = 30.0;
-/// How long a read prompt part is taken to stay in an engine's memory.
-const KEEP_PART: Duration = Duration::from_secs(120);
-/// How many prompt parts are remembered for each upstream.
-const MAX_PARTS: usize = 4096;
-/// After how many failures in a row an upstream rests.
-const FAILURES: u32 = 2;
-/// How long an upstream rests after failures.
-const REST: Duration = Duration::from_secs(2);
-/// The longest that an upstream rests.
-const MAX_REST: Duration = Duration::from_secs(8);
-/// The weight of one outcome in the failing share of an upstream.
-const OUTCOME_WEIGHT: f64 = 0.15;
-/// The expected delay by a failing share of one, in milliseconds.
-const FAILING_MS: f64 = 2000.0;
 /// How long an upstream is remembered after its entry is gone.
 const FORGET: Duration = Duration::from_secs(30);
-/// How long an upstream may still be used whose entry vanished together with those of all
-/// others of its service.
-const LAPSE_GRACE: Duration = Duration::from_millis(1300);
-
+/// How long after it was taken back a domain's upstreams may be silent about having turned
+/// cold: the platform's upstreams write their entries anew every 1.2 s.
+const ENTRY_LAG: Duration = Duration::from_millis(1500);
 /// From how many engines on a service is divided between long and short prompts.
 ///
 /// Measured by docs/POLICY.md: 140 engines serve better when they are divided, 18 serve worse,
@@ -114,29 +101,6 @@
     pub second: Option<(UpstreamId, f64)>,
 }
 
-/// One upstream, with what this VM saw of it.
-#[derive(Debug)]
-struct Replica {
-    info: ReplicaInfo,
-    /// The revision of the list at which it was written or went last.
-    revision: u64,
-    seed: u64,
-    /// Where it stands among the upstreams of its service, from 0 to 1.
-    place: f64,
-    running: u32,
-    /// When the list had it last, if it has vanished from the list since.
-    vanished: Option<Time>,
-    /// Whether all entries of its service vanished at once, as they do when the platform
-    /// lets leases lapse; upstreams that leave do so one after the other.
-    lapsed: bool,
-    failing: f64,
-    failures: u32,
-    rests_until: Time,
-    parts: HashMap<u64, Time>,
-    /// How long requests wait there beyond what their prompts take to read.
-    lag: Lag,
-}
-
 /// The table of upstreams.
 #[derive(Debug, Default)]
 pub struct Replicas {
@@ -145,6 +109,9 @@
     table: BTreeMap<UpstreamId, Replica>,
     /// What was seen of the requests of each service.
     mixes: BTreeMap<Service, Mix>,
+    /// The failure domains that operators have evacuated.
+    evacuated: BTreeSet<Domain>,
+    starts: Starts,
 }
 
 impl Replicas {
@@ -171,7 +138,8 @@
             self.revision = revision;
             self.learned = Some(now);
         }
-        let mut news: Vec<_> = written.into_iter().filter_map(|entry| self.write(entry)).collect();
+        let mut news: Vec<_> =
+            written.into_iter().filter_map(|entry| self.write(now, entry)).collect();
         let gone: Vec<_> = gone.into_iter().filter(|gone| self.is_news(gone)).collect();
         let lapsed = self.lapsed_services(&gone);
         for (id, revision) in gone {
@@ -212,17 +180,23 @@
     }
 
     /// Takes in an entry that was written; returns its upstream if that is news.
-    fn write(&mut self, entry: ReplicaEntry) -> Option<UpstreamId> {
-        let ReplicaEntry { revision, info } = entry;
+    fn write(&mut self, now: Time, entry: ReplicaEntry) -> Option<UpstreamId> {
+        let ReplicaEntry { revision, info, warm_in } = entry;
         let id = info.id.clone();
         let Some(known) = self.table.get_mut(&id) else {
-            self.table.insert(id.clone(), Replica::new(info, revision));
+            let mut replica = Replica::new(info, revision);
+            replica.evacuated = self.evacuated.contains(&replica.info.domain);
+            replica.hear_start(now, &self.starts, revision, warm_in);
+            self.table.insert(id.clone(), replica);
             return Some(id);
         };
         if revision < known.revision {
             return None;
         }
-        let is_news = known.info != info || known.vanished.is_some();
+        // An entry that was read before says no more about how long it is cold.
+        let is_newer = revision > known.revision;
+        let turned = is_newer && known.hear_start(now, &self.starts, revision, warm_in);
+        let is_news = turned || known.info != info || known.vanished.is_some();
         known.revision = revision;
         known.info = info;
         known.vanished = None;
@@ -254,24 +228,23 @@
 
     /// Returns the whole list as it is known here.
     #[must_use]
-    pub fn list(&self) -> ReplicaList {
+    pub fn list(&self, now: Time) -> ReplicaList {
         let listed = self.table.values().filter(|r| r.vanished.is_none());
-        let entry = |r: &Replica| ReplicaEntry { revision: r.revision, info: r.info.clone() };
-        ReplicaList { revision: self.revision, replicas: listed.map(entry).collect() }
+        let replicas = listed.map(|r| r.entry(now)).collect();
+        ReplicaList { revision: self.revision, replicas }
     }
 
     /// Returns what is known of some upstreams, for processes that may know less.
     ///
     /// It does not tell of other changes, so it names no revision of the list.
     #[must_use]
-    pub fn changes_of(&self, ids: &[UpstreamId]) -> ReplicaChanges {
+    pub fn changes_of(&self, now: Time, ids: &[UpstreamId]) -> ReplicaChanges {
         let mut changes = ReplicaChanges::default();
         for replica in ids.iter().filter_map(|id| self.table.get(id)) {
-            let (revision, info) = (replica.revision, replica.info.clone());
             if replica.vanished.is_some() {
-                changes.gone.push((info.id, revision));
+                changes.gone.push((replica.info.id.clone(), replica.revision));
             } else {
-                changes.written.push(ReplicaEntry { revision, info });
+                changes.written.push(replica.entry(now));
             }
         }
         changes
@@ -300,15 +273,82 @@
         (self.revision, self.learned)
     }
 
+    /// Sets the fleet's bound on what cold upstreams get, and how many VMs send to each.
+    pub fn set_warm_up_bound(&mut self, bound: Option<WarmUpBound>, senders: usize) {
+        self.starts.set_bound(bound, senders);
+    }
+
+    /// Sets how the upstreams of each service start.
+    pub fn set_warm_ups(&mut self, warm_ups: BTreeMap<Service, WarmUp>) {
+        self.starts.set_warm_ups(warm_ups);
+    }
+
+    /// Takes in who may send to cold upstreams by the view in force.
+    pub fn set_senders(&mut self, now: Time, senders: Senders) {
+        self.starts.set_senders(senders);
+        for replica in self.table.values_mut() {
+            replica.change_senders(&self.starts, now.after(HOLD_OFF));
+        }
+    }
+
+    /// Takes in that domains were evacuated or taken back; returns the upstreams concerned.
+    ///
+    /// Those of a domain that was taken back count as just started, unless they have written
+    /// since how it is.
+    pub fn evacuate(&mut self, now: Time, changes: &[DomainChange]) -> Vec<UpstreamId> {
+        let mut concerned = Vec::new();
+        for change in changes {
+            if change.evacuated {
+                self.evacuated.insert(change.domain.clone());
+            } else {
+                self.evacuated.remove(&change.domain);
+            }
+            for replica in self.table.values_mut().filter(|r| r.info.domain == change.domain) {
+                concerned.push(replica.info.id.clone());
+                replica.evacuated = change.evacuated;
+                let warm_up = self.starts.of(&replica.info.service);
+                let Some(warm_up) = warm_up.filter(|_| !change.evacuated) else {
+                    continue;
+                };
+                if replica.revision <= change.revision {
+                    let until = now.after(warm_up.span.saturating_add(ENTRY_LAG));
+                    replica.spare(now, &self.starts, change.revision, until);
+                }
+            }
+        }
+        concerned
+    }
+
+    /// Returns how many upstreams get nothing since their domain is evacuated, and how many
+    /// are cold.
+    #[must_use]
+    pub fn spared(&self, now: Time) -> (usize, usize) {
+        let listed = || self.table.values().filter(|r| r.vanished.is_none());
+        let evacuated = listed().filter(|r| r.evacuated).count();
+        let is_cold = |r: &&Replica| r.is_cold(now) && self.starts.of(&r.info.service).is_some();
+        (evacuated, listed().filter(is_cold).count())
+    }
+
+    /// Returns when the first cold upstream of a service is warm, if requests may wait for one.
+    #[must_use]
+    pub fn warm_in(&self, now: Time, service: &Service) -> Option<Duration> {
+        self.starts.of(service)?;
+        let usable = self.table.values().filter(|r| r.info.service == *service && r.is_usable(now));
+        usable.map(|r| r.warm_in(now)).filter(|span| !span.is_zero()).min()
+    }
+
     /// Chooses an upstream for a request, or none if none can take it.
     #[must_use]
     pub fn choose(&self, now: Time, wanted: &Wanted<'_>) -> Option<Chosen> {
         let all: Vec<_> =
             self.table.values().filter(|r| r.info.service == *wanted.service).collect();
+        let spares = self.starts.of(wanted.service).is_some();
+        let share = self.starts.share(wanted.service);
         let fit: Vec<_> = all
             .iter()
             .copied()
             .filter(|r| r.is_usable(now))
+            .filter(|r| !spares || r.bears_more(now, share))
             .filter(|r| !wanted.tried.contains(&r.info.id))
             .filter(|r| r.running < wanted.connections)
             .collect();
@@ -430,13 +470,8 @@
         let Some(replica) = self.table.get_mut(id) else {
             return;
         };
-        replica.running += 1;
-        if replica.parts.len() > MAX_PARTS {
-            replica.parts.retain(|_, at| now.since(*at) < KEEP_PART / 4);
-        }
-        for part in shared(parts) {
-            replica.parts.insert(part.id, now);
-        }
+        let share = self.starts.share(&replica.info.service);
+        replica.begin(now, share, parts);
     }
 
     /// Notes how a request at an upstream ended.
@@ -473,123 +508,6 @@
     }
 }
 
-/// What the costs of upstreams are reckoned with, for one request.
-#[derive(Debug, Clone, Copy)]
-struct Weights {
-    /// The time to read a prompt token, in milliseconds.
-    read_ms: f64,
-    /// How the engines are divided, and the group of the request.
-    division: Option<(Division, Group)>,
-    /// What it costs to send the request among those of the other group, in milliseconds:
-    /// as much as a long prompt takes to read, since one of the two waits for that.
-    apart_ms: f64,
-}
-
-impl Weights {
-    fn of(mix: Option<&Mix>, wanted: &Wanted<'_>) -> Self {
-        let prompt = float(wanted.parts.iter().map(|part| part.tokens).sum());
-        let read_ms = mix.map_or(READ_MS_PRIOR, Mix::read_ms);
-        let division = mix.and_then(Mix::division).map(|division| {
-            let usual = mix.and_then(|mix| mix.prompt(wanted.route)).unwrap_or(prompt);
-            (division, division.group(usual))
-        });
-        let apart_ms = division.map_or(0.0, |(division, _)| division.long_from * read_ms);
-        Self { read_ms, division, apart_ms }
-    }
-
-    fn takes(&self, replica: &Replica) -> bool {
-        self.division.is_none_or(|(division, group)| division.takes(group, replica.place))
-    }
-}
-
-impl Replica {
-    fn new(info: ReplicaInfo, revision: u64) -> Self {
-        let seed = xxh3_64_with_seed(info.id.as_str().as_bytes(), 0);
-        Self {
-            info,
-            revision,
-            seed,
-            place: 0.0,
-            running: 0,
-            vanished: None,
-            lapsed: false,
-            failing: 0.0,
-            failures: 0,
-            rests_until: Time::default(),
-            parts: HashMap::new(),
-            lag: Lag::default(),
-        }
-    }
-
-    /// Returns the number that stands for the upstream in messages.
-    fn number(&self) -> u32 {
-        let [a, b, c, d, ..] = self.seed.to_be_bytes();
-        u32::from_be_bytes([a, b, c, d])
-    }
-
-    fn is_usable(&self, now: Time) -> bool {
-        if self.info.leaving {
-            return false;
-        }
-        match self.vanished {
-            None => true,
-            Some(at) => self.lapsed && now.since(at) < LAPSE_GRACE,
-        }
-    }
-
-    /// Estimates the delay to the first part of an answer, in milliseconds.
-    fn cost(&self, now: Time, wanted: &Wanted<'_>, weights: &Weights, is_home: bool) -> f64 {
-        let jitter = f64::from(u32::try_from((self.seed ^ wanted.draw) % 1000).unwrap_or(0)) / 1e3;
-        let failing = self.failing * FAILING_MS;
-        let running = f64::from(self.running);
-        if wanted.parts.is_empty() {
-            return running * CALL_MS + failing + jitter;
-        }
-        let read = float(self.unread(now, wanted.parts, is_home)) * weights.read_ms;
-        let apart = if weights.takes(self) { 0.0 } else { weights.apart_ms };
-        read + apart + running * RUNNING_MS + failing + jitter
-    }
-
-    /// Returns how many tokens of a prompt's shared parts it is expected to read.
-    fn unread(&self, now: Time, parts: &[PromptPart], is_home: bool) -> u64 {
-        let mut unread = 0;
-        let mut known = true;
-        for part in shared(parts) {
-            let fresh = self.parts.get(&part.id).is_some_and(|at| now.since(*at) < KEEP_PART);
-            // All VMs send a chain home, so what another VM sent there is known too.
-            known &= fresh || is_home;
-            if !known {
-                unread += part.tokens;
-            }
-        }
-        unread
-    }
-
-    fn note(&mut self, now: Time, health: Health) {
-        let failed = match health {
-            Health::Good => 0.0,
-            Health::Failed => 1.0,
-            Health::Full => 0.5,
-            Health::Unknown => return,
-        };
-        self.failing += (failed - self.failing) * OUTCOME_WEIGHT;
-        if health == Health::Good {
-            self.failures = 0;
-            return;
-        }
-        self.failures += 1;
-        if self.failures >= FAILURES {
-            let rest = REST.saturating_mul(self.failures - FAILURES + 1).min(MAX_REST);
-            self.rests_until = now.after(rest);
-        }
-    }
-}
-
-/// Returns the parts that other requests may share: all but the last.
-fn shared(parts: &[PromptPart]) -> &[PromptPart] {
-    parts.split_last().map_or(&[], |(_, rest)| rest)
-}
-
 /// Returns the upstream that all VMs prefer for a chain of shared parts.
 fn home_of<'a>(pool: &[&'a Replica], parts: &[PromptPart]) -> Option<&'a UpstreamId> {
     let chain = shared(parts).last()?;
--- /dev/null
+++ b/crates/badgerfield-core/src/replicas/replica.rs
@@ -0,0 +1,283 @@
+//! One upstream of the table: what the list says of it, and what this VM saw of it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{Health, PromptPart, Wanted};
+use crate::amount::Time;
+use crate::lag::Lag;
+use crate::mix::{Division, Group, Mix, READ_MS_PRIOR, float};
+use crate::replica_list::{ReplicaEntry, ReplicaInfo};
+use crate::replicas::starts::Starts;
+use crate::warm_up::{Bucket, Share};
+
+/// The expected delay by each request under way at an engine, in milliseconds.
+const RUNNING_MS: f64 = 1.5;
+/// The expected delay by each call under way at a plain service, in milliseconds.
+const CALL_MS: f64 = 30.0;
+/// How long a read prompt part is taken to stay in an engine's memory.
+const KEEP_PART: Duration = Duration::from_secs(120);
+/// How many prompt parts are remembered for each upstream.
+const MAX_PARTS: usize = 4096;
+/// After how many failures in a row an upstream rests.
+const FAILURES: u32 = 2;
+/// How long an upstream rests after failures.
+const REST: Duration = Duration::from_secs(2);
+/// The longest that an upstream rests.
+const MAX_REST: Duration = Duration::from_secs(8);
+/// The weight of one outcome in the failing share of an upstream.
+const OUTCOME_WEIGHT: f64 = 0.15;
+/// The expected delay by a failing share of one, in milliseconds.
+const FAILING_MS: f64 = 2000.0;
+/// How long an upstream may still be used whose entry vanished together with those of all
+/// others of its service.
+const LAPSE_GRACE: Duration = Duration::from_millis(1300);
+
+/// One upstream, with what this VM saw of it.
+#[derive(Debug)]
+pub(super) struct Replica {
+    pub(super) info: ReplicaInfo,
+    /// The revision of the list at which it was written or went last.
+    pub(super) revision: u64,
+    pub(super) seed: u64,
+    /// Where it stands among the upstreams of its service, from 0 to 1.
+    pub(super) place: f64,
+    pub(super) running: u32,
+    /// When the list had it last, if it has vanished from the list since.
+    pub(super) vanished: Option<Time>,
+    /// Whether all entries of its service vanished at once, as they do when the platform
+    /// lets leases lapse; upstreams that leave do so one after the other.
+    pub(super) lapsed: bool,
+    pub(super) failing: f64,
+    pub(super) failures: u32,
+    pub(super) rests_until: Time,
+    pub(super) parts: HashMap<u64, Time>,
+    /// How long requests wait there beyond what their prompts take to read.
+    pub(super) lag: Lag,
+    /// Whether operators have evacuated its failure domain.
+    pub(super) evacuated: bool,
+    /// Until when and how it is spared, while it is cold.
+    cold: Option<Cold>,
+}
+
+/// How an upstream is spared that is not warm yet.
+#[derive(Debug, Clone, Copy)]
+struct Cold {
+    until: Time,
+    /// The platform's revision at which it was said to be cold; only what was written later
+    /// may say that it is warm.
+    since: u64,
+    /// What this process may send, if it is among the senders.
+    bucket: Option<Bucket>,
+}
+
+/// What the costs of upstreams are reckoned with, for one request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Weights {
+    /// The time to read a prompt token, in milliseconds.
+    read_ms: f64,
+    /// How the engines are divided, and the group of the request.
+    pub(super) division: Option<(Division, Group)>,
+    /// What it costs to send the request among those of the other group, in milliseconds:
+    /// as much as a long prompt takes to read, since one of the two waits for that.
+    apart_ms: f64,
+}
+
+impl Weights {
+    pub(super) fn of(mix: Option<&Mix>, wanted: &Wanted<'_>) -> Self {
+        let prompt = float(wanted.parts.iter().map(|part| part.tokens).sum());
+        let read_ms = mix.map_or(READ_MS_PRIOR, Mix::read_ms);
+        let division = mix.and_then(Mix::division).map(|division| {
+            let usual = mix.and_then(|mix| mix.prompt(wanted.route)).unwrap_or(prompt);
+            (division, division.group(usual))
+        });
+        let apart_ms = division.map_or(0.0, |(division, _)| division.long_from * read_ms);
+        Self { read_ms, division, apart_ms }
+    }
+
+    pub(super) fn takes(&self, replica: &Replica) -> bool {
+        self.division.is_none_or(|(division, group)| division.takes(group, replica.place))
+    }
+}
+
+impl Replica {
+    pub(super) fn new(info: ReplicaInfo, revision: u64) -> Self {
+        let seed = xxh3_64_with_seed(info.id.as_str().as_bytes(), 0);
+        Self {
+            info,
+            revision,
+            seed,
+            place: 0.0,
+            running: 0,
+            vanished: None,
+            lapsed: false,
+            failing: 0.0,
+            failures: 0,
+            rests_until: Time::default(),
+            parts: HashMap::new(),
+            lag: Lag::default(),
+            evacuated: false,
+            cold: None,
+        }
+    }
+
+    /// Returns what the platform's list says of it, for other processes.
+    pub(super) fn entry(&self, now: Time) -> ReplicaEntry {
+        ReplicaEntry {
+            revision: self.revision,
+            info: self.info.clone(),
+            warm_in: self.warm_in(now),
+        }
+    }
+
+    /// Returns the number that stands for the upstream in messages.
+    pub(super) fn number(&self) -> u32 {
+        let [a, b, c, d, ..] = self.seed.to_be_bytes();
+        u32::from_be_bytes([a, b, c, d])
+    }
+
+    pub(super) fn is_usable(&self, now: Time) -> bool {
+        if self.info.leaving || self.evacuated {
+            return false;
+        }
+        match self.vanished {
+            None => true,
+            Some(at) => self.lapsed && now.since(at) < LAPSE_GRACE,
+        }
+    }
+
+    /// Returns how much longer it is cold; zero if it is warm.
+    pub(super) fn warm_in(&self, now: Time) -> Duration {
+        self.cold.map_or(Duration::ZERO, |cold| cold.until.since(now))
+    }
+
+    pub(super) fn is_cold(&self, now: Time) -> bool {
+        !self.warm_in(now).is_zero()
+    }
+
+    /// Takes in what an entry of the list says about how long it stays cold; returns whether
+    /// it has turned cold or warm.
+    pub(super) fn hear_start(
+        &mut self,
+        now: Time,
+        starts: &Starts,
+        revision: u64,
+        warm_in: Duration,
+    ) -> bool {
+        let was = self.is_cold(now);
+        if !warm_in.is_zero() {
+            self.spare(now, starts, revision, now.after(warm_in));
+            return !was;
+        }
+        if !was || self.cold.is_some_and(|cold| cold.since >= revision) {
+            return false;
+        }
+        self.cold = None;
+        true
+    }
+
+    /// Counts it as cold until a time, which the platform said at a revision.
+    pub(super) fn spare(&mut self, now: Time, starts: &Starts, revision: u64, until: Time) {
+        let known = self.cold.filter(|cold| cold.until > now);
+        let bucket = match known {
+            Some(cold) => cold.bucket,
+            None => starts.is_sender(self.seed).then(|| Bucket::new(now)),
+        };
+        self.cold = Some(Cold { until, since: revision, bucket });
+    }
+
+    /// Lets it be sent to by the senders of another view; one that has become a sender begins
+    /// at a time.
+    pub(super) fn change_senders(&mut self, starts: &Starts, from: Time) {
+        let Some(cold) = &mut self.cold else {
+            return;
+        };
+        let is_sender = starts.is_sender(self.seed);
+        cold.bucket = is_sender.then(|| cold.bucket.unwrap_or_else(|| Bucket::new(from)));
+    }
+
+    /// Tells whether a request may be sent there as far as its start allows; `share` is what
+    /// each sender may send while it is cold.
+    pub(super) fn bears_more(&self, now: Time, share: Option<Share>) -> bool {
+        let Some(cold) = self.cold.filter(|cold| cold.until > now) else {
+            return true;
+        };
+        let bucket = cold.bucket.zip(share);
+        bucket.is_some_and(|(bucket, share)| bucket.may_send(now, share))
+    }
+
+    /// Notes that a request goes there.
+    pub(super) fn begin(&mut self, now: Time, share: Option<Share>, parts: &[PromptPart]) {
+        self.running += 1;
+        let bucket = self.cold.as_mut().and_then(|cold| cold.bucket.as_mut());
+        if let Some((bucket, share)) = bucket.zip(share) {
+            bucket.take(now, share);
+        }
+        if self.parts.len() > MAX_PARTS {
+            self.parts.retain(|_, at| now.since(*at) < KEEP_PART / 4);
+        }
+        for part in shared(parts) {
+            self.parts.insert(part.id, now);
+        }
+    }
+
+    /// Estimates the delay to the first part of an answer, in milliseconds.
+    pub(super) fn cost(
+        &self,
+        now: Time,
+        wanted: &Wanted<'_>,
+        weights: &Weights,
+        is_home: bool,
+    ) -> f64 {
+        let jitter = f64::from(u32::try_from((self.seed ^ wanted.draw) % 1000).unwrap_or(0)) / 1e3;
+        let failing = self.failing * FAILING_MS;
+        let running = f64::from(self.running);
+        if wanted.parts.is_empty() {
+            return running * CALL_MS + failing + jitter;
+        }
+        let read = float(self.unread(now, wanted.parts, is_home)) * weights.read_ms;
+        let apart = if weights.takes(self) { 0.0 } else { weights.apart_ms };
+        read + apart + running * RUNNING_MS + failing + jitter
+    }
+
+    /// Returns how many tokens of a prompt's shared parts it is expected to read.
+    pub(super) fn unread(&self, now: Time, parts: &[PromptPart], is_home: bool) -> u64 {
+        let mut unread = 0;
+        let mut known = true;
+        for part in shared(parts) {
+            let fresh = self.parts.get(&part.id).is_some_and(|at| now.since(*at) < KEEP_PART);
+            // All VMs send a chain home, so what another VM sent there is known too.
+            known &= fresh || is_home;
+            if !known {
+                unread += part.tokens;
+            }
+        }
+        unread
+    }
+
+    pub(super) fn note(&mut self, now: Time, health: Health) {
+        let failed = match health {
+            Health::Good => 0.0,
+            Health::Failed => 1.0,
+            Health::Full => 0.5,
+            Health::Unknown => return,
+        };
+        self.failing += (failed - self.failing) * OUTCOME_WEIGHT;
+        if health == Health::Good {
+            self.failures = 0;
+            return;
+        }
+        self.failures += 1;
+        if self.failures >= FAILURES {
+            let rest = REST.saturating_mul(self.failures - FAILURES + 1).min(MAX_REST);
+            self.rests_until = now.after(rest);
+        }
+    }
+}
+
+/// Returns the parts that other requests may share: all but the last.
+pub(super) fn shared(parts: &[PromptPart]) -> &[PromptPart] {
+    parts.split_last().map_or(&[], |(_, rest)| rest)
+}
--- /dev/null
+++ b/crates/badgerfield-core/src/replicas/starts.rs
@@ -0,0 +1,48 @@
+//! Which services have upstreams that start slowly, and who may send to them meanwhile.
+
+use std::collections::BTreeMap;
+
+use crate::ids::Service;
+use crate::warm_up::{Senders, Share, WarmUp, WarmUpBound};
+
+/// What the table of upstreams needs to know to spare cold ones.
+#[derive(Debug, Default)]
+pub(super) struct Starts {
+    warm_ups: BTreeMap<Service, WarmUp>,
+    /// The fleet's bound; where there is none, nothing is spared.
+    bound: Option<WarmUpBound>,
+    senders: Senders,
+    /// How many VMs may send to one cold upstream.
+    count: usize,
+}
+
+impl Starts {
+    pub(super) fn set_bound(&mut self, bound: Option<WarmUpBound>, count: usize) {
+        self.bound = bound;
+        self.count = count;
+    }
+
+    pub(super) fn set_warm_ups(&mut self, warm_ups: BTreeMap<Service, WarmUp>) {
+        self.warm_ups = warm_ups;
+    }
+
+    pub(super) fn set_senders(&mut self, senders: Senders) {
+        self.senders = senders;
+    }
+
+    /// Tells whether this process may send to an upstream while it is cold.
+    pub(super) fn is_sender(&self, upstream: u64) -> bool {
+        self.senders.rank(upstream).is_some_and(|rank| rank < self.count)
+    }
+
+    /// Returns how the upstreams of a service start, if they have to be spared.
+    pub(super) fn of(&self, service: &Service) -> Option<WarmUp> {
+        self.bound?;
+        self.warm_ups.get(service).copied()
+    }
+
+    /// Returns what one sender may send to a cold upstream of a service.
+    pub(super) fn share(&self, service: &Service) -> Option<Share> {
+        Share::of(&self.of(service)?, &self.bound?, self.count)
+    }
+}
--- a/crates/badgerfield-core/src/routing.rs
+++ b/crates/badgerfield-core/src/routing.rs
@@ -12,6 +12,7 @@
 use crate::amount::Tokens;
 use crate::ids::{Account, BudgetId, Service};
 use crate::template::{KeyDigest, TemplateSet, account_name};
+use crate::warm_up::WarmUp;
 
 /// What may happen more than once to a request of a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -123,6 +124,9 @@
     pub connections: u32,
     /// What its engines can do; nothing for a plain service.
     pub engine: Option<EngineSpec>,
+    /// How its upstreams start; nothing if they are as good as warm at once.
+    #[serde(default)]
+    pub warm_up: Option<WarmUp>,
 }
 
 /// What callers may send, and how long they may take.
@@ -276,6 +280,11 @@
         self.services.get(name)
     }
 
+    /// Returns how the upstreams of each service start that has to be spared then.
+    pub fn warm_ups(&self) -> impl Iterator<Item = (&Service, WarmUp)> {
+        self.services.iter().filter_map(|(name, spec)| Some((name, spec.warm_up?)))
+    }
+
     /// Returns what callers may send.
     #[must_use]
     pub fn limits(&self) -> CallerLimits {
--- a/crates/badgerfield-core/tests/lag.rs
+++ b/crates/badgerfield-core/tests/lag.rs
@@ -34,6 +34,7 @@
             slots: 32,
             leaving: false,
         },
+        warm_in: Duration::ZERO,
     };
     let mut table = Replicas::default();
     let replicas = (0..ENGINES).map(entry).collect();
--- a/crates/badgerfield-core/tests/replicas.rs
+++ b/crates/badgerfield-core/tests/replicas.rs
@@ -28,8 +28,12 @@
     }
 }
 
+fn entry(revision: u64, info: ReplicaInfo) -> ReplicaEntry {
+    ReplicaEntry { revision, info, warm_in: Duration::ZERO }
+}
+
 fn list(revision: u64, replicas: Vec<ReplicaInfo>) -> ReplicaList {
-    let entry = |info| ReplicaEntry { revision, info };
+    let entry = |info| entry(revision, info);
     ReplicaList { revision, replicas: replicas.into_iter().map(entry).collect() }
 }
 
@@ -158,18 +162,17 @@
 #[test]
 fn an_entry_never_steps_back() {
     let mut table = table(2);
-    let written = |revision, info| ReplicaEntry { revision, info };
     // The list was read while the upstream began to leave: its entry is newer than the list.
     table.learn(
         at(10),
         ReplicaList {
             revision: 5,
-            replicas: vec![written(8, info(1, true)), written(4, info(2, false))],
+            replicas: vec![entry(8, info(1, true)), entry(4, info(2, false))],
         },
     );
     // The watch goes on from the revision of the list, and tells an older state first.
     let older =
-        ReplicaChanges { revision: 7, written: vec![written(6, info(1, false))], gone: Vec::new() };
+        ReplicaChanges { revision: 7, written: vec![entry(6, info(1, false))], gone: Vec::new() };
     assert!(table.change(at(20), older).is_empty());
     assert_eq!(chosen(&table, at(20)), BTreeSet::from([id(2)]));
 }
@@ -177,11 +180,8 @@
 #[test]
 fn an_entry_written_after_a_late_word_of_its_end_stays() {
     let mut table = table(2);
-    let rewritten = ReplicaChanges {
-        revision: 9,
-        written: vec![ReplicaEntry { revision: 9, info: info(1, false) }],
-        gone: Vec::new(),
-    };
+    let rewritten =
+        ReplicaChanges { revision: 9, written: vec![entry(9, info(1, false))], gone: Vec::new() };
     table.change(at(10), rewritten);
     let late = ReplicaChanges { revision: 8, written: Vec::new(), gone: vec![(id(1), 8)] };
     assert!(table.change(at(20), late).is_empty());
@@ -193,7 +193,7 @@
     let mut table = table(3);
     let leaving = ReplicaChanges {
         revision: 2,
-        written: vec![ReplicaEntry { revision: 2, info: info(1, true) }],
+        written: vec![entry(2, info(1, true))],
         gone: vec![(id(2), 2)],
     };
     assert_eq!(table.change(at(10), leaving), vec![id(1), id(2)]);
@@ -204,16 +204,13 @@
 fn equal_lists_have_equal_digests_and_others_do_not() {
     let (mut here, there) = (table(3), table(3));
     assert_eq!(here.mark(), there.mark());
-    let leaving = ReplicaChanges {
-        revision: 2,
-        written: vec![ReplicaEntry { revision: 2, info: info(1, true) }],
-        gone: Vec::new(),
-    };
+    let leaving =
+        ReplicaChanges { revision: 2, written: vec![entry(2, info(1, true))], gone: Vec::new() };
     let news = here.change(at(10), leaving);
     assert_ne!(here.mark().digest, there.mark().digest);
     // What one passes on makes the other's list the same, but says nothing of its age.
     let mut there = there;
-    there.change(at(20), here.changes_of(&news));
+    there.change(at(20), here.changes_of(at(20), &news));
     assert_eq!(here.mark().digest, there.mark().digest);
     assert_eq!(there.mark().revision, 1);
     there.confirm(at(30), 2);
@@ -225,7 +222,7 @@
     let (mut here, mut there) = (table(3), table(3));
     let gone = ReplicaChanges { revision: 5, written: Vec::new(), gone: vec![(id(2), 5)] };
     there.change(at(10), gone);
-    assert_eq!(here.learn(at(20), there.list()), vec![id(2)]);
+    assert_eq!(here.learn(at(20), there.list(at(20))), vec![id(2)]);
     assert_eq!(chosen(&here, at(20)), BTreeSet::from([id(1), id(3)]));
 }
 
--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use badgerfield_core::event::{KvCall, KvResult, Versioned};
+use badgerfield_core::event::{KvCall, KvResult, OperatorChanges};
 use badgerfield_core::ids::{Account, Domain, UpstreamId};
 use badgerfield_core::replica_list::{ReplicaChanges, ReplicaList};
 use badgerfield_core::replicas::PromptPart;
@@ -52,10 +52,10 @@
     /// Carries out a call.
     fn call<'a>(&'a self, call: &'a KvCall) -> BoxFuture<'a, KvResult>;
 
-    /// Waits for a change of the templates after a revision of the service.
+    /// Waits for changes that operators make, after a revision of the service.
     ///
     /// A service without watches never answers.
-    fn watch_templates(&self, after: u64) -> BoxFuture<'_, Watched<Versioned>>;
+    fn watch_operators(&self, after: u64) -> BoxFuture<'_, Watched<OperatorChanges>>;
 }
 
 /// Why the list of upstreams could not be read.
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -133,6 +133,10 @@
         });
         let Adapter { store, routes } = adapter;
         let gateway = routes.map(|routes| Arc::new(Gateway::new(routes, settings.retries)));
+        if let Some(gateway) = &gateway {
+            let senders = settings.pacing.policy.warm_up_senders;
+            gateway.replicas().set_warm_up_bound(settings.warm_up, senders);
+        }
         let upstreams = Upstreams::new(limits.silence);
         Ok(Arc::new(Self {
             node,
@@ -179,7 +183,7 @@
             return;
         };
         let driver = Arc::clone(self);
-        tokio::spawn(follow::templates(driver));
+        tokio::spawn(follow::operators(driver));
         let driver = Arc::clone(self);
         tokio::spawn(follow::upstreams(driver, gateway));
     }
@@ -319,6 +323,7 @@
                     gateway.replicas().learn_lags(self.now(), &notes);
                 }
             }
+            Order::Evacuated(from, changes) => self.evacuate(from, &changes),
             Order::TellUpstreams(to) => self.tell_upstreams(to),
             Order::Bill(bill) => self.record(&bill),
             Order::Note(note) => self.note(&note),
@@ -391,17 +396,18 @@
 
     /// Logs what was news in the list of upstreams, and tells others what the platform told.
     fn learned(self: &Arc<Self>, gateway: &Gateway, news: &[UpstreamId], source: Source) {
-        let (mark, count, changes) = {
+        let (mark, count, (evacuated, cold), changes) = {
             let replicas = gateway.replicas();
-            let changes = ReplicaChanges { revision: 0, ..replicas.changes_of(news) };
-            (replicas.mark(), replicas.len(), changes)
+            let changes = ReplicaChanges { revision: 0, ..replicas.changes_of(self.now(), news) };
+            (replicas.mark(), replicas.len(), replicas.spared(self.now()), changes)
         };
         self.feed(Event::ListMark(mark));
         if !news.is_empty() {
             let few: Vec<_> = news.iter().take(LOGGED_UPSTREAMS).map(UpstreamId::as_str).collect();
             log::info!(
                 target: PLATFORM,
-                "upstreams changed list={} count={count} changed={} ids={}",
+                "upstreams changed list={} count={count} cold={cold} evacuated={evacuated} changed={} \
+                 ids={}",
                 mark.revision,
                 news.len(),
                 few.join(",")
@@ -418,7 +424,7 @@
         let Some(gateway) = &self.gateway else {
             return;
         };
-        let list = gateway.replicas().list();
+        let list = gateway.replicas().list(self.now());
         self.carry_out(Order::Send(to, Message::Upstreams(list)));
     }
 
@@ -446,11 +452,13 @@
                 log::info!(target: NODE, "view {epoch} in force");
                 let view = self.node.view();
                 self.peers.keep(|id| view.has(id));
+                self.learn_senders();
             }
             Note::Templates(version) => {
                 if let Some(gateway) = &self.gateway {
                     let (version, table) = self.node.route_table();
                     gateway.put_in_force(version, table);
+                    self.learn_warm_ups();
                 }
                 log::info!(target: NODE, "templates {version} in force");
             }
--- /dev/null
+++ b/crates/badgerfield-node/src/evacuations.rs
@@ -0,0 +1,50 @@
+//! Carries out evacuations: upstreams of an evacuated failure domain get nothing more.
+
+use badgerfield_core::evacuation::DomainChange;
+use badgerfield_core::ids::Incarnation;
+
+use crate::driver::Driver;
+use crate::logs::PLATFORM;
+
+impl Driver {
+    /// Stops or begins to use the upstreams of some domains, and says so in the log.
+    pub(crate) fn evacuate(&self, from: Option<Incarnation>, changes: &[DomainChange]) {
+        let Some(gateway) = self.gateway() else {
+            return;
+        };
+        let now = self.now();
+        let from = from.map_or_else(|| "platform".to_owned(), |id| id.to_string());
+        for change in changes {
+            let concerned = gateway.replicas().evacuate(now, std::slice::from_ref(change));
+            let (evacuated, cold) = gateway.replicas().spared(now);
+            self.metrics.evacuations.inc();
+            log::info!(
+                target: PLATFORM,
+                "domain {} domain={} revision={} from={from} concerned={} evacuated={evacuated} cold={cold}",
+                if change.evacuated { "evacuated" } else { "taken back" },
+                change.domain,
+                change.revision,
+                concerned.len(),
+            );
+        }
+        // Connections that lie idle there are of no more use.
+        gateway.sweep(now);
+    }
+
+    /// Takes in how upstreams start, after newer templates have come into force.
+    pub(crate) fn learn_warm_ups(&self) {
+        let Some(gateway) = self.gateway() else {
+            return;
+        };
+        let table = gateway.in_force().table;
+        let warm_ups = table.warm_ups().map(|(name, warm_up)| (name.clone(), warm_up)).collect();
+        gateway.replicas().set_warm_ups(warm_ups);
+    }
+
+    /// Takes in who may send to cold upstreams, after a newer view has come into force.
+    pub(crate) fn learn_senders(&self) {
+        if let Some(gateway) = self.gateway() {
+            gateway.replicas().set_senders(self.now(), self.node.senders());
+        }
+    }
+}
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -1,4 +1,4 @@
-//! Follows what the platform says: the templates, and the list of upstreams.
+//! Follows what the platform says: what operators write there, and the list of upstreams.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -48,8 +48,9 @@
     }
 }
 
-/// Follows the templates: every change comes by a watch, and a read goes beside it.
-pub(crate) async fn templates(driver: Arc<Driver>) {
+/// Follows what operators write, the templates and the evacuated failure domains: every change
+/// comes by one watch, and a read goes beside it.
+pub(crate) async fn operators(driver: Arc<Driver>) {
     let mut after = 0;
     let mut pause = Pause::default();
     loop {
@@ -61,20 +62,28 @@
         if after == 0 {
             let call = KvCall::Get(KvName::Templates);
             driver.metrics.calls.count(CallKind::of(&call));
-            let KvResult::Value(found) = driver.store.call(&call).await else {
-                tokio::time::sleep(pause.next(&driver)).await;
-                continue;
-            };
             // Where there are none yet, the watch waits for the first.
-            after = found.revision;
-            driver.feed(Event::Templates(found));
+            match driver.store.call(&call).await {
+                KvResult::Value(found) => {
+                    after = found.revision;
+                    driver.feed(Event::Templates(found));
+                }
+                KvResult::Operators(found) => {
+                    after = found.revision;
+                    driver.feed(Event::Operators(found));
+                }
+                _ => {
+                    tokio::time::sleep(pause.next(&driver)).await;
+                    continue;
+                }
+            }
         }
         driver.metrics.calls.count(CallKind::TemplatesWatch);
-        match driver.store.watch_templates(after).await {
+        match driver.store.watch_operators(after).await {
             Watched::Changed(found) => {
                 pause = Pause::default();
                 after = after.max(found.revision);
-                driver.feed(Event::Templates(found));
+                driver.feed(Event::OperatorChanges(found));
             }
             Watched::Quiet(revision) => {
                 pause = Pause::default();
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -137,6 +137,13 @@
         self.gateway.replicas().waited(now, &self.id, wait.since.elapsed(), wait.unread);
     }
 
+    /// Finds out whether the upstream was evacuated or has begun to leave while a connection
+    /// to it was opened.
+    fn check_usable(&self) -> Result<(), Unsent> {
+        let usable = self.gateway.is_usable(self.driver.now(), &self.id);
+        if usable { Ok(()) } else { Err(Unsent::NotSent) }
+    }
+
     /// Notes how the upstream is doing.
     pub(crate) fn note(&mut self, health: Health) {
         self.health = health;
@@ -173,7 +180,7 @@
 ) -> AttemptEnd {
     let gateway = Arc::clone(&hold.gateway);
     let request = call_of(&gateway, original, terms);
-    let sent = tokio::time::timeout(limit, send(&gateway, &hold.id, address, request)).await;
+    let sent = tokio::time::timeout(limit, send(&hold, address, request)).await;
     let (mut response, connection) = match sent {
         Ok(Ok(found)) => found,
         Ok(Err(Unsent::NotSent)) => {
@@ -221,13 +228,13 @@
 }
 
 async fn send(
-    gateway: &Arc<Gateway>,
-    id: &UpstreamId,
+    hold: &UpstreamHold,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<(hyper::Response<Incoming>, Connection), Unsent> {
-    let connections = &gateway.connections;
-    let mut connection = connections.take(id, address).await.map_err(|_| Unsent::NotSent)?;
+    let connections = &hold.gateway.connections;
+    let mut connection = connections.take(&hold.id, address).await.map_err(|_| Unsent::NotSent)?;
+    hold.check_usable()?;
     let request = match connection.send(request).await {
         Ok(response) => return Ok((response, connection)),
         Err(SendError::Broken) => return Err(Unsent::Broken),
@@ -236,6 +243,7 @@
     };
     // The kept connection was closed before anything was sent on it.
     let mut connection = connections.open(address).await.map_err(|_| Unsent::NotSent)?;
+    hold.check_usable()?;
     match connection.send(*request).await {
         Ok(response) => Ok((response, connection)),
         Err(SendError::Broken) => Err(Unsent::Broken),
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -375,7 +375,8 @@
     fn choose(&self, now: Time, vms: usize) -> Option<badgerfield_core::replicas::Chosen> {
         let vms = u64::try_from(vms).unwrap_or(u64::MAX).saturating_add(1);
         let connections = u64::from(self.spec.connections) * CONNECTION_PERCENT / 100 / vms;
-        let replicas = self.gateway.replicas();
+        // What is chosen is begun under the same lock: what a cold upstream may get is counted.
+        let mut replicas = self.gateway.replicas();
         let wanted = Wanted {
             service: &self.service,
             route: &self.route.name,
@@ -386,8 +387,8 @@
         };
         let chosen = replicas.choose(now, &wanted)?;
         let list = replicas.age();
+        replicas.begin(now, &chosen.id, &self.terms.parts);
         drop(replicas);
-        self.gateway.replicas().begin(now, &chosen.id, &self.terms.parts);
         record::chosen(&self.original.id, self.attempts + 1, &chosen, list, now);
         Some(chosen)
     }
@@ -462,7 +463,9 @@
             return Refusal::unknown(cause);
         }
         let cause = if cause == Cause::OutOfTime { Cause::Overloaded } else { cause };
-        Refusal::not_run(cause).after(COME_BACK)
+        let warm_in = self.gateway.replicas().warm_in(self.now(), &self.service);
+        let after = warm_in.filter(|_| cause == Cause::NoUpstream).unwrap_or(COME_BACK);
+        Refusal::not_run(cause).after(after)
     }
 
     fn refuse(&mut self, refusal: &Refusal) -> Response<AnswerBody> {
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
+use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{UpstreamId, Version};
 use badgerfield_core::replicas::Replicas;
 use badgerfield_core::retry_budget::{RetryBound, RetryBudget};
@@ -99,9 +100,13 @@
     }
 
     /// Closes idle connections that are of no more use.
-    pub(crate) fn sweep(&self, now: badgerfield_core::amount::Time) {
-        let usable = |id: &UpstreamId| self.replicas().is_usable(now, id);
-        self.connections.sweep(usable);
+    pub(crate) fn sweep(&self, now: Time) {
+        self.connections.sweep(|id| self.is_usable(now, id));
+    }
+
+    /// Tells whether an upstream may still get requests.
+    pub(crate) fn is_usable(&self, now: Time, id: &UpstreamId) -> bool {
+        self.replicas().is_usable(now, id)
     }
 }
 
--- a/crates/badgerfield-node/src/kv.rs
+++ b/crates/badgerfield-node/src/kv.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use badgerfield_core::event::{KvCall, KvName, KvResult, Versioned};
+use badgerfield_core::event::{KvCall, KvName, KvResult, OperatorChanges, Versioned};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -35,7 +35,7 @@
         })
     }
 
-    fn watch_templates(&self, _after: u64) -> BoxFuture<'_, Watched<Versioned>> {
+    fn watch_operators(&self, _after: u64) -> BoxFuture<'_, Watched<OperatorChanges>> {
         Box::pin(futures::future::pending())
     }
 }
--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod callers;
 mod chat;
 pub mod driver;
+mod evacuations;
 mod follow;
 pub mod gateway;
 pub mod http;
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -30,6 +30,12 @@
     result: &'static str,
 }
 
+/// Why upstreams get little or nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SparedLabel {
+    why: &'static str,
+}
+
 /// A budget.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct BudgetLabel {
@@ -89,6 +95,8 @@
     pub(crate) messages: Counter,
     pub(crate) calls: StoreCalls,
     pub(crate) bad_templates: Counter,
+    pub(crate) evacuations: Counter,
+    spared: Family<SparedLabel, Gauge<u64, AtomicU64>>,
     kv_results: Family<KvLabel, Counter>,
     refusals: Family<RefusalLabel, Counter>,
     charges: Family<BillLabel, Counter>,
@@ -123,6 +131,8 @@
             messages: Counter::default(),
             calls: StoreCalls::default(),
             bad_templates: Counter::default(),
+            evacuations: Counter::default(),
+            spared: Family::default(),
             kv_results: Family::default(),
             refusals: Family::default(),
             charges: Family::default(),
@@ -154,6 +164,8 @@
         self.calls.register(r);
         r.register("kv_results", "Ends of calls to the key-value service", self.kv_results.clone());
         r.register("bad_templates", "Reads of unusable templates", self.bad_templates.clone());
+        r.register("evacuations", "Domains evacuated or taken back", self.evacuations.clone());
+        r.register("upstreams_spared", "Upstreams that get little or nothing", self.spared.clone());
         r.register("refusals", "Refusals by cause", self.refusals.clone());
         r.register("charges", "Charges", self.charges.clone());
         r.register("charged_tokens", "Tokens charged", self.tokens.clone());
@@ -188,7 +200,7 @@
 
     pub(crate) fn count_kv(&self, result: &KvResult) {
         let result = match result {
-            KvResult::Value(_) => "value",
+            KvResult::Value(_) | KvResult::Operators(_) => "value",
             KvResult::Written(_) => "written",
             KvResult::Conflict(_) => "conflict",
             KvResult::Refused => "refused",
@@ -197,6 +209,15 @@
         self.kv_results.get_or_create(&KvLabel { result }).inc();
     }
 
+    /// Notes how many upstreams get nothing since their domain is evacuated, and how many are
+    /// cold.
+    pub(crate) fn note_spared(&self, (evacuated, cold): (usize, usize)) {
+        for (why, count) in [("evacuated", evacuated), ("cold", cold)] {
+            let count = u64::try_from(count).unwrap_or(u64::MAX);
+            self.spared.get_or_create(&SparedLabel { why }).set(count);
+        }
+    }
+
     pub(crate) fn count_refusal(&self, refusal: &Refusal) {
         let label = RefusalLabel { cause: refusal.cause.code(), outcome: refusal.outcome.as_str() };
         self.refusals.get_or_create(&label).inc();
--- a/crates/badgerfield-node/src/operators.rs
+++ b/crates/badgerfield-node/src/operators.rs
@@ -48,7 +48,12 @@
     match request.uri().path() {
         "/healthz" => Response::new(http::full("alive\n")),
         "/readyz" => ready(driver),
-        "/metrics" => Response::new(http::full(driver.metrics.render(&driver.node.status()))),
+        "/metrics" => {
+            if let Some(gateway) = driver.gateway() {
+                driver.metrics.note_spared(gateway.replicas().spared(driver.now()));
+            }
+            Response::new(http::full(driver.metrics.render(&driver.node.status())))
+        }
         "/v1/status" => http::json(StatusCode::OK, &status_json(driver, &driver.node.status())),
         _ => {
             let error = json!({ "error": "expected /healthz, /readyz, /metrics or /v1/status" });
@@ -84,6 +89,8 @@
             })
         })
         .collect();
+    let evacuations = driver.node.evacuations();
+    let evacuated: Vec<_> = evacuations.iter().filter(|change| change.evacuated).collect();
     json!({
         "vm": driver.settings.vm,
         "region": driver.settings.region,
@@ -101,6 +108,7 @@
         "excess": status.excess,
         "ledger_writes": status.conflicts.1,
         "ledger_conflicts": status.conflicts.0,
+        "evacuated": evacuated,
         "budgets": budgets,
     })
 }
--- a/crates/badgerfield-node/src/settings.rs
+++ b/crates/badgerfield-node/src/settings.rs
@@ -8,6 +8,7 @@
 use badgerfield_core::ids::{Domain, Region, VmId};
 use badgerfield_core::policy::Policy;
 use badgerfield_core::retry_budget::RetryBound;
+use badgerfield_core::warm_up::WarmUpBound;
 use hyper::Uri;
 use log::LevelFilter;
 
@@ -15,8 +16,10 @@
 use crate::peers::Secret;
 
 /// The sections that a settings file may have.
-const SECTIONS: [&str; 10] =
-    ["vm", "listen", "gateway", "platform", "keys", "limits", "pacing", "policy", "retries", "log"];
+const SECTIONS: [&str; 11] = [
+    "vm", "listen", "gateway", "platform", "keys", "limits", "pacing", "policy", "retries",
+    "warm_up", "log",
+];
 
 /// All settings of one process.
 #[derive(Debug, Clone)]
@@ -47,6 +50,8 @@
     pub pacing: Pacing,
     /// What may be sent twice.
     pub retries: RetryBound,
+    /// What upstreams get that are cold; nothing where the platform bounds that not.
+    pub warm_up: Option<WarmUpBound>,
     /// What is logged.
     pub log: LogSettings,
 }
@@ -172,6 +177,7 @@
         let limits = Limits::read(&mut file);
         let pacing = read_pacing(&mut file);
         let retries = read_retries(&mut file);
+        let warm_up = read_warm_up(&mut file);
         let log = LogSettings::read(&mut file);
         let read = || {
             Some(Self {
@@ -188,6 +194,7 @@
                 limits,
                 pacing,
                 retries,
+                warm_up,
                 log,
             })
         };
@@ -258,6 +265,7 @@
         top_up: file.value_or("policy", "top_up", other.top_up),
         at_hand: file.span_or("policy", "at_hand", other.at_hand, (least, most)),
         budget_wait: file.value_or("policy", "budget_wait", other.budget_wait),
+        warm_up_senders: file.value_or("policy", "warm_up_senders", other.warm_up_senders),
     }
 }
 
@@ -271,6 +279,17 @@
     }
 }
 
+/// Reads the bound on cold upstreams; values that are empty, as a template leaves them where
+/// the platform has none, count as absent.
+fn read_warm_up(file: &mut File) -> Option<WarmUpBound> {
+    let mut read = |key| {
+        let text = file.optional_text("warm_up", key).unwrap_or_default();
+        if text.is_empty() { None } else { file.value("warm_up", key) }
+    };
+    let (overshoot, allowance) = (read("overshoot"), read("allowance"));
+    Some(WarmUpBound { overshoot: overshoot?, allowance: allowance? })
+}
+
 impl Limits {
     fn read(file: &mut File) -> Self {
         let secs = Duration::from_secs;
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! doubled or overtaken; nodes may be killed, frozen or cut off; the key-value service
 //! may be down, or lose replies. [`Truth`] keeps what upstreams really did.
 
+mod evacuations;
 mod platform;
 mod shape;
 mod truth;
@@ -15,7 +16,7 @@
 
 use badgerfield_core::amount::{Percent, Time, Tokens};
 use badgerfield_core::event::{Answer, Order};
-use badgerfield_core::ids::{Account, BudgetId, Incarnation, RequestId, Version};
+use badgerfield_core::ids::{Account, BudgetId, Domain, Incarnation, RequestId, Version};
 use badgerfield_core::message::Envelope;
 use badgerfield_core::policy::Policy;
 use badgerfield_core::refusal::Refusal;
@@ -82,6 +83,8 @@
     frozen: bool,
     backlog: Vec<Event>,
     version: Version,
+    /// The failure domains that its process believes to be evacuated.
+    evacuated: BTreeSet<Domain>,
 }
 
 /// Something that happens at a later time.
@@ -259,6 +262,7 @@
         vm.frozen = false;
         vm.backlog.clear();
         vm.version = Version(0);
+        vm.evacuated.clear();
         vm.node = Some(Node::new(Config {
             member: vm.member.clone(),
             shards: self.shape.shards,
@@ -516,6 +520,7 @@
             | Order::TellUpstreams(_)
             | Order::Note(_)
             | Order::Reserved(..) => {}
+            Order::Evacuated(_, changes) => self.note_evacuated(index, &changes),
             Order::Bill(bill) => self.truth.bill(&bill),
             Order::Exit => self.end_process(index),
         }
@@ -649,6 +654,7 @@
                     frozen: false,
                     backlog: Vec::new(),
                     version: Version(0),
+                    evacuated: BTreeSet::new(),
                 });
                 index += 1;
             }
--- a/crates/badgerfield-standin/src/fleet/platform.rs
+++ b/crates/badgerfield-standin/src/fleet/platform.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use badgerfield_core::event::{Event, KvCall, KvName, KvResult, Versioned};
-use badgerfield_core::ids::{Incarnation, Ticket};
+use badgerfield_core::evacuation::DomainChange;
+use badgerfield_core::event::{Event, KvCall, KvName, KvResult, OperatorValues, Versioned};
+use badgerfield_core::ids::{Domain, Incarnation, Ticket};
 use badgerfield_core::ledger::LedgerShard;
 use badgerfield_core::template::TemplateSet;
 use badgerfield_core::view::View;
@@ -38,6 +39,7 @@
     pub conflicts: u64,
     /// Bytes written so far.
     pub bytes: u64,
+    evacuated: BTreeMap<Domain, u64>,
     values: BTreeMap<KvName, Versioned>,
     former: BTreeMap<KvName, Versioned>,
     revision: u64,
@@ -72,6 +74,28 @@
         true
     }
 
+    /// Evacuates a domain or takes it back, as an operator does.
+    pub(super) fn evacuate(&mut self, domain: &Domain, evacuated: bool) -> DomainChange {
+        self.revision += 1;
+        let revision = self.revision;
+        if evacuated {
+            self.evacuated.insert(domain.clone(), revision);
+        } else {
+            self.evacuated.remove(domain);
+        }
+        DomainChange { domain: domain.clone(), revision, evacuated }
+    }
+
+    /// Returns all that operators wrote.
+    fn operators(&self, templates: Option<Bytes>) -> OperatorValues {
+        let evacuated = self.evacuated.iter().map(|(domain, revision)| DomainChange {
+            domain: domain.clone(),
+            revision: *revision,
+            evacuated: true,
+        });
+        OperatorValues { revision: self.revision, templates, evacuated: evacuated.collect() }
+    }
+
     fn put(&mut self, name: KvName, value: Bytes) -> u64 {
         self.revision += 1;
         let revision = self.revision;
@@ -89,7 +113,11 @@
                 self.reads += 1;
                 let stale = self.stale && self.reads.is_multiple_of(2);
                 let values = if stale { &self.former } else { &self.values };
-                (KvResult::Value(values.get(name).cloned().unwrap_or_default()), false)
+                let found = values.get(name).cloned().unwrap_or_default();
+                if *name == KvName::Templates {
+                    return (KvResult::Operators(self.operators(found.value)), false);
+                }
+                (KvResult::Value(found), false)
             }
             KvCall::Swap { name, expect, value } => {
                 self.writes += 1;
--- a/crates/badgerfield-standin/src/fleet/truth.rs
+++ b/crates/badgerfield-standin/src/fleet/truth.rs
@@ -147,6 +147,7 @@
         Message::UpstreamChanges(_) | Message::FetchUpstreams | Message::Upstreams(_) => {
             "upstreams"
         }
+        Message::Evacuations(_) | Message::CompareEvacuations(_) => "evacuations",
         Message::Ask(_) | Message::Nothing { .. } => "ask",
         Message::Transfer(_) | Message::Transferred { .. } => "transfer",
         Message::Park(_) | Message::Parked(_) => "park",
--- a/crates/badgerfield/src/template.rs
+++ b/crates/badgerfield/src/template.rs
@@ -113,7 +113,8 @@
     match platform.kv.call(&call).await {
         KvResult::Written(_) => return Ok(DONE),
         KvResult::Refused => bail!("the key-value service refused the write; nothing is changed"),
-        KvResult::Conflict(_) | KvResult::Unknown | KvResult::Value(_) => {}
+        KvResult::Conflict(_) | KvResult::Unknown | KvResult::Value(_) | KvResult::Operators(_) => {
+        }
     }
     for _ in 0..LOOKS {
         let (set, revision) = platform.templates().await?;
