--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -116,7 +116,7 @@
             incarnation,
             region: settings.region.clone(),
             domain: settings.domain.clone(),
-            peer: settings.peers,
+            peer: settings.advertised,
             caller: settings.gateway.map_or(settings.callers, |gateway| gateway.requests),
             standing: Standing::Active,
         };
@@ -282,7 +282,7 @@
                 };
                 let from = self.node.id();
                 self.metrics.messages.inc();
-                let envelope = Envelope { from, address: self.settings.peers, to, message };
+                let envelope = Envelope { from, address: self.settings.advertised, to, message };
                 self.peers.send(address, envelope);
             }
             Order::KeyValue(ticket, call) => {
--- a/crates/badgerfield-node/src/settings.rs
+++ b/crates/badgerfield-node/src/settings.rs
@@ -34,6 +34,8 @@
     pub callers: SocketAddr,
     /// Where the system's other processes connect.
     pub peers: SocketAddr,
+    /// The address that they are told, where it is another: behind a relay, for instance.
+    pub advertised: SocketAddr,
     /// Where operators connect.
     pub operators: SocketAddr,
     /// Where requests on routes are taken, if they are.
@@ -170,6 +172,10 @@
         let callers = file.value("listen", "callers");
         let peers = file.value("listen", "peers");
         let operators = file.value("listen", "operators");
+        let advertised = match file.optional_text("listen", "advertise") {
+            Some(_) => file.value("listen", "advertise"),
+            None => peers,
+        };
         let gateway = GatewaySettings::read(&mut file);
         let platform = Platform::read(&mut file);
         let secret = file.value("keys", "fleet");
@@ -186,6 +192,7 @@
                 domain: domain?,
                 callers: callers?,
                 peers: peers?,
+                advertised: advertised?,
                 operators: operators?,
                 gateway,
                 platform: platform?,
