Say that a budget is spent once nothing can come back

A holder took anything set aside or lent in the last 10 s for something that may come back, though borrowers give back the rest within moments and a long prompt leaves next to nothing; and of two holders that both searched each waited for the other as for a lender, so that nobody ever had all answers.

Now a holder knows what usually comes back of what it set aside or lent (holdings/giving.rs), holders answer each other at once, and who needs more than is within reach is told 402; the others are told when to come back as before. While a holder that the ledger names is in no view its successor may give back what it had sealed, so nobody is told 402 for that.

--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -3,11 +3,12 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
+use super::giving::Giving;
 use crate::amount::{Percent, Rate, Time, Tokens};
 use crate::ids::{BudgetId, Incarnation, Region, RunId, VmId};
 use crate::ledger::{LedgerOp, Plan, Terms};
 use crate::rate::Meter;
-use crate::refusal::Refusal;
+use crate::refusal::{Cause, Refusal};
 use crate::seal::{Claim, FleetClock, HOLDS, Orphan, Seal};
 
 /// How much demand, in time, a holding keeps ready to spend; the rest is parked.
@@ -18,8 +19,6 @@
 /// After how long without use a holding is given back.
 const IDLE: Duration = Duration::from_mins(1);
 
-/// For how long what was lent may come back.
-const LENT: Duration = Duration::from_secs(10);
 /// How much demand, in time, is left unsealed: a seal may be said just before the platform
 /// goes away, and holds for [`HOLDS`] then; the rest is for a report that was due.
 const OPEN: Duration = Duration::from_millis(4200);
@@ -145,6 +144,8 @@
     pub(crate) lenders: Vec<Incarnation>,
     /// Whether this process stands in for lenders that do not answer.
     pub(crate) stands_in: bool,
+    /// What was set aside and lent, and what of it came back.
+    pub(super) giving: Giving,
     /// When something was lent last.
     pub(crate) lent: Option<Time>,
     /// When a lender was asked for what is to be kept at hand.
@@ -162,6 +163,8 @@
     pub(crate) recall: bool,
     /// What is held and promised not to be touched.
     pub(crate) sealed: Tokens,
+    /// Sealed tokens that the change under way gives back; nobody touches them.
+    pub(crate) returning: Tokens,
     /// What the change under way unseals.
     pub(crate) releasing: Tokens,
     /// When the promise was last said.
@@ -173,6 +176,9 @@
     pub(crate) life: Life,
     /// The last refusal, when it was made, and the least need that was refused.
     pub(crate) refused: Option<(Refusal, Time, Tokens)>,
+    /// When nobody had anything left, and from which need on nothing that runs could give
+    /// enough back.
+    pub(crate) spent: Option<(Time, Tokens)>,
 }
 
 impl Holding {
@@ -204,6 +210,7 @@
             plan: Plan::Share(Tokens::MAX),
             lenders: Vec::new(),
             stands_in: false,
+            giving: Giving::default(),
             lent: None,
             asked: None,
             waiters: VecDeque::new(),
@@ -215,12 +222,14 @@
             passed: None,
             recall: false,
             sealed: Tokens::ZERO,
+            returning: Tokens::ZERO,
             releasing: Tokens::ZERO,
             said: None,
             stamped: None,
             orphans: Vec::new(),
             life: Life::Open,
             refused: None,
+            spent: None,
         }
     }
 
@@ -244,12 +253,13 @@
         self.releasing = Tokens::ZERO;
     }
 
-    /// Takes tokens out for giving back, of what is free first, then of what is sealed.
-    fn take_back(&mut self, amount: Tokens) -> Tokens {
+    /// Takes tokens out for giving back, of what is free first, then of what is sealed;
+    /// returns both parts.
+    fn take_back(&mut self, amount: Tokens) -> (Tokens, Tokens) {
         let taken = self.take(amount);
         let more = amount.saturating_minus(taken).min(self.sealed);
         self.sealed = self.sealed.saturating_minus(more);
-        taken.saturating_plus(more)
+        (taken, more)
     }
 
     /// Seals what is beyond the needs of the next moments, or unseals what they lack.
@@ -390,9 +400,15 @@
         !self.borrows() || self.stands_in
     }
 
+    /// Returns how much may come to be free here, when requests here or at borrowers end.
+    pub(crate) fn within_reach(&self, now: Time) -> Tokens {
+        let coming = self.giving.may_come_back(now, self.reserved);
+        self.unspent().saturating_plus(coming)
+    }
+
     /// Tells whether something may come back from requests here or at borrowers.
     pub(crate) fn may_get_back(&self, now: Time) -> bool {
-        !self.reserved.is_zero() || self.lent.is_some_and(|at| now.since(at) < LENT)
+        !self.giving.may_come_back(now, self.reserved).is_zero()
     }
 
     /// Tells whether the holding waits for somebody's answer.
@@ -421,6 +437,7 @@
             return false;
         };
         self.free = rest;
+        self.giving.set_aside(need);
         self.reserved = self.reserved.saturating_plus(need);
         self.used_at = now;
         true
@@ -431,8 +448,18 @@
     /// A budget that nobody has anything left of is not looked for again with each
     /// request: the refusal comes at once, and costs the platform no call.
     pub(crate) fn refused_lately(&self, now: Time, need: Tokens) -> Option<Refusal> {
+        let is_late = |at: Time| now.since(at) >= REFUSAL_HOLDS;
+        if self.spent.is_some_and(|(at, least)| need >= least && !is_late(at)) {
+            return Some(Refusal::not_run(Cause::BudgetSpent));
+        }
         let (refusal, at, least) = self.refused?;
-        (need >= least && now.since(at) < REFUSAL_HOLDS).then_some(refusal)
+        (need >= least && !is_late(at)).then_some(refusal)
+    }
+
+    /// Forgets refusals, because there is more than when they were made.
+    pub(crate) fn forget_refusals(&mut self) {
+        self.refused = None;
+        self.spent = None;
     }
 
     /// Makes the next change for the ledger.
@@ -445,7 +472,8 @@
         close: bool,
     ) {
         // What is given back is deducted before anyone is told.
-        let back = self.take_back(back);
+        let (back, returning) = self.take_back(back);
+        self.returning = returning;
         let seal = maker.sealing.as_ref().map(|sealing| self.seal(now, sealing, close));
         let shortage = self.wanted().saturating_minus(self.free).saturating_minus(self.releasing);
         self.seq += 1;
@@ -461,7 +489,7 @@
             holder: maker.me,
             seq: self.seq,
             need: shortage,
-            back,
+            back: back.saturating_plus(returning),
             // What a borrower has at hand is soon spent, and not held ahead.
             held: if self.borrows() { Tokens::ZERO } else { self.unspent() },
             rate,
--- a/crates/badgerfield-core/src/holdings/lending.rs
+++ b/crates/badgerfield-core/src/holdings/lending.rs
@@ -163,6 +163,7 @@
         }
         self.take(need);
         self.lent = Some(now);
+        self.giving.lend(now, need);
         self.used_at = now;
         // What borrowers need is demand here; they count none of their own.
         self.meter.count(now, need);
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -5,6 +5,7 @@
 //! holders, and refuses only when all of them have nothing.
 
 mod bank;
+mod giving;
 mod holding;
 mod lending;
 mod parking;
@@ -73,6 +74,8 @@
     pub parked: Tokens,
     /// Promised not to be touched for a while.
     pub sealed: Tokens,
+    /// Promised before, and on the way back to the ledger.
+    pub returning: Tokens,
     /// On the way to other holders.
     pub moving: Tokens,
     /// Parked here by other processes.
@@ -170,6 +173,7 @@
             reserved: holding.reserved,
             parked: holding.parked_amount(),
             sealed: holding.shut(),
+            returning: if holding.op.is_some() { holding.returning } else { Tokens::ZERO },
             moving,
             banked,
             billed: holding.billed,
@@ -289,6 +293,7 @@
         let rest = reserved.saturating_minus(used);
         // An upstream that ignores its limit eats into what is free.
         holding.free = holding.free.saturating_plus(rest).saturating_minus(excess);
+        holding.giving.come_back(rest);
         holding.meter.count(now, used);
         holding.used_at = now;
         self.touched.insert(budget.clone());
@@ -363,7 +368,7 @@
                     return;
                 }
                 if !left.is_zero() {
-                    holding.refused = None;
+                    holding.forget_refusals();
                 }
                 let op = holding.op.take().map(|(op, _)| op);
                 let closed = op.as_ref().is_some_and(|op| op.close);
@@ -446,7 +451,10 @@
             out.send(from, nothing(Lack::NoHolder));
             return;
         };
-        if !self.lenders.is_empty() && holding.may_draw() && !self.closing {
+        // Two that hold the same budget and both search answer each other at once: each would
+        // wait for the other otherwise, and neither could tell that nothing is left.
+        let from_holder = self.lenders.holds(&budget, from);
+        if !self.lenders.is_empty() && holding.may_draw() && !self.closing && !from_holder {
             self.lend(now, from, ask, out);
             return;
         }
@@ -467,7 +475,7 @@
         if spare.is_zero() || (collects && spare < ask.need) {
             let lack = if holding.borrows() || self.closing {
                 Lack::NoHolder
-            } else if holding.may_get_back(now) {
+            } else if holding.within_reach(now) >= need && holding.may_get_back(now) {
                 Lack::Reserved(COME_BACK)
             } else {
                 Lack::Spent
@@ -520,7 +528,11 @@
         let new = self.transfers.is_new(from, transfer);
         if new && transfer.period == holding.terms.period {
             holding.free = holding.free.saturating_plus(transfer.amount);
-            holding.refused = None;
+            if holding.lent.is_some() && holding.search.is_none() {
+                // What a borrower gives back was lent before.
+                holding.giving.come_back(transfer.amount);
+            }
+            holding.forget_refusals();
             holding.used_at = now;
             self.touched.insert(transfer.budget.clone());
             self.mute.remove(&from);
--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -333,15 +333,27 @@
             holding.search = Some(Search::Ledger { since: now });
             return;
         }
-        let open = open.is_empty() && !reserved;
-        let sure = open && !holding.may_get_back(now) && holding.op.is_none();
-        let refusal = if sure {
-            Refusal::not_run(Cause::BudgetSpent)
-        } else {
-            let is_spent = holding.left.is_some_and(Tokens::is_zero);
-            let after = if holding.down || is_spent { COME_BACK_LATER } else { COME_BACK };
-            Refusal::not_run(Cause::BudgetHeld).after(after)
+        let all_answered = open.is_empty() && !reserved;
+        // A holder that has gone may have a successor that gives back what it had sealed.
+        let awaits = holding.others.iter().any(|id| !self.view.has(*id));
+        if all_answered && !awaits && holding.op.is_none() {
+            let least = holding.within_reach(now).saturating_plus(Tokens(1));
+            let needs = holding.waiters.iter().map(|w| w.need).filter(|need| *need >= least);
+            holding.spent = needs.min().map(|need| (now, need)).or(holding.spent);
+            let refusal = Refusal::not_run(Cause::BudgetSpent);
+            self.refuse_waiters(now, budget, least, refusal);
+        }
+        self.refuse_for_now(now, budget);
+    }
+
+    /// Refuses those who still wait, with when to come back.
+    fn refuse_for_now(&mut self, now: Time, budget: &BudgetId) {
+        let Some(holding) = self.table.get(budget).filter(|h| !h.waiters.is_empty()) else {
+            return;
         };
+        let is_spent = holding.left.is_some_and(Tokens::is_zero);
+        let after = if holding.down || is_spent { COME_BACK_LATER } else { COME_BACK };
+        let refusal = Refusal::not_run(Cause::BudgetHeld).after(after);
         self.refuse_waiters(now, budget, Tokens::ZERO, refusal);
     }
 
--- a/crates/badgerfield-core/src/lending.rs
+++ b/crates/badgerfield-core/src/lending.rs
@@ -73,6 +73,12 @@
         Part { lenders: ranked.into_iter().map(|lender| lender.id).collect(), stands_in }
     }
 
+    /// Tells whether a process holds a budget from the ledger, where others borrow it.
+    pub(crate) fn holds(&self, budget: &BudgetId, id: Incarnation) -> bool {
+        let is_lender = self.0.iter().any(|lender| lender.id == id);
+        is_lender && self.part(budget, id) == Part::default()
+    }
+
     /// Tells whether anybody lends.
     pub(crate) fn is_empty(&self) -> bool {
         self.0.is_empty()
