--- a/crates/badgerfield-node/tests/settings.rs
+++ b/crates/badgerfield-node/tests/settings.rs
@@ -98,3 +98,26 @@
         assert!(found.contains(wanted), "{wanted:?} in {found}");
     }
 }
+
+#[test]
+fn a_bound_on_cold_upstreams_is_read_whole_or_is_absent() {
+    let bound = |text: &str| read(&format!("{GOOD}{text}")).map(|settings| settings.warm_up);
+    let both = bound("[warm_up]\novershoot = 1.5\nallowance = 5\n").expect("it is good");
+    assert_matches!(both, Some(bound) if bound.overshoot > 1.4 && bound.allowance > 4.9);
+    // A template leaves a value empty that its platform does not have.
+    let empty = bound("[warm_up]\novershoot = \nallowance = \n").expect("it is good");
+    assert_eq!(empty, None);
+    assert_eq!(bound("").expect("it is good"), None);
+    let faults = faults(bound("[warm_up]\novershoot = much\nallowance = 5\n"));
+    assert!(faults.iter().any(|fault| fault.contains("[warm_up] overshoot")), "{faults:#?}");
+}
+
+#[test]
+fn another_address_may_be_told_to_peers() {
+    let text = GOOD.replace("operators", "advertise = 10.0.0.1:2\noperators");
+    let settings = read(&text).expect("the settings are good");
+    assert_eq!(settings.advertised.to_string(), "10.0.0.1:2");
+    assert_eq!(settings.peers.to_string(), "127.0.0.1:2");
+    let plain = read(GOOD).expect("the settings are good");
+    assert_eq!(plain.advertised, plain.peers);
+}
--- a/crates/badgerfield/src/args.rs
+++ b/crates/badgerfield/src/args.rs
@@ -15,7 +15,8 @@
 const SETTINGS_HELP: &str = "A settings file has these sections and keys (* must be there):
 
   [vm]        name*, region*, domain*
-  [listen]    callers*, peers*, operators*      addresses such as 10.0.0.1:8080
+  [listen]    callers*, peers*, operators*      addresses such as 10.0.0.1:8080;
+              advertise                         the address that peers are told, if another
   [gateway]   requests*, ready*, directory      addresses for requests on routes; the
               grace, connections                section may be left out
   [platform]  kv*, vm_list                      addresses such as http://10.0.0.9:2379
@@ -24,8 +25,11 @@
   [keys]      fleet*, accept                    see `badgerfield key --fleet`
   [limits]    body, requests, shards, remember, replay, replay_bytes, directory, silence
   [pacing]    ahead, report, beat, hand_on, notice, seals (true or false)
-  [policy]    divide, top_up (true or false), at_hand, budget_wait (docs/POLICY.md)
+  [policy]    divide, top_up (true or false), at_hand, budget_wait, warm_up_senders
+              (docs/POLICY.md)
   [retries]   ratio, allowance, window
+  [warm_up]   overshoot, allowance              what the fleet may send a cold upstream in
+              a second: overshoot times its rate, and allowance more
   [log]       level, format (text or json), and a level for each of
               node, peers, platform, upstreams, callers, bills, requests
 
