--- a/crates/badgerfield-core/tests/warm_up.rs
+++ b/crates/badgerfield-core/tests/warm_up.rs
@@ -226,3 +226,17 @@
     assert!(send(&mut table, at(0), 1).is_some());
     assert!(send(&mut table, at(1), 1).is_some());
 }
+
+#[test]
+fn who_becomes_a_sender_waits_until_the_former_ones_have_learned_of_it() {
+    let cold = || vec![entry(1, 1, 60_000)];
+    let is_sender = |me: &usize| send(&mut table(*me, 40, cold()), at(5_000), 1).is_some();
+    let other = (0..40).find(|me| !is_sender(me)).expect("most are no senders");
+    let mut table = table(other, 40, cold());
+    // The next view has this VM alone.
+    let alone = [vm(other)];
+    table.set_senders(at(10_000), Senders::new(&vm(other), &alone));
+    let first = (10_000..13_000).find(|millis| send(&mut table, at(*millis), 1).is_some());
+    let waited = first.expect("it is a sender now") - 10_000;
+    assert!(waited >= 1_300, "it sent after {waited} ms");
+}
