--- a/crates/badgerfield-core/tests/holdings.rs
+++ b/crates/badgerfield-core/tests/holdings.rs
@@ -7,8 +7,10 @@
 use badgerfield_core::amount::{Percent, Time, Tokens};
 use badgerfield_core::event::Outbox;
 use badgerfield_core::holdings::Holdings;
-use badgerfield_core::ids::{BudgetId, Epoch, Incarnation, Period, Version};
+use badgerfield_core::ids::{BudgetId, Epoch, Incarnation, Period, RunId, Version};
 use badgerfield_core::ledger::{LedgerOp, LedgerReply, Plan, Terms};
+use badgerfield_core::message::Lack;
+use badgerfield_core::refusal::Cause;
 use badgerfield_core::view::{Member, Standing, View};
 
 const ME: Incarnation = Incarnation(1);
@@ -95,3 +97,38 @@
     // Once is enough.
     assert!(pass(&mut holdings, 2500, 6000, Tokens::ZERO).is_none(), "told again and again");
 }
+
+/// Returns why a request is refused when the ledger is empty, this holder is named beside one
+/// other, and the only other member says that it has nothing.
+fn cause_with(other: u64) -> Cause {
+    let pacing = Pacing { seals: true, ..Pacing::default() };
+    let vm = "vm-1".parse().expect("the name is valid");
+    let region = "north".parse().expect("the name is valid");
+    let mut holdings = Holdings::new(ME, vm, region, pacing);
+    let terms = Terms { version: Version(1), period: Period(1), limit: Tokens(1_000_000) };
+    let spread = Percent::new(80).expect("a share");
+    holdings.learn(at(0), &budget(), terms, spread);
+    let out = &mut Outbox::default();
+    holdings.adopt(at(0), &Arc::new(view(2)), out);
+    holdings.reserve(at(10), &budget(), (RunId(7), Tokens(500), at(5_000)), out);
+    let (op, _) = holdings.ops(at(10)).pop().expect("the ledger is asked");
+    let reply = LedgerReply::Applied {
+        seq: op.seq,
+        granted: Tokens::ZERO,
+        left: Tokens::ZERO,
+        others: vec![Incarnation(other)],
+        plan: Plan::Share(Tokens::ZERO),
+        orphans: Vec::new(),
+    };
+    holdings.drawn(at(20), &budget(), Period(1), &reply, out);
+    let nothing = (Tokens(500), Lack::Spent);
+    holdings.nothing(at(30), Incarnation(2), &budget(), nothing, out);
+    let decision = holdings.decisions().pop().expect("it is decided");
+    decision.refusal.expect("there are no tokens").cause
+}
+
+#[test]
+fn a_budget_is_not_spent_while_a_gone_holder_may_give_back() {
+    assert_eq!(cause_with(2), Cause::BudgetSpent, "all that hold it have said so");
+    assert_eq!(cause_with(99), Cause::BudgetHeld, "its successor may give back what it sealed");
+}
