Part the choice of an upstream, the steps of a request and the fleet of the tests; types of roll-outs

No behaviour changes but that an upstream's version is read from the list; nobody looks at it yet. The types of rollout/mod.rs are what the core and the gateway will tell each other.

--- a/crates/badgerfield-core/src/control/evacuations.rs
+++ b/crates/badgerfield-core/src/control/evacuations.rs
@@ -21,7 +21,7 @@
 impl Node {
     /// Takes in all that operators have at the platform.
     pub(crate) fn read_operators(&self, now: Time, found: OperatorValues, out: &mut Outbox) {
-        let OperatorValues { revision, templates, evacuated } = found;
+        let OperatorValues { revision, templates, evacuated, .. } = found;
         let turned = self.board.evacuations().learn_all(revision, evacuated);
         self.tell_evacuations(now, &turned, out);
         out.evacuated(None, turned);
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -19,6 +19,7 @@
 use crate::mix::Needs;
 use crate::refusal::Refusal;
 use crate::replica_list::{ListMark, ReplicaChanges, ReplicaList};
+use crate::rollout::{OrderChange, RolloutRule, RolloutTally};
 use crate::template::KeyDigest;
 use crate::upstream::{LoadReport, VmList};
 
@@ -69,6 +70,8 @@
     EngineNeeds(Vec<Needs>),
     /// The upstreams at which requests wait.
     Lags(Vec<LagNote>),
+    /// How the requests of this process went at services that are rolled out, told now and then.
+    RolloutTallies(Vec<RolloutTally>),
     /// The process is asked to stop.
     Stop,
 }
@@ -217,6 +220,8 @@
     pub templates: Option<Bytes>,
     /// The failure domains that are evacuated.
     pub evacuated: Vec<DomainChange>,
+    /// The roll-outs that are ordered.
+    pub rollouts: Vec<OrderChange>,
 }
 
 /// What operators have changed at the platform.
@@ -228,6 +233,8 @@
     pub templates: Option<Bytes>,
     /// The failure domains that were evacuated or taken back.
     pub domains: Vec<DomainChange>,
+    /// The roll-outs that were ordered or withdrawn.
+    pub rollouts: Vec<OrderChange>,
 }
 
 /// What became of a call to the key-value service.
@@ -256,6 +263,8 @@
     View,
     /// A shard of the ledger.
     Ledger(u32),
+    /// How far the roll-out of a service has come; operators read it.
+    Rollout(Service),
 }
 
 /// A call to the key-value service.
@@ -353,6 +362,8 @@
     LearnLags(Vec<LagNote>),
     /// Stop or begin to use the upstreams of failure domains, as the platform or a process told.
     Evacuated(Option<Incarnation>, Vec<DomainChange>),
+    /// Divide the requests of services between versions by these rules, and by no others.
+    RolloutRules(Vec<RolloutRule>),
     /// Tell a process the whole list of upstreams.
     TellUpstreams(Incarnation),
     /// Record a charge.
--- a/crates/badgerfield-core/src/ids.rs
+++ b/crates/badgerfield-core/src/ids.rs
@@ -131,6 +131,10 @@
     /// Names a plain service.
     Service
 );
+text_id!(
+    /// Names a version of an upstream's software.
+    SoftwareVersion
+);
 text_id!(
     /// Names who changed a template.
     Author
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod replica_list;
 pub mod replicas;
 pub mod retry_budget;
+pub mod rollout;
 pub mod routing;
 mod runs;
 pub mod seal;
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -331,6 +331,7 @@
                 out.push(Order::DivideEngines(members.needs.blend(now)));
             }
             Event::Lags(lags) => self.board.members().lags = lags,
+            Event::RolloutTallies(_) => {}
             Event::Stop => self.stop(now, out),
         }
     }
--- a/crates/badgerfield-core/src/replica_list.rs
+++ b/crates/badgerfield-core/src/replica_list.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::ids::{Domain, Service, UpstreamId};
+use crate::ids::{Domain, Service, SoftwareVersion, UpstreamId};
 
 /// One upstream as the platform's list names it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +19,9 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub domain: Domain,
+    /// The version of its software; nothing if the list does not tell.
+    #[serde(default)]
+    pub version: Option<SoftwareVersion>,
     /// How many requests it works on at once.
     pub slots: u32,
     /// Whether it is leaving.
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -6,6 +6,7 @@
 //! be read again, and work under way delays it. Upstreams of an evacuated failure domain get
 //! nothing; those that are cold get little ([`crate::warm_up`]).
 
+mod choice;
 mod replica;
 mod starts;
 
@@ -13,10 +14,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
-use self::replica::{Replica, Weights, shared};
+use self::replica::Replica;
 use self::starts::Starts;
 use crate::amount::Time;
 use crate::evacuation::DomainChange;
@@ -27,6 +25,7 @@
 };
 use crate::replica_list::{ListMark, ReplicaChanges, ReplicaEntry, ReplicaList, digest_of};
 use crate::warm_up::{HOLD_OFF, Senders, WarmUp, WarmUpBound};
+use serde::{Deserialize, Serialize};
 
 /// How long an upstream is remembered after its entry is gone.
 const FORGET: Duration = Duration::from_secs(30);
@@ -337,58 +336,6 @@
         usable.map(|r| r.warm_in(now)).filter(|span| !span.is_zero()).min()
     }
 
-    /// Chooses an upstream for a request, or none if none can take it.
-    #[must_use]
-    pub fn choose(&self, now: Time, wanted: &Wanted<'_>) -> Option<Chosen> {
-        let all: Vec<_> =
-            self.table.values().filter(|r| r.info.service == *wanted.service).collect();
-        let spares = self.starts.of(wanted.service).is_some();
-        let share = self.starts.share(wanted.service);
-        let fit: Vec<_> = all
-            .iter()
-            .copied()
-            .filter(|r| r.is_usable(now))
-            .filter(|r| !spares || r.bears_more(now, share))
-            .filter(|r| !wanted.tried.contains(&r.info.id))
-            .filter(|r| r.running < wanted.connections)
-            .collect();
-        let rested: Vec<_> = fit.iter().copied().filter(|r| r.rests_until <= now).collect();
-        // When most rest, the fault is likely elsewhere, and one of them may serve.
-        let pool = if rested.is_empty() { fit } else { rested };
-        let mix = self.mixes.get(wanted.service).filter(|_| !wanted.parts.is_empty());
-        let weights = Weights::of(mix, wanted);
-        let ordinary = lag::ordinary(pool.iter().map(|r| r.lag.millis(now)).collect());
-        let own: Vec<_> = pool.iter().copied().filter(|r| weights.takes(r)).collect();
-        let home = home_of(if own.is_empty() { &pool } else { &own }, wanted.parts);
-        let mut best: Option<(&Replica, f64)> = None;
-        let mut second: Option<(&Replica, f64)> = None;
-        for replica in &pool {
-            let is_home = home.as_ref() == Some(&&replica.info.id);
-            let mut cost = replica.cost(now, wanted, &weights, is_home);
-            if !wanted.parts.is_empty() {
-                cost += replica.lag.cost(now, ordinary, wanted.draw);
-            }
-            if best.is_none_or(|(_, least)| cost < least) {
-                second = best;
-                best = Some((replica, cost));
-            } else if second.is_none_or(|(_, least)| cost < least) {
-                second = Some((replica, cost));
-            }
-        }
-        let (replica, cost) = best?;
-        let is_home = home == Some(&replica.info.id);
-        Some(Chosen {
-            unread: replica.unread(now, wanted.parts, is_home),
-            lag: replica.lag.millis(now),
-            group: weights.division.map(|(_, group)| (group, weights.takes(replica))),
-            id: replica.info.id.clone(),
-            address: replica.info.address,
-            cost,
-            weighed: pool.len(),
-            second: second.map(|(r, cost)| (r.info.id.clone(), cost)),
-        })
-    }
-
     /// Notes that a request for an engine came on a route.
     pub fn arrived(&mut self, now: Time, service: &Service, route: &str, size: Size) {
         self.mixes.entry(service.clone()).or_default().arrived(now, route, size);
@@ -507,10 +454,3 @@
         self.len() == 0
     }
 }
-
-/// Returns the upstream that all VMs prefer for a chain of shared parts.
-fn home_of<'a>(pool: &[&'a Replica], parts: &[PromptPart]) -> Option<&'a UpstreamId> {
-    let chain = shared(parts).last()?;
-    let weight = |r: &&&Replica| xxh3_64_with_seed(&chain.id.to_be_bytes(), r.seed);
-    pool.iter().max_by_key(weight).map(|r| &r.info.id)
-}
--- /dev/null
+++ b/crates/badgerfield-core/src/rollout/mod.rs
@@ -0,0 +1,96 @@
+//! Roll-outs: moving the requests of a service to another version of its software.
+//!
+//! An operator orders it. A bounded share of the requests tries the new version, and what comes
+//! of them is compared with the version that is there; then all requests move over, or back.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::amount::Percent;
+use crate::ids::{Service, SoftwareVersion};
+
+/// What an operator last ordered for a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderChange {
+    /// The service.
+    pub service: Service,
+    /// The platform's revision at which it was ordered or withdrawn.
+    pub revision: u64,
+    /// The order; nothing if it was withdrawn.
+    pub order: Option<RolloutOrder>,
+}
+
+/// An order to move a service to a version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutOrder {
+    /// The version that all requests should move to.
+    pub target: SoftwareVersion,
+    /// Within which time of the order.
+    pub span: Duration,
+}
+
+/// Which requests of a service may go to the version that is rolled out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Allowance {
+    /// None: it is not tried yet, or was found to be bad.
+    Nothing,
+    /// This part of the requests of each route.
+    Share(Percent),
+    /// All, and none go to other versions.
+    All,
+}
+
+/// How the requests of one service divide between versions, as a process believes it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutRule {
+    /// The service.
+    pub service: Service,
+    /// The revision of the order that the rule follows from.
+    pub revision: u64,
+    /// The version that is rolled out.
+    pub target: SoftwareVersion,
+    /// Which requests it may get.
+    pub allowance: Allowance,
+}
+
+/// How requests went.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Requests that were answered, or ended without the answer that was due.
+    pub answers: u32,
+    /// Those of them that failed.
+    pub failed: u32,
+    /// Those that did not fail, and came several times later than expected.
+    pub slow: u32,
+}
+
+/// How the requests of one route went, at one process.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteTally {
+    /// The route.
+    pub route: String,
+    /// Those at the version that is rolled out.
+    pub target: Counts,
+    /// Those at other versions, in the same time.
+    pub others: Counts,
+}
+
+/// How requests went at one process since it learned of an order. Counts only grow, so that a
+/// newer tally replaces an older one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutTally {
+    /// The service.
+    pub service: Service,
+    /// The revision of the order.
+    pub revision: u64,
+    /// By route.
+    pub routes: Vec<RouteTally>,
+    /// By upstream of the version that is rolled out, under the numbers that stand for
+    /// upstreams in messages.
+    pub upstreams: Vec<(u32, Counts)>,
+    /// How many upstreams of that version take requests.
+    pub ready: u32,
+    /// How many requests of this process are under way at other versions.
+    pub running: u32,
+}
--- a/crates/badgerfield-core/tests/lag.rs
+++ b/crates/badgerfield-core/tests/lag.rs
@@ -31,6 +31,7 @@
             service: service(),
             address: ([127, 0, 0, 1], 9000).into(),
             domain: "d".parse().expect("a name"),
+            version: None,
             slots: 32,
             leaving: false,
         },
--- a/crates/badgerfield-core/tests/replicas.rs
+++ b/crates/badgerfield-core/tests/replicas.rs
@@ -23,6 +23,7 @@
         service: service("pool"),
         address: format!("10.0.0.{n}:80").parse().expect("the address is valid"),
         domain: "d".parse().expect("the name is valid"),
+        version: None,
         slots: 8,
         leaving,
     }
--- a/crates/badgerfield-core/tests/warm_up.rs
+++ b/crates/badgerfield-core/tests/warm_up.rs
@@ -34,6 +34,7 @@
         service: service(),
         address: ([10, 0, 0, 1], 80).into(),
         domain: format!("d-{}", n % 3).parse().expect("the name is valid"),
+        version: None,
         slots: 48,
         leaving: false,
     };
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -324,6 +324,7 @@
                 }
             }
             Order::Evacuated(from, changes) => self.evacuate(from, &changes),
+            Order::RolloutRules(_) => {}
             Order::TellUpstreams(to) => self.tell_upstreams(to),
             Order::Bill(bill) => self.record(&bill),
             Order::Note(note) => self.note(&note),
--- /dev/null
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -0,0 +1,161 @@
+//! Steps 1 to 4 of a request: what is asked for, by whom, with which body, and who pays.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use badgerfield_core::amount::Tokens;
+use badgerfield_core::mix::Size;
+use badgerfield_core::refusal::{Cause, Refusal};
+use badgerfield_core::routing::{Caller, Route, RouteTable};
+use badgerfield_core::template::KeyDigest;
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, header};
+use tokio::time::Instant;
+
+use crate::adapter::RequestTerms;
+use crate::driver::Driver;
+use crate::gateway::attempt::{Original, strip};
+use crate::gateway::flow::{COME_BACK, Exchange};
+use crate::gateway::record::{self, Timing};
+use crate::gateway::reservation::Reservation;
+use crate::gateway::state::{Gateway, OpenRequest};
+
+/// When to come back to another VM.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
+/// The request's id, where its head told it, and why it is not let in.
+pub(super) type NotAdmitted = (Option<String>, Refusal);
+
+/// Lets a request in, or says why not.
+pub(super) async fn admit(
+    driver: Arc<Driver>,
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+    arrived: Instant,
+    open: OpenRequest,
+) -> Result<Exchange, NotAdmitted> {
+    let in_force = gateway.in_force();
+    let not_run = |cause| (None, Refusal::not_run(cause));
+    if in_force.version.0 == 0 {
+        return Err((None, Refusal::not_run(Cause::NotReady).after(COME_BACK)));
+    }
+    let (mut head, body) = request.into_parts();
+    let terms = gateway.adapter.dialect.read(&head.headers);
+    let terms = terms.map_err(|error| {
+        log::debug!(target: crate::logs::REQUESTS, "refused a head: {error}");
+        not_run(Cause::BadRequest)
+    })?;
+    let id = terms.id.clone();
+    let not_run = |cause| (Some(id.clone()), Refusal::not_run(cause));
+    if driver.refuses_new() {
+        return Err((Some(id), Refusal::not_run(Cause::Stopping).after(ELSEWHERE)));
+    }
+    let table = &in_force.table;
+    let host = host_of(&head.headers, &head.uri);
+    let route = table.route(&host, head.uri.path()).ok_or_else(|| not_run(Cause::NoRoute))?;
+    let caller = caller_of(table, route, &terms).map_err(&not_run)?;
+    let account = caller.as_ref().map(|caller| caller.account.as_str());
+    record::admitted(&id, &route.name, account, in_force.version);
+
+    let patience = terms.patience.unwrap_or(route.timeout).min(route.timeout);
+    let ends = arrived + patience;
+    strip(&mut head.headers);
+    let body = read_body(body, table.limits().body, ends).await.map_err(&not_run)?;
+    let timing = Timing { body: arrived.elapsed(), ..Timing::default() };
+
+    let service = route.service(rand::random()).ok_or_else(|| not_run(Cause::NoUpstream))?.clone();
+    let spec = table.service(&service).cloned().ok_or_else(|| not_run(Cause::NoUpstream))?;
+    let objective = if route.objective.is_zero() { patience } else { route.objective };
+    let wait = objective * driver.settings.pacing.policy.budget_wait / 100;
+    let until = ends.min(arrived + wait);
+    let reservation = reserve(&driver, &terms, caller.as_ref(), until).await;
+    let reservation = reservation.map_err(|refusal| (Some(id.clone()), refusal))?;
+    driver.gateway_counts().admitted.inc();
+    let now = driver.now();
+    gateway.retries().count_request(now, &service);
+    let original = Original { id: id.clone(), head, body };
+    let divides = driver.settings.pacing.policy.divide;
+    if let Some(size) = size_of(&terms).filter(|_| divides) {
+        gateway.replicas().arrived(now, &service, &route.name, size);
+    }
+    Ok(Exchange {
+        route: Arc::clone(route),
+        driver,
+        original,
+        terms,
+        spec,
+        reservation,
+        service,
+        caller,
+        arrived,
+        ends,
+        tried: Vec::new(),
+        attempts: 0,
+        may_have_run: false,
+        timing,
+        unread: 0,
+        gateway,
+        _open: open,
+    })
+}
+
+/// Returns what a request asks of an engine; nothing if it is not for one.
+fn size_of(terms: &RequestTerms) -> Option<Size> {
+    let own = terms.parts.last()?.tokens;
+    let prompt = terms.parts.iter().map(|part| part.tokens).sum();
+    Some(Size { prompt, own })
+}
+
+fn host_of(head: &HeaderMap, uri: &hyper::Uri) -> String {
+    let host = head.get(header::HOST).and_then(|value| value.to_str().ok());
+    host.or_else(|| uri.authority().map(hyper::http::uri::Authority::as_str))
+        .unwrap_or_default()
+        .to_owned()
+}
+
+fn caller_of(
+    table: &RouteTable,
+    route: &Route,
+    terms: &RequestTerms,
+) -> Result<Option<Caller>, Cause> {
+    if route.anonymous {
+        return Ok(None);
+    }
+    let key = terms.key.as_ref().ok_or(Cause::UnknownCaller)?;
+    let caller = table.caller(&KeyDigest::of(key)).ok_or(Cause::UnknownCaller)?;
+    Ok(Some(caller.clone()))
+}
+
+async fn read_body(body: Incoming, limit: usize, ends: Instant) -> Result<Bytes, Cause> {
+    let whole = tokio::time::timeout_at(ends, Limited::new(body, limit).collect()).await;
+    match whole {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Cause::BodyTooLarge),
+        Ok(Err(_)) => Err(Cause::BadRequest),
+        Err(_) => Err(Cause::Overloaded),
+    }
+}
+
+/// Sets aside the most that a request can cost, if its account pays in advance.
+async fn reserve(
+    driver: &Arc<Driver>,
+    terms: &RequestTerms,
+    caller: Option<&Caller>,
+    until: Instant,
+) -> Result<Option<Reservation>, Refusal> {
+    let Some(caller) = caller.filter(|caller| caller.limit.is_some()) else {
+        return Ok(None);
+    };
+    let Some((prompt, output)) = terms.tokens else {
+        return Ok(None);
+    };
+    let amount = Tokens(prompt.saturating_add(output));
+    let started = Instant::now();
+    let until = driver.now().after(until.saturating_duration_since(started));
+    let result = Reservation::make(driver, &caller.budget, amount, until).await;
+    let outcome = result.as_ref().map(|_| ());
+    record::reserved(&terms.id, caller.budget.as_str(), amount.0, started.elapsed(), outcome);
+    result.map(Some)
+}
--- /dev/null
+++ b/crates/badgerfield-node/src/gateway/refusals.rs
@@ -0,0 +1,57 @@
+//! The answers of refusals.
+
+use badgerfield_core::ids::UpstreamId;
+use badgerfield_core::refusal::{Outcome, Refusal};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Response, StatusCode, header};
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::gateway::flow::AnswerBody;
+use crate::gateway::record::{self, Timing};
+
+/// Records the end of a request that is refused.
+pub(super) fn end_refused(
+    id: &str,
+    refusal: &Refusal,
+    attempts: u32,
+    upstream: Option<&UpstreamId>,
+    arrived: Instant,
+) {
+    record::ended(&record::End {
+        id,
+        outcome: refusal.cause.code(),
+        status: refusal.cause.status(),
+        attempts,
+        upstream,
+        took: arrived.elapsed(),
+        events: 0,
+        tokens: (0, 0),
+        timing: Timing::default(),
+    });
+}
+
+/// Makes the answer of a refusal.
+pub(super) fn refuse(refusal: &Refusal) -> Response<AnswerBody> {
+    let cause = refusal.cause;
+    let text = json!({
+        "error": {
+            "code": cause.code(),
+            "message": cause.to_string(),
+            "outcome": refusal.outcome.as_str(),
+        }
+    });
+    let body = Full::new(Bytes::from(text.to_string())).map_err(|never| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    let status = StatusCode::from_u16(cause.status());
+    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    let head = response.headers_mut();
+    head.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
+    let after = refusal.after.filter(|_| refusal.outcome == Outcome::NotRun);
+    let after = after.map(|span| format!("{:.3}", span.as_secs_f64()));
+    if let Some(value) = after.and_then(|text| text.parse().ok()) {
+        head.insert(header::RETRY_AFTER, value);
+    }
+    response
+}
--- a/crates/badgerfield-node/src/kv.rs
+++ b/crates/badgerfield-node/src/kv.rs
@@ -94,6 +94,7 @@
             KvName::Templates => "templates".to_owned(),
             KvName::View => "view".to_owned(),
             KvName::Ledger(shard) => format!("ledger/{shard}"),
+            KvName::Rollout(service) => format!("rollout/{service}"),
         };
         STANDARD.encode(format!("{}{name}", self.prefix))
     }
--- a/crates/badgerfield-node/src/store_calls.rs
+++ b/crates/badgerfield-node/src/store_calls.rs
@@ -27,6 +27,10 @@
     LedgerRead,
     /// Writes a shard of the ledger.
     LedgerWrite,
+    /// Reads the record of a roll-out.
+    RolloutRead,
+    /// Writes the record of a roll-out.
+    RolloutWrite,
     /// Reads the templates.
     TemplatesRead,
     /// Waits for a change of the templates.
@@ -38,11 +42,13 @@
 }
 
 impl CallKind {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 10] = [
         Self::ViewRead,
         Self::ViewWrite,
         Self::LedgerRead,
         Self::LedgerWrite,
+        Self::RolloutRead,
+        Self::RolloutWrite,
         Self::TemplatesRead,
         Self::TemplatesWatch,
         Self::UpstreamsRead,
@@ -57,6 +63,8 @@
                 Self::TemplatesRead
             }
             KvCall::Get(KvName::Ledger(_)) => Self::LedgerRead,
+            KvCall::Get(KvName::Rollout(_)) => Self::RolloutRead,
+            KvCall::Swap { name: KvName::Rollout(_), .. } => Self::RolloutWrite,
             KvCall::Swap { name: KvName::View, .. } => Self::ViewWrite,
             KvCall::Swap { name: KvName::Ledger(_), .. } => Self::LedgerWrite,
         }
@@ -68,6 +76,8 @@
             Self::ViewWrite => "view_write",
             Self::LedgerRead => "ledger_read",
             Self::LedgerWrite => "ledger_write",
+            Self::RolloutRead => "rollout_read",
+            Self::RolloutWrite => "rollout_write",
             Self::TemplatesRead => "templates_read",
             Self::TemplatesWatch => "templates_watch",
             Self::UpstreamsRead => "upstreams_read",
--- a/crates/badgerfield-standin/src/fleet/evacuations.rs
+++ b/crates/badgerfield-standin/src/fleet/evacuations.rs
@@ -30,6 +30,7 @@
                 revision: change.revision,
                 templates: None,
                 domains: vec![change.clone()],
+                rollouts: Vec::new(),
             });
             let incarnation = self.vms[vm].member.incarnation;
             self.at(at, Turn::Event(incarnation, event));
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -5,9 +5,12 @@
 //! doubled or overtaken; nodes may be killed, frozen or cut off; the key-value service
 //! may be down, or lose replies. [`Truth`] keeps what upstreams really did.
 
+mod callers;
 mod evacuations;
 mod platform;
+mod processes;
 mod shape;
+mod steps;
 mod truth;
 mod upstreams;
 
@@ -15,16 +18,13 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::{Percent, Time, Tokens};
-use badgerfield_core::event::{Answer, Order};
 use badgerfield_core::ids::{Account, BudgetId, Domain, Incarnation, RequestId, Version};
-use badgerfield_core::message::Envelope;
-use badgerfield_core::policy::Policy;
 use badgerfield_core::refusal::Refusal;
 use badgerfield_core::template::TemplateSet;
 use badgerfield_core::upstream::{VmEntry, VmList};
 use badgerfield_core::view::Member;
-use badgerfield_core::{Config, Event, Node, Pacing, TICK};
-use rand::{RngExt, SeedableRng};
+use badgerfield_core::{Event, Node};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 pub use platform::Platform;
@@ -250,123 +250,6 @@
         &self.messages
     }
 
-    /// Starts the process of a VM as a new incarnation.
-    pub fn start(&mut self, index: usize) {
-        let incarnation = Incarnation(self.next_incarnation * 7919 + self.shape.seed);
-        self.next_incarnation += 1;
-        let seed = self.rng.random();
-        let pacing = self.pacing();
-        let vm = &mut self.vms[index];
-        vm.member.incarnation = incarnation;
-        vm.started = self.now;
-        vm.frozen = false;
-        vm.backlog.clear();
-        vm.version = Version(0);
-        vm.evacuated.clear();
-        vm.node = Some(Node::new(Config {
-            member: vm.member.clone(),
-            shards: self.shape.shards,
-            remember: Duration::from_mins(15),
-            replay: Duration::from_mins(2),
-            max_replay: 1_000_000,
-            directory_ttl: Duration::from_secs(2),
-            pacing,
-            seed,
-        }));
-        self.owners.insert(incarnation, index);
-        self.take(index, Event::VmList(self.list.clone()));
-        self.take(index, Event::Start);
-        let phase = Duration::from_micros(self.rng.random_range(0..50_000));
-        self.at(self.now.after(phase), Turn::Tick(incarnation));
-    }
-
-    fn pacing(&self) -> Pacing {
-        if !self.shape.seals {
-            return Pacing::default();
-        }
-        Pacing {
-            ahead: Duration::from_secs(11),
-            report: Duration::from_millis(500),
-            beat: Duration::from_millis(400),
-            hand_on: Duration::from_secs(1),
-            notice: Duration::from_secs(3),
-            policy: Policy::default(),
-            seals: true,
-        }
-    }
-
-    /// Returns what the clock of a VM shows; those of a minority are wrong.
-    fn wall_clock(&self, index: usize) -> u64 {
-        let truth = WALL.saturating_add(u64::try_from(self.now.0.as_millis()).unwrap_or(u64::MAX));
-        let ahead = self.ahead.get(&index).copied().unwrap_or_default();
-        truth.saturating_add_signed(ahead)
-    }
-
-    /// Sets the clock of a VM wrong by some milliseconds.
-    pub fn step_clock(&mut self, index: usize, millis: i64) {
-        self.ahead.insert(index, millis);
-    }
-
-    /// Returns how many processes were killed.
-    #[must_use]
-    pub fn kills(&self) -> u64 {
-        self.kills
-    }
-
-    /// Kills the process of a VM.
-    pub fn kill(&mut self, index: usize) {
-        self.kills += 1;
-        self.end_process(index);
-    }
-
-    fn end_process(&mut self, index: usize) {
-        let vm = &mut self.vms[index];
-        vm.node = None;
-        vm.frozen = false;
-        vm.backlog.clear();
-        for asked in self.asked.values_mut() {
-            if asked.vm == index && asked.end.is_none() {
-                asked.end = Some((End::Lost, self.now));
-            }
-        }
-    }
-
-    /// Freezes the process of a VM: nothing reaches it until it thaws.
-    pub fn freeze(&mut self, index: usize) {
-        self.vms[index].frozen = self.vms[index].node.is_some();
-    }
-
-    /// Lets a frozen process go on with all that has reached it meanwhile.
-    pub fn thaw(&mut self, index: usize) {
-        if !std::mem::replace(&mut self.vms[index].frozen, false) {
-            return;
-        }
-        for event in std::mem::take(&mut self.vms[index].backlog) {
-            self.take(index, event);
-        }
-        let incarnation = self.vms[index].member.incarnation;
-        self.at(self.now, Turn::Tick(incarnation));
-    }
-
-    /// Asks the process of a VM to stop as planned.
-    pub fn stop(&mut self, index: usize) {
-        self.deliver(index, Event::Stop);
-    }
-
-    /// Cuts a region off from the others, and from the platform if asked.
-    pub fn cut(&mut self, region: usize, platform: bool) {
-        self.cut.insert(region);
-        if platform {
-            self.platform.cut.insert(region);
-        }
-    }
-
-    /// Ends all cuts.
-    pub fn heal(&mut self) {
-        self.cut.clear();
-        self.platform.cut.clear();
-    }
-
     /// Takes a VM off the platform's list.
     pub fn unlist(&mut self, index: usize) {
         let name = self.vms[index].member.vm.clone();
@@ -401,189 +284,6 @@
         true
     }
 
-    /// Sends a request through a VM.
-    pub fn ask(&mut self, vm: usize, wish: Wish) -> RequestId {
-        let id = RequestId(self.next_request);
-        self.next_request += 1;
-        let arrival = arrival_of(&wish);
-        let (at, first, sent) = (self.now, None, None);
-        let asked = Asked { wish, vm, at, first, sent, data: Vec::new(), end: None };
-        self.asked.insert(id, asked);
-        if self.vms[vm].node.is_none() {
-            self.end(id, End::Lost);
-            return id;
-        }
-        self.deliver(vm, Event::Arrived(id, Box::new(arrival)));
-        id
-    }
-
-    /// Hangs up on a request.
-    pub fn hang_up(&mut self, id: RequestId) {
-        let Some(vm) = self.asked.get(&id).map(|a| a.vm) else {
-            return;
-        };
-        self.deliver(vm, Event::HungUp(id));
-    }
-
-    /// Forgets requests that have ended, for long runs.
-    pub fn forget_ended(&mut self) {
-        self.asked.retain(|_, asked| asked.end.is_none());
-    }
-
-    /// Lets time pass.
-    pub fn advance(&mut self, span: Duration) {
-        let until = self.now.after(span);
-        while let Some(entry) = self.turns.first_entry() {
-            if entry.key().0 > until {
-                break;
-            }
-            let ((at, _), turn) = entry.remove_entry();
-            self.now = self.now.max(at);
-            self.turn(turn);
-        }
-        self.now = until;
-    }
-
-    fn turn(&mut self, turn: Turn) {
-        match turn {
-            Turn::Event(to, event) => {
-                if let Some(index) = self.index_of(to) {
-                    self.deliver(index, event);
-                }
-            }
-            Turn::Tick(to) => {
-                let Some(index) = self.index_of(to).filter(|i| !self.vms[*i].frozen) else {
-                    return;
-                };
-                let wall = self.wall_clock(index);
-                self.take(index, Event::Clock(wall));
-                self.take(index, Event::Tick);
-                self.at(self.now.after(TICK), Turn::Tick(to));
-            }
-            Turn::Step(stream) => self.step(stream),
-            Turn::KvApply(from, ticket, call) => self.apply_call(from, ticket, &call),
-            Turn::List => {
-                for index in 0..self.vms.len() {
-                    self.deliver(index, Event::VmList(self.list.clone()));
-                }
-            }
-        }
-    }
-
-    /// Hands an event to a VM, or keeps it while the VM is frozen.
-    fn deliver(&mut self, index: usize, event: Event) {
-        let vm = &mut self.vms[index];
-        if vm.frozen {
-            vm.backlog.push(event);
-            return;
-        }
-        self.take(index, event);
-    }
-
-    fn take(&mut self, index: usize, event: Event) {
-        let vm = &self.vms[index];
-        let Some(node) = &vm.node else {
-            return;
-        };
-        let local = Time(self.now.since(vm.started));
-        let orders = node.handle(local, event);
-        let incarnation = vm.member.incarnation;
-        for order in orders {
-            self.carry_out(index, incarnation, order);
-        }
-        self.check_version(index);
-    }
-
-    fn carry_out(&mut self, index: usize, from: Incarnation, order: Order) {
-        match order {
-            Order::Send(to, message) => {
-                // As in a process: a message goes only to an address that is known.
-                let node = self.vms[index].node.as_ref();
-                if node.is_some_and(|node| node.peer_address(to).is_some()) {
-                    let address = self.vms[index].member.peer;
-                    self.send(index, &Envelope { from, address, to, message });
-                }
-            }
-            Order::KeyValue(ticket, call) => {
-                let at = self.now.after(self.platform.delay());
-                self.at(at, Turn::KvApply(from, ticket, call));
-            }
-            Order::Dispatch(attempt, dispatch) => self.dispatch(from, attempt, dispatch),
-            Order::Cancel(attempt) => self.cancel(from, attempt),
-            Order::Answer(id, _, answer) => self.answered(id, answer),
-            // These fleets have no routes, and so no list of their upstreams.
-            Order::LearnChanges(..)
-            | Order::LearnUpstreams(_)
-            | Order::ConfirmUpstreams(_)
-            | Order::DivideEngines(_)
-            | Order::LearnLags(_)
-            | Order::TellUpstreams(_)
-            | Order::Note(_)
-            | Order::Reserved(..) => {}
-            Order::Evacuated(_, changes) => self.note_evacuated(index, &changes),
-            Order::Bill(bill) => self.truth.bill(&bill),
-            Order::Exit => self.end_process(index),
-        }
-    }
-
-    fn send(&mut self, index: usize, envelope: &Envelope) {
-        let kind = truth::kind(&envelope.message);
-        let bytes = badgerfield_node::peers::encode(std::slice::from_ref(envelope)).len();
-        let entry = self.messages.entry(kind).or_default();
-        entry.0 += 1;
-        entry.1 += u64::try_from(bytes).unwrap_or(0);
-        let Some(to) = self.index_of(envelope.to) else {
-            return;
-        };
-        let (a, b) = (self.region_of(index), self.region_of(to));
-        if a != b && (self.cut.contains(&a) || self.cut.contains(&b)) {
-            return;
-        }
-        let base = if a == b { NEAR } else { FAR };
-        let copies = match self.rng.random_range(0..1000) {
-            n if n < self.shape.noise => 0,
-            n if n < 2 * self.shape.noise => 2,
-            _ => 1,
-        };
-        for _ in 0..copies {
-            let late = Duration::from_micros(self.rng.random_range(0..SPREAD));
-            let at = self.now.after(base).after(late);
-            self.at(at, Turn::Event(envelope.to, Event::Peer(envelope.clone())));
-        }
-    }
-
-    fn answered(&mut self, id: RequestId, answer: Answer) {
-        let now = self.now;
-        let Some(asked) = self.asked.get_mut(&id) else {
-            return;
-        };
-        match answer {
-            Answer::Head(_) => {
-                asked.first.get_or_insert(now);
-            }
-            Answer::Data(data) => {
-                let text = std::str::from_utf8(&data).ok().and_then(|t| t.parse().ok());
-                asked.data.push(text.unwrap_or(u64::MAX));
-            }
-            Answer::End(cost) => self.end(id, End::Whole(cost)),
-            Answer::Broken(refusal) => self.end(id, End::Broken(refusal)),
-            Answer::Refused(refusal) => self.end(id, End::Refused(refusal)),
-        }
-    }
-
-    fn end(&mut self, id: RequestId, end: End) {
-        let now = self.now;
-        let Some(asked) = self.asked.get_mut(&id) else {
-            return;
-        };
-        if asked.end.is_some() {
-            self.faults.push(format!("{id:?} ended twice"));
-            return;
-        }
-        self.truth.check_end(&asked.wish, &end, &asked.data, &mut self.faults);
-        asked.end = Some((end, now));
-    }
-
     fn at(&mut self, time: Time, turn: Turn) {
         self.next_turn += 1;
         self.turns.insert((time.max(self.now), self.next_turn), turn);
--- a/crates/badgerfield-standin/src/fleet/platform.rs
+++ b/crates/badgerfield-standin/src/fleet/platform.rs
@@ -93,7 +93,12 @@
             revision: *revision,
             evacuated: true,
         });
-        OperatorValues { revision: self.revision, templates, evacuated: evacuated.collect() }
+        OperatorValues {
+            revision: self.revision,
+            templates,
+            evacuated: evacuated.collect(),
+            rollouts: Vec::new(),
+        }
     }
 
     fn put(&mut self, name: KvName, value: Bytes) -> u64 {
--- /dev/null
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -0,0 +1,137 @@
+//! Steps of time: whose turn it is, and what the orders of a node come to.
+
+use std::time::Duration;
+
+use badgerfield_core::amount::Time;
+use badgerfield_core::event::Order;
+use badgerfield_core::ids::Incarnation;
+use badgerfield_core::message::Envelope;
+use badgerfield_core::{Event, TICK};
+use rand::RngExt;
+
+use super::{FAR, Fleet, NEAR, SPREAD, Turn, truth};
+
+impl Fleet {
+    /// Lets time pass.
+    pub fn advance(&mut self, span: Duration) {
+        let until = self.now.after(span);
+        while let Some(entry) = self.turns.first_entry() {
+            if entry.key().0 > until {
+                break;
+            }
+            let ((at, _), turn) = entry.remove_entry();
+            self.now = self.now.max(at);
+            self.turn(turn);
+        }
+        self.now = until;
+    }
+
+    pub(super) fn turn(&mut self, turn: Turn) {
+        match turn {
+            Turn::Event(to, event) => {
+                if let Some(index) = self.index_of(to) {
+                    self.deliver(index, event);
+                }
+            }
+            Turn::Tick(to) => {
+                let Some(index) = self.index_of(to).filter(|i| !self.vms[*i].frozen) else {
+                    return;
+                };
+                let wall = self.wall_clock(index);
+                self.take(index, Event::Clock(wall));
+                self.take(index, Event::Tick);
+                self.at(self.now.after(TICK), Turn::Tick(to));
+            }
+            Turn::Step(stream) => self.step(stream),
+            Turn::KvApply(from, ticket, call) => self.apply_call(from, ticket, &call),
+            Turn::List => {
+                for index in 0..self.vms.len() {
+                    self.deliver(index, Event::VmList(self.list.clone()));
+                }
+            }
+        }
+    }
+
+    /// Hands an event to a VM, or keeps it while the VM is frozen.
+    pub(super) fn deliver(&mut self, index: usize, event: Event) {
+        let vm = &mut self.vms[index];
+        if vm.frozen {
+            vm.backlog.push(event);
+            return;
+        }
+        self.take(index, event);
+    }
+
+    pub(super) fn take(&mut self, index: usize, event: Event) {
+        let vm = &self.vms[index];
+        let Some(node) = &vm.node else {
+            return;
+        };
+        let local = Time(self.now.since(vm.started));
+        let orders = node.handle(local, event);
+        let incarnation = vm.member.incarnation;
+        for order in orders {
+            self.carry_out(index, incarnation, order);
+        }
+        self.check_version(index);
+    }
+
+    pub(super) fn carry_out(&mut self, index: usize, from: Incarnation, order: Order) {
+        match order {
+            Order::Send(to, message) => {
+                // As in a process: a message goes only to an address that is known.
+                let node = self.vms[index].node.as_ref();
+                if node.is_some_and(|node| node.peer_address(to).is_some()) {
+                    let address = self.vms[index].member.peer;
+                    self.send(index, &Envelope { from, address, to, message });
+                }
+            }
+            Order::KeyValue(ticket, call) => {
+                let at = self.now.after(self.platform.delay());
+                self.at(at, Turn::KvApply(from, ticket, call));
+            }
+            Order::Dispatch(attempt, dispatch) => self.dispatch(from, attempt, dispatch),
+            Order::Cancel(attempt) => self.cancel(from, attempt),
+            Order::Answer(id, _, answer) => self.answered(id, answer),
+            // These fleets have no routes, and so no list of their upstreams.
+            Order::LearnChanges(..)
+            | Order::LearnUpstreams(_)
+            | Order::ConfirmUpstreams(_)
+            | Order::DivideEngines(_)
+            | Order::LearnLags(_)
+            | Order::RolloutRules(_)
+            | Order::TellUpstreams(_)
+            | Order::Note(_)
+            | Order::Reserved(..) => {}
+            Order::Evacuated(_, changes) => self.note_evacuated(index, &changes),
+            Order::Bill(bill) => self.truth.bill(&bill),
+            Order::Exit => self.end_process(index),
+        }
+    }
+
+    pub(super) fn send(&mut self, index: usize, envelope: &Envelope) {
+        let kind = truth::kind(&envelope.message);
+        let bytes = badgerfield_node::peers::encode(std::slice::from_ref(envelope)).len();
+        let entry = self.messages.entry(kind).or_default();
+        entry.0 += 1;
+        entry.1 += u64::try_from(bytes).unwrap_or(0);
+        let Some(to) = self.index_of(envelope.to) else {
+            return;
+        };
+        let (a, b) = (self.region_of(index), self.region_of(to));
+        if a != b && (self.cut.contains(&a) || self.cut.contains(&b)) {
+            return;
+        }
+        let base = if a == b { NEAR } else { FAR };
+        let copies = match self.rng.random_range(0..1000) {
+            n if n < self.shape.noise => 0,
+            n if n < 2 * self.shape.noise => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let late = Duration::from_micros(self.rng.random_range(0..SPREAD));
+            let at = self.now.after(base).after(late);
+            self.at(at, Turn::Event(envelope.to, Event::Peer(envelope.clone())));
+        }
+    }
+}
