Type of the record of a roll-out

The adapter shows its state and target to operators; the rest says enough to go on after all processes ended. Only the type: nothing writes it yet.

--- a/crates/badgerfield-core/src/rollout/mod.rs
+++ b/crates/badgerfield-core/src/rollout/mod.rs
@@ -3,6 +3,9 @@
 //! An operator orders it. A bounded share of the requests tries the new version, and what comes
 //! of them is compared with the version that is there; then all requests move over, or back.
 
+mod record;
+
+use std::fmt;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -10,6 +13,8 @@
 use crate::amount::Percent;
 use crate::ids::{Service, SoftwareVersion};
 
+pub use record::{RecordError, RolloutRecord, RolloutState};
+
 /// What an operator last ordered for a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderChange {
@@ -41,6 +46,49 @@
     All,
 }
 
+/// Why a roll-out takes a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// It was ordered.
+    Ordered,
+    /// The target does as well as the other versions, by what it answered.
+    Good,
+    /// The target fails more requests than the other versions.
+    Failures,
+    /// The target answers more requests late than the other versions.
+    Slowness,
+    /// The target gave so many bad answers that it is not waited for proof.
+    ManyBad,
+    /// No upstream of the target took requests in time.
+    NoUpstreams,
+    /// Requests came, and none of the target was answered in time.
+    NoEvidence,
+    /// Requests still ran at other versions when the time was over.
+    OutOfTime,
+    /// The order was withdrawn.
+    Withdrawn,
+    /// All upstreams have the target's version already, or all members have moved to it.
+    Moved,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Ordered => "ordered",
+            Self::Good => "good",
+            Self::Failures => "failures",
+            Self::Slowness => "slowness",
+            Self::ManyBad => "many_bad",
+            Self::NoUpstreams => "no_upstreams",
+            Self::NoEvidence => "no_evidence",
+            Self::OutOfTime => "out_of_time",
+            Self::Withdrawn => "withdrawn",
+            Self::Moved => "moved",
+        })
+    }
+}
+
 /// How the requests of one service divide between versions, as a process believes it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutRule {
