Tallies say whether the rule to move was in force when requests were counted

Changes a shared type: RolloutTally has a new field, moved. A count of no request at old versions that was made before the rule took effect must not confirm anything: the platform stops old upstreams undrained once all have confirmed.

--- a/crates/badgerfield-core/src/rollout/mod.rs
+++ b/crates/badgerfield-core/src/rollout/mod.rs
@@ -64,8 +64,6 @@
     NoUpstreams,
     /// Requests came, and none of the target was answered in time.
     NoEvidence,
-    /// Requests still ran at other versions when the time was over.
-    OutOfTime,
     /// The order was withdrawn.
     Withdrawn,
     /// All upstreams have the target's version already, or all members have moved to it.
@@ -82,7 +80,6 @@
             Self::ManyBad => "many_bad",
             Self::NoUpstreams => "no_upstreams",
             Self::NoEvidence => "no_evidence",
-            Self::OutOfTime => "out_of_time",
             Self::Withdrawn => "withdrawn",
             Self::Moved => "moved",
         })
@@ -141,4 +138,8 @@
     pub ready: u32,
     /// How many requests of this process are under way at other versions.
     pub running: u32,
+    /// Whether [`Allowance::All`] was in force for this order when that was counted, so that
+    /// none is sent there any more. Both are read in one step: a count of none from before the
+    /// rule says nothing.
+    pub moved: bool,
 }
