--- a/crates/badgerfield-core/src/replicas/choice.rs
+++ b/crates/badgerfield-core/src/replicas/choice.rs
@@ -44,6 +44,7 @@
             group: weights.division.map(|(_, group)| (group, weights.takes(replica))),
             id: replica.info.id.clone(),
             address: replica.info.address,
+            version: replica.info.version.clone().filter(|_| self.canary.counts(wanted.service)),
             cost,
             weighed: pool.len(),
             second: second.map(|(r, cost)| (r.info.id.clone(), cost)),
@@ -63,6 +64,7 @@
             .filter(|r| !wanted.tried.contains(&r.info.id))
             .filter(|r| r.running < wanted.connections)
             .collect();
+        let fit = self.canary.narrow(now, wanted, fit);
         let rested: Vec<_> = fit.iter().copied().filter(|r| r.rests_until <= now).collect();
         // When most rest, the fault is likely elsewhere, and one of them may serve.
         if rested.is_empty() { fit } else { rested }
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -6,27 +6,33 @@
 //! be read again, and work under way delays it. Upstreams of an evacuated failure domain get
 //! nothing; those that are cold get little ([`crate::warm_up`]).
 
+mod canary;
 mod choice;
 mod replica;
 mod starts;
+mod trial;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use self::canary::{Canary, Pass};
 use self::replica::Replica;
 use self::starts::Starts;
 use crate::amount::Time;
 use crate::evacuation::DomainChange;
-use crate::ids::{Domain, Service, UpstreamId};
+use crate::ids::{Domain, Service, SoftwareVersion, UpstreamId};
 use crate::lag::{self, LagNote};
 use crate::mix::{
     Division, Group, Mix, Needs, Observed, READ_MS_PRIOR, Size, float, service_number,
 };
 use crate::replica_list::{ListMark, ReplicaChanges, ReplicaEntry, ReplicaList, digest_of};
+use crate::rollout::tally::Tallies;
 use crate::warm_up::{HOLD_OFF, Senders, WarmUp, WarmUpBound};
 use serde::{Deserialize, Serialize};
 
+pub use self::canary::Given;
+
 /// How long an upstream is remembered after its entry is gone.
 const FORGET: Duration = Duration::from_secs(30);
 /// How long after it was taken back a domain's upstreams may be silent about having turned
@@ -72,6 +78,8 @@
     pub parts: &'a [PromptPart],
     /// The upstreams that the request was sent to already.
     pub tried: &'a [UpstreamId],
+    /// The version that began the stream which the request goes on with, if it does.
+    pub resumes: Option<&'a SoftwareVersion>,
     /// How many connections this VM may have to one upstream.
     pub connections: u32,
     /// A random number, to tell equal upstreams apart.
@@ -85,6 +93,8 @@
     pub id: UpstreamId,
     /// Where it listens.
     pub address: SocketAddr,
+    /// The version of its software, where the service has several.
+    pub version: Option<SoftwareVersion>,
     /// The expected delay in milliseconds.
     pub cost: f64,
     /// The prompt tokens that it is expected to read.
@@ -111,6 +121,9 @@
     /// The failure domains that operators have evacuated.
     evacuated: BTreeSet<Domain>,
     starts: Starts,
+    canary: Canary,
+    /// How requests go at services that are rolled out.
+    tallies: Tallies,
 }
 
 impl Replicas {
@@ -154,6 +167,7 @@
             .retain(|_, r| r.running > 0 || r.vanished.is_none_or(|at| now.since(at) < FORGET));
         if !news.is_empty() {
             self.place_all();
+            self.see_versions(now);
         }
         news
     }
@@ -439,7 +453,14 @@
     /// Tells whether an upstream may still get requests.
     #[must_use]
     pub fn is_usable(&self, now: Time, id: &UpstreamId) -> bool {
-        self.table.get(id).is_some_and(|r| r.is_usable(now))
+        let Some(replica) = self.table.get(id).filter(|r| r.is_usable(now)) else {
+            return false;
+        };
+        match self.canary.pass(now, replica) {
+            Pass::Free | Pass::Counted => true,
+            Pass::Held => !self.serves_freely(now, &replica.info.service),
+            Pass::Barred => false,
+        }
     }
 
     /// Returns how many upstreams the list names.
--- /dev/null
+++ b/crates/badgerfield-core/src/replicas/trial.rs
@@ -0,0 +1,132 @@
+//! What the table of upstreams knows of services that are rolled out, for other parts.
+
+use std::time::Duration;
+
+use super::canary::{Given, Listed, Pass};
+use super::{Replicas, Wanted};
+use crate::amount::Time;
+use crate::ids::{Service, UpstreamId};
+use crate::mix::{Mix, READ_MS_PRIOR, float};
+use crate::rollout::tally::{Pace, Seen};
+use crate::rollout::{Allowance, RolloutRule, RolloutTally};
+
+impl Replicas {
+    /// Puts rules in force, and no others; returns those that are new or differ.
+    pub fn set_rollouts(&mut self, rules: Vec<RolloutRule>) -> Vec<RolloutRule> {
+        self.tallies.set_rules(&rules);
+        self.canary.set_rules(rules)
+    }
+
+    /// Returns the rules in force, with how many requests of this process went by each.
+    #[must_use]
+    pub fn rollouts(&self) -> Vec<(RolloutRule, Given)> {
+        self.canary.rules().map(|(rule, given)| (rule.clone(), given)).collect()
+    }
+
+    /// Counts a request that goes to an upstream among those of the versions of its service.
+    pub fn charge(&mut self, wanted: &Wanted<'_>, id: &UpstreamId) {
+        let version = self.table.get(id).and_then(|replica| replica.info.version.as_ref());
+        self.canary.charge(wanted, version);
+    }
+
+    /// Takes back that a request went to an upstream: nothing of it got there.
+    pub fn refund(&mut self, id: &UpstreamId, route: &str) {
+        let Some(replica) = self.table.get(id) else {
+            return;
+        };
+        let info = &replica.info;
+        self.canary.refund(&info.service, route, info.version.as_ref());
+    }
+
+    /// Notes that the first part of an answer (of a plain one, the whole) has come, so long
+    /// after the request was sent to an upstream that was expected to read so many tokens first.
+    ///
+    /// Returns how it came; nothing where nobody asks.
+    pub fn answered(
+        &mut self,
+        id: &UpstreamId,
+        route: &str,
+        wait: Duration,
+        unread: u64,
+    ) -> Option<Pace> {
+        let reading = self.reading(id, unread);
+        self.tally(id, route, |tally, seen| tally.answered(seen, wait, reading))
+    }
+
+    /// Notes that an answer did not come or broke off; `came` is how its first part came, if it
+    /// did. Returns whether that counts.
+    pub fn failed(&mut self, id: &UpstreamId, route: &str, came: Option<Pace>) -> bool {
+        self.tally(id, route, |tally, seen| tally.failed(seen, came)).is_some()
+    }
+
+    /// Notes that a request was given up, so long after it was sent and before anything came
+    /// of it; it counts if it had come late anyway. Returns whether it does.
+    pub fn given_up(&mut self, id: &UpstreamId, route: &str, wait: Duration, unread: u64) -> bool {
+        let reading = self.reading(id, unread);
+        let late = self.tally(id, route, |tally, seen| tally.given_up(seen, wait, reading));
+        late.unwrap_or(false)
+    }
+
+    /// Returns how requests of this process went at services that are rolled out.
+    #[must_use]
+    pub fn rollout_tallies(&self, now: Time) -> Vec<RolloutTally> {
+        let mut tallies = Vec::new();
+        for (rule, tally) in self.tallies.all() {
+            let listed = || self.table.values().filter(|r| r.info.service == rule.service);
+            let is_target = |version: Option<&_>| version == Some(&rule.target);
+            let ready = listed().filter(|r| is_target(r.info.version.as_ref()));
+            let ready = ready.filter(|r| r.is_usable(now)).count();
+            let others = listed().filter(|r| !is_target(r.info.version.as_ref()));
+            let running = others.fold(0_u32, |sum, r| sum.saturating_add(r.running));
+            let ready = u32::try_from(ready).unwrap_or(u32::MAX);
+            let moved = rule.allowance == Allowance::All;
+            tallies.push(tally.told(rule, ready, running, moved));
+        }
+        tallies
+    }
+
+    /// Tells whether an upstream serves whose version is free to get requests.
+    pub(super) fn serves_freely(&self, now: Time, service: &Service) -> bool {
+        let usable = self.table.values().filter(|r| r.info.service == *service);
+        let mut usable = usable.filter(|r| r.is_usable(now));
+        usable.any(|r| self.canary.pass(now, r) == Pass::Free)
+    }
+
+    /// Takes in which versions there are. What is known before the whole list tells nothing.
+    pub(super) fn see_versions(&mut self, now: Time) {
+        if self.revision == 0 {
+            return;
+        }
+        let mut listed = Listed::new();
+        for replica in self.table.values() {
+            let versions = listed.entry(&replica.info.service).or_default();
+            if let Some(version) = &replica.info.version {
+                *versions.entry(version).or_default() += 1;
+            }
+        }
+        self.canary.see(now, &listed);
+    }
+
+    /// Returns how long an upstream is expected to read so many tokens.
+    fn reading(&self, id: &UpstreamId, unread: u64) -> Duration {
+        if unread == 0 {
+            return Duration::ZERO;
+        }
+        let replica = self.table.get(id);
+        let mix = replica.and_then(|replica| self.mixes.get(&replica.info.service));
+        Duration::from_secs_f64(float(unread) * mix.map_or(READ_MS_PRIOR, Mix::read_ms) / 1e3)
+    }
+
+    /// Hands a tally what is known of an upstream; nothing where its service has none.
+    fn tally<T>(
+        &mut self,
+        id: &UpstreamId,
+        route: &str,
+        note: impl FnOnce(&mut crate::rollout::tally::Tally, &Seen<'_>) -> T,
+    ) -> Option<T> {
+        let replica = self.table.get(id)?;
+        let (rule, tally) = self.tallies.of(&replica.info.service)?;
+        let is_target = replica.info.version.as_ref() == Some(&rule.target);
+        Some(note(tally, &Seen { route, upstream: replica.number(), is_target }))
+    }
+}
--- a/crates/badgerfield-core/src/rollout/mod.rs
+++ b/crates/badgerfield-core/src/rollout/mod.rs
@@ -4,6 +4,7 @@
 //! of them is compared with the version that is there; then all requests move over, or back.
 
 mod record;
+pub mod tally;
 
 use std::fmt;
 use std::time::Duration;
