--- a/crates/badgerfield-core/src/rollout/mod.rs
+++ b/crates/badgerfield-core/src/rollout/mod.rs
@@ -3,7 +3,10 @@
 //! An operator orders it. A bounded share of the requests tries the new version, and what comes
 //! of them is compared with the version that is there; then all requests move over, or back.
 
+mod belief;
+mod evidence;
 mod record;
+pub mod verdict;
 
 use std::fmt;
 use std::time::Duration;
@@ -13,6 +16,8 @@
 use crate::amount::Percent;
 use crate::ids::{Service, SoftwareVersion};
 
+pub use belief::{Beliefs, Known, Phase, Stage};
+pub use evidence::Evidence;
 pub use record::{RecordError, RolloutRecord, RolloutState};
 
 /// What an operator last ordered for a service.
--- a/crates/badgerfield-core/src/rollout/record.rs
+++ b/crates/badgerfield-core/src/rollout/record.rs
@@ -1,5 +1,7 @@
 //! The record of a roll-out in the key-value service: the only truth of how it ends.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -44,6 +46,9 @@
     pub began: Option<u64>,
     /// Why it stands there.
     pub reason: Reason,
+    /// Targets of earlier orders that did not complete: no request goes to them.
+    #[serde(default)]
+    pub refused: BTreeSet<SoftwareVersion>,
 }
 
 /// Why a value is no record of a roll-out.
