--- a/crates/badgerfield-core/src/replicas/canary.rs
+++ b/crates/badgerfield-core/src/replicas/canary.rs
@@ -177,8 +177,8 @@
         for rule in rules {
             let known = self.rules.iter().find(|ruled| ruled.rule.target == rule.target);
             let is_other = |version: &SoftwareVersion| *version != rule.target;
-            let has_others = known.is_some_and(|ruled| ruled.has_others)
-                || self.versions.keys().any(is_other);
+            let has_others =
+                known.is_some_and(|ruled| ruled.has_others) || self.versions.keys().any(is_other);
             if known.is_none_or(|known| known.rule != rule) {
                 news.push(rule.clone());
             }
@@ -198,7 +198,8 @@
     /// cannot tell otherwise which that is.
     fn see(&mut self, now: Time, listed: &BTreeMap<&SoftwareVersion, usize>) {
         self.versions.retain(|version, _| listed.contains_key(version));
-        let most = listed.iter().rev().max_by_key(|(_, count)| **count).map(|(version, _)| *version);
+        let most =
+            listed.iter().rev().max_by_key(|(_, count)| **count).map(|(version, _)| *version);
         let known = if self.versions.is_empty() { most } else { None };
         for version in listed.keys().copied() {
             if self.versions.contains_key(version) {
--- a/crates/badgerfield-core/src/rollout/tally.rs
+++ b/crates/badgerfield-core/src/rollout/tally.rs
@@ -121,6 +121,17 @@
     }
 }
 
+impl RolloutTally {
+    /// Returns how requests went on all routes, at the target and at others.
+    #[must_use]
+    pub fn sums(&self) -> (Counts, Counts) {
+        let zero = (Counts::default(), Counts::default());
+        self.routes
+            .iter()
+            .fold(zero, |sum, route| (sum.0.plus(route.target), sum.1.plus(route.others)))
+    }
+}
+
 impl Tally {
     /// Notes that the first part of an answer has come after a wait, where reading the prompt
     /// was expected to take so long; returns how it came.
--- a/crates/badgerfield-core/tests/lag.rs
+++ b/crates/badgerfield-core/tests/lag.rs
@@ -70,6 +70,7 @@
                         route: "chat",
                         parts: &parts,
                         tried: &[],
+                        resumes: None,
                         connections: 5,
                         draw: draw.rotate_left(17),
                     };
--- a/crates/badgerfield-core/tests/replicas.rs
+++ b/crates/badgerfield-core/tests/replicas.rs
@@ -46,7 +46,15 @@
 
 fn choose(table: &Replicas, now: Time, parts: &[PromptPart], draw: u64) -> Option<UpstreamId> {
     let service = service("pool");
-    let wanted = Wanted { service: &service, route: "r", parts, tried: &[], connections: 4, draw };
+    let wanted = Wanted {
+        service: &service,
+        route: "r",
+        parts,
+        tried: &[],
+        resumes: None,
+        connections: 4,
+        draw,
+    };
     table.choose(now, &wanted).map(|chosen| chosen.id)
 }
 
@@ -151,6 +159,7 @@
         route: "r",
         parts: &parts,
         tried: &[],
+        resumes: None,
         connections: 100,
         draw: 0,
     };
@@ -267,6 +276,7 @@
                 route,
                 parts: &parts,
                 tried: &[],
+                resumes: None,
                 connections: 100,
                 draw: id * 7919,
             };
--- a/crates/badgerfield-core/tests/warm_up.rs
+++ b/crates/badgerfield-core/tests/warm_up.rs
@@ -64,8 +64,15 @@
 /// Sends a request, if the table has an upstream for it.
 fn send(table: &mut Replicas, now: Time, draw: u64) -> Option<UpstreamId> {
     let service = service();
-    let wanted =
-        Wanted { service: &service, route: "r", parts: &[], tried: &[], connections: 100, draw };
+    let wanted = Wanted {
+        service: &service,
+        route: "r",
+        parts: &[],
+        tried: &[],
+        resumes: None,
+        connections: 100,
+        draw,
+    };
     let id = table.choose(now, &wanted)?.id;
     table.begin(now, &id, &[]);
     Some(id)
--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -96,6 +96,7 @@
         may_have_run: false,
         timing,
         unread: 0,
+        version: None,
         gateway,
         _open: open,
     })
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -6,6 +6,7 @@
 
 use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::replicas::Health;
+use badgerfield_core::routing::Route;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,6 +19,7 @@
 use crate::driver::Driver;
 use crate::gateway::connections::{Connection, SendError, named_keep};
 use crate::gateway::state::Gateway;
+use crate::gateway::trial::Trial;
 
 /// The headers that concern one connection only, by RFC 9110, section 7.6.1.
 const HOP_BY_HOP: [HeaderName; 9] = [
@@ -95,6 +97,8 @@
     /// How long the first event has been waited for; nothing once it has come, or where that
     /// tells nothing.
     wait: Option<Wait>,
+    /// What is told of the answer while its service is rolled out.
+    trial: Option<Trial>,
 }
 
 /// A wait for the first event of an engine's answer.
@@ -112,6 +116,7 @@
         gateway: &Arc<Gateway>,
         id: &UpstreamId,
         unread: Option<u64>,
+        route: &Arc<Route>,
     ) -> Self {
         Self {
             driver: Arc::clone(driver),
@@ -122,6 +127,7 @@
             keep: None,
             closes: false,
             wait: unread.map(|unread| Wait { since: Instant::now(), unread }),
+            trial: gateway.rolls_out().then(|| Trial::new(id, route, unread.unwrap_or(0))),
         }
     }
 
@@ -130,6 +136,30 @@
         if let Some(wait) = self.wait.take() {
             self.tell_wait(wait);
         }
+        self.tell_trial(Trial::note_answer);
+    }
+
+    /// Notes that the answer does not come, or broke off.
+    pub(crate) fn note_failed(&mut self) {
+        self.note(Health::Failed);
+        self.tell_trial(Trial::note_failed);
+    }
+
+    /// Notes that nothing of the request was run, so that it tells nothing of a version.
+    fn note_unrun(&mut self, health: Health) {
+        self.wait = None;
+        self.trial = None;
+        self.note(health);
+    }
+
+    /// Tells what is known of the answer now; of a bad one the process speaks at once.
+    fn tell_trial(&mut self, note: fn(&mut Trial, &Gateway) -> bool) {
+        let Some(trial) = &mut self.trial else {
+            return;
+        };
+        if note(trial, &self.gateway) {
+            self.driver.tell_rollouts();
+        }
     }
 
     fn tell_wait(&self, wait: Wait) {
@@ -152,6 +182,7 @@
     /// Ends the work well: the whole answer has come, and the connection may be kept.
     pub(crate) fn finish(mut self) {
         self.health = Health::Good;
+        self.note_first_event();
         let Some(connection) = self.connection.take() else {
             return;
         };
@@ -164,7 +195,10 @@
 impl Drop for UpstreamHold {
     fn drop(&mut self) {
         // Whoever gave up has waited at least so long.
-        self.note_first_event();
+        if let Some(wait) = self.wait.take() {
+            self.tell_wait(wait);
+        }
+        self.tell_trial(Trial::note_end);
         let now = self.driver.now();
         self.gateway.replicas().end(now, &self.id, self.health);
     }
@@ -184,30 +218,28 @@
     let (mut response, connection) = match sent {
         Ok(Ok(found)) => found,
         Ok(Err(Unsent::NotSent)) => {
-            hold.wait = None;
-            hold.note(Health::Failed);
+            hold.note_unrun(Health::Failed);
             return AttemptEnd::NotSent;
         }
         Ok(Err(Unsent::Broken)) => {
             hold.wait = None;
-            hold.note(Health::Failed);
+            hold.note_failed();
             return AttemptEnd::Broken("broken");
         }
         Err(_) => {
-            hold.note(Health::Failed);
+            hold.note_failed();
             return AttemptEnd::Broken("silent");
         }
     };
     let dialect = &gateway.adapter.dialect;
     match dialect.verdict(&original.id, response.status(), response.headers()) {
         Verdict::NotRun => {
-            hold.wait = None;
-            hold.note(Health::Full);
+            hold.note_unrun(Health::Full);
             return AttemptEnd::NotRun(response.status());
         }
         Verdict::Foreign => {
             hold.wait = None;
-            hold.note(Health::Failed);
+            hold.note_failed();
             return AttemptEnd::Broken("foreign");
         }
         Verdict::Answer => {}
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -15,10 +15,10 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::{Time, Tokens};
-use badgerfield_core::ids::{Service, UpstreamId};
+use badgerfield_core::ids::{Service, SoftwareVersion, UpstreamId};
 use badgerfield_core::mix::Observed;
 use badgerfield_core::refusal::{Cause, Refusal};
-use badgerfield_core::replicas::{Health, Wanted};
+use badgerfield_core::replicas::{Chosen, Wanted};
 use badgerfield_core::routing::{Caller, Route, ServiceSpec};
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -80,6 +80,8 @@
     pub(super) timing: Timing,
     /// The prompt tokens that the upstream is expected to read.
     pub(super) unread: u64,
+    /// The version that answered last, where the service has several.
+    pub(super) version: Option<SoftwareVersion>,
     pub(super) _open: OpenRequest,
 }
 
@@ -176,7 +178,7 @@
             if self.attempts > 0 && self.gateway.retries().left(now, &self.service, vms) < 1.0 {
                 return Err(self.give_up(Cause::TriesSpent));
             }
-            let Some(chosen) = self.choose(now, vms) else {
+            let Some(chosen) = self.choose(now, vms, last.is_some()) else {
                 return Err(self.give_up(Cause::NoUpstream));
             };
             if self.attempts > 0 {
@@ -197,16 +199,18 @@
             self.timing.note_sent(self.arrived.elapsed());
             // Only engines read prompts; what waits elsewhere is counted as under way.
             let reading = self.spec.engine.as_ref().map(|_| self.unread);
-            let hold = UpstreamHold::new(&self.driver, &self.gateway, &chosen.id, reading);
+            let (driver, gateway) = (&self.driver, &self.gateway);
+            let hold = UpstreamHold::new(driver, gateway, &chosen.id, reading, &self.route);
             let end = attempt(hold, &self.original, chosen.address, &terms, limit).await;
             let outcome = match end {
                 AttemptEnd::Answered(answered) => {
                     self.attempts += 1;
                     self.may_have_run = true;
                     self.timing.head = Some(self.arrived.elapsed());
+                    self.version.clone_from(&chosen.version);
                     if answered.head.status.is_server_error() && self.may_try_again(vms) {
                         let mut answered = answered;
-                        answered.hold.note(Health::Failed);
+                        answered.hold.note_failed();
                         "failed"
                     } else {
                         self.note_prompt(answered.head.status);
@@ -215,6 +219,7 @@
                 }
                 AttemptEnd::NotSent => {
                     unreachable += 1;
+                    self.gateway.replicas().refund(&chosen.id, &self.route.name);
                     "unreachable"
                 }
                 AttemptEnd::NotRun(status) => {
@@ -236,7 +241,7 @@
         }
     }
 
-    fn choose(&self, now: Time, vms: usize) -> Option<badgerfield_core::replicas::Chosen> {
+    fn choose(&self, now: Time, vms: usize, resumes: bool) -> Option<Chosen> {
         let vms = u64::try_from(vms).unwrap_or(u64::MAX).saturating_add(1);
         let connections = u64::from(self.spec.connections) * CONNECTION_PERCENT / 100 / vms;
         // What is chosen is begun under the same lock: what a cold upstream may get is counted.
@@ -246,12 +251,14 @@
             route: &self.route.name,
             parts: &self.terms.parts,
             tried: &self.tried,
+            resumes: self.version.as_ref().filter(|_| resumes),
             connections: u32::try_from(connections).unwrap_or(u32::MAX).max(2),
             draw: rand::random(),
         };
         let chosen = replicas.choose(now, &wanted)?;
         let list = replicas.age();
         replicas.begin(now, &chosen.id, &self.terms.parts);
+        replicas.charge(&wanted, &chosen.id);
         drop(replicas);
         record::chosen(&self.original.id, self.attempts + 1, &chosen, list, now);
         Some(chosen)
@@ -297,7 +304,7 @@
         match tokio::time::timeout_at(self.ends, whole).await {
             Ok(Ok(whole)) => {
                 if head.status.is_server_error() {
-                    hold.note(Health::Failed);
+                    hold.note_failed();
                     drop(hold);
                 } else {
                     hold.finish();
@@ -305,11 +312,11 @@
                 Ok((head, whole.to_bytes()))
             }
             Ok(Err(_)) => {
-                hold.note(Health::Failed);
+                hold.note_failed();
                 Err("broken")
             }
             Err(_) => {
-                hold.note(Health::Failed);
+                hold.note_failed();
                 Err("late")
             }
         }
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
-use badgerfield_core::ids::{UpstreamId, Version};
+use badgerfield_core::ids::{SoftwareVersion, UpstreamId, Version};
 use badgerfield_core::mix::Group;
 use badgerfield_core::refusal::Refusal;
 use badgerfield_core::replicas::Chosen;
@@ -48,13 +48,14 @@
         None => "-",
     };
     let (unread, lag) = (chosen.unread, chosen.lag);
+    let version = chosen.version.as_ref().map_or("-", SoftwareVersion::as_str);
     let (second, second_cost) = match &chosen.second {
         Some((id, cost)) => (id.as_str(), *cost),
         None => ("-", 0.0),
     };
     log::info!(
         target: REQUESTS,
-        "chosen id={id} attempt={attempt} upstream={upstream} cost_ms={cost:.0} group={group} \
+        "chosen id={id} attempt={attempt} upstream={upstream} version={version} cost_ms={cost:.0} group={group} \
          unread={unread} lag_ms={lag:.0} weighed={weighed} \
          second={second} second_ms={second_cost:.0} list={revision} list_age_ms={age}"
     );
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -7,6 +7,7 @@
 use badgerfield_core::ids::{UpstreamId, Version};
 use badgerfield_core::replicas::Replicas;
 use badgerfield_core::retry_budget::{RetryBound, RetryBudget};
+use badgerfield_core::rollout::RolloutRule;
 use badgerfield_core::routing::RouteTable;
 
 use crate::adapter::RouteAdapter;
@@ -32,6 +33,8 @@
     retries: Mutex<RetryBudget>,
     open: AtomicUsize,
     stopping: AtomicBool,
+    /// Whether any service is rolled out.
+    rolls_out: AtomicBool,
     /// How often lags of upstreams were noted for others.
     turn: AtomicUsize,
 }
@@ -46,6 +49,7 @@
             retries: Mutex::new(RetryBudget::new(bound)),
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
+            rolls_out: AtomicBool::new(false),
             turn: AtomicUsize::new(0),
         }
     }
@@ -89,6 +93,18 @@
         self.turn.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Tells whether any service is rolled out; else nothing is counted for that.
+    pub(crate) fn rolls_out(&self) -> bool {
+        self.rolls_out.load(Ordering::Relaxed)
+    }
+
+    /// Divides requests between versions by these rules, and by no others; returns those that
+    /// are new or differ.
+    pub(crate) fn set_rollouts(&self, rules: Vec<RolloutRule>) -> Vec<RolloutRule> {
+        self.rolls_out.store(!rules.is_empty(), Ordering::Relaxed);
+        self.replicas().set_rollouts(rules)
+    }
+
     /// Tells whether the process is stopping.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod metrics;
 pub mod operators;
 pub mod peers;
+mod rollouts;
 pub mod settings;
 mod store_calls;
 pub mod sync;
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -5,7 +5,10 @@
 
 use badgerfield_core::Status;
 use badgerfield_core::event::{Bill, KvResult};
+use badgerfield_core::ids::Service;
 use badgerfield_core::refusal::Refusal;
+use badgerfield_core::replicas::Given;
+use badgerfield_core::rollout::{RolloutRule, RolloutTally};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -17,6 +20,9 @@
 use crate::log_lines;
 use crate::store_calls::StoreCalls;
 
+/// The name of all versions but that which is rolled out.
+const OTHERS: &str = "others";
+
 /// The reason of a refusal, and whether the request ran.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RefusalLabel {
@@ -54,6 +60,64 @@
     outcome: String,
 }
 
+/// The versions of a service that is rolled out.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct VersionLabel {
+    service: String,
+    /// The target's name, or `others`.
+    version: String,
+}
+
+/// The figures of services that are rolled out, as of this process; none while none are.
+#[derive(Debug, Default)]
+pub(crate) struct RolloutCounts {
+    rules: Counter,
+    answers: Family<VersionLabel, Gauge<u64, AtomicU64>>,
+    failed: Family<VersionLabel, Gauge<u64, AtomicU64>>,
+    slow: Family<VersionLabel, Gauge<u64, AtomicU64>>,
+    sent: Family<VersionLabel, Gauge<u64, AtomicU64>>,
+}
+
+impl RolloutCounts {
+    fn register(&self, r: &mut Registry) {
+        r.register("rollout_rules", "Changes of what a version may get", self.rules.clone());
+        r.register("rollout_answers", "Answers since the order", self.answers.clone());
+        r.register("rollout_failed", "Answers that failed", self.failed.clone());
+        r.register("rollout_slow", "Answers that came late", self.slow.clone());
+        r.register("rollout_sent", "Requests sent since the order", self.sent.clone());
+    }
+
+    /// Counts a rule that is new here.
+    pub(crate) fn count_rule(&self) {
+        self.rules.inc();
+    }
+
+    /// Notes what the table of upstreams knows, and forgets what it knew before.
+    pub(crate) fn note(&self, rules: &[(RolloutRule, Given)], tallies: &[RolloutTally]) {
+        for family in [&self.answers, &self.failed, &self.slow, &self.sent] {
+            family.clear();
+        }
+        for (rule, given) in rules {
+            let target = label(&rule.service, rule.target.as_str());
+            self.sent.get_or_create(&target).set(given.target);
+            let others = label(&rule.service, OTHERS);
+            self.sent.get_or_create(&others).set(given.all.saturating_sub(given.target));
+            for tally in tallies.iter().filter(|tally| tally.service == rule.service) {
+                let (at_target, at_others) = tally.sums();
+                for (label, counts) in [(&target, at_target), (&others, at_others)] {
+                    self.answers.get_or_create(label).set(counts.answers.into());
+                    self.failed.get_or_create(label).set(counts.failed.into());
+                    self.slow.get_or_create(label).set(counts.slow.into());
+                }
+            }
+        }
+    }
+}
+
+fn label(service: &Service, version: &str) -> VersionLabel {
+    VersionLabel { service: service.to_string(), version: version.to_owned() }
+}
+
 /// The counters of requests on routes.
 #[derive(Debug)]
 pub(crate) struct GatewayCounts {
@@ -91,6 +155,7 @@
 pub struct Metrics {
     registry: Registry,
     pub(crate) gateway: GatewayCounts,
+    pub(crate) rollouts: RolloutCounts,
     pub(crate) requests: Counter,
     pub(crate) messages: Counter,
     pub(crate) calls: StoreCalls,
@@ -127,6 +192,7 @@
         let mut metrics = Self {
             registry,
             gateway,
+            rollouts: RolloutCounts::default(),
             requests: Counter::default(),
             messages: Counter::default(),
             calls: StoreCalls::default(),
@@ -162,6 +228,7 @@
         r.register("requests", "Requests taken in", self.requests.clone());
         r.register("peer_messages", "Messages sent to peers", self.messages.clone());
         self.calls.register(r);
+        self.rollouts.register(r);
         r.register("kv_results", "Ends of calls to the key-value service", self.kv_results.clone());
         r.register("bad_templates", "Reads of unusable templates", self.bad_templates.clone());
         r.register("evacuations", "Domains evacuated or taken back", self.evacuations.clone());
