--- /dev/null
+++ b/crates/badgerfield-core/tests/canary.rs
@@ -0,0 +1,400 @@
+//! Which version of a service requests go to while one is rolled out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use badgerfield_core::amount::{Percent, Time};
+use badgerfield_core::ids::{Service, SoftwareVersion, UpstreamId};
+use badgerfield_core::replica_list::{ReplicaChanges, ReplicaEntry, ReplicaInfo, ReplicaList};
+use badgerfield_core::replicas::{Health, PromptPart, Replicas, Wanted};
+use badgerfield_core::rollout::{Allowance, RolloutRule};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// When the two versions have both been known for long.
+const LATER: Time = Time::from_millis(60_000);
+
+fn service() -> Service {
+    "pool".parse().expect("the name is valid")
+}
+
+fn version(name: &str) -> SoftwareVersion {
+    name.parse().expect("the name is valid")
+}
+
+fn entry(version_name: &str, n: usize) -> ReplicaEntry {
+    let info = ReplicaInfo {
+        id: format!("{version_name}-{n}").parse().expect("the name is valid"),
+        service: service(),
+        address: format!("10.0.0.{n}:80").parse().expect("the address is valid"),
+        domain: "d".parse().expect("the name is valid"),
+        version: Some(version(version_name)),
+        slots: 8,
+        leaving: false,
+    };
+    ReplicaEntry { revision: 1, info, warm_in: Duration::ZERO }
+}
+
+/// Returns a table with so many upstreams of each version; the old ones were there first.
+fn table(old: usize, new: usize) -> Replicas {
+    let mut table = Replicas::default();
+    let replicas = (1..=old).map(|n| entry("v1", n)).collect();
+    table.learn(Time::default(), ReplicaList { revision: 1, replicas });
+    table.change(Time::default(), added(2, (1..=new).map(|n| entry("v2", n)).collect()));
+    table
+}
+
+fn added(revision: u64, written: Vec<ReplicaEntry>) -> ReplicaChanges {
+    ReplicaChanges { revision, written, gone: Vec::new() }
+}
+
+fn rule(target: &str, allowance: Allowance) -> RolloutRule {
+    RolloutRule { service: service(), revision: 7, target: version(target), allowance }
+}
+
+fn share(percent: u64) -> Allowance {
+    Allowance::Share(Percent::new(percent).expect("a share"))
+}
+
+/// Sends a request and returns its upstream; it ends at once.
+fn send(table: &mut Replicas, now: Time, wanted: &Wanted<'_>) -> Option<UpstreamId> {
+    let id = table.choose(now, wanted)?.id;
+    table.begin(now, &id, wanted.parts);
+    table.charge(wanted, &id);
+    table.end(now, &id, Health::Good);
+    Some(id)
+}
+
+struct Ask {
+    service: Service,
+    route: &'static str,
+    parts: Vec<PromptPart>,
+    tried: Vec<UpstreamId>,
+    resumes: Option<SoftwareVersion>,
+}
+
+impl Ask {
+    fn on(route: &'static str) -> Self {
+        Self { service: service(), route, parts: Vec::new(), tried: Vec::new(), resumes: None }
+    }
+
+    fn chain(mut self, chain: u64) -> Self {
+        let part = |id| PromptPart { id, tokens: 500 };
+        self.parts = vec![part(chain), part(1_000_000 + chain)];
+        self
+    }
+
+    fn wanted(&self, draw: u64) -> Wanted<'_> {
+        Wanted {
+            service: &self.service,
+            route: self.route,
+            parts: &self.parts,
+            tried: &self.tried,
+            resumes: self.resumes.as_ref(),
+            connections: 1000,
+            draw,
+        }
+    }
+}
+
+fn is_new(id: &UpstreamId) -> bool {
+    id.as_str().starts_with("v2")
+}
+
+/// Sends so many plain requests; returns how many went to each version.
+fn counts(table: &mut Replicas, now: Time, requests: usize) -> (usize, usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let ask = Ask::on("r");
+    let ids: Vec<_> =
+        (0..requests).filter_map(|_| send(table, now, &ask.wanted(rng.next_u64()))).collect();
+    let new = ids.iter().filter(|id| is_new(id)).count();
+    (ids.len() - new, new)
+}
+
+#[test]
+fn many_processes_that_see_few_requests_give_the_share_together() {
+    // Red with credits that begin at none (0 of 8640 requests), and at a whole one (1,440).
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let (mut all, mut new) = (0, 0);
+    for _ in 0..72 {
+        let mut table = table(60, 60);
+        table.set_rollouts(vec![rule("v2", share(9))]);
+        for route in ["a", "b", "c", "d", "e"] {
+            let ask = Ask::on(route);
+            for _ in 0..rng.random_range(0..12) {
+                let id = send(&mut table, LATER, &ask.wanted(rng.next_u64()));
+                all += 1;
+                new += usize::from(id.as_ref().is_some_and(is_new));
+            }
+        }
+    }
+    assert!(all > 1500, "{all}");
+    assert!(new * 100 <= all * 9 + 3000, "{new} of {all}");
+    assert!(new * 100 >= all * 9 - 3000, "{new} of {all}");
+}
+
+#[test]
+fn each_route_gets_its_share_whatever_the_others_do() {
+    let mut table = table(60, 60);
+    table.set_rollouts(vec![rule("v2", share(5))]);
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    let mut new: BTreeMap<&str, usize> = BTreeMap::new();
+    for n in 0..10_500 {
+        let route = if n % 21 == 0 { "rare" } else { "often" };
+        let id = send(&mut table, LATER, &Ask::on(route).wanted(rng.next_u64()));
+        *new.entry(route).or_default() += usize::from(id.as_ref().is_some_and(is_new));
+    }
+    assert!((24..=26).contains(&new["rare"]), "{new:?}");
+    assert!((499..=501).contains(&new["often"]), "{new:?}");
+}
+
+#[test]
+fn requests_never_exceed_the_share_by_more_than_a_few_at_any_moment() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for percent in [1, 5, 10, 50] {
+        let mut table = table(20, 20);
+        table.set_rollouts(vec![rule("v2", share(percent))]);
+        let mut new = 0;
+        for all in 1..=3000_u64 {
+            // Chains come in bursts, some very often.
+            let ask = Ask::on("r").chain(rng.random_range(0..40) * rng.random_range(0..3));
+            let id = send(&mut table, LATER, &ask.wanted(rng.next_u64()));
+            new += u64::from(id.as_ref().is_some_and(is_new));
+            assert!(new * 100 <= all * percent + 100, "{new} of {all} with {percent} in 100");
+        }
+        assert!(new * 100 + 400 >= 3000 * percent, "{new} of 3000 with {percent} in 100");
+    }
+}
+
+#[test]
+fn a_version_that_may_get_nothing_gets_nothing_also_when_all_others_are_gone() {
+    let mut table = table(3, 3);
+    table.set_rollouts(vec![rule("v2", Allowance::Nothing)]);
+    assert_eq!(counts(&mut table, LATER, 300), (300, 0));
+    let gone = (1..=3).map(|n| (entry("v1", n).info.id, 3)).collect();
+    table.change(LATER, ReplicaChanges { revision: 3, written: Vec::new(), gone });
+    let now = LATER.after(Duration::from_secs(40));
+    assert_eq!(counts(&mut table, now, 10), (0, 0));
+}
+
+#[test]
+fn a_service_that_has_the_target_only_is_served() {
+    for allowance in [Allowance::Nothing, share(5), Allowance::All] {
+        let mut table = Replicas::default();
+        let replicas = (1..=3).map(|n| entry("v2", n)).collect();
+        table.learn(Time::default(), ReplicaList { revision: 1, replicas });
+        table.set_rollouts(vec![rule("v2", allowance)]);
+        assert_eq!(counts(&mut table, Time::default(), 50), (0, 50), "{allowance:?}");
+    }
+}
+
+#[test]
+fn once_all_move_the_other_versions_get_nothing_more() {
+    let mut table = table(3, 3);
+    let old: UpstreamId = entry("v1", 1).info.id;
+    assert!(table.is_usable(LATER, &old));
+    table.set_rollouts(vec![rule("v2", Allowance::All)]);
+    assert_eq!(counts(&mut table, LATER, 300), (0, 300));
+    // A request that was on its way there is checked once more before it is sent.
+    assert!(!table.is_usable(LATER, &old));
+    // Nor do they when the target is gone: they may stop at any moment.
+    let gone = (1..=3).map(|n| (entry("v2", n).info.id, 3)).collect();
+    table.change(LATER, ReplicaChanges { revision: 3, written: Vec::new(), gone });
+    let now = LATER.after(Duration::from_secs(3));
+    assert_eq!(counts(&mut table, now, 10), (0, 0));
+}
+
+#[test]
+fn a_request_on_its_way_to_a_version_found_bad_is_not_sent() {
+    let mut table = table(3, 3);
+    let new: UpstreamId = entry("v2", 1).info.id;
+    table.set_rollouts(vec![rule("v2", share(5))]);
+    assert!(table.is_usable(LATER, &new));
+    table.set_rollouts(vec![rule("v2", Allowance::Nothing)]);
+    assert!(!table.is_usable(LATER, &new));
+}
+
+#[test]
+fn a_version_that_no_order_names_waits_until_one_would_have_been_heard_of() {
+    let mut table = table(3, 3);
+    let soon = Time::from_millis(3000);
+    assert_eq!(counts(&mut table, soon, 300), (300, 0));
+    assert!(!table.is_usable(soon, &entry("v2", 1).info.id));
+    let (old, new) = counts(&mut table, LATER, 300);
+    assert!(old > 50 && new > 50, "{old} and {new}");
+}
+
+#[test]
+fn a_new_version_serves_at_once_if_no_other_does() {
+    let mut table = table(3, 3);
+    let soon = Time::from_millis(3000);
+    let leaves = |n| {
+        let mut entry = entry("v1", n);
+        entry.revision = 3;
+        entry.info.leaving = true;
+        entry
+    };
+    table.change(soon, added(3, (1..=3).map(leaves).collect()));
+    assert_eq!(counts(&mut table, soon, 100), (0, 100));
+    assert!(table.is_usable(soon, &entry("v2", 1).info.id));
+}
+
+#[test]
+fn who_starts_while_a_version_is_tried_gives_it_nothing_before_hearing_of_the_order() {
+    let mut table = Replicas::default();
+    // Changes that others tell come first, and then the list.
+    table.change(Time::default(), added(0, vec![entry("v2", 1)]));
+    let replicas = (1..=5).map(|n| entry("v1", n)).chain((1..=4).map(|n| entry("v2", n)));
+    let list = ReplicaList { revision: 2, replicas: replicas.collect() };
+    table.learn(Time::default(), list);
+    assert_eq!(counts(&mut table, Time::from_millis(500), 300), (300, 0));
+}
+
+#[test]
+fn requests_of_the_same_chains_go_to_the_target() {
+    let mut table = table(60, 60);
+    table.set_rollouts(vec![rule("v2", share(10))]);
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    let mut chains: BTreeMap<u64, usize> = BTreeMap::new();
+    let mut new = 0;
+    for _ in 0..20_000 {
+        let chain = rng.random_range(0..200);
+        let ask = Ask::on("r").chain(chain);
+        let id = send(&mut table, LATER, &ask.wanted(rng.next_u64()));
+        if id.as_ref().is_some_and(is_new) {
+            *chains.entry(chain).or_default() += 1;
+            new += 1;
+        }
+    }
+    // By chance alone all 200 chains would be read anew, each about ten times.
+    let mut most: Vec<_> = chains.values().copied().collect();
+    most.sort_unstable_by_key(|count| std::cmp::Reverse(*count));
+    let first: usize = most.iter().take(25).sum();
+    assert!(first * 10 >= new * 8, "{first} of {new} in 25 of {} chains", chains.len());
+}
+
+#[test]
+fn the_target_is_tried_at_a_few_upstreams_the_same_ones_everywhere() {
+    // 9 in 100 of what 60 upstreams get make six about as loaded.
+    let new_ids = |table: &mut Replicas, seed: u64| -> BTreeSet<UpstreamId> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let ask = Ask::on("r");
+        let sent = (0..5000).filter_map(|_| send(table, LATER, &ask.wanted(rng.next_u64())));
+        sent.filter(is_new).collect()
+    };
+    let (mut here, mut there) = (table(60, 60), table(60, 60));
+    for table in [&mut here, &mut there] {
+        table.set_rollouts(vec![rule("v2", share(9))]);
+    }
+    let first = new_ids(&mut here, 1);
+    assert_eq!(first.len(), 6, "{first:?}");
+    assert_eq!(first, new_ids(&mut there, 2));
+    // One that rests is replaced.
+    let failing = first.first().expect("there are six").clone();
+    for _ in 0..3 {
+        here.begin(LATER, &failing, &[]);
+        here.end(LATER, &failing, Health::Failed);
+    }
+    let second = new_ids(&mut here, 3);
+    assert_eq!(second.len(), 6, "{second:?}");
+    assert!(!second.contains(&failing), "{second:?}");
+    assert_eq!(second.intersection(&first).count(), 5);
+    // Where few are needed there are two, to tell one that fails by itself.
+    let mut small = table(7, 7);
+    small.set_rollouts(vec![rule("v2", share(9))]);
+    assert_eq!(new_ids(&mut small, 4).len(), 2);
+}
+
+#[test]
+fn a_repeat_counts_and_is_not_tried_out_on_the_target() {
+    let mut table = table(10, 10);
+    table.set_rollouts(vec![rule("v2", share(10))]);
+    let mut rng = ChaCha8Rng::seed_from_u64(6);
+    let mut repeat = Ask::on("r");
+    repeat.tried = vec![entry("v1", 1).info.id];
+    for _ in 0..100 {
+        let id = send(&mut table, LATER, &repeat.wanted(rng.next_u64())).expect("an upstream");
+        assert!(!is_new(&id), "{id}");
+    }
+    // What they added to the share goes to others.
+    assert!(counts(&mut table, LATER, 10).1 >= 3);
+}
+
+#[test]
+fn a_stream_goes_on_at_the_version_that_began_it_where_that_may_take_it() {
+    let mut table = table(10, 10);
+    table.set_rollouts(vec![rule("v2", share(50))]);
+    let resumed = |table: &mut Replicas, from: &str, draw| {
+        let mut ask = Ask::on("r");
+        ask.tried = vec![entry(from, 1).info.id];
+        ask.resumes = Some(version(from));
+        send(table, LATER, &ask.wanted(draw)).expect("an upstream")
+    };
+    counts(&mut table, LATER, 9);
+    let new = (0..20).filter(|n| is_new(&resumed(&mut table, "v2", n * 7919))).count();
+    assert!((9..=12).contains(&new), "{new} of 20 with a share of a half");
+    for n in 0..20 {
+        assert!(!is_new(&resumed(&mut table, "v1", n)));
+    }
+    table.set_rollouts(vec![rule("v2", Allowance::Nothing)]);
+    assert!(!is_new(&resumed(&mut table, "v2", 1)));
+}
+
+#[test]
+fn what_reached_no_upstream_counts_neither_way() {
+    let mut table = table(10, 10);
+    table.set_rollouts(vec![rule("v2", share(10))]);
+    let ask = Ask::on("r");
+    for draw in 0..1000 {
+        let wanted = ask.wanted(draw);
+        let id = table.choose(LATER, &wanted).expect("an upstream").id;
+        table.begin(LATER, &id, &[]);
+        table.charge(&wanted, &id);
+        table.end(LATER, &id, Health::Unknown);
+        table.refund(&id, "r");
+    }
+    let (_, given) = table.rollouts()[0].clone();
+    assert_eq!((given.all, given.target), (0, 0));
+    assert!(counts(&mut table, LATER, 9).1 <= 1);
+}
+
+#[test]
+fn a_new_order_does_not_get_what_the_last_one_left_over() {
+    let mut table = table(10, 10);
+    table.set_rollouts(vec![rule("v2", share(10))]);
+    counts(&mut table, LATER, 100);
+    let next = RolloutRule { revision: 8, ..rule("v1", share(10)) };
+    let news = table.set_rollouts(vec![next.clone()]);
+    assert_eq!(news, vec![next.clone()]);
+    assert_eq!(table.set_rollouts(vec![next]), Vec::new());
+    let (old, new) = counts(&mut table, LATER, 100);
+    assert!((9..=11).contains(&old), "{old} and {new}");
+}
+
+#[test]
+fn versions_of_earlier_orders_that_are_refused_get_nothing_beside_the_next() {
+    let mut table = table(5, 5);
+    table.change(Time::default(), added(3, (1..=5).map(|n| entry("v3", n)).collect()));
+    table.set_rollouts(vec![rule("v2", Allowance::Nothing), rule("v3", share(10))]);
+    let mut rng = ChaCha8Rng::seed_from_u64(8);
+    let ask = Ask::on("r");
+    let mut seen: BTreeMap<String, usize> = BTreeMap::new();
+    for _ in 0..1000 {
+        let id = send(&mut table, LATER, &ask.wanted(rng.next_u64())).expect("an upstream");
+        *seen.entry(id.as_str()[..2].to_owned()).or_default() += 1;
+    }
+    assert_eq!(seen.get("v2"), None, "{seen:?}");
+    assert!((98..=101).contains(&seen["v3"]), "{seen:?}");
+}
+
+#[test]
+fn without_an_order_and_with_one_version_nothing_changes() {
+    let (mut with, mut without) = (table(10, 0), table(10, 0));
+    with.set_rollouts(vec![rule("v2", share(5))]);
+    with.set_rollouts(Vec::new());
+    for draw in 0..200 {
+        let ask = Ask::on("r").chain(draw % 7);
+        let wanted = ask.wanted(draw * 7919);
+        assert_eq!(send(&mut with, LATER, &wanted), send(&mut without, LATER, &wanted));
+    }
+}
--- /dev/null
+++ b/crates/badgerfield-node/src/gateway/trial.rs
@@ -0,0 +1,68 @@
+//! What one try of a request tells of the version that answers it, while its service is rolled
+//! out.
+
+use std::sync::Arc;
+
+use badgerfield_core::ids::UpstreamId;
+use badgerfield_core::rollout::tally::Pace;
+use badgerfield_core::routing::Route;
+use tokio::time::Instant;
+
+use crate::gateway::state::Gateway;
+
+/// One try, from when it was sent on.
+#[derive(Debug)]
+pub(crate) struct Trial {
+    upstream: UpstreamId,
+    route: Arc<Route>,
+    sent: Instant,
+    /// The prompt tokens that the upstream is expected to read.
+    unread: u64,
+    /// How the first part of the answer came, once it has.
+    came: Option<Pace>,
+    /// Whether the answer has been counted as failed.
+    failed: bool,
+}
+
+impl Trial {
+    pub(crate) fn new(upstream: &UpstreamId, route: &Arc<Route>, unread: u64) -> Self {
+        Self {
+            upstream: upstream.clone(),
+            route: Arc::clone(route),
+            sent: Instant::now(),
+            unread,
+            came: None,
+            failed: false,
+        }
+    }
+
+    /// Notes that the first part of the answer has come; tells whether it was late.
+    pub(crate) fn note_answer(&mut self, gateway: &Gateway) -> bool {
+        if self.came.is_some() || self.failed {
+            return false;
+        }
+        let wait = self.sent.elapsed();
+        let mut replicas = gateway.replicas();
+        self.came = replicas.answered(&self.upstream, &self.route.name, wait, self.unread);
+        self.came == Some(Pace::Slow)
+    }
+
+    /// Notes that the answer does not come, or broke off; tells whether that counts.
+    pub(crate) fn note_failed(&mut self, gateway: &Gateway) -> bool {
+        if self.failed {
+            return false;
+        }
+        self.failed = true;
+        gateway.replicas().failed(&self.upstream, &self.route.name, self.came)
+    }
+
+    /// Notes that the request is at its end, whatever came of it; tells whether it was late.
+    pub(crate) fn note_end(&mut self, gateway: &Gateway) -> bool {
+        if self.came.is_some() || self.failed {
+            return false;
+        }
+        self.failed = true;
+        let wait = self.sent.elapsed();
+        gateway.replicas().given_up(&self.upstream, &self.route.name, wait, self.unread)
+    }
+}
--- /dev/null
+++ b/crates/badgerfield-node/src/rollouts.rs
@@ -0,0 +1,49 @@
+//! Carries out roll-outs: divides requests between versions, and tells how they go.
+
+use std::sync::Arc;
+
+use badgerfield_core::Event;
+use badgerfield_core::rollout::{Allowance, RolloutRule};
+
+use crate::driver::Driver;
+use crate::logs::PLATFORM;
+
+impl Driver {
+    /// Divides requests between versions by these rules, and says in the log what has changed.
+    pub(crate) fn divide_versions(&self, rules: Vec<RolloutRule>) {
+        let Some(gateway) = self.gateway() else {
+            return;
+        };
+        for rule in gateway.set_rollouts(rules) {
+            self.metrics.rollouts.count_rule();
+            log::info!(
+                target: PLATFORM,
+                "rollout rule service={} target={} allowance={} order={}",
+                rule.service,
+                rule.target,
+                allowance_word(rule.allowance),
+                rule.revision,
+            );
+        }
+        // Connections that lie idle at a version that gets nothing are of no more use.
+        gateway.sweep(self.now());
+    }
+
+    /// Tells how requests went at services that are rolled out.
+    pub(crate) fn tell_rollouts(self: &Arc<Self>) {
+        let Some(gateway) = self.gateway().filter(|gateway| gateway.rolls_out()) else {
+            return;
+        };
+        let tallies = gateway.replicas().rollout_tallies(self.now());
+        self.feed(Event::RolloutTallies(tallies));
+    }
+}
+
+/// Writes what a version may get: nothing, all, or its share in hundredths.
+pub(crate) fn allowance_word(allowance: Allowance) -> String {
+    match allowance {
+        Allowance::Nothing => "nothing".to_owned(),
+        Allowance::Share(share) => format!("{share}%"),
+        Allowance::All => "all".to_owned(),
+    }
+}
