--- a/crates/badgerfield/src/args.rs
+++ b/crates/badgerfield/src/args.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use badgerfield_core::ids::Service;
 use clap::{Arg, ArgAction, Command, value_parser};
 
 const CODES: &str = "Exit codes:
@@ -10,7 +11,8 @@
   2  the arguments are wrong
   3  a file has faults; each is listed with its place
   4  somebody else changed the templates; nothing was written
-  5  accepted, but not every VM has confirmed it in time";
+  5  accepted, but not every VM has confirmed it in time
+  6  a roll-out that was watched was rolled back";
 
 const SETTINGS_HELP: &str = "A settings file has these sections and keys (* must be there):
 
@@ -54,6 +56,7 @@
         .subcommand(check())
         .subcommand(template())
         .subcommand(budget())
+        .subcommand(rollout())
         .subcommand(key())
 }
 
@@ -131,6 +134,30 @@
     )
 }
 
+fn rollout() -> Command {
+    let service = || {
+        Arg::new("service")
+            .value_name("SERVICE")
+            .value_parser(value_parser!(Service))
+            .help("Only this service; otherwise all that have an order")
+    };
+    Command::new("rollout")
+        .about("Tells how far services have come that move to another version")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("status")
+                .about("Prints order and record as they stand at the platform, one line a service")
+                .arg(settings())
+                .arg(service()),
+        )
+        .subcommand(
+            Command::new("watch")
+                .about("Prints each change until all have ended")
+                .arg(settings())
+                .arg(service()),
+        )
+}
+
 fn key() -> Command {
     Command::new("key")
         .about("Makes a caller's key with its digest, or a fleet's secret")
--- a/crates/badgerfield/src/main.rs
+++ b/crates/badgerfield/src/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod keys;
 mod platform;
+mod rollout;
 mod run;
 mod template;
 
@@ -22,6 +23,8 @@
 const CONFLICT: u8 = 4;
 /// The change is accepted, but not every VM has confirmed it in time.
 const UNCONFIRMED: u8 = 5;
+/// A roll-out that was watched was rolled back.
+const ROLLED_BACK: u8 = 6;
 
 fn main() -> ExitCode {
     let matches = args::command().get_matches();
@@ -30,6 +33,7 @@
         Some(("check", args)) => check::run(args),
         Some(("template", args)) => template::run(args),
         Some(("budget", args)) => budget::run(args),
+        Some(("rollout", args)) => rollout::run(args),
         Some(("key", args)) => keys::run(args),
         _ => Ok(FAILED),
     };
--- a/crates/badgerfield/src/run.rs
+++ b/crates/badgerfield/src/run.rs
@@ -62,7 +62,7 @@
 }
 
 /// Chooses what translates for this platform.
-fn adapter(settings: &Settings) -> Result<Adapter> {
+pub(crate) fn adapter(settings: &Settings) -> Result<Adapter> {
     let platform = &settings.platform;
     match platform.adapter {
         AdapterKind::Etcd => {
