Read the bound on versions that are rolled out

The platform bounds what a new version may get before it is found to be bad; settings name it in [rollout], and Pacing carries it to the core. A blank value, or a unit alone, takes the usual one. Shares are whole hundredths, rounded down.

--- a/crates/badgerfield-core/src/amount.rs
+++ b/crates/badgerfield-core/src/amount.rs
@@ -123,6 +123,9 @@
     }
 }
 
+/// By how much hundredths may be off since decimal parts have no exact form.
+const ROUNDING: f64 = 1e-9;
+
 /// A share in hundredths, from 0 to 100.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "u64", into = "u64")]
@@ -131,6 +134,16 @@
 impl Percent {
     /// The whole.
     pub const WHOLE: Self = Self(100);
+    /// A twentieth, with which a canary usually begins.
+    pub const FIVE: Self = Self(5);
+
+    /// Returns the largest share that is at most a part from 0 to 1.
+    #[must_use]
+    pub fn within(part: f64) -> Self {
+        let hundredths = part * 100.0 + ROUNDING;
+        let share = (0..=100_u32).rev().find(|n| f64::from(*n) <= hundredths);
+        Self(share.unwrap_or(0).into())
+    }
 
     /// Makes a share.
     ///
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -14,6 +14,7 @@
 use crate::membership::Membership;
 use crate::message::{Envelope, Message};
 use crate::policy::Policy;
+use crate::rollout::RolloutBound;
 use crate::routing::RouteTable;
 use crate::runs::{Keyed, Runs};
 use crate::template::TemplateSet;
@@ -40,6 +41,8 @@
     pub notice: Duration,
     /// Whether tokens that are held ahead are sealed, instead of parked with a peer.
     pub seals: bool,
+    /// What the platform allows versions that are rolled out.
+    pub rollout: RolloutBound,
     /// What may be set otherwise to measure its worth.
     pub policy: Policy,
 }
@@ -53,6 +56,7 @@
             hand_on: Duration::from_secs(8),
             notice: Duration::from_secs(3),
             seals: false,
+            rollout: RolloutBound::default(),
             policy: Policy::default(),
         }
     }
--- a/crates/badgerfield-core/src/rollout/mod.rs
+++ b/crates/badgerfield-core/src/rollout/mod.rs
@@ -148,3 +148,21 @@
     /// rule says nothing.
     pub moved: bool,
 }
+
+/// What the platform allows a version that turns out to be bad.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RolloutBound {
+    /// The most of all requests that reach a service which its new version may get.
+    pub share: Percent,
+    /// How many requests it may get beside that.
+    pub allowance: u32,
+    /// How long after a version was found to be bad it may still be sent requests.
+    pub rollback: Duration,
+}
+
+impl Default for RolloutBound {
+    /// Takes what is usual for canaries, where the platform names nothing.
+    fn default() -> Self {
+        Self { share: Percent::FIVE, allowance: 20, rollback: Duration::from_secs(5) }
+    }
+}
--- a/crates/badgerfield-node/src/settings.rs
+++ b/crates/badgerfield-node/src/settings.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use badgerfield_core::Pacing;
+use badgerfield_core::amount::Percent;
 use badgerfield_core::ids::{Domain, Region, VmId};
 use badgerfield_core::policy::Policy;
 use badgerfield_core::retry_budget::RetryBound;
+use badgerfield_core::rollout::RolloutBound;
 use badgerfield_core::warm_up::WarmUpBound;
 use hyper::Uri;
 use log::LevelFilter;
@@ -16,9 +18,9 @@
 use crate::peers::Secret;
 
 /// The sections that a settings file may have.
-const SECTIONS: [&str; 11] = [
+const SECTIONS: [&str; 12] = [
     "vm", "listen", "gateway", "platform", "keys", "limits", "pacing", "policy", "retries",
-    "warm_up", "log",
+    "warm_up", "rollout", "log",
 ];
 
 /// All settings of one process.
@@ -260,6 +262,7 @@
         hand_on: file.span_or("pacing", "hand_on", other.hand_on, (least, most)),
         notice: file.span_or("pacing", "notice", other.notice, (least, most)),
         seals: file.value_or("pacing", "seals", other.seals),
+        rollout: read_rollout(file),
         policy: read_policy(file),
     }
 }
@@ -297,6 +300,32 @@
     Some(WarmUpBound { overshoot: overshoot?, allowance: allowance? })
 }
 
+/// Reads the bound on versions that are rolled out; values that are empty, or a unit alone, as a
+/// template leaves them where the platform has none, count as absent.
+fn read_rollout(file: &mut File) -> RolloutBound {
+    let other = RolloutBound::default();
+    let is_blank = |file: &mut File, key| {
+        let text = file.optional_text("rollout", key).unwrap_or_default();
+        text.is_empty() || text == "ms"
+    };
+    let share = if is_blank(file, "share") { None } else { file.value("rollout", "share") };
+    if share.is_some_and(|share: f64| !(0.0..=1.0).contains(&share)) {
+        file.fault("rollout", Some("share"), "expected a part from 0 to 1".to_owned());
+    }
+    let allowance = if is_blank(file, "allowance") {
+        other.allowance
+    } else {
+        file.value_or("rollout", "allowance", other.allowance)
+    };
+    let (least, most) = (Duration::from_millis(100), Duration::from_secs(3600));
+    let rollback = if is_blank(file, "rollback") {
+        other.rollback
+    } else {
+        file.span_or("rollout", "rollback", other.rollback, (least, most))
+    };
+    RolloutBound { share: share.map_or(other.share, Percent::within), allowance, rollback }
+}
+
 impl Limits {
     fn read(file: &mut File) -> Self {
         let secs = Duration::from_secs;
--- a/crates/badgerfield-node/tests/settings.rs
+++ b/crates/badgerfield-node/tests/settings.rs
@@ -1,8 +1,10 @@
 //! Settings and template files: every fault at once, each with its place.
 
 use std::path::Path;
+use std::time::Duration;
 
 use assert_matches::assert_matches;
+use badgerfield_core::rollout::RolloutBound;
 use badgerfield_node::ini::{File, FileError};
 use badgerfield_node::settings::Settings;
 use badgerfield_node::templates;
@@ -112,6 +114,23 @@
     assert!(faults.iter().any(|fault| fault.contains("[warm_up] overshoot")), "{faults:#?}");
 }
 
+#[test]
+fn a_bound_on_roll_outs_that_a_platform_does_not_have_takes_the_usual_values() {
+    let bound = |text: &str| read(&format!("{GOOD}{text}")).map(|read| read.pacing.rollout);
+    let given = bound("[rollout]\nshare = 0.07\nallowance = 50\nrollback = 4000ms\n");
+    let given = given.expect("it is good");
+    assert_eq!((u64::from(given.share), given.allowance), (7, 50));
+    assert_eq!(given.rollback, Duration::from_secs(4));
+    // A template that has no value for the span leaves its unit alone.
+    let blank = bound("[rollout]\nshare =\nallowance =\nrollback = ms\n").expect("it is good");
+    assert_eq!(blank, RolloutBound::default());
+    assert_eq!(bound("").expect("it is good"), RolloutBound::default());
+    for text in ["share = 1.5", "share = few", "allowance = -1", "rollback = 5", "rollback = 0s"] {
+        let faults = faults(bound(&format!("[rollout]\n{text}\n")));
+        assert!(faults.iter().any(|fault| fault.contains("[rollout]")), "{text}: {faults:#?}");
+    }
+}
+
 #[test]
 fn another_address_may_be_told_to_peers() {
     let text = GOOD.replace("operators", "advertise = 10.0.0.1:2\noperators");
--- a/crates/badgerfield-standin/src/fleet/processes.rs
+++ b/crates/badgerfield-standin/src/fleet/processes.rs
@@ -52,6 +52,7 @@
             notice: Duration::from_secs(3),
             policy: Policy::default(),
             seals: true,
+            ..Pacing::default()
         }
     }
 
--- a/crates/badgerfield/src/args.rs
+++ b/crates/badgerfield/src/args.rs
@@ -30,6 +30,9 @@
   [retries]   ratio, allowance, window
   [warm_up]   overshoot, allowance              what the fleet may send a cold upstream in
               a second: overshoot times its rate, and allowance more
+  [rollout]   share, allowance, rollback        what a version that is rolled out may get
+              before it is found to be bad: this part of a service's requests, allowance
+              more, and how long after
   [log]       level, format (text or json), and a level for each of
               node, peers, platform, upstreams, callers, bills, requests
 
