--- a/crates/badgerfield-core/src/board.rs
+++ b/crates/badgerfield-core/src/board.rs
@@ -14,6 +14,7 @@
 use crate::ledger_writer::LedgerWriter;
 use crate::membership::Membership;
 use crate::queue::Queue;
+use crate::rollout::Rollouts;
 use crate::runs::Runs;
 use crate::template::TemplateSet;
 use crate::template_history::TemplateHistory;
@@ -26,6 +27,7 @@
     templates: Mutex<TemplateSet>,
     template_history: Mutex<TemplateHistory>,
     evacuations: Mutex<Evacuations>,
+    rollouts: Mutex<Rollouts>,
     runs: Mutex<Runs>,
     charges: Mutex<Charges>,
     queue: Mutex<Queue>,
@@ -48,6 +50,7 @@
             templates: Mutex::default(),
             template_history: Mutex::default(),
             evacuations: Mutex::default(),
+            rollouts: Mutex::default(),
             runs: Mutex::new(runs),
             charges: Mutex::default(),
             queue: Mutex::default(),
@@ -78,6 +81,11 @@
         lock(&self.evacuations)
     }
 
+    /// Locks what is known of roll-outs.
+    pub(crate) fn rollouts(&self) -> MutexGuard<'_, Rollouts> {
+        lock(&self.rollouts)
+    }
+
     /// Locks the requests and their answers.
     pub(crate) fn runs(&self) -> MutexGuard<'_, Runs> {
         lock(&self.runs)
--- a/crates/badgerfield-core/src/control/evacuations.rs
+++ b/crates/badgerfield-core/src/control/evacuations.rs
@@ -21,7 +21,8 @@
 impl Node {
     /// Takes in all that operators have at the platform.
     pub(crate) fn read_operators(&self, now: Time, found: OperatorValues, out: &mut Outbox) {
-        let OperatorValues { revision, templates, evacuated, .. } = found;
+        let OperatorValues { revision, templates, evacuated, rollouts } = found;
+        self.read_orders(now, revision, rollouts, out);
         let turned = self.board.evacuations().learn_all(revision, evacuated);
         self.tell_evacuations(now, &turned, out);
         out.evacuated(None, turned);
@@ -32,7 +33,8 @@
 
     /// Takes in what operators changed at the platform.
     pub(crate) fn operators_changed(&self, now: Time, found: OperatorChanges, out: &mut Outbox) {
-        let OperatorChanges { templates, domains, .. } = found;
+        let OperatorChanges { templates, domains, rollouts, .. } = found;
+        self.orders_changed(now, rollouts, out);
         let turned = self.board.evacuations().learn(domains);
         self.tell_evacuations(now, &turned, out);
         out.evacuated(None, turned);
--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -45,6 +45,7 @@
         let version = self.board.templates().version;
         let confirmed = self.board.claims().confirmed();
         let evacuations = self.board.evacuations().digest();
+        let rollouts = self.board.rollouts().digest();
         let (neighbours, beat) = {
             let mut members = self.board.members();
             members.beat_at = Some(now);
@@ -56,6 +57,7 @@
                 serving: members.serving && members.stopping.is_none(),
                 list: members.list,
                 evacuations,
+                rollouts,
                 wall: members.wall(now),
                 needs: members.needs.blend(now),
                 lags: members.lags.clone(),
@@ -91,6 +93,7 @@
     ) {
         self.compare_lists(now, from, beat.list, out);
         self.compare_evacuations(now, from, beat.evacuations, out);
+        self.compare_rollouts(now, from, beat.rollouts, out);
         self.hear_confirmed(now, beat);
         if !beat.lags.is_empty() {
             out.push(Order::LearnLags(beat.lags.clone()));
@@ -299,6 +302,9 @@
             return;
         };
         match (purpose, result) {
+            (Purpose::Rollout(service, written), result) => {
+                self.record_answered(now, &service, written, result, out);
+            }
             (Purpose::Draw(shard), result) => self.ledger_answered(now, shard, result, out),
             (Purpose::Read(KvName::Templates), KvResult::Value(found)) => {
                 self.read_templates(now, &found, out);
--- a/crates/badgerfield-core/src/control/mod.rs
+++ b/crates/badgerfield-core/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod members;
 mod reservations;
 mod rights;
+mod rollouts;
 mod settings;
 mod stopping;
 mod upstream_news;
--- /dev/null
+++ b/crates/badgerfield-core/src/control/rollouts.rs
@@ -0,0 +1,350 @@
+//! Roll-outs: takes orders in, tells members what is known, judges, and writes the record.
+//!
+//! News travel as those of evacuated failure domains do: by a broadcast, made up for by digests
+//! in signs of life. The three members that rank first for a service judge it; every process
+//! tells them how its requests went.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::amount::Time;
+use crate::broadcast;
+use crate::event::{KvCall, KvName, KvResult, Note, Order, Outbox, Versioned, due};
+use crate::ids::{Incarnation, Service};
+use crate::membership::Purpose;
+use crate::message::{Message, RolloutNews};
+use crate::node::Node;
+use crate::rollout::{
+    Call, Known, OrderChange, Phase, RolloutNote, RolloutRecord, RolloutTally, Situation,
+};
+use crate::seal::FleetClock;
+use crate::view::View;
+
+/// How many members judge a service: two may be lost at once.
+const JUDGES: usize = 3;
+/// The least time between two comparisons with one member: half a sign of life, so that one
+/// whose answer was lost is asked again at its next.
+const COMPARE: Duration = Duration::from_millis(200);
+
+/// Who judges what, at one moment.
+struct Bench {
+    view: Arc<View>,
+    me: Incarnation,
+    clock: FleetClock,
+}
+
+impl Node {
+    /// Takes in all orders that the platform has.
+    pub(crate) fn read_orders(
+        &self,
+        now: Time,
+        revision: u64,
+        orders: Vec<OrderChange>,
+        out: &mut Outbox,
+    ) {
+        let turned = self.board.rollouts().learn_all(now, revision, orders);
+        self.tell_rollouts(now, &turned, out);
+        self.put_rules(now, turned, out);
+    }
+
+    /// Takes in orders that were given or withdrawn.
+    pub(crate) fn orders_changed(&self, now: Time, orders: Vec<OrderChange>, out: &mut Outbox) {
+        let news = orders.into_iter().map(|change| Known { change, stage: None }).collect();
+        self.learn_rollouts(now, news, out);
+    }
+
+    /// Takes in what another process tells, and passes it on to its part of the ring.
+    pub(crate) fn rollout_news(&self, now: Time, news: RolloutNews, out: &mut Outbox) {
+        if news.reach > 0 {
+            for (to, reach) in self.board.members().legs(now, news.reach) {
+                out.send(to, Message::Rollouts(RolloutNews { reach, ..news.clone() }));
+            }
+        }
+        let turned = self.board.rollouts().learn(now, news.known);
+        self.put_rules(now, turned, out);
+    }
+
+    /// Tells a neighbour whose digest differs all that is known here, and so asks it for what
+    /// it knows beyond that.
+    pub(crate) fn compare_rollouts(
+        &self,
+        now: Time,
+        from: Incarnation,
+        theirs: u64,
+        out: &mut Outbox,
+    ) {
+        let known = {
+            let mut members = self.board.members();
+            let mut table = self.board.rollouts();
+            if table.digest() == theirs {
+                table.agreed(members.is_active() && members.view.has(from));
+                return;
+            }
+            if !due(now, members.rollouts_compared.get(&from).copied(), COMPARE) {
+                return;
+            }
+            members.rollouts_compared.insert(from, now);
+            table.all()
+        };
+        out.send(from, Message::CompareRollouts(known));
+    }
+
+    /// Takes in what a neighbour knows, and answers if more is known here.
+    pub(crate) fn rollouts_compared(
+        &self,
+        now: Time,
+        from: Incarnation,
+        theirs: &[Known],
+        out: &mut Outbox,
+    ) {
+        let (turned, known) = {
+            let mut table = self.board.rollouts();
+            let turned = table.learn(now, theirs.to_vec());
+            (turned, table.all())
+        };
+        self.put_rules(now, turned, out);
+        if known != theirs {
+            out.send(from, Message::Rollouts(RolloutNews { known, reach: 0 }));
+        }
+    }
+
+    /// Takes in how requests of this process went, and tells the judges what is due.
+    pub(crate) fn count_rollouts(&self, now: Time, tallies: Vec<RolloutTally>, out: &mut Outbox) {
+        if tallies.is_empty() {
+            return;
+        }
+        self.board.rollouts().count(tallies);
+        self.report_rollouts(now, &self.bench(now), out);
+    }
+
+    /// Does what is due about roll-outs.
+    pub(crate) fn rollout_tick(&self, now: Time, out: &mut Outbox) {
+        let is_active = self.board.members().is_active();
+        {
+            let mut table = self.board.rollouts();
+            table.tick(now, is_active);
+            if table.is_empty() {
+                return;
+            }
+        }
+        let open = self.board.rollouts().open();
+        if !open.is_empty() {
+            let bench = self.bench(now);
+            self.report_rollouts(now, &bench, out);
+            for (known, heard) in open {
+                self.judge_rollout(now, &bench, &known, heard, out);
+            }
+        }
+        self.put_rules(now, Vec::new(), out);
+    }
+
+    /// Takes in an answer of the key-value service about a record.
+    pub(crate) fn record_answered(
+        &self,
+        now: Time,
+        service: &Service,
+        written: Option<RolloutRecord>,
+        result: KvResult,
+        out: &mut Outbox,
+    ) {
+        let missed = |outcome| {
+            let note = RolloutNote::Missed { service: service.clone(), outcome };
+            Order::Note(Note::Rollout(Box::new(note)))
+        };
+        match (result, written) {
+            (KvResult::Written(revision), Some(record)) => {
+                self.record_found(now, service, revision, Some(record), out);
+            }
+            (KvResult::Conflict(found), _) => {
+                out.push(missed("another value stands there"));
+                self.record_read(now, service, &found, out);
+            }
+            (KvResult::Value(found), _) => self.record_read(now, service, &found, out),
+            (result, _) => {
+                let refused = matches!(result, KvResult::Refused);
+                out.push(missed(if refused { "refused" } else { "no answer" }));
+                if let Some(desk) = self.board.rollouts().desk(service) {
+                    desk.lost();
+                }
+            }
+        }
+    }
+
+    fn record_read(&self, now: Time, service: &Service, found: &Versioned, out: &mut Outbox) {
+        let record = match RolloutRecord::decode(found.value.as_deref()) {
+            Ok(record) => record,
+            // What nobody can read holds nothing up: the next record replaces it.
+            Err(error) => {
+                let name = KvName::Rollout(service.clone());
+                out.push(Order::Note(Note::BadValue(name, error.to_string())));
+                None
+            }
+        };
+        self.record_found(now, service, found.revision, record, out);
+    }
+
+    fn record_found(
+        &self,
+        now: Time,
+        service: &Service,
+        revision: u64,
+        record: Option<RolloutRecord>,
+        out: &mut Outbox,
+    ) {
+        let news = {
+            let mut table = self.board.rollouts();
+            let Some(known) = table.known(service).cloned() else {
+                return;
+            };
+            let Some(desk) = table.desk(service) else {
+                return;
+            };
+            let stage = desk.found(revision, record, &known);
+            stage.map(|stage| Known { stage: Some(stage), ..known })
+        };
+        self.learn_rollouts(now, news.into_iter().collect(), out);
+    }
+
+    /// Judges an order, and takes the step that is due.
+    fn judge_rollout(
+        &self,
+        now: Time,
+        bench: &Bench,
+        known: &Known,
+        heard: Time,
+        out: &mut Outbox,
+    ) {
+        let service = &known.change.service;
+        let judges = bench.judges(service);
+        let place = judges.iter().position(|id| *id == bench.me);
+        let longest = self.longest(service);
+        let members: Vec<_> = bench.view.members.iter().map(|m| m.incarnation).collect();
+        let mut table = self.board.rollouts();
+        let Some(desk) = table.desk(service) else {
+            return;
+        };
+        let Some(rank) = place.and_then(|place| u32::try_from(place).ok()) else {
+            desk.leave();
+            return;
+        };
+        desk.judge.tick(now);
+        let is_tried = matches!(known.phase(), Some(Phase::Canary | Phase::Moving));
+        if let Some(reason) = desk.judge.verdict().filter(|_| is_tried) {
+            let evidence = desk.judge.evidence().clone();
+            let turned = table.condemn(now, known, reason);
+            drop(table);
+            let (service, revision) = (service.clone(), known.change.revision);
+            let note = RolloutNote::Condemned { service, revision, reason, evidence };
+            out.push(Order::Note(Note::Rollout(Box::new(note))));
+            self.tell_rollouts(now, &turned, out);
+            self.put_rules(now, turned, out);
+            return;
+        }
+        let clock = bench.clock;
+        let at = Situation { now, known, heard, clock, longest, members: &members, rank };
+        let call = desk.step(&at);
+        let evidence = desk.judge.evidence().clone();
+        drop(table);
+        if let Some(call) = call {
+            self.call_record(service, call, evidence, out);
+        }
+    }
+
+    fn call_record(
+        &self,
+        service: &Service,
+        call: Call,
+        evidence: crate::rollout::Evidence,
+        out: &mut Outbox,
+    ) {
+        let name = KvName::Rollout(service.clone());
+        let (written, call) = match call {
+            Call::Read => (None, KvCall::Get(name)),
+            Call::Write(expect, record) => {
+                let value = Bytes::from(record.encode());
+                let note = RolloutNote::Writes {
+                    service: service.clone(),
+                    record: record.clone(),
+                    evidence,
+                };
+                out.push(Order::Note(Note::Rollout(Box::new(note))));
+                (Some(record), KvCall::Swap { name, expect, value })
+            }
+        };
+        let purpose = Purpose::Rollout(service.clone(), written);
+        let ticket = self.board.members().call(purpose);
+        out.push(Order::KeyValue(ticket, call));
+    }
+
+    /// Tells the judges how requests of this process went, where that is due.
+    fn report_rollouts(&self, now: Time, bench: &Bench, out: &mut Outbox) {
+        let members = u32::try_from(bench.view.members.len()).unwrap_or(u32::MAX);
+        let mut table = self.board.rollouts();
+        for (judges, tally) in table.reports(now, members, |service| bench.judges(service)) {
+            for judge in judges {
+                if judge == bench.me {
+                    table.hear(judge, tally.clone());
+                } else {
+                    out.send(judge, Message::RolloutReport(tally.clone()));
+                }
+            }
+        }
+    }
+
+    /// Takes in news, tells all members what was news, and puts the rules in force.
+    fn learn_rollouts(&self, now: Time, news: Vec<Known>, out: &mut Outbox) {
+        if news.is_empty() {
+            return;
+        }
+        let turned = self.board.rollouts().learn(now, news);
+        self.tell_rollouts(now, &turned, out);
+        self.put_rules(now, turned, out);
+    }
+
+    /// Tells all members what is news.
+    fn tell_rollouts(&self, now: Time, turned: &[Known], out: &mut Outbox) {
+        if turned.is_empty() {
+            return;
+        }
+        let members = self.board.members();
+        for (to, reach) in members.legs(now, broadcast::all(&members.view)) {
+            let news = RolloutNews { known: turned.to_vec(), reach };
+            out.send(to, Message::Rollouts(news));
+        }
+    }
+
+    /// Logs what was news, and puts the rules in force that follow from it.
+    fn put_rules(&self, now: Time, turned: Vec<Known>, out: &mut Outbox) {
+        for known in turned {
+            out.push(Order::Note(Note::Rollout(Box::new(RolloutNote::Learned(known)))));
+        }
+        let bound = &self.config.pacing.rollout;
+        if let Some(rules) = self.board.rollouts().changed_rules(now, bound) {
+            out.push(Order::RolloutRules(rules));
+        }
+    }
+
+    /// Returns how long a request of a service may run: the longest timeout of its routes.
+    fn longest(&self, service: &Service) -> Duration {
+        let set = self.board.templates();
+        let routes = set.routing.routes.iter();
+        let of = routes.filter(|route| route.split.iter().any(|split| split.service == *service));
+        of.map(|route| route.timeout).max().unwrap_or_default()
+    }
+
+    fn bench(&self, now: Time) -> Bench {
+        let members = self.board.members();
+        Bench { view: Arc::clone(&members.view), me: members.id(), clock: members.clock(now) }
+    }
+}
+
+impl Bench {
+    /// Returns the members that judge a service, the first of them first.
+    fn judges(&self, service: &Service) -> Vec<Incarnation> {
+        let subject = [b"rollout/", service.as_str().as_bytes()].concat();
+        let ranked = self.view.ranked(&subject, None);
+        ranked.iter().take(JUDGES).map(|member| member.incarnation).collect()
+    }
+}
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -19,7 +19,7 @@
 use crate::mix::Needs;
 use crate::refusal::Refusal;
 use crate::replica_list::{ListMark, ReplicaChanges, ReplicaList};
-use crate::rollout::{OrderChange, RolloutRule, RolloutTally};
+use crate::rollout::{OrderChange, RolloutNote, RolloutRule, RolloutTally};
 use crate::template::KeyDigest;
 use crate::upstream::{LoadReport, VmList};
 
@@ -441,6 +441,8 @@
     },
     /// The budget period has ended and a new one is in force.
     Renewed(BudgetId),
+    /// Something about a roll-out.
+    Rollout(Box<RolloutNote>),
 }
 
 /// Collects orders.
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -20,11 +20,12 @@
 //! them, `broadcast` carries news of upstreams along the ring of members, and signs of life
 //! carry the [`confirmations`] of a view and the [`lag`]s of engines. Which failure domains are
 //! evacuated is told by the same broadcast and compared by digests ([`evacuation`]); upstreams
-//! that come back from there start slowly ([`warm_up`]).
+//! that come back from there start slowly ([`warm_up`]). Orders to move a service to another
+//! version travel in the same way ([`rollout`]).
 //!
 //! All state stands in the tables of `board`, with one lock order. The platform's
-//! key-value service holds three kinds of values: the templates, the membership
-//! [`view`], and the shards of the ledger.
+//! key-value service holds four kinds of values: the templates, the membership
+//! [`view`], the shards of the ledger, and the record of each service's last roll-out.
 
 pub mod amount;
 mod board;
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -8,12 +8,13 @@
 use crate::amount::Time;
 use crate::broadcast::{self, Leg};
 use crate::event::{KvName, Note};
-use crate::ids::{Epoch, Incarnation, Ticket, VmId};
+use crate::ids::{Epoch, Incarnation, Service, Ticket, VmId};
 use crate::joining::Joining;
 use crate::lag::LagNote;
 use crate::message::Heartbeat;
 use crate::mix::NeedsBlend;
 use crate::replica_list::ListMark;
+use crate::rollout::RolloutRecord;
 use crate::seal::FleetClock;
 use crate::view::{Member, SMALL_VIEW, Standing, View};
 use crate::view_update::ViewLog;
@@ -65,6 +66,8 @@
     Write(View),
     /// Reads or writes a shard of the ledger.
     Draw(u32),
+    /// Reads the record of a roll-out, or writes what is named.
+    Rollout(Service, Option<RolloutRecord>),
 }
 
 /// What is known of another member.
@@ -140,6 +143,8 @@
     pub(crate) list_fetched: HashMap<Incarnation, Time>,
     /// When evacuations were compared with each member last.
     pub(crate) compared: HashMap<Incarnation, Time>,
+    /// The same for roll-outs.
+    pub(crate) rollouts_compared: HashMap<Incarnation, Time>,
     /// When anybody told how new the list of upstreams is.
     pub(crate) confirmed_at: Option<Time>,
     /// After how long without a sign of life a member is in doubt.
@@ -189,6 +194,7 @@
             lags: Vec::new(),
             list_fetched: HashMap::new(),
             compared: HashMap::new(),
+            rollouts_compared: HashMap::new(),
             confirmed_at: None,
             doubt: beat.saturating_mul(DOUBT_BEATS),
             notice,
@@ -261,7 +267,7 @@
         self.calls.values().any(|purpose| match purpose {
             Purpose::Read(n) => n == name,
             Purpose::Write(_) => *name == KvName::View,
-            Purpose::Draw(_) => false,
+            Purpose::Draw(_) | Purpose::Rollout(..) => false,
         })
     }
 
@@ -303,6 +309,7 @@
             self.shown.remove(id);
             self.list_fetched.remove(id);
             self.compared.remove(id);
+            self.rollouts_compared.remove(id);
         }
         Some(gone)
     }
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -16,6 +16,7 @@
 use crate::ledger::{LedgerOp, LedgerReply};
 use crate::mix::Needs;
 use crate::replica_list::{ListMark, ReplicaChanges, ReplicaList};
+use crate::rollout::{Known, RolloutTally};
 use crate::template::{TemplateDelta, TemplateSet};
 use crate::view::Member;
 use crate::view_update::ViewUpdate;
@@ -67,6 +68,12 @@
     Evacuations(EvacuationNews),
     /// All that the sender knows of evacuated domains; asks for what the receiver knows beyond.
     CompareEvacuations(Vec<DomainChange>),
+    /// Roll-outs were ordered, or have come further; passed on to all.
+    Rollouts(RolloutNews),
+    /// All that the sender knows of roll-outs; asks for what the receiver knows beyond.
+    CompareRollouts(Vec<Known>),
+    /// How the requests of the sender went at a service of which the receiver is a judge.
+    RolloutReport(RolloutTally),
     /// Asks for changes in the ledger.
     Draw(Vec<LedgerOp>),
     /// What became of changes in the ledger.
@@ -221,6 +228,15 @@
     pub reach: u32,
 }
 
+/// News of roll-outs on its way to all members.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutNews {
+    /// What is known of the services that the news is about.
+    pub known: Vec<Known>,
+    /// To how many members before it in the ring the receiver passes this on.
+    pub reach: u32,
+}
+
 /// The regular sign of life.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -236,6 +252,8 @@
     pub list: ListMark,
     /// Stands for all that the sender knows of evacuated failure domains.
     pub evacuations: u64,
+    /// Stands for all that the sender knows of roll-outs.
+    pub rollouts: u64,
     /// The time of day at the sender, in milliseconds since 1970, if it has told it.
     pub wall: Option<u64>,
     /// What the sender takes requests to need of engines, its own and others'.
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -14,7 +14,7 @@
 use crate::membership::Membership;
 use crate::message::{Envelope, Message};
 use crate::policy::Policy;
-use crate::rollout::RolloutBound;
+use crate::rollout::{RolloutBound, RolloutStatus};
 use crate::routing::RouteTable;
 use crate::runs::{Keyed, Runs};
 use crate::template::TemplateSet;
@@ -231,6 +231,12 @@
         self.board.evacuations().changes()
     }
 
+    /// Returns the state of all roll-outs that are known.
+    #[must_use]
+    pub fn rollouts(&self, now: Time) -> Vec<RolloutStatus> {
+        self.board.rollouts().status(now)
+    }
+
     /// Returns who may send to cold upstreams by the view in force.
     #[must_use]
     pub fn senders(&self) -> Senders {
@@ -248,8 +254,11 @@
     /// Tells whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let members = self.board.members();
-        members.is_active() && members.stopping.is_none()
+        let (is_active, stopping) = {
+            let members = self.board.members();
+            (members.is_active(), members.stopping.is_some())
+        };
+        is_active && !stopping && self.board.rollouts().is_synced()
     }
 
     /// Returns the state of the process, for operators.
@@ -335,7 +344,7 @@
                 out.push(Order::DivideEngines(members.needs.blend(now)));
             }
             Event::Lags(lags) => self.board.members().lags = lags,
-            Event::RolloutTallies(_) => {}
+            Event::RolloutTallies(tallies) => self.count_rollouts(now, tallies, out),
             Event::Stop => self.stop(now, out),
         }
     }
@@ -348,6 +357,7 @@
         };
         self.board.holdings().set_clock(clock);
         self.beat(now, out);
+        self.rollout_tick(now, out);
         self.read_platform(now, out);
         self.claim_tick(now, out);
         self.rights_tick(now, out);
@@ -387,6 +397,9 @@
             Message::Upstreams(list) => out.push(Order::LearnUpstreams(list)),
             Message::Evacuations(news) => self.evacuation_news(now, from, news, out),
             Message::CompareEvacuations(theirs) => self.evacuations_compared(from, &theirs, out),
+            Message::Rollouts(news) => self.rollout_news(now, news, out),
+            Message::CompareRollouts(theirs) => self.rollouts_compared(now, from, &theirs, out),
+            Message::RolloutReport(tally) => self.board.rollouts().hear(from, tally),
             Message::Draw(ops) => self.draw(now, ops, out),
             Message::Drawn(replies) => self.drawn(now, from, replies, out),
             Message::Ask(ask) => self.board.holdings().asked(now, from, &ask, out),
--- /dev/null
+++ b/crates/badgerfield-core/src/rollout/desk.rs
@@ -0,0 +1,202 @@
+//! The steps of a roll-out's record, as one judge takes them.
+//!
+//! Each step is one compare-and-swap on what the judge knows to stand there. Of two that are
+//! under way at once, one meets another value and takes that in; one that is carried out long
+//! after it was given up finds its value gone. So a judge that was paused, or knows little,
+//! can waste a call, and break nothing.
+
+use std::time::Duration;
+
+use super::belief::refused_after;
+use super::plan;
+use super::{Judge, Known, Phase, Reason, RolloutOrder, RolloutRecord, RolloutState, Stage};
+use crate::amount::Time;
+use crate::event::due;
+use crate::ids::Incarnation;
+use crate::seal::FleetClock;
+
+/// How much longer each further judge waits before it takes a step that is due: more than a
+/// call to the platform and the news of it take.
+const TURN: Duration = Duration::from_millis(1500);
+/// The least time between two calls about one record by one judge.
+const CALL: Duration = Duration::from_millis(500);
+
+/// What a judge knows beside the record and the tallies.
+#[derive(Debug, Clone, Copy)]
+pub struct Situation<'a> {
+    /// The present time.
+    pub now: Time,
+    /// What is known of the order.
+    pub known: &'a Known,
+    /// When the order was heard of here.
+    pub heard: Time,
+    /// The fleet's time.
+    pub clock: FleetClock,
+    /// How long a request of the service may run.
+    pub longest: Duration,
+    /// All members of the view, those that leave among them.
+    pub members: &'a [Incarnation],
+    /// The place of this process among the judges.
+    pub rank: u32,
+}
+
+/// A call that a judge makes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Call {
+    /// Read the record.
+    Read,
+    /// Write it where this revision stands.
+    Write(u64, RolloutRecord),
+}
+
+/// The record of one service as a judge knows it, and the evidence on the newest order.
+#[derive(Debug, Clone, Default)]
+pub struct Desk {
+    /// The evidence.
+    pub judge: Judge,
+    /// The record with its revision; nothing until it was read.
+    stored: Option<(u64, Option<RolloutRecord>)>,
+    is_calling: bool,
+    called_at: Option<Time>,
+    wanted: Option<(RolloutRecord, Time)>,
+}
+
+impl Desk {
+    /// Begins to judge a newer order.
+    pub fn renew(&mut self) {
+        self.judge = Judge::default();
+        self.wanted = None;
+    }
+
+    /// Notes what stands in the record; returns how far the newest order has come by it.
+    pub fn found(
+        &mut self,
+        revision: u64,
+        record: Option<RolloutRecord>,
+        known: &Known,
+    ) -> Option<Stage> {
+        self.is_calling = false;
+        // A stale read names an older revision.
+        if self.stored.as_ref().is_none_or(|(known, _)| revision >= *known) {
+            self.stored = Some((revision, record));
+        }
+        self.stage(known)
+    }
+
+    /// Notes that a call did not say what stands in the record; it is looked up next.
+    pub fn lost(&mut self) {
+        self.is_calling = false;
+        self.stored = None;
+    }
+
+    /// Notes that this process is no judge any more: others write what it knows.
+    pub fn leave(&mut self) {
+        self.stored = None;
+        self.wanted = None;
+    }
+
+    /// Returns how far the newest order has come by the record.
+    fn stage(&self, known: &Known) -> Option<Stage> {
+        let (_, record) = self.stored.as_ref()?;
+        if known.change.order.is_some() {
+            let record = record.as_ref()?;
+            return (record.order == known.change.revision).then(|| Stage::of(record));
+        }
+        // A withdrawn order is over once the record of the one before it is.
+        let record = record.as_ref().filter(|record| record.order < known.change.revision);
+        if record.is_some_and(|record| !record.state.is_end()) {
+            return None;
+        }
+        let refused = record.map(|record| refused_after(record, None)).unwrap_or_default();
+        Some(Stage { phase: Phase::RolledBack, reason: Reason::Withdrawn, refused })
+    }
+
+    /// Returns the call that is due, if one is.
+    pub fn step(&mut self, at: &Situation<'_>) -> Option<Call> {
+        if self.is_calling || !due(at.now, self.called_at, CALL) {
+            return None;
+        }
+        let Some((revision, record)) = &self.stored else {
+            self.is_calling = true;
+            self.called_at = Some(at.now);
+            return Some(Call::Read);
+        };
+        let Some(next) = self.next(at, record.as_ref()) else {
+            self.wanted = None;
+            return None;
+        };
+        let revision = *revision;
+        let is_same = |wanted: &RolloutRecord| {
+            (wanted.order, wanted.state, wanted.moving) == (next.order, next.state, next.moving)
+        };
+        let since = match &self.wanted {
+            Some((wanted, since)) if is_same(wanted) => *since,
+            _ => at.now,
+        };
+        self.wanted = Some((next.clone(), since));
+        if at.now.since(since) < TURN.saturating_mul(at.rank) {
+            return None;
+        }
+        self.is_calling = true;
+        self.called_at = Some(at.now);
+        Some(Call::Write(revision, next))
+    }
+
+    /// Returns the record that should stand there, if it is another.
+    fn next(&self, at: &Situation<'_>, record: Option<&RolloutRecord>) -> Option<RolloutRecord> {
+        let newest = at.known.change.revision;
+        let Some(order) = &at.known.change.order else {
+            let open = record.filter(|record| record.order < newest && !record.state.is_end())?;
+            return Some(end(open, RolloutState::RolledBack, Reason::Withdrawn));
+        };
+        let Some(record) = record.filter(|record| record.order >= newest) else {
+            return Some(begin(at, order, record));
+        };
+        if record.order > newest || record.state.is_end() {
+            return None;
+        }
+        let stage = at.known.stage.as_ref().filter(|stage| stage.phase == Phase::Condemned);
+        if let Some(stage) = stage {
+            return Some(end(record, RolloutState::RolledBack, stage.reason));
+        }
+        if !record.moving {
+            if elapsed(at, record) < plan::moves_after(order.span, at.longest) {
+                return None;
+            }
+            return Some(match self.judge.last_verdict() {
+                Some(reason) => end(record, RolloutState::RolledBack, reason),
+                None => RolloutRecord { moving: true, reason: Reason::Good, ..record.clone() },
+            });
+        }
+        let all_moved = at.members.iter().all(|id| self.judge.has_confirmed(*id));
+        all_moved.then(|| end(record, RolloutState::Completed, Reason::Moved))
+    }
+}
+
+/// Returns the first record of an order; `last` is that of an earlier one.
+fn begin(at: &Situation<'_>, order: &RolloutOrder, last: Option<&RolloutRecord>) -> RolloutRecord {
+    let refused = last.map(|last| refused_after(last, Some(&order.target))).unwrap_or_default();
+    RolloutRecord {
+        state: RolloutState::InProgress,
+        target: order.target.clone(),
+        order: at.known.change.revision,
+        moving: false,
+        began: at.clock.at(at.heard).map(|time| time.0),
+        reason: Reason::Ordered,
+        refused,
+    }
+}
+
+fn end(record: &RolloutRecord, state: RolloutState, reason: Reason) -> RolloutRecord {
+    RolloutRecord { state, reason, ..record.clone() }
+}
+
+/// Returns how long ago the order was made, by this process and by whoever wrote the record.
+fn elapsed(at: &Situation<'_>, record: &RolloutRecord) -> Duration {
+    let here = at.now.since(at.heard);
+    let told = record
+        .began
+        .zip(at.clock.at(at.now))
+        .map(|(began, now)| Duration::from_millis(now.0.saturating_sub(began)));
+    told.map_or(here, |told| told.max(here))
+}
--- /dev/null
+++ b/crates/badgerfield-core/src/rollout/judge.rs
@@ -0,0 +1,124 @@
+//! What a judge keeps of one order: the newest tally of every process, and evidence of the past.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use super::verdict;
+use super::{Evidence, Reason, RolloutTally};
+use crate::amount::Time;
+use crate::event::due;
+use crate::ids::Incarnation;
+
+/// How many processes' tallies are kept, those of ended ones among them: more than the largest
+/// fleet that is meant, each started anew several times.
+const MAX_REPORTERS: usize = 2048;
+/// How often the evidence is set aside to tell a version that turned bad later.
+const SET_ASIDE: Duration = Duration::from_secs(5);
+/// How much of the past is told apart: half a minute.
+const MAX_WINDOWS: usize = 6;
+/// How much evidence of others makes it odd that the target has none.
+const SOME_OTHERS: u32 = 200;
+
+/// What a judge knows of one order.
+#[derive(Debug, Clone, Default)]
+pub struct Judge {
+    tallies: BTreeMap<Incarnation, RolloutTally>,
+    past: VecDeque<Evidence>,
+    set_aside_at: Option<Time>,
+    sum: Evidence,
+}
+
+impl Judge {
+    /// Takes in what a process told. Counts of a process only grow, so that the larger one of
+    /// two is the newer one.
+    pub fn hear(&mut self, from: Incarnation, tally: RolloutTally) {
+        let is_older = self
+            .tallies
+            .get(&from)
+            .is_some_and(|known| known.size() > tally.size() || known.moved && !tally.moved);
+        if is_older || self.tallies.len() >= MAX_REPORTERS && !self.tallies.contains_key(&from) {
+            return;
+        }
+        self.tallies.insert(from, tally);
+        self.sum = Evidence::default();
+        for tally in self.tallies.values() {
+            self.sum.add(tally);
+        }
+    }
+
+    /// Sets evidence aside now and then, while all requests still try the target.
+    pub fn tick(&mut self, now: Time) {
+        if !due(now, self.set_aside_at, SET_ASIDE) {
+            return;
+        }
+        self.set_aside_at = Some(now);
+        self.past.push_back(self.sum.clone());
+        if self.past.len() > MAX_WINDOWS {
+            self.past.pop_front();
+        }
+    }
+
+    /// Tells why the target is bad, if the evidence says so.
+    #[must_use]
+    pub fn verdict(&self) -> Option<Reason> {
+        verdict::judge(&self.windows())
+    }
+
+    /// Tells why not all requests should move to the target, at the last look before.
+    #[must_use]
+    pub fn last_verdict(&self) -> Option<Reason> {
+        if self.ready() == 0 {
+            return Some(Reason::NoUpstreams);
+        }
+        if self.sum.target().answers == 0 && self.sum.others().answers >= SOME_OTHERS {
+            return Some(Reason::NoEvidence);
+        }
+        verdict::judge_last(&self.windows())
+    }
+
+    /// Returns how many upstreams of the target take requests, as the process tells that knows
+    /// most of them.
+    #[must_use]
+    pub fn ready(&self) -> u32 {
+        self.tallies.values().map(|tally| tally.ready).max().unwrap_or_default()
+    }
+
+    /// Tells whether a process said that nothing of it runs at other versions, and that it
+    /// sends nothing there.
+    #[must_use]
+    pub fn has_confirmed(&self, id: Incarnation) -> bool {
+        self.tallies.get(&id).is_some_and(RolloutTally::is_confirmed)
+    }
+
+    /// Returns all that is known.
+    #[must_use]
+    pub fn evidence(&self) -> &Evidence {
+        &self.sum
+    }
+
+    fn windows(&self) -> Vec<Evidence> {
+        let past = self.past.iter().map(|past| self.sum.since(past));
+        std::iter::once(self.sum.clone()).chain(past).collect()
+    }
+}
+
+impl RolloutTally {
+    /// Returns a number that grows with all that is counted.
+    #[must_use]
+    pub fn size(&self) -> u64 {
+        let of = |counts: super::Counts| u64::from(counts.answers) + u64::from(counts.bad());
+        self.routes.iter().map(|route| of(route.target) + of(route.others)).sum()
+    }
+
+    /// Returns how many bad answers of the target it counts.
+    #[must_use]
+    pub fn bad(&self) -> u32 {
+        self.routes.iter().fold(0, |sum, route| sum.saturating_add(route.target.bad()))
+    }
+
+    /// Tells whether nothing of the process runs at other versions, and nothing is sent there.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.moved && self.running == 0
+    }
+}
--- a/crates/badgerfield-core/src/rollout/mod.rs
+++ b/crates/badgerfield-core/src/rollout/mod.rs
@@ -4,8 +4,13 @@
 //! of them is compared with the version that is there; then all requests move over, or back.
 
 mod belief;
+mod desk;
 mod evidence;
+mod judge;
+mod note;
+pub mod plan;
 mod record;
+mod table;
 pub mod verdict;
 
 use std::fmt;
@@ -17,8 +22,13 @@
 use crate::ids::{Service, SoftwareVersion};
 
 pub use belief::{Beliefs, Known, Phase, Stage};
+pub use desk::{Call, Desk, Situation};
 pub use evidence::Evidence;
+pub use judge::Judge;
+pub use note::RolloutNote;
 pub use record::{RecordError, RolloutRecord, RolloutState};
+pub use table::RolloutStatus;
+pub(crate) use table::Rollouts;
 
 /// What an operator last ordered for a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/badgerfield-core/src/rollout/verdict.rs
+++ b/crates/badgerfield-core/src/rollout/verdict.rs
@@ -138,7 +138,7 @@
         }
     }
     let all = mean_exp(&together);
-    let best = single.iter().map(|ratios| mean_exp(ratios)).fold(f64::NEG_INFINITY, f64::max);
+    let best = single.iter().map(mean_exp).fold(f64::NEG_INFINITY, f64::max);
     // Each half of the weight; the half for one route is divided among the routes.
     (all - 2.0_f64.ln()).max(best - (2.0 * f64::from(count.max(1))).ln())
 }
--- a/crates/badgerfield-core/tests/rollout_verdict.rs
+++ b/crates/badgerfield-core/tests/rollout_verdict.rs
@@ -139,8 +139,8 @@
 
 /// Returns how many of some trials were rolled back, and the 99th of 100 in bad answers and
 /// the middle one in answers.
-fn trials(version: &Version, verdict: Verdict, seeds: u64) -> (usize, u32, u32) {
-    let all: Vec<_> = (0..seeds).map(|seed| trial(version, verdict, seed)).collect();
+fn trials(version: &Version, verdict: Verdict, seeds: usize) -> (usize, u32, u32) {
+    let all: Vec<_> = (0..).take(seeds).map(|seed| trial(version, verdict, seed)).collect();
     let mut bad: Vec<_> = all.iter().map(|t| t.bad).collect();
     let mut answers: Vec<_> = all.iter().map(|t| t.answers).collect();
     bad.sort_unstable();
@@ -150,7 +150,7 @@
 }
 
 /// Reads a number from the environment, for longer runs than CI's.
-fn seeds() -> u64 {
+fn seeds() -> usize {
     std::env::var("BADGERFIELD_CASES").ok().and_then(|t| t.parse().ok()).unwrap_or(40)
 }
 
@@ -158,7 +158,7 @@
 fn a_good_version_is_rarely_rolled_back() {
     for version in &GOODS {
         let (back, ..) = trials(version, ours, seeds());
-        let most = usize::try_from(seeds()).unwrap() / 50;
+        let most = seeds() / 50;
         assert!(back <= most, "{}: {back} of {} rolled back", version.name, seeds());
     }
 }
@@ -167,7 +167,7 @@
 fn a_bad_version_is_found_before_its_fiftieth_bad_answer() {
     for version in &BADS {
         let (back, bad, _) = trials(version, ours, seeds());
-        let least = usize::try_from(seeds()).unwrap() * 98 / 100;
+        let least = seeds() * 98 / 100;
         assert!(back >= least, "{}: only {back} of {} rolled back", version.name, seeds());
         // Where the others fail too, only those beyond that count.
         if version.outage == GOOD.outage && version.base == GOOD.base && version.from == 0 {
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -501,6 +501,7 @@
             Note::LenderSilent { budget, lender } => {
                 log::warn!(target: NODE, "lender silent budget={budget} lender={lender}");
             }
+            Note::Rollout(note) => log::info!(target: NODE, "{note}"),
             Note::Renewed(budget) => log::info!(target: NODE, "budget {budget} renewed"),
         }
     }
--- a/crates/badgerfield-standin/src/fleet/truth.rs
+++ b/crates/badgerfield-standin/src/fleet/truth.rs
@@ -148,6 +148,9 @@
             "upstreams"
         }
         Message::Evacuations(_) | Message::CompareEvacuations(_) => "evacuations",
+        Message::Rollouts(_) | Message::CompareRollouts(_) | Message::RolloutReport(_) => {
+            "rollouts"
+        }
         Message::Ask(_) | Message::Nothing { .. } => "ask",
         Message::Transfer(_) | Message::Transferred { .. } => "transfer",
         Message::Park(_) | Message::Parked(_) => "park",
