--- a/crates/badgerfield-standin/src/fleet/evacuations.rs
+++ b/crates/badgerfield-standin/src/fleet/evacuations.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    fn watches(&self, vm: usize) -> bool {
+    pub(super) fn watches(&self, vm: usize) -> bool {
         let region = self.region_of(vm);
         let Some(node) = self.node(vm).filter(|_| !self.platform.cut.contains(&region)) else {
             return false;
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod evacuations;
 mod platform;
 mod processes;
+mod rollouts;
 mod shape;
 mod steps;
 mod truth;
@@ -28,6 +29,7 @@
 use rand_chacha::ChaCha8Rng;
 
 pub use platform::Platform;
+pub use rollouts::{Badness, RolloutTruth, Traffic, service, version};
 pub use shape::{Shape, Wish, account, engines, member, region_name, secret};
 use shape::{account_template, arrival_of, budget_template};
 pub use truth::{Truth, key_of};
@@ -85,6 +87,7 @@
     version: Version,
     /// The failure domains that its process believes to be evacuated.
     evacuated: BTreeSet<Domain>,
+    gateway: rollouts::Gateway,
 }
 
 /// Something that happens at a later time.
@@ -112,6 +115,8 @@
     pub asked: BTreeMap<RequestId, Asked>,
     /// The templates that operators last wrote.
     pub templates: TemplateSet,
+    /// Roll-outs, and what versions got.
+    pub rollouts: RolloutTruth,
     /// Faults in how a step was carried out, which tests look at.
     pub faults: Vec<String>,
     shape: Shape,
@@ -140,6 +145,7 @@
             platform: Platform::default(),
             truth: Truth::default(),
             asked: BTreeMap::new(),
+            rollouts: RolloutTruth::new(shape.seed),
             templates: TemplateSet::default(),
             faults: Vec::new(),
             vms: Vec::new(),
@@ -355,6 +361,7 @@
                     backlog: Vec::new(),
                     version: Version(0),
                     evacuated: BTreeSet::new(),
+                    gateway: rollouts::Gateway::default(),
                 });
                 index += 1;
             }
--- a/crates/badgerfield-standin/src/fleet/platform.rs
+++ b/crates/badgerfield-standin/src/fleet/platform.rs
@@ -86,7 +86,18 @@
         DomainChange { domain: domain.clone(), revision, evacuated }
     }
 
-    /// Returns all that operators wrote.
+    /// Counts a change that is kept elsewhere.
+    pub(super) fn change(&mut self) -> u64 {
+        self.revision += 1;
+        self.revision
+    }
+
+    /// Returns a value as it stands.
+    pub(super) fn value(&self, name: &KvName) -> Option<Bytes> {
+        self.values.get(name)?.value.clone()
+    }
+
+    /// Returns all that operators wrote but orders of roll-outs.
     fn operators(&self, templates: Option<Bytes>) -> OperatorValues {
         let evacuated = self.evacuated.iter().map(|(domain, revision)| DomainChange {
             domain: domain.clone(),
@@ -144,10 +155,17 @@
 impl Fleet {
     pub(super) fn apply_call(&mut self, from: Incarnation, ticket: Ticket, call: &KvCall) {
         let region = self.owners.get(&from).map_or(0, |index| self.region_of(*index));
+        if self.is_late(from, ticket, call) {
+            let event = Event::KeyValue(ticket, KvResult::Unknown);
+            self.at(self.now.after(TIMEOUT), Turn::Event(from, event));
+            return;
+        }
         let (result, delay) = if self.platform.down || self.platform.cut.contains(&region) {
             (KvResult::Unknown, TIMEOUT)
         } else {
-            match self.platform.call(call) {
+            let (result, is_lost) = self.platform.call(call);
+            self.record_written();
+            match (self.with_orders(result), is_lost) {
                 (_, true) => (KvResult::Unknown, TIMEOUT),
                 (result, false) => (result, self.platform.delay()),
             }
@@ -155,4 +173,13 @@
         let event = Event::KeyValue(ticket, result);
         self.at(self.now.after(delay), Turn::Event(from, event));
     }
+
+    fn with_orders(&self, result: KvResult) -> KvResult {
+        let KvResult::Operators(mut found) = result else {
+            return result;
+        };
+        let orders = self.rollouts.orders.values().filter(|change| change.order.is_some());
+        found.rollouts = orders.cloned().collect();
+        KvResult::Operators(found)
+    }
 }
--- a/crates/badgerfield-standin/src/fleet/processes.rs
+++ b/crates/badgerfield-standin/src/fleet/processes.rs
@@ -23,6 +23,7 @@
         vm.backlog.clear();
         vm.version = Version(0);
         vm.evacuated.clear();
+        vm.gateway = super::rollouts::Gateway::default();
         vm.node = Some(Node::new(Config {
             member: vm.member.clone(),
             shards: self.shape.shards,
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -40,6 +40,7 @@
                 let wall = self.wall_clock(index);
                 self.take(index, Event::Clock(wall));
                 self.take(index, Event::Tick);
+                self.gateway_tick(index);
                 self.at(self.now.after(TICK), Turn::Tick(to));
             }
             Turn::Step(stream) => self.step(stream),
@@ -99,10 +100,10 @@
             | Order::ConfirmUpstreams(_)
             | Order::DivideEngines(_)
             | Order::LearnLags(_)
-            | Order::RolloutRules(_)
             | Order::TellUpstreams(_)
             | Order::Note(_)
             | Order::Reserved(..) => {}
+            Order::RolloutRules(rules) => self.put_rules(index, rules),
             Order::Evacuated(_, changes) => self.note_evacuated(index, &changes),
             Order::Bill(bill) => self.truth.bill(&bill),
             Order::Exit => self.end_process(index),
--- /dev/null
+++ b/crates/badgerfield-standin/tests/rollouts.rs
@@ -0,0 +1,315 @@
+//! Roll-outs of good and bad versions in fleets, in calm and under faults.
+//!
+//! The fleet itself notes as faults: more requests to a bad version than the platform allows,
+//! requests to it long after its fiftieth bad answer, requests cut by an order that completed,
+//! and a record that steps back.
+
+use std::time::Duration;
+
+use badgerfield_core::rollout::{Phase, RolloutOrder, RolloutState};
+use badgerfield_standin::fleet::{Badness, Fleet, Shape, Traffic, version};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SPAN: Duration = Duration::from_secs(40);
+
+fn order(target: &str) -> Option<RolloutOrder> {
+    Some(RolloutOrder { target: version(target), span: SPAN })
+}
+
+/// Makes a fleet in three regions with some hundred requests a second in all.
+fn fleet(vms: usize, seed: u64, bad: Option<Badness>) -> Fleet {
+    let shape = Shape {
+        regions: vec![vms / 3; 3],
+        limits: vec![1000],
+        engines: 1,
+        seals: true,
+        seed,
+        ..Shape::default()
+    };
+    let mut fleet = Fleet::started(shape);
+    let rate = u32::try_from(600_usize.div_ceil(vms)).unwrap_or(1);
+    let bad = bad.into_iter().map(|bad| (version("v2"), bad)).collect();
+    fleet.rollouts.traffic = Traffic { rate, base: 4, bad, faulty: None };
+    fleet
+}
+
+fn ended(fleet: &Fleet) -> Option<RolloutState> {
+    fleet.rollouts.ended.map(|(_, state)| state)
+}
+
+/// Lets time pass until the order has ended, or so long.
+fn run(fleet: &mut Fleet, most: Duration) {
+    let until = fleet.now.after(most);
+    while fleet.now < until && fleet.rollouts.ended.is_none() {
+        fleet.advance(Duration::from_millis(100));
+    }
+    fleet.advance(Duration::from_millis(1500));
+}
+
+fn fail(worse: u32) -> Badness {
+    Badness { worse, ..Badness::default() }
+}
+
+#[test]
+fn a_good_version_completes_in_time_and_no_request_is_cut() {
+    for (vms, seed) in [(6, 1), (6, 2), (72, 3)] {
+        let mut fleet = fleet(vms, seed, None);
+        assert!(fleet.roll_out(order("v2")));
+        run(&mut fleet, SPAN);
+        assert_eq!(fleet.faults, Vec::<String>::new());
+        assert_eq!(ended(&fleet), Some(RolloutState::Completed), "{vms} VMs");
+    }
+}
+
+#[test]
+fn bad_versions_of_each_kind_are_rolled_back_within_the_exposure() {
+    let late = Duration::from_secs(15);
+    let kinds = [
+        fail(5),
+        fail(10),
+        fail(100),
+        Badness { slow: true, ..fail(20) },
+        Badness { route: Some(1), ..fail(20) },
+        Badness { after: late, ..fail(30) },
+    ];
+    for (vms, kinds) in [(6, &kinds[..]), (72, &kinds[1..3])] {
+        for bad in kinds {
+            let mut fleet = fleet(vms, 7, Some(bad.clone()));
+            assert!(fleet.roll_out(order("v2")));
+            run(&mut fleet, SPAN);
+            assert_eq!(fleet.faults, Vec::<String>::new(), "{bad:?}");
+            assert_eq!(ended(&fleet), Some(RolloutState::RolledBack), "{vms} VMs, {bad:?}");
+            let (sent, bad_answers, all) = fleet.got("v2");
+            println!("{vms} VMs {bad:?}: {sent} of {all} requests, {bad_answers} bad answers");
+        }
+    }
+}
+
+#[test]
+fn three_hundred_vms_roll_a_bad_version_back_and_complete_a_good_one() {
+    for (bad, state) in
+        [(Some(fail(30)), RolloutState::RolledBack), (None, RolloutState::Completed)]
+    {
+        let mut fleet = fleet(300, 11, bad);
+        assert!(fleet.roll_out(order("v2")));
+        run(&mut fleet, SPAN);
+        assert_eq!(fleet.faults, Vec::<String>::new());
+        assert_eq!(ended(&fleet), Some(state), "{:?}", fleet.record());
+    }
+}
+
+#[test]
+fn a_verdict_holds_while_the_store_is_away() {
+    let mut fleet = fleet(6, 5, Some(fail(30)));
+    assert!(fleet.roll_out(order("v2")));
+    fleet.advance(Duration::from_millis(500));
+    fleet.platform.down = true;
+    fleet.advance(Duration::from_secs(8));
+    assert_eq!(ended(&fleet), None);
+    let before = fleet.got("v2").0;
+    fleet.advance(Duration::from_secs(5));
+    assert_eq!(fleet.got("v2").0, before, "requests still go to a version found bad");
+    fleet.platform.down = false;
+    run(&mut fleet, Duration::from_secs(10));
+    assert_eq!(ended(&fleet), Some(RolloutState::RolledBack));
+    assert_eq!(fleet.faults, Vec::<String>::new());
+}
+
+#[test]
+fn a_withdrawn_order_is_rolled_back_and_a_newer_one_takes_over() {
+    let mut fleet = fleet(6, 9, Some(fail(10)));
+    assert!(fleet.roll_out(order("v2")));
+    fleet.advance(Duration::from_millis(300));
+    assert!(fleet.roll_out(order("v3")));
+    run(&mut fleet, SPAN);
+    assert_eq!(ended(&fleet), Some(RolloutState::Completed));
+    assert_eq!(fleet.got("v2").0, 0, "requests went to the target of an order that was replaced");
+    assert!(fleet.roll_out(order("v4")));
+    fleet.advance(Duration::from_secs(5));
+    assert!(fleet.roll_out(None));
+    fleet.advance(Duration::from_secs(3));
+    let record = fleet.record().expect("it was written");
+    assert_eq!((record.state, &record.target), (RolloutState::RolledBack, &version("v4")));
+    let before = fleet.got("v4").0;
+    fleet.advance(Duration::from_secs(5));
+    assert_eq!(fleet.got("v4").0, before, "requests go to the target of a withdrawn order");
+    assert_eq!(fleet.faults, Vec::<String>::new());
+}
+
+#[test]
+fn a_frozen_member_holds_the_end_up_until_the_view_goes_without_it() {
+    let mut fleet = fleet(6, 13, None);
+    assert!(fleet.roll_out(order("v2")));
+    fleet.advance(Duration::from_secs(30));
+    fleet.freeze(4);
+    fleet.advance(Duration::from_secs(12));
+    assert_eq!(ended(&fleet), None, "completed while a member may send to the old version");
+    run(&mut fleet, Duration::from_secs(60));
+    fleet.thaw(4);
+    fleet.advance(Duration::from_secs(3));
+    assert_eq!(ended(&fleet), Some(RolloutState::Completed));
+    assert_eq!(fleet.faults, Vec::<String>::new());
+}
+
+#[test]
+fn no_message_or_call_is_spent_while_nothing_is_rolled_out() {
+    let mut fleet = fleet(72, 3, None);
+    fleet.advance(Duration::from_secs(20));
+    assert_eq!(fleet.messages().get("rollouts"), None);
+    assert!(fleet.roll_out(order("v2")));
+    run(&mut fleet, SPAN);
+    fleet.advance(Duration::from_secs(5));
+    let spent = fleet.messages().get("rollouts").copied();
+    assert!(spent.is_some_and(|(count, _)| count > 0));
+    fleet.advance(Duration::from_secs(20));
+    assert_eq!(fleet.messages().get("rollouts").copied(), spent);
+}
+
+/// What befalls a fleet in a random history; `bad` says what the target is like.
+struct History {
+    fleet: Fleet,
+    rng: ChaCha8Rng,
+    bad: bool,
+    phases: Vec<Option<(u64, Option<Phase>)>>,
+    /// Whether anything went wrong that may cost the deadline.
+    faults: usize,
+}
+
+impl History {
+    fn new(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let bad = rng.random_range(0..2) == 0;
+        let kind = Badness {
+            worse: [5, 10, 30, 100][rng.random_range(0..4)],
+            slow: rng.random_range(0..3) == 0,
+            route: (rng.random_range(0..4) == 0).then_some(0),
+            after: Duration::from_secs([0, 0, 5, 15][rng.random_range(0..4)]),
+        };
+        let fleet = fleet(6, seed, bad.then_some(kind));
+        Self { fleet, rng, bad, phases: vec![None; 6], faults: 0 }
+    }
+
+    fn play(&mut self, most_faults: usize) {
+        assert!(self.fleet.roll_out(order("v2")));
+        let until = self.fleet.now.after(SPAN);
+        while self.fleet.now < until && self.fleet.rollouts.ended.is_none() {
+            let pass = self.rng.random_range(200..3000);
+            self.pass(Duration::from_millis(pass));
+            if self.faults < most_faults && self.rng.random_range(0..4) == 0 {
+                self.fault();
+                self.faults += 1;
+            }
+        }
+        self.pass(Duration::from_millis(500));
+    }
+
+    fn pass(&mut self, span: Duration) {
+        let until = self.fleet.now.after(span);
+        while self.fleet.now < until {
+            self.fleet.advance(Duration::from_millis(100));
+            self.check_beliefs();
+        }
+    }
+
+    /// Checks that no process takes a step back from what it believed.
+    fn check_beliefs(&mut self) {
+        for vm in 0..6 {
+            let Some(node) = self.fleet.node(vm) else {
+                self.phases[vm] = None;
+                continue;
+            };
+            let known = node.rollouts(self.fleet.now);
+            let found = known.first().map(|s| (s.known.change.revision, s.known.phase()));
+            assert!(found >= self.phases[vm], "VM {vm}: {:?} after {:?}", found, self.phases[vm]);
+            self.phases[vm] = found;
+        }
+    }
+
+    fn fault(&mut self) {
+        let vm = self.rng.random_range(0..6);
+        let lasts = Duration::from_millis(self.rng.random_range(300..6000));
+        let fleet = &mut self.fleet;
+        match self.rng.random_range(0..9) {
+            0 => fleet.kill(vm),
+            1 => fleet.freeze(vm),
+            2 => fleet.cut(vm % 3, true),
+            3 => fleet.cut(vm % 3, false),
+            4 => fleet.platform.down = true,
+            5 => fleet.platform.slow = Duration::from_millis(400),
+            6 => fleet.platform.lose_replies = 2,
+            7 => fleet.rollouts.late_writes = 2,
+            _ => {
+                for vm in 0..6 {
+                    fleet.kill(vm);
+                }
+                self.phases = vec![None; 6];
+            }
+        }
+        self.pass(lasts);
+        self.mend();
+    }
+
+    fn mend(&mut self) {
+        let fleet = &mut self.fleet;
+        fleet.heal();
+        fleet.platform.down = false;
+        fleet.platform.slow = Duration::ZERO;
+        for vm in 0..6 {
+            fleet.thaw(vm);
+            if !fleet.runs(vm) {
+                fleet.start(vm);
+                self.phases[vm] = None;
+            }
+        }
+    }
+
+    /// Tells whether the order ended as it should, in time.
+    fn is_kept(&self) -> bool {
+        let due = if self.bad { RolloutState::RolledBack } else { RolloutState::Completed };
+        ended(&self.fleet) == Some(due)
+    }
+}
+
+/// Reads a number from the environment, for longer runs than CI's.
+fn number(name: &str, other: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(other)
+}
+
+/// Plays histories; returns how many ended as they should, in time.
+fn play(most_faults: usize) -> (u64, u64) {
+    let (first, cases) = (number("BADGERFIELD_SEED", 1), number("BADGERFIELD_CASES", 60));
+    let mut kept = 0;
+    let mut broken = Vec::new();
+    for seed in first..first + cases {
+        let mut history = History::new(seed);
+        history.play(most_faults);
+        let is_kept = history.is_kept();
+        kept += u64::from(is_kept);
+        if !is_kept {
+            println!("seed {seed}: bad {}, {:?}", history.bad, history.fleet.record());
+        }
+        // Whatever was missed, the order ends.
+        run(&mut history.fleet, Duration::from_mins(2));
+        if ended(&history.fleet).is_none() {
+            broken.push(format!("seed {seed}: {:?}", history.fleet.record()));
+        }
+        broken.extend(history.fleet.faults.iter().map(|fault| format!("seed {seed}: {fault}")));
+    }
+    println!("{kept} of {cases} duties kept with up to {most_faults} faults");
+    broken.dedup();
+    assert_eq!(broken, Vec::<String>::new());
+    (kept, cases)
+}
+
+#[test]
+fn every_duty_is_kept_in_calm() {
+    let (kept, cases) = play(0);
+    assert!(kept * 100 >= cases * 99, "{kept} of {cases}");
+}
+
+#[test]
+fn random_faults_break_no_promise() {
+    let (kept, cases) = play(2);
+    assert!(kept * 10 >= cases * 8, "{kept} of {cases}");
+}
