--- a/crates/badgerfield-core/src/rollout/verdict.rs
+++ b/crates/badgerfield-core/src/rollout/verdict.rs
@@ -22,6 +22,10 @@
 const SURELY_ONE: f64 = 100.0;
 /// With which odds its siblings are bad too.
 const SIBLINGS: f64 = 500.0;
+/// How many answers must be bad before a version is taken for bad, and at the last look: a few
+/// at once may come of a single mishap, which hits many requests.
+const LEAST_BAD: u32 = 8;
+const LEAST_LAST: u32 = 3;
 /// By how much the part of bad answers of a bad version is greater, of what is not bad anyway.
 const EFFECTS: [f64; 4] = [0.03, 0.1, 0.3, 0.8];
 /// Part of the weight that a ratio gets for its place among failures and slowness.
@@ -75,7 +79,7 @@
 pub fn judge(windows: &[Evidence]) -> Option<Reason> {
     let looks = u32::try_from(windows.len()).unwrap_or(u32::MAX);
     let bound = -(FALSE_ALARM.ln()) + f64::from(looks.max(1)).ln();
-    windows.iter().find_map(|window| beyond(window, bound).or_else(|| many_bad(window)))
+    windows.iter().find_map(|window| beyond(window, bound, LEAST_BAD).or_else(|| many_bad(window)))
 }
 
 /// Tells why the target is rather bad than good, at the last look.
@@ -83,13 +87,14 @@
 pub fn judge_last(windows: &[Evidence]) -> Option<Reason> {
     let looks = u32::try_from(windows.len()).unwrap_or(u32::MAX);
     let bound = -(LAST_ALARM.ln()) + f64::from(looks.max(1)).ln();
-    judge(windows).or_else(|| windows.iter().find_map(|window| beyond(window, bound)))
+    judge(windows).or_else(|| windows.iter().find_map(|window| beyond(window, bound, LEAST_LAST)))
 }
 
 /// Tells why the target is bad if the ratio is beyond a bound, and no single upstream explains it.
-fn beyond(evidence: &Evidence, bound: f64) -> Option<Reason> {
+fn beyond(evidence: &Evidence, bound: f64, least: u32) -> Option<Reason> {
     for kind in [Kind::Failures, Kind::Slowness] {
-        if ratio(evidence, kind) - KINDS.ln() < bound {
+        let few = kind.of(evidence.target()).bad < least;
+        if few || ratio(evidence, kind) - KINDS.ln() < bound {
             continue;
         }
         if !is_one_upstream(evidence, kind, LIKELY_ONE) {
