--- a/crates/badgerfield-node/src/operators.rs
+++ b/crates/badgerfield-node/src/operators.rs
@@ -5,7 +5,7 @@
 
 use badgerfield_core::Status;
 use badgerfield_core::replicas::Given;
-use badgerfield_core::rollout::RolloutRule;
+use badgerfield_core::rollout::{RolloutRule, RolloutStatus};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -117,6 +117,7 @@
         "ledger_conflicts": status.conflicts.0,
         "evacuated": evacuated,
         "rollouts": rollouts_json(driver),
+        "orders": orders_json(driver),
         "budgets": budgets,
     })
 }
@@ -143,3 +144,17 @@
     };
     rules.iter().map(line).collect()
 }
+
+/// Returns the orders that this process knows, and how far they have come as it believes.
+fn orders_json(driver: &Driver) -> Vec<Value> {
+    let line = |status: RolloutStatus| {
+        let RolloutStatus { known, age, evidence } = status;
+        let (target, others) = (evidence.target(), evidence.others());
+        json!({
+            "known": known,
+            "age_ms": age.as_millis(),
+            "heard_as_judge": { "target": target, "others": others },
+        })
+    };
+    driver.node.rollouts(driver.now()).into_iter().map(line).collect()
+}
