Judge by evidence of a quarter of the time at least

Now half of the processes must have counted for a quarter of the time; if they cannot have by the middle of the lead, the order is rolled back.

--- a/crates/badgerfield-core/src/control/rollouts.rs
+++ b/crates/badgerfield-core/src/control/rollouts.rs
@@ -309,12 +309,12 @@
     fn report_rollouts(&self, now: Time, bench: &Bench, out: &mut Outbox) {
         let members = u32::try_from(bench.view.members.len()).unwrap_or(u32::MAX);
         let mut table = self.board.rollouts();
-        for (judges, tally) in table.reports(now, members, |service| bench.judges(service)) {
+        for (judges, report) in table.reports(now, members, |service| bench.judges(service)) {
             for judge in judges {
                 if judge == bench.me {
-                    table.hear(judge, tally.clone());
+                    table.hear(judge, report.clone());
                 } else {
-                    out.send(judge, Message::RolloutReport(tally.clone()));
+                    out.send(judge, Message::RolloutReport(report.clone()));
                 }
             }
         }
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -73,7 +73,7 @@
     /// All that the sender knows of roll-outs; asks for what the receiver knows beyond.
     CompareRollouts(Vec<Known>),
     /// How the requests of the sender went at a service of which the receiver is a judge.
-    RolloutReport(RolloutTally),
+    RolloutReport(RolloutReport),
     /// Asks for changes in the ledger.
     Draw(Vec<LedgerOp>),
     /// What became of changes in the ledger.
@@ -237,6 +237,15 @@
     pub reach: u32,
 }
 
+/// How the requests of a process went at a service that is rolled out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutReport {
+    /// Its counts.
+    pub tally: RolloutTally,
+    /// For how long it has known the order, and counted.
+    pub age: Duration,
+}
+
 /// The regular sign of life.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -399,7 +399,7 @@
             Message::CompareEvacuations(theirs) => self.evacuations_compared(from, &theirs, out),
             Message::Rollouts(news) => self.rollout_news(now, news, out),
             Message::CompareRollouts(theirs) => self.rollouts_compared(now, from, &theirs, out),
-            Message::RolloutReport(tally) => self.board.rollouts().hear(from, tally),
+            Message::RolloutReport(report) => self.board.rollouts().hear(from, report),
             Message::Draw(ops) => self.draw(now, ops, out),
             Message::Drawn(replies) => self.drawn(now, from, replies, out),
             Message::Ask(ask) => self.board.holdings().asked(now, from, &ask, out),
--- a/crates/badgerfield-core/src/rollout/desk.rs
+++ b/crates/badgerfield-core/src/rollout/desk.rs
@@ -175,10 +175,13 @@
             return Some(end(record, RolloutState::RolledBack, stage.reason));
         }
         if !record.moving {
-            if elapsed(at, record) < plan::moves_after(order.span, at.longest) {
+            let due = plan::moves_after(order.span, at.longest);
+            let is_young = self.judge.is_young(order.span);
+            let due = if is_young { plan::latest(order.span, due) } else { due };
+            if elapsed(at, record) < due {
                 return None;
             }
-            return Some(match self.judge.last_verdict() {
+            return Some(match self.judge.last_verdict(order.span) {
                 Some(reason) => end(record, RolloutState::RolledBack, reason),
                 None => RolloutRecord { moving: true, reason: Reason::Good, ..record.clone() },
             });
--- a/crates/badgerfield-core/src/rollout/judge.rs
+++ b/crates/badgerfield-core/src/rollout/judge.rs
@@ -18,20 +18,25 @@
 const MAX_WINDOWS: usize = 6;
 /// How much evidence of others makes it odd that the target has none.
 const SOME_OTHERS: u32 = 200;
+/// Which part of the time of an order half of the processes must have counted for, before all
+/// requests move: one in so many. After all of them ended, what they knew is gone.
+const COUNTED_PART: u32 = 4;
 
 /// What a judge knows of one order.
 #[derive(Debug, Clone, Default)]
 pub struct Judge {
     tallies: BTreeMap<Incarnation, RolloutTally>,
+    /// For how long each process has counted.
+    ages: BTreeMap<Incarnation, Duration>,
     past: VecDeque<Evidence>,
     set_aside_at: Option<Time>,
     sum: Evidence,
 }
 
 impl Judge {
-    /// Takes in what a process told. Counts of a process only grow, so that the larger one of
+    /// Takes in what a process told that has counted for so long. Counts of a process only grow, so that the larger one of
     /// two is the newer one.
-    pub fn hear(&mut self, from: Incarnation, tally: RolloutTally) {
+    pub fn hear(&mut self, from: Incarnation, tally: RolloutTally, age: Duration) {
         let is_older = self
             .tallies
             .get(&from)
@@ -40,6 +45,7 @@
             return;
         }
         self.tallies.insert(from, tally);
+        self.ages.insert(from, age);
         self.sum = Evidence::default();
         for tally in self.tallies.values() {
             self.sum.add(tally);
@@ -64,13 +70,23 @@
         verdict::judge(&self.windows())
     }
 
-    /// Tells why not all requests should move to the target, at the last look before.
+    /// Tells whether half of the processes have counted for too small a part of an order's time.
     #[must_use]
-    pub fn last_verdict(&self) -> Option<Reason> {
+    pub fn is_young(&self, span: Duration) -> bool {
+        let mut ages: Vec<_> = self.ages.values().copied().collect();
+        ages.sort_unstable();
+        ages.get(ages.len() / 2).is_none_or(|middle| *middle < span / COUNTED_PART)
+    }
+
+    /// Tells why not all requests should move to the target of an order, at the last look
+    /// before.
+    #[must_use]
+    pub fn last_verdict(&self, span: Duration) -> Option<Reason> {
         if self.ready() == 0 {
             return Some(Reason::NoUpstreams);
         }
-        if self.sum.target().answers == 0 && self.sum.others().answers >= SOME_OTHERS {
+        let is_unknown = self.sum.target().answers == 0 || self.is_young(span);
+        if is_unknown && self.sum.others().answers >= SOME_OTHERS {
             return Some(Reason::NoEvidence);
         }
         verdict::judge_last(&self.windows())
--- a/crates/badgerfield-core/src/rollout/plan.rs
+++ b/crates/badgerfield-core/src/rollout/plan.rs
@@ -36,3 +36,10 @@
     let lead = longest.saturating_add(TELL).saturating_add(LATE);
     span.saturating_sub(lead.min(span / 2))
 }
+
+/// Returns how long after an order its end is settled at the latest, where the time for moving
+/// came too early for evidence.
+#[must_use]
+pub fn latest(span: Duration, moves_after: Duration) -> Duration {
+    moves_after + span.saturating_sub(moves_after) / 2
+}
--- a/crates/badgerfield-core/src/rollout/table.rs
+++ b/crates/badgerfield-core/src/rollout/table.rs
@@ -9,6 +9,7 @@
 };
 use crate::amount::Time;
 use crate::ids::{Incarnation, Service, SoftwareVersion};
+use crate::message::RolloutReport;
 
 /// How soon bad answers of the target are told again: a judge has to hear of fifty before the
 /// platform's bound, some seconds, is over.
@@ -187,7 +188,7 @@
         now: Time,
         members: u32,
         judges: impl Fn(&Service) -> Vec<Incarnation>,
-    ) -> Vec<(Vec<Incarnation>, RolloutTally)> {
+    ) -> Vec<(Vec<Incarnation>, RolloutReport)> {
         let pace = PACE.max(Duration::from_secs(1) * members / JUDGE_RATE);
         let mut reports = Vec::new();
         for (service, own) in &mut self.own {
@@ -199,20 +200,22 @@
             if !own.is_due(now, tally, &judges, pace) {
                 continue;
             }
-            reports.push((judges.clone(), tally.clone()));
+            let age = now.since(own.heard);
+            reports.push((judges.clone(), RolloutReport { tally: tally.clone(), age }));
             own.told = Some((now, judges, tally.clone()));
         }
         reports
     }
 
     /// Takes in what a process tells this one as a judge.
-    pub(crate) fn hear(&mut self, from: Incarnation, tally: RolloutTally) {
+    pub(crate) fn hear(&mut self, from: Incarnation, report: RolloutReport) {
+        let RolloutReport { tally, age } = report;
         let revision = self.beliefs.get(&tally.service).map(|known| known.change.revision);
         if revision != Some(tally.revision) {
             return;
         }
         if let Some(own) = self.own.get_mut(&tally.service) {
-            own.desk.judge.hear(from, tally);
+            own.desk.judge.hear(from, tally, age);
         }
     }
 
--- a/crates/badgerfield-standin/tests/rollouts.rs
+++ b/crates/badgerfield-standin/tests/rollouts.rs
@@ -93,8 +93,9 @@
         [(Some(fail(30)), RolloutState::RolledBack), (None, RolloutState::Completed)]
     {
         let mut fleet = fleet(300, 11, bad);
-        assert!(fleet.roll_out(Some(order("v2"))));
-        run(&mut fleet, SPAN);
+        let span = Duration::from_secs(14);
+        assert!(fleet.roll_out(Some(RolloutOrder { span, ..order("v2") })));
+        run(&mut fleet, span);
         assert_eq!(fleet.faults, Vec::<String>::new());
         assert_eq!(ended(&fleet), Some(state), "{:?}", fleet.record());
     }
