--- a/crates/badgerfield-core/src/rollout/desk.rs
+++ b/crates/badgerfield-core/src/rollout/desk.rs
@@ -18,7 +18,7 @@
 /// How much longer each further judge waits before it takes a step that is due: more than a
 /// call to the platform and the news of it take.
 const TURN: Duration = Duration::from_millis(1500);
-/// The least time between two calls about one record by one judge.
+/// The least time between two calls by one judge of which the first told nothing of the record.
 const CALL: Duration = Duration::from_millis(500);
 
 /// What a judge knows beside the record and the tallies.
@@ -83,6 +83,8 @@
         known: &Known,
     ) -> Option<Stage> {
         self.is_calling = false;
+        // Only calls that told nothing are spaced.
+        self.called_at = None;
         // A stale read names an older revision.
         if self.stored.as_ref().is_none_or(|(known, _)| revision >= *known) {
             self.stored = Some((revision, record));
--- a/crates/badgerfield-standin/tests/rollouts.rs
+++ b/crates/badgerfield-standin/tests/rollouts.rs
@@ -110,6 +110,7 @@
     fleet.advance(Duration::from_secs(8));
     assert_eq!(ended(&fleet), None);
     let before = fleet.got("v2").0;
+    assert!(before > 0, "the version was not tried, so that nothing could be found");
     fleet.advance(Duration::from_secs(5));
     assert_eq!(fleet.got("v2").0, before, "requests still go to a version found bad");
     fleet.platform.down = false;
