--- a/crates/badgerfield-standin/tests/rollouts.rs
+++ b/crates/badgerfield-standin/tests/rollouts.rs
@@ -93,8 +93,9 @@
         [(Some(fail(30)), RolloutState::RolledBack), (None, RolloutState::Completed)]
     {
         let mut fleet = fleet(300, 11, bad);
-        assert!(fleet.roll_out(Some(order("v2"))));
-        run(&mut fleet, SPAN);
+        let span = Duration::from_secs(14);
+        assert!(fleet.roll_out(Some(RolloutOrder { span, ..order("v2") })));
+        run(&mut fleet, span);
         assert_eq!(fleet.faults, Vec::<String>::new());
         assert_eq!(ended(&fleet), Some(state), "{:?}", fleet.record());
     }
@@ -109,6 +110,7 @@
     fleet.advance(Duration::from_secs(8));
     assert_eq!(ended(&fleet), None);
     let before = fleet.got("v2").0;
+    assert!(before > 0, "the version was not tried, so that nothing could be found");
     fleet.advance(Duration::from_secs(5));
     assert_eq!(fleet.got("v2").0, before, "requests still go to a version found bad");
     fleet.platform.down = false;
