Tell of bad answers of the target at once, of others at the usual pace

Each failure of the old version in an outage would have been a message: the rest is told each 0.4 s by the tick, also where the watch of the list takes longer.

--- a/crates/badgerfield-core/src/replicas/trial.rs
+++ b/crates/badgerfield-core/src/replicas/trial.rs
@@ -7,7 +7,7 @@
 use crate::amount::Time;
 use crate::ids::{Service, UpstreamId};
 use crate::mix::{Mix, READ_MS_PRIOR, float};
-use crate::rollout::tally::{Pace, Seen};
+use crate::rollout::tally::{Pace, Seen, Tally};
 use crate::rollout::{Allowance, RolloutRule, RolloutTally};
 
 impl Replicas {
@@ -41,29 +41,39 @@
     /// Notes that the first part of an answer (of a plain one, the whole) has come, so long
     /// after the request was sent to an upstream that was expected to read so many tokens first.
     ///
-    /// Returns how it came; nothing where nobody asks.
+    /// Returns how it came, and whether it is a bad answer of the target; nothing where nobody
+    /// asks.
     pub fn answered(
         &mut self,
         id: &UpstreamId,
         route: &str,
         wait: Duration,
         unread: u64,
-    ) -> Option<Pace> {
+    ) -> Option<(Pace, bool)> {
         let reading = self.reading(id, unread);
-        self.tally(id, route, |tally, seen| tally.answered(seen, wait, reading))
+        self.tally(id, route, |tally, seen| {
+            let pace = tally.answered(seen, wait, reading);
+            (pace, pace == Pace::Slow && seen.is_target)
+        })
     }
 
     /// Notes that an answer did not come or broke off; `came` is how its first part came, if it
-    /// did. Returns whether that counts.
+    /// did. Returns whether it is a bad answer of the target.
     pub fn failed(&mut self, id: &UpstreamId, route: &str, came: Option<Pace>) -> bool {
-        self.tally(id, route, |tally, seen| tally.failed(seen, came)).is_some()
+        let is_target = self.tally(id, route, |tally, seen| {
+            tally.failed(seen, came);
+            seen.is_target
+        });
+        is_target.unwrap_or(false)
     }
 
     /// Notes that a request was given up, so long after it was sent and before anything came
-    /// of it; it counts if it had come late anyway. Returns whether it does.
+    /// of it; it counts if it had come late anyway. Returns whether it is a bad answer of the
+    /// target.
     pub fn given_up(&mut self, id: &UpstreamId, route: &str, wait: Duration, unread: u64) -> bool {
         let reading = self.reading(id, unread);
-        let late = self.tally(id, route, |tally, seen| tally.given_up(seen, wait, reading));
+        let late = self
+            .tally(id, route, |tally, seen| tally.given_up(seen, wait, reading) && seen.is_target);
         late.unwrap_or(false)
     }
 
@@ -122,7 +132,7 @@
         &mut self,
         id: &UpstreamId,
         route: &str,
-        note: impl FnOnce(&mut crate::rollout::tally::Tally, &Seen<'_>) -> T,
+        note: impl FnOnce(&mut Tally, &Seen<'_>) -> T,
     ) -> Option<T> {
         let replica = self.table.get(id)?;
         let (rule, tally) = self.tallies.of(&replica.info.service)?;
--- a/crates/badgerfield-core/tests/tally.rs
+++ b/crates/badgerfield-core/tests/tally.rs
@@ -177,9 +177,8 @@
     assert_eq!(told.sums().0, counts(500, 0, 0));
 }
 
-#[test]
-fn what_is_under_way_elsewhere_is_told_with_the_rule_that_lets_nothing_more_go_there() {
-    let upstream = |name: &str, n: u32| ReplicaEntry {
+fn upstream(name: &str, n: u32) -> ReplicaEntry {
+    ReplicaEntry {
         revision: 1,
         info: ReplicaInfo {
             id: format!("{name}-{n}").parse().expect("the name is valid"),
@@ -191,11 +190,39 @@
             leaving: false,
         },
         warm_in: Duration::ZERO,
-    };
-    let now = Time::from_millis(100);
+    }
+}
+
+/// Returns a table with two old upstreams and a new one.
+fn table(now: Time) -> Replicas {
     let mut table = Replicas::default();
     let replicas = vec![upstream("v1", 1), upstream("v1", 2), upstream("v2", 1)];
     table.learn(now, ReplicaList { revision: 1, replicas });
+    table
+}
+
+#[test]
+fn only_bad_answers_of_the_target_are_told_at_once() {
+    // An outage of the old version must not make each of its failures a message.
+    let [old, new] = ["v1-1", "v2-1"].map(|id| id.parse::<UpstreamId>().expect("a name"));
+    let mut table = table(Time::default());
+    assert!(!table.failed(&new, "r", None), "nobody asks yet");
+    table.set_rollouts(vec![rule(7, "v2", share())]);
+    assert!(!table.failed(&old, "r", None));
+    assert!(table.failed(&new, "r", None));
+    for _ in 0..20 {
+        assert_eq!(table.answered(&old, "r", millis(40), 0), Some((Pace::Usual, false)));
+    }
+    assert_eq!(table.answered(&old, "r", millis(900), 0), Some((Pace::Slow, false)));
+    assert_eq!(table.answered(&new, "r", millis(900), 0), Some((Pace::Slow, true)));
+    assert!(!table.given_up(&old, "r", millis(900), 0));
+    assert!(table.given_up(&new, "r", millis(900), 0));
+}
+
+#[test]
+fn what_is_under_way_elsewhere_is_told_with_the_rule_that_lets_nothing_more_go_there() {
+    let now = Time::from_millis(100);
+    let mut table = table(now);
     let old: UpstreamId = "v1-1".parse().expect("the name is valid");
     table.begin(now, &old, &[]);
     table.set_rollouts(vec![rule(7, "v2", share())]);
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -32,6 +32,7 @@
 use crate::logs::{BILLS, NODE, PLATFORM};
 use crate::metrics::{GatewayCounts, Metrics};
 use crate::peers::{PeerError, Peers};
+use crate::rollouts::TELL_EVERY;
 use crate::settings::Settings;
 use crate::store_calls::{self, CallKind};
 use crate::sync::lock;
@@ -509,6 +510,7 @@
     async fn tick(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(TICK);
         let mut logged = Instant::now();
+        let mut told = Instant::now();
         let mut count: u32 = 0;
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -521,6 +523,10 @@
                 logged = Instant::now();
                 self.metrics.calls.log();
             }
+            if told.elapsed() >= TELL_EVERY {
+                told = Instant::now();
+                self.tell_rollouts();
+            }
             self.feed(Event::Tick);
         }
     }
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -197,6 +197,5 @@
     };
     driver.feed(Event::EngineNeeds(needs));
     driver.feed(Event::Lags(lags));
-    driver.tell_rollouts();
     driver.feed(Event::Serving(directory::is_ready(gateway)));
 }
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -152,13 +152,14 @@
         self.note(health);
     }
 
-    /// Tells what is known of the answer now; of a bad one the process speaks at once.
+    /// Tells what is known of the answer now; of a bad one of the target the process speaks at
+    /// once.
     fn tell_trial(&mut self, note: fn(&mut Trial, &Gateway) -> bool) {
         let Some(trial) = &mut self.trial else {
             return;
         };
         if note(trial, &self.gateway) {
-            self.driver.tell_rollouts();
+            self.driver.tell_bad_answer();
         }
     }
 
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{UpstreamId, Version};
@@ -35,6 +36,8 @@
     stopping: AtomicBool,
     /// Whether any service is rolled out.
     rolls_out: AtomicBool,
+    /// When a bad answer of a version that is rolled out was told of last.
+    told_at: Mutex<Option<Time>>,
     /// How often lags of upstreams were noted for others.
     turn: AtomicUsize,
 }
@@ -50,6 +53,7 @@
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             rolls_out: AtomicBool::new(false),
+            told_at: Mutex::default(),
             turn: AtomicUsize::new(0),
         }
     }
@@ -98,6 +102,17 @@
         self.rolls_out.load(Ordering::Relaxed)
     }
 
+    /// Tells whether a bad answer may be told of at once, so long after the last one, and takes
+    /// it that it is.
+    pub(crate) fn may_tell(&self, now: Time, pause: Duration) -> bool {
+        let mut told_at = lock(&self.told_at);
+        let is_due = told_at.is_none_or(|at| now.since(at) >= pause);
+        if is_due {
+            *told_at = Some(now);
+        }
+        is_due
+    }
+
     /// Divides requests between versions by these rules, and by no others; returns those that
     /// are new or differ.
     pub(crate) fn set_rollouts(&self, rules: Vec<RolloutRule>) -> Vec<RolloutRule> {
--- a/crates/badgerfield-node/src/gateway/trial.rs
+++ b/crates/badgerfield-node/src/gateway/trial.rs
@@ -36,18 +36,21 @@
         }
     }
 
-    /// Notes that the first part of the answer has come; tells whether it was late.
+    /// Notes that the first part of the answer has come; tells whether it is a bad answer
+    /// of the version that is rolled out.
     pub(crate) fn note_answer(&mut self, gateway: &Gateway) -> bool {
         if self.came.is_some() || self.failed {
             return false;
         }
         let wait = self.sent.elapsed();
         let mut replicas = gateway.replicas();
-        self.came = replicas.answered(&self.upstream, &self.route.name, wait, self.unread);
-        self.came == Some(Pace::Slow)
+        let noted = replicas.answered(&self.upstream, &self.route.name, wait, self.unread);
+        self.came = noted.map(|(pace, _)| pace);
+        noted.is_some_and(|(_, is_bad)| is_bad)
     }
 
-    /// Notes that the answer does not come, or broke off; tells whether that counts.
+    /// Notes that the answer does not come, or broke off; tells whether it is a bad
+    /// answer of the version that is rolled out.
     pub(crate) fn note_failed(&mut self, gateway: &Gateway) -> bool {
         if self.failed {
             return false;
@@ -56,7 +59,8 @@
         gateway.replicas().failed(&self.upstream, &self.route.name, self.came)
     }
 
-    /// Notes that the request is at its end, whatever came of it; tells whether it was late.
+    /// Notes that the request is at its end, whatever came of it; tells whether it is a bad answer
+    /// of the version that is rolled out.
     pub(crate) fn note_end(&mut self, gateway: &Gateway) -> bool {
         if self.came.is_some() || self.failed {
             return false;
--- a/crates/badgerfield-node/src/rollouts.rs
+++ b/crates/badgerfield-node/src/rollouts.rs
@@ -1,6 +1,7 @@
 //! Carries out roll-outs: divides requests between versions, and tells how they go.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use badgerfield_core::Event;
 use badgerfield_core::rollout::{Allowance, RolloutRule};
@@ -8,6 +9,13 @@
 use crate::driver::Driver;
 use crate::logs::PLATFORM;
 
+/// How often that is told in any case: as often as what else a process tells of its requests.
+pub(crate) const TELL_EVERY: Duration = Duration::from_millis(400);
+/// The least time between two times that a bad answer makes a process tell at once: what comes
+/// in between waits for the next turn. It is short against the seconds in which a bad version
+/// has to be left alone.
+const LEAST_PAUSE: Duration = Duration::from_millis(100);
+
 impl Driver {
     /// Divides requests between versions by these rules, and says in the log what has changed.
     pub(crate) fn divide_versions(&self, rules: Vec<RolloutRule>) {
@@ -29,6 +37,13 @@
         gateway.sweep(self.now());
     }
 
+    /// Tells how requests went after a bad answer, unless that was told just now.
+    pub(crate) fn tell_bad_answer(self: &Arc<Self>) {
+        if self.gateway().is_some_and(|gateway| gateway.may_tell(self.now(), LEAST_PAUSE)) {
+            self.tell_rollouts();
+        }
+    }
+
     /// Tells how requests went at services that are rolled out.
     pub(crate) fn tell_rollouts(self: &Arc<Self>) {
         let Some(gateway) = self.gateway().filter(|gateway| gateway.rolls_out()) else {
