--- a/crates/badgerfield-core/src/replicas/canary.rs
+++ b/crates/badgerfield-core/src/replicas/canary.rs
@@ -132,10 +132,22 @@
         }
     }
 
-    /// Notes that a request goes to an upstream of a version.
-    pub(super) fn charge(&mut self, wanted: &Wanted<'_>, version: Option<&SoftwareVersion>) {
+    /// Returns the version that is rolled out at a service.
+    pub(super) fn target(&self, service: &Service) -> Option<&SoftwareVersion> {
+        let first = self.services.get(service)?.rules.first()?;
+        Some(&first.rule.target)
+    }
+
+    /// Notes that a request goes to an upstream of a version; `is_open` tells whether the
+    /// target could have taken it.
+    pub(super) fn charge(
+        &mut self,
+        wanted: &Wanted<'_>,
+        version: Option<&SoftwareVersion>,
+        is_open: bool,
+    ) {
         if let Some(split) = self.services.get_mut(wanted.service) {
-            split.charge(wanted, version);
+            split.charge(wanted, version, is_open);
         }
     }
 
@@ -296,7 +308,7 @@
         begun.unwrap_or_else(|| fraction(wanted.draw))
     }
 
-    fn charge(&mut self, wanted: &Wanted<'_>, version: Option<&SoftwareVersion>) {
+    fn charge(&mut self, wanted: &Wanted<'_>, version: Option<&SoftwareVersion>, is_open: bool) {
         let Some(first) = self.rules.first() else {
             return;
         };
@@ -306,8 +318,11 @@
         let Some((target, share)) = self.shared_with() else {
             return;
         };
-        let taken = if version == Some(target) { 1.0 } else { 0.0 };
-        let credit = (self.credit(wanted) + share - taken).min(MAX_CREDIT);
+        let is_given = version == Some(target);
+        // What the target could not take is not made up for: all processes would at once.
+        let more = if is_open || is_given { share } else { 0.0 };
+        let taken = if is_given { 1.0 } else { 0.0 };
+        let credit = (self.credit(wanted) + more - taken).min(MAX_CREDIT);
         match self.credits.get_mut(wanted.route) {
             Some(known) => *known = credit,
             None => {
@@ -328,7 +343,7 @@
         };
         let taken = if version == Some(target) { 1.0 } else { 0.0 };
         if let Some(credit) = self.credits.get_mut(route) {
-            *credit = (*credit - share + taken).min(MAX_CREDIT);
+            *credit = (*credit - share + taken).clamp(-1.0, MAX_CREDIT);
         }
     }
 }
--- a/crates/badgerfield-core/src/replicas/trial.rs
+++ b/crates/badgerfield-core/src/replicas/trial.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::canary::{Given, Listed, Pass};
+use super::replica::Replica;
 use super::{Replicas, Wanted};
 use crate::amount::Time;
 use crate::ids::{Service, UpstreamId};
@@ -24,9 +25,22 @@
     }
 
     /// Counts a request that goes to an upstream among those of the versions of its service.
-    pub fn charge(&mut self, wanted: &Wanted<'_>, id: &UpstreamId) {
+    pub fn charge(&mut self, now: Time, wanted: &Wanted<'_>, id: &UpstreamId) {
         let version = self.table.get(id).and_then(|replica| replica.info.version.as_ref());
-        self.canary.charge(wanted, version);
+        let Some(target) = self.canary.target(wanted.service) else {
+            return;
+        };
+        let share = self.starts.share(wanted.service);
+        let spares = self.starts.of(wanted.service).is_some();
+        let may_take = |r: &Replica| {
+            r.info.version.as_ref() == Some(target)
+                && r.info.service == *wanted.service
+                && r.is_usable(now)
+                && r.rests_until <= now
+                && (!spares || r.bears_more(now, share))
+        };
+        let is_open = self.table.values().any(may_take);
+        self.canary.charge(wanted, version, is_open);
     }
 
     /// Takes back that a request went to an upstream: nothing of it got there.
--- a/crates/badgerfield-core/tests/canary.rs
+++ b/crates/badgerfield-core/tests/canary.rs
@@ -60,7 +60,7 @@
 fn send(table: &mut Replicas, now: Time, wanted: &Wanted<'_>) -> Option<UpstreamId> {
     let id = table.choose(now, wanted)?.id;
     table.begin(now, &id, wanted.parts);
-    table.charge(wanted, &id);
+    table.charge(now, wanted, &id);
     table.end(now, &id, Health::Good);
     Some(id)
 }
@@ -350,7 +350,7 @@
         let wanted = ask.wanted(draw);
         let id = table.choose(LATER, &wanted).expect("an upstream").id;
         table.begin(LATER, &id, &[]);
-        table.charge(&wanted, &id);
+        table.charge(LATER, &wanted, &id);
         table.end(LATER, &id, Health::Unknown);
         table.refund(&id, "r");
     }
@@ -359,6 +359,26 @@
     assert!(counts(&mut table, LATER, 9).1 <= 1);
 }
 
+#[test]
+fn what_the_target_could_not_take_is_not_made_up_for_at_once() {
+    // A fleet whose new upstreams turn warm at one moment would send them a burst: red with
+    // credits that grow meanwhile (3 of 5).
+    let mut table = table(10, 0);
+    let listed = |revision, leaving| {
+        let mut entry = entry("v2", 1);
+        entry.revision = revision;
+        entry.info.leaving = leaving;
+        added(revision, vec![entry])
+    };
+    table.change(Time::default(), listed(2, true));
+    table.set_rollouts(vec![rule("v2", share(10))]);
+    assert_eq!(counts(&mut table, LATER, 1000), (1000, 0));
+    table.change(LATER, listed(3, false));
+    let c = counts(&mut table, LATER, 5).1;
+    assert!(c <= 1, "{c} of 5");
+    assert!(counts(&mut table, LATER, 100).1 >= 9);
+}
+
 #[test]
 fn a_new_order_does_not_get_what_the_last_one_left_over() {
     let mut table = table(10, 10);
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -258,7 +258,7 @@
         let chosen = replicas.choose(now, &wanted)?;
         let list = replicas.age();
         replicas.begin(now, &chosen.id, &self.terms.parts);
-        replicas.charge(&wanted, &chosen.id);
+        replicas.charge(now, &wanted, &chosen.id);
         drop(replicas);
         record::chosen(&self.original.id, self.attempts + 1, &chosen, list, now);
         Some(chosen)
