--- a/crates/badgerfield-standin/tests/rollouts.rs
+++ b/crates/badgerfield-standin/tests/rollouts.rs
@@ -87,6 +87,16 @@
     }
 }
 
+#[test]
+fn one_faulty_upstream_is_no_bad_version() {
+    let mut fleet = fleet(6, 17, None);
+    fleet.rollouts.traffic.faulty = Some(2);
+    assert!(fleet.roll_out(Some(order("v2"))));
+    run(&mut fleet, SPAN);
+    assert_eq!(ended(&fleet), Some(RolloutState::Completed), "{:?}", fleet.record());
+    assert_eq!(fleet.faults, Vec::<String>::new());
+}
+
 #[test]
 fn three_hundred_vms_roll_a_bad_version_back_and_complete_a_good_one() {
     for (bad, state) in
