--- a/crates/badgerfield-standin/tests/rollouts.rs
+++ b/crates/badgerfield-standin/tests/rollouts.rs
@@ -108,6 +108,11 @@
         run(&mut fleet, span);
         assert_eq!(fleet.faults, Vec::<String>::new());
         assert_eq!(ended(&fleet), Some(state), "{:?}", fleet.record());
+        println!(
+            "300 VMs, {state:?}: {:?}, got {:?}",
+            fleet.messages().get("rollouts"),
+            fleet.got("v2")
+        );
     }
 }
 
@@ -204,6 +209,7 @@
     run(&mut fleet, SPAN);
     fleet.advance(Duration::from_secs(5));
     let spent = fleet.messages().get("rollouts").copied();
+    println!("72 VMs: {spent:?} messages and bytes for one roll-out of {SPAN:?}");
     assert!(spent.is_some_and(|(count, _)| count > 0));
     fleet.advance(Duration::from_secs(20));
     assert_eq!(fleet.messages().get("rollouts").copied(), spent);
