--- a/crates/badgerfield-core/src/rollout/judge.rs
+++ b/crates/badgerfield-core/src/rollout/judge.rs
@@ -20,7 +20,7 @@
 const SOME_OTHERS: u32 = 200;
 /// Which part of the time of an order half of the processes must have counted for, before all
 /// requests move: one in so many. After all of them ended, what they knew is gone.
-const COUNTED_PART: u32 = 4;
+const COUNTED_PART: u32 = 8;
 
 /// What a judge knows of one order.
 #[derive(Debug, Clone, Default)]
--- a/crates/badgerfield-standin/tests/rollouts.rs
+++ b/crates/badgerfield-standin/tests/rollouts.rs
@@ -215,10 +215,12 @@
     assert_eq!(fleet.messages().get("rollouts").copied(), spent);
 }
 
-/// What befalls a fleet in a random history; `bad` says what the target is like.
+/// What befalls a fleet in a random history.
 struct History {
     fleet: Fleet,
     rng: ChaCha8Rng,
+    is_v2_bad: bool,
+    /// Whether the target of the newest order is bad.
     bad: bool,
     withdrawn: bool,
     until: Time,
@@ -239,7 +241,16 @@
         };
         let fleet = fleet(6, seed, bad.then_some(kind));
         let until = fleet.now.after(SPAN);
-        Self { fleet, rng, bad, withdrawn: false, until, phases: vec![None; 6], faults: 0 }
+        Self {
+            fleet,
+            rng,
+            is_v2_bad: bad,
+            bad,
+            withdrawn: false,
+            until,
+            phases: vec![None; 6],
+            faults: 0,
+        }
     }
 
     fn play(&mut self, most_faults: usize) {
@@ -294,7 +305,7 @@
                 let target = ["v2", "v3"][vm % 2];
                 let next = (vm > 1).then(|| order(target));
                 if fleet.roll_out(next.clone()) {
-                    self.bad &= next.is_some() && target == "v2";
+                    self.bad = self.is_v2_bad && target == "v2";
                     self.withdrawn = next.is_none();
                     self.until = fleet.now.after(SPAN);
                 }
