--- a/crates/badgerfield-standin/tests/rollouts.rs
+++ b/crates/badgerfield-standin/tests/rollouts.rs
@@ -87,6 +87,16 @@
     }
 }
 
+#[test]
+fn one_faulty_upstream_is_no_bad_version() {
+    let mut fleet = fleet(6, 17, None);
+    fleet.rollouts.traffic.faulty = Some(2);
+    assert!(fleet.roll_out(Some(order("v2"))));
+    run(&mut fleet, SPAN);
+    assert_eq!(ended(&fleet), Some(RolloutState::Completed), "{:?}", fleet.record());
+    assert_eq!(fleet.faults, Vec::<String>::new());
+}
+
 #[test]
 fn three_hundred_vms_roll_a_bad_version_back_and_complete_a_good_one() {
     for (bad, state) in
@@ -98,6 +108,11 @@
         run(&mut fleet, span);
         assert_eq!(fleet.faults, Vec::<String>::new());
         assert_eq!(ended(&fleet), Some(state), "{:?}", fleet.record());
+        println!(
+            "300 VMs, {state:?}: {:?}, got {:?}",
+            fleet.messages().get("rollouts"),
+            fleet.got("v2")
+        );
     }
 }
 
@@ -194,15 +209,18 @@
     run(&mut fleet, SPAN);
     fleet.advance(Duration::from_secs(5));
     let spent = fleet.messages().get("rollouts").copied();
+    println!("72 VMs: {spent:?} messages and bytes for one roll-out of {SPAN:?}");
     assert!(spent.is_some_and(|(count, _)| count > 0));
     fleet.advance(Duration::from_secs(20));
     assert_eq!(fleet.messages().get("rollouts").copied(), spent);
 }
 
-/// What befalls a fleet in a random history; `bad` says what the target is like.
+/// What befalls a fleet in a random history.
 struct History {
     fleet: Fleet,
     rng: ChaCha8Rng,
+    is_v2_bad: bool,
+    /// Whether the target of the newest order is bad.
     bad: bool,
     withdrawn: bool,
     until: Time,
@@ -223,7 +241,16 @@
         };
         let fleet = fleet(6, seed, bad.then_some(kind));
         let until = fleet.now.after(SPAN);
-        Self { fleet, rng, bad, withdrawn: false, until, phases: vec![None; 6], faults: 0 }
+        Self {
+            fleet,
+            rng,
+            is_v2_bad: bad,
+            bad,
+            withdrawn: false,
+            until,
+            phases: vec![None; 6],
+            faults: 0,
+        }
     }
 
     fn play(&mut self, most_faults: usize) {
@@ -278,7 +305,7 @@
                 let target = ["v2", "v3"][vm % 2];
                 let next = (vm > 1).then(|| order(target));
                 if fleet.roll_out(next.clone()) {
-                    self.bad &= next.is_some() && target == "v2";
+                    self.bad = self.is_v2_bad && target == "v2";
                     self.withdrawn = next.is_none();
                     self.until = fleet.now.after(SPAN);
                 }
