--- a/crates/badgerfield-core/src/rollout/mod.rs
+++ b/crates/badgerfield-core/src/rollout/mod.rs
@@ -3,6 +3,18 @@
 //! An operator orders it. A bounded share of the requests tries the new version, and what comes
 //! of them is compared with the version that is there; then all requests move over, or back.
 
+mod belief;
+mod desk;
+mod evidence;
+mod judge;
+mod note;
+pub mod plan;
+mod record;
+mod table;
+pub mod tally;
+pub mod verdict;
+
+use std::fmt;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -10,6 +22,15 @@
 use crate::amount::Percent;
 use crate::ids::{Service, SoftwareVersion};
 
+pub use belief::{Beliefs, Known, Phase, Stage};
+pub use desk::{Call, Desk, Situation};
+pub use evidence::Evidence;
+pub use judge::Judge;
+pub use note::RolloutNote;
+pub use record::{RecordError, RolloutRecord, RolloutState};
+pub use table::RolloutStatus;
+pub(crate) use table::Rollouts;
+
 /// What an operator last ordered for a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderChange {
@@ -41,6 +62,46 @@
     All,
 }
 
+/// Why a roll-out takes a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// It was ordered.
+    Ordered,
+    /// The target does as well as the other versions, by what it answered.
+    Good,
+    /// The target fails more requests than the other versions.
+    Failures,
+    /// The target answers more requests late than the other versions.
+    Slowness,
+    /// The target gave so many bad answers that it is not waited for proof.
+    ManyBad,
+    /// No upstream of the target took requests in time.
+    NoUpstreams,
+    /// Requests came, and none of the target was answered in time.
+    NoEvidence,
+    /// The order was withdrawn.
+    Withdrawn,
+    /// All upstreams have the target's version already, or all members have moved to it.
+    Moved,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Ordered => "ordered",
+            Self::Good => "good",
+            Self::Failures => "failures",
+            Self::Slowness => "slowness",
+            Self::ManyBad => "many_bad",
+            Self::NoUpstreams => "no_upstreams",
+            Self::NoEvidence => "no_evidence",
+            Self::Withdrawn => "withdrawn",
+            Self::Moved => "moved",
+        })
+    }
+}
+
 /// How the requests of one service divide between versions, as a process believes it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutRule {
@@ -93,4 +154,26 @@
     pub ready: u32,
     /// How many requests of this process are under way at other versions.
     pub running: u32,
+    /// Whether [`Allowance::All`] was in force for this order when that was counted, so that
+    /// none is sent there any more. Both are read in one step: a count of none from before the
+    /// rule says nothing.
+    pub moved: bool,
+}
+
+/// What the platform allows a version that turns out to be bad.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RolloutBound {
+    /// The most of all requests that reach a service which its new version may get.
+    pub share: Percent,
+    /// How many requests it may get beside that.
+    pub allowance: u32,
+    /// How long after a version was found to be bad it may still be sent requests.
+    pub rollback: Duration,
+}
+
+impl Default for RolloutBound {
+    /// Takes what is usual for canaries, where the platform names nothing.
+    fn default() -> Self {
+        Self { share: Percent::FIVE, allowance: 20, rollback: Duration::from_secs(5) }
+    }
 }
--- a/crates/badgerfield-core/tests/lag.rs
+++ b/crates/badgerfield-core/tests/lag.rs
@@ -72,6 +72,7 @@
                         parts: &parts,
                         residency: &EVERYWHERE,
                         tried: &[],
+                        resumes: None,
                         connections: 5,
                         draw: draw.rotate_left(17),
                     };
--- a/crates/badgerfield-core/tests/replicas.rs
+++ b/crates/badgerfield-core/tests/replicas.rs
@@ -53,6 +53,7 @@
         parts,
         residency: &EVERYWHERE,
         tried: &[],
+        resumes: None,
         connections: 4,
         draw,
     };
@@ -161,6 +162,7 @@
         parts: &parts,
         residency: &EVERYWHERE,
         tried: &[],
+        resumes: None,
         connections: 100,
         draw: 0,
     };
@@ -278,6 +280,7 @@
                 parts: &parts,
                 residency: &EVERYWHERE,
                 tried: &[],
+                resumes: None,
                 connections: 100,
                 draw: id * 7919,
             };
--- a/crates/badgerfield-core/tests/warm_up.rs
+++ b/crates/badgerfield-core/tests/warm_up.rs
@@ -71,6 +71,7 @@
         parts: &[],
         residency: &EVERYWHERE,
         tried: &[],
+        resumes: None,
         connections: 100,
         draw,
     };
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -32,6 +32,7 @@
 use crate::logs::{BILLS, NODE, PLATFORM};
 use crate::metrics::{GatewayCounts, Metrics};
 use crate::peers::{PeerError, Peers};
+use crate::rollouts::TELL_EVERY;
 use crate::settings::Settings;
 use crate::store_calls::{self, CallKind};
 use crate::sync::lock;
@@ -325,7 +326,7 @@
                 }
             }
             Order::Evacuated(from, changes) => self.evacuate(from, &changes),
-            Order::RolloutRules(_) => {}
+            Order::RolloutRules(rules) => self.divide_versions(rules),
             Order::TellUpstreams(to) => self.tell_upstreams(to),
             Order::Bill(bill) => self.record(&bill),
             Order::Note(note) => self.note(&note),
@@ -502,6 +503,7 @@
             Note::LenderSilent { budget, lender } => {
                 log::warn!(target: NODE, "lender silent budget={budget} lender={lender}");
             }
+            Note::Rollout(note) => log::info!(target: NODE, "{note}"),
             Note::Renewed(budget) => log::info!(target: NODE, "budget {budget} renewed"),
         }
     }
@@ -509,6 +511,7 @@
     async fn tick(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(TICK);
         let mut logged = Instant::now();
+        let mut told = Instant::now();
         let mut count: u32 = 0;
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -521,6 +524,10 @@
                 logged = Instant::now();
                 self.metrics.calls.log();
             }
+            if told.elapsed() >= TELL_EVERY {
+                told = Instant::now();
+                self.tell_rollouts();
+            }
             self.feed(Event::Tick);
         }
     }
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -3,7 +3,6 @@
 
 use badgerfield_core::amount::Tokens;
 use badgerfield_core::event_stream::{EventScanner, MAX_EVENT};
-use badgerfield_core::replicas::Health;
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -144,7 +143,7 @@
         let Some(mut source) = self.source.take() else {
             return Some(self.break_off(why));
         };
-        source.hold.note(Health::Failed);
+        source.hold.note_failed();
         let from = source.hold.id.clone();
         // The earlier upstream stops its work when its connection closes.
         drop(source);
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -2,11 +2,13 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{UpstreamId, Version};
 use badgerfield_core::replicas::Replicas;
 use badgerfield_core::retry_budget::{RetryBound, RetryBudget};
+use badgerfield_core::rollout::RolloutRule;
 use badgerfield_core::routing::RouteTable;
 
 use crate::adapter::RouteAdapter;
@@ -32,6 +34,10 @@
     retries: Mutex<RetryBudget>,
     open: AtomicUsize,
     stopping: AtomicBool,
+    /// Whether any service is rolled out.
+    rolls_out: AtomicBool,
+    /// When a bad answer of a version that is rolled out was told of last.
+    told_at: Mutex<Option<Time>>,
     /// How often lags of upstreams were noted for others.
     turn: AtomicUsize,
 }
@@ -46,6 +52,8 @@
             retries: Mutex::new(RetryBudget::new(bound)),
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
+            rolls_out: AtomicBool::new(false),
+            told_at: Mutex::default(),
             turn: AtomicUsize::new(0),
         }
     }
@@ -89,6 +97,29 @@
         self.turn.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Tells whether any service is rolled out; else nothing is counted for that.
+    pub(crate) fn rolls_out(&self) -> bool {
+        self.rolls_out.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether a bad answer may be told of at once, so long after the last one, and takes
+    /// it that it is.
+    pub(crate) fn may_tell(&self, now: Time, pause: Duration) -> bool {
+        let mut told_at = lock(&self.told_at);
+        let is_due = told_at.is_none_or(|at| now.since(at) >= pause);
+        if is_due {
+            *told_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Divides requests between versions by these rules, and by no others; returns those that
+    /// are new or differ.
+    pub(crate) fn set_rollouts(&self, rules: Vec<RolloutRule>) -> Vec<RolloutRule> {
+        self.rolls_out.store(!rules.is_empty(), Ordering::Relaxed);
+        self.replicas().set_rollouts(rules)
+    }
+
     /// Tells whether the process is stopping.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/badgerfield-node/src/operators.rs
+++ b/crates/badgerfield-node/src/operators.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use badgerfield_core::Status;
+use badgerfield_core::replicas::Given;
+use badgerfield_core::rollout::{RolloutRule, RolloutStatus};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -14,6 +16,7 @@
 use crate::callers::listen;
 use crate::driver::{Driver, StartError};
 use crate::http::{self, Body};
+use crate::rollouts::allowance_word;
 
 /// Serves operators until the process ends.
 ///
@@ -50,7 +53,11 @@
         "/readyz" => ready(driver),
         "/metrics" => {
             if let Some(gateway) = driver.gateway() {
-                driver.metrics.note_spared(gateway.replicas().spared(driver.now()));
+                let replicas = gateway.replicas();
+                let now = driver.now();
+                driver.metrics.note_spared(replicas.spared(now));
+                let (rules, tallies) = (replicas.rollouts(), replicas.rollout_tallies(now));
+                driver.metrics.rollouts.note(&rules, &tallies);
             }
             Response::new(http::full(driver.metrics.render(&driver.node.status())))
         }
@@ -109,6 +116,45 @@
         "ledger_writes": status.conflicts.1,
         "ledger_conflicts": status.conflicts.0,
         "evacuated": evacuated,
+        "rollouts": rollouts_json(driver),
+        "orders": orders_json(driver),
         "budgets": budgets,
     })
 }
+
+/// Returns the rules of roll-outs that this process keeps to, and how its requests went.
+fn rollouts_json(driver: &Driver) -> Vec<Value> {
+    let Some(gateway) = driver.gateway() else {
+        return Vec::new();
+    };
+    let (rules, tallies) = {
+        let replicas = gateway.replicas();
+        (replicas.rollouts(), replicas.rollout_tallies(driver.now()))
+    };
+    let line = |(rule, given): &(RolloutRule, Given)| {
+        json!({
+            "service": rule.service,
+            "target": rule.target,
+            "order": rule.revision,
+            "allowance": allowance_word(rule.allowance),
+            "sent_to_target": given.target,
+            "sent": given.all,
+            "tally": tallies.iter().find(|tally| tally.service == rule.service),
+        })
+    };
+    rules.iter().map(line).collect()
+}
+
+/// Returns the orders that this process knows, and how far they have come as it believes.
+fn orders_json(driver: &Driver) -> Vec<Value> {
+    let line = |status: RolloutStatus| {
+        let RolloutStatus { known, age, evidence } = status;
+        let (target, others) = (evidence.target(), evidence.others());
+        json!({
+            "known": known,
+            "age_ms": age.as_millis(),
+            "heard_as_judge": { "target": target, "others": others },
+        })
+    };
+    driver.node.rollouts(driver.now()).into_iter().map(line).collect()
+}
--- a/crates/badgerfield-standin/src/fleet/processes.rs
+++ b/crates/badgerfield-standin/src/fleet/processes.rs
@@ -23,6 +23,7 @@
         vm.backlog.clear();
         vm.version = Version(0);
         vm.evacuated.clear();
+        vm.gateway = super::rollouts::Gateway::default();
         vm.node = Some(Node::new(Config {
             member: vm.member.clone(),
             shards: self.shape.shards,
@@ -52,6 +53,7 @@
             notice: Duration::from_secs(3),
             policy: Policy::default(),
             seals: true,
+            rollout: super::rollouts::bound(),
         }
     }
 
