Serve near first, far when it pays, and say why a request crossed

The choice of an upstream for a route had no term of domain or region: half of all tries crossed. locality.rs adds the round trip and a price of the bytes, in expected ms, as settings. A chain of prompt parts has one home for all where it costs more to read than to cross, else one in each region (or domain). The directory falls back from a domain to its region before it names all; the caller's region comes in the question. The line chosen and a metric say how far and why.

--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod ledger;
 pub mod ledger_writer;
 mod lending;
+pub mod locality;
 mod membership;
 pub mod message;
 pub mod mix;
--- a/crates/badgerfield-core/src/replicas/choice.rs
+++ b/crates/badgerfield-core/src/replicas/choice.rs
@@ -10,6 +10,18 @@
 use crate::amount::Time;
 use crate::ids::UpstreamId;
 use crate::lag;
+use crate::locality::{Crossing, Distance};
+
+/// Within what a chain of prompt parts has one upstream that all VMs prefer for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Scope {
+    /// In the whole fleet.
+    Fleet,
+    /// In each region.
+    Region,
+    /// In each failure domain.
+    Domain,
+}
 
 impl Replicas {
     /// Chooses an upstream for a request, or none if none can take it.
@@ -20,12 +32,17 @@
         let weights = Weights::of(mix, wanted);
         let ordinary = lag::ordinary(pool.iter().map(|r| r.lag.millis(now)).collect());
         let own: Vec<_> = pool.iter().copied().filter(|r| weights.takes(r)).collect();
-        let home = home_of(if own.is_empty() { &pool } else { &own }, wanted.parts);
+        let homes = homes_of(
+            if own.is_empty() { &pool } else { &own },
+            wanted.parts,
+            self.scope(&weights, wanted),
+        );
         let mut best: Option<(&Replica, f64)> = None;
         let mut second: Option<(&Replica, f64)> = None;
         for replica in &pool {
-            let is_home = home.as_ref() == Some(&&replica.info.id);
+            let is_home = homes.contains(&&replica.info.id);
             let mut cost = replica.cost(now, wanted, &weights, is_home);
+            cost += self.locality.cost(replica.distance, wanted.bytes);
             if !wanted.parts.is_empty() {
                 cost += replica.lag.cost(now, ordinary, wanted.draw);
             }
@@ -37,7 +54,7 @@
             }
         }
         let (replica, cost) = best?;
-        let is_home = home == Some(&replica.info.id);
+        let is_home = homes.contains(&&replica.info.id);
         Some(Chosen {
             unread: replica.unread(now, wanted.parts, is_home),
             lag: replica.lag.millis(now),
@@ -45,15 +62,27 @@
             id: replica.info.id.clone(),
             address: replica.info.address,
             cost,
+            near: replica.distance,
+            crossing: crossing(&pool, replica),
             weighed: pool.len(),
             second: second.map(|(r, cost)| (r.info.id.clone(), cost)),
         })
     }
 
-    /// Tells whether an upstream lies where a request may be served.
-    fn may_serve(&self, replica: &Replica, wanted: &Wanted<'_>) -> bool {
-        let bound = wanted.residency;
-        !bound.is_bound() || bound.allows(self.regions.region(&replica.info.domain))
+    /// Returns within what a request's chain of shared parts has one home.
+    ///
+    /// Where it costs more to leave a domain or region than to read the chain, each has a home
+    /// of its own; where reading costs more, one home serves them all, and its memory is
+    /// not spent twice.
+    fn scope(&self, weights: &Weights, wanted: &Wanted<'_>) -> Scope {
+        let read = weights.read_ms(shared(wanted.parts));
+        if read < self.locality.cost(Distance::Region, wanted.bytes) {
+            return Scope::Domain;
+        }
+        if read < self.locality.cost(Distance::Far, wanted.bytes) {
+            return Scope::Region;
+        }
+        Scope::Fleet
     }
 
     /// Returns the upstreams that may get a request.
@@ -65,7 +94,7 @@
             .values()
             .filter(|r| r.info.service == *wanted.service)
             .filter(|r| r.is_usable(now))
-            .filter(|r| self.may_serve(r, wanted))
+            .filter(|r| may_serve(r, wanted))
             .filter(|r| !spares || r.bears_more(now, share))
             .filter(|r| !wanted.tried.contains(&r.info.id))
             .filter(|r| r.running < wanted.connections)
@@ -76,9 +105,43 @@
     }
 }
 
-/// Returns the upstream that all VMs prefer for a chain of shared parts.
-fn home_of<'a>(pool: &[&'a Replica], parts: &[PromptPart]) -> Option<&'a UpstreamId> {
-    let chain = shared(parts).last()?;
-    let weight = |r: &&&Replica| xxh3_64_with_seed(&chain.id.to_be_bytes(), r.seed);
-    pool.iter().max_by_key(weight).map(|r| &r.info.id)
+/// Tells whether an upstream lies where a request may be served.
+fn may_serve(replica: &Replica, wanted: &Wanted<'_>) -> bool {
+    let bound = wanted.residency;
+    !bound.is_bound() || bound.allows(replica.region.as_ref())
+}
+
+/// Returns the upstreams that all VMs prefer for a chain of shared parts, one in each scope.
+fn homes_of<'a>(pool: &[&'a Replica], parts: &[PromptPart], scope: Scope) -> Vec<&'a UpstreamId> {
+    let Some(chain) = shared(parts).last() else {
+        return Vec::new();
+    };
+    let mut best: Vec<(&Replica, u64)> = Vec::new();
+    for replica in pool {
+        let weight = xxh3_64_with_seed(&chain.id.to_be_bytes(), replica.seed);
+        match best.iter_mut().find(|(other, _)| shares_home(scope, other, replica)) {
+            Some(known) if known.1 < weight => *known = (replica, weight),
+            Some(_) => {}
+            None => best.push((replica, weight)),
+        }
+    }
+    best.into_iter().map(|(replica, _)| &replica.info.id).collect()
+}
+
+/// Tells whether two upstreams are within the same scope of homes.
+fn shares_home(scope: Scope, one: &Replica, other: &Replica) -> bool {
+    match scope {
+        Scope::Fleet => true,
+        Scope::Region => one.region == other.region,
+        Scope::Domain => one.info.domain == other.info.domain,
+    }
+}
+
+/// Tells why a request leaves its region for an upstream, if it does.
+fn crossing(pool: &[&Replica], chosen: &Replica) -> Option<Crossing> {
+    if chosen.distance < Distance::Far {
+        return None;
+    }
+    let near = pool.iter().any(|replica| replica.distance < Distance::Far);
+    Some(if near { Crossing::Cost } else { Crossing::NoneNear })
 }
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -20,6 +20,7 @@
 use crate::evacuation::DomainChange;
 use crate::ids::{Domain, Service, UpstreamId};
 use crate::lag::{self, LagNote};
+use crate::locality::{Crossing, Distance, Locality, Place};
 use crate::mix::{
     Division, Group, Mix, Needs, Observed, READ_MS_PRIOR, Size, float, service_number,
 };
@@ -71,6 +72,8 @@
     pub route: &'a str,
     /// The parts of the prompt, in order; empty for plain calls.
     pub parts: &'a [PromptPart],
+    /// How many bytes cross between this process and the upstream, both ways together.
+    pub bytes: u64,
     /// The regions in which the request may be served.
     pub residency: &'a Residency,
     /// The upstreams that the request was sent to already.
@@ -97,6 +100,10 @@
     /// The group of the request, where engines are divided, and whether the upstream is
     /// among those that take it.
     pub group: Option<(Group, bool)>,
+    /// How far it is.
+    pub near: Distance,
+    /// Why the request leaves its region, if it does.
+    pub crossing: Option<Crossing>,
     /// How many upstreams were weighed.
     pub weighed: usize,
     /// The upstream that nearly won, with its expected delay.
@@ -115,6 +122,9 @@
     evacuated: BTreeSet<Domain>,
     /// Which failure domain lies in which region.
     regions: RegionMap,
+    /// Where this process stands, and what distance costs it.
+    place: Place,
+    locality: Locality,
     starts: Starts,
 }
 
@@ -190,6 +200,7 @@
         let Some(known) = self.table.get_mut(&id) else {
             let mut replica = Replica::new(info, revision);
             replica.evacuated = self.evacuated.contains(&replica.info.domain);
+            replica.locate(&self.place, &self.regions);
             replica.hear_start(now, &self.starts, revision, warm_in);
             self.table.insert(id.clone(), replica);
             return Some(id);
@@ -203,6 +214,7 @@
         let is_news = turned || known.info != info || known.vanished.is_some();
         known.revision = revision;
         known.info = info;
+        known.locate(&self.place, &self.regions);
         known.vanished = None;
         is_news.then_some(id)
     }
@@ -280,6 +292,19 @@
     /// Sets which failure domain lies in which region.
     pub fn set_regions(&mut self, regions: RegionMap) {
         self.regions = regions;
+        self.locate_all();
+    }
+
+    /// Sets where this process stands, and what distance costs it.
+    pub fn set_locality(&mut self, place: Place, locality: Locality) {
+        (self.place, self.locality) = (place, locality);
+        self.locate_all();
+    }
+
+    fn locate_all(&mut self) {
+        for replica in self.table.values_mut() {
+            replica.locate(&self.place, &self.regions);
+        }
     }
 
     /// Returns which failure domain lies in which region.
--- a/crates/badgerfield-core/src/replicas/replica.rs
+++ b/crates/badgerfield-core/src/replicas/replica.rs
@@ -7,10 +7,13 @@
 
 use super::{Health, PromptPart, Wanted};
 use crate::amount::Time;
+use crate::ids::Region;
 use crate::lag::Lag;
+use crate::locality::{Distance, Place};
 use crate::mix::{Division, Group, Mix, READ_MS_PRIOR, float};
 use crate::replica_list::{ReplicaEntry, ReplicaInfo};
 use crate::replicas::starts::Starts;
+use crate::residency::RegionMap;
 use crate::warm_up::{Bucket, Share};
 
 /// The expected delay by each request under way at an engine, in milliseconds.
@@ -31,6 +34,9 @@
 const OUTCOME_WEIGHT: f64 = 0.15;
 /// The expected delay by a failing share of one, in milliseconds.
 const FAILING_MS: f64 = 2000.0;
+/// After how long a failing share counts half. An upstream that is avoided shows nothing new,
+/// so it is tried again by and by; trouble on the users' sheets lasts 3 to 9 s.
+const FAILING_HALF: Duration = Duration::from_secs(3);
 /// How long an upstream may still be used whose entry vanished together with those of all
 /// others of its service.
 const LAPSE_GRACE: Duration = Duration::from_millis(1300);
@@ -50,7 +56,9 @@
     /// Whether all entries of its service vanished at once, as they do when the platform
     /// lets leases lapse; upstreams that leave do so one after the other.
     pub(super) lapsed: bool,
-    pub(super) failing: f64,
+    failing: f64,
+    /// When it was seen last how a request ended there.
+    noted: Time,
     pub(super) failures: u32,
     pub(super) rests_until: Time,
     pub(super) parts: HashMap<u64, Time>,
@@ -58,6 +66,10 @@
     pub(super) lag: Lag,
     /// Whether operators have evacuated its failure domain.
     pub(super) evacuated: bool,
+    /// Its region, if it is known.
+    pub(super) region: Option<Region>,
+    /// How far it is from this process.
+    pub(super) distance: Distance,
     /// Until when and how it is spared, while it is cold.
     cold: Option<Cold>,
 }
@@ -97,6 +109,11 @@
         Self { read_ms, division, apart_ms }
     }
 
+    /// Returns how long an engine reads parts of a prompt, in milliseconds.
+    pub(super) fn read_ms(&self, parts: &[PromptPart]) -> f64 {
+        float(parts.iter().map(|part| part.tokens).sum()) * self.read_ms
+    }
+
     pub(super) fn takes(&self, replica: &Replica) -> bool {
         self.division.is_none_or(|(division, group)| division.takes(group, replica.place))
     }
@@ -114,11 +131,14 @@
             vanished: None,
             lapsed: false,
             failing: 0.0,
+            noted: Time::default(),
             failures: 0,
             rests_until: Time::default(),
             parts: HashMap::new(),
             lag: Lag::default(),
             evacuated: false,
+            region: None,
+            distance: Distance::default(),
             cold: None,
         }
     }
@@ -132,6 +152,12 @@
         }
     }
 
+    /// Takes in where it and this process stand.
+    pub(super) fn locate(&mut self, own: &Place, regions: &RegionMap) {
+        self.region = regions.region(&self.info.domain).cloned();
+        self.distance = own.distance(&self.info.domain, regions);
+    }
+
     /// Returns the number that stands for the upstream in messages.
     pub(super) fn number(&self) -> u32 {
         let [a, b, c, d, ..] = self.seed.to_be_bytes();
@@ -232,7 +258,7 @@
         is_home: bool,
     ) -> f64 {
         let jitter = f64::from(u32::try_from((self.seed ^ wanted.draw) % 1000).unwrap_or(0)) / 1e3;
-        let failing = self.failing * FAILING_MS;
+        let failing = self.failing_share(now) * FAILING_MS;
         let running = f64::from(self.running);
         if wanted.parts.is_empty() {
             return running * CALL_MS + failing + jitter;
@@ -257,6 +283,12 @@
         unread
     }
 
+    /// Returns the share of requests that fail there, as far as it still counts.
+    fn failing_share(&self, now: Time) -> f64 {
+        let halvings = now.since(self.noted).as_secs_f64() / FAILING_HALF.as_secs_f64();
+        self.failing * (-halvings).exp2()
+    }
+
     pub(super) fn note(&mut self, now: Time, health: Health) {
         let failed = match health {
             Health::Good => 0.0,
@@ -264,7 +296,9 @@
             Health::Full => 0.5,
             Health::Unknown => return,
         };
-        self.failing += (failed - self.failing) * OUTCOME_WEIGHT;
+        let known = self.failing_share(now);
+        self.failing = known + (failed - known) * OUTCOME_WEIGHT;
+        self.noted = now;
         if health == Health::Good {
             self.failures = 0;
             return;
--- a/crates/badgerfield-core/src/residency.rs
+++ b/crates/badgerfield-core/src/residency.rs
@@ -138,6 +138,14 @@
         self.0.get(domain)
     }
 
+    /// Tells whether domains of more than one region are known.
+    #[must_use]
+    pub fn tells_apart(&self) -> bool {
+        let mut regions = self.0.values();
+        let first = regions.next();
+        regions.any(|region| Some(region) != first)
+    }
+
     /// Tells whether a known domain lies in a region.
     #[must_use]
     pub fn has(&self, region: &Region) -> bool {
--- a/crates/badgerfield-core/tests/lag.rs
+++ b/crates/badgerfield-core/tests/lag.rs
@@ -70,6 +70,7 @@
                         service: &service(),
                         route: "chat",
                         parts: &parts,
+                        bytes: 0,
                         residency: &EVERYWHERE,
                         tried: &[],
                         connections: 5,
--- a/crates/badgerfield-core/tests/residency.rs
+++ b/crates/badgerfield-core/tests/residency.rs
@@ -171,6 +171,7 @@
             service: &service(),
             route: "route",
             parts: if draw.is_multiple_of(3) { &[] } else { &parts },
+            bytes: 0,
             residency: &residency,
             tried: &waiting.tried,
             connections: 6,
--- a/crates/badgerfield-core/tests/warm_up.rs
+++ b/crates/badgerfield-core/tests/warm_up.rs
@@ -69,6 +69,7 @@
         service: &service,
         route: "r",
         parts: &[],
+        bytes: 0,
         residency: &EVERYWHERE,
         tried: &[],
         connections: 100,
--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use badgerfield_core::event::{KvCall, KvResult, OperatorChanges};
-use badgerfield_core::ids::{Account, Domain, UpstreamId};
+use badgerfield_core::ids::{Account, Domain, Region, UpstreamId};
 use badgerfield_core::replica_list::{ReplicaChanges, ReplicaList};
 use badgerfield_core::replicas::PromptPart;
 use bytes::Bytes;
@@ -150,6 +150,8 @@
 pub struct DirectoryAsk {
     /// The failure domain that the caller is in or near.
     pub domain: Option<Domain>,
+    /// The region that the caller is in.
+    pub region: Option<Region>,
 }
 
 /// The forms of requests on routes.
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -12,6 +12,7 @@
 use badgerfield_core::amount::Time;
 use badgerfield_core::event::{Answer, Bill, Dispatch, Note};
 use badgerfield_core::ids::{AttemptId, Incarnation, Period, RequestId, ReservationId, UpstreamId};
+use badgerfield_core::locality::Place;
 use badgerfield_core::message::{Envelope, Message};
 use badgerfield_core::mix::{Division, Needs};
 use badgerfield_core::refusal::Refusal;
@@ -136,7 +137,11 @@
         if let Some(gateway) = &gateway {
             let senders = settings.pacing.policy.warm_up_senders;
             gateway.replicas().set_warm_up_bound(settings.warm_up, senders);
-            gateway.replicas().set_regions(settings.regions.clone());
+            let own = (settings.domain.clone(), settings.region.clone());
+            let place = Place { domain: Some(own.0), region: Some(own.1) };
+            let mut replicas = gateway.replicas();
+            replicas.set_regions(settings.regions.clone());
+            replicas.set_locality(place, settings.locality);
         }
         let upstreams = Upstreams::new(limits.silence);
         Ok(Arc::new(Self {
--- a/crates/badgerfield-node/src/gateway/directory.rs
+++ b/crates/badgerfield-node/src/gateway/directory.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use badgerfield_core::ids::Domain;
+use badgerfield_core::locality::{Place, nearest};
 use badgerfield_core::view::Member;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 
+use crate::adapter::DirectoryAsk;
 use crate::callers::listen;
 use crate::driver::{Driver, StartError};
 use crate::gateway::connections::guard;
@@ -24,8 +25,6 @@
 const KEEP: Duration = Duration::from_secs(1);
 /// The most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
-/// The least number of VMs that a caller is sent to, so that one that fails is missed less.
-const LEAST: usize = 2;
 
 /// Answers questions to the directory at one address, and for readiness at another.
 ///
@@ -84,7 +83,7 @@
         return http::json(StatusCode::NOT_FOUND, &json!({ "error": "expected a question" }));
     };
     let members = driver.node.usable(driver.now());
-    let addresses = choose(&members, ask.domain.as_ref());
+    let addresses = choose(&members, &place_of(gateway, ask));
     if addresses.is_empty() {
         let error = json!({ "error": "no VM is ready; come back later" });
         return http::json(StatusCode::SERVICE_UNAVAILABLE, &error);
@@ -96,12 +95,16 @@
     response
 }
 
-/// Chooses the VMs in the caller's own failure domain, unless they are too few.
-fn choose(members: &[Member], domain: Option<&Domain>) -> Vec<SocketAddr> {
-    let near = |m: &&Member| domain == Some(&m.domain);
-    let close: Vec<_> = members.iter().filter(near).map(|m| m.caller).collect();
-    let mut chosen =
-        if close.len() >= LEAST { close } else { members.iter().map(|m| m.caller).collect() };
-    chosen.truncate(MAX_ADDRESSES);
-    chosen
+/// Returns where a caller stands: a question that names no region may name a known domain.
+fn place_of(gateway: &Gateway, ask: DirectoryAsk) -> Place {
+    let DirectoryAsk { domain, region } = ask;
+    let of_domain = || gateway.replicas().regions().region(domain.as_ref()?).cloned();
+    let region = region.or_else(of_domain);
+    Place { domain, region }
+}
+
+/// Returns the addresses of the VMs that a caller is sent to.
+fn choose(members: &[Member], caller: &Place) -> Vec<SocketAddr> {
+    let near = nearest(members, caller).into_iter();
+    near.map(|member| member.caller).take(MAX_ADDRESSES).collect()
 }
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -50,6 +50,11 @@
 const MAX_UNREACHABLE: u32 = 4;
 /// How many times the objective an idempotent request waits for one upstream's answer.
 const PATIENCE: u32 = 2;
+/// The bytes that an answer's token takes with its part of an event's frame: some four letters,
+/// and as much around them where an event holds a few tokens.
+const TOKEN_BYTES: u64 = 8;
+/// The bytes that a plain answer is expected to have, its head included.
+const PLAIN_BYTES: u64 = 1000;
 /// The part of an upstream's connections, in hundredths, that all VMs together use.
 const CONNECTION_PERCENT: u64 = 80;
 
@@ -267,6 +272,7 @@
             service: &self.service,
             route: &self.route.name,
             parts: &self.terms.parts,
+            bytes: self.bytes_across(),
             residency: &residency,
             tried: &self.tried,
             connections: u32::try_from(connections).unwrap_or(u32::MAX).max(2),
@@ -276,6 +282,7 @@
         let list = replicas.age();
         replicas.begin(now, &chosen.id, &self.terms.parts);
         drop(replicas);
+        self.driver.gateway_counts().count_sent(chosen.near, chosen.crossing);
         record::chosen(&self.original.id, self.attempts + 1, &chosen, list, now);
         Ok(chosen)
     }
@@ -390,6 +397,17 @@
         self.spec.engine.as_ref().map_or(1, |engine| engine.stride)
     }
 
+    /// Returns how many bytes are expected to cross between this VM and an upstream: the
+    /// request's body and the answer.
+    fn bytes_across(&self) -> u64 {
+        let body = u64::try_from(self.original.body.len()).unwrap_or(u64::MAX);
+        let answer = match self.terms.tokens {
+            Some((_, output)) => output.saturating_mul(TOKEN_BYTES),
+            None => PLAIN_BYTES,
+        };
+        body.saturating_add(answer)
+    }
+
     fn own_tokens(&self) -> u64 {
         self.terms.parts.last().map_or(0, |part| part.tokens)
     }
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -5,6 +5,7 @@
 
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{UpstreamId, Version};
+use badgerfield_core::locality::Crossing;
 use badgerfield_core::mix::Group;
 use badgerfield_core::refusal::Refusal;
 use badgerfield_core::replicas::Chosen;
@@ -54,6 +55,8 @@
         None => "-",
     };
     let (unread, lag) = (chosen.unread, chosen.lag);
+    let near = chosen.near.as_str();
+    let why = chosen.crossing.map_or("-", Crossing::as_str);
     let (second, second_cost) = match &chosen.second {
         Some((id, cost)) => (id.as_str(), *cost),
         None => ("-", 0.0),
@@ -61,7 +64,7 @@
     log::info!(
         target: REQUESTS,
         "chosen id={id} attempt={attempt} upstream={upstream} cost_ms={cost:.0} group={group} \
-         unread={unread} lag_ms={lag:.0} weighed={weighed} \
+         unread={unread} lag_ms={lag:.0} near={near} crossed={why} weighed={weighed} \
          second={second} second_ms={second_cost:.0} list={revision} list_age_ms={age}"
     );
 }
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -5,6 +5,7 @@
 
 use badgerfield_core::Status;
 use badgerfield_core::event::{Bill, KvResult};
+use badgerfield_core::locality::{Crossing, Distance};
 use badgerfield_core::refusal::Refusal;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -54,10 +55,18 @@
     outcome: String,
 }
 
+/// How far requests went, and why they left their region.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SentLabel {
+    near: &'static str,
+    crossed: &'static str,
+}
+
 /// The counters of requests on routes.
 #[derive(Debug)]
 pub(crate) struct GatewayCounts {
     pub(crate) admitted: Counter,
+    sent: Family<SentLabel, Counter>,
     ends: Family<EndLabel, Counter>,
     seconds: Histogram,
 }
@@ -67,11 +76,14 @@
         let buckets = exponential_buckets(0.005, 2.0, 13);
         let counts = Self {
             admitted: Counter::default(),
+            sent: Family::default(),
             ends: Family::default(),
             seconds: Histogram::new(buckets),
         };
         let admitted = counts.admitted.clone();
         registry.register("route_requests_admitted", "Requests on routes let in", admitted);
+        let sent = counts.sent.clone();
+        registry.register("route_requests_sent", "Tries of requests on routes by distance", sent);
         let ends = counts.ends.clone();
         registry.register("route_requests_ended", "Ended requests on routes by outcome", ends);
         let seconds = counts.seconds.clone();
@@ -79,6 +91,12 @@
         counts
     }
 
+    /// Counts a try of a request at an upstream.
+    pub(crate) fn count_sent(&self, near: Distance, crossing: Option<Crossing>) {
+        let crossed = crossing.map_or("-", Crossing::as_str);
+        self.sent.get_or_create(&SentLabel { near: near.as_str(), crossed }).inc();
+    }
+
     /// Counts the end of a request.
     pub(crate) fn count_end(&self, outcome: &str, took: Duration) {
         self.ends.get_or_create(&EndLabel { outcome: outcome.to_owned() }).inc();
--- a/crates/badgerfield-node/src/settings.rs
+++ b/crates/badgerfield-node/src/settings.rs
@@ -7,6 +7,7 @@
 
 use badgerfield_core::Pacing;
 use badgerfield_core::ids::{Domain, Region, VmId};
+use badgerfield_core::locality::Locality;
 use badgerfield_core::policy::Policy;
 use badgerfield_core::residency::RegionMap;
 use badgerfield_core::retry_budget::RetryBound;
@@ -17,10 +18,13 @@
 use crate::ini::{File, FileError};
 use crate::peers::Secret;
 
+/// The highest price of bytes, in milliseconds per 1,000: it outweighs every delay that a caller
+/// waits for.
+const MAX_PRICE: f64 = 10_000.0;
 /// The sections that a settings file may have.
-const SECTIONS: [&str; 12] = [
+const SECTIONS: [&str; 13] = [
     "vm", "listen", "gateway", "platform", "keys", "limits", "pacing", "policy", "retries",
-    "warm_up", "regions", "log",
+    "warm_up", "regions", "locality", "log",
 ];
 
 /// All settings of one process.
@@ -34,6 +38,8 @@
     pub domain: Domain,
     /// Which failure domain lies in which region, its own included.
     pub regions: RegionMap,
+    /// What distance costs.
+    pub locality: Locality,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the system's other processes connect.
@@ -174,6 +180,7 @@
         let region = file.value("vm", "region");
         let domain = file.value("vm", "domain");
         let regions = read_regions(&mut file, domain.as_ref(), region.as_ref());
+        let locality = read_locality(&mut file);
         let callers = file.value("listen", "callers");
         let peers = file.value("listen", "peers");
         let operators = file.value("listen", "operators");
@@ -196,6 +203,7 @@
                 region: region?,
                 domain: domain?,
                 regions,
+                locality,
                 callers: callers?,
                 peers: peers?,
                 advertised: advertised?,
@@ -278,6 +286,28 @@
     RegionMap::new(domains)
 }
 
+fn read_locality(file: &mut File) -> Locality {
+    let other = Locality::default();
+    let (least, most) = (Duration::ZERO, Duration::from_secs(10));
+    Locality {
+        domain_trip: file.span_or("locality", "domain_trip", other.domain_trip, (least, most)),
+        region_trip: file.span_or("locality", "region_trip", other.region_trip, (least, most)),
+        domain_price: read_price(file, "domain_price", other.domain_price),
+        region_price: read_price(file, "region_price", other.region_price),
+    }
+}
+
+/// Reads a price of bytes, in milliseconds per 1,000 of them.
+fn read_price(file: &mut File, key: &str, other: f64) -> f64 {
+    let price = file.value_or("locality", key, other);
+    if (0.0..=MAX_PRICE).contains(&price) {
+        return price;
+    }
+    let what = format!("expected a price from 0 to {MAX_PRICE}, found {price}");
+    file.fault("locality", Some(key), what);
+    other
+}
+
 fn read_pacing(file: &mut File) -> Pacing {
     let other = Pacing::default();
     let (least, most) = (Duration::from_millis(50), Duration::from_secs(86_400));
--- a/crates/badgerfield-node/tests/settings.rs
+++ b/crates/badgerfield-node/tests/settings.rs
@@ -164,3 +164,17 @@
         assert!(found.iter().any(|fault| fault.contains("[account a] regions")), "{found:#?}");
     }
 }
+
+#[test]
+fn what_distance_costs_is_read_within_bounds() {
+    let read = |text: &str| read(&format!("{GOOD}{text}")).map(|settings| settings.locality);
+    let text = "[locality]\ndomain_trip = 3ms\nregion_price = 2.5\n";
+    let locality = read(text).expect("it is good");
+    assert_eq!(locality.domain_trip, std::time::Duration::from_millis(3));
+    assert!((locality.region_price - 2.5).abs() < 1e-9);
+    for bad in ["region_trip = 24", "region_trip = 60s", "domain_price = -1", "region_price = NaN"]
+    {
+        let found = faults(read(&format!("[locality]\n{bad}\n")));
+        assert!(found.iter().any(|fault| fault.contains("[locality]")), "{bad}: {found:#?}");
+    }
+}
