--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -126,6 +126,8 @@
     kills: u64,
     rng: ChaCha8Rng,
     messages: BTreeMap<&'static str, (u64, u64)>,
+    /// Those among them that went to another region.
+    crossed: BTreeMap<&'static str, (u64, u64)>,
     owners: HashMap<Incarnation, usize>,
 }
 
@@ -154,6 +156,7 @@
             ahead: BTreeMap::new(),
             rng,
             messages: BTreeMap::new(),
+            crossed: BTreeMap::new(),
             owners: HashMap::new(),
             shape,
         };
@@ -250,6 +253,12 @@
         &self.messages
     }
 
+    /// Returns how many messages of each kind went to another region, with their bytes.
+    #[must_use]
+    pub fn crossed(&self) -> &BTreeMap<&'static str, (u64, u64)> {
+        &self.crossed
+    }
+
     /// Takes a VM off the platform's list.
     pub fn unlist(&mut self, index: usize) {
         let name = self.vms[index].member.vm.clone();
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -112,13 +112,17 @@
     pub(super) fn send(&mut self, index: usize, envelope: &Envelope) {
         let kind = truth::kind(&envelope.message);
         let bytes = badgerfield_node::peers::encode(std::slice::from_ref(envelope)).len();
+        let bytes = u64::try_from(bytes).unwrap_or(0);
         let entry = self.messages.entry(kind).or_default();
-        entry.0 += 1;
-        entry.1 += u64::try_from(bytes).unwrap_or(0);
+        *entry = (entry.0 + 1, entry.1 + bytes);
         let Some(to) = self.index_of(envelope.to) else {
             return;
         };
         let (a, b) = (self.region_of(index), self.region_of(to));
+        if a != b {
+            let entry = self.crossed.entry(kind).or_default();
+            *entry = (entry.0 + 1, entry.1 + bytes);
+        }
         if a != b && (self.cut.contains(&a) || self.cut.contains(&b)) {
             return;
         }
