Refuse at once what an overloaded plain service cannot do, and spare its slow upstreams

Now each process refuses a part by the time that answers take, which all learn from each other with the lags, and the choice weighs that time.

--- a/crates/badgerfield-core/src/lag.rs
+++ b/crates/badgerfield-core/src/lag.rs
@@ -29,6 +29,9 @@
 const IGNORED_RATIO: f64 = 4.0;
 /// From which lag on others are told, in milliseconds.
 const NOTED_MS: f64 = 400.0;
+/// The same for an upstream of a plain service, whose answers are wanted within 300 ms and
+/// more by the users' sheets: half of that is where it begins to matter ([`crate::overload`]).
+const NOTED_PLAIN_MS: f64 = 100.0;
 /// How many upstreams one sign of life tells of: some 60 B, 1.2 KB/s at 20 signs a second,
 /// and only while so many lag.
 pub(crate) const MAX_NOTES: usize = 8;
@@ -104,9 +107,11 @@
         }
     }
 
-    /// Makes a note of the lag, if others should know of it.
-    pub(crate) fn note(&self, now: Time, upstream: u32) -> Option<LagNote> {
-        let at = self.at.filter(|_| self.millis(now) >= NOTED_MS)?;
+    /// Makes a note of the lag of an engine, or of an upstream of a plain service, if others
+    /// should know of it.
+    pub(crate) fn note(&self, now: Time, upstream: u32, is_plain: bool) -> Option<LagNote> {
+        let noted = if is_plain { NOTED_PLAIN_MS } else { NOTED_MS };
+        let at = self.at.filter(|_| self.millis(now) >= noted)?;
         let age = u16::try_from(now.since(at).as_millis()).ok()?;
         let units = (self.millis / LAG_UNIT_MS).min(f64::from(u16::MAX));
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "within range")]
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod message;
 pub mod mix;
 mod node;
+pub mod overload;
 pub mod policy;
 pub mod queue;
 mod rate;
--- a/crates/badgerfield-core/src/replicas/choice.rs
+++ b/crates/badgerfield-core/src/replicas/choice.rs
@@ -10,6 +10,7 @@
 use crate::amount::Time;
 use crate::ids::UpstreamId;
 use crate::lag;
+use crate::overload;
 
 impl Replicas {
     /// Chooses an upstream for a request, or none if none can take it.
@@ -26,7 +27,9 @@
         for replica in &pool {
             let is_home = home.as_ref() == Some(&&replica.info.id);
             let mut cost = replica.cost(now, wanted, &weights, is_home);
-            if !wanted.parts.is_empty() {
+            if wanted.parts.is_empty() {
+                cost += overload::wait_cost(replica.lag.millis(now), replica.seed ^ wanted.draw);
+            } else {
                 cost += replica.lag.cost(now, ordinary, wanted.draw);
             }
             if best.is_none_or(|(_, least)| cost < least) {
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -111,6 +111,8 @@
     /// The failure domains that operators have evacuated.
     evacuated: BTreeSet<Domain>,
     starts: Starts,
+    /// The services, without engines, that requests of this process went to.
+    plain: BTreeSet<Service>,
 }
 
 impl Replicas {
@@ -393,11 +395,33 @@
         replica.lag.observe(now, span.saturating_sub(reading));
     }
 
+    /// Notes how long a request took at a plain upstream, or counts for that was turned away
+    /// there.
+    pub fn took(&mut self, now: Time, id: &UpstreamId, span: Duration) {
+        let Some(replica) = self.table.get_mut(id) else {
+            return;
+        };
+        replica.lag.observe(now, span);
+        if !self.plain.contains(&replica.info.service) {
+            self.plain.insert(replica.info.service.clone());
+        }
+    }
+
+    /// Returns how long a request takes at present at the upstream of a plain service where
+    /// it takes the least.
+    #[must_use]
+    pub fn least_time(&self, now: Time, service: &Service) -> Duration {
+        let usable = self.table.values().filter(|r| r.info.service == *service && r.is_usable(now));
+        let least = usable.map(|r| r.lag.millis(now)).min_by(f64::total_cmp).unwrap_or_default();
+        Duration::from_secs_f64(least.max(0.0) / 1e3)
+    }
+
     /// Returns the upstreams with a lag that other processes should know of, another few at
     /// each turn where there are many.
     #[must_use]
     pub fn lags(&self, now: Time, turn: usize) -> Vec<LagNote> {
-        let all: Vec<_> = self.table.values().filter_map(|r| r.lag.note(now, r.number())).collect();
+        let note = |r: &Replica| r.lag.note(now, r.number(), self.plain.contains(&r.info.service));
+        let all: Vec<_> = self.table.values().filter_map(note).collect();
         let start = if all.is_empty() { 0 } else { turn * lag::MAX_NOTES % all.len() };
         all.iter().cycle().skip(start).take(all.len().min(lag::MAX_NOTES)).copied().collect()
     }
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -176,6 +176,7 @@
             if self.attempts > 0 && self.gateway.retries().left(now, &self.service, vms) < 1.0 {
                 return Err(self.give_up(Cause::TriesSpent));
             }
+            self.check_overload()?;
             let Some(chosen) = self.choose(now, vms) else {
                 return Err(self.give_up(Cause::NoUpstream));
             };
@@ -204,6 +205,7 @@
                     self.attempts += 1;
                     self.may_have_run = true;
                     self.timing.head = Some(self.arrived.elapsed());
+                    self.note_answered(&chosen.id, started.elapsed());
                     if answered.head.status.is_server_error() && self.may_try_again(vms) {
                         let mut answered = answered;
                         answered.hold.note(Health::Failed);
@@ -219,6 +221,7 @@
                 }
                 AttemptEnd::NotRun(status) => {
                     self.attempts += 1;
+                    self.note_not_run(&chosen.id, status);
                     not_run_word(status)
                 }
                 AttemptEnd::Broken(why) => {
@@ -258,7 +261,7 @@
     }
 
     /// Returns the rank of the request: that of its account goes before the route's.
-    fn rank(&self) -> u8 {
+    pub(super) fn rank(&self) -> u8 {
         let own = self.caller.as_ref().and_then(|caller| caller.rank);
         own.unwrap_or(self.route.rank)
     }
@@ -328,8 +331,8 @@
         }
         let cause = if cause == Cause::OutOfTime { Cause::Overloaded } else { cause };
         let warm_in = self.gateway.replicas().warm_in(self.now(), &self.service);
-        let after = warm_in.filter(|_| cause == Cause::NoUpstream).unwrap_or(COME_BACK);
-        Refusal::not_run(cause).after(after)
+        let after = warm_in.filter(|_| cause == Cause::NoUpstream).or_else(|| self.come_back());
+        Refusal::not_run(cause).after(after.unwrap_or(COME_BACK))
     }
 
     fn refuse(&mut self, refusal: &Refusal) -> Response<AnswerBody> {
