Let a few VMs of a region read whole values when all start at once

Cause: after all power is lost every VM reads the templates (and the list of upstreams) for itself; over a link of 60 ms and 15 Mbit/s those answers fill the link, are given up after 700 ms and asked for again.

--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -7,9 +7,10 @@
 
 use crate::amount::Time;
 use crate::event::{KvCall, KvName, KvResult, Note, Order, Outbox, Versioned, due};
+use crate::first_read;
 use crate::ids::{Epoch, Incarnation, Ticket, Version};
 use crate::joining::Step;
-use crate::membership::{Purpose, Wish};
+use crate::membership::{Membership, Purpose, Wish};
 use crate::message::{Heartbeat, Message};
 use crate::node::Node;
 use crate::view::{Member, SMALL_VIEW, Standing, View};
@@ -74,6 +75,13 @@
         self.board.members().follows(now, heard)
     }
 
+    /// Tells whether this process reads whole values from the platform that it knows nothing
+    /// of yet; others of its region give it those otherwise.
+    #[must_use]
+    pub fn reads_first(&self, now: Time) -> bool {
+        self.board.members().reads_first(now)
+    }
+
     /// Tells whether this process is among the few that try the platform often while it does
     /// not answer; they tell the others when it is back.
     #[must_use]
@@ -214,22 +222,48 @@
     /// Reads the platform's values, and writes the view, when that is due.
     pub(crate) fn read_platform(&self, now: Time, out: &mut Outbox) {
         let complete = self.board.claims().complete();
+        let version = self.board.templates().version;
         let mut members = self.board.members();
         let reads = members.is_reader(now) || !members.known || members.marks_unread(complete);
         if due(now, members.read_at, READ) && reads {
             members.read_at = Some(now);
-            for name in [KvName::View, KvName::Templates] {
-                if members.is_calling(&name) {
-                    continue;
-                }
-                let ticket = members.call(Purpose::Read(name.clone()));
-                out.push(Order::KeyValue(ticket, KvCall::Get(name)));
-            }
+            read(&mut members, KvName::View, out);
+        }
+        let reads = if version == Version(0) { members.reads_first(now) } else { reads };
+        if due(now, members.templates_read_at, READ) && reads {
+            members.templates_read_at = Some(now);
+            read(&mut members, KvName::Templates, out);
         }
         drop(members);
         self.write_view(now, out);
     }
 
+    /// Asks a member of the region for the templates and the list of upstreams, while none are
+    /// known here.
+    pub(crate) fn ask_first(&self, now: Time, out: &mut Outbox) {
+        let has_templates = self.board.templates().version > Version(0);
+        let mut members = self.board.members();
+        // Later everybody reads the list, where there is one.
+        let has_list = members.list.revision > 0 || now.0 >= first_read::LONGEST;
+        if (has_templates && has_list) || !members.is_member() {
+            return;
+        }
+        if !due(now, members.asked_at, FETCH) {
+            return;
+        }
+        members.asked_at = Some(now);
+        let Some(to) = members.teacher() else {
+            return;
+        };
+        if !has_templates {
+            let epoch = members.view.epoch;
+            out.send(to, Message::Fetch { epoch, version: Version(0), whole: true });
+        }
+        if !has_list {
+            out.send(to, Message::FetchUpstreams);
+        }
+    }
+
     /// Writes a process that asks for it into the view, with others that ask.
     pub(crate) fn invite(&self, now: Time, from: Incarnation, guest: Member, out: &mut Outbox) {
         if guest.incarnation != from {
@@ -358,3 +392,12 @@
         self.adopt_view(now, &view, out);
     }
 }
+
+/// Reads a value of the platform, unless that is under way.
+fn read(members: &mut Membership, name: KvName, out: &mut Outbox) {
+    if members.is_calling(&name) {
+        return;
+    }
+    let ticket = members.call(Purpose::Read(name.clone()));
+    out.push(Order::KeyValue(ticket, KvCall::Get(name)));
+}
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod evacuation;
 pub mod event;
 pub mod event_stream;
+mod first_read;
 pub mod holdings;
 pub mod ids;
 mod joining;
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -8,6 +8,7 @@
 use crate::amount::Time;
 use crate::broadcast::{self, Leg};
 use crate::event::{KvName, Note};
+use crate::first_read;
 use crate::ids::{Epoch, Incarnation, Ticket, VmId};
 use crate::joining::Joining;
 use crate::lag::LagNote;
@@ -42,6 +43,9 @@
 /// After which part everybody does: one that alone reaches the platform must have read the
 /// list, and sent its last request to who leaves, before the notice is over.
 const ALL_AFTER: u32 = 70;
+/// By how many places the next member of the region is asked that may know what a process
+/// that starts does not.
+const TEACHER_STEP: usize = 7;
 /// To how many members signs of life go in a larger view.
 const NEIGHBOURS: usize = 8;
 
@@ -157,6 +161,12 @@
     ticked: Option<Time>,
     pub(crate) beat_at: Option<Time>,
     pub(crate) read_at: Option<Time>,
+    /// When the templates were read last.
+    pub(crate) templates_read_at: Option<Time>,
+    /// When a member was asked for what this process knows nothing of.
+    pub(crate) asked_at: Option<Time>,
+    /// Counts who was asked for it.
+    asked_first: usize,
     pub(crate) wrote_at: Option<Time>,
     /// When a view or templates were asked for last; one member is asked at a time.
     pub(crate) fetched_at: Option<Time>,
@@ -203,6 +213,9 @@
             ticked: None,
             beat_at: None,
             read_at: None,
+            templates_read_at: None,
+            asked_at: None,
+            asked_first: 0,
             wrote_at: None,
             fetched_at: None,
             shown: HashMap::new(),
@@ -381,6 +394,25 @@
         self.ranks.reader.is_some_and(|place| place < READERS)
     }
 
+    /// Tells whether this process reads whole values from the platform that it knows nothing
+    /// of yet; others of its region give it those otherwise.
+    pub(crate) fn reads_first(&self, now: Time) -> bool {
+        let stored = self.known.then_some(&*self.stored);
+        first_read::reads(now, stored, &self.me)
+    }
+
+    /// Returns the member of this process's region that is asked next for what it knows
+    /// nothing of yet; each time another one.
+    pub(crate) fn teacher(&mut self) -> Option<Incarnation> {
+        let near = |m: &&Member| m.region == self.me.region && m.incarnation != self.id();
+        let near: Vec<_> = self.view.members.iter().filter(near).map(|m| m.incarnation).collect();
+        let place = self.asked_first.checked_rem(near.len())?;
+        let id = near.get(place).copied();
+        // A step that shares no factor with most sizes of a region, so that all are asked.
+        self.asked_first += TEACHER_STEP;
+        id
+    }
+
     /// Tells whether this process follows the platform's values itself; `heard` is how long
     /// ago it has heard of the list of upstreams, which changes all the time.
     ///
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -345,6 +345,7 @@
         self.board.holdings().set_clock(clock);
         self.beat(now, out);
         self.read_platform(now, out);
+        self.ask_first(now, out);
         self.claim_tick(now, out);
         self.rights_tick(now, out);
         self.queue_tick(now, out);
--- a/crates/badgerfield-core/src/overload.rs
+++ b/crates/badgerfield-core/src/overload.rs
@@ -21,7 +21,7 @@
 
 /// The part of the objective that a request may take before others are refused: the
 /// rest is for the spread of the work itself and for what is known late.
-const AIM: f64 = 0.5;
+const AIM: f64 = 0.6;
 /// How many times what its work takes in calm a request may take before others are refused:
 /// a service whose answers always take most of the objective is not overloaded by that.
 const USUAL_RATIO: f64 = 2.0;
@@ -35,7 +35,7 @@
 /// shorter span makes the fleet swing between too many and too few.
 const SPAN_S: f64 = 0.6;
 /// The time over which a wait that stays beyond the aim is made up for, in seconds.
-const SETTLE_S: f64 = 4.0;
+const SETTLE_S: f64 = 3.0;
 /// The longest time between two requests that counts as one step, in seconds.
 const LONGEST_STEP_S: f64 = 0.5;
 /// The largest part that is refused: some must go out, or nobody learns that the wait is over.
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -426,6 +426,9 @@
             return;
         };
         let list = gateway.replicas().list(self.now());
+        if list.replicas.is_empty() {
+            return;
+        }
         self.carry_out(Order::Send(to, Message::Upstreams(list)));
     }
 
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use badgerfield_core::Event;
 use badgerfield_core::event::{KvCall, KvName, KvResult};
 use badgerfield_core::ids::Version;
 use badgerfield_core::replica_list::ReplicaChanges;
+use badgerfield_core::{Event, TICK};
 
 use crate::adapter::Watched;
 use crate::driver::{Driver, Source};
@@ -56,7 +56,7 @@
     loop {
         if !follows_templates(&driver) {
             after = 0;
-            tokio::time::sleep(WATCH_PACE).await;
+            tokio::time::sleep(pace(driver.node.version() == Version(0))).await;
             continue;
         }
         if after == 0 {
@@ -109,7 +109,8 @@
     loop {
         if !is_on_duty(&driver) {
             refresh(&driver, &gateway);
-            tokio::time::sleep(WATCH_PACE).await;
+            let is_new = gateway.replicas().is_empty();
+            tokio::time::sleep(pace(is_new)).await;
             continue;
         }
         let Some(mut after) = read_list(&driver, &gateway, &mut away).await else {
@@ -143,6 +144,12 @@
     }
 }
 
+/// Returns how long to wait before looking again whether this process follows the platform;
+/// one that knows nothing yet looks often.
+fn pace(is_new: bool) -> Duration {
+    if is_new { TICK } else { WATCH_PACE }
+}
+
 /// Reads the whole list; returns its revision, or nothing if it cannot be read.
 async fn read_list(
     driver: &Arc<Driver>,
@@ -177,13 +184,19 @@
     };
     let (_, learned) = gateway.replicas().age();
     let now = driver.now();
-    driver.node.follows(now, learned.map(|at| now.since(at)))
+    let Some(learned) = learned else {
+        return driver.node.reads_first(now);
+    };
+    driver.node.follows(now, Some(now.since(learned)))
 }
 
-/// Tells whether this process follows the templates itself: until it knows any, and whenever
-/// it follows the list of upstreams.
+/// Tells whether this process follows the templates itself: if it is among the first of its
+/// region to read them, and whenever it follows the list of upstreams.
 fn follows_templates(driver: &Driver) -> bool {
-    driver.node.version() == Version(0) || is_on_duty(driver)
+    if driver.node.version() == Version(0) {
+        return driver.node.reads_first(driver.now());
+    }
+    is_on_duty(driver)
 }
 
 /// Closes what is of no more use, and tells what requests need and whether this process
--- /dev/null
+++ b/crates/badgerfield-standin/src/fleet/link.rs
@@ -0,0 +1,81 @@
+//! A thin link between regions: what crosses waits for what was sent before it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use badgerfield_core::amount::Time;
+use badgerfield_core::event::{KvCall, KvResult};
+
+/// The region in which the key-value service stands.
+pub(super) const STORE_REGION: usize = 0;
+/// The bytes of a call and of an answer beside a value, and by how much encoding makes a
+/// value longer, in hundredths.
+const HEAD: usize = 400;
+const ENCODED_PERCENT: usize = 134;
+
+/// How regions are linked.
+#[derive(Debug, Clone)]
+pub struct Link {
+    /// How long a byte takes from one region to another.
+    pub one_way: Duration,
+    /// How much crosses each way, in bits a second.
+    pub rate: f64,
+    /// When what was sent has left, each way.
+    free: BTreeMap<(usize, usize), Time>,
+    /// How many bytes have crossed.
+    pub crossed: usize,
+}
+
+impl Link {
+    /// Makes an idle link.
+    #[must_use]
+    pub fn new(one_way: Duration, rate: f64) -> Self {
+        Self { one_way, rate, free: BTreeMap::new(), crossed: 0 }
+    }
+
+    /// Returns when bytes that are sent now arrive; nothing if they were still waiting
+    /// when nobody wants them any more.
+    pub(super) fn send(
+        &mut self,
+        now: Time,
+        way: (usize, usize),
+        bytes: usize,
+        until: Option<Time>,
+    ) -> Option<Time> {
+        let free = self.free.entry(way).or_default();
+        let start = now.max(*free);
+        if until.is_some_and(|until| start > until) {
+            return None;
+        }
+        let bits = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) * 8.0;
+        let left = start.after(Duration::from_secs_f64(bits / self.rate));
+        *free = left;
+        self.crossed += bytes;
+        Some(left.after(self.one_way))
+    }
+}
+
+fn encoded(bytes: usize) -> usize {
+    HEAD + bytes * ENCODED_PERCENT / 100
+}
+
+/// Returns how long a call is, in bytes.
+pub(super) fn call_size(call: &KvCall) -> usize {
+    match call {
+        KvCall::Get(_) => HEAD,
+        KvCall::Swap { value, .. } => encoded(value.len()),
+    }
+}
+
+/// Returns how long an answer is, in bytes.
+pub(super) fn answer_size(result: &KvResult) -> usize {
+    match result {
+        KvResult::Value(found) | KvResult::Conflict(found) => {
+            encoded(found.value.as_ref().map_or(0, bytes::Bytes::len))
+        }
+        KvResult::Operators(found) => {
+            encoded(found.templates.as_ref().map_or(0, bytes::Bytes::len))
+        }
+        _ => HEAD,
+    }
+}
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod evacuations;
+mod link;
 mod platform;
 mod processes;
 mod shape;
@@ -27,6 +28,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+pub use link::Link;
 pub use platform::Platform;
 pub use shape::{Shape, Wish, account, engines, member, region_name, secret};
 use shape::{account_template, arrival_of, budget_template};
@@ -93,7 +95,7 @@
     Event(Incarnation, Event),
     Tick(Incarnation),
     Step(usize),
-    KvApply(Incarnation, badgerfield_core::ids::Ticket, badgerfield_core::event::KvCall),
+    KvApply(Incarnation, badgerfield_core::ids::Ticket, badgerfield_core::event::KvCall, Time),
     List,
 }
 
@@ -114,6 +116,8 @@
     pub templates: TemplateSet,
     /// Faults in how a step was carried out, which tests look at.
     pub faults: Vec<String>,
+    /// The link between regions, if it is thin.
+    pub link: Option<Link>,
     shape: Shape,
     vms: Vec<Vm>,
     upstreams: Upstreams,
@@ -142,6 +146,7 @@
             asked: BTreeMap::new(),
             templates: TemplateSet::default(),
             faults: Vec::new(),
+            link: None,
             vms: Vec::new(),
             upstreams,
             turns: BTreeMap::new(),
--- a/crates/badgerfield-standin/src/fleet/platform.rs
+++ b/crates/badgerfield-standin/src/fleet/platform.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use badgerfield_core::amount::Time;
 use badgerfield_core::evacuation::DomainChange;
 use badgerfield_core::event::{Event, KvCall, KvName, KvResult, OperatorValues, Versioned};
 use badgerfield_core::ids::{Domain, Incarnation, Ticket};
@@ -11,13 +12,16 @@
 use badgerfield_core::view::View;
 use bytes::Bytes;
 
-use super::{Fleet, Turn};
+use super::{Fleet, Turn, link};
 
 /// How long a call takes on its way.
 const DELAY: Duration = Duration::from_millis(3);
 /// After how long a caller gives a call up.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The same where answers cross a thin link.
+const LINK_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// The values and the faults of the key-value service.
 #[derive(Debug, Default)]
 pub struct Platform {
@@ -142,7 +146,14 @@
 }
 
 impl Fleet {
-    pub(super) fn apply_call(&mut self, from: Incarnation, ticket: Ticket, call: &KvCall) {
+    /// Carries out a call that was sent at a time, and answers it.
+    pub(super) fn apply_call(
+        &mut self,
+        from: Incarnation,
+        ticket: Ticket,
+        call: &KvCall,
+        sent: Time,
+    ) {
         let region = self.owners.get(&from).map_or(0, |index| self.region_of(*index));
         let (result, delay) = if self.platform.down || self.platform.cut.contains(&region) {
             (KvResult::Unknown, TIMEOUT)
@@ -152,7 +163,18 @@
                 (result, false) => (result, self.platform.delay()),
             }
         };
-        let event = Event::KeyValue(ticket, result);
-        self.at(self.now.after(delay), Turn::Event(from, event));
+        let way = (link::STORE_REGION, region);
+        let (event, at) = if self.link.is_some() && way.0 != way.1 {
+            // Nothing is sent to a caller that has given up.
+            let until = sent.after(LINK_TIMEOUT);
+            let crossed = self.cross(way, link::answer_size(&result), Some(until));
+            match crossed.map(|at| at.after(delay)).filter(|at| *at <= until) {
+                Some(at) => (Event::KeyValue(ticket, result), at),
+                None => (Event::KeyValue(ticket, KvResult::Unknown), until),
+            }
+        } else {
+            (Event::KeyValue(ticket, result), self.now.after(delay))
+        };
+        self.at(at, Turn::Event(from, event));
     }
 }
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -9,7 +9,7 @@
 use badgerfield_core::{Event, TICK};
 use rand::RngExt;
 
-use super::{FAR, Fleet, NEAR, SPREAD, Turn, truth};
+use super::{FAR, Fleet, NEAR, SPREAD, Turn, link, truth};
 
 impl Fleet {
     /// Lets time pass.
@@ -43,7 +43,7 @@
                 self.at(self.now.after(TICK), Turn::Tick(to));
             }
             Turn::Step(stream) => self.step(stream),
-            Turn::KvApply(from, ticket, call) => self.apply_call(from, ticket, &call),
+            Turn::KvApply(from, ticket, call, at) => self.apply_call(from, ticket, &call, at),
             Turn::List => {
                 for index in 0..self.vms.len() {
                     self.deliver(index, Event::VmList(self.list.clone()));
@@ -87,8 +87,11 @@
                 }
             }
             Order::KeyValue(ticket, call) => {
-                let at = self.now.after(self.platform.delay());
-                self.at(at, Turn::KvApply(from, ticket, call));
+                let sent = self.now;
+                let way = (self.region_of(index), link::STORE_REGION);
+                let crossed = self.cross(way, link::call_size(&call), None).unwrap_or(sent);
+                let at = crossed.after(self.platform.delay());
+                self.at(at, Turn::KvApply(from, ticket, call, sent));
             }
             Order::Dispatch(attempt, dispatch) => self.dispatch(from, attempt, dispatch),
             Order::Cancel(attempt) => self.cancel(from, attempt),
@@ -109,6 +112,18 @@
         }
     }
 
+    /// Sends bytes over the link between two regions; returns when they arrive, or nothing if
+    /// there is no thin link between them or nobody wants them any more.
+    pub(super) fn cross(
+        &mut self,
+        way: (usize, usize),
+        bytes: usize,
+        until: Option<Time>,
+    ) -> Option<Time> {
+        let link = self.link.as_mut().filter(|_| way.0 != way.1)?;
+        link.send(self.now, way, bytes, until)
+    }
+
     pub(super) fn send(&mut self, index: usize, envelope: &Envelope) {
         let kind = truth::kind(&envelope.message);
         let bytes = badgerfield_node::peers::encode(std::slice::from_ref(envelope)).len();
@@ -122,7 +137,8 @@
         if a != b && (self.cut.contains(&a) || self.cut.contains(&b)) {
             return;
         }
-        let base = if a == b { NEAR } else { FAR };
+        let near = self.now.after(if a == b { NEAR } else { FAR });
+        let base = self.cross((a, b), bytes, None).unwrap_or(near);
         let copies = match self.rng.random_range(0..1000) {
             n if n < self.shape.noise => 0,
             n if n < 2 * self.shape.noise => 2,
@@ -130,7 +146,7 @@
         };
         for _ in 0..copies {
             let late = Duration::from_micros(self.rng.random_range(0..SPREAD));
-            let at = self.now.after(base).after(late);
+            let at = base.after(late);
             self.at(at, Turn::Event(envelope.to, Event::Peer(envelope.clone())));
         }
     }
