Wait for the platform's answers as long as answers have taken

The time for a call was fixed (700 ms in deploy/settings.ini), so a process behind a full link asked again for what was on its way.

--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod mix;
 mod node;
 pub mod overload;
+pub mod patience;
 pub mod policy;
 pub mod queue;
 mod rate;
--- /dev/null
+++ b/crates/badgerfield-core/src/patience.rs
@@ -0,0 +1,61 @@
+//! How long a call of the platform's key-value service is waited for.
+//!
+//! The load that this answers: a link that is thin or full makes every answer take longer than
+//! the time that is set for calls. A caller that gives up then asks again for what is still on
+//! its way, and so do all others, which fills the link for good. So the time follows what
+//! answers have taken. It does not grow where answers used to be quick and none comes any
+//! more: the service is away then, and callers should notice when it is back.
+
+use std::time::Duration;
+
+/// How many times the longest answer of late a call is waited for.
+const RATIO: u32 = 3;
+/// How many times the time that is set for calls one is waited for at the most. With 700 ms it
+/// comes to 2.1 s, which stays below the 3 s in which changes are to be in force.
+const MOST: u32 = 3;
+/// By which part of it, in hundredths, an answer counts less than the one before it.
+const FORGET_PERCENT: u32 = 10;
+
+/// The time for which calls are waited for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// The time that is set for calls.
+    set: Duration,
+    /// The longest answer of late; nothing until one has come.
+    longest: Option<Duration>,
+    limit: Duration,
+}
+
+impl Patience {
+    /// Starts with the time that is set for calls.
+    #[must_use]
+    pub fn new(set: Duration) -> Self {
+        Self { set, longest: None, limit: set }
+    }
+
+    /// Returns how long the next call is waited for.
+    #[must_use]
+    pub fn limit(&self) -> Duration {
+        self.limit
+    }
+
+    /// Notes how long a whole answer took.
+    pub fn answered(&mut self, took: Duration) {
+        let faded = self.longest.unwrap_or_default() * (100 - FORGET_PERCENT) / 100;
+        let longest = faded.max(took);
+        self.longest = Some(longest);
+        self.limit = self.bounded(longest.saturating_mul(RATIO));
+    }
+
+    /// Notes that no answer came within the limit.
+    pub fn timed_out(&mut self) {
+        let was_quick = self.longest.is_some_and(|took| took < self.set / RATIO);
+        if !was_quick {
+            self.limit = self.bounded(self.limit.saturating_mul(2));
+        }
+    }
+
+    fn bounded(&self, span: Duration) -> Duration {
+        span.clamp(self.set, self.set.saturating_mul(MOST))
+    }
+}
