--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -7,7 +7,6 @@
 
 use crate::amount::Time;
 use crate::event::{KvCall, KvName, KvResult, Note, Order, Outbox, Versioned, due};
-use crate::first_read;
 use crate::ids::{Epoch, Incarnation, Ticket, Version};
 use crate::joining::Step;
 use crate::membership::{Membership, Purpose, Wish};
@@ -22,6 +21,8 @@
 const WRITE: Duration = Duration::from_millis(200);
 /// The least time between two fetches from one member.
 const FETCH: Duration = Duration::from_millis(200);
+/// How long after its start a process asks members for the list of upstreams.
+const ASK_LIST: Duration = Duration::from_secs(30);
 
 impl Node {
     /// Returns the members that callers may be sent to.
@@ -104,7 +105,7 @@
             out.push(Order::LearnLags(beat.lags.clone()));
         }
         let version = self.board.templates().version;
-        let epoch = {
+        let (epoch, is_near) = {
             let mut members = self.board.members();
             members.heard(now, from, Some(beat));
             let is_behind = beat.epoch < members.view.epoch;
@@ -124,9 +125,13 @@
                 return;
             }
             members.fetched_at = Some(now);
-            members.view.epoch
+            let is_near = members.view.member(from).is_some_and(|m| m.region == members.me.region);
+            (members.view.epoch, is_near)
         };
-        out.send(from, Message::Fetch { epoch, version, whole: version == Version(0) });
+        let whole = version == Version(0);
+        // Whole templates are asked of members of the region only.
+        let version = if whole && !is_near { beat.version } else { version };
+        out.send(from, Message::Fetch { epoch, version, whole });
     }
 
     /// Sends a member what it lacks.
@@ -225,7 +230,7 @@
         let version = self.board.templates().version;
         let mut members = self.board.members();
         let reads = members.is_reader(now) || !members.known || members.marks_unread(complete);
-        if due(now, members.read_at, READ) && reads {
+        if due(now, members.read_at, members.read_pace(READ)) && reads {
             members.read_at = Some(now);
             read(&mut members, KvName::View, out);
         }
@@ -239,16 +244,13 @@
     }
 
     /// Asks a member of the region for the templates and the list of upstreams, while none are
-    /// known here.
+    /// known here; it need not have joined for that.
     pub(crate) fn ask_first(&self, now: Time, out: &mut Outbox) {
         let has_templates = self.board.templates().version > Version(0);
         let mut members = self.board.members();
-        // Later everybody reads the list, where there is one.
-        let has_list = members.list.revision > 0 || now.0 >= first_read::LONGEST;
-        if (has_templates && has_list) || !members.is_member() {
-            return;
-        }
-        if !due(now, members.asked_at, FETCH) {
+        // Where there are no upstreams there is no list to ask for.
+        let has_list = members.list.revision > 0 || now.0 >= ASK_LIST;
+        if (has_templates && has_list) || !due(now, members.asked_at, FETCH) {
             return;
         }
         members.asked_at = Some(now);
--- a/crates/badgerfield-core/src/first_read.rs
+++ b/crates/badgerfield-core/src/first_read.rs
@@ -4,7 +4,8 @@
 //! behind a thin link. The templates and the list of upstreams are tens of kilobytes each, and
 //! each VM that reads them for itself delays the answers to all others, until these are given
 //! up and asked for again. So a few of each region read, and give the rest what they read.
-//! Should they be unable to, others read after a while, few at a time.
+//! Should they be unable to, others
+//! have their turn, and never more of a region than a few at a time.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -17,34 +18,35 @@
 
 /// How many VMs of a region read at once: one may be turned away by the platform.
 const AT_ONCE: usize = 2;
-/// After how long as many others read if nobody has told them: an answer of the platform and
-/// two hops between members, over a link of 60 ms.
-const STEP: Duration = Duration::from_millis(400);
-/// After how long everybody reads.
-pub(crate) const LONGEST: Duration = Duration::from_secs(2);
+/// How long the turn of these lasts: an answer of the platform over a link that others fill,
+/// and two hops between members.
+const TURN: Duration = Duration::from_secs(1);
+/// After how many turns it is the first ones' again, at the most: in a larger region more read
+/// in each turn, so that nobody who hears no other VM waits longer than 8 s.
+const TURNS: usize = 8;
 
 /// Tells whether a process reads whole values for itself, so long after its start.
 ///
 /// `stored` is the view that the platform holds, nothing while that has not been read: it
 /// names the VMs, those included that have just started and have not joined.
 pub(crate) fn reads(age: Time, stored: Option<&View>, me: &Member) -> bool {
-    if age.0 >= LONGEST {
-        return true;
-    }
     let Some(view) = stored else {
         return false;
     };
     if view.members.len() <= SMALL_VIEW {
         return true;
     }
-    let turns = u32::try_from(place(view, me) / AT_ONCE).unwrap_or(u32::MAX);
-    age.0 >= STEP.saturating_mul(turns)
+    let (place, count) = place(view, me);
+    let turns = count.div_ceil(AT_ONCE).clamp(1, TURNS);
+    let turn = age.0.as_millis() / TURN.as_millis();
+    usize::try_from(turn).unwrap_or_default() % turns == place / AT_ONCE % turns
 }
 
-/// Returns how many VMs of the region come before this one, by an order that all know.
-fn place(view: &View, me: &Member) -> usize {
+/// Returns how many VMs of the region come before this one, by an order that all know, and
+/// how many there are.
+fn place(view: &View, me: &Member) -> (usize, usize) {
     let number = |vm: &VmId| xxh3_64(vm.as_str().as_bytes());
     let near = view.members.iter().filter(|m| m.region == me.region && m.vm != me.vm);
     let others: BTreeSet<u64> = near.map(|m| number(&m.vm)).collect();
-    others.range(..number(&me.vm)).count()
+    (others.range(..number(&me.vm)).count(), others.len() + 1)
 }
--- a/crates/badgerfield-core/src/joining.rs
+++ b/crates/badgerfield-core/src/joining.rs
@@ -52,6 +52,11 @@
         self.first.get_or_insert_with(|| view.members.iter().map(|m| m.incarnation).collect());
     }
 
+    /// Tells whether a member has joined since the first view that was seen.
+    pub(crate) fn is_new(&self, id: Incarnation) -> bool {
+        self.first.as_ref().is_some_and(|first| !first.contains(&id))
+    }
+
     /// Notes that another process's write of the view came first.
     pub(crate) fn lost(&mut self) {
         self.lost += 1;
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -43,6 +43,8 @@
 /// After which part everybody does: one that alone reaches the platform must have read the
 /// list, and sent its last request to who leaves, before the notice is over.
 const ALL_AFTER: u32 = 70;
+/// How many times longer a process that joins a large view waits between reads of it.
+const JOINING_READS: u32 = 3;
 /// By how many places the next member of the region is asked that may know what a process
 /// that starts does not.
 const TEACHER_STEP: usize = 7;
@@ -405,7 +407,13 @@
     /// nothing of yet; each time another one.
     pub(crate) fn teacher(&mut self) -> Option<Incarnation> {
         let near = |m: &&Member| m.region == self.me.region && m.incarnation != self.id();
-        let near: Vec<_> = self.view.members.iter().filter(near).map(|m| m.incarnation).collect();
+        let mut near: Vec<_> =
+            self.view.members.iter().filter(near).map(|m| m.incarnation).collect();
+        // Those that joined since this process started are alive; others may be gone.
+        let alive: Vec<_> = near.iter().copied().filter(|id| self.joining.is_new(*id)).collect();
+        if !alive.is_empty() {
+            near = alive;
+        }
         let place = self.asked_first.checked_rem(near.len())?;
         let id = near.get(place).copied();
         // A step that shares no factor with most sizes of a region, so that all are asked.
@@ -413,6 +421,18 @@
         id
     }
 
+    /// Returns how long after a read of the view it is read again, by the least time for that.
+    ///
+    /// One that knows the view and wants to join is written into it by a member that it asks:
+    /// it reads less often, since many may start at once behind a thin link.
+    pub(crate) fn read_pace(&self, least: Duration) -> Duration {
+        let joins = self.known && !self.is_member() && self.wish == Wish::Join;
+        if joins && self.view.members.len() > SMALL_VIEW {
+            return least.saturating_mul(JOINING_READS);
+        }
+        least
+    }
+
     /// Tells whether this process follows the platform's values itself; `heard` is how long
     /// ago it has heard of the list of upstreams, which changes all the time.
     ///
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -190,13 +190,10 @@
     driver.node.follows(now, Some(now.since(learned)))
 }
 
-/// Tells whether this process follows the templates itself: if it is among the first of its
-/// region to read them, and whenever it follows the list of upstreams.
+/// Tells whether this process follows the templates itself: whenever it follows the list of
+/// upstreams. The first ones are read together with the view.
 fn follows_templates(driver: &Driver) -> bool {
-    if driver.node.version() == Version(0) {
-        return driver.node.reads_first(driver.now());
-    }
-    is_on_duty(driver)
+    driver.node.version() > Version(0) && is_on_duty(driver)
 }
 
 /// Closes what is of no more use, and tells what requests need and whether this process
