--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -407,15 +407,6 @@
         }
     }
 
-    /// Returns how long a request takes at present at the upstream of a plain service where
-    /// it takes the least.
-    #[must_use]
-    pub fn least_time(&self, now: Time, service: &Service) -> Duration {
-        let usable = self.table.values().filter(|r| r.info.service == *service && r.is_usable(now));
-        let least = usable.map(|r| r.lag.millis(now)).min_by(f64::total_cmp).unwrap_or_default();
-        Duration::from_secs_f64(least.max(0.0) / 1e3)
-    }
-
     /// Returns the upstreams with a lag that other processes should know of, another few at
     /// each turn where there are many.
     #[must_use]
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -17,6 +17,7 @@
 use badgerfield_core::amount::{Time, Tokens};
 use badgerfield_core::ids::{Service, UpstreamId};
 use badgerfield_core::mix::Observed;
+use badgerfield_core::overload;
 use badgerfield_core::refusal::{Cause, Refusal};
 use badgerfield_core::replicas::{Health, Wanted};
 use badgerfield_core::routing::{Caller, Route, ServiceSpec};
@@ -176,7 +177,6 @@
             if self.attempts > 0 && self.gateway.retries().left(now, &self.service, vms) < 1.0 {
                 return Err(self.give_up(Cause::TriesSpent));
             }
-            self.check_overload()?;
             let Some(chosen) = self.choose(now, vms) else {
                 return Err(self.give_up(Cause::NoUpstream));
             };
@@ -261,7 +261,7 @@
     }
 
     /// Returns the rank of the request: that of its account goes before the route's.
-    pub(super) fn rank(&self) -> u8 {
+    fn rank(&self) -> u8 {
         let own = self.caller.as_ref().and_then(|caller| caller.rank);
         own.unwrap_or(self.route.rank)
     }
@@ -331,8 +331,9 @@
         }
         let cause = if cause == Cause::OutOfTime { Cause::Overloaded } else { cause };
         let warm_in = self.gateway.replicas().warm_in(self.now(), &self.service);
-        let after = warm_in.filter(|_| cause == Cause::NoUpstream).or_else(|| self.come_back());
-        Refusal::not_run(cause).after(after.unwrap_or(COME_BACK))
+        let after = warm_in.filter(|_| cause == Cause::NoUpstream);
+        let after = after.unwrap_or_else(|| overload::come_back(rand::random()));
+        Refusal::not_run(cause).after(after)
     }
 
     fn refuse(&mut self, refusal: &Refusal) -> Response<AnswerBody> {
--- a/crates/badgerfield-node/src/gateway/mod.rs
+++ b/crates/badgerfield-node/src/gateway/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`listener`] takes connections of callers; `admit` lets a request in, `flow` holds
 //! its steps from there to its bill; `refusals` makes refusals; `attempt` is one try at one upstream; `relay` passes
-//! a streamed answer on; `overload` refuses what a plain service cannot do; `directory` tells callers which VMs to use. What the heads
+//! a streamed answer on; `overload` tells of the load of plain services; `directory` tells callers which VMs to use. What the heads
 //! look like is the business of the [`crate::adapter`].
 
 mod admit;
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
-use badgerfield_core::ids::{Service, UpstreamId, Version};
+use badgerfield_core::ids::{UpstreamId, Version};
 use badgerfield_core::mix::Group;
 use badgerfield_core::refusal::Refusal;
 use badgerfield_core::replicas::Chosen;
@@ -60,16 +60,6 @@
     );
 }
 
-/// Records that a request is refused since its service has too much to do.
-pub(crate) fn throttled(id: &str, service: &Service, wait: Duration, share: f64, after: Duration) {
-    let (wait, after) = (wait.as_millis(), after.as_millis());
-    log::info!(
-        target: REQUESTS,
-        "throttled id={id} service={service} answers_take_ms={wait} refused_share={share:.2} \
-         after_ms={after}"
-    );
-}
-
 /// Records how one try at an upstream ended, if it brought no answer.
 pub(crate) fn attempt_failed(
     id: &str,
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -1,12 +1,10 @@
 //! What the gateway keeps between requests.
 
-use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use badgerfield_core::amount::Time;
-use badgerfield_core::ids::{Service, UpstreamId, Version};
-use badgerfield_core::overload::Throttle;
+use badgerfield_core::ids::{UpstreamId, Version};
 use badgerfield_core::replicas::Replicas;
 use badgerfield_core::retry_budget::{RetryBound, RetryBudget};
 use badgerfield_core::routing::RouteTable;
@@ -32,8 +30,6 @@
     routes: Mutex<InForce>,
     replicas: Mutex<Replicas>,
     retries: Mutex<RetryBudget>,
-    /// What is refused of the requests for each plain service.
-    throttles: Mutex<BTreeMap<Service, Throttle>>,
     open: AtomicUsize,
     stopping: AtomicBool,
     /// How often lags of upstreams were noted for others.
@@ -48,7 +44,6 @@
             routes: Mutex::default(),
             replicas: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(bound)),
-            throttles: Mutex::default(),
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             turn: AtomicUsize::new(0),
@@ -78,15 +73,6 @@
         lock(&self.retries)
     }
 
-    /// Does a step with the throttle of a service.
-    pub(crate) fn throttle<T>(
-        &self,
-        service: &Service,
-        step: impl FnOnce(&mut Throttle) -> T,
-    ) -> T {
-        step(lock(&self.throttles).entry(service.clone()).or_default())
-    }
-
     /// Counts a request as open until the guard is dropped.
     pub(crate) fn open(self: &Arc<Self>) -> OpenRequest {
         self.open.fetch_add(1, Ordering::Relaxed);
