--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -9,7 +9,7 @@
 use crate::event::{KvCall, KvName, KvResult, Note, Order, Outbox, Versioned, due};
 use crate::ids::{Epoch, Incarnation, Ticket, Version};
 use crate::joining::Step;
-use crate::membership::{Purpose, Wish};
+use crate::membership::{Membership, Purpose, Wish};
 use crate::message::{Heartbeat, Message};
 use crate::node::Node;
 use crate::view::{Member, SMALL_VIEW, Standing, View};
@@ -21,6 +21,8 @@
 const WRITE: Duration = Duration::from_millis(200);
 /// The least time between two fetches from one member.
 const FETCH: Duration = Duration::from_millis(200);
+/// How long after its start a process asks members for the list of upstreams.
+const ASK_LIST: Duration = Duration::from_secs(30);
 
 impl Node {
     /// Returns the members that callers may be sent to.
@@ -76,6 +78,13 @@
         self.board.members().follows(now, heard)
     }
 
+    /// Tells whether this process reads whole values from the platform that it knows nothing
+    /// of yet; others of its region give it those otherwise.
+    #[must_use]
+    pub fn reads_first(&self, now: Time) -> bool {
+        self.board.members().reads_first(now)
+    }
+
     /// Tells whether this process is among the few that try the platform often while it does
     /// not answer; they tell the others when it is back.
     #[must_use]
@@ -99,7 +108,7 @@
             out.push(Order::LearnLags(beat.lags.clone()));
         }
         let version = self.board.templates().version;
-        let epoch = {
+        let (epoch, is_near) = {
             let mut members = self.board.members();
             members.heard(now, from, Some(beat));
             let is_behind = beat.epoch < members.view.epoch;
@@ -119,9 +128,13 @@
                 return;
             }
             members.fetched_at = Some(now);
-            members.view.epoch
+            let is_near = members.view.member(from).is_some_and(|m| m.region == members.me.region);
+            (members.view.epoch, is_near)
         };
-        out.send(from, Message::Fetch { epoch, version, whole: version == Version(0) });
+        let whole = version == Version(0);
+        // Whole templates are asked of members of the region only.
+        let version = if whole && !is_near { beat.version } else { version };
+        out.send(from, Message::Fetch { epoch, version, whole });
     }
 
     /// Sends a member what it lacks.
@@ -217,25 +230,45 @@
     /// Reads the platform's values, and writes the view, when that is due.
     pub(crate) fn read_platform(&self, now: Time, out: &mut Outbox) {
         let complete = self.board.claims().complete();
+        let version = self.board.templates().version;
         let mut members = self.board.members();
         let reads = members.is_reader(now) || !members.known || members.marks_unread(complete);
-        if due(now, members.read_at, READ) && reads {
+        if due(now, members.read_at, members.read_pace(READ)) && reads {
             members.read_at = Some(now);
-            for name in [KvName::View, KvName::Templates] {
-                if members.is_calling(&name) {
-                    continue;
-                }
-                if name == KvName::View {
-                    members.view_asked = Some(now);
-                }
-                let ticket = members.call(Purpose::Read(name.clone()));
-                out.push(Order::KeyValue(ticket, KvCall::Get(name)));
-            }
+            read(&mut members, now, KvName::View, out);
+        }
+        let reads = if version == Version(0) { members.reads_first(now) } else { reads };
+        if due(now, members.templates_read_at, READ) && reads {
+            members.templates_read_at = Some(now);
+            read(&mut members, now, KvName::Templates, out);
         }
         drop(members);
         self.write_view(now, out);
     }
 
+    /// Asks a member of the region for the templates and the list of upstreams, while none are
+    /// known here; it need not have joined for that.
+    pub(crate) fn ask_first(&self, now: Time, out: &mut Outbox) {
+        let has_templates = self.board.templates().version > Version(0);
+        let mut members = self.board.members();
+        // Where there are no upstreams there is no list to ask for.
+        let has_list = members.list.revision > 0 || now.0 >= ASK_LIST;
+        if (has_templates && has_list) || !due(now, members.asked_at, FETCH) {
+            return;
+        }
+        members.asked_at = Some(now);
+        let Some(to) = members.teacher() else {
+            return;
+        };
+        if !has_templates {
+            let epoch = members.view.epoch;
+            out.send(to, Message::Fetch { epoch, version: Version(0), whole: true });
+        }
+        if !has_list {
+            out.send(to, Message::FetchUpstreams);
+        }
+    }
+
     /// Writes a process that asks for it into the view, with others that ask.
     pub(crate) fn invite(&self, now: Time, from: Incarnation, guest: Member, out: &mut Outbox) {
         if guest.incarnation != from {
@@ -368,3 +401,15 @@
         self.adopt_view(now, &view, out);
     }
 }
+
+/// Reads a value of the platform, unless that is under way.
+fn read(members: &mut Membership, now: Time, name: KvName, out: &mut Outbox) {
+    if members.is_calling(&name) {
+        return;
+    }
+    if name == KvName::View {
+        members.view_asked = Some(now);
+    }
+    let ticket = members.call(Purpose::Read(name.clone()));
+    out.push(Order::KeyValue(ticket, KvCall::Get(name)));
+}
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -8,6 +8,7 @@
 use crate::amount::Time;
 use crate::broadcast::{self, Leg};
 use crate::event::{KvName, Note};
+use crate::first_read;
 use crate::ids::{Epoch, Incarnation, Service, Ticket, VmId};
 use crate::joining::Joining;
 use crate::lag::LagNote;
@@ -43,6 +44,11 @@
 /// After which part everybody does: one that alone reaches the platform must have read the
 /// list, and sent its last request to who leaves, before the notice is over.
 const ALL_AFTER: u32 = 70;
+/// How many times longer a process that joins a large view waits between reads of it.
+const JOINING_READS: u32 = 3;
+/// By how many places the next member of the region is asked that may know what a process
+/// that starts does not.
+const TEACHER_STEP: usize = 7;
 /// To how many members signs of life go in a larger view.
 const NEIGHBOURS: usize = 8;
 
@@ -165,6 +171,13 @@
     /// When the platform was asked for the view last, and the same of the last answer.
     pub(crate) view_asked: Option<Time>,
     pub(crate) view_known: Option<Time>,
+    /// When the templates were read last.
+    pub(crate) templates_read_at: Option<Time>,
+    /// When a member was asked for what this process knows nothing of.
+    pub(crate) asked_at: Option<Time>,
+    /// Counts who was asked for it.
+    asked_first: usize,
+    asks: usize,
     pub(crate) wrote_at: Option<Time>,
     /// When a view or templates were asked for last; one member is asked at a time.
     pub(crate) fetched_at: Option<Time>,
@@ -214,6 +227,10 @@
             read_at: None,
             view_asked: None,
             view_known: None,
+            templates_read_at: None,
+            asked_at: None,
+            asked_first: 0,
+            asks: 0,
             wrote_at: None,
             fetched_at: None,
             shown: HashMap::new(),
@@ -393,6 +410,48 @@
         self.ranks.reader.is_some_and(|place| place < READERS)
     }
 
+    /// Tells whether this process reads whole values from the platform that it knows nothing
+    /// of yet; others of its region give it those otherwise.
+    pub(crate) fn reads_first(&self, now: Time) -> bool {
+        let stored = self.known.then_some(&*self.stored);
+        first_read::reads(now, stored, &self.me)
+    }
+
+    /// Returns the member of this process's region that is asked next for what it knows
+    /// nothing of yet: by turns one that knows it early, and another one each time.
+    pub(crate) fn teacher(&mut self) -> Option<Incarnation> {
+        self.asks += 1;
+        let early = first_read::teacher(&self.view, &self.me).filter(|_| self.asks % 2 == 1);
+        if early.is_some() {
+            return early;
+        }
+        let near = |m: &&Member| m.region == self.me.region && m.incarnation != self.id();
+        let mut near: Vec<_> =
+            self.view.members.iter().filter(near).map(|m| m.incarnation).collect();
+        // Those that joined since this process started are alive; others may be gone.
+        let alive: Vec<_> = near.iter().copied().filter(|id| self.joining.is_new(*id)).collect();
+        if !alive.is_empty() {
+            near = alive;
+        }
+        let place = self.asked_first.checked_rem(near.len())?;
+        let id = near.get(place).copied();
+        // A step that shares no factor with most sizes of a region, so that all are asked.
+        self.asked_first += TEACHER_STEP;
+        id
+    }
+
+    /// Returns how long after a read of the view it is read again, by the least time for that.
+    ///
+    /// One that knows the view and wants to join is written into it by a member that it asks:
+    /// it reads less often, since many may start at once behind a thin link.
+    pub(crate) fn read_pace(&self, least: Duration) -> Duration {
+        let joins = self.known && !self.is_member() && self.wish == Wish::Join;
+        if joins && self.view.members.len() > SMALL_VIEW {
+            return least.saturating_mul(JOINING_READS);
+        }
+        least
+    }
+
     /// Tells whether this process follows the platform's values itself; `heard` is how long
     /// ago it has heard of the list of upstreams, which changes all the time.
     ///
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -359,6 +359,7 @@
         self.beat(now, out);
         self.rollout_tick(now, out);
         self.read_platform(now, out);
+        self.ask_first(now, out);
         self.claim_tick(now, out);
         self.rights_tick(now, out);
         self.queue_tick(now, out);
--- a/crates/badgerfield-core/src/replicas/choice.rs
+++ b/crates/badgerfield-core/src/replicas/choice.rs
@@ -11,6 +11,7 @@
 use crate::ids::UpstreamId;
 use crate::lag;
 use crate::locality::{Crossing, Distance};
+use crate::overload;
 
 /// Within what a chain of prompt parts has one upstream that all VMs prefer for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,7 +44,9 @@
             let is_home = homes.contains(&&replica.info.id);
             let mut cost = replica.cost(now, wanted, &weights, is_home);
             cost += self.locality.cost(replica.distance, wanted.bytes);
-            if !wanted.parts.is_empty() {
+            if wanted.parts.is_empty() {
+                cost += overload::wait_cost(replica.lag.millis(now), replica.seed ^ wanted.draw);
+            } else {
                 cost += replica.lag.cost(now, ordinary, wanted.draw);
             }
             if best.is_none_or(|(_, least)| cost < least) {
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -139,6 +139,8 @@
     canary: Canary,
     /// How requests go at services that are rolled out.
     tallies: Tallies,
+    /// The services, without engines, that requests of this process went to.
+    plain: BTreeSet<Service>,
 }
 
 impl Replicas {
@@ -448,11 +450,24 @@
         replica.lag.observe(now, span.saturating_sub(reading));
     }
 
+    /// Notes how long a request took at a plain upstream, or counts for that was turned away
+    /// there.
+    pub fn took(&mut self, now: Time, id: &UpstreamId, span: Duration) {
+        let Some(replica) = self.table.get_mut(id) else {
+            return;
+        };
+        replica.lag.observe(now, span);
+        if !self.plain.contains(&replica.info.service) {
+            self.plain.insert(replica.info.service.clone());
+        }
+    }
+
     /// Returns the upstreams with a lag that other processes should know of, another few at
     /// each turn where there are many.
     #[must_use]
     pub fn lags(&self, now: Time, turn: usize) -> Vec<LagNote> {
-        let all: Vec<_> = self.table.values().filter_map(|r| r.lag.note(now, r.number())).collect();
+        let note = |r: &Replica| r.lag.note(now, r.number(), self.plain.contains(&r.info.service));
+        let all: Vec<_> = self.table.values().filter_map(note).collect();
         let start = if all.is_empty() { 0 } else { turn * lag::MAX_NOTES % all.len() };
         all.iter().cycle().skip(start).take(all.len().min(lag::MAX_NOTES)).copied().collect()
     }
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -17,6 +17,7 @@
 use badgerfield_core::amount::{Time, Tokens};
 use badgerfield_core::ids::{Service, SoftwareVersion, UpstreamId};
 use badgerfield_core::mix::Observed;
+use badgerfield_core::overload;
 use badgerfield_core::refusal::{Cause, Refusal};
 use badgerfield_core::replicas::{Chosen, Wanted};
 use badgerfield_core::residency::{Admission, Residency};
@@ -217,6 +218,7 @@
                     self.may_have_run = true;
                     self.timing.head = Some(self.arrived.elapsed());
                     self.version.clone_from(&chosen.version);
+                    self.note_answered(&chosen.id, started.elapsed());
                     if answered.head.status.is_server_error() && self.may_try_again(vms) {
                         let mut answered = answered;
                         answered.hold.note_failed();
@@ -233,6 +235,7 @@
                 }
                 AttemptEnd::NotRun(status) => {
                     self.attempts += 1;
+                    self.note_not_run(&chosen.id, status);
                     not_run_word(status)
                 }
                 AttemptEnd::Broken(why) => {
@@ -365,7 +368,8 @@
         }
         let cause = if cause == Cause::OutOfTime { Cause::Overloaded } else { cause };
         let warm_in = self.gateway.replicas().warm_in(self.now(), &self.service);
-        let after = warm_in.filter(|_| cause == Cause::NoUpstream).unwrap_or(COME_BACK);
+        let after = warm_in.filter(|_| cause == Cause::NoUpstream);
+        let after = after.unwrap_or_else(|| overload::come_back(rand::random()));
         Refusal::not_run(cause).after(after)
     }
 
--- /dev/null
+++ b/crates/badgerfield-node/src/gateway/overload.rs
@@ -0,0 +1,34 @@
+//! What a request tells of the load of a plain service ([`badgerfield_core::overload`]).
+
+use std::time::Duration;
+
+use badgerfield_core::ids::UpstreamId;
+use badgerfield_core::overload;
+use hyper::StatusCode;
+
+use crate::gateway::flow::Exchange;
+
+impl Exchange {
+    /// Returns the time within which an answer is wanted, if the request goes to a plain
+    /// service and its route says so.
+    fn plain_objective(&self) -> Option<Duration> {
+        let objective = self.route.objective;
+        (self.spec.engine.is_none() && !objective.is_zero()).then_some(objective)
+    }
+
+    /// Notes how long an upstream took to answer.
+    pub(super) fn note_answered(&self, id: &UpstreamId, span: Duration) {
+        if self.plain_objective().is_some() {
+            self.gateway.replicas().took(self.now(), id, span);
+        }
+    }
+
+    /// Notes that an upstream did not run the request.
+    pub(super) fn note_not_run(&self, id: &UpstreamId, status: StatusCode) {
+        let full = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
+        if let Some(objective) = self.plain_objective().filter(|_| full.contains(&status)) {
+            let span = overload::turned_away(objective);
+            self.gateway.replicas().took(self.now(), id, span);
+        }
+    }
+}
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod evacuations;
+mod link;
 mod platform;
 mod processes;
 mod rollouts;
@@ -28,6 +29,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+pub use link::Link;
 pub use platform::Platform;
 pub use rollouts::{Badness, RolloutTruth, Traffic, service, version};
 pub use shape::{Shape, Wish, account, engines, member, region_name, secret};
@@ -96,7 +98,7 @@
     Event(Incarnation, Event),
     Tick(Incarnation),
     Step(usize),
-    KvApply(Incarnation, badgerfield_core::ids::Ticket, badgerfield_core::event::KvCall),
+    KvApply(Incarnation, badgerfield_core::ids::Ticket, badgerfield_core::event::KvCall, Time),
     List,
 }
 
@@ -119,6 +121,8 @@
     pub rollouts: RolloutTruth,
     /// Faults in how a step was carried out, which tests look at.
     pub faults: Vec<String>,
+    /// The link between regions, if it is thin.
+    pub link: Option<Link>,
     shape: Shape,
     vms: Vec<Vm>,
     upstreams: Upstreams,
@@ -150,6 +154,7 @@
             rollouts: RolloutTruth::new(shape.seed),
             templates: TemplateSet::default(),
             faults: Vec::new(),
+            link: None,
             vms: Vec::new(),
             upstreams,
             turns: BTreeMap::new(),
--- a/crates/badgerfield-standin/src/fleet/platform.rs
+++ b/crates/badgerfield-standin/src/fleet/platform.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use badgerfield_core::amount::Time;
 use badgerfield_core::evacuation::DomainChange;
 use badgerfield_core::event::{Event, KvCall, KvName, KvResult, OperatorValues, Versioned};
 use badgerfield_core::ids::{Domain, Incarnation, Ticket};
@@ -11,7 +12,7 @@
 use badgerfield_core::view::View;
 use bytes::Bytes;
 
-use super::{Fleet, Turn};
+use super::{Fleet, Turn, link};
 
 /// How long a call takes on its way.
 const DELAY: Duration = Duration::from_millis(3);
@@ -153,7 +154,14 @@
 }
 
 impl Fleet {
-    pub(super) fn apply_call(&mut self, from: Incarnation, ticket: Ticket, call: &KvCall) {
+    /// Carries out a call that was sent at a time, and answers it.
+    pub(super) fn apply_call(
+        &mut self,
+        from: Incarnation,
+        ticket: Ticket,
+        call: &KvCall,
+        sent: Time,
+    ) {
         let region = self.owners.get(&from).map_or(0, |index| self.region_of(*index));
         if self.is_late(from, ticket, call) {
             let event = Event::KeyValue(ticket, KvResult::Unknown);
@@ -170,8 +178,35 @@
                 (result, false) => (result, self.platform.delay()),
             }
         };
-        let event = Event::KeyValue(ticket, result);
-        self.at(self.now.after(delay), Turn::Event(from, event));
+        let size = link::answer_size(&result);
+        let (event, at) = match self.answer_over_link(from, region, size, sent) {
+            None => (Event::KeyValue(ticket, result), self.now.after(delay)),
+            Some(Ok(at)) => (Event::KeyValue(ticket, result), at.after(delay)),
+            Some(Err(given_up)) => (Event::KeyValue(ticket, KvResult::Unknown), given_up),
+        };
+        self.at(at, Turn::Event(from, event));
+    }
+
+    /// Sends an answer of the store over the thin link, if there is one on its way; returns
+    /// when it arrives, or when its caller has given it up.
+    fn answer_over_link(
+        &mut self,
+        to: Incarnation,
+        region: usize,
+        bytes: usize,
+        sent: Time,
+    ) -> Option<Result<Time, Time>> {
+        let now = self.now;
+        let link = self.link.as_mut().filter(|_| region != link::STORE_REGION)?;
+        let until = sent.after(link.patience(to).limit());
+        // Nothing is sent to a caller that has given up.
+        let at = link.send(now, (link::STORE_REGION, region), bytes, Some(until));
+        let arrives = at.filter(|at| *at <= until);
+        match arrives {
+            Some(at) => link.patience(to).answered(at.since(sent)),
+            None => link.patience(to).timed_out(),
+        }
+        Some(arrives.ok_or(until))
     }
 
     fn with_orders(&self, result: KvResult) -> KvResult {
