--- a/crates/badgerfield-core/src/lending.rs
+++ b/crates/badgerfield-core/src/lending.rs
@@ -12,15 +12,17 @@
 //! Lenders are ranked by their VMs, not by their processes: who starts anew on the VM of a
 //! lender has the same budgets, and finds what its predecessor left sealed.
 
+use std::collections::BTreeSet;
+
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ids::{BudgetId, Incarnation, Region, weigh};
+use crate::ids::{BudgetId, Domain, Incarnation, Region, weigh};
 use crate::view::{Member, SMALL_VIEW, Standing, View};
 
 /// One member in so many lends.
 const MEMBERS_PER_LENDER: usize = 6;
 /// How many members hold one budget.
-const HOLDERS: usize = 3;
+pub(crate) const HOLDERS: usize = 3;
 /// How many more stand in for them.
 const SUBSTITUTES: usize = 3;
 
@@ -28,11 +30,12 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct Lenders(Vec<Lender>);
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct Lender {
     id: Incarnation,
     /// What stands for its VM in rankings.
     vm: Incarnation,
+    domain: Domain,
 }
 
 impl Lenders {
@@ -55,6 +58,7 @@
         let subject = budget.as_str().as_bytes();
         let mut ranked = self.0.clone();
         ranked.sort_by_key(|lender| std::cmp::Reverse(weigh(subject, lender.vm)));
+        ranked = spread_domains(ranked);
         ranked.truncate(HOLDERS + SUBSTITUTES);
         let mut substitutes = ranked.split_off(HOLDERS.min(ranked.len()));
         let is_me = |lender: &Lender| lender.id == me;
@@ -97,6 +101,16 @@
 impl Lender {
     fn of(member: &Member) -> Self {
         let vm = Incarnation(xxh3_64(member.vm.as_str().as_bytes()));
-        Self { id: member.incarnation, vm }
+        Self { id: member.incarnation, vm, domain: member.domain.clone() }
     }
 }
+
+/// Puts the first of each failure domain before the others, and keeps their order otherwise: what
+/// takes one domain down leaves holders in the others.
+fn spread_domains(ranked: Vec<Lender>) -> Vec<Lender> {
+    let mut seen = BTreeSet::new();
+    let is_first = |lender: &Lender| seen.insert(lender.domain.clone());
+    let (mut spread, others): (Vec<_>, Vec<_>) = ranked.into_iter().partition(is_first);
+    spread.extend(others);
+    spread
+}
