--- a/crates/badgerfield-standin/tests/large_fleet.rs
+++ b/crates/badgerfield-standin/tests/large_fleet.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use badgerfield_standin::fleet::{Fleet, Shape};
+use badgerfield_standin::fleet::{Fleet, Shape, Wish};
 
 const VMS: usize = 300;
 /// How long all VMs may take to get into the view, and to know it, when all start at once.
@@ -174,3 +174,30 @@
         assert_knows_all(&fleet);
     }
 }
+
+/// Asks steadily for budgets in turn, at all VMs in turn.
+fn ask(fleet: &mut Fleet, vms: usize, requests: usize) {
+    for n in 0..requests {
+        let (prompt, output) = (60, 40);
+        let wish = Wish { budget: n % 4, key: None, once: false, service: false, prompt, output };
+        fleet.ask(n * 7 % vms, wish);
+        fleet.advance(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn what_witnesses_are_told_does_not_grow_with_the_fleet() {
+    for vms in [72, VMS] {
+        let mut fleet = start(vms);
+        ask(&mut fleet, vms, 1000);
+        let before = fleet.messages().get("park").copied().unwrap_or_default();
+        ask(&mut fleet, vms, 2000);
+        let after = fleet.messages().get("park").copied().unwrap_or_default();
+        let seconds = 10;
+        let (messages, bytes) = (after.0 - before.0, after.1 - before.1);
+        println!("{vms} VMs: {} messages/s, {} B/s, of all", messages / seconds, bytes / seconds);
+        // Three VMs hold each of four budgets, and each is answered; the number of VMs is no
+        // part of it.
+        assert!(messages / seconds <= 120, "{vms} VMs: {messages} messages in {seconds} s");
+    }
+}
