--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! doubled or overtaken; nodes may be killed, frozen or cut off; the key-value service
 //! may be down, or lose replies. [`Truth`] keeps what upstreams really did.
 
+mod balance;
 mod callers;
 mod evacuations;
 mod link;
@@ -29,6 +30,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+pub use balance::{Balance, Death};
 pub use link::Link;
 pub use platform::Platform;
 pub use rollouts::{Badness, RolloutTruth, Traffic, service, version};
@@ -133,6 +135,9 @@
     cut: BTreeSet<usize>,
     list: VmList,
     kills: u64,
+    deaths: Vec<Death>,
+    /// Transfers to processes that had ended, by giver, receiver and number.
+    stranded: BTreeMap<(Incarnation, Incarnation, u64), (BudgetId, u64)>,
     rng: ChaCha8Rng,
     messages: BTreeMap<&'static str, (u64, u64)>,
     /// Those among them that went to another region.
@@ -164,6 +169,8 @@
             cut: BTreeSet::new(),
             list: VmList { version: 1, vms: Vec::new() },
             kills: 0,
+            deaths: Vec::new(),
+            stranded: BTreeMap::new(),
             ahead: BTreeMap::new(),
             rng,
             messages: BTreeMap::new(),
@@ -364,7 +371,8 @@
         let mut index = 0;
         for (region, size) in self.shape.regions.clone().into_iter().enumerate() {
             for place in 0..size {
-                let member = member(index, region, place, Incarnation(0));
+                let domain = place % self.shape.domains.max(1);
+                let member = member(index, region, domain, Incarnation(0));
                 let entry = VmEntry { vm: member.vm.clone(), leaving: false, upstream: None };
                 self.list.vms.push(entry);
                 self.vms.push(Vm {
--- a/crates/badgerfield-standin/src/fleet/platform.rs
+++ b/crates/badgerfield-standin/src/fleet/platform.rs
@@ -32,6 +32,8 @@
     pub slow: Duration,
     /// Regions that cannot reach it.
     pub cut: BTreeSet<usize>,
+    /// VMs that cannot reach it.
+    pub cut_vms: BTreeSet<usize>,
     /// Reads so far.
     pub reads: u64,
     /// Writes so far.
@@ -162,13 +164,15 @@
         call: &KvCall,
         sent: Time,
     ) {
-        let region = self.owners.get(&from).map_or(0, |index| self.region_of(*index));
+        let vm = self.owners.get(&from).copied().unwrap_or(0);
+        let is_cut =
+            self.platform.cut.contains(&self.region_of(vm)) || self.platform.cut_vms.contains(&vm);
         if self.is_late(from, ticket, call) {
             let event = Event::KeyValue(ticket, KvResult::Unknown);
             self.at(self.now.after(TIMEOUT), Turn::Event(from, event));
             return;
         }
-        let (result, delay) = if self.platform.down || self.platform.cut.contains(&region) {
+        let (result, delay) = if self.platform.down || is_cut {
             (KvResult::Unknown, TIMEOUT)
         } else {
             let (result, is_lost) = self.platform.call(call);
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -132,6 +132,7 @@
         let entry = self.messages.entry(kind).or_default();
         *entry = (entry.0 + 1, entry.1 + bytes);
         let Some(to) = self.index_of(envelope.to) else {
+            self.note_stranded(envelope);
             return;
         };
         let (a, b) = (self.region_of(index), self.region_of(to));
