--- a/crates/badgerfield-core/tests/overload.rs
+++ b/crates/badgerfield-core/tests/overload.rs
@@ -9,6 +9,7 @@
 use badgerfield_core::overload;
 use badgerfield_core::replica_list::{ReplicaEntry, ReplicaInfo, ReplicaList};
 use badgerfield_core::replicas::{Health, Replicas, Wanted};
+use badgerfield_core::residency::EVERYWHERE;
 
 const VMS: usize = 48;
 const SLOTS: usize = 6;
@@ -199,7 +200,10 @@
             service: &service(),
             route: "call",
             parts: &[],
+            bytes: 0,
+            residency: &EVERYWHERE,
             tried: &request.tried,
+            resumes: None,
             connections: 2,
             draw: self.draws.next(),
         };
