--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -265,7 +265,7 @@
             out.send(to, Message::Fetch { epoch, version: Version(0), whole: true });
         }
         if !has_list {
-            out.send(to, Message::FetchUpstreams);
+            out.send(to, Message::FetchUpstreams { since: 0 });
         }
     }
 
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -89,6 +89,15 @@
     offset: Option<u64>,
 }
 
+/// A list of upstreams that another member knows, and this process does not yet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Behind {
+    /// Up to which revision.
+    pub(crate) revision: u64,
+    /// Since when that is known here.
+    pub(crate) at: Time,
+}
+
 /// Where this process stands by rank, in the duties that few members have. Ranks change with
 /// the view only, and are asked for at every tick.
 #[derive(Debug, Clone, Copy, Default)]
@@ -146,7 +155,12 @@
     pub(crate) needs: NeedsBlend,
     /// The upstreams at which requests wait.
     pub(crate) lags: Vec<LagNote>,
-    pub(crate) list_fetched: HashMap<Incarnation, Time>,
+    /// The last revision of that list up to which all were told every change.
+    pub(crate) told: u64,
+    /// What others know of that list beyond this process.
+    pub(crate) behind: Option<Behind>,
+    /// When any member was asked for the list.
+    pub(crate) list_fetched: Option<Time>,
     /// When evacuations were compared with each member last.
     pub(crate) compared: HashMap<Incarnation, Time>,
     /// The same for roll-outs.
@@ -208,7 +222,9 @@
             list: ListMark::default(),
             needs: NeedsBlend::default(),
             lags: Vec::new(),
-            list_fetched: HashMap::new(),
+            told: 0,
+            behind: None,
+            list_fetched: None,
             compared: HashMap::new(),
             rollouts_compared: HashMap::new(),
             confirmed_at: None,
@@ -329,7 +345,6 @@
         for id in &gone {
             self.signs.remove(id);
             self.shown.remove(id);
-            self.list_fetched.remove(id);
             self.compared.remove(id);
             self.rollouts_compared.remove(id);
         }
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -60,8 +60,12 @@
     Templates(Box<TemplateSet>),
     /// Changes of the list of upstreams, passed on to all.
     UpstreamChanges(UpstreamNews),
-    /// Asks for the whole list of upstreams.
-    FetchUpstreams,
+    /// Asks for the list of upstreams.
+    FetchUpstreams {
+        /// The revision of the list up to which the sender knows every change; 0 for none, which
+        /// asks for the whole list.
+        since: u64,
+    },
     /// The whole list of upstreams.
     Upstreams(ReplicaList),
     /// Failure domains were evacuated or taken back; passed on to all.
@@ -213,6 +217,9 @@
 pub struct UpstreamNews {
     /// What changed; it may be nothing but the revision.
     pub changes: ReplicaChanges,
+    /// Whoever knows every change up to this revision knows, with these, every change up to
+    /// that of the mark.
+    pub since: u64,
     /// The list to which this leads, at whoever read it from the platform.
     pub mark: ListMark,
     /// To how many members before it in the ring the receiver passes this on.
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -335,8 +335,11 @@
             Event::Settle(end) => self.settle_reservation(now, &end, out),
             Event::Clock(wall) => self.board.members().set_wall(now, wall),
             Event::Serving(serving) => self.board.members().serving = serving,
-            Event::UpstreamChanges(changes) => self.tell_changes(now, &changes, out),
-            Event::UpstreamsDiffer(from) => self.fetch_upstreams(now, from, out),
+            Event::UpstreamChanges(changes, since) => self.tell_changes(now, &changes, since, out),
+            Event::UpstreamsMissed(from, revision) => {
+                self.upstreams_missed(now, from, revision, out);
+            }
+            Event::UpstreamsDiffer(from) => self.upstreams_differ(now, from, out),
             Event::ListMark(mark) => self.board.members().list = mark,
             Event::EngineNeeds(own) => {
                 let mut members = self.board.members();
@@ -394,7 +397,7 @@
             Message::Delta(delta) => self.learn_delta(now, from, *delta, out),
             Message::Templates(set) => self.learn_templates(now, *set, out),
             Message::UpstreamChanges(news) => self.upstream_news(now, from, news, out),
-            Message::FetchUpstreams => out.push(Order::TellUpstreams(from)),
+            Message::FetchUpstreams { since } => out.push(Order::TellUpstreams(from, since)),
             Message::Upstreams(list) => out.push(Order::LearnUpstreams(list)),
             Message::Evacuations(news) => self.evacuation_news(now, from, news, out),
             Message::CompareEvacuations(theirs) => self.evacuations_compared(from, &theirs, out),
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -120,11 +120,24 @@
     pub second: Option<(UpstreamId, f64)>,
 }
 
+/// What a process lacks of the list of upstreams after another one has told it something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lacking {
+    /// Nothing that the other one knows.
+    Nothing,
+    /// Changes before those that it was told.
+    Changes,
+    /// It knows of every change, and its list is another one all the same.
+    Whole,
+}
+
 /// The table of upstreams.
 #[derive(Debug, Default)]
 pub struct Replicas {
     revision: u64,
     learned: Option<Time>,
+    /// The last revision at which an upstream went that is not remembered any more.
+    forgotten: u64,
     table: BTreeMap<UpstreamId, Replica>,
     /// What was seen of the requests of each service.
     mixes: BTreeMap<Service, Mix>,
@@ -151,6 +164,10 @@
         if list.revision < self.revision {
             return Vec::new();
         }
+        if self.table.is_empty() {
+            // What went before this process knew any list is not remembered here.
+            self.forgotten = list.revision;
+        }
         let present: BTreeSet<_> = list.replicas.iter().map(|r| r.info.id.clone()).collect();
         let missing = self.table.keys().filter(|id| !present.contains(*id));
         let gone = missing.map(|id| (id.clone(), list.revision)).collect();
@@ -180,8 +197,7 @@
             replica.revision = revision;
             news.push(id);
         }
-        self.table
-            .retain(|_, r| r.running > 0 || r.vanished.is_none_or(|at| now.since(at) < FORGET));
+        self.forget(now);
         if !news.is_empty() {
             self.place_all();
             self.see_versions(now);
@@ -189,6 +205,18 @@
         news
     }
 
+    /// Drops upstreams whose entries went long ago.
+    fn forget(&mut self, now: Time) {
+        let forgotten = &mut self.forgotten;
+        self.table.retain(|_, r| {
+            let stays = r.running > 0 || r.vanished.is_none_or(|at| now.since(at) < FORGET);
+            if !stays {
+                *forgotten = r.revision.max(*forgotten);
+            }
+            stays
+        });
+    }
+
     /// Gives each upstream its place among those of its service.
     ///
     /// All processes order them alike; one that comes or goes moves the others little.
@@ -229,8 +257,11 @@
         let turned = is_newer && known.hear_start(now, &self.starts, revision, warm_in);
         let is_news = turned || known.info != info || known.vanished.is_some();
         known.revision = revision;
-        known.info = info;
-        known.locate(&self.place, &self.regions);
+        if known.info != info {
+            known.digest = digest_of(&info);
+            known.info = info;
+            known.locate(&self.place, &self.regions);
+        }
         known.vanished = None;
         is_news.then_some(id)
     }
@@ -254,7 +285,7 @@
     #[must_use]
     pub fn mark(&self) -> ListMark {
         let listed = self.table.values().filter(|r| r.vanished.is_none());
-        let digest = listed.fold(0, |sum, r| sum ^ digest_of(&r.info));
+        let digest = listed.fold(0, |sum, r| sum ^ r.digest);
         ListMark { revision: self.revision, digest }
     }
 
@@ -282,6 +313,46 @@
         changes
     }
 
+    /// Returns what has changed since a revision, for processes that know every change up to it;
+    /// nothing if what went since then is not remembered any more.
+    #[must_use]
+    pub fn changes_since(&self, now: Time, since: u64) -> Option<ReplicaChanges> {
+        if since < self.forgotten {
+            return None;
+        }
+        let newer = self.table.iter().filter(|(_, r)| r.revision > since);
+        let ids: Vec<_> = newer.map(|(id, _)| id.clone()).collect();
+        Some(self.changes_of(now, &ids))
+    }
+
+    /// Takes in changes that another process told, with its mark; `since` is the revision up to
+    /// which one must know every change to know, with these, as much as it does.
+    ///
+    /// Returns the upstreams for which that was news, and what is still lacking.
+    pub fn hear(
+        &mut self,
+        now: Time,
+        changes: ReplicaChanges,
+        since: u64,
+        mark: ListMark,
+    ) -> (Vec<UpstreamId>, Lacking) {
+        let told = changes.written.iter().map(|entry| entry.revision);
+        let newest =
+            told.chain(changes.gone.iter().map(|gone| gone.1)).fold(mark.revision, u64::max);
+        let news = self.change(now, ReplicaChanges { revision: 0, ..changes });
+        if self.revision < since {
+            let lacking =
+                if self.revision < mark.revision { Lacking::Changes } else { Lacking::Nothing };
+            return (news, lacking);
+        }
+        self.confirm(now, mark.revision);
+        // One that knows more than was told cannot be compared.
+        let knows_more = self.revision > mark.revision
+            || self.table.values().any(|replica| replica.revision > newest);
+        let differs = !knows_more && self.mark().digest != mark.digest;
+        (news, if differs { Lacking::Whole } else { Lacking::Nothing })
+    }
+
     /// Returns the services of which every entry goes at once.
     fn lapsed_services(&self, gone: &[(UpstreamId, u64)]) -> BTreeSet<Service> {
         let gone: BTreeSet<_> = gone.iter().map(|(id, _)| id).collect();
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -13,10 +13,11 @@
 use badgerfield_core::event::{Answer, Bill, Dispatch, Note};
 use badgerfield_core::ids::{AttemptId, Incarnation, Period, RequestId, ReservationId, UpstreamId};
 use badgerfield_core::locality::Place;
-use badgerfield_core::message::{Envelope, Message};
+use badgerfield_core::message::{Envelope, Message, UpstreamNews};
 use badgerfield_core::mix::{Division, Needs};
 use badgerfield_core::refusal::Refusal;
-use badgerfield_core::replica_list::{ListMark, ReplicaChanges, ReplicaList};
+use badgerfield_core::replica_list::{ReplicaChanges, ReplicaList};
+use badgerfield_core::replicas::Lacking;
 use badgerfield_core::upstream::VmList;
 use badgerfield_core::view::{Member, Standing};
 use badgerfield_core::{Config, Event, Node, Order, TICK};
@@ -317,7 +318,7 @@
                 // A request that has gone meanwhile settles what it was given.
                 let _ = answer.map(|answer| answer.send(result));
             }
-            Order::LearnChanges(from, changes, mark) => self.hear_changes(from, changes, mark),
+            Order::LearnChanges(from, news) => self.hear_changes(from, news),
             Order::LearnUpstreams(list) => self.learn_list(list, Source::Peer),
             Order::ConfirmUpstreams(revision) => {
                 if let Some(gateway) = &self.gateway {
@@ -332,7 +333,7 @@
             }
             Order::Evacuated(from, changes) => self.evacuate(from, &changes),
             Order::RolloutRules(rules) => self.divide_versions(rules),
-            Order::TellUpstreams(to) => self.tell_upstreams(to),
+            Order::TellUpstreams(to, since) => self.tell_upstreams(to, since),
             Order::Bill(bill) => self.record(&bill),
             Order::Note(note) => self.note(&note),
             Order::Exit => {
@@ -351,25 +352,18 @@
         self.learned(gateway, &news, Source::Platform);
     }
 
-    /// Takes in changes of the list of upstreams that a peer passed on; if they do not lead to
-    /// the list that they should, some were missed.
-    fn hear_changes(self: &Arc<Self>, from: Incarnation, changes: ReplicaChanges, mark: ListMark) {
+    /// Takes in changes of the list of upstreams that a peer passed on.
+    fn hear_changes(self: &Arc<Self>, from: Incarnation, news: UpstreamNews) {
         let Some(gateway) = &self.gateway else {
             return;
         };
-        let (news, is_same) = {
-            let mut replicas = gateway.replicas();
-            let changes = ReplicaChanges { revision: 0, ..changes };
-            let news = replicas.change(self.now(), changes);
-            let is_same = replicas.mark().digest == mark.digest;
-            if is_same {
-                replicas.confirm(self.now(), mark.revision);
-            }
-            (news, is_same || replicas.mark().revision >= mark.revision)
-        };
+        let UpstreamNews { changes, since, mark, .. } = news;
+        let (news, lacking) = gateway.replicas().hear(self.now(), changes, since, mark);
         self.learned(gateway, &news, Source::Peer);
-        if !is_same {
-            self.feed(Event::UpstreamsDiffer(from));
+        match lacking {
+            Lacking::Nothing => {}
+            Lacking::Changes => self.feed(Event::UpstreamsMissed(from, mark.revision)),
+            Lacking::Whole => self.feed(Event::UpstreamsDiffer(from)),
         }
     }
 
@@ -404,10 +398,9 @@
 
     /// Logs what was news in the list of upstreams, and tells others what the platform told.
     fn learned(self: &Arc<Self>, gateway: &Gateway, news: &[UpstreamId], source: Source) {
-        let (mark, count, (evacuated, cold), changes) = {
+        let (mark, count, (evacuated, cold)) = {
             let replicas = gateway.replicas();
-            let changes = ReplicaChanges { revision: 0, ..replicas.changes_of(self.now(), news) };
-            (replicas.mark(), replicas.len(), replicas.spared(self.now()), changes)
+            (replicas.mark(), replicas.len(), replicas.spared(self.now()))
         };
         self.feed(Event::ListMark(mark));
         if !news.is_empty() {
@@ -424,19 +417,40 @@
         // In a small fleet everybody passes on what is news to it.
         let is_small = self.node.is_small_fleet();
         if source == Source::Platform || (is_small && !news.is_empty()) {
-            self.feed(Event::UpstreamChanges(changes));
+            let told = self.node.list_told();
+            let (changes, since) = {
+                let replicas = gateway.replicas();
+                match replicas.changes_since(self.now(), told) {
+                    Some(changes) => (changes, told),
+                    // Others know that they lack something, and ask for it.
+                    None => (replicas.changes_of(self.now(), news), mark.revision),
+                }
+            };
+            self.feed(Event::UpstreamChanges(changes, since));
         }
     }
 
-    fn tell_upstreams(self: &Arc<Self>, to: Incarnation) {
+    /// Tells a process what has changed in the list of upstreams since a revision, or the whole
+    /// list where that is not known.
+    fn tell_upstreams(self: &Arc<Self>, to: Incarnation, since: u64) {
         let Some(gateway) = &self.gateway else {
             return;
         };
-        let list = gateway.replicas().list(self.now());
-        if list.replicas.is_empty() {
-            return;
-        }
-        self.carry_out(Order::Send(to, Message::Upstreams(list)));
+        let message = {
+            let replicas = gateway.replicas();
+            if replicas.is_empty() {
+                return;
+            }
+            let changes = replicas.changes_since(self.now(), since).filter(|_| since > 0);
+            match changes {
+                Some(changes) => {
+                    let mark = replicas.mark();
+                    Message::UpstreamChanges(UpstreamNews { changes, since, mark, reach: 0 })
+                }
+                None => Message::Upstreams(replicas.list(self.now())),
+            }
+        };
+        self.carry_out(Order::Send(to, message));
     }
 
     fn dispatch(self: &Arc<Self>, attempt: AttemptId, dispatch: Dispatch) {
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -103,7 +103,7 @@
             | Order::ConfirmUpstreams(_)
             | Order::DivideEngines(_)
             | Order::LearnLags(_)
-            | Order::TellUpstreams(_)
+            | Order::TellUpstreams(..)
             | Order::Note(_)
             | Order::Reserved(..) => {}
             Order::RolloutRules(rules) => self.put_rules(index, rules),
