--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -198,6 +198,34 @@
 }
 
 impl Message {
+    /// Names the kind of the message, for counts.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Fetch { .. } | Self::Join(_) | Self::View(_) => "view",
+            Self::Delta(_) | Self::Templates(_) => "templates",
+            Self::Draw(_) | Self::Drawn(_) => "draw",
+            Self::UpstreamChanges(_) | Self::FetchUpstreams { .. } | Self::Upstreams(_) => {
+                "upstreams"
+            }
+            Self::Evacuations(_) | Self::CompareEvacuations(_) => "evacuations",
+            Self::Ask(_) | Self::Nothing { .. } => "ask",
+            Self::Transfer(_) | Self::Transferred { .. } => "transfer",
+            Self::Park(_) | Self::Parked(_) => "park",
+            Self::Claim(_) | Self::Claimed { .. } => "claim",
+            Self::Copy { .. } | Self::Copied { .. } => "copy",
+            Self::Dispatching { .. } | Self::Release { .. } => "progress",
+            Self::Settle(_) | Self::Settled { .. } | Self::Charges(_) | Self::ChargesTaken(_) => {
+                "settle"
+            }
+            Self::Handover(_) | Self::HandedOver { .. } => "handover",
+            Self::Attach { .. } | Self::Part(_) | Self::Pending { .. } | Self::NotHere { .. } => {
+                "answer"
+            }
+        }
+    }
+
     /// Tells whether the message may as well be lost, since a newer one follows soon.
     #[must_use]
     pub fn is_repeated(&self) -> bool {
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -281,7 +281,7 @@
                     return;
                 };
                 let from = self.node.id();
-                self.metrics.messages.inc();
+                self.metrics.messages.count(&message);
                 let envelope = Envelope { from, address: self.settings.advertised, to, message };
                 self.peers.send(address, envelope);
             }
@@ -531,6 +531,7 @@
             if logged.elapsed() >= store_calls::LOG_EVERY {
                 logged = Instant::now();
                 self.metrics.calls.log();
+                self.metrics.messages.log();
             }
             self.feed(Event::Tick);
         }
--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod operators;
+mod peer_traffic;
 pub mod peers;
 pub mod settings;
 mod store_calls;
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::log_lines;
+use crate::peer_traffic::PeerTraffic;
 use crate::store_calls::StoreCalls;
 
 /// The reason of a refusal, and whether the request ran.
@@ -92,7 +93,7 @@
     registry: Registry,
     pub(crate) gateway: GatewayCounts,
     pub(crate) requests: Counter,
-    pub(crate) messages: Counter,
+    pub(crate) messages: PeerTraffic,
     pub(crate) calls: StoreCalls,
     pub(crate) bad_templates: Counter,
     pub(crate) evacuations: Counter,
@@ -128,7 +129,7 @@
             registry,
             gateway,
             requests: Counter::default(),
-            messages: Counter::default(),
+            messages: PeerTraffic::default(),
             calls: StoreCalls::default(),
             bad_templates: Counter::default(),
             evacuations: Counter::default(),
@@ -160,7 +161,7 @@
     fn register(&mut self) {
         let r = &mut self.registry;
         r.register("requests", "Requests taken in", self.requests.clone());
-        r.register("peer_messages", "Messages sent to peers", self.messages.clone());
+        self.messages.register(r);
         self.calls.register(r);
         r.register("kv_results", "Ends of calls to the key-value service", self.kv_results.clone());
         r.register("bad_templates", "Reads of unusable templates", self.bad_templates.clone());
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -9,7 +9,7 @@
 use badgerfield_core::{Event, TICK};
 use rand::RngExt;
 
-use super::{FAR, Fleet, NEAR, SPREAD, Turn, truth};
+use super::{FAR, Fleet, NEAR, SPREAD, Turn};
 
 impl Fleet {
     /// Lets time pass.
@@ -110,7 +110,7 @@
     }
 
     pub(super) fn send(&mut self, index: usize, envelope: &Envelope) {
-        let kind = truth::kind(&envelope.message);
+        let kind = envelope.message.kind();
         let bytes = badgerfield_node::peers::encode(std::slice::from_ref(envelope)).len();
         let entry = self.messages.entry(kind).or_default();
         entry.0 += 1;
--- a/crates/badgerfield-standin/src/fleet/truth.rs
+++ b/crates/badgerfield-standin/src/fleet/truth.rs
@@ -5,7 +5,6 @@
 use badgerfield_core::amount::{Time, Tokens};
 use badgerfield_core::event::Bill;
 use badgerfield_core::ids::{BudgetId, Period, RequestKey, UpstreamId};
-use badgerfield_core::message::Message;
 use badgerfield_core::refusal::Outcome;
 use badgerfield_core::template::TemplateSet;
 
@@ -136,32 +135,3 @@
     let key = wish.key.as_ref()?;
     Some(RequestKey::new(&Fleet::budget(wish.budget), key))
 }
-
-/// Returns the kind of a message, for counting.
-pub(super) fn kind(message: &Message) -> &'static str {
-    match message {
-        Message::Heartbeat(_) => "heartbeat",
-        Message::Fetch { .. } | Message::Join(_) | Message::View(_) => "view",
-        Message::Delta(_) | Message::Templates(_) => "templates",
-        Message::Draw(_) | Message::Drawn(_) => "draw",
-        Message::UpstreamChanges(_) | Message::FetchUpstreams { .. } | Message::Upstreams(_) => {
-            "upstreams"
-        }
-        Message::Evacuations(_) | Message::CompareEvacuations(_) => "evacuations",
-        Message::Ask(_) | Message::Nothing { .. } => "ask",
-        Message::Transfer(_) | Message::Transferred { .. } => "transfer",
-        Message::Park(_) | Message::Parked(_) => "park",
-        Message::Claim(_) | Message::Claimed { .. } => "claim",
-        Message::Copy { .. } | Message::Copied { .. } => "copy",
-        Message::Dispatching { .. } | Message::Release { .. } => "progress",
-        Message::Settle(_)
-        | Message::Settled { .. }
-        | Message::Charges(_)
-        | Message::ChargesTaken(_) => "settle",
-        Message::Handover(_) | Message::HandedOver { .. } => "handover",
-        Message::Attach { .. }
-        | Message::Part(_)
-        | Message::Pending { .. }
-        | Message::NotHere { .. } => "answer",
-    }
-}
