--- a/crates/badgerfield-core/tests/canary.rs
+++ b/crates/badgerfield-core/tests/canary.rs
@@ -7,6 +7,7 @@
 use badgerfield_core::ids::{Service, SoftwareVersion, UpstreamId};
 use badgerfield_core::replica_list::{ReplicaChanges, ReplicaEntry, ReplicaInfo, ReplicaList};
 use badgerfield_core::replicas::{Health, PromptPart, Replicas, Wanted};
+use badgerfield_core::residency::EVERYWHERE;
 use badgerfield_core::rollout::{Allowance, RolloutRule};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -69,6 +70,8 @@
     service: Service,
     route: &'static str,
     parts: Vec<PromptPart>,
+    bytes: 0,
+    residency: &EVERYWHERE,
     tried: Vec<UpstreamId>,
     resumes: Option<SoftwareVersion>,
 }
--- a/crates/badgerfield-core/tests/locality.rs
+++ b/crates/badgerfield-core/tests/locality.rs
@@ -95,6 +95,7 @@
         bytes: 4000,
         residency: &EVERYWHERE,
         tried: &[],
+        resumes: None,
         connections: 100,
         draw,
     };
--- a/crates/badgerfield-core/tests/residency.rs
+++ b/crates/badgerfield-core/tests/residency.rs
@@ -143,6 +143,7 @@
 struct Waiting {
     admission: Admission,
     tried: Vec<UpstreamId>,
+    resumes: None,
 }
 
 /// One process: what it has in force, and its table of upstreams.
@@ -174,6 +175,7 @@
             bytes: 0,
             residency: &residency,
             tried: &waiting.tried,
+            resumes: None,
             connections: 6,
             draw,
         };
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -289,7 +289,7 @@
                     return;
                 };
                 let from = self.node.id();
-                self.metrics.messages.inc();
+                self.metrics.messages.count(&message);
                 let envelope = Envelope { from, address: self.settings.advertised, to, message };
                 self.peers.send(address, envelope);
             }
@@ -545,6 +545,7 @@
             if logged.elapsed() >= store_calls::LOG_EVERY {
                 logged = Instant::now();
                 self.metrics.calls.log();
+                self.metrics.messages.log();
             }
             if told.elapsed() >= TELL_EVERY {
                 told = Instant::now();
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -19,6 +19,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::log_lines;
+use crate::peer_traffic::PeerTraffic;
 use crate::store_calls::StoreCalls;
 
 /// The name of all versions but that which is rolled out.
@@ -175,7 +176,7 @@
     pub(crate) gateway: GatewayCounts,
     pub(crate) rollouts: RolloutCounts,
     pub(crate) requests: Counter,
-    pub(crate) messages: Counter,
+    pub(crate) messages: PeerTraffic,
     pub(crate) calls: StoreCalls,
     pub(crate) bad_templates: Counter,
     pub(crate) evacuations: Counter,
@@ -212,7 +213,7 @@
             gateway,
             rollouts: RolloutCounts::default(),
             requests: Counter::default(),
-            messages: Counter::default(),
+            messages: PeerTraffic::default(),
             calls: StoreCalls::default(),
             bad_templates: Counter::default(),
             evacuations: Counter::default(),
@@ -244,7 +245,7 @@
     fn register(&mut self) {
         let r = &mut self.registry;
         r.register("requests", "Requests taken in", self.requests.clone());
-        r.register("peer_messages", "Messages sent to peers", self.messages.clone());
+        self.messages.register(r);
         self.calls.register(r);
         self.rollouts.register(r);
         r.register("kv_results", "Ends of calls to the key-value service", self.kv_results.clone());
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -9,7 +9,7 @@
 use badgerfield_core::{Event, TICK};
 use rand::RngExt;
 
-use super::{FAR, Fleet, NEAR, SPREAD, Turn, link, truth};
+use super::{FAR, Fleet, NEAR, SPREAD, Turn, link};
 
 impl Fleet {
     /// Lets time pass.
@@ -126,7 +126,7 @@
     }
 
     pub(super) fn send(&mut self, index: usize, envelope: &Envelope) {
-        let kind = truth::kind(&envelope.message);
+        let kind = envelope.message.kind();
         let bytes = badgerfield_node::peers::encode(std::slice::from_ref(envelope)).len();
         let bytes = u64::try_from(bytes).unwrap_or(0);
         let entry = self.messages.entry(kind).or_default();
