--- a/crates/badgerfield-core/tests/canary.rs
+++ b/crates/badgerfield-core/tests/canary.rs
@@ -70,8 +70,6 @@
     service: Service,
     route: &'static str,
     parts: Vec<PromptPart>,
-    bytes: 0,
-    residency: &EVERYWHERE,
     tried: Vec<UpstreamId>,
     resumes: Option<SoftwareVersion>,
 }
@@ -92,6 +90,8 @@
             service: &self.service,
             route: self.route,
             parts: &self.parts,
+            bytes: 0,
+            residency: &EVERYWHERE,
             tried: &self.tried,
             resumes: self.resumes.as_ref(),
             connections: 1000,
--- a/crates/badgerfield-core/tests/residency.rs
+++ b/crates/badgerfield-core/tests/residency.rs
@@ -143,7 +143,6 @@
 struct Waiting {
     admission: Admission,
     tried: Vec<UpstreamId>,
-    resumes: None,
 }
 
 /// One process: what it has in force, and its table of upstreams.
--- a/crates/badgerfield-standin/src/fleet/platform.rs
+++ b/crates/badgerfield-standin/src/fleet/platform.rs
@@ -165,8 +165,8 @@
         sent: Time,
     ) {
         let vm = self.owners.get(&from).copied().unwrap_or(0);
-        let is_cut =
-            self.platform.cut.contains(&self.region_of(vm)) || self.platform.cut_vms.contains(&vm);
+        let region = self.region_of(vm);
+        let is_cut = self.platform.cut.contains(&region) || self.platform.cut_vms.contains(&vm);
         if self.is_late(from, ticket, call) {
             let event = Event::KeyValue(ticket, KvResult::Unknown);
             self.at(self.now.after(TIMEOUT), Turn::Event(from, event));
--- a/crates/badgerfield-standin/src/fleet/rollouts.rs
+++ b/crates/badgerfield-standin/src/fleet/rollouts.rs
@@ -310,7 +310,7 @@
             return false;
         }
         self.rollouts.late_writes -= 1;
-        self.at(self.now.after(LATE), Turn::KvApply(from, ticket, call.clone()));
+        self.at(self.now.after(LATE), Turn::KvApply(from, ticket, call.clone(), self.now));
         true
     }
 }
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -128,9 +128,9 @@
     pub(super) fn send(&mut self, index: usize, envelope: &Envelope) {
         let kind = envelope.message.kind();
         let bytes = badgerfield_node::peers::encode(std::slice::from_ref(envelope)).len();
-        let bytes = u64::try_from(bytes).unwrap_or(0);
+        let size = u64::try_from(bytes).unwrap_or(0);
         let entry = self.messages.entry(kind).or_default();
-        *entry = (entry.0 + 1, entry.1 + bytes);
+        *entry = (entry.0 + 1, entry.1 + size);
         let Some(to) = self.index_of(envelope.to) else {
             self.note_stranded(envelope);
             return;
@@ -138,7 +138,7 @@
         let (a, b) = (self.region_of(index), self.region_of(to));
         if a != b {
             let entry = self.crossed.entry(kind).or_default();
-            *entry = (entry.0 + 1, entry.1 + bytes);
+            *entry = (entry.0 + 1, entry.1 + size);
         }
         if a != b && (self.cut.contains(&a) || self.cut.contains(&b)) {
             return;
