Peers of tests listen on a loopback address of their run

Two runs of the suite at once failed two tests of peers: fixed ports of 127.0.0.1 were taken by the other run (Address already in use). Each run has its own address, as the sites of platform/tests.

--- a/crates/badgerfield-node/tests/peers.rs
+++ b/crates/badgerfield-node/tests/peers.rs
@@ -16,10 +16,15 @@
     digit.to_string().repeat(64).parse().expect("the digits are hexadecimal")
 }
 
+/// Returns the address of a port: a test run beside this one has another loopback address.
+fn at(port: u16) -> SocketAddr {
+    let run = u8::try_from(std::process::id() % 190).unwrap_or(0) + 2;
+    SocketAddr::from(([127, run, 255, 1], port))
+}
+
 fn listen(port: u16, own: char, accepted: &[char]) -> Result<Arc<Peers>> {
-    let address = SocketAddr::from(([127, 0, 0, 1], port));
     let accepted: Vec<_> = accepted.iter().map(|digit| secret(*digit)).collect();
-    Ok(Arc::new(Peers::listen(address, &secret(own), &accepted)?))
+    Ok(Arc::new(Peers::listen(at(port), &secret(own), &accepted)?))
 }
 
 /// Sends messages from one to the other until one arrives, or some time has passed.
@@ -37,7 +42,7 @@
             to: Incarnation(2),
             message,
         };
-        from.send(SocketAddr::from(([127, 0, 0, 1], port)), envelope);
+        from.send(at(port), envelope);
         if timeout(Duration::from_millis(300), line.recv()).await.is_ok() {
             return true;
         }
@@ -101,11 +106,11 @@
                 let to = (n + step) % FLEET;
                 let envelope = Envelope {
                     from: Incarnation(u64::try_from(n)?),
-                    address: ([127, 0, 0, 1], port(n)).into(),
+                    address: at(port(n)),
                     to: Incarnation(u64::try_from(to)?),
                     message: Message::Heartbeat(Heartbeat::default()),
                 };
-                peers.send(([127, 0, 0, 1], port(to)).into(), envelope);
+                peers.send(at(port(to)), envelope);
             }
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
