--- a/crates/badgerfield-core/src/control/rollouts.rs
+++ b/crates/badgerfield-core/src/control/rollouts.rs
@@ -233,7 +233,8 @@
         };
         desk.judge.tick(now);
         let is_tried = matches!(known.phase(), Some(Phase::Canary | Phase::Moving));
-        if let Some(reason) = desk.judge.verdict().filter(|_| is_tried) {
+        let verdict = if is_tried { desk.judge.verdict() } else { None };
+        if let Some(reason) = verdict {
             let evidence = desk.judge.evidence().clone();
             let turned = table.condemn(now, known, reason);
             drop(table);
--- a/crates/badgerfield-core/src/rollout/evidence.rs
+++ b/crates/badgerfield-core/src/rollout/evidence.rs
@@ -45,13 +45,27 @@
     /// Adds what one process told.
     pub fn add(&mut self, tally: &RolloutTally) {
         for route in &tally.routes {
-            let sum = self.routes.entry(route.route.clone()).or_default();
-            sum.0 = sum.0.plus(route.target);
-            sum.1 = sum.1.plus(route.others);
+            if !self.routes.contains_key(&route.route) {
+                self.routes.insert(route.route.clone(), Default::default());
+            }
+        }
+        self.change(tally, Counts::plus);
+    }
+
+    /// Takes back what one process told before.
+    pub fn take_back(&mut self, tally: &RolloutTally) {
+        self.change(tally, Counts::minus);
+    }
+
+    fn change(&mut self, tally: &RolloutTally, with: impl Fn(Counts, Counts) -> Counts) {
+        for route in &tally.routes {
+            if let Some(sum) = self.routes.get_mut(&route.route) {
+                *sum = (with(sum.0, route.target), with(sum.1, route.others));
+            }
         }
         for (upstream, counts) in &tally.upstreams {
             let sum = self.upstreams.entry(*upstream).or_default();
-            *sum = sum.plus(*counts);
+            *sum = with(*sum, *counts);
         }
     }
 
