--- a/crates/badgerfield-core/src/control/rollouts.rs
+++ b/crates/badgerfield-core/src/control/rollouts.rs
@@ -102,9 +102,14 @@
         out: &mut Outbox,
     ) {
         let (turned, known) = {
+            let members = self.board.members();
             let mut table = self.board.rollouts();
             let turned = table.learn(now, theirs.to_vec());
-            (turned, table.all())
+            let known = table.all();
+            if known == theirs {
+                table.agreed(members.is_active() && members.view.has(from));
+            }
+            (turned, known)
         };
         self.put_rules(now, turned, out);
         if known != theirs {
