--- a/crates/badgerfield-core/src/rollout/verdict.rs
+++ b/crates/badgerfield-core/src/rollout/verdict.rs
@@ -15,7 +15,7 @@
 const FALSE_ALARM: f64 = 1e-4;
 /// The same for the last look before all requests move, which nothing follows: a bad version
 /// that has been tried little is better taken for bad there.
-const LAST_ALARM: f64 = 0.01;
+const LAST_ALARM: f64 = 0.02;
 /// With which odds one upstream is worse than its siblings, so that proof waits for these.
 const LIKELY_ONE: f64 = 1.0;
 /// With which odds it is, so that any number of bad answers says nothing of the version.
@@ -77,17 +77,24 @@
 /// trial and of its latest parts, for versions that turn bad later.
 #[must_use]
 pub fn judge(windows: &[Evidence]) -> Option<Reason> {
-    let looks = u32::try_from(windows.len()).unwrap_or(u32::MAX);
-    let bound = -(FALSE_ALARM.ln()) + f64::from(looks.max(1)).ln();
-    windows.iter().find_map(|window| beyond(window, bound, LEAST_BAD).or_else(|| many_bad(window)))
+    let found = look(windows, FALSE_ALARM, LEAST_BAD);
+    found.or_else(|| windows.iter().find_map(many_bad))
 }
 
 /// Tells why the target is rather bad than good, at the last look.
 #[must_use]
 pub fn judge_last(windows: &[Evidence]) -> Option<Reason> {
-    let looks = u32::try_from(windows.len()).unwrap_or(u32::MAX);
-    let bound = -(LAST_ALARM.ln()) + f64::from(looks.max(1)).ln();
-    judge(windows).or_else(|| windows.iter().find_map(|window| beyond(window, bound, LEAST_LAST)))
+    judge(windows).or_else(|| look(windows, LAST_ALARM, LEAST_LAST))
+}
+
+/// Looks at the whole trial with half of the weight, and at its parts with the other half.
+fn look(windows: &[Evidence], alarm: f64, least: u32) -> Option<Reason> {
+    let (whole, parts) = windows.split_first()?;
+    let bound = 2.0_f64.ln() - alarm.ln();
+    let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+    let of_part = bound + f64::from(count.max(1)).ln();
+    let found = beyond(whole, bound, least);
+    found.or_else(|| parts.iter().find_map(|part| beyond(part, of_part, least)))
 }
 
 /// Tells why the target is bad if the ratio is beyond a bound, and no single upstream explains it.
