--- a/crates/badgerfield-core/tests/canary.rs
+++ b/crates/badgerfield-core/tests/canary.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::{Percent, Time};
-use badgerfield_core::ids::{Service, SoftwareVersion, UpstreamId};
+use badgerfield_core::evacuation::DomainChange;
+use badgerfield_core::ids::{Service, SoftwareVersion, UpstreamId, VmId};
 use badgerfield_core::replica_list::{ReplicaChanges, ReplicaEntry, ReplicaInfo, ReplicaList};
 use badgerfield_core::replicas::{Health, PromptPart, Replicas, Wanted};
 use badgerfield_core::rollout::{Allowance, RolloutRule};
+use badgerfield_core::warm_up::{Senders, WarmUp, WarmUpBound};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -379,6 +381,64 @@
     assert!(counts(&mut table, LATER, 100).1 >= 9);
 }
 
+#[test]
+fn an_evacuated_domain_and_the_share_hold_together() {
+    let mut table = table(10, 0);
+    let domain = |n: usize| {
+        let mut entry = entry("v2", n);
+        let name = if n <= 2 { "away" } else { "d" };
+        entry.info.domain = name.parse().expect("the name is valid");
+        entry
+    };
+    table.change(Time::default(), added(2, (1..=4).map(domain).collect()));
+    let evacuated = DomainChange {
+        domain: "away".parse().expect("the name is valid"),
+        revision: 3,
+        evacuated: true,
+    };
+    table.evacuate(LATER, &[evacuated]);
+    table.set_rollouts(vec![rule("v2", share(10))]);
+    let mut rng = ChaCha8Rng::seed_from_u64(9);
+    let ask = Ask::on("r");
+    let sent: Vec<_> =
+        (0..1000).filter_map(|_| send(&mut table, LATER, &ask.wanted(rng.next_u64()))).collect();
+    let new: BTreeSet<_> = sent.iter().filter(|id| is_new(id)).map(UpstreamId::as_str).collect();
+    assert_eq!(new, BTreeSet::from(["v2-3", "v2-4"]));
+    let count = sent.iter().filter(|id| is_new(id)).count();
+    assert!((98..=101).contains(&count), "{count}");
+}
+
+#[test]
+fn cold_upstreams_and_the_share_hold_together() {
+    // Two cold upstreams bear 5 requests a second each; a share of a half would be 250.
+    let bound = WarmUpBound { overshoot: 1.5, allowance: 5.0 };
+    let slow = WarmUp { span: Duration::from_secs(20), interval: Duration::from_millis(200) };
+    let mut table = table(10, 0);
+    table.set_warm_up_bound(Some(bound), 1);
+    table.set_warm_ups(BTreeMap::from([(service(), slow)]));
+    let me: VmId = "vm-0".parse().expect("the name is valid");
+    table.set_senders(Time::default(), Senders::new(&me, std::slice::from_ref(&me)));
+    let cold = |n| ReplicaEntry { warm_in: Duration::from_secs(100), ..entry("v2", n) };
+    table.change(Time::default(), added(2, (1..=2).map(cold).collect()));
+    table.set_rollouts(vec![rule("v2", share(50))]);
+    let mut rng = ChaCha8Rng::seed_from_u64(10);
+    let ask = Ask::on("r");
+    let mut new = 0_u64;
+    for n in 0..1000 {
+        let now = LATER.after(Duration::from_millis(2 * n));
+        let id = send(&mut table, now, &ask.wanted(rng.next_u64())).expect("an upstream");
+        new += u64::from(is_new(&id));
+    }
+    // Two seconds of 12.5 requests at each, by the bound, and what a bucket holds.
+    assert!((5..=50).contains(&new), "{new}");
+    // What they could not take is not made up for.
+    let warm = |n| ReplicaEntry { revision: 4, ..entry("v2", n) };
+    let now = LATER.after(Duration::from_secs(3));
+    table.change(now, added(4, (1..=2).map(warm).collect()));
+    let next = counts(&mut table, now, 20).1;
+    assert!(next <= 12, "{next} of 20");
+}
+
 #[test]
 fn a_new_order_does_not_get_what_the_last_one_left_over() {
     let mut table = table(10, 10);
