--- a/crates/badgerfield/src/args.rs
+++ b/crates/badgerfield/src/args.rs
@@ -30,13 +30,17 @@
   [retries]   ratio, allowance, window
   [warm_up]   overshoot, allowance              what the fleet may send a cold upstream in
               a second: overshoot times its rate, and allowance more
+  [regions]   DOMAIN = REGION                   a line for each failure domain
+  [locality]  domain_trip, region_trip          round trips to another domain and region;
+              domain_price, region_price        ms of delay that 1,000 bytes count for
   [log]       level, format (text or json), and a level for each of
               node, peers, platform, upstreams, callers, bills, requests
 
 A template file has a section for each client account and each of its budgets:
 
   [account NAME]       priority, models, adapters, hardware, services, unrepeatable,
-                       home, spread, output_limit, call_cost, queue_wait
+                       home, spread, output_limit, call_cost, queue_wait,
+                       regions (where it may be served and stored; all if left out)
   [budget NAME/BUDGET] limit*, period, keys*    see `badgerfield key`";
 
 /// Returns the whole command line.
