--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -21,8 +21,6 @@
 const WRITE: Duration = Duration::from_millis(200);
 /// The least time between two fetches from one member.
 const FETCH: Duration = Duration::from_millis(200);
-/// How long after its start a process asks members for the list of upstreams.
-const ASK_LIST: Duration = Duration::from_secs(30);
 
 impl Node {
     /// Returns the members that callers may be sent to.
@@ -246,15 +244,18 @@
     /// Asks a member of the region for the templates and the list of upstreams, while none are
     /// known here; it need not have joined for that.
     pub(crate) fn ask_first(&self, now: Time, out: &mut Outbox) {
-        let has_templates = self.board.templates().version > Version(0);
+        let (has_templates, has_routes) = {
+            let templates = self.board.templates();
+            (templates.version > Version(0), !templates.routing.routes.is_empty())
+        };
         let mut members = self.board.members();
-        // Where there are no upstreams there is no list to ask for.
-        let has_list = members.list.revision > 0 || now.0 >= ASK_LIST;
+        // Without routes there is no list of their upstreams.
+        let has_list = members.list.revision > 0 || !has_routes;
         if (has_templates && has_list) || !due(now, members.asked_at, FETCH) {
             return;
         }
         members.asked_at = Some(now);
-        let Some(to) = members.teacher() else {
+        let Some(to) = members.source() else {
             return;
         };
         if !has_templates {
--- a/crates/badgerfield-core/src/first_read.rs
+++ b/crates/badgerfield-core/src/first_read.rs
@@ -4,8 +4,8 @@
 //! behind a thin link. The templates and the list of upstreams are tens of kilobytes each, and
 //! each VM that reads them for itself delays the answers to all others, until these are given
 //! up and asked for again. So a few of each region read, and give the rest what they read.
-//! Should they be unable to, others
-//! have their turn, and never more of a region than a few at a time.
+//! Should they be unable to, others have their turn, and never more of a region than a few at a
+//! time.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -47,7 +47,7 @@
 
 /// Returns the member that a process asks first for what it knows nothing of: those that read
 /// at once stand at the root of a tree, in which each member has few to tell.
-pub(crate) fn teacher(view: &View, me: &Member) -> Option<Incarnation> {
+pub(crate) fn source(view: &View, me: &Member) -> Option<Incarnation> {
     let near = view.members.iter().filter(|m| m.region == me.region && m.vm != me.vm);
     let order: BTreeMap<u64, Incarnation> = near.map(|m| (number(&m.vm), m.incarnation)).collect();
     let place = order.range(..number(&me.vm)).count();
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -47,7 +47,7 @@
 const JOINING_READS: u32 = 3;
 /// By how many places the next member of the region is asked that may know what a process
 /// that starts does not.
-const TEACHER_STEP: usize = 7;
+const SOURCE_STEP: usize = 7;
 /// To how many members signs of life go in a larger view.
 const NEIGHBOURS: usize = 8;
 
@@ -167,8 +167,9 @@
     pub(crate) templates_read_at: Option<Time>,
     /// When a member was asked for what this process knows nothing of.
     pub(crate) asked_at: Option<Time>,
-    /// Counts who was asked for it.
+    /// Where the next one to be asked for it stands among those of the region.
     asked_first: usize,
+    /// How often members were asked for it.
     asks: usize,
     pub(crate) wrote_at: Option<Time>,
     /// When a view or templates were asked for last; one member is asked at a time.
@@ -407,9 +408,9 @@
 
     /// Returns the member of this process's region that is asked next for what it knows
     /// nothing of yet: by turns one that knows it early, and another one each time.
-    pub(crate) fn teacher(&mut self) -> Option<Incarnation> {
+    pub(crate) fn source(&mut self) -> Option<Incarnation> {
         self.asks += 1;
-        let early = first_read::teacher(&self.view, &self.me).filter(|_| self.asks % 2 == 1);
+        let early = first_read::source(&self.view, &self.me).filter(|_| self.asks % 2 == 1);
         if early.is_some() {
             return early;
         }
@@ -424,7 +425,7 @@
         let place = self.asked_first.checked_rem(near.len())?;
         let id = near.get(place).copied();
         // A step that shares no factor with most sizes of a region, so that all are asked.
-        self.asked_first += TEACHER_STEP;
+        self.asked_first += SOURCE_STEP;
         id
     }
 
