--- a/crates/badgerfield-standin/tests/rollouts.rs
+++ b/crates/badgerfield-standin/tests/rollouts.rs
@@ -134,6 +134,22 @@
     assert_eq!(fleet.faults, Vec::<String>::new());
 }
 
+#[test]
+fn an_order_gives_nothing_while_no_record_is_known() {
+    let mut fleet = fleet(6, 6, Some(fail(30)));
+    assert!(fleet.roll_out(Some(order("v2"))));
+    fleet.advance(Duration::from_millis(10));
+    fleet.platform.down = true;
+    fleet.advance(Duration::from_secs(8));
+    assert!(fleet.record().is_none(), "the record was written before the store went away");
+    let (sent, _, all) = fleet.got("v2");
+    assert!(sent == 0 && all > 1000, "{sent} of {all} requests before the record was written");
+    fleet.platform.down = false;
+    run(&mut fleet, SPAN);
+    assert_eq!(ended(&fleet), Some(RolloutState::RolledBack));
+    assert_eq!(fleet.faults, Vec::<String>::new());
+}
+
 /// Ends all processes at once, and starts them again a second later.
 fn end_all(fleet: &mut Fleet) {
     for vm in 0..fleet.size() {
