--- a/crates/badgerfield-core/src/control/rollouts.rs
+++ b/crates/badgerfield-core/src/control/rollouts.rs
@@ -102,9 +102,14 @@
         out: &mut Outbox,
     ) {
         let (turned, known) = {
+            let members = self.board.members();
             let mut table = self.board.rollouts();
             let turned = table.learn(now, theirs.to_vec());
-            (turned, table.all())
+            let known = table.all();
+            if known == theirs {
+                table.agreed(members.is_active() && members.view.has(from));
+            }
+            (turned, known)
         };
         self.put_rules(now, turned, out);
         if known != theirs {
@@ -233,7 +238,8 @@
         };
         desk.judge.tick(now);
         let is_tried = matches!(known.phase(), Some(Phase::Canary | Phase::Moving));
-        if let Some(reason) = desk.judge.verdict().filter(|_| is_tried) {
+        let verdict = if is_tried { desk.judge.verdict() } else { None };
+        if let Some(reason) = verdict {
             let evidence = desk.judge.evidence().clone();
             let turned = table.condemn(now, known, reason);
             drop(table);
