--- a/crates/badgerfield-core/src/replicas/replica.rs
+++ b/crates/badgerfield-core/src/replicas/replica.rs
@@ -34,9 +34,12 @@
 const OUTCOME_WEIGHT: f64 = 0.15;
 /// The expected delay by a failing share of one, in milliseconds.
 const FAILING_MS: f64 = 2000.0;
-/// After how long a failing share counts half. An upstream that is avoided shows nothing new,
-/// so it is tried again by and by; trouble on the users' sheets lasts 3 to 9 s.
-const FAILING_HALF: Duration = Duration::from_secs(3);
+/// After how long the share of requests that were turned away as too many counts half. An
+/// upstream that is avoided shows nothing new; crowds on the users' sheets last 3 to 9 s.
+const FULL_HALF: Duration = Duration::from_secs(3);
+/// After how long the share of requests that failed counts half: what fails a part of its
+/// requests is seldom mended soon, and each that is sent to find out may be lost.
+const FAILING_HALF: Duration = Duration::from_secs(15);
 /// How long an upstream may still be used whose entry vanished together with those of all
 /// others of its service.
 const LAPSE_GRACE: Duration = Duration::from_millis(1300);
@@ -56,7 +59,9 @@
     /// Whether all entries of its service vanished at once, as they do when the platform
     /// lets leases lapse; upstreams that leave do so one after the other.
     pub(super) lapsed: bool,
+    /// The share of requests that failed there, and of those that it turned away.
     failing: f64,
+    full: f64,
     /// When it was seen last how a request ended there.
     noted: Time,
     pub(super) failures: u32,
@@ -131,6 +136,7 @@
             vanished: None,
             lapsed: false,
             failing: 0.0,
+            full: 0.0,
             noted: Time::default(),
             failures: 0,
             rests_until: Time::default(),
@@ -258,7 +264,8 @@
         is_home: bool,
     ) -> f64 {
         let jitter = f64::from(u32::try_from((self.seed ^ wanted.draw) % 1000).unwrap_or(0)) / 1e3;
-        let failing = self.failing_share(now) * FAILING_MS;
+        let (failed, full) = self.shares(now);
+        let failing = (failed + full) * FAILING_MS;
         let running = f64::from(self.running);
         if wanted.parts.is_empty() {
             return running * CALL_MS + failing + jitter;
@@ -283,21 +290,24 @@
         unread
     }
 
-    /// Returns the share of requests that fail there, as far as it still counts.
-    fn failing_share(&self, now: Time) -> f64 {
-        let halvings = now.since(self.noted).as_secs_f64() / FAILING_HALF.as_secs_f64();
-        self.failing * (-halvings).exp2()
+    /// Returns the shares of requests that failed and that were turned away, as far as they
+    /// still count.
+    fn shares(&self, now: Time) -> (f64, f64) {
+        let age = now.since(self.noted).as_secs_f64();
+        let left = |half: Duration| (-age / half.as_secs_f64()).exp2();
+        (self.failing * left(FAILING_HALF), self.full * left(FULL_HALF))
     }
 
     pub(super) fn note(&mut self, now: Time, health: Health) {
-        let failed = match health {
-            Health::Good => 0.0,
-            Health::Failed => 1.0,
-            Health::Full => 0.5,
+        let (failed, full) = match health {
+            Health::Good => (0.0, 0.0),
+            Health::Failed => (1.0, 0.0),
+            Health::Full => (0.0, 0.5),
             Health::Unknown => return,
         };
-        let known = self.failing_share(now);
-        self.failing = known + (failed - known) * OUTCOME_WEIGHT;
+        let known = self.shares(now);
+        self.failing = known.0 + (failed - known.0) * OUTCOME_WEIGHT;
+        self.full = known.1 + (full - known.1) * OUTCOME_WEIGHT;
         self.noted = now;
         if health == Health::Good {
             self.failures = 0;
--- a/crates/badgerfield-core/tests/locality.rs
+++ b/crates/badgerfield-core/tests/locality.rs
@@ -254,3 +254,23 @@
         assert!(short[0].starts_with('a') && short[2].starts_with('b'), "{short:?}");
     }
 }
+
+/// An upstream that turned requests away is soon asked again; one that failed them is not, since
+/// each request that is sent to find out may be lost. Fifteen seconds later only the first is back.
+#[test]
+fn being_turned_away_is_forgotten_sooner_than_a_failure() {
+    for (health, near) in [(Health::Full, Distance::Domain), (Health::Failed, Distance::Far)] {
+        let mut table = table("a-1", 1);
+        for id in ["a-1.0", "a-2.1"] {
+            let id: UpstreamId = id.parse().expect("a name");
+            for n in 0..3 {
+                table.begin(at(n), &id, &[]);
+                table.end(at(n), &id, health);
+            }
+        }
+        let chosen = |millis| choose(&table, at(millis), &[], 5).expect("somebody serves").near;
+        assert_eq!(chosen(2), Distance::Far, "{health:?}: both near ones are avoided");
+        assert_eq!(chosen(15_000), near, "{health:?}");
+        assert_eq!(chosen(120_000), Distance::Domain, "{health:?}: in the end it is tried again");
+    }
+}
