--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -388,6 +388,17 @@
         /// How many it borrows from others.
         borrowed: usize,
     },
+    /// A holder has left the view, and this process is the witness of what it left untouched.
+    Untouched {
+        /// The budget.
+        budget: BudgetId,
+        /// The removed holder.
+        holder: Incarnation,
+        /// What goes back to the ledger; the rest of its holding is written off.
+        amount: Tokens,
+        /// The view without the holder.
+        epoch: crate::ids::Epoch,
+    },
     /// A lender did not answer in time, and is passed over for a while.
     LenderSilent {
         /// The budget.
--- a/crates/badgerfield-core/src/holdings/views.rs
+++ b/crates/badgerfield-core/src/holdings/views.rs
@@ -5,7 +5,7 @@
 use super::holding::{Holding, Life};
 use super::{Holdings, Leaving};
 use crate::amount::Time;
-use crate::event::Outbox;
+use crate::event::{Note, Order, Outbox};
 use crate::ledger::Untouched;
 use crate::view::View;
 
@@ -35,6 +35,8 @@
                 // Its successor may give back a part of it, so the ledger decides.
                 let (holder, amount) = (inherited.owner, inherited.amount);
                 holding.untouched.push(Untouched { holder, amount });
+                let (budget, epoch) = (inherited.budget.clone(), view.epoch);
+                out.push(Order::Note(Note::Untouched { budget, holder, amount, epoch }));
             } else {
                 holding.free = holding.free.saturating_plus(inherited.amount);
             }
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -498,6 +498,11 @@
             Note::Lending { epoch, held, borrowed } => {
                 log::info!(target: NODE, "lending view={epoch} held={held} borrowed={borrowed}");
             }
+            Note::Untouched { budget, holder, amount, epoch } => log::warn!(
+                target: NODE,
+                "untouched budget={budget} holder={holder} amount={amount} view={epoch}: \
+                 given back for a removed holder"
+            ),
             Note::LenderSilent { budget, lender } => {
                 log::warn!(target: NODE, "lender silent budget={budget} lender={lender}");
             }
--- a/crates/badgerfield-standin/src/fleet/balance.rs
+++ b/crates/badgerfield-standin/src/fleet/balance.rs
@@ -7,7 +7,7 @@
 
 use super::Fleet;
 
-/// Where the tokens of one budget are; the parts always sum to the limit.
+/// Where the tokens of one budget are; the parts sum to the limit unless there is an excess.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Balance {
     /// What the budget may spend.
@@ -28,6 +28,8 @@
     pub moving: u64,
     /// In nobody's hands.
     pub lost: u64,
+    /// What all parts together have beyond the limit: tokens that were made from nothing.
+    pub excess: u64,
 }
 
 /// A process that ended, by a kill or of its own, and what it had of each budget then.
@@ -43,11 +45,11 @@
 
 impl fmt::Display for Balance {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { limit, used, left, free, reserved, sealed, parked, moving, lost } = self;
+        let Self { limit, used, left, free, reserved, sealed, parked, moving, lost, excess } = self;
         write!(
             f,
             "limit={limit} used={used} left={left} free={free} reserved={reserved} \
-             sealed={sealed} parked={parked} moving={moving} lost={lost}"
+             sealed={sealed} parked={parked} moving={moving} lost={lost} excess={excess}"
         )
     }
 }
@@ -77,6 +79,7 @@
         let Balance { used, left, free, reserved, sealed, parked, moving, .. } = balance;
         let known = used + left + free + reserved + sealed + parked + moving;
         balance.lost = balance.limit.saturating_sub(known);
+        balance.excess = known.saturating_sub(balance.limit);
         balance
     }
 
--- a/crates/badgerfield-standin/tests/lending.rs
+++ b/crates/badgerfield-standin/tests/lending.rs
@@ -323,6 +323,17 @@
     }
 }
 
+/// Ends all faults, and waits until what was under way has arrived.
+fn end_troubles(fleet: &mut Fleet) {
+    fleet.platform.down = false;
+    fleet.platform.lose_replies = 0;
+    fleet.platform.slow = Duration::ZERO;
+    for vm in 0..VMS {
+        fleet.thaw(vm);
+    }
+    fleet.advance(Duration::from_secs(12));
+}
+
 /// How many histories are played as a rule.
 const FEW: u64 = 8;
 
@@ -349,6 +360,10 @@
         }
         fleet.advance(Duration::from_secs(8));
         assert_eq!(fleet.truth.overspend(), 0, "seed {seed}");
+        end_troubles(&mut fleet);
+        // More in all hands together than the limit would be spent sooner or later.
+        let balance = fleet.balance(0);
+        assert_eq!(balance.excess, 0, "seed {seed}: {balance}");
         // Among many histories are some in which the store is away nearly all the time.
         assert!(seed > FEW || served(&fleet) > 0, "seed {seed}: nothing was served");
     }
