--- a/crates/badgerfield-standin/tests/lost_tokens.rs
+++ b/crates/badgerfield-standin/tests/lost_tokens.rs
@@ -181,10 +181,11 @@
             fleet.start(vm);
         }
         fleet.advance(Duration::from_secs(4));
-        for budget in 0..2 {
+        // An account at all VMs has something at hand at each.
+        for (budget, bound) in [(0, 3 * DEMAND), (1, 4 * DEMAND)] {
             let balance = balance(&mut fleet, budget);
             println!("all: {balance}");
-            assert!(balance.lost <= 4 * DEMAND, "seed {seed}: {balance}");
+            assert!(balance.lost <= bound, "seed {seed}: {balance}");
         }
     }
 }
