--- a/crates/badgerfield-core/src/control/rollouts.rs
+++ b/crates/badgerfield-core/src/control/rollouts.rs
@@ -172,8 +172,8 @@
             (result, _) => {
                 let refused = matches!(result, KvResult::Refused);
                 out.push(missed(if refused { "refused" } else { "no answer" }));
-                if let Some(desk) = self.board.rollouts().desk(service) {
-                    desk.lost();
+                if let Some(recorder) = self.board.rollouts().recorder(service) {
+                    recorder.lost();
                 }
             }
         }
@@ -205,10 +205,10 @@
             let Some(known) = table.known(service).cloned() else {
                 return;
             };
-            let Some(desk) = table.desk(service) else {
+            let Some(recorder) = table.recorder(service) else {
                 return;
             };
-            let stage = desk.found(revision, record, &known);
+            let stage = recorder.found(revision, record, &known);
             stage.map(|stage| Known { stage: Some(stage), ..known })
         };
         self.learn_rollouts(now, news.into_iter().collect(), out);
@@ -229,22 +229,22 @@
         let longest = self.longest(service);
         let members: Vec<_> = bench.view.members.iter().map(|m| m.incarnation).collect();
         let mut table = self.board.rollouts();
-        let Some(desk) = table.desk(service) else {
+        let Some(recorder) = table.recorder(service) else {
             return;
         };
         let Some(rank) = place.and_then(|place| u32::try_from(place).ok()) else {
-            desk.leave();
+            recorder.leave();
             return;
         };
-        desk.judge.tick(now);
+        recorder.judge.tick(now);
         let is_tried = matches!(known.phase(), Some(Phase::Canary | Phase::Moving));
-        let verdict = if is_tried { desk.judge.verdict() } else { None };
+        let verdict = if is_tried { recorder.judge.verdict() } else { None };
         if let Some(reason) = verdict {
-            let evidence = desk.judge.evidence().clone();
-            let turned = table.condemn(now, known, reason);
+            let evidence = recorder.judge.evidence().clone();
+            let turned = table.reject(now, known, reason);
             drop(table);
             let (service, revision) = (service.clone(), known.change.revision);
-            let note = RolloutNote::Condemned { service, revision, reason, evidence };
+            let note = RolloutNote::Rejected { service, revision, reason, evidence };
             out.push(Order::Note(Note::Rollout(Box::new(note))));
             self.tell_rollouts(now, &turned, out);
             self.put_rules(now, turned, out);
@@ -261,8 +261,8 @@
             view_asked: bench.view_asked,
             rank,
         };
-        let call = desk.step(&at);
-        let evidence = desk.judge.evidence().clone();
+        let call = recorder.step(&at);
+        let evidence = recorder.judge.evidence().clone();
         drop(table);
         if let Some(call) = call {
             self.call_record(now, service, call, evidence, out);
--- a/crates/badgerfield-core/src/replicas/canary.rs
+++ b/crates/badgerfield-core/src/replicas/canary.rs
@@ -20,7 +20,7 @@
 /// For how long a version gets nothing that is new to a service which other versions serve.
 /// The order to roll it out and the list of upstreams come by different watches; a process that
 /// is in touch hears of either within a few seconds.
-const WORD: Duration = Duration::from_secs(10);
+const ORDER_LAG: Duration = Duration::from_secs(10);
 /// The most requests that a route may owe the target: it evens out how chains of prompt parts
 /// come, and is little beside the dozens that a fleet is usually allowed.
 const MAX_CREDIT: f64 = 3.0;
@@ -217,7 +217,7 @@
             if self.versions.contains_key(version) {
                 continue;
             }
-            let until = if Some(version) == known { now } else { now.after(WORD) };
+            let until = if Some(version) == known { now } else { now.after(ORDER_LAG) };
             self.versions.insert(version.clone(), until);
         }
         for ruled in &mut self.rules {
--- a/crates/badgerfield-core/src/rollout/belief.rs
+++ b/crates/badgerfield-core/src/rollout/belief.rs
@@ -27,7 +27,7 @@
     /// The record says that all requests move to the target.
     Moving,
     /// A judge found the target bad; the record does not say so yet.
-    Condemned,
+    Rejected,
     /// The record says that no request goes to the target.
     RolledBack,
     /// The record says that all requests go to the target.
@@ -176,7 +176,7 @@
             None => 0,
             Some(Phase::Canary) => 1,
             Some(Phase::Moving) => 2,
-            Some(Phase::Condemned) => 3,
+            Some(Phase::Rejected) => 3,
             Some(Phase::RolledBack) => 4,
             Some(Phase::Completed) => 5,
         };
--- a/crates/badgerfield-core/src/rollout/mod.rs
+++ b/crates/badgerfield-core/src/rollout/mod.rs
@@ -4,12 +4,12 @@
 //! of them is compared with the version that is there; then all requests move over, or back.
 
 mod belief;
-mod desk;
 mod evidence;
 mod judge;
 mod note;
 pub mod plan;
 mod record;
+mod recorder;
 mod table;
 pub mod tally;
 pub mod verdict;
@@ -23,11 +23,11 @@
 use crate::ids::{Service, SoftwareVersion};
 
 pub use belief::{Beliefs, Known, Phase, Stage};
-pub use desk::{Call, Desk, Situation};
 pub use evidence::Evidence;
 pub use judge::Judge;
 pub use note::RolloutNote;
 pub use record::{RecordError, RolloutRecord, RolloutState};
+pub use recorder::{Call, Recorder, Situation};
 pub use table::RolloutStatus;
 pub(crate) use table::Rollouts;
 
--- a/crates/badgerfield-core/src/rollout/note.rs
+++ b/crates/badgerfield-core/src/rollout/note.rs
@@ -11,7 +11,7 @@
     /// An order, or how far it has come, is news here.
     Learned(Known),
     /// This process found the target of an order bad.
-    Condemned {
+    Rejected {
         /// The service.
         service: Service,
         /// The revision of the order.
@@ -54,7 +54,7 @@
                     None => f.write_str(": no record known"),
                 }
             }
-            Self::Condemned { service, revision, reason, evidence } => {
+            Self::Rejected { service, revision, reason, evidence } => {
                 write!(f, "roll-out of {service} order {revision} found bad: {reason}; ")?;
                 describe(f, evidence)
             }
--- a/crates/badgerfield-core/src/rollout/desk.rs
+++ b/crates/badgerfield-core/src/rollout/recorder.rs
@@ -55,7 +55,7 @@
 
 /// The record of one service as a judge knows it, and the evidence on the newest order.
 #[derive(Debug, Clone, Default)]
-pub struct Desk {
+pub struct Recorder {
     /// The evidence.
     pub judge: Judge,
     /// The record with its revision; nothing until it was read.
@@ -67,7 +67,7 @@
     moved_at: Option<Time>,
 }
 
-impl Desk {
+impl Recorder {
     /// Begins to judge a newer order.
     pub fn renew(&mut self) {
         self.judge = Judge::default();
@@ -172,7 +172,7 @@
         if record.order > newest || record.state.is_end() {
             return None;
         }
-        let stage = at.known.stage.as_ref().filter(|stage| stage.phase == Phase::Condemned);
+        let stage = at.known.stage.as_ref().filter(|stage| stage.phase == Phase::Rejected);
         if let Some(stage) = stage {
             return Some(end(record, RolloutState::RolledBack, stage.reason));
         }
--- a/crates/badgerfield-core/src/rollout/table.rs
+++ b/crates/badgerfield-core/src/rollout/table.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{
-    Allowance, Beliefs, Desk, Evidence, Known, OrderChange, Phase, Reason, RolloutBound,
+    Allowance, Beliefs, Evidence, Known, OrderChange, Phase, Reason, Recorder, RolloutBound,
     RolloutRule, RolloutTally, Stage,
 };
 use crate::amount::Time;
@@ -39,7 +39,7 @@
     tally: Option<RolloutTally>,
     /// When and to whom the tally was told last, and what it was.
     told: Option<(Time, Vec<Incarnation>, RolloutTally)>,
-    desk: Desk,
+    recorder: Recorder,
 }
 
 /// How long a process that has started waits at most for a member that knows of roll-outs what
@@ -215,7 +215,7 @@
             return;
         }
         if let Some(own) = self.own.get_mut(&tally.service) {
-            own.desk.judge.hear(from, tally, age);
+            own.recorder.judge.hear(from, tally, age);
         }
     }
 
@@ -233,16 +233,16 @@
     }
 
     /// Returns what this process keeps as a judge of a service.
-    pub(crate) fn desk(&mut self, service: &Service) -> Option<&mut Desk> {
-        self.own.get_mut(service).map(|own| &mut own.desk)
+    pub(crate) fn recorder(&mut self, service: &Service) -> Option<&mut Recorder> {
+        self.own.get_mut(service).map(|own| &mut own.recorder)
     }
 
     /// Notes that the target of an order was found to be bad; returns what is news.
-    pub(crate) fn condemn(&mut self, now: Time, known: &Known, reason: Reason) -> Vec<Known> {
+    pub(crate) fn reject(&mut self, now: Time, known: &Known, reason: Reason) -> Vec<Known> {
         let Some(stage) = &known.stage else {
             return Vec::new();
         };
-        let stage = Stage { phase: Phase::Condemned, reason, refused: stage.refused.clone() };
+        let stage = Stage { phase: Phase::Rejected, reason, refused: stage.refused.clone() };
         self.learn(now, vec![Known { stage: Some(stage), ..known.clone() }])
     }
 
@@ -269,7 +269,7 @@
     pub(crate) fn status(&self, now: Time) -> Vec<RolloutStatus> {
         let status = |known: Known| {
             let own = self.own.get(&known.change.service)?;
-            let evidence = own.desk.judge.evidence().clone();
+            let evidence = own.recorder.judge.evidence().clone();
             Some(RolloutStatus { known, age: now.since(own.heard), evidence })
         };
         self.beliefs.all().into_iter().filter_map(status).collect()
@@ -283,7 +283,7 @@
         self.tally = None;
         self.told = None;
         self.lingers = None;
-        self.desk.renew();
+        self.recorder.renew();
         let Some(old) = old else {
             return;
         };
@@ -367,7 +367,7 @@
     ) -> Option<(&'a SoftwareVersion, Allowance)> {
         let lingers = self.lingers.is_some_and(|until| now < until);
         let allowance = match known.phase() {
-            None | Some(Phase::Condemned | Phase::RolledBack) => Allowance::Nothing,
+            None | Some(Phase::Rejected | Phase::RolledBack) => Allowance::Nothing,
             Some(Phase::Canary) => Allowance::Share(bound.canary()),
             Some(Phase::Moving) => Allowance::All,
             Some(Phase::Completed) if lingers => Allowance::All,
--- a/crates/badgerfield-core/tests/rollout_beliefs.rs
+++ b/crates/badgerfield-core/tests/rollout_beliefs.rs
@@ -25,7 +25,7 @@
         Just(None),
         Just(Some(Phase::Canary)),
         Just(Some(Phase::Moving)),
-        Just(Some(Phase::Condemned)),
+        Just(Some(Phase::Rejected)),
         Just(Some(Phase::RolledBack)),
         Just(Some(Phase::Completed)),
     ];
--- a/crates/badgerfield-core/tests/rollout_desk.rs
+++ b/crates/badgerfield-core/tests/rollout_recorder.rs
@@ -5,7 +5,7 @@
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::Incarnation;
 use badgerfield_core::rollout::{
-    Call, Desk, Known, OrderChange, Phase, Reason, RolloutOrder, RolloutRecord, RolloutState,
+    Call, Known, OrderChange, Phase, Reason, Recorder, RolloutOrder, RolloutRecord, RolloutState,
     RolloutTally, Situation, Stage,
 };
 use badgerfield_core::seal::FleetClock;
@@ -61,12 +61,12 @@
 #[test]
 fn a_judge_reads_first_and_waits_for_its_turn() {
     let known = known(7, None);
-    let mut desk = Desk::default();
-    assert_eq!(desk.step(&at(&known, 100, 1, &[])), Some(Call::Read));
-    assert_eq!(desk.step(&at(&known, 5000, 1, &[])), None, "one call at a time");
-    assert_eq!(desk.found(0, None, &known), None);
-    assert_eq!(desk.step(&at(&known, 5100, 1, &[])), None, "the first judge's turn");
-    let call = desk.step(&at(&known, 6600, 1, &[]));
+    let mut recorder = Recorder::default();
+    assert_eq!(recorder.step(&at(&known, 100, 1, &[])), Some(Call::Read));
+    assert_eq!(recorder.step(&at(&known, 5000, 1, &[])), None, "one call at a time");
+    assert_eq!(recorder.found(0, None, &known), None);
+    assert_eq!(recorder.step(&at(&known, 5100, 1, &[])), None, "the first judge's turn");
+    let call = recorder.step(&at(&known, 6600, 1, &[]));
     assert!(matches!(call, Some(Call::Write(0, record)) if record.order == 7));
 }
 
@@ -75,15 +75,15 @@
 #[test]
 fn a_write_without_an_answer_is_looked_up() {
     let known = known(7, None);
-    let mut desk = Desk::default();
-    desk.step(&at(&known, 0, 0, &[]));
-    desk.found(0, None, &known);
-    assert!(matches!(desk.step(&at(&known, 100, 0, &[])), Some(Call::Write(0, _))));
-    desk.lost();
-    assert_eq!(desk.step(&at(&known, 700, 0, &[])), Some(Call::Read));
-    let stage = desk.found(9, Some(record(7, RolloutState::InProgress, false)), &known);
+    let mut recorder = Recorder::default();
+    recorder.step(&at(&known, 0, 0, &[]));
+    recorder.found(0, None, &known);
+    assert!(matches!(recorder.step(&at(&known, 100, 0, &[])), Some(Call::Write(0, _))));
+    recorder.lost();
+    assert_eq!(recorder.step(&at(&known, 700, 0, &[])), Some(Call::Read));
+    let stage = recorder.found(9, Some(record(7, RolloutState::InProgress, false)), &known);
     assert_eq!(stage.map(|stage| stage.phase), Some(Phase::Canary));
-    assert_eq!(desk.step(&at(&known, 1300, 0, &[])), None);
+    assert_eq!(recorder.step(&at(&known, 1300, 0, &[])), None);
 }
 
 /// Fails if the end of a roll-out can be followed by another one, by any judge.
@@ -91,12 +91,12 @@
 fn an_end_is_final() {
     for state in [RolloutState::RolledBack, RolloutState::Completed] {
         let record = record(7, state, true);
-        let condemned = Stage { phase: Phase::Condemned, ..Stage::of(&record) };
-        let known = known(7, Some(condemned));
-        let mut desk = Desk::default();
-        desk.step(&at(&known, 0, 0, &[]));
-        desk.found(3, Some(record), &known);
-        assert_eq!(desk.step(&at(&known, 60_000, 0, &[])), None);
+        let rejected = Stage { phase: Phase::Rejected, ..Stage::of(&record) };
+        let known = known(7, Some(rejected));
+        let mut recorder = Recorder::default();
+        recorder.step(&at(&known, 0, 0, &[]));
+        recorder.found(3, Some(record), &known);
+        assert_eq!(recorder.step(&at(&known, 60_000, 0, &[])), None);
     }
 }
 
@@ -107,19 +107,19 @@
     let record = record(7, RolloutState::InProgress, true);
     let known = known(7, Some(Stage::of(&record)));
     let members = [ME, PEER];
-    let mut desk = Desk::default();
-    desk.step(&at(&known, 0, 0, &members));
-    desk.found(3, Some(record), &known);
+    let mut recorder = Recorder::default();
+    recorder.step(&at(&known, 0, 0, &members));
+    recorder.found(3, Some(record), &known);
     let age = Duration::from_secs(30);
-    desk.judge.hear(ME, tally(true, 0), age);
-    desk.judge.hear(PEER, tally(false, 0), age);
-    assert_eq!(desk.step(&at(&known, 35_000, 0, &members)), None);
-    desk.judge.hear(PEER, tally(true, 1), age);
-    assert_eq!(desk.step(&at(&known, 36_000, 0, &members)), None);
-    desk.judge.hear(PEER, tally(true, 0), age);
+    recorder.judge.hear(ME, tally(true, 0), age);
+    recorder.judge.hear(PEER, tally(false, 0), age);
+    assert_eq!(recorder.step(&at(&known, 35_000, 0, &members)), None);
+    recorder.judge.hear(PEER, tally(true, 1), age);
+    assert_eq!(recorder.step(&at(&known, 36_000, 0, &members)), None);
+    recorder.judge.hear(PEER, tally(true, 0), age);
     let old_view = Situation { view_asked: None, ..at(&known, 37_000, 0, &members) };
-    assert_eq!(desk.step(&old_view), Some(Call::ReadView));
-    let call = desk.step(&at(&known, 38_000, 0, &members));
+    assert_eq!(recorder.step(&old_view), Some(Call::ReadView));
+    let call = recorder.step(&at(&known, 38_000, 0, &members));
     assert!(matches!(call, Some(Call::Write(3, next)) if next.state == RolloutState::Completed));
 }
 
@@ -129,16 +129,16 @@
 fn a_record_follows_only_older_orders() {
     let newer = record(9, RolloutState::InProgress, false);
     let order = known(7, None);
-    let mut desk = Desk::default();
-    desk.step(&at(&order, 0, 0, &[]));
-    desk.found(3, Some(newer), &order);
-    assert_eq!(desk.step(&at(&order, 1000, 0, &[])), None);
+    let mut recorder = Recorder::default();
+    recorder.step(&at(&order, 0, 0, &[]));
+    recorder.found(3, Some(newer), &order);
+    assert_eq!(recorder.step(&at(&order, 1000, 0, &[])), None);
 
     let mut last = record(5, RolloutState::RolledBack, false);
     last.target = "v1-bad".parse().expect("a version");
-    let mut desk = Desk::default();
-    desk.step(&at(&order, 0, 0, &[]));
-    desk.found(3, Some(last.clone()), &order);
-    let call = desk.step(&at(&order, 1000, 0, &[]));
+    let mut recorder = Recorder::default();
+    recorder.step(&at(&order, 0, 0, &[]));
+    recorder.found(3, Some(last.clone()), &order);
+    let call = recorder.step(&at(&order, 1000, 0, &[]));
     assert!(matches!(call, Some(Call::Write(3, next)) if next.refused.contains(&last.target)));
 }
