--- a/crates/badgerfield-core/src/control/rollouts.rs
+++ b/crates/badgerfield-core/src/control/rollouts.rs
@@ -17,7 +17,8 @@
 use crate::message::{Message, RolloutNews};
 use crate::node::Node;
 use crate::rollout::{
-    Call, Known, OrderChange, Phase, RolloutNote, RolloutRecord, RolloutTally, Situation,
+    Call, Evidence, Known, OrderChange, Phase, Reason, RolloutNote, RolloutRecord, RolloutTally,
+    Situation,
 };
 use crate::seal::FleetClock;
 use crate::view::View;
@@ -243,11 +244,7 @@
             let evidence = recorder.judge.evidence().clone();
             let turned = table.reject(now, known, reason);
             drop(table);
-            let (service, revision) = (service.clone(), known.change.revision);
-            let note = RolloutNote::Rejected { service, revision, reason, evidence };
-            out.push(Order::Note(Note::Rollout(Box::new(note))));
-            self.tell_rollouts(now, &turned, out);
-            self.put_rules(now, turned, out);
+            self.target_rejected(now, known, reason, evidence, turned, out);
             return;
         }
         let clock = bench.clock;
@@ -269,12 +266,30 @@
         }
     }
 
+    /// Logs that the target of an order was found to be bad, tells all members, and acts on it.
+    fn target_rejected(
+        &self,
+        now: Time,
+        known: &Known,
+        reason: Reason,
+        evidence: Evidence,
+        turned: Vec<Known>,
+        out: &mut Outbox,
+    ) {
+        let (service, revision) = (known.change.service.clone(), known.change.revision);
+        let note = RolloutNote::Rejected { service, revision, reason, evidence };
+        out.push(Order::Note(Note::Rollout(Box::new(note))));
+        self.tell_rollouts(now, &turned, out);
+        self.put_rules(now, turned, out);
+    }
+
+    /// Makes a call that a judge asks for.
     fn call_record(
         &self,
         now: Time,
         service: &Service,
         call: Call,
-        evidence: crate::rollout::Evidence,
+        evidence: Evidence,
         out: &mut Outbox,
     ) {
         let name = KvName::Rollout(service.clone());
@@ -326,7 +341,7 @@
         }
     }
 
-    /// Takes in news, tells all members what was news, and puts the rules in force.
+    /// Takes in news, tells all members what was news here, and puts the rules in force.
     fn learn_rollouts(&self, now: Time, news: Vec<Known>, out: &mut Outbox) {
         if news.is_empty() {
             return;
@@ -336,7 +351,7 @@
         self.put_rules(now, turned, out);
     }
 
-    /// Tells all members what is news.
+    /// Tells all members what was news here.
     fn tell_rollouts(&self, now: Time, turned: &[Known], out: &mut Outbox) {
         if turned.is_empty() {
             return;
--- a/crates/badgerfield-core/src/replicas/canary.rs
+++ b/crates/badgerfield-core/src/replicas/canary.rs
@@ -27,7 +27,8 @@
 /// The least number of upstreams of the target that get requests, so that one which fails by
 /// itself can be told from its version.
 const LEAST_UPSTREAMS: usize = 2;
-/// One more than the largest number that a random draw is taken to.
+/// How many values a random draw is cut down to: far more than a share in hundredths tells
+/// apart, and few enough that a part of them is exact.
 const DRAWS: u32 = 1 << 16;
 
 /// What a version may get.
@@ -212,12 +213,12 @@
         self.versions.retain(|version, _| listed.contains_key(version));
         let most =
             listed.iter().rev().max_by_key(|(_, count)| **count).map(|(version, _)| *version);
-        let known = if self.versions.is_empty() { most } else { None };
+        let established = if self.versions.is_empty() { most } else { None };
         for version in listed.keys().copied() {
             if self.versions.contains_key(version) {
                 continue;
             }
-            let until = if Some(version) == known { now } else { now.after(ORDER_LAG) };
+            let until = if Some(version) == established { now } else { now.after(ORDER_LAG) };
             self.versions.insert(version.clone(), until);
         }
         for ruled in &mut self.rules {
--- a/crates/badgerfield-core/src/rollout/belief.rs
+++ b/crates/badgerfield-core/src/rollout/belief.rs
@@ -15,8 +15,8 @@
 /// How many services are remembered. A deployment has a handful; the bound is for an operator
 /// that writes names at random, and drops what was ordered longest ago.
 const MAX_SERVICES: usize = 64;
-/// How many versions of a service are remembered that no request may go to: one for each order
-/// that did not complete, as long as its upstreams may still be there.
+/// How many versions of a service are remembered that no request may go to. Each order that did
+/// not complete leaves one, whose upstreams may still be listed.
 const MAX_REFUSED: usize = 8;
 
 /// How far an order has come. Later phases count more.
--- a/crates/badgerfield-core/src/rollout/judge.rs
+++ b/crates/badgerfield-core/src/rollout/judge.rs
@@ -12,11 +12,11 @@
 /// How many processes' tallies are kept, those of ended ones among them: more than the largest
 /// fleet that is meant, each started anew several times.
 const MAX_REPORTERS: usize = 2048;
-/// How often the evidence is set aside to tell a version that turned bad later.
+/// How often the evidence is set aside, to find a version that turns bad later.
 const SET_ASIDE: Duration = Duration::from_secs(5);
-/// How much of the past is told apart: half a minute.
+/// How many times it is kept that the evidence was set aside: half a minute of the past.
 const MAX_WINDOWS: usize = 6;
-/// How much evidence of others makes it odd that the target has none.
+/// From how many answers of others on it is odd that the target has none.
 const SOME_OTHERS: u32 = 200;
 /// Which part of the time of an order half of the processes must have counted for, before all
 /// requests move: one in so many. After all of them ended, what they knew is gone.
@@ -28,16 +28,18 @@
     tallies: BTreeMap<Incarnation, RolloutTally>,
     /// For how long each process has counted.
     ages: BTreeMap<Incarnation, Duration>,
+    /// What the sum was each time that it was set aside, the oldest first.
     past: VecDeque<Evidence>,
     set_aside_at: Option<Time>,
+    /// All tallies added up.
     sum: Evidence,
     /// Whether anything was heard since the last verdict.
     is_news: bool,
 }
 
 impl Judge {
-    /// Takes in what a process told that has counted for so long. Counts of a process only grow, so that the larger one of
-    /// two is the newer one.
+    /// Takes in what a process told that has counted for so long. Reports may arrive in any
+    /// order; counts of a process only grow, so that the larger one of two is the newer one.
     pub fn hear(&mut self, from: Incarnation, tally: RolloutTally, age: Duration) {
         let is_older = self
             .tallies
@@ -54,7 +56,7 @@
         self.is_news = true;
     }
 
-    /// Sets evidence aside now and then, while all requests still try the target.
+    /// Sets the evidence aside now and then, so that what came since can be looked at by itself.
     pub fn tick(&mut self, now: Time) {
         if !due(now, self.set_aside_at, SET_ASIDE) {
             return;
@@ -75,7 +77,8 @@
         verdict::judge(&self.windows())
     }
 
-    /// Tells whether half of the processes have counted for too small a part of an order's time.
+    /// Tells whether half of the processes that reported here have counted for too small a part
+    /// of an order's time, or none has reported.
     #[must_use]
     pub fn is_young(&self, span: Duration) -> bool {
         let mut ages: Vec<_> = self.ages.values().copied().collect();
--- a/crates/badgerfield-core/src/rollout/mod.rs
+++ b/crates/badgerfield-core/src/rollout/mod.rs
@@ -82,7 +82,7 @@
     NoEvidence,
     /// The order was withdrawn.
     Withdrawn,
-    /// All upstreams have the target's version already, or all members have moved to it.
+    /// All members have moved to it.
     Moved,
 }
 
--- a/crates/badgerfield-core/src/rollout/plan.rs
+++ b/crates/badgerfield-core/src/rollout/plan.rs
@@ -5,16 +5,15 @@
 use super::RolloutBound;
 use crate::amount::Percent;
 
-/// How long telling all members and writing the record twice take, also where an answer of the
-/// platform is lost once (a call is given up after a second), and members that tell at their
-/// pace.
+/// How long it takes to write the record twice, to tell all members, and to hear from them at
+/// their pace, even if one answer of the platform is lost (a call is given up after a second).
 const TELL: Duration = Duration::from_secs(4);
 /// How much earlier than the deadline everything should be over: an order may be heard of late,
 /// and clocks of a fleet agree to a second.
-const LATE: Duration = Duration::from_secs(2);
+const MARGIN: Duration = Duration::from_secs(2);
 /// The part of the platform's share that tries the target, in tenths: the rest is for what is
 /// sent again and for routes with few requests, whose share comes out uneven.
-const OF_SHARE: u64 = 7;
+const CANARY_TENTHS: u64 = 7;
 
 impl RolloutBound {
     /// Returns which part of the requests tries the target.
@@ -22,7 +21,7 @@
     pub fn canary(&self) -> Percent {
         let share = u64::from(self.share);
         // A share of one in a hundred has no smaller whole part but none.
-        let part = (share * OF_SHARE / 10).max(u64::from(share > 0));
+        let part = (share * CANARY_TENTHS / 10).max(u64::from(share > 0));
         Percent::new(part).unwrap_or(self.share)
     }
 }
@@ -33,7 +32,7 @@
 /// A version that turns bad after that is beyond the bound, so it is as late as can be.
 #[must_use]
 pub fn moves_after(span: Duration, longest: Duration) -> Duration {
-    let lead = longest.saturating_add(TELL).saturating_add(LATE);
+    let lead = longest.saturating_add(TELL).saturating_add(MARGIN);
     span.saturating_sub(lead.min(span / 2))
 }
 
--- a/crates/badgerfield-core/src/rollout/record.rs
+++ b/crates/badgerfield-core/src/rollout/record.rs
@@ -12,7 +12,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RolloutState {
-    /// Neither of the others yet.
+    /// It has not ended.
     InProgress,
     /// No request goes to the target; it may be taken away.
     RolledBack,
--- a/crates/badgerfield-core/src/rollout/recorder.rs
+++ b/crates/badgerfield-core/src/rollout/recorder.rs
@@ -17,9 +17,9 @@
 
 /// How much longer each further judge waits before it takes a step that is due: more than a
 /// call to the platform and the news of it take.
-const TURN: Duration = Duration::from_millis(1500);
+const TURN_WAIT: Duration = Duration::from_millis(1500);
 /// The least time between two calls by one judge of which the first told nothing of the record.
-const CALL: Duration = Duration::from_millis(500);
+const CALL_PAUSE: Duration = Duration::from_millis(500);
 
 /// What a judge knows beside the record and the tallies.
 #[derive(Debug, Clone, Copy)]
@@ -49,7 +49,7 @@
     Read,
     /// Read the view.
     ReadView,
-    /// Write it where this revision stands.
+    /// Write the record where this revision stands.
     Write(u64, RolloutRecord),
 }
 
@@ -60,10 +60,13 @@
     pub judge: Judge,
     /// The record with its revision; nothing until it was read.
     stored: Option<(u64, Option<RolloutRecord>)>,
+    /// Whether a call about the record is under way.
     is_calling: bool,
+    /// When the last call was made, unless it told what stands in the record.
     called_at: Option<Time>,
+    /// The step that is due, and since when: later judges wait for earlier ones to take it.
     wanted: Option<(RolloutRecord, Time)>,
-    /// Since when all members have confirmed that are known here.
+    /// Since when all members that are known here have confirmed.
     moved_at: Option<Time>,
 }
 
@@ -86,7 +89,7 @@
         // Only calls that told nothing are spaced.
         self.called_at = None;
         // A stale read names an older revision.
-        if self.stored.as_ref().is_none_or(|(known, _)| revision >= *known) {
+        if self.stored.as_ref().is_none_or(|(newest, _)| revision >= *newest) {
             self.stored = Some((revision, record));
         }
         self.stage(known)
@@ -122,7 +125,7 @@
 
     /// Returns the call that is due, if one is.
     pub fn step(&mut self, at: &Situation<'_>) -> Option<Call> {
-        if self.is_calling || !due(at.now, self.called_at, CALL) {
+        if self.is_calling || !due(at.now, self.called_at, CALL_PAUSE) {
             return None;
         }
         let Some((revision, record)) = &self.stored else {
@@ -138,15 +141,8 @@
             self.wanted = None;
             return None;
         };
-        let is_same = |wanted: &RolloutRecord| {
-            (wanted.order, wanted.state, wanted.moving) == (next.order, next.state, next.moving)
-        };
-        let since = match &self.wanted {
-            Some((wanted, since)) if is_same(wanted) => *since,
-            _ => at.now,
-        };
-        self.wanted = Some((next.clone(), since));
-        if at.now.since(since) < TURN.saturating_mul(at.rank) {
+        let since = self.due_since(at.now, &next);
+        if at.now.since(since) < TURN_WAIT.saturating_mul(at.rank) {
             return None;
         }
         self.called_at = Some(at.now);
@@ -159,6 +155,19 @@
         Some(Call::Write(revision, next))
     }
 
+    /// Notes that a step is due; returns since when it is, without a break.
+    fn due_since(&mut self, now: Time, next: &RolloutRecord) -> Time {
+        let is_same = |wanted: &RolloutRecord| {
+            (wanted.order, wanted.state, wanted.moving) == (next.order, next.state, next.moving)
+        };
+        let since = match &self.wanted {
+            Some((wanted, since)) if is_same(wanted) => *since,
+            _ => now,
+        };
+        self.wanted = Some((next.clone(), since));
+        since
+    }
+
     /// Returns the record that should stand there, if it is another.
     fn next(&self, at: &Situation<'_>, record: Option<&RolloutRecord>) -> Option<RolloutRecord> {
         let newest = at.known.change.revision;
--- a/crates/badgerfield-core/src/rollout/table.rs
+++ b/crates/badgerfield-core/src/rollout/table.rs
@@ -14,7 +14,7 @@
 /// How soon bad answers of the target are told again: a judge has to hear of fifty before the
 /// platform's bound, some seconds, is over.
 const BAD_PACE: Duration = Duration::from_millis(250);
-/// How often tallies are told at most without that.
+/// How often tallies are told at most while the target has no more bad answers.
 const PACE: Duration = Duration::from_millis(500);
 /// How many tallies a second one judge should get without bad answers.
 const JUDGE_RATE: u32 = 64;
@@ -23,6 +23,9 @@
 /// How long after a roll-out nothing goes to versions that it replaced: news that they are gone
 /// come by the list of upstreams, within seconds.
 const LINGER: Duration = Duration::from_mins(1);
+/// How long a process that has started waits at most for a member that knows of roll-outs what
+/// it does: some signs of life. Serving late is worse than what is left of the danger then.
+const SYNC: Duration = Duration::from_secs(3);
 
 /// What only this process knows of the roll-out of a service.
 #[derive(Debug, Default)]
@@ -36,16 +39,14 @@
     promised: Option<(u64, SoftwareVersion)>,
     /// Until when nothing goes to versions that were replaced.
     lingers: Option<Time>,
+    /// How requests of this process went by the newest order.
     tally: Option<RolloutTally>,
     /// When and to whom the tally was told last, and what it was.
     told: Option<(Time, Vec<Incarnation>, RolloutTally)>,
+    /// What it keeps as a judge.
     recorder: Recorder,
 }
 
-/// How long a process that has started waits at most for a member that knows of roll-outs what
-/// it does: some signs of life. Serving late is worse than what is left of the danger then.
-const SYNC: Duration = Duration::from_secs(3);
-
 /// The state of a roll-out, for operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RolloutStatus {
@@ -136,11 +137,13 @@
         turned
     }
 
+    /// Returns what is known of some services, to be held against what news make of it.
     fn before<'a>(&self, services: impl Iterator<Item = &'a Service>) -> BTreeMap<Service, Known> {
         let known = services.filter_map(|service| Some((service, self.beliefs.get(service)?)));
         known.map(|(service, known)| (service.clone(), known.clone())).collect()
     }
 
+    /// Draws what follows for this process from news; `before` is what was known of them.
     fn follow(&mut self, now: Time, before: &BTreeMap<Service, Known>, turned: &[Known]) {
         for known in turned {
             let service = &known.change.service;
@@ -153,8 +156,9 @@
                 own.dropped.clear();
             }
             own.keep_promise(known);
-            let moved = old.and_then(Known::phase) == Some(Phase::Moving);
-            if known.phase() == Some(Phase::Completed) && moved {
+            // An order that was over when this process heard of it changes nothing here.
+            let was_moving = old.and_then(Known::phase) == Some(Phase::Moving);
+            if known.phase() == Some(Phase::Completed) && was_moving {
                 own.lingers = Some(now.after(LINGER));
             }
         }
@@ -313,6 +317,7 @@
         }
     }
 
+    /// Tells whether a tally is to be told to these judges now.
     fn is_due(
         &self,
         now: Time,
@@ -333,10 +338,12 @@
         if tally.bad() > last.bad() && age >= BAD_PACE {
             return true;
         }
-        // What has not changed is told again as well, since it may have been lost.
+        // What has not changed is told again as well, since it may have been lost; less often,
+        // since it seldom was.
         age >= if tally == last { pace.saturating_mul(4) } else { pace }
     }
 
+    /// Adds the rules of one service.
     fn rules(&self, now: Time, known: &Known, bound: &RolloutBound, rules: &mut Vec<RolloutRule>) {
         let (service, revision) = (&known.change.service, known.change.revision);
         let mut rule = |revision, target: &SoftwareVersion, allowance| {
--- a/crates/badgerfield-core/src/rollout/tally.rs
+++ b/crates/badgerfield-core/src/rollout/tally.rs
@@ -12,10 +12,10 @@
 
 /// From how many times the usual on an answer is slow.
 const SLOW_TIMES: u32 = 3;
-/// What no answer is slow below: as long as a process at hand may be kept from running by
-/// others of its machine.
+/// Within this time no answer is slow: so long others on its VM may keep a process from running.
 const LEAST_SLOW: Duration = Duration::from_millis(30);
-/// From how many answers of other versions on it is known what is usual.
+/// From how many answers of other versions on it is known what is usual: one or two late ones
+/// among them move the mean little.
 const ENOUGH: u32 = 8;
 /// After how many further answers an answer counts half for what is usual: more than chance
 /// makes of it, and few enough to follow the load within seconds.
@@ -27,7 +27,7 @@
 /// How many upstreams of the target are told apart. A trial has a few; beyond it, the routes
 /// tell enough.
 const MAX_UPSTREAMS: usize = 64;
-/// The shortest wait that is told from none, in milliseconds.
+/// The shortest wait that is told from none, in milliseconds: none has no logarithm.
 const LEAST_MS: f64 = 0.1;
 
 /// How the first part of an answer came.
@@ -184,6 +184,7 @@
         }
     }
 
+    /// Tells how an answer came that took this wait.
     fn pace(&mut self, seen: &Seen<'_>, wait: Duration, reading: Duration) -> Pace {
         let Some(usual) = self.route(seen.route).usual.span() else {
             return Pace::Usual;
--- a/crates/badgerfield-core/src/rollout/verdict.rs
+++ b/crates/badgerfield-core/src/rollout/verdict.rs
@@ -16,19 +16,22 @@
 /// The same for the last look before all requests move, which nothing follows: a bad version
 /// that has been tried little is better taken for bad there.
 const LAST_ALARM: f64 = 0.02;
-/// With which odds one upstream is worse than its siblings, so that proof waits for these.
+/// From which odds on one upstream is taken to be worse than its siblings, so that the verdict
+/// waits for these.
 const LIKELY_ONE: f64 = 1.0;
-/// With which odds it is, so that any number of bad answers says nothing of the version.
+/// From which odds on it is taken to be so surely worse that no number of its bad answers says
+/// anything of the version.
 const SURELY_ONE: f64 = 100.0;
-/// With which odds its siblings are bad too.
-const SIBLINGS: f64 = 500.0;
-/// How many answers must be bad before a version is taken for bad, and at the last look: a few
-/// at once may come of a single mishap, which hits many requests.
+/// From which odds on its siblings are taken to be bad too.
+const SIBLINGS_BAD: f64 = 500.0;
+/// How many answers must be bad before a version is taken for bad: a few at once may come of a
+/// single mishap, which hits many requests.
 const LEAST_BAD: u32 = 8;
+/// The same at the last look, for a version that has been tried little.
 const LEAST_LAST: u32 = 3;
 /// By how much the part of bad answers of a bad version is greater, of what is not bad anyway.
 const EFFECTS: [f64; 4] = [0.03, 0.1, 0.3, 0.8];
-/// Part of the weight that a ratio gets for its place among failures and slowness.
+/// How many kinds of bad answers share the weight of a ratio: failures and slowness.
 const KINDS: f64 = 2.0;
 /// How many bad answers beyond what the others explain end the trial without further proof.
 /// The platform's bound is 50; the rest is for those on their way.
@@ -36,7 +39,7 @@
 /// By how many standard deviations these must be beyond it.
 const MANY_DEVIATIONS: f64 = 4.0;
 /// How many answers of others are needed to know what they explain.
-const FEW_OTHERS: u32 = 30;
+const ENOUGH_OTHERS: u32 = 30;
 /// From how many upstreams on one that is worse can be told from its siblings.
 const ENOUGH_SIBLINGS: usize = 3;
 
@@ -118,7 +121,7 @@
         let mut variance = 0.0;
         for (target, others) in evidence.routes.values() {
             let (target, others) = (kind.of(*target), kind.of(*others));
-            if others.all < FEW_OTHERS {
+            if others.all < ENOUGH_OTHERS {
                 continue;
             }
             let rate = f64::from(others.bad) / f64::from(others.all);
@@ -128,9 +131,9 @@
         }
         let is_many = excess >= MANY_BAD && excess >= MANY_DEVIATIONS * variance.sqrt();
         // One of many that is worse is left to those that watch single upstreams.
-        let one = evidence.upstreams.len() >= ENOUGH_SIBLINGS
+        let is_one = evidence.upstreams.len() >= ENOUGH_SIBLINGS
             && is_one_upstream(evidence, kind, SURELY_ONE);
-        if is_many && !one {
+        if is_many && !is_one {
             return Some(Reason::ManyBad);
         }
     }
@@ -158,6 +161,7 @@
 /// Returns, for each effect, the logarithm of the ratio of likelihoods on one route.
 fn effects(target: Sample, others: Sample) -> [f64; EFFECTS.len()] {
     let (bad, good) = (f64::from(target.bad), f64::from(target.all.saturating_sub(target.bad)));
+    // A half more of each is the prior of Jeffreys: no rate is ruled out by few answers.
     let known_bad = f64::from(others.bad) + 0.5;
     let known_good = f64::from(others.all.saturating_sub(others.bad)) + 0.5;
     let alike = ln_beta(known_bad + bad, known_good + good) - ln_beta(known_bad, known_good);
@@ -192,7 +196,7 @@
         return false;
     }
     let others = sum(&evidence.routes.values().map(|(_, o)| kind.of(*o)).collect::<Vec<_>>());
-    mean_exp(&effects(rest, others)) < SIBLINGS.ln()
+    mean_exp(&effects(rest, others)) < SIBLINGS_BAD.ln()
 }
 
 /// Returns the logarithm of the mean of what the logarithms stand for.
--- a/crates/badgerfield-node/src/gateway/trial.rs
+++ b/crates/badgerfield-node/src/gateway/trial.rs
@@ -20,8 +20,8 @@
     unread: u64,
     /// How the first part of the answer came, once it has.
     came: Option<Pace>,
-    /// Whether the answer has been counted as failed.
-    failed: bool,
+    /// Whether the try has failed or come to its end, so that nothing more of it counts.
+    is_over: bool,
 }
 
 impl Trial {
@@ -32,14 +32,14 @@
             sent: Instant::now(),
             unread,
             came: None,
-            failed: false,
+            is_over: false,
         }
     }
 
     /// Notes that the first part of the answer has come; tells whether it is a bad answer
     /// of the version that is rolled out.
     pub(crate) fn note_answer(&mut self, gateway: &Gateway) -> bool {
-        if self.came.is_some() || self.failed {
+        if self.came.is_some() || self.is_over {
             return false;
         }
         let wait = self.sent.elapsed();
@@ -52,20 +52,20 @@
     /// Notes that the answer does not come, or broke off; tells whether it is a bad
     /// answer of the version that is rolled out.
     pub(crate) fn note_failed(&mut self, gateway: &Gateway) -> bool {
-        if self.failed {
+        if self.is_over {
             return false;
         }
-        self.failed = true;
+        self.is_over = true;
         gateway.replicas().failed(&self.upstream, &self.route.name, self.came)
     }
 
     /// Notes that the request is at its end, whatever came of it; tells whether it is a bad answer
     /// of the version that is rolled out.
     pub(crate) fn note_end(&mut self, gateway: &Gateway) -> bool {
-        if self.came.is_some() || self.failed {
+        if self.came.is_some() || self.is_over {
             return false;
         }
-        self.failed = true;
+        self.is_over = true;
         let wait = self.sent.elapsed();
         gateway.replicas().given_up(&self.upstream, &self.route.name, wait, self.unread)
     }
--- a/crates/badgerfield-node/src/rollouts.rs
+++ b/crates/badgerfield-node/src/rollouts.rs
@@ -9,7 +9,8 @@
 use crate::driver::Driver;
 use crate::logs::PLATFORM;
 
-/// How often that is told in any case: as often as what else a process tells of its requests.
+/// How often a process tells how its requests went, without a bad answer: as often as what else
+/// it tells of them.
 pub(crate) const TELL_EVERY: Duration = Duration::from_millis(400);
 /// The least time between two times that a bad answer makes a process tell at once: what comes
 /// in between waits for the next turn. It is short against the seconds in which a bad version
