--- a/crates/badgerfield-core/src/replicas/canary.rs
+++ b/crates/badgerfield-core/src/replicas/canary.rs
@@ -27,8 +27,7 @@
 /// The least number of upstreams of the target that get requests, so that one which fails by
 /// itself can be told from its version.
 const LEAST_UPSTREAMS: usize = 2;
-/// How many values a random draw is cut down to: far more than a share in hundredths tells
-/// apart, and few enough that a part of them is exact.
+/// How many values a random draw is cut down to: far more than a share in hundredths needs.
 const DRAWS: u32 = 1 << 16;
 
 /// What a version may get.
--- a/crates/badgerfield/src/rollout.rs
+++ b/crates/badgerfield/src/rollout.rs
@@ -18,8 +18,8 @@
 use crate::run::adapter;
 use crate::{DONE, ROLLED_BACK};
 
-/// How often an unanswered read is tried: with the pauses, for some seconds, as long as the
-/// platform may be away for a moment.
+/// How often a read without an answer is tried: an operator who watches should not be thrown out
+/// by a store that is away for a moment.
 const TRIES: u32 = 5;
 /// How long to wait between two tries.
 const PAUSE: Duration = Duration::from_millis(300);
