--- a/crates/badgerfield-core/src/holdings/answers.rs
+++ b/crates/badgerfield-core/src/holdings/answers.rs
@@ -76,7 +76,7 @@
                 let need = op.as_ref().map_or(Tokens::ZERO, |op| op.need);
                 let told = op.as_ref().map_or(Tokens::ZERO, |op| op.held);
                 holding.known = told.saturating_plus(*granted);
-                let promised = op.and_then(|op| op.seal).is_some_and(|seal| seal.at.is_some());
+                let promised = holding.promised.is_some() && op.is_some_and(|op| op.seal.is_some());
                 let released = std::mem::take(&mut holding.releasing);
                 let shut = if promised { sealed_part(*granted, need) } else { Tokens::ZERO };
                 let open = granted.saturating_minus(shut);
--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -181,6 +181,9 @@
     pub(crate) said: Option<Time>,
     /// When the change under way was last given the time that its promise counts from.
     pub(crate) stamped: Option<Time>,
+    /// When a sending of the change under way last promised not to touch what it hands out: the
+    /// ledger may have taken in that one, whatever a later sending says.
+    pub(crate) promised: Option<Time>,
     /// Sealed tokens of earlier processes of this VM that were not looked at yet.
     pub(crate) orphans: Vec<Orphan>,
     /// What removed holders had left untouched, as their witness here knows.
@@ -238,6 +241,7 @@
             releasing: Tokens::ZERO,
             said: None,
             stamped: None,
+            promised: None,
             orphans: Vec::new(),
             untouched: Vec::new(),
             life: Life::Open,
@@ -266,7 +270,11 @@
     pub(crate) fn is_witnessed(&self) -> bool {
         let is_idle = self.reserved.is_zero() && self.waiters.is_empty();
         let has_witness = self.parked.bank.is_some() && self.parked.sent.is_none();
-        is_idle && has_witness && !self.parked.total.is_zero() && self.room().is_zero()
+        // What a change gives back, or tells of others, is known to nobody else until it is
+        // answered.
+        let is_told =
+            self.op.as_ref().is_none_or(|(op, _)| op.back.is_zero() && op.untouched.is_empty());
+        is_idle && is_told && has_witness && !self.parked.total.is_zero() && self.room().is_zero()
     }
 
     /// Returns what may be spent at once.
@@ -386,6 +394,7 @@
         };
         seal.amount = Tokens::ZERO;
         seal.at = clock.at(now);
+        self.promised = seal.at.map(|_| now).or(self.promised);
         self.stamped = Some(now);
     }
 
@@ -562,6 +571,7 @@
         self.reported = (self.billed, self.wasted);
         self.drawn_at = Some(now);
         self.stamped = Some(now);
+        self.promised = op.seal.as_ref().and_then(|seal| seal.at).map(|_| now);
         self.tries = 0;
         self.op = Some((op, None));
     }
--- a/crates/badgerfield-core/src/replicas/canary.rs
+++ b/crates/badgerfield-core/src/replicas/canary.rs
@@ -66,6 +66,8 @@
 /// The versions of one service.
 #[derive(Debug, Default)]
 struct Split {
+    /// Whether upstreams are listed that name no version; they count as another one.
+    has_unnamed: bool,
     rules: Vec<Ruled>,
     /// By route, how many requests the target may get.
     credits: BTreeMap<String, f64>,
@@ -75,7 +77,15 @@
 }
 
 /// How many upstreams of each version the list names, by service.
-pub(super) type Listed<'a> = BTreeMap<&'a Service, BTreeMap<&'a SoftwareVersion, usize>>;
+pub(super) type Listed<'a> = BTreeMap<&'a Service, Versions<'a>>;
+
+/// How many upstreams of one service name which version.
+#[derive(Debug, Default)]
+pub(super) struct Versions<'a> {
+    pub(super) named: BTreeMap<&'a SoftwareVersion, usize>,
+    /// Those that name none.
+    pub(super) unnamed: usize,
+}
 
 /// The versions of all services.
 #[derive(Debug, Default)]
@@ -176,7 +186,8 @@
 
     fn active(&self, service: &Service) -> Option<&Split> {
         let split = self.services.get(service)?;
-        (!split.rules.is_empty() || split.versions.len() > 1).then_some(split)
+        let kinds = split.versions.len() + usize::from(split.has_unnamed);
+        (!split.rules.is_empty() || kinds > 1).then_some(split)
     }
 }
 
@@ -189,8 +200,9 @@
         for rule in rules {
             let known = self.rules.iter().find(|ruled| ruled.rule.target == rule.target);
             let is_other = |version: &SoftwareVersion| *version != rule.target;
-            let has_others =
-                known.is_some_and(|ruled| ruled.has_others) || self.versions.keys().any(is_other);
+            let has_others = known.is_some_and(|ruled| ruled.has_others)
+                || self.has_unnamed
+                || self.versions.keys().any(is_other);
             if known.is_none_or(|known| known.rule != rule) {
                 news.push(rule.clone());
             }
@@ -208,10 +220,12 @@
     /// Takes in which versions the list names. Of a service that is new here, the one with the
     /// most upstreams is known already: a process that starts while a version is rolled out
     /// cannot tell otherwise which that is.
-    fn see(&mut self, now: Time, listed: &BTreeMap<&SoftwareVersion, usize>) {
+    fn see(&mut self, now: Time, listed: &Versions<'_>) {
+        let Versions { named: listed, unnamed } = listed;
         self.versions.retain(|version, _| listed.contains_key(version));
-        let most =
-            listed.iter().rev().max_by_key(|(_, count)| **count).map(|(version, _)| *version);
+        self.has_unnamed = *unnamed > 0;
+        let most = listed.iter().rev().max_by_key(|(_, count)| **count);
+        let most = most.filter(|(_, count)| *count >= unnamed).map(|(version, _)| *version);
         let established = if self.versions.is_empty() { most } else { None };
         for version in listed.keys().copied() {
             if self.versions.contains_key(version) {
@@ -221,6 +235,7 @@
             self.versions.insert(version.clone(), until);
         }
         for ruled in &mut self.rules {
+            ruled.has_others |= self.has_unnamed;
             ruled.has_others |= self.versions.keys().any(|version| *version != ruled.rule.target);
         }
     }
--- a/crates/badgerfield-core/src/replicas/trial.rs
+++ b/crates/badgerfield-core/src/replicas/trial.rs
@@ -124,8 +124,9 @@
         let mut listed = Listed::new();
         for replica in self.table.values() {
             let versions = listed.entry(&replica.info.service).or_default();
-            if let Some(version) = &replica.info.version {
-                *versions.entry(version).or_default() += 1;
+            match &replica.info.version {
+                Some(version) => *versions.named.entry(version).or_default() += 1,
+                None => versions.unnamed += 1,
             }
         }
         self.canary.see(now, &listed);
--- a/crates/badgerfield-core/src/rollout/belief.rs
+++ b/crates/badgerfield-core/src/rollout/belief.rs
@@ -207,8 +207,14 @@
     if let Some(target) = target {
         refused.remove(target);
     }
+    // The one that was just found to be bad is the last to be forgotten: its upstreams may
+    // still be listed.
     while refused.len() > MAX_REFUSED {
-        refused.pop_first();
+        let oldest = refused.iter().find(|version| **version != last.target).cloned();
+        let Some(oldest) = oldest else {
+            break;
+        };
+        refused.remove(&oldest);
     }
     refused
 }
--- a/crates/badgerfield-core/src/rollout/recorder.rs
+++ b/crates/badgerfield-core/src/rollout/recorder.rs
@@ -86,12 +86,16 @@
         known: &Known,
     ) -> Option<Stage> {
         self.is_calling = false;
+        // A stale read names an older revision, and one that was removed has none: what stands
+        // there is then asked for again, at the pace of calls that told nothing.
+        let is_stale = self.stored.as_ref().is_some_and(|(newest, _)| revision < *newest);
+        if is_stale {
+            self.stored = None;
+            return self.stage(known);
+        }
         // Only calls that told nothing are spaced.
         self.called_at = None;
-        // A stale read names an older revision.
-        if self.stored.as_ref().is_none_or(|(newest, _)| revision >= *newest) {
-            self.stored = Some((revision, record));
-        }
+        self.stored = Some((revision, record));
         self.stage(known)
     }
 
--- a/crates/badgerfield-core/tests/canary.rs
+++ b/crates/badgerfield-core/tests/canary.rs
@@ -482,3 +482,23 @@
         assert_eq!(send(&mut with, LATER, &wanted), send(&mut without, LATER, &wanted));
     }
 }
+
+#[test]
+fn upstreams_that_name_no_version_count_as_another() {
+    // A target beside them was taken for the only version, and got its full part of the requests.
+    let mut table = Replicas::default();
+    let unnamed = (1..=4).map(|n| {
+        let ReplicaEntry { revision, info, warm_in } = entry("old", n);
+        ReplicaEntry { revision, info: ReplicaInfo { version: None, ..info }, warm_in }
+    });
+    table.learn(Time::default(), ReplicaList { revision: 1, replicas: unnamed.collect() });
+    table.change(Time::default(), added(2, (1..=4).map(|n| entry("v2", n)).collect()));
+    for allowance in [Allowance::Nothing, share(10)] {
+        table.set_rollouts(vec![rule("v2", allowance)]);
+        let ask = Ask::on("r");
+        let sent = (0..200).filter_map(|n| send(&mut table, at(n), &ask.wanted(n * 7919)));
+        let new = sent.filter(is_new).count();
+        assert!(new <= 21, "{allowance:?}: {new} of 200");
+        assert!(allowance != Allowance::Nothing || new == 0, "{new} of 200");
+    }
+}
--- a/crates/badgerfield-core/tests/rollout_recorder.rs
+++ b/crates/badgerfield-core/tests/rollout_recorder.rs
@@ -142,3 +142,21 @@
     let call = recorder.step(&at(&order, 1000, 0, &[]));
     assert!(matches!(call, Some(Call::Write(3, next)) if next.refused.contains(&last.target)));
 }
+
+/// Fails if a judge writes on and on, without a pause, on a revision that is gone.
+#[test]
+fn a_record_that_was_removed_is_read_anew_and_written_again() {
+    let known = known(7, None);
+    let members = [ME];
+    let mut recorder = Recorder::default();
+    let step = |recorder: &mut Recorder, millis| recorder.step(&at(&known, millis, 0, &members));
+    assert_eq!(step(&mut recorder, 1_000), Some(Call::Read));
+    recorder.found(5, Some(record(3, RolloutState::Completed, true)), &known);
+    assert!(matches!(step(&mut recorder, 1_050), Some(Call::Write(5, _))));
+    // Somebody removed it meanwhile.
+    recorder.found(0, None, &known);
+    assert_eq!(step(&mut recorder, 1_100), None, "it does not ask again at once");
+    assert_eq!(step(&mut recorder, 1_600), Some(Call::Read));
+    recorder.found(0, None, &known);
+    assert!(matches!(step(&mut recorder, 1_650), Some(Call::Write(0, _))));
+}
--- a/crates/badgerfield-standin/tests/lending.rs
+++ b/crates/badgerfield-standin/tests/lending.rs
@@ -443,6 +443,26 @@
     }
 }
 
+#[test]
+fn a_seal_holds_though_the_answer_comes_after_the_clocks_disagree() {
+    // The ledger had the seal of the first sending; the change was sent again without the fleet's
+    // time, and its answer was taken for one that promised nothing.
+    for round in 0..6 {
+        let mut first = fleet(1_000_000);
+        load(&mut first, 60);
+        let vm = (0..VMS).find(|vm| !lenders(&first).contains(vm)).expect("most VMs borrow");
+        let mut fleet = fleet(1_000_000);
+        ask_and_check(&mut fleet, vm, 400 + 37 * round);
+        fleet.platform.lose_replies = 4;
+        ask_at(&mut fleet, vm, 20 + 5 * round);
+        for other in 0..VMS {
+            let apart = i64::try_from(other).expect("few VMs") * 20_000;
+            fleet.step_clock(other, apart);
+        }
+        ask_and_check(&mut fleet, vm, 200);
+    }
+}
+
 /// Returns the causes of refusals of requests asked from a time on, with counts.
 fn causes(fleet: &Fleet, since: Time, least: u64) -> BTreeMap<&'static str, usize> {
     let mut causes = BTreeMap::new();
