--- a/crates/badgerfield-core/src/broadcast.rs
+++ b/crates/badgerfield-core/src/broadcast.rs
@@ -1,11 +1,11 @@
 //! Telling every member something with one message each.
 //!
-//! The members of a region stand in a ring by number. Whoever has news sends it to members at
-//! doubling steps before it, and with it the stretch of the ring that each has to pass it on to;
-//! and to one member of each other region, which passes it on to all of that region. Each member
-//! gets it once, after as many steps as the fleet's size has binary digits, and it crosses to each
-//! region once. The steps lead to those whose signs of life come here, so that one which is silent
-//! is passed over. Nothing is acknowledged: what is lost is made up for by comparing digests.
+//! The members of a region stand in a ring by number. Whoever has news sends it to the members 1,
+//! 2, 4, 8 and so on places before it, and tells each how many members before that one it has to
+//! pass the news on to: its reach. One member of each other region is sent it too, and passes it
+//! on to the whole of that region. Each member gets it once, after as many steps as the fleet's
+//! size has binary digits, and it crosses to each region once. The steps lead to those whose signs
+//! of life come here, so that one which is silent is passed over. Nothing is acknowledged: what is lost is made up for by comparing digests.
 
 use std::collections::BTreeMap;
 
@@ -35,7 +35,7 @@
     }
     let own = rings.remove(region).unwrap_or_default();
     let mut legs = legs_within(&own, me, reach, &is_silent);
-    if reach < all(view) {
+    if reach < full_reach(view) {
         return legs;
     }
     for ring in rings.values() {
@@ -86,7 +86,7 @@
     u32::try_from(members).unwrap_or(u32::MAX)
 }
 
-/// Returns how many members one that has news itself has to tell.
-pub(crate) fn all(view: &View) -> u32 {
+/// Returns the reach of one that has news itself: all members but it.
+pub(crate) fn full_reach(view: &View) -> u32 {
     count_of(view.members.len().saturating_sub(1))
 }
--- a/crates/badgerfield-core/src/control/evacuations.rs
+++ b/crates/badgerfield-core/src/control/evacuations.rs
@@ -108,7 +108,7 @@
             return;
         }
         let members = self.board.members();
-        for (to, reach) in members.legs(now, broadcast::all(&members.view)) {
+        for (to, reach) in members.legs(now, broadcast::full_reach(&members.view)) {
             let news = EvacuationNews { changes: turned.to_vec(), reach };
             out.send(to, Message::Evacuations(news));
         }
--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -230,13 +230,14 @@
         let complete = self.board.claims().complete();
         let version = self.board.templates().version;
         let mut members = self.board.members();
-        let reads = members.is_reader(now) || !members.known || members.marks_unread(complete);
-        if due(now, members.read_at, members.read_pace(READ)) && reads {
+        let reads_view = members.is_reader(now) || !members.known || members.marks_unread(complete);
+        if due(now, members.read_at, members.read_pace(READ)) && reads_view {
             members.read_at = Some(now);
             read(&mut members, now, KvName::View, out);
         }
-        let reads = if version == Version(0) { members.reads_first(now) } else { reads };
-        if due(now, members.templates_read_at, READ) && reads {
+        let reads_templates =
+            if version == Version(0) { members.reads_first(now) } else { reads_view };
+        if due(now, members.templates_read_at, READ) && reads_templates {
             members.templates_read_at = Some(now);
             read(&mut members, now, KvName::Templates, out);
         }
--- a/crates/badgerfield-core/src/control/rollouts.rs
+++ b/crates/badgerfield-core/src/control/rollouts.rs
@@ -342,7 +342,7 @@
             return;
         }
         let members = self.board.members();
-        for (to, reach) in members.legs(now, broadcast::all(&members.view)) {
+        for (to, reach) in members.legs(now, broadcast::full_reach(&members.view)) {
             let news = RolloutNews { known: turned.to_vec(), reach };
             out.send(to, Message::Rollouts(news));
         }
--- a/crates/badgerfield-core/src/control/upstream_news.rs
+++ b/crates/badgerfield-core/src/control/upstream_news.rs
@@ -27,8 +27,8 @@
 const UNDER_WAY: Duration = Duration::from_millis(250);
 /// For how long a list that has not changed needs no confirmation: a fifth or less of the notice
 /// of upstreams on the users' sheets (3 s and more where fleets are large), after 0.6 of which
-/// others begin to read the list themselves. Several members follow the
-/// platform; the first to read it in each such span confirms it for all.
+/// others begin to read the list themselves. Several members follow the platform; the first to
+/// read it in each such span confirms it for all.
 const CONFIRM: Duration = Duration::from_millis(600);
 
 impl Node {
@@ -51,8 +51,11 @@
         let mark = members.list;
         let news = |reach| UpstreamNews { changes: changes.clone(), since, mark, reach };
         if members.view.members.len() <= SMALL_VIEW {
-            members.told = members.told.max(if is_news { mark.revision } else { 0 });
-            for to in members.neighbours().into_iter().filter(|_| is_news) {
+            if !is_news {
+                return;
+            }
+            members.told = members.told.max(mark.revision);
+            for to in members.neighbours() {
                 out.send(to, Message::UpstreamChanges(news(0)));
             }
             return;
@@ -62,7 +65,7 @@
         }
         members.confirmed_at = Some(now);
         members.told = members.told.max(mark.revision);
-        for (to, reach) in members.legs(now, broadcast::all(&members.view)) {
+        for (to, reach) in members.legs(now, broadcast::full_reach(&members.view)) {
             out.send(to, Message::UpstreamChanges(news(reach)));
         }
     }
@@ -125,14 +128,16 @@
         let since = {
             let mut members = self.board.members();
             let known = members.list.revision;
-            let behind = members.behind.filter(|behind| behind.revision > known);
-            let Some(behind) = behind.or((known == 0).then_some(Behind { revision, at: now }))
-            else {
-                members.behind = Some(Behind { revision, at: now });
-                return;
-            };
-            if known > 0 && !due(now, Some(behind.at), UNDER_WAY) {
-                return;
+            // No whole list is under way to one that has none, so it asks at once.
+            if known > 0 {
+                let noticed = members.behind.filter(|behind| behind.revision > known);
+                let Some(behind) = noticed else {
+                    members.behind = Some(Behind { revision, at: now });
+                    return;
+                };
+                if !due(now, Some(behind.at), UNDER_WAY) {
+                    return;
+                }
             }
             members.behind = None;
             known
--- a/crates/badgerfield-core/src/first_read.rs
+++ b/crates/badgerfield-core/src/first_read.rs
@@ -21,8 +21,8 @@
 /// How long the turn of these lasts: an answer of the platform over a link that others fill,
 /// and two hops between members.
 const TURN: Duration = Duration::from_secs(1);
-/// After how many turns it is the first ones' again, at the most: in a larger region more read
-/// in each turn, so that nobody who hears no other VM waits longer than 8 s.
+/// The most turns until the first VMs have theirs again. In a larger region more of them read in
+/// each turn, so that one which hears no other VM waits 8 s at the most.
 const TURNS: usize = 8;
 /// How many VMs ask the same one first: the templates of some 40 KB for all of them take 0.13 s
 /// of the slowest VM's link, 10 Mbit/s on the users' sheets.
--- a/crates/badgerfield-core/src/lag.rs
+++ b/crates/badgerfield-core/src/lag.rs
@@ -17,8 +17,8 @@
 const HALF_LIFE: Duration = Duration::from_secs(3);
 /// The weight of one observation against what is known.
 const WEIGHT: f64 = 0.6;
-/// The least and the most that a request takes a lag for, as parts of it.
-const DOUBT: (f64, f64) = (0.5, 1.5);
+/// The least and the most that one request takes a lag for, as parts of it.
+const SPREAD: (f64, f64) = (0.5, 1.5);
 /// A lag that an engine may have for a moment because some long prompts came together, in
 /// milliseconds. It is over when the next request comes, and a request that is sent elsewhere
 /// for it has its shared parts read again. With 60 ms the first sites lost half of their worth
@@ -85,9 +85,9 @@
     /// told to the others.
     pub(crate) fn cost(&self, now: Time, ordinary: f64, draw: u64) -> f64 {
         let [byte, ..] = draw.to_be_bytes();
-        let (least, most) = DOUBT;
-        let doubt = least + (most - least) * f64::from(byte) / f64::from(u8::MAX);
-        (self.millis(now) * doubt - ordinary).max(0.0)
+        let (least, most) = SPREAD;
+        let part = least + (most - least) * f64::from(byte) / f64::from(u8::MAX);
+        (self.millis(now) * part - ordinary).max(0.0)
     }
 
     /// Takes in how long a request waited beyond what its prompt takes to read.
--- a/crates/badgerfield-core/src/locality.rs
+++ b/crates/badgerfield-core/src/locality.rs
@@ -10,8 +10,8 @@
 use crate::residency::RegionMap;
 use crate::view::Member;
 
-/// The least number of VMs that a caller is sent to, so that one that fails is missed less.
-const ENOUGH: usize = 2;
+/// The least number of VMs that a caller is sent to, so that it has another if one fails.
+const LEAST_VMS: usize = 2;
 
 /// How far something is from this process.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -134,11 +134,11 @@
     let same_domain = |m: &&Member| caller.domain.as_ref() == Some(&m.domain);
     let same_region = |m: &&Member| caller.region.as_ref() == Some(&m.region);
     let near: Vec<_> = members.iter().filter(same_domain).collect();
-    if near.len() >= ENOUGH {
+    if near.len() >= LEAST_VMS {
         return near;
     }
     let near: Vec<_> = members.iter().filter(same_region).collect();
-    if near.len() >= ENOUGH {
+    if near.len() >= LEAST_VMS {
         return near;
     }
     members.iter().collect()
--- a/crates/badgerfield-core/src/overload.rs
+++ b/crates/badgerfield-core/src/overload.rs
@@ -11,15 +11,15 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The time that a request which is turned away is counted for, in parts of the objective:
-/// it would have waited longer than for all that is queued.
+/// The time to answer that is noted for a request which is turned away, in parts of the route's
+/// objective: it would have waited longer than all that is queued.
 const TURNED_AWAY: f64 = 1.5;
 /// The least and the most time after which callers come back who were turned away. They left
-/// together, and would be turned away together again if they came back so; more than the most
-/// would make them late for what callers want.
+/// together, and would be turned away together again if they came back so; a longer wait would
+/// make the answer come too late for them.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(750));
 
-/// Returns the time that a request counts for which an upstream turned away.
+/// Returns the time to answer that is noted for a request which an upstream turned away.
 #[must_use]
 pub fn turned_away(objective: Duration) -> Duration {
     objective.mul_f64(TURNED_AWAY)
@@ -29,7 +29,7 @@
 #[must_use]
 pub fn come_back(draw: u64) -> Duration {
     let (least, most) = COME_BACK;
-    least + most.saturating_sub(least).mul_f64(part_of(draw))
+    least + most.saturating_sub(least).mul_f64(fraction(draw))
 }
 
 /// Returns what a request's wait at an upstream counts for in the choice among those of a plain
@@ -38,11 +38,11 @@
 /// All processes know nearly the same waits, and would all send to the same upstream until
 /// they hear that it is full. So each request takes a wait for a part of what it is, by chance.
 pub(crate) fn wait_cost(millis: f64, draw: u64) -> f64 {
-    millis * part_of(xxh3_64(&draw.to_be_bytes()))
+    millis * fraction(xxh3_64(&draw.to_be_bytes()))
 }
 
-/// Returns a number from 0 to 1 for a random one.
-fn part_of(draw: u64) -> f64 {
+/// Returns the number from 0 to 1 that a random draw stands for.
+fn fraction(draw: u64) -> f64 {
     let [a, b, c, d, ..] = draw.to_be_bytes();
     f64::from(u32::from_be_bytes([a, b, c, d])) / f64::from(u32::MAX)
 }
--- a/crates/badgerfield-core/src/patience.rs
+++ b/crates/badgerfield-core/src/patience.rs
@@ -12,9 +12,10 @@
 const RATIO: u32 = 3;
 /// How many times the time that is set for calls one is waited for at the most. With 700 ms it
 /// comes to 2.1 s, which stays below the 3 s in which changes are to be in force.
-const MOST: u32 = 3;
-/// By which part of it, in hundredths, an answer counts less than the one before it.
-const FORGET_PERCENT: u32 = 10;
+const MAX_RATIO: u32 = 3;
+/// By how many hundredths the longest answer fades with each one that comes after it: after 20
+/// quick answers an eighth of it is left.
+const FADE_PERCENT: u32 = 10;
 
 /// The time for which calls are waited for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,7 +42,7 @@
 
     /// Notes how long a whole answer took.
     pub fn answered(&mut self, took: Duration) {
-        let faded = self.longest.unwrap_or_default() * (100 - FORGET_PERCENT) / 100;
+        let faded = self.longest.unwrap_or_default() * (100 - FADE_PERCENT) / 100;
         let longest = faded.max(took);
         self.longest = Some(longest);
         self.limit = self.bounded(longest.saturating_mul(RATIO));
@@ -49,6 +50,7 @@
 
     /// Notes that no answer came within the limit.
     pub fn timed_out(&mut self) {
+        // Answers that leave the limit at what is set.
         let was_quick = self.longest.is_some_and(|took| took < self.set / RATIO);
         if !was_quick {
             self.limit = self.bounded(self.limit.saturating_mul(2));
@@ -56,6 +58,6 @@
     }
 
     fn bounded(&self, span: Duration) -> Duration {
-        span.clamp(self.set, self.set.saturating_mul(MOST))
+        span.clamp(self.set, self.set.saturating_mul(MAX_RATIO))
     }
 }
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -217,9 +217,10 @@
         });
     }
 
-    /// Gives each upstream its place among those of its service.
+    /// Gives each upstream its place among those of its service, by which engines are divided.
     ///
-    /// All processes order them alike; one that comes or goes moves the others little.
+    /// All processes order them alike, so that they divide alike; one that comes or goes moves
+    /// the others little.
     fn place_all(&mut self) {
         let mut orders: BTreeMap<Service, Vec<(u64, UpstreamId)>> = BTreeMap::new();
         for replica in self.table.values().filter(|r| r.vanished.is_none() && !r.info.leaving) {
@@ -325,8 +326,8 @@
         Some(self.changes_of(now, &ids))
     }
 
-    /// Takes in changes that another process told, with its mark; `since` is the revision up to
-    /// which one must know every change to know, with these, as much as it does.
+    /// Takes in changes that another process told, with its mark: whoever knows every change up
+    /// to `since` knows, with these, every change up to the mark.
     ///
     /// Returns the upstreams for which that was news, and what is still lacking.
     pub fn hear(
--- a/crates/badgerfield-core/src/replicas/replica.rs
+++ b/crates/badgerfield-core/src/replicas/replica.rs
@@ -32,6 +32,9 @@
 const MAX_REST: Duration = Duration::from_secs(8);
 /// The weight of one outcome in the failing share of an upstream.
 const OUTCOME_WEIGHT: f64 = 0.15;
+/// What a request that was turned away counts in the share of these: it was not lost, and may
+/// still be served elsewhere.
+const FULL_OUTCOME: f64 = 0.5;
 /// The expected delay by a failing share of one, in milliseconds.
 const FAILING_MS: f64 = 2000.0;
 /// After how long the share of requests that were turned away as too many counts half. An
@@ -57,7 +60,7 @@
     /// Where it stands among the upstreams of its service, from 0 to 1.
     pub(super) place: f64,
     pub(super) running: u32,
-    /// When the list had it last, if it has vanished from the list since.
+    /// When its entry was found gone, if it has not come back since.
     pub(super) vanished: Option<Time>,
     /// Whether all entries of its service vanished at once, as they do when the platform
     /// lets leases lapse; upstreams that leave do so one after the other.
@@ -307,7 +310,7 @@
         let (failed, full) = match health {
             Health::Good => (0.0, 0.0),
             Health::Failed => (1.0, 0.0),
-            Health::Full => (0.0, 0.5),
+            Health::Full => (0.0, FULL_OUTCOME),
             Health::Unknown => return,
         };
         let known = self.shares(now);
--- a/crates/badgerfield-core/src/residency.rs
+++ b/crates/badgerfield-core/src/residency.rs
@@ -113,7 +113,7 @@
     /// Returns the regions in which a request may be served that is sent now: both the version
     /// that it was let in with and the newest one bind it.
     #[must_use]
-    pub fn now(&self, version: Version, newest: impl FnOnce() -> Residency) -> Residency {
+    pub fn residency_now(&self, version: Version, newest: impl FnOnce() -> Residency) -> Residency {
         if version == self.version {
             return self.residency.clone();
         }
--- a/crates/badgerfield-core/tests/locality.rs
+++ b/crates/badgerfield-core/tests/locality.rs
@@ -36,7 +36,7 @@
     Place { domain: Some(domain(at)), region: Some(region(&at[..1])) }
 }
 
-/// A caller whose own domain has too few VMs was sent to all regions.
+/// A caller whose own domain has too few VMs is sent to those of its region, before all others.
 #[test]
 fn callers_are_sent_to_their_domain_then_their_region_then_anywhere() {
     let at = ["a-1", "a-1", "a-2", "b-1", "b-2", "c-1"];
@@ -106,8 +106,7 @@
     [PromptPart { id: chain, tokens: 1000 }, PromptPart { id: 1 << 40 | chain, tokens: 100 }]
 }
 
-/// Requests went to all regions alike. Those with prompts that cost more to read than to cross are
-/// left out: the test of homes has them.
+/// Prompts that cost more to read than to cross are left out here: the test of homes has them.
 #[test]
 fn requests_stay_in_their_region_while_it_is_calm() {
     for is_call in [true, false] {
@@ -237,8 +236,8 @@
     assert!(lost < 70, "{lost} of 10,750 were served by nobody");
 }
 
-/// Long chains that each region read for itself took the engines' memory twice; short ones that
-/// all regions sent to one upstream crossed for little.
+/// Long chains that each region reads for itself take the engines' memory twice; short ones that
+/// all regions send to one upstream cross for little.
 #[test]
 fn a_chain_has_one_home_where_reading_costs_more_than_crossing() {
     for chain in 0..40 {
--- a/crates/badgerfield-core/tests/residency.rs
+++ b/crates/badgerfield-core/tests/residency.rs
@@ -165,7 +165,7 @@
     /// Sends a request to one more upstream; returns where it went.
     fn send(&mut self, now: Time, waiting: &mut Waiting, draw: u64) -> Option<UpstreamId> {
         let newest = || self.table.residency_at(HOST, "/x", Some(&account()));
-        let residency = waiting.admission.now(self.version, newest);
+        let residency = waiting.admission.residency_now(self.version, newest);
         let parts = [PromptPart { id: draw % 5, tokens: 900 }, PromptPart { id: draw, tokens: 90 }];
         let wanted = Wanted {
             service: &service(),
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -139,8 +139,8 @@
         if let Some(gateway) = &gateway {
             let senders = settings.pacing.policy.warm_up_senders;
             gateway.replicas().set_warm_up_bound(settings.warm_up, senders);
-            let own = (settings.domain.clone(), settings.region.clone());
-            let place = Place { domain: Some(own.0), region: Some(own.1) };
+            let (domain, region) = (settings.domain.clone(), settings.region.clone());
+            let place = Place { domain: Some(domain), region: Some(region) };
             let mut replicas = gateway.replicas();
             replicas.set_regions(settings.regions.clone());
             replicas.set_locality(place, settings.locality);
@@ -417,19 +417,25 @@
         // In a small fleet everybody passes on what is news to it.
         let is_small = self.node.is_small_fleet();
         if source == Source::Platform || (is_small && !news.is_empty()) {
-            let told = self.node.list_told();
-            let (changes, since) = {
-                let replicas = gateway.replicas();
-                match replicas.changes_since(self.now(), told) {
-                    Some(changes) => (changes, told),
-                    // Others know that they lack something, and ask for it.
-                    None => (replicas.changes_of(self.now(), news), mark.revision),
-                }
-            };
-            self.feed(Event::UpstreamChanges(changes, since));
+            self.tell_changes(gateway, news, mark.revision);
         }
     }
 
+    /// Tells others what has changed in the list of upstreams since they were told last; `news`
+    /// is what was news to this process, and `revision` that of its list.
+    fn tell_changes(self: &Arc<Self>, gateway: &Gateway, news: &[UpstreamId], revision: u64) {
+        let told = self.node.list_told();
+        let (changes, since) = {
+            let replicas = gateway.replicas();
+            match replicas.changes_since(self.now(), told) {
+                Some(changes) => (changes, told),
+                // Others see from the revision that they lack something, and ask for it.
+                None => (replicas.changes_of(self.now(), news), revision),
+            }
+        };
+        self.feed(Event::UpstreamChanges(changes, since));
+    }
+
     /// Tells a process what has changed in the list of upstreams since a revision, or the whole
     /// list where that is not known.
     fn tell_upstreams(self: &Arc<Self>, to: Incarnation, since: u64) {
--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -24,7 +24,7 @@
 use crate::gateway::reservation::Reservation;
 use crate::gateway::state::{Gateway, InForce, OpenRequest};
 
-/// When to come back to another VM.
+/// How soon a caller should try another VM when this one stops.
 const ELSEWHERE: Duration = Duration::from_millis(50);
 
 /// The request's id, where its head told it, and why it is not let in.
--- a/crates/badgerfield-node/src/gateway/directory.rs
+++ b/crates/badgerfield-node/src/gateway/directory.rs
@@ -23,6 +23,8 @@
 
 /// How long callers keep an answer of the directory.
 const KEEP: Duration = Duration::from_secs(1);
+/// How long to rest when no connection can be accepted, as while file descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// The most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
 
@@ -43,7 +45,7 @@
         tokio::spawn(async move {
             loop {
                 let Ok((stream, _)) = listener.accept().await else {
-                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
                     continue;
                 };
                 guard(&stream);
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -257,7 +257,7 @@
     /// and by the newest.
     fn residency(&self) -> Residency {
         let newest = self.gateway.in_force();
-        self.admission.now(newest.version, || {
+        self.admission.residency_now(newest.version, || {
             let head = &self.original.head;
             let host = host_of(&head.headers, &head.uri);
             let account = self.caller.as_ref().map(|caller| &caller.account);
--- a/crates/badgerfield-node/src/gateway/mod.rs
+++ b/crates/badgerfield-node/src/gateway/mod.rs
@@ -1,11 +1,19 @@
 //! Requests on routes: any method, plain or streamed, served by upstreams.
 //!
-//! [`listener`] takes connections of callers; `admit` lets a request in, `flow` holds
-//! its steps from there to its bill; `refusals` makes refusals; `attempt` is one try at one
-//! upstream, `trial` what that tells of a version that is rolled out; `relay` passes a streamed
-//! answer on; `overload` tells of the load of plain services; `directory` tells callers which VMs
-//! to use. What the heads
-//! look like is the business of the [`crate::adapter`].
+//! A request passes through these modules:
+//!
+//! - [`listener`] takes connections of callers;
+//! - `admit` lets a request in, or says why not; `reservation` sets aside what it can cost;
+//! - `flow` holds its steps from there to its bill;
+//! - `attempt` is one try at one upstream, over one of the `connections`;
+//! - `relay` passes a streamed answer on;
+//! - `refusals` makes the answer where it is refused.
+//!
+//! Beside them, `state` holds what all requests share; `record` writes a line of the log for each
+//! step; `trial` notes what a try tells of a version that is rolled out, and `overload` what it
+//! tells of the load of a plain service; `directory` tells callers which VMs to use.
+//!
+//! What the heads look like is the business of the [`crate::adapter`].
 
 mod admit;
 pub(crate) mod attempt;
--- a/crates/badgerfield-node/src/peer_traffic.rs
+++ b/crates/badgerfield-node/src/peer_traffic.rs
@@ -37,6 +37,7 @@
     pub(crate) fn count(&self, message: &Message) {
         let kind = message.kind();
         self.counts.get_or_create(&KindLabel { kind }).inc();
+        // The lines of the log name the kinds that are listed here.
         lock(&self.logged).entry(kind).or_default();
     }
 
