--- a/crates/badgerfield-core/src/control/upstream_news.rs
+++ b/crates/badgerfield-core/src/control/upstream_news.rs
@@ -13,7 +13,7 @@
 use crate::membership::Behind;
 use crate::message::{Message, UpstreamNews};
 use crate::node::Node;
-use crate::replica_list::{ListMark, ReplicaChanges};
+use crate::replica_list::ListMark;
 use crate::view::SMALL_VIEW;
 
 /// The least time between two fetches of what is missing of the list: about as long as an
@@ -39,17 +39,11 @@
     }
 
     /// Tells others what was read from the platform.
-    pub(crate) fn tell_changes(
-        &self,
-        now: Time,
-        changes: &ReplicaChanges,
-        since: u64,
-        out: &mut Outbox,
-    ) {
+    pub(crate) fn tell_changes(&self, now: Time, found: &UpstreamNews, out: &mut Outbox) {
+        let UpstreamNews { changes, mark, .. } = found;
         let is_news = !changes.written.is_empty() || !changes.gone.is_empty();
         let mut members = self.board.members();
-        let mark = members.list;
-        let news = |reach| UpstreamNews { changes: changes.clone(), since, mark, reach };
+        let news = |reach| UpstreamNews { reach, ..found.clone() };
         if members.view.members.len() <= SMALL_VIEW {
             if !is_news {
                 return;
@@ -81,7 +75,10 @@
         let legs = {
             let mut members = self.board.members();
             members.confirmed_at = Some(now);
-            members.told = members.told.max(news.mark.revision);
+            // In a small view each passes on what it has heard, and so tells it itself.
+            if members.view.members.len() > SMALL_VIEW {
+                members.told = members.told.max(news.mark.revision);
+            }
             if news.reach == 0 { Vec::new() } else { members.legs(now, news.reach) }
         };
         for (to, reach) in legs {
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -18,7 +18,7 @@
 use crate::message::{Envelope, Head, Message, UpstreamNews};
 use crate::mix::Needs;
 use crate::refusal::Refusal;
-use crate::replica_list::{ListMark, ReplicaChanges, ReplicaList};
+use crate::replica_list::{ListMark, ReplicaList};
 use crate::rollout::{OrderChange, RolloutNote, RolloutRule, RolloutTally};
 use crate::template::KeyDigest;
 use crate::upstream::{LoadReport, VmList};
@@ -60,8 +60,8 @@
     Clock(u64),
     /// Whether this process serves callers at present.
     Serving(bool),
-    /// The list of upstreams was followed, and these are all changes since a revision.
-    UpstreamChanges(ReplicaChanges, u64),
+    /// The list of upstreams was followed; its reach is for the core to set.
+    UpstreamChanges(UpstreamNews),
     /// Another process knows the list of upstreams up to this revision, and what it told leaves a
     /// gap here.
     UpstreamsMissed(Incarnation, u64),
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -288,6 +288,13 @@
         member.or_else(|| self.former.get(&id).copied())
     }
 
+    /// Notes how much of the list of upstreams is known here; one thread may be behind another.
+    pub(crate) fn note_list(&mut self, mark: ListMark) {
+        if mark.revision >= self.list.revision {
+            self.list = mark;
+        }
+    }
+
     /// Notes a call to the platform and names it.
     pub(crate) fn call(&mut self, purpose: Purpose) -> Ticket {
         let ticket = Ticket(self.next_ticket);
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -335,12 +335,12 @@
             Event::Settle(end) => self.settle_reservation(now, &end, out),
             Event::Clock(wall) => self.board.members().set_wall(now, wall),
             Event::Serving(serving) => self.board.members().serving = serving,
-            Event::UpstreamChanges(changes, since) => self.tell_changes(now, &changes, since, out),
+            Event::UpstreamChanges(news) => self.tell_changes(now, &news, out),
             Event::UpstreamsMissed(from, revision) => {
                 self.upstreams_missed(now, from, revision, out);
             }
             Event::UpstreamsDiffer(from) => self.upstreams_differ(now, from, out),
-            Event::ListMark(mark) => self.board.members().list = mark,
+            Event::ListMark(mark) => self.board.members().note_list(mark),
             Event::EngineNeeds(own) => {
                 let mut members = self.board.members();
                 members.needs.set_own(own);
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -164,7 +164,7 @@
         if list.revision < self.revision {
             return Vec::new();
         }
-        if self.table.is_empty() {
+        if self.revision == 0 {
             // What went before this process knew any list is not remembered here.
             self.forgotten = list.revision;
         }
@@ -195,6 +195,7 @@
             replica.vanished = Some(now);
             replica.lapsed = lapsed.contains(&replica.info.service);
             replica.revision = revision;
+            replica.changed = revision;
             news.push(id);
         }
         self.forget(now);
@@ -211,7 +212,7 @@
         self.table.retain(|_, r| {
             let stays = r.running > 0 || r.vanished.is_none_or(|at| now.since(at) < FORGET);
             if !stays {
-                *forgotten = r.revision.max(*forgotten);
+                *forgotten = r.changed.max(*forgotten);
             }
             stays
         });
@@ -258,6 +259,9 @@
         let turned = is_newer && known.hear_start(now, &self.starts, revision, warm_in);
         let is_news = turned || known.info != info || known.vanished.is_some();
         known.revision = revision;
+        if is_news {
+            known.changed = revision;
+        }
         if known.info != info {
             known.digest = digest_of(&info);
             known.info = info;
@@ -321,7 +325,7 @@
         if since < self.forgotten {
             return None;
         }
-        let newer = self.table.iter().filter(|(_, r)| r.revision > since);
+        let newer = self.table.iter().filter(|(_, r)| r.changed > since);
         let ids: Vec<_> = newer.map(|(id, _)| id.clone()).collect();
         Some(self.changes_of(now, &ids))
     }
@@ -349,7 +353,7 @@
         self.confirm(now, mark.revision);
         // One that knows more than was told cannot be compared.
         let knows_more = self.revision > mark.revision
-            || self.table.values().any(|replica| replica.revision > newest);
+            || self.table.values().any(|replica| replica.changed > newest);
         let differs = !knows_more && self.mark().digest != mark.digest;
         (news, if differs { Lacking::Whole } else { Lacking::Nothing })
     }
--- a/crates/badgerfield-core/src/replicas/replica.rs
+++ b/crates/badgerfield-core/src/replicas/replica.rs
@@ -53,6 +53,9 @@
     pub(super) info: ReplicaInfo,
     /// The revision of the list at which it was written or went last.
     pub(super) revision: u64,
+    /// The revision up to which all that it says was known. Upstreams write their entries anew
+    /// every second, and what says nothing new is not told to others.
+    pub(super) changed: u64,
     /// Stands for what the list says of it. Lists are compared with each piece of news: to
     /// reckon it anew for 3,000 upstreams each time took a tenth of a small VM's processor.
     pub(super) digest: u64,
@@ -137,6 +140,7 @@
         Self {
             info,
             revision,
+            changed: revision,
             digest,
             seed,
             place: 0.0,
--- a/crates/badgerfield-core/src/routing.rs
+++ b/crates/badgerfield-core/src/routing.rs
@@ -289,12 +289,15 @@
         route.regions.and(own.unwrap_or(&EVERYWHERE))
     }
 
-    /// Returns the regions in which a request for a host and path may be served; a request
-    /// that no route takes any more is not bound by this table.
+    /// Returns the regions in which a request for a host and path may be served; one that no
+    /// route takes any more is bound by its client account alone.
     #[must_use]
     pub fn residency_at(&self, host: &str, path: &str, account: Option<&Account>) -> Residency {
-        let route = self.route(host, path);
-        route.map_or(EVERYWHERE.clone(), |route| self.residency(route, account))
+        if let Some(route) = self.route(host, path) {
+            return self.residency(route, account);
+        }
+        let own = account.and_then(|account| self.regions.get(account));
+        own.unwrap_or(&EVERYWHERE).clone()
     }
 
     /// Returns how the upstreams of a service are talked to.
--- a/crates/badgerfield-core/tests/replicas.rs
+++ b/crates/badgerfield-core/tests/replicas.rs
@@ -6,7 +6,9 @@
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{Service, UpstreamId};
 use badgerfield_core::mix::Size;
-use badgerfield_core::replica_list::{ReplicaChanges, ReplicaEntry, ReplicaInfo, ReplicaList};
+use badgerfield_core::replica_list::{
+    ListMark, ReplicaChanges, ReplicaEntry, ReplicaInfo, ReplicaList,
+};
 use badgerfield_core::replicas::{Health, Lacking, PromptPart, Replicas, Wanted};
 use badgerfield_core::residency::EVERYWHERE;
 
@@ -372,3 +374,23 @@
     let (_, lacking) = here.hear(at(20), ReplicaChanges::default(), 1, teller.mark());
     assert_eq!(lacking, Lacking::Whole);
 }
+
+#[test]
+fn entries_that_are_written_anew_and_say_nothing_new_are_not_told() {
+    // Upstreams write their entries each second; of 3,000 these would be most of what is told.
+    let mut table = table(3);
+    let again = vec![entry(8, info(1, false)), entry(9, info(2, true))];
+    table.change(at(10), ReplicaChanges { revision: 9, written: again, gone: vec![] });
+    let changes = table.changes_since(at(20), 1).expect("nothing was forgotten");
+    let told: Vec<_> = changes.written.iter().map(|entry| entry.info.id.clone()).collect();
+    assert_eq!(told, vec![id(2)]);
+}
+
+#[test]
+fn who_heard_of_one_upstream_before_any_list_tells_no_difference_that_it_cannot_know() {
+    let mut young = Replicas::default();
+    let first = ReplicaChanges { written: vec![entry(25, info(1, false))], ..Default::default() };
+    young.hear(at(0), first, 24, ListMark { revision: 26, digest: 1 });
+    young.learn(at(10), list(30, vec![info(1, false), info(2, false)]));
+    assert_eq!(young.changes_since(at(20), 20), None);
+}
--- a/crates/badgerfield-core/tests/residency.rs
+++ b/crates/badgerfield-core/tests/residency.rs
@@ -123,6 +123,14 @@
     assert_eq!(EVERYWHERE.check(&RegionMap::default()), Ok(()));
 }
 
+#[test]
+fn an_account_stays_bound_when_its_route_is_gone() {
+    // A request that waited while a newer version took its route away was bound to nothing.
+    let set = templates(2, &within(&["a"]), &within(&["b"]));
+    let table = RouteTable::new(&set);
+    assert_eq!(table.residency_at("other.example", "/x", Some(&account())), within(&["b"]));
+}
+
 #[test]
 fn bounds_travel_with_the_templates() {
     let set = templates(3, &within(&["a"]), &within(&["a", "b"]));
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -389,7 +389,7 @@
         };
         let (is_first, news) = {
             let mut replicas = gateway.replicas();
-            (replicas.is_empty(), replicas.learn(self.now(), list))
+            (replicas.age().0 == 0, replicas.learn(self.now(), list))
         };
         // What is news to a process that has just started is not news to others.
         let source = if is_first { Source::Peer } else { source };
@@ -417,23 +417,26 @@
         // In a small fleet everybody passes on what is news to it.
         let is_small = self.node.is_small_fleet();
         if source == Source::Platform || (is_small && !news.is_empty()) {
-            self.tell_changes(gateway, news, mark.revision);
+            self.tell_changes(gateway, news);
         }
     }
 
     /// Tells others what has changed in the list of upstreams since they were told last; `news`
-    /// is what was news to this process, and `revision` that of its list.
-    fn tell_changes(self: &Arc<Self>, gateway: &Gateway, news: &[UpstreamId], revision: u64) {
+    /// is what was news to this process.
+    fn tell_changes(self: &Arc<Self>, gateway: &Gateway, news: &[UpstreamId]) {
         let told = self.node.list_told();
-        let (changes, since) = {
+        let news = {
+            // Changes and mark are read together: a mark that is newer claims too much.
             let replicas = gateway.replicas();
-            match replicas.changes_since(self.now(), told) {
+            let mark = replicas.mark();
+            let (changes, since) = match replicas.changes_since(self.now(), told) {
                 Some(changes) => (changes, told),
                 // Others see from the revision that they lack something, and ask for it.
-                None => (replicas.changes_of(self.now(), news), revision),
-            }
+                None => (replicas.changes_of(self.now(), news), mark.revision),
+            };
+            UpstreamNews { changes, since, mark, reach: 0 }
         };
-        self.feed(Event::UpstreamChanges(changes, since));
+        self.feed(Event::UpstreamChanges(news));
     }
 
     /// Tells a process what has changed in the list of upstreams since a revision, or the whole
--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -138,7 +138,7 @@
     Ok(residency)
 }
 
-pub(super) fn host_of(head: &HeaderMap, uri: &hyper::Uri) -> String {
+fn host_of(head: &HeaderMap, uri: &hyper::Uri) -> String {
     let host = head.get(header::HOST).and_then(|value| value.to_str().ok());
     host.or_else(|| uri.authority().map(hyper::http::uri::Authority::as_str))
         .unwrap_or_default()
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -33,7 +33,7 @@
 
 use crate::adapter::{CallTerms, RequestTerms};
 use crate::driver::Driver;
-use crate::gateway::admit::{admit, host_of};
+use crate::gateway::admit::admit;
 use crate::gateway::attempt::{Answered, AttemptEnd, Original, UpstreamHold, attempt};
 use crate::gateway::record::{self, Timing};
 use crate::gateway::refusals::{end_refused, refuse};
@@ -258,10 +258,10 @@
     fn residency(&self) -> Residency {
         let newest = self.gateway.in_force();
         self.admission.residency_now(newest.version, || {
-            let head = &self.original.head;
-            let host = host_of(&head.headers, &head.uri);
+            // The caller's head may have lost its host: what concerns one connection is dropped.
+            let path = self.original.head.uri.path();
             let account = self.caller.as_ref().map(|caller| &caller.account);
-            newest.table.residency_at(&host, head.uri.path(), account)
+            newest.table.residency_at(&self.route.host, path, account)
         })
     }
 
