--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -11,13 +11,11 @@
 
 use badgerfield_core::amount::Time;
 use badgerfield_core::event::{Answer, Bill, Dispatch, Note};
-use badgerfield_core::ids::{AttemptId, Incarnation, Period, RequestId, ReservationId, UpstreamId};
+use badgerfield_core::ids::{AttemptId, Incarnation, Period, RequestId, ReservationId};
 use badgerfield_core::locality::Place;
-use badgerfield_core::message::{Envelope, Message, UpstreamNews};
+use badgerfield_core::message::Envelope;
 use badgerfield_core::mix::{Division, Needs};
 use badgerfield_core::refusal::Refusal;
-use badgerfield_core::replica_list::{ReplicaChanges, ReplicaList};
-use badgerfield_core::replicas::Lacking;
 use badgerfield_core::upstream::VmList;
 use badgerfield_core::view::{Member, Standing};
 use badgerfield_core::{Config, Event, Node, Order, TICK};
@@ -45,8 +43,6 @@
 const TAKING_PERCENT: u32 = 30;
 /// After how many ticks the time of day is read.
 const CLOCK_TICKS: u32 = 4;
-/// How many upstreams that have changed a line of the log names.
-const LOGGED_UPSTREAMS: usize = 8;
 
 /// Who told something of the list of upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -282,7 +278,7 @@
         self.feed(Event::HungUp(id));
     }
 
-    fn carry_out(self: &Arc<Self>, order: Order) {
+    pub(crate) fn carry_out(self: &Arc<Self>, order: Order) {
         match order {
             Order::Send(to, message) => {
                 let Some(address) = self.node.peer_address(to) else {
@@ -343,30 +339,6 @@
         }
     }
 
-    /// Takes in changes of the list of upstreams that the platform told.
-    pub(crate) fn learn_changes(self: &Arc<Self>, changes: ReplicaChanges) {
-        let Some(gateway) = &self.gateway else {
-            return;
-        };
-        let news = gateway.replicas().change(self.now(), changes);
-        self.learned(gateway, &news, Source::Platform);
-    }
-
-    /// Takes in changes of the list of upstreams that a peer passed on.
-    fn hear_changes(self: &Arc<Self>, from: Incarnation, news: UpstreamNews) {
-        let Some(gateway) = &self.gateway else {
-            return;
-        };
-        let UpstreamNews { changes, since, mark, .. } = news;
-        let (news, lacking) = gateway.replicas().hear(self.now(), changes, since, mark);
-        self.learned(gateway, &news, Source::Peer);
-        match lacking {
-            Lacking::Nothing => {}
-            Lacking::Changes => self.feed(Event::UpstreamsMissed(from, mark.revision)),
-            Lacking::Whole => self.feed(Event::UpstreamsDiffer(from)),
-        }
-    }
-
     /// Divides the engines between long and short prompts.
     fn divide_engines(&self, needs: &[Needs]) {
         let Some(gateway) = &self.gateway else {
@@ -382,86 +354,6 @@
         }
     }
 
-    /// Takes in a whole list of upstreams.
-    pub(crate) fn learn_list(self: &Arc<Self>, list: ReplicaList, source: Source) {
-        let Some(gateway) = &self.gateway else {
-            return;
-        };
-        let (is_first, news) = {
-            let mut replicas = gateway.replicas();
-            (replicas.age().0 == 0, replicas.learn(self.now(), list))
-        };
-        // What is news to a process that has just started is not news to others.
-        let source = if is_first { Source::Peer } else { source };
-        self.learned(gateway, &news, source);
-    }
-
-    /// Logs what was news in the list of upstreams, and tells others what the platform told.
-    fn learned(self: &Arc<Self>, gateway: &Gateway, news: &[UpstreamId], source: Source) {
-        let (mark, count, (evacuated, cold)) = {
-            let replicas = gateway.replicas();
-            (replicas.mark(), replicas.len(), replicas.spared(self.now()))
-        };
-        self.feed(Event::ListMark(mark));
-        if !news.is_empty() {
-            let few: Vec<_> = news.iter().take(LOGGED_UPSTREAMS).map(UpstreamId::as_str).collect();
-            log::info!(
-                target: PLATFORM,
-                "upstreams changed list={} count={count} cold={cold} evacuated={evacuated} changed={} \
-                 ids={}",
-                mark.revision,
-                news.len(),
-                few.join(",")
-            );
-        }
-        // In a small fleet everybody passes on what is news to it.
-        let is_small = self.node.is_small_fleet();
-        if source == Source::Platform || (is_small && !news.is_empty()) {
-            self.tell_changes(gateway, news);
-        }
-    }
-
-    /// Tells others what has changed in the list of upstreams since they were told last; `news`
-    /// is what was news to this process.
-    fn tell_changes(self: &Arc<Self>, gateway: &Gateway, news: &[UpstreamId]) {
-        let told = self.node.list_told();
-        let news = {
-            // Changes and mark are read together: a mark that is newer claims too much.
-            let replicas = gateway.replicas();
-            let mark = replicas.mark();
-            let (changes, since) = match replicas.changes_since(self.now(), told) {
-                Some(changes) => (changes, told),
-                // Others see from the revision that they lack something, and ask for it.
-                None => (replicas.changes_of(self.now(), news), mark.revision),
-            };
-            UpstreamNews { changes, since, mark, reach: 0 }
-        };
-        self.feed(Event::UpstreamChanges(news));
-    }
-
-    /// Tells a process what has changed in the list of upstreams since a revision, or the whole
-    /// list where that is not known.
-    fn tell_upstreams(self: &Arc<Self>, to: Incarnation, since: u64) {
-        let Some(gateway) = &self.gateway else {
-            return;
-        };
-        let message = {
-            let replicas = gateway.replicas();
-            if replicas.is_empty() {
-                return;
-            }
-            let changes = replicas.changes_since(self.now(), since).filter(|_| since > 0);
-            match changes {
-                Some(changes) => {
-                    let mark = replicas.mark();
-                    Message::UpstreamChanges(UpstreamNews { changes, since, mark, reach: 0 })
-                }
-                None => Message::Upstreams(replicas.list(self.now())),
-            }
-        };
-        self.carry_out(Order::Send(to, message));
-    }
-
     fn dispatch(self: &Arc<Self>, attempt: AttemptId, dispatch: Dispatch) {
         let outgoing = dispatch.request.and_then(|id| {
             let requests = lock(&self.requests);
--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -31,4 +31,5 @@
 mod store_calls;
 pub mod sync;
 pub mod templates;
+mod upstream_list;
 pub mod upstreams;
