Number the sets of rules of roll-outs, so that an older one does not come back

A version that was found bad then kept its share, since a set that is the same as the last is not sent again. The test came with the code.

--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -19,7 +19,7 @@
 use crate::mix::Needs;
 use crate::refusal::Refusal;
 use crate::replica_list::{ListMark, ReplicaList};
-use crate::rollout::{OrderChange, RolloutNote, RolloutRule, RolloutTally};
+use crate::rollout::{OrderChange, RolloutNote, RolloutTally, RuleSet};
 use crate::template::KeyDigest;
 use crate::upstream::{LoadReport, VmList};
 
@@ -365,7 +365,7 @@
     /// Stop or begin to use the upstreams of failure domains, as the platform or a process told.
     Evacuated(Option<Incarnation>, Vec<DomainChange>),
     /// Divide the requests of services between versions by these rules, and by no others.
-    RolloutRules(Vec<RolloutRule>),
+    RolloutRules(RuleSet),
     /// Tell a process what has changed in the list of upstreams since a revision; the whole list
     /// since 0.
     TellUpstreams(Incarnation, u64),
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -148,6 +148,8 @@
     locality: Locality,
     starts: Starts,
     canary: Canary,
+    /// The turn of the rules of roll-outs in force.
+    rules_turn: u64,
     /// How requests go at services that are rolled out.
     tallies: Tallies,
     /// The services, without engines, that requests of this process went to.
--- a/crates/badgerfield-core/src/replicas/trial.rs
+++ b/crates/badgerfield-core/src/replicas/trial.rs
@@ -9,7 +9,7 @@
 use crate::ids::{Service, UpstreamId};
 use crate::mix::{Mix, READ_MS_PRIOR, float};
 use crate::rollout::tally::{Pace, Seen, Tally};
-use crate::rollout::{Allowance, RolloutRule, RolloutTally};
+use crate::rollout::{Allowance, RolloutRule, RolloutTally, RuleSet};
 
 impl Replicas {
     /// Puts rules in force, and no others; returns those that are new or differ.
@@ -18,6 +18,15 @@
         self.canary.set_rules(rules)
     }
 
+    /// Puts a set of rules in force, unless a newer one is; returns those that are news.
+    pub fn put_rules(&mut self, set: RuleSet) -> Vec<RolloutRule> {
+        if set.turn <= self.rules_turn {
+            return Vec::new();
+        }
+        self.rules_turn = set.turn;
+        self.set_rollouts(set.rules)
+    }
+
     /// Returns the rules in force, with how many requests of this process went by each.
     #[must_use]
     pub fn rollouts(&self) -> Vec<(RolloutRule, Given)> {
--- a/crates/badgerfield-core/src/rollout/mod.rs
+++ b/crates/badgerfield-core/src/rollout/mod.rs
@@ -115,6 +115,15 @@
     pub allowance: Allowance,
 }
 
+/// All rules at one moment.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RuleSet {
+    /// Rises with each set: threads may carry sets out in another order than they were made.
+    pub turn: u64,
+    /// The rules; of what none names, all may go anywhere.
+    pub rules: Vec<RolloutRule>,
+}
+
 /// How requests went.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
--- a/crates/badgerfield-core/src/rollout/table.rs
+++ b/crates/badgerfield-core/src/rollout/table.rs
@@ -5,7 +5,7 @@
 
 use super::{
     Allowance, Beliefs, Evidence, Known, OrderChange, Phase, Reason, Recorder, RolloutBound,
-    RolloutRule, RolloutTally, Stage,
+    RolloutRule, RolloutTally, RuleSet, Stage,
 };
 use crate::amount::Time;
 use crate::ids::{Incarnation, Service, SoftwareVersion};
@@ -64,6 +64,8 @@
     beliefs: Beliefs,
     own: BTreeMap<Service, Own>,
     rules: Vec<RolloutRule>,
+    /// How many sets of rules there were.
+    turn: u64,
     /// Whether this process has known, since it takes part, what a neighbour does.
     agreed: bool,
     /// Since when it takes part.
@@ -251,11 +253,7 @@
     }
 
     /// Returns the rules that follow from what is known, if they are others than the last ones.
-    pub(crate) fn changed_rules(
-        &mut self,
-        now: Time,
-        bound: &RolloutBound,
-    ) -> Option<Vec<RolloutRule>> {
+    pub(crate) fn changed_rules(&mut self, now: Time, bound: &RolloutBound) -> Option<RuleSet> {
         let mut rules = Vec::new();
         for (service, own) in &self.own {
             if let Some(known) = self.beliefs.get(service) {
@@ -266,7 +264,8 @@
             return None;
         }
         self.rules.clone_from(&rules);
-        Some(rules)
+        self.turn += 1;
+        Some(RuleSet { turn: self.turn, rules })
     }
 
     /// Returns the state of all roll-outs, for operators.
--- a/crates/badgerfield-core/tests/canary.rs
+++ b/crates/badgerfield-core/tests/canary.rs
@@ -9,7 +9,7 @@
 use badgerfield_core::replica_list::{ReplicaChanges, ReplicaEntry, ReplicaInfo, ReplicaList};
 use badgerfield_core::replicas::{Health, PromptPart, Replicas, Wanted};
 use badgerfield_core::residency::EVERYWHERE;
-use badgerfield_core::rollout::{Allowance, RolloutRule};
+use badgerfield_core::rollout::{Allowance, RolloutRule, RuleSet};
 use badgerfield_core::warm_up::{Senders, WarmUp, WarmUpBound};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -503,3 +503,16 @@
         assert!(allowance != Allowance::Nothing || new == 0, "{new} of 200");
     }
 }
+
+#[test]
+fn rules_that_are_carried_out_late_do_not_come_back() {
+    // Two threads: one made the share, the other the end of it, and the share was put last.
+    let mut table = table(4, 4);
+    let ruled = |turn, allowance| RuleSet { turn, rules: vec![rule("v2", allowance)] };
+    table.put_rules(ruled(2, Allowance::Nothing));
+    assert!(table.put_rules(ruled(1, share(50))).is_empty());
+    let ask = Ask::on("r");
+    let sent =
+        (0..200).filter_map(|n| send(&mut table, Time::from_millis(n), &ask.wanted(n * 7919)));
+    assert_eq!(sent.filter(is_new).count(), 0);
+}
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -8,7 +8,7 @@
 use badgerfield_core::ids::{UpstreamId, Version};
 use badgerfield_core::replicas::Replicas;
 use badgerfield_core::retry_budget::{RetryBound, RetryBudget};
-use badgerfield_core::rollout::RolloutRule;
+use badgerfield_core::rollout::{RolloutRule, RuleSet};
 use badgerfield_core::routing::RouteTable;
 
 use crate::adapter::RouteAdapter;
@@ -115,9 +115,11 @@
 
     /// Divides requests between versions by these rules, and by no others; returns those that
     /// are new or differ.
-    pub(crate) fn set_rollouts(&self, rules: Vec<RolloutRule>) -> Vec<RolloutRule> {
-        self.rolls_out.store(!rules.is_empty(), Ordering::Relaxed);
-        self.replicas().set_rollouts(rules)
+    pub(crate) fn set_rollouts(&self, rules: RuleSet) -> Vec<RolloutRule> {
+        let mut replicas = self.replicas();
+        let news = replicas.put_rules(rules);
+        self.rolls_out.store(!replicas.rollouts().is_empty(), Ordering::Relaxed);
+        news
     }
 
     /// Tells whether the process is stopping.
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -106,7 +106,7 @@
             | Order::TellUpstreams(..)
             | Order::Note(_)
             | Order::Reserved(..) => {}
-            Order::RolloutRules(rules) => self.put_rules(index, rules),
+            Order::RolloutRules(set) => self.put_rules(index, set.rules),
             Order::Evacuated(_, changes) => self.note_evacuated(index, &changes),
             Order::Bill(bill) => self.truth.bill(&bill),
             Order::Exit => self.end_process(index),
