--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 
 use crate::amount::Time;
+use crate::calls::Purpose;
 use crate::event::{KvCall, KvName, KvResult, Note, Order, Outbox, Versioned, due};
 use crate::ids::{Epoch, Incarnation, Ticket, Version};
 use crate::joining::Step;
-use crate::membership::{Membership, Purpose, Wish};
+use crate::membership::{Membership, Wish};
 use crate::message::{Heartbeat, Message};
 use crate::node::Node;
 use crate::view::{Member, SMALL_VIEW, Standing, View};
@@ -283,7 +284,9 @@
     fn write_view(&self, now: Time, out: &mut Outbox) {
         let complete = self.board.claims().complete();
         let mut members = self.board.members();
-        if !members.known || members.is_calling(&KvName::View) || !due(now, members.wrote_at, WRITE)
+        if !members.known
+            || members.calls.is_open(&KvName::View)
+            || !due(now, members.wrote_at, WRITE)
         {
             return;
         }
@@ -330,13 +333,13 @@
         members.wrote_at = Some(now);
         let value = Bytes::from(next.encode());
         let expect = members.revision;
-        let ticket = members.call(Purpose::Write(next));
+        let ticket = members.calls.begin(Purpose::Write(next));
         out.push(Order::KeyValue(ticket, KvCall::Swap { name: KvName::View, expect, value }));
     }
 
     /// Takes in an answer of the key-value service.
     pub(crate) fn key_value(&self, now: Time, ticket: Ticket, result: KvResult, out: &mut Outbox) {
-        let Some(purpose) = self.board.members().called(ticket) else {
+        let Some(purpose) = self.board.members().calls.end(ticket) else {
             return;
         };
         match (purpose, result) {
@@ -406,12 +409,12 @@
 
 /// Reads a value of the platform, unless that is under way.
 fn read(members: &mut Membership, now: Time, name: KvName, out: &mut Outbox) {
-    if members.is_calling(&name) {
+    if members.calls.is_open(&name) {
         return;
     }
     if name == KvName::View {
         members.view_asked = Some(now);
     }
-    let ticket = members.call(Purpose::Read(name.clone()));
+    let ticket = members.calls.begin(Purpose::Read(name.clone()));
     out.push(Order::KeyValue(ticket, KvCall::Get(name)));
 }
--- a/crates/badgerfield-core/src/control/rights.rs
+++ b/crates/badgerfield-core/src/control/rights.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 
 use crate::amount::Time;
+use crate::calls::Purpose;
 use crate::control::reservations;
 use crate::event::{KvResult, Order, Outbox};
 use crate::holdings::Reserved;
 use crate::ids::{BudgetId, Incarnation, Period, ReservationId, RunId};
 use crate::ledger::{LedgerOp, LedgerReply, shard_of};
 use crate::ledger_writer;
-use crate::membership::Purpose;
 use crate::message::{Message, ParkItem, Transfer};
 use crate::node::Node;
 use crate::runs::Stage;
@@ -220,7 +220,7 @@
         }
         let mut members = self.board.members();
         for (shard, call) in calls {
-            let ticket = members.call(Purpose::Draw(shard));
+            let ticket = members.calls.begin(Purpose::Draw(shard));
             out.push(Order::KeyValue(ticket, call));
         }
     }
--- a/crates/badgerfield-core/src/control/rollouts.rs
+++ b/crates/badgerfield-core/src/control/rollouts.rs
@@ -11,9 +11,9 @@
 
 use crate::amount::Time;
 use crate::broadcast;
+use crate::calls::Purpose;
 use crate::event::{KvCall, KvName, KvResult, Note, Order, Outbox, Versioned, due};
 use crate::ids::{Incarnation, Service};
-use crate::membership::Purpose;
 use crate::message::{Message, RolloutNews};
 use crate::node::Node;
 use crate::rollout::{
@@ -311,18 +311,18 @@
             }
         };
         let purpose = Purpose::Rollout(service.clone(), written);
-        let ticket = self.board.members().call(purpose);
+        let ticket = self.board.members().calls.begin(purpose);
         out.push(Order::KeyValue(ticket, call));
     }
 
     /// Reads the view, unless that is under way.
     fn ask_view(&self, now: Time, out: &mut Outbox) {
         let mut members = self.board.members();
-        if members.is_calling(&KvName::View) {
+        if members.calls.is_open(&KvName::View) {
             return;
         }
         members.view_asked = Some(now);
-        let ticket = members.call(Purpose::Read(KvName::View));
+        let ticket = members.calls.begin(Purpose::Read(KvName::View));
         out.push(Order::KeyValue(ticket, KvCall::Get(KvName::View)));
     }
 
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod amount;
 mod board;
 mod broadcast;
+mod calls;
 mod charges;
 pub mod claims;
 pub mod confirmations;
@@ -54,6 +55,7 @@
 pub mod patience;
 pub mod policy;
 pub mod queue;
+mod ranks;
 mod rate;
 pub mod refusal;
 pub mod replica_list;
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -7,15 +7,16 @@
 
 use crate::amount::Time;
 use crate::broadcast::{self, Leg};
-use crate::event::{KvName, Note};
+use crate::calls::Calls;
+use crate::event::Note;
 use crate::first_read;
-use crate::ids::{Epoch, Incarnation, Service, Ticket, VmId};
+use crate::ids::{Epoch, Incarnation, VmId};
 use crate::joining::Joining;
 use crate::lag::LagNote;
 use crate::message::Heartbeat;
 use crate::mix::NeedsBlend;
+use crate::ranks::Ranks;
 use crate::replica_list::ListMark;
-use crate::rollout::RolloutRecord;
 use crate::seal::FleetClock;
 use crate::view::{Member, SMALL_VIEW, Standing, View};
 use crate::view_update::ViewLog;
@@ -32,18 +33,6 @@
 const TURN: Duration = Duration::from_secs(3);
 /// How many processes that are not in the view are remembered, removed or about to join.
 const MAX_FORMER: usize = 64;
-/// How many members of a region read the platform's values all the time.
-const READERS: usize = 2;
-/// How many members of a region follow the platform's values in a larger view.
-const FOLLOWERS: usize = 3;
-/// How many members of a region follow the platform's values if the first are cut off.
-const SUBSTITUTES: usize = 12;
-/// After which part of an upstream's notice, in hundredths, substitutes follow the list of
-/// upstreams if they hear nothing of it.
-const SUBSTITUTES_AFTER: u32 = 60;
-/// After which part everybody does: one that alone reaches the platform must have read the
-/// list, and sent its last request to who leaves, before the notice is over.
-const ALL_AFTER: u32 = 70;
 /// How many times longer a process that joins a large view waits between reads of it.
 const JOINING_READS: u32 = 3;
 /// By how many places the next member of the region is asked that may know what a process
@@ -63,19 +52,6 @@
     Quit,
 }
 
-/// What a call to the platform is for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Purpose {
-    /// Reads a value that others wrote.
-    Read(KvName),
-    /// Writes the view.
-    Write(View),
-    /// Reads or writes a shard of the ledger.
-    Draw(u32),
-    /// Reads the record of a roll-out, or writes what is named.
-    Rollout(Service, Option<RolloutRecord>),
-}
-
 /// What is known of another member.
 #[derive(Debug, Clone, Copy, Default)]
 struct Sign {
@@ -98,32 +74,6 @@
     pub(crate) at: Time,
 }
 
-/// Where this process stands by rank, in the duties that few members have. Ranks change with
-/// the view only, and are asked for at every tick.
-#[derive(Debug, Clone, Copy, Default)]
-struct Ranks {
-    /// Its place among the region's readers of the platform's values.
-    reader: Option<usize>,
-    /// Its place among the region's followers of the list of upstreams.
-    follower: Option<usize>,
-    /// Its place among those that mark complete views.
-    marker: Option<usize>,
-}
-
-impl Ranks {
-    fn of(view: &View, me: &Member) -> Self {
-        let place = |subject: &[u8], region| {
-            let ranked = view.ranked(subject, region);
-            ranked.iter().position(|m| m.incarnation == me.incarnation)
-        };
-        Self {
-            reader: place(b"reader", Some(&me.region)),
-            follower: place(b"follower", Some(&me.region)),
-            marker: place(b"marker", None),
-        }
-    }
-}
-
 /// The table of members.
 #[derive(Debug)]
 pub(crate) struct Membership {
@@ -171,8 +121,7 @@
     doubt: Duration,
     /// How long upstreams that leave take requests after they have said so.
     notice: Duration,
-    next_ticket: u64,
-    calls: HashMap<Ticket, Purpose>,
+    pub(crate) calls: Calls,
     signs: BTreeMap<Incarnation, Sign>,
     former: BTreeMap<Incarnation, SocketAddr>,
     listed: BTreeSet<VmId>,
@@ -231,8 +180,7 @@
             confirmed_at: None,
             doubt: beat.saturating_mul(DOUBT_BEATS),
             notice,
-            next_ticket: 1,
-            calls: HashMap::new(),
+            calls: Calls::default(),
             signs: BTreeMap::new(),
             former: BTreeMap::new(),
             listed: BTreeSet::new(),
@@ -295,28 +243,6 @@
         }
     }
 
-    /// Notes a call to the platform and names it.
-    pub(crate) fn call(&mut self, purpose: Purpose) -> Ticket {
-        let ticket = Ticket(self.next_ticket);
-        self.next_ticket += 1;
-        self.calls.insert(ticket, purpose);
-        ticket
-    }
-
-    /// Returns what a call was for, once.
-    pub(crate) fn called(&mut self, ticket: Ticket) -> Option<Purpose> {
-        self.calls.remove(&ticket)
-    }
-
-    /// Tells whether a call about a value of this kind is under way.
-    pub(crate) fn is_calling(&self, name: &KvName) -> bool {
-        self.calls.values().any(|purpose| match purpose {
-            Purpose::Read(n) => n == name,
-            Purpose::Write(_) => *name == KvName::View,
-            Purpose::Draw(_) | Purpose::Rollout(..) => false,
-        })
-    }
-
     /// Puts a newer view in force; returns the members that are gone.
     pub(crate) fn adopt(&mut self, now: Time, view: &Arc<View>) -> Option<Vec<Incarnation>> {
         if view.epoch == self.view.epoch && view.complete > self.view.complete {
@@ -430,7 +356,7 @@
         if self.is_alone(now) || !self.is_member() {
             return true;
         }
-        self.ranks.reader.is_some_and(|place| place < READERS)
+        self.ranks.reads()
     }
 
     /// Tells whether this process reads whole values from the platform that it knows nothing
@@ -486,12 +412,7 @@
         if is_member && (is_small || self.is_alone(now)) {
             return true;
         }
-        let wait = match self.ranks.follower.unwrap_or(usize::MAX) {
-            0..FOLLOWERS => return true,
-            FOLLOWERS..SUBSTITUTES => SUBSTITUTES_AFTER,
-            _ => ALL_AFTER,
-        };
-        let wait = self.notice * wait / 100;
+        let wait = self.notice * self.ranks.follows_after() / 100;
         heard.is_none_or(|age| age >= wait)
     }
 
@@ -499,7 +420,7 @@
     /// knows no rank of its own.
     pub(crate) fn probes_platform(&self) -> bool {
         let is_small = self.view.members.len() <= SMALL_VIEW;
-        is_small || self.ranks.follower.is_none_or(|place| place < SUBSTITUTES)
+        is_small || self.ranks.probes()
     }
 
     /// Tells whether this process hears no other member.
@@ -509,7 +430,7 @@
 
     /// Tells whether this process marks complete views.
     pub(crate) fn is_marker(&self) -> bool {
-        self.ranks.marker == Some(0)
+        self.ranks.marks()
     }
 
     /// Tells whether this process has a view to mark as complete, up to this epoch, that it
