--- a/crates/badgerfield-core/src/rollout/verdict.rs
+++ b/crates/badgerfield-core/src/rollout/verdict.rs
@@ -42,6 +42,11 @@
 const ENOUGH_OTHERS: u32 = 30;
 /// From how many upstreams on one that is worse can be told from its siblings.
 const ENOUGH_SIBLINGS: usize = 3;
+/// Of two upstreams one is taken to be the odd one if it has more than so many times the bad
+/// answers of the other.
+const ODD_TIMES: u32 = 4;
+/// And if the other has more than one in so many of its answers, so that it was tried as well.
+const TRIED_PART: u32 = 4;
 
 /// A kind of bad answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,38 +81,60 @@
     }
 }
 
+/// How sure a look at the evidence must be.
+#[derive(Debug, Clone, Copy)]
+struct Look {
+    /// In which part of roll-outs of good versions it may find them bad.
+    alarm: f64,
+    /// How many bad answers it takes at least.
+    least: u32,
+    /// Whether more evidence comes, which one can wait for where upstreams are too few to tell
+    /// whether the version is bad or one of them.
+    waits: bool,
+}
+
+const TRIAL: Look = Look { alarm: FALSE_ALARM, least: LEAST_BAD, waits: true };
+/// Nothing follows this look: a version that fails at the only upstream it has would get all
+/// requests.
+const LAST: Look = Look { alarm: LAST_ALARM, least: LEAST_LAST, waits: false };
+
 /// Tells why the target is bad, if the evidence says so; `windows` is the evidence of the whole
 /// trial and of its latest parts, for versions that turn bad later.
 #[must_use]
 pub fn judge(windows: &[Evidence]) -> Option<Reason> {
-    let found = look(windows, FALSE_ALARM, LEAST_BAD);
+    let found = look(windows, TRIAL);
     found.or_else(|| windows.iter().find_map(many_bad))
 }
 
 /// Tells why the target is rather bad than good, at the last look.
 #[must_use]
 pub fn judge_last(windows: &[Evidence]) -> Option<Reason> {
-    judge(windows).or_else(|| look(windows, LAST_ALARM, LEAST_LAST))
+    judge(windows).or_else(|| look(windows, LAST))
 }
 
 /// Looks at the whole trial with half of the weight, and at its parts with the other half.
-fn look(windows: &[Evidence], alarm: f64, least: u32) -> Option<Reason> {
+fn look(windows: &[Evidence], look: Look) -> Option<Reason> {
     let (whole, parts) = windows.split_first()?;
-    let bound = 2.0_f64.ln() - alarm.ln();
+    let bound = 2.0_f64.ln() - look.alarm.ln();
     let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
     let of_part = bound + f64::from(count.max(1)).ln();
-    let found = beyond(whole, bound, least);
-    found.or_else(|| parts.iter().find_map(|part| beyond(part, of_part, least)))
+    let found = beyond(whole, bound, look);
+    found.or_else(|| parts.iter().find_map(|part| beyond(part, of_part, look)))
 }
 
 /// Tells why the target is bad if the ratio is beyond a bound, and no single upstream explains it.
-fn beyond(evidence: &Evidence, bound: f64, least: u32) -> Option<Reason> {
+fn beyond(evidence: &Evidence, bound: f64, look: Look) -> Option<Reason> {
     for kind in [Kind::Failures, Kind::Slowness] {
-        let few = kind.of(evidence.target()).bad < least;
+        let few = kind.of(evidence.target()).bad < look.least;
         if few || ratio(evidence, kind) - KINDS.ln() < bound {
             continue;
         }
-        if !is_one_upstream(evidence, kind, LIKELY_ONE) {
+        let is_one = if evidence.upstreams.len() < ENOUGH_SIBLINGS {
+            may_be_one_of_few(evidence, kind, look)
+        } else {
+            is_one_of_many(evidence, kind, LIKELY_ONE)
+        };
+        if !is_one {
             return Some(kind.reason());
         }
     }
@@ -132,7 +159,7 @@
         let is_many = excess >= MANY_BAD && excess >= MANY_DEVIATIONS * variance.sqrt();
         // One of many that is worse is left to those that watch single upstreams.
         let is_one = evidence.upstreams.len() >= ENOUGH_SIBLINGS
-            && is_one_upstream(evidence, kind, SURELY_ONE);
+            && is_one_of_many(evidence, kind, SURELY_ONE);
         if is_many && !is_one {
             return Some(Reason::ManyBad);
         }
@@ -174,29 +201,43 @@
 
 /// Tells whether one upstream of the target is worse than its siblings with these odds, and
 /// these are not bad.
-fn is_one_upstream(evidence: &Evidence, kind: Kind, odds: f64) -> bool {
-    let samples: Vec<_> = evidence.upstreams.values().map(|c| kind.of(*c)).collect();
-    let sum = |samples: &[Sample]| {
-        samples.iter().fold(Sample::default(), |sum, s| Sample {
-            all: sum.all.saturating_add(s.all),
-            bad: sum.bad.saturating_add(s.bad),
-        })
-    };
-    let all = sum(&samples);
-    let Some(worst) = samples.iter().max_by_key(|s| s.bad).copied() else {
+fn is_one_of_many(evidence: &Evidence, kind: Kind, odds: f64) -> bool {
+    let Some((worst, rest)) = worst_and_rest(evidence, kind) else {
         return false;
     };
-    let rest = Sample { all: all.all - worst.all, bad: all.bad - worst.bad };
-    if samples.len() < ENOUGH_SIBLINGS {
-        // Of one or two, nobody can tell which is the odd one: more evidence is waited for
-        // unless both are bad.
-        return rest.bad == 0 || worst.bad > 4 * rest.bad && rest.all > worst.all / 4;
-    }
     if mean_exp(&effects(worst, rest)) < odds.ln() {
         return false;
     }
-    let others = sum(&evidence.routes.values().map(|(_, o)| kind.of(*o)).collect::<Vec<_>>());
-    mean_exp(&effects(rest, others)) < SIBLINGS_BAD.ln()
+    let others: Vec<_> = evidence.routes.values().map(|(_, o)| kind.of(*o)).collect();
+    mean_exp(&effects(rest, sum(&others))) < SIBLINGS_BAD.ln()
+}
+
+/// Tells whether it may be one upstream of one or two that is bad, and not the version.
+fn may_be_one_of_few(evidence: &Evidence, kind: Kind, look: Look) -> bool {
+    let Some((worst, rest)) = worst_and_rest(evidence, kind) else {
+        return false;
+    };
+    if look.waits && rest.bad == 0 {
+        return true;
+    }
+    let is_odd = worst.bad > rest.bad.saturating_mul(ODD_TIMES);
+    is_odd && rest.all > worst.all / TRIED_PART
+}
+
+/// Returns what the upstream of the target with the most bad answers got, and what its siblings
+/// got together.
+fn worst_and_rest(evidence: &Evidence, kind: Kind) -> Option<(Sample, Sample)> {
+    let samples: Vec<_> = evidence.upstreams.values().map(|c| kind.of(*c)).collect();
+    let all = sum(&samples);
+    let worst = samples.iter().max_by_key(|s| s.bad).copied()?;
+    Some((worst, Sample { all: all.all - worst.all, bad: all.bad - worst.bad }))
+}
+
+fn sum(samples: &[Sample]) -> Sample {
+    samples.iter().fold(Sample::default(), |sum, s| Sample {
+        all: sum.all.saturating_add(s.all),
+        bad: sum.bad.saturating_add(s.bad),
+    })
 }
 
 /// Returns the logarithm of the mean of what the logarithms stand for.
--- a/crates/badgerfield-core/tests/rollout_recorder.rs
+++ b/crates/badgerfield-core/tests/rollout_recorder.rs
@@ -5,8 +5,8 @@
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::Incarnation;
 use badgerfield_core::rollout::{
-    Call, Known, OrderChange, Phase, Reason, Recorder, RolloutOrder, RolloutRecord, RolloutState,
-    RolloutTally, Situation, Stage,
+    Call, Counts, Known, OrderChange, Phase, Reason, Recorder, RolloutOrder, RolloutRecord,
+    RolloutState, RolloutTally, RouteTally, Situation, Stage,
 };
 use badgerfield_core::seal::FleetClock;
 
@@ -160,3 +160,61 @@
     recorder.found(0, None, &known);
     assert!(matches!(step(&mut recorder, 1_650), Some(Call::Write(0, _))));
 }
+
+/// Makes a judge that has read this record, and the order it is of.
+fn reader(record: RolloutRecord, known: &Known) -> Recorder {
+    let mut recorder = Recorder::default();
+    recorder.step(&at(known, 0, 0, &[]));
+    recorder.found(3, Some(record), known);
+    recorder
+}
+
+/// Makes a tally in which the target answered so many requests, and failed so many.
+fn tried(answers: u32, failed: u32) -> RolloutTally {
+    let target = Counts { answers, failed, slow: 0 };
+    let others = Counts { answers: 1000, failed: 0, slow: 0 };
+    let routes = vec![RouteTally { route: "chat".into(), target, others }];
+    RolloutTally { routes, upstreams: vec![(0, target)], ..tally(false, 0) }
+}
+
+/// Fails if all requests move to a version that failed, since nobody found it bad before.
+#[test]
+fn the_last_look_decides_before_all_requests_move() {
+    let tried_record = record(7, RolloutState::InProgress, false);
+    for (failed, state, moving) in
+        [(29, RolloutState::RolledBack, false), (0, RolloutState::InProgress, true)]
+    {
+        let known = known(7, Some(Stage::of(&tried_record)));
+        let mut recorder = reader(tried_record.clone(), &known);
+        recorder.judge.hear(ME, tried(29, failed), Duration::from_secs(39));
+        let call = recorder.step(&at(&known, 39_000, 0, &[ME]));
+        let is_next = |next: &RolloutRecord| (next.state, next.moving) == (state, moving);
+        assert!(matches!(&call, Some(Call::Write(3, next)) if is_next(next)), "{call:?}");
+    }
+}
+
+/// Fails if a version that was found bad keeps a record that is in progress.
+#[test]
+fn a_rejected_version_is_recorded_as_rolled_back() {
+    let open = record(7, RolloutState::InProgress, false);
+    let stage = Stage { phase: Phase::Rejected, reason: Reason::Failures, ..Stage::of(&open) };
+    let known = known(7, Some(stage));
+    let call = reader(open, &known).step(&at(&known, 1000, 0, &[ME]));
+    let is_back = |next: &RolloutRecord| {
+        (next.state, next.reason) == (RolloutState::RolledBack, Reason::Failures)
+    };
+    assert!(matches!(&call, Some(Call::Write(3, next)) if is_back(next)), "{call:?}");
+}
+
+/// Fails if the record of an order that was withdrawn stays in progress.
+#[test]
+fn a_withdrawn_order_is_recorded_as_rolled_back() {
+    let mut known = known(9, None);
+    known.change.order = None;
+    let open = record(7, RolloutState::InProgress, false);
+    let call = reader(open, &known).step(&at(&known, 1000, 0, &[ME]));
+    let is_back = |next: &RolloutRecord| {
+        (next.state, next.reason) == (RolloutState::RolledBack, Reason::Withdrawn)
+    };
+    assert!(matches!(&call, Some(Call::Write(3, next)) if is_back(next)), "{call:?}");
+}
--- a/crates/badgerfield-core/tests/rollout_verdict.rs
+++ b/crates/badgerfield-core/tests/rollout_verdict.rs
@@ -2,7 +2,7 @@
 //! ones it rolls back, and after how many bad answers. Two simpler verdicts stand beside it.
 
 use badgerfield_core::rollout::verdict::{judge, judge_last};
-use badgerfield_core::rollout::{Counts, Evidence};
+use badgerfield_core::rollout::{Counts, Evidence, Reason};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -176,6 +176,41 @@
     }
 }
 
+/// Makes evidence of one route, with so many answers of the target's upstreams, and bad ones.
+fn evidence(upstreams: &[(u32, u32)], others: u32) -> Evidence {
+    let mut evidence = Evidence::default();
+    let mut target = Counts::default();
+    for (number, (answers, failed)) in (0..).zip(upstreams) {
+        let counts = Counts { answers: *answers, failed: *failed, slow: 0 };
+        evidence.upstreams.insert(number, counts);
+        target = target.plus(counts);
+    }
+    let others = Counts { answers: others, failed: 0, slow: 0 };
+    evidence.routes.insert("route".into(), (target, others));
+    evidence
+}
+
+/// Fails if all requests move to a version that fails, because its upstreams are too few to
+/// tell whether the version is bad or one of them.
+#[test]
+fn a_version_with_few_upstreams_is_found_bad_at_the_last_look() {
+    for upstreams in [&[(29, 29)][..], &[(5, 5)], &[(29, 29), (3, 0)], &[(20, 20), (0, 0)]] {
+        let windows = [evidence(upstreams, 1000)];
+        assert_eq!(judge_last(&windows), Some(Reason::Failures), "{upstreams:?}");
+    }
+    // One that is worse than a sibling which was tried as much is not the version's fault.
+    let windows = [evidence(&[(20, 18), (20, 0)], 1000)];
+    assert_eq!(judge_last(&windows), None);
+    assert_eq!(judge_last(&[evidence(&[(29, 0)], 1000)]), None);
+}
+
+/// Fails if an only upstream that is bad gets fifty bad answers, which no sibling can explain.
+#[test]
+fn an_only_upstream_ends_the_trial_before_its_fiftieth_bad_answer() {
+    let first = (1..50).find(|bad| judge(&[evidence(&[(*bad, *bad)], 1000)]).is_some());
+    assert!(first.is_some(), "fifty bad answers, and no verdict");
+}
+
 /// Prints the table of the design note; it checks nothing.
 #[test]
 #[ignore = "prints a table for the design note"]
