Evacuations: a domain that is evacuated is not forgotten for those that are back

Cause: of more than 64 names the one with the oldest revision was dropped, also one that is evacuated now; its return then turned nothing and it stayed out of use until the next whole read. Red before: evacuation:: a_domain_that_is_evacuated_is_not_forgotten_for_those_that_are_back.

--- a/crates/badgerfield-core/src/evacuation.rs
+++ b/crates/badgerfield-core/src/evacuation.rs
@@ -87,7 +87,9 @@
 
     fn forget_oldest(&mut self) {
         while self.changes.len() > MAX_DOMAINS {
-            let oldest = self.changes.values().min_by_key(|change| change.revision);
+            // One that is evacuated now is kept the longest: its return would be told to nobody.
+            let age = |change: &&DomainChange| (change.evacuated, change.revision);
+            let oldest = self.changes.values().min_by_key(age);
             let Some(domain) = oldest.map(|change| change.domain.clone()) else {
                 return;
             };
--- a/crates/badgerfield-core/tests/evacuation.rs
+++ b/crates/badgerfield-core/tests/evacuation.rs
@@ -72,3 +72,16 @@
         prop_assert_eq!(here.digest(), there.digest());
     }
 }
+
+#[test]
+fn a_domain_that_is_evacuated_is_not_forgotten_for_those_that_are_back() {
+    let mut known = Evacuations::default();
+    known.learn([change(0, 1, true)]);
+    for n in 1..=70 {
+        let revision = u64::from(n) * 10;
+        known.learn([change(n, revision, true)]);
+        known.learn([change(n, revision + 1, false)]);
+    }
+    assert!(known.changes().contains(&change(0, 1, true)));
+    assert_eq!(known.learn([change(0, 5_000, false)]), vec![change(0, 5_000, false)]);
+}
