Budgets: what an upstream served beyond its limit is taken off what is sealed too

Cause: the excess came off what is free only, and the rest of it vanished: of 100,000 tokens granted, with 81,000 served, 99,000 were held yet. Red before: holdings::what_an_upstream_served_beyond_its_limit_is_not_spent_again.

Still open: the ledger's record of what is sealed until the next change, and an excess above all that is held.

--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -289,16 +289,18 @@
 
     /// Drops what is parked, of what is sealed first.
     pub(crate) fn drop_parked(&mut self) {
-        let mut rest = self.parked_amount();
-        for part in [&mut self.sealed, &mut self.free, &mut self.releasing] {
-            let dropped = rest.min(*part);
-            *part = part.saturating_minus(dropped);
-            rest = rest.saturating_minus(dropped);
-        }
+        let parked = self.parked_amount();
+        deduct(parked, [&mut self.sealed, &mut self.free, &mut self.releasing]);
         self.parked.total = Tokens::ZERO;
         self.parked.sent = None;
     }
 
+    /// Writes off what an upstream served beyond what was set aside, of what is free first: what
+    /// is left over would be spent a second time.
+    pub(crate) fn write_off(&mut self, excess: Tokens) {
+        deduct(excess, [&mut self.free, &mut self.releasing, &mut self.sealed]);
+    }
+
     /// Unseals everything if the promise is over.
     pub(crate) fn unseal_late(&mut self, now: Time) {
         if self.said.is_some_and(|at| now.since(at) < HOLDS) {
@@ -576,3 +578,13 @@
         self.op = Some((op, None));
     }
 }
+
+/// Takes an amount out of parts, of the first as much as it has.
+fn deduct(amount: Tokens, parts: [&mut Tokens; 3]) {
+    let mut rest = amount;
+    for part in parts {
+        let taken = rest.min(*part);
+        *part = part.saturating_minus(taken);
+        rest = rest.saturating_minus(taken);
+    }
+}
--- a/crates/badgerfield-core/src/holdings/requests.rs
+++ b/crates/badgerfield-core/src/holdings/requests.rs
@@ -71,8 +71,9 @@
         }
         holding.reserved = holding.reserved.saturating_minus(reserved);
         let rest = reserved.saturating_minus(used);
-        // An upstream that ignores its limit eats into what is free.
-        holding.free = holding.free.saturating_plus(rest).saturating_minus(excess);
+        holding.free = holding.free.saturating_plus(rest);
+        // An upstream that ignores its limit eats into what is held.
+        holding.write_off(excess);
         holding.giving.come_back(rest);
         holding.meter.count(now, used);
         holding.used_at = now;
--- a/crates/badgerfield-core/tests/holdings.rs
+++ b/crates/badgerfield-core/tests/holdings.rs
@@ -199,3 +199,59 @@
     holdings.settle(at(40), &budget(), Period(1), Tokens(1_000), Tokens::ZERO);
     assert_eq!(holdings.figures(&budget()).free, Tokens::ZERO, "the new period got old tokens");
 }
+
+/// Makes the holder of a budget that seals its tokens, in a view of so many members.
+fn sealing_holder(me: u64, members: u64) -> Holdings {
+    let pacing = Pacing {
+        seals: true,
+        ahead: Duration::from_secs(11),
+        report: Duration::from_millis(500),
+        ..Pacing::default()
+    };
+    let own = member(me);
+    let mut holdings = Holdings::new(Incarnation(me), own.vm.clone(), own.region, pacing);
+    holdings.adopt(at(0), &Arc::new(view(members)), &mut Outbox::default());
+    let terms = Terms { version: Version(1), period: Period(1), limit: Tokens(2_000_000) };
+    holdings.learn(at(0), &budget(), terms, Percent::new(50).expect("a share"));
+    holdings
+}
+
+#[test]
+fn what_an_upstream_served_beyond_its_limit_is_not_spent_again() {
+    let mut holdings = sealing_holder(1, 4);
+    pass(&mut holdings, 0, 100, HELD);
+    let waiter = (RunId(7), Tokens(1_000), at(5_000));
+    let reserved = holdings.reserve(at(250), &budget(), waiter, &mut Outbox::default());
+    assert_eq!(reserved, Reserved::Done(Period(1)));
+    pass(&mut holdings, 300, 1_500, Tokens::ZERO);
+    let before = holdings.figures(&budget());
+    assert!(before.sealed > before.free, "nearly all is sealed: {before:?}");
+    let served = Tokens(81_000);
+    holdings.settle(at(1_500), &budget(), Period(1), Tokens(1_000), served);
+    let figures = holdings.figures(&budget());
+    let held = figures.free.0 + figures.sealed.0 + figures.parked.0 + figures.reserved.0;
+    assert!(held + served.0 <= HELD.0, "{held} are held yet, of {}", HELD.0);
+}
+
+#[test]
+fn a_removed_owner_changes_nothing_at_its_witness() {
+    let mut witness = sealing_holder(3, 20);
+    let owner = Incarnation(20);
+    let item = ParkItem { budget: budget(), period: Period(1), seq: 1, total: Tokens(500) };
+    assert_eq!(witness.park(owner, std::slice::from_ref(&item)).len(), 1);
+    let without = View { epoch: Epoch(50), ..view(19) };
+    witness.adopt(at(300), &Arc::new(without), &mut Outbox::default());
+    // The owner would spend what its witness has given back for it.
+    let later = ParkItem { seq: 2, total: Tokens::ZERO, ..item };
+    assert!(witness.park(owner, &[later]).is_empty());
+}
+
+#[test]
+fn what_a_witness_knows_is_not_set_aside_before_it_allows_that() {
+    let mut holdings = holder_with_witness();
+    holdings.settle(at(20), &budget(), Period(1), Tokens(1_000), Tokens(1_000));
+    park(&mut holdings, 20, 20_000);
+    let waiter = (RunId(8), Tokens(1_000), at(25_000));
+    let reserved = holdings.reserve(at(20_000), &budget(), waiter, &mut Outbox::default());
+    assert_eq!(reserved, Reserved::Waiting);
+}
