Control: the time of a read of the view follows the view

Cause: between the two a tick on another thread met the older view with the newer time, and a judge of a roll-out need not have waited for a member that had just joined; found by reading, and not seen: a test that feeds one event at a time cannot show it. ask_view repeated read, and two constants were one.

--- a/crates/badgerfield-core/src/control/evacuations.rs
+++ b/crates/badgerfield-core/src/control/evacuations.rs
@@ -14,9 +14,9 @@
 use crate::message::{EvacuationNews, Message};
 use crate::node::Node;
 
-/// The least time between two comparisons with one member: half a sign of life, so that one
-/// whose answer was lost is asked again at its next.
-const COMPARE: Duration = Duration::from_millis(200);
+/// The least time between two comparisons with one member: shorter than signs of life are
+/// apart (0.4 s and more), so that one whose answer was lost is asked again at its next.
+pub(super) const COMPARE: Duration = Duration::from_millis(200);
 
 impl Node {
     /// Takes in all that operators have at the platform.
--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -391,7 +391,7 @@
                 return;
             }
         };
-        {
+        let asked = {
             let mut members = self.board.members();
             // A stale read names an older revision; writing on it would only conflict.
             if found.revision < members.revision {
@@ -400,15 +400,19 @@
             members.revision = found.revision;
             members.stored = Arc::clone(&view);
             members.known = true;
-            members.view_known = members.view_asked;
             members.joining.saw(&view);
-        }
+            members.view_asked
+        };
         self.adopt_view(now, &view, out);
+        // Only now: a judge that took the older view for one of this time would not wait for a
+        // member that has just joined.
+        let mut members = self.board.members();
+        members.view_known = members.view_known.max(asked);
     }
 }
 
 /// Reads a value of the platform, unless that is under way.
-fn read(members: &mut Membership, now: Time, name: KvName, out: &mut Outbox) {
+pub(super) fn read(members: &mut Membership, now: Time, name: KvName, out: &mut Outbox) {
     if members.calls.is_open(&name) {
         return;
     }
--- a/crates/badgerfield-core/src/control/rollouts.rs
+++ b/crates/badgerfield-core/src/control/rollouts.rs
@@ -12,6 +12,8 @@
 use crate::amount::Time;
 use crate::broadcast;
 use crate::calls::Purpose;
+use crate::control::evacuations::COMPARE;
+use crate::control::members::read;
 use crate::event::{KvCall, KvName, KvResult, Note, Order, Outbox, Versioned, due};
 use crate::ids::{Incarnation, Service};
 use crate::message::{Message, RolloutNews};
@@ -25,9 +27,6 @@
 
 /// How many members judge a service: two may be lost at once.
 const JUDGES: usize = 3;
-/// The least time between two comparisons with one member: half a sign of life, so that one
-/// whose answer was lost is asked again at its next.
-const COMPARE: Duration = Duration::from_millis(200);
 
 /// Who judges what, at one moment.
 struct Bench {
@@ -296,7 +295,7 @@
         let (written, call) = match call {
             Call::Read => (None, KvCall::Get(name)),
             Call::ReadView => {
-                self.ask_view(now, out);
+                read(&mut self.board.members(), now, KvName::View, out);
                 return;
             }
             Call::Write(expect, record) => {
@@ -315,17 +314,6 @@
         out.push(Order::KeyValue(ticket, call));
     }
 
-    /// Reads the view, unless that is under way.
-    fn ask_view(&self, now: Time, out: &mut Outbox) {
-        let mut members = self.board.members();
-        if members.calls.is_open(&KvName::View) {
-            return;
-        }
-        members.view_asked = Some(now);
-        let ticket = members.calls.begin(Purpose::Read(KvName::View));
-        out.push(Order::KeyValue(ticket, KvCall::Get(KvName::View)));
-    }
-
     /// Tells the judges how requests of this process went, where that is due.
     fn report_rollouts(&self, now: Time, bench: &Bench, out: &mut Outbox) {
         let members = u32::try_from(bench.view.members.len()).unwrap_or(u32::MAX);
