Settings: a bound on cold upstreams that cannot be meant is a fault

Cause: nan, infinite and negative numbers were taken, and a bound of which one value was missing counted as none, without a word. Red before: settings:: a_bound_on_cold_upstreams_that_cannot_be_meant_is_a_fault.

--- a/crates/badgerfield-node/src/settings.rs
+++ b/crates/badgerfield-node/src/settings.rs
@@ -348,14 +348,25 @@
 }
 
 /// Reads the bound on cold upstreams; values that are empty, as a template leaves them where
-/// the platform has none, count as absent.
+/// the platform has none, count as absent. Of a bound with one value the other allows nothing.
 fn read_warm_up(file: &mut File) -> Option<WarmUpBound> {
     let mut read = |key| {
         let text = file.optional_text("warm_up", key).unwrap_or_default();
-        if text.is_empty() { None } else { file.value("warm_up", key) }
+        if text.is_empty() {
+            return None;
+        }
+        let value: Option<f64> = file.value("warm_up", key);
+        if value.is_some_and(|value| !value.is_finite() || value < 0.0) {
+            file.fault("warm_up", Some(key), "expected a number that is not negative".to_owned());
+        }
+        value
     };
     let (overshoot, allowance) = (read("overshoot"), read("allowance"));
-    Some(WarmUpBound { overshoot: overshoot?, allowance: allowance? })
+    if overshoot.is_none() && allowance.is_none() {
+        return None;
+    }
+    let (overshoot, allowance) = (overshoot.unwrap_or(1.0), allowance.unwrap_or(0.0));
+    Some(WarmUpBound { overshoot, allowance })
 }
 
 /// Reads the bound on versions that are rolled out; values that are empty, or a unit alone, as a
--- a/crates/badgerfield-node/tests/settings.rs
+++ b/crates/badgerfield-node/tests/settings.rs
@@ -5,6 +5,7 @@
 
 use assert_matches::assert_matches;
 use badgerfield_core::rollout::RolloutBound;
+use badgerfield_core::warm_up::WarmUpBound;
 use badgerfield_node::ini::{File, FileError};
 use badgerfield_node::settings::Settings;
 use badgerfield_node::templates;
@@ -114,6 +115,19 @@
     assert!(faults.iter().any(|fault| fault.contains("[warm_up] overshoot")), "{faults:#?}");
 }
 
+/// Fails if a bound that cannot be meant, or half of one, is taken for none.
+#[test]
+fn a_bound_on_cold_upstreams_that_cannot_be_meant_is_a_fault() {
+    let read = |text: &str| read(&format!("{GOOD}[warm_up]\n{text}"));
+    for text in ["overshoot = nan\nallowance = 5\n", "overshoot = 1.5\nallowance = -2\n"] {
+        let faults = faults(read(text));
+        assert!(faults.iter().any(|fault| fault.contains("[warm_up]")), "{text}: {faults:#?}");
+    }
+    let bound = |text: &str| read(text).expect("it is good").warm_up.expect("there is a bound");
+    assert_eq!(bound("overshoot = 1.5\n"), WarmUpBound { overshoot: 1.5, allowance: 0.0 });
+    assert_eq!(bound("allowance = 5\n"), WarmUpBound { overshoot: 1.0, allowance: 5.0 });
+}
+
 #[test]
 fn a_bound_on_roll_outs_that_a_platform_does_not_have_takes_the_usual_values() {
     let bound = |text: &str| read(&format!("{GOOD}{text}")).map(|read| read.pacing.rollout);
