--- a/crates/badgerfield-core/src/board.rs
+++ b/crates/badgerfield-core/src/board.rs
@@ -13,6 +13,8 @@
 use crate::holdings::Holdings;
 use crate::ledger_writer::LedgerWriter;
 use crate::membership::Membership;
+use crate::poison::Poison;
+use crate::poison_record::PoisonRecord;
 use crate::queue::Queue;
 use crate::rollout::Rollouts;
 use crate::runs::Runs;
@@ -28,6 +30,8 @@
     template_history: Mutex<TemplateHistory>,
     evacuations: Mutex<Evacuations>,
     rollouts: Mutex<Rollouts>,
+    poison: Mutex<Poison>,
+    poison_record: Mutex<PoisonRecord>,
     runs: Mutex<Runs>,
     charges: Mutex<Charges>,
     queue: Mutex<Queue>,
@@ -51,6 +55,8 @@
             template_history: Mutex::default(),
             evacuations: Mutex::default(),
             rollouts: Mutex::default(),
+            poison: Mutex::default(),
+            poison_record: Mutex::default(),
             runs: Mutex::new(runs),
             charges: Mutex::default(),
             queue: Mutex::default(),
@@ -86,6 +92,16 @@
         lock(&self.rollouts)
     }
 
+    /// Locks what is known of requests under which upstreams have ended.
+    pub(crate) fn poison(&self) -> MutexGuard<'_, Poison> {
+        lock(&self.poison)
+    }
+
+    /// Locks how far the platform has what is known of them, and what others wait to be told.
+    pub(crate) fn poison_record(&self) -> MutexGuard<'_, PoisonRecord> {
+        lock(&self.poison_record)
+    }
+
     /// Locks the requests and their answers.
     pub(crate) fn runs(&self) -> MutexGuard<'_, Runs> {
         lock(&self.runs)
--- a/crates/badgerfield-core/src/calls.rs
+++ b/crates/badgerfield-core/src/calls.rs
@@ -18,6 +18,10 @@
     Draw(u32),
     /// Reads the record of a roll-out, or writes what is named.
     Rollout(Service, Option<RolloutRecord>),
+    /// Reads the requests that are blocked.
+    PoisonRead,
+    /// Writes the requests that are blocked.
+    PoisonWrite,
 }
 
 /// The calls under way.
@@ -47,7 +51,10 @@
         self.open.values().any(|purpose| match purpose {
             Purpose::Read(n) => n == name,
             Purpose::Write(_) => *name == KvName::View,
-            Purpose::Draw(_) | Purpose::Rollout(..) => false,
+            Purpose::Draw(_)
+            | Purpose::Rollout(..)
+            | Purpose::PoisonRead
+            | Purpose::PoisonWrite => false,
         })
     }
 }
--- a/crates/badgerfield-core/src/control/members.rs
+++ b/crates/badgerfield-core/src/control/members.rs
@@ -47,6 +47,7 @@
         let confirmed = self.board.claims().confirmed();
         let evacuations = self.board.evacuations().digest();
         let rollouts = self.board.rollouts().digest();
+        let blocked = self.board.poison().digest(now);
         let (neighbours, beat) = {
             let mut members = self.board.members();
             members.beat_at = Some(now);
@@ -59,6 +60,7 @@
                 list: members.list,
                 evacuations,
                 rollouts,
+                blocked,
                 wall: members.wall(now),
                 needs: members.needs.blend(now),
                 lags: members.lags.clone(),
@@ -102,6 +104,7 @@
         self.compare_lists(now, from, beat.list, out);
         self.compare_evacuations(now, from, beat.evacuations, out);
         self.compare_rollouts(now, from, beat.rollouts, out);
+        self.compare_crashes(now, from, beat.blocked, out);
         self.hear_confirmed(now, beat);
         if !beat.lags.is_empty() {
             out.push(Order::LearnLags(beat.lags.clone()));
@@ -346,6 +349,8 @@
             (Purpose::Rollout(service, written), result) => {
                 self.record_answered(now, &service, written, result, out);
             }
+            (Purpose::PoisonRead, result) => self.poison_answered(now, false, result, out),
+            (Purpose::PoisonWrite, result) => self.poison_answered(now, true, result, out),
             (Purpose::Draw(shard), result) => self.ledger_answered(now, shard, result, out),
             (Purpose::Read(KvName::Templates), KvResult::Value(found)) => {
                 self.read_templates(now, &found, out);
--- a/crates/badgerfield-core/src/control/mod.rs
+++ b/crates/badgerfield-core/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod evacuations;
 mod members;
+mod poison;
 mod reservations;
 mod rights;
 mod rollouts;
--- /dev/null
+++ b/crates/badgerfield-core/src/control/poison.rs
@@ -0,0 +1,192 @@
+//! News of requests under which upstreams have ended: takes them in, passes them on, keeps them
+//! at the platform, and compares beliefs.
+//!
+//! A crash that blocks a request is told to all at once, any other after a moment in which more
+//! may be gathered. What is lost on the way matters only for blocked requests: those are compared
+//! by digests in signs of life, and recorded at the platform.
+
+use crate::amount::Time;
+use crate::broadcast;
+use crate::calls::Purpose;
+use crate::control::evacuations::COMPARE;
+use crate::event::{KvCall, KvName, KvResult, Note, Order, Outbox, Versioned, due};
+use crate::ids::Incarnation;
+use crate::message::{CrashNews, Message};
+use crate::node::Node;
+use crate::poison::{Crash, Fingerprint};
+use crate::poison_record::{self, RecordCall};
+
+impl Node {
+    /// Takes in that an upstream ended while a request of this process was there.
+    pub(crate) fn crashed(&self, now: Time, crash: Crash, out: &mut Outbox) {
+        let news = self.board.poison().learn(now, vec![crash]);
+        let blocks = news.iter().any(|(_, blocks)| *blocks);
+        self.board.poison_record().tell(news.iter().map(|(crash, _)| crash.clone()));
+        // At once if a caller may come back with it elsewhere.
+        self.tell_crashes(now, blocks, out);
+        if blocks {
+            self.board.poison_record().note_more();
+        }
+        out.crash_news(None, news);
+        self.call_poison_record(now, out);
+    }
+
+    /// Takes in that a request was served whole which was there when an upstream ended.
+    pub(crate) fn suspect_served(&self, now: Time, request: Fingerprint, out: &mut Outbox) {
+        let cleared = self.board.poison().served(now, request);
+        self.board.poison_record().tell(cleared.iter().cloned());
+        self.tell_crashes(now, false, out);
+        out.crash_news(None, cleared.into_iter().map(|crash| (crash, false)).collect());
+    }
+
+    /// Takes in what another process tells, and passes it on to its part of the ring.
+    pub(crate) fn crash_news(
+        &self,
+        now: Time,
+        from: Incarnation,
+        news: CrashNews,
+        out: &mut Outbox,
+    ) {
+        if news.reach > 0 {
+            for (to, reach) in self.board.members().legs(now, news.reach) {
+                out.send(to, Message::Crashes(CrashNews { reach, ..news.clone() }));
+            }
+        }
+        self.learn_crashes(now, Some(from), news.crashes, out);
+    }
+
+    /// Tells a neighbour whose digest differs all that is known here, and so asks it for what
+    /// it knows beyond that.
+    pub(crate) fn compare_crashes(
+        &self,
+        now: Time,
+        from: Incarnation,
+        theirs: u64,
+        out: &mut Outbox,
+    ) {
+        let crashes = {
+            let mut members = self.board.members();
+            let known = self.board.poison();
+            if known.digest(now) == theirs
+                || !due(now, members.crashes_compared.get(&from).copied(), COMPARE)
+            {
+                return;
+            }
+            members.crashes_compared.insert(from, now);
+            known.blocked(now)
+        };
+        out.send(from, Message::CompareCrashes(crashes));
+    }
+
+    /// Takes in what a neighbour knows, and answers if more is known here.
+    pub(crate) fn crashes_compared(
+        &self,
+        now: Time,
+        from: Incarnation,
+        theirs: &[Crash],
+        out: &mut Outbox,
+    ) {
+        self.learn_crashes(now, Some(from), theirs.to_vec(), out);
+        let crashes = self.board.poison().beyond(now, theirs);
+        if !crashes.is_empty() {
+            out.send(from, Message::Crashes(CrashNews { crashes, reach: 0 }));
+        }
+    }
+
+    /// Takes in an answer of the key-value service about the record.
+    pub(crate) fn poison_answered(
+        &self,
+        now: Time,
+        write: bool,
+        result: KvResult,
+        out: &mut Outbox,
+    ) {
+        match result {
+            KvResult::Written(revision) => self.board.poison_record().found(revision),
+            KvResult::Value(found) => self.poison_found(now, &found, out),
+            KvResult::Conflict(found) => {
+                // What was to be written is known here still.
+                self.board.poison_record().note_more();
+                self.poison_found(now, &found, out);
+            }
+            _ => self.board.poison_record().failed(write),
+        }
+        self.call_poison_record(now, out);
+    }
+
+    /// Does what is due.
+    pub(crate) fn poison_tick(&self, now: Time, out: &mut Outbox) {
+        self.board.poison().sweep(now);
+        self.tell_crashes(now, false, out);
+        self.call_poison_record(now, out);
+    }
+
+    fn poison_found(&self, now: Time, found: &Versioned, out: &mut Outbox) {
+        self.board.poison_record().found(found.revision);
+        match poison_record::decode(found.value.as_deref()) {
+            Ok(crashes) => self.learn_crashes(now, None, crashes, out),
+            // What nobody can read is replaced by the next record.
+            Err(error) => {
+                out.push(Order::Note(Note::BadValue(KvName::Poison, error.to_string())));
+            }
+        }
+    }
+
+    fn learn_crashes(
+        &self,
+        now: Time,
+        from: Option<Incarnation>,
+        crashes: Vec<Crash>,
+        out: &mut Outbox,
+    ) {
+        let news = self.board.poison().learn(now, crashes);
+        out.crash_news(from, news);
+    }
+
+    /// Tells all members what waits to be told.
+    fn tell_crashes(&self, now: Time, is_urgent: bool, out: &mut Outbox) {
+        let members = self.board.members();
+        let crashes = self.board.poison_record().take_news(now, is_urgent);
+        if crashes.is_empty() {
+            return;
+        }
+        for (to, reach) in members.legs(now, broadcast::full_reach(&members.view)) {
+            let news = CrashNews { crashes: crashes.clone(), reach };
+            out.send(to, Message::Crashes(news));
+        }
+    }
+
+    /// Makes the call about the record that is due.
+    fn call_poison_record(&self, now: Time, out: &mut Outbox) {
+        let mut members = self.board.members();
+        let blocked = self.board.poison().blocked(now);
+        let Some(call) = self.board.poison_record().next_call(now) else {
+            return;
+        };
+        let (purpose, call) = match call {
+            RecordCall::Read => (Purpose::PoisonRead, KvCall::Get(KvName::Poison)),
+            RecordCall::Write(expect) => {
+                let value = poison_record::encode(blocked);
+                (Purpose::PoisonWrite, KvCall::Swap { name: KvName::Poison, expect, value })
+            }
+        };
+        let ticket = members.calls.begin(purpose);
+        out.push(Order::KeyValue(ticket, call));
+    }
+}
+
+impl Outbox {
+    /// Says what was news, and has what runs of blocked requests ended.
+    fn crash_news(&mut self, from: Option<Incarnation>, news: Vec<(Crash, bool)>) {
+        let blocked = news.iter().filter(|(_, blocks)| *blocks).map(|(crash, _)| crash.request);
+        let blocked: Vec<_> = blocked.collect();
+        // What others saw is in their logs: a line here for each request at each crash would be
+        // one for every VM of the fleet.
+        for (crash, blocks) in news.into_iter().filter(|(_, blocks)| from.is_none() || *blocks) {
+            self.push(Order::Note(Note::Crash { crash, blocks, from }));
+        }
+        if !blocked.is_empty() {
+            self.push(Order::Block(blocked));
+        }
+    }
+}
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -17,6 +17,7 @@
 use crate::ledger::Plan;
 use crate::message::{Envelope, Head, Message, UpstreamNews};
 use crate::mix::Needs;
+use crate::poison::{Crash, Fingerprint};
 use crate::refusal::Refusal;
 use crate::replica_list::{ListMark, ReplicaList};
 use crate::rollout::{OrderChange, RolloutNote, RolloutTally, RuleSet};
@@ -75,6 +76,10 @@
     Lags(Vec<LagNote>),
     /// How the requests of this process went at services that are rolled out, told now and then.
     RolloutTallies(Vec<RolloutTally>),
+    /// An upstream has ended while a request of this process was there.
+    Crashed(Crash),
+    /// A request that was there when an upstream ended was served whole.
+    SuspectServed(Fingerprint),
     /// The process is asked to stop.
     Stop,
 }
@@ -268,6 +273,8 @@
     Ledger(u32),
     /// How far the roll-out of a service has come; operators read it.
     Rollout(Service),
+    /// The requests that are blocked since upstreams ended under them.
+    Poison,
 }
 
 /// A call to the key-value service.
@@ -369,6 +376,8 @@
     /// Tell a process what has changed in the list of upstreams since a revision; the whole list
     /// since 0.
     TellUpstreams(Incarnation, u64),
+    /// Some requests are blocked from now on: what runs of them is to be ended.
+    Block(Vec<Fingerprint>),
     /// Record a charge.
     Bill(Bill),
     /// Tell the operator.
@@ -474,6 +483,15 @@
     Renewed(BudgetId),
     /// Something about a roll-out.
     Rollout(Box<RolloutNote>),
+    /// An upstream ended under a request, or such a request was served whole since.
+    Crash {
+        /// What happened.
+        crash: Crash,
+        /// Whether the request is blocked by it.
+        blocks: bool,
+        /// Who told it; nobody if this process saw it, or read it at the platform.
+        from: Option<Incarnation>,
+    },
 }
 
 /// Collects orders.
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -21,11 +21,13 @@
 //! carry the [`confirmations`] of a view and the [`lag`]s of engines. Which failure domains are
 //! evacuated is told by the same broadcast and compared by digests ([`evacuation`]); upstreams
 //! that come back from there start slowly ([`warm_up`]). Orders to move a service to another
-//! version travel in the same way ([`rollout`]).
+//! version travel in the same way ([`rollout`]), and so do requests under which upstreams have
+//! ended ([`poison`]), which are sent to no other.
 //!
 //! All state stands in the tables of `board`, with one lock order. The platform's
-//! key-value service holds four kinds of values: the templates, the membership
-//! [`view`], the shards of the ledger, and the record of each service's last roll-out.
+//! key-value service holds five kinds of values: the templates, the membership
+//! [`view`], the shards of the ledger, the record of each service's last roll-out, and the
+//! requests that are blocked.
 
 pub mod amount;
 mod board;
@@ -53,6 +55,8 @@
 mod node;
 pub mod overload;
 pub mod patience;
+pub mod poison;
+mod poison_record;
 pub mod policy;
 pub mod queue;
 mod ranks;
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -115,6 +115,8 @@
     pub(crate) compared: HashMap<Incarnation, Time>,
     /// The same for roll-outs.
     pub(crate) rollouts_compared: HashMap<Incarnation, Time>,
+    /// The same for blocked requests.
+    pub(crate) crashes_compared: HashMap<Incarnation, Time>,
     /// When anybody told how new the list of upstreams is.
     pub(crate) confirmed_at: Option<Time>,
     /// After how long without a sign of life a member is in doubt.
@@ -177,6 +179,7 @@
             list_fetched: None,
             compared: HashMap::new(),
             rollouts_compared: HashMap::new(),
+            crashes_compared: HashMap::new(),
             confirmed_at: None,
             doubt: beat.saturating_mul(DOUBT_BEATS),
             notice,
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -15,6 +15,7 @@
 use crate::lag::LagNote;
 use crate::ledger::{LedgerOp, LedgerReply};
 use crate::mix::Needs;
+use crate::poison::Crash;
 use crate::replica_list::{ListMark, ReplicaChanges, ReplicaList};
 use crate::rollout::{Known, RolloutTally};
 use crate::template::{TemplateDelta, TemplateSet};
@@ -76,6 +77,10 @@
     Rollouts(RolloutNews),
     /// All that the sender knows of roll-outs; asks for what the receiver knows beyond.
     CompareRollouts(Vec<Known>),
+    /// Upstreams ended under requests, or such requests were served since; passed on to all.
+    Crashes(CrashNews),
+    /// All that the sender knows of blocked requests; asks for what the receiver knows beyond.
+    CompareCrashes(Vec<Crash>),
     /// How the requests of the sender went at a service of which the receiver is a judge.
     RolloutReport(RolloutReport),
     /// Asks for changes in the ledger.
@@ -218,6 +223,7 @@
             }
             Self::Evacuations(_) | Self::CompareEvacuations(_) => "evacuations",
             Self::Rollouts(_) | Self::CompareRollouts(_) | Self::RolloutReport(_) => "rollouts",
+            Self::Crashes(_) | Self::CompareCrashes(_) => "crashes",
             Self::Ask(_) | Self::Nothing { .. } => "ask",
             Self::Transfer(_) | Self::Transferred { .. } => "transfer",
             Self::Park(_) | Self::Parked(_) => "park",
@@ -273,6 +279,15 @@
     pub reach: u32,
 }
 
+/// News of upstreams that ended under requests, on its way to all members.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNews {
+    /// What happened.
+    pub crashes: Vec<Crash>,
+    /// To how many members before it in the ring the receiver passes this on.
+    pub reach: u32,
+}
+
 /// How the requests of a process went at a service that is rolled out.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutReport {
@@ -299,6 +314,8 @@
     pub evacuations: u64,
     /// Stands for all that the sender knows of roll-outs.
     pub rollouts: u64,
+    /// Stands for all that the sender knows of blocked requests.
+    pub blocked: u64,
     /// The time of day at the sender, in milliseconds since 1970, if it has told it.
     pub wall: Option<u64>,
     /// What the sender takes requests to need of engines, its own and others'.
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -13,6 +13,7 @@
 use crate::ledger_writer::LedgerWriter;
 use crate::membership::Membership;
 use crate::message::{Envelope, Message};
+use crate::poison::{Fingerprint, Standing as RequestStanding};
 use crate::policy::Policy;
 use crate::rollout::{RolloutBound, RolloutStatus};
 use crate::routing::RouteTable;
@@ -237,6 +238,18 @@
         self.board.rollouts().status(now)
     }
 
+    /// Tells whether anything is held against any request.
+    #[must_use]
+    pub fn has_suspects(&self) -> bool {
+        !self.board.poison().is_empty()
+    }
+
+    /// Returns what is held against a request.
+    #[must_use]
+    pub fn request_standing(&self, now: Time, request: Fingerprint) -> RequestStanding {
+        self.board.poison().standing(now, request)
+    }
+
     /// Returns who may send to cold upstreams by the view in force.
     #[must_use]
     pub fn senders(&self) -> Senders {
@@ -315,7 +328,10 @@
 
     fn take(&self, now: Time, event: Event, out: &mut Outbox) {
         match event {
-            Event::Start => self.read_platform(now, out),
+            Event::Start => {
+                self.read_platform(now, out);
+                self.poison_tick(now, out);
+            }
             Event::Tick => self.tick(now, out),
             Event::Arrived(request, arrival) => self.arrived(now, request, *arrival, out),
             Event::HungUp(request) => self.hung_up(now, request, out),
@@ -348,6 +364,8 @@
             }
             Event::Lags(lags) => self.board.members().lags = lags,
             Event::RolloutTallies(tallies) => self.count_rollouts(now, tallies, out),
+            Event::Crashed(crash) => self.crashed(now, crash, out),
+            Event::SuspectServed(request) => self.suspect_served(now, request, out),
             Event::Stop => self.stop(now, out),
         }
     }
@@ -361,6 +379,7 @@
         self.board.holdings().set_clock(clock);
         self.beat(now, out);
         self.rollout_tick(now, out);
+        self.poison_tick(now, out);
         self.read_platform(now, out);
         self.ask_first(now, out);
         self.claim_tick(now, out);
@@ -403,6 +422,8 @@
             Message::CompareEvacuations(theirs) => self.evacuations_compared(from, &theirs, out),
             Message::Rollouts(news) => self.rollout_news(now, news, out),
             Message::CompareRollouts(theirs) => self.rollouts_compared(now, from, &theirs, out),
+            Message::Crashes(news) => self.crash_news(now, from, news, out),
+            Message::CompareCrashes(theirs) => self.crashes_compared(now, from, &theirs, out),
             Message::RolloutReport(report) => self.board.rollouts().hear(from, report),
             Message::Draw(ops) => self.draw(now, ops, out),
             Message::Drawn(replies) => self.drawn(now, from, replies, out),
--- /dev/null
+++ b/crates/badgerfield-core/src/poison/table.rs
@@ -0,0 +1,291 @@
+//! The table of requests under which upstreams have ended.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::Fingerprint;
+use crate::amount::Time;
+use crate::ids::{Account, UpstreamId};
+
+/// How long a crash is held against its request. A blocked one may be tried again then: the
+/// software of the upstreams may have been mended.
+const KEEP: Duration = Duration::from_secs(600);
+/// How long before that others are told no more, so that none hears anew what it has dropped.
+const LAST_WORD: Duration = Duration::from_secs(5);
+/// How many crashes at one point of the answer block a request: many are at one crash by
+/// accident, few at two.
+const SAME_POINT: usize = 2;
+/// How many crashes block it, wherever its answer was.
+const ANY_POINT: usize = 3;
+/// How many events apart two points of an answer count as one: events may be on their way when
+/// an upstream ends.
+const NEAR: u64 = 8;
+/// How many requests are remembered, each of some 200 B: 0.1 MB.
+const MAX_REQUESTS: usize = 512;
+/// How many of them may be of one account, so that it crowds no other out.
+const MAX_OF_ACCOUNT: usize = 64;
+/// How many crashes of one request are remembered: more say nothing more.
+const MAX_CRASHES: usize = 8;
+
+/// An upstream that has ended while a request was there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The request.
+    pub request: Fingerprint,
+    /// Stands for the request's account.
+    pub account: u64,
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// How many events of the answer the caller had.
+    pub point: u64,
+    /// Whether the request was served whole since.
+    pub cleared: bool,
+    /// How long ago it was.
+    pub age: Duration,
+}
+
+impl Crash {
+    /// Makes the note of an upstream that has just ended.
+    #[must_use]
+    pub fn seen(
+        request: Fingerprint,
+        account: Option<&Account>,
+        upstream: &UpstreamId,
+        point: u64,
+    ) -> Self {
+        let account = account.map_or(0, |account| xxh3_64(account.as_str().as_bytes()));
+        let upstream = upstream.clone();
+        Self { request, account, upstream, point, cleared: false, age: Duration::ZERO }
+    }
+}
+
+/// What is held against a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing.
+    Clear,
+    /// An upstream ended while it was there: what it does next is watched.
+    Suspect,
+    /// It is sent to no upstream.
+    Blocked {
+        /// The upstreams that ended under it.
+        upstreams: Vec<UpstreamId>,
+        /// How long ago the last one did.
+        age: Duration,
+        /// How much longer it is blocked.
+        left: Duration,
+    },
+}
+
+/// A crash as it is remembered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Known {
+    upstream: UpstreamId,
+    point: u64,
+    cleared: bool,
+    /// Until when it is held against the request. A crash may be older than this process.
+    until: Time,
+}
+
+impl Known {
+    fn age(&self, now: Time) -> Duration {
+        KEEP.saturating_sub(self.until.since(now))
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct Record {
+    account: u64,
+    crashes: Vec<Known>,
+}
+
+impl Record {
+    fn open(&self, now: Time) -> impl Iterator<Item = &Known> + Clone {
+        let counts = move |known: &&Known| !known.cleared && now < known.until;
+        self.crashes.iter().filter(counts)
+    }
+
+    fn is_blocked(&self, now: Time) -> bool {
+        let open = self.open(now);
+        let count = open.clone().count();
+        if count >= ANY_POINT {
+            return true;
+        }
+        let near = |point: u64| open.clone().filter(|k| k.point.abs_diff(point) <= NEAR).count();
+        open.clone().any(|known| near(known.point) >= SAME_POINT)
+    }
+
+    /// Returns until when the newest of its crashes counts.
+    fn until(&self) -> Time {
+        self.crashes.iter().map(|known| known.until).max().unwrap_or_default()
+    }
+
+    fn told(&self, now: Time, request: Fingerprint) -> impl Iterator<Item = Crash> {
+        self.crashes.iter().map(move |known| Crash {
+            request,
+            account: self.account,
+            upstream: known.upstream.clone(),
+            point: known.point,
+            cleared: known.cleared,
+            age: known.age(now),
+        })
+    }
+}
+
+/// What a process knows of requests under which upstreams have ended.
+#[derive(Debug, Default)]
+pub struct Poison {
+    records: BTreeMap<Fingerprint, Record>,
+}
+
+impl Poison {
+    /// Tells whether nothing is held against any request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns how many requests are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns what is held against a request.
+    #[must_use]
+    pub fn standing(&self, now: Time, request: Fingerprint) -> Standing {
+        let Some(record) = self.records.get(&request) else {
+            return Standing::Clear;
+        };
+        let open: Vec<_> = record.open(now).collect();
+        let Some(age) = open.iter().map(|known| known.age(now)).min() else {
+            return Standing::Clear;
+        };
+        if !record.is_blocked(now) {
+            return Standing::Suspect;
+        }
+        let upstreams = open.iter().map(|known| known.upstream.clone()).collect();
+        Standing::Blocked { upstreams, age, left: KEEP.saturating_sub(age) }
+    }
+
+    /// Takes in crashes, in any order; returns those that were news, each with whether its
+    /// request is blocked by it.
+    pub fn learn(&mut self, now: Time, crashes: Vec<Crash>) -> Vec<(Crash, bool)> {
+        let mut news = Vec::new();
+        for crash in crashes {
+            if crash.age >= KEEP {
+                continue;
+            }
+            let record = self.records.entry(crash.request).or_default();
+            record.account = crash.account;
+            let was = record.is_blocked(now);
+            let is_full = record.crashes.len() >= MAX_CRASHES;
+            let known = record.crashes.iter_mut().find(|known| known.upstream == crash.upstream);
+            match known {
+                Some(known) if crash.cleared && !known.cleared => known.cleared = true,
+                Some(_) => continue,
+                None if is_full => continue,
+                None => record.crashes.push(Known {
+                    upstream: crash.upstream.clone(),
+                    point: crash.point,
+                    cleared: crash.cleared,
+                    until: now.after(KEEP.saturating_sub(crash.age)),
+                }),
+            }
+            let blocks = !was && record.is_blocked(now);
+            let account = crash.account;
+            news.push((crash, blocks));
+            self.make_room(now, account);
+        }
+        news
+    }
+
+    /// Takes in that a request was served whole; returns the crashes that are cleared by that.
+    pub fn served(&mut self, now: Time, request: Fingerprint) -> Vec<Crash> {
+        let Some(record) = self.records.get(&request) else {
+            return Vec::new();
+        };
+        let open = record.told(now, request).filter(|crash| !crash.cleared);
+        let cleared = open.map(|crash| Crash { cleared: true, ..crash }).collect();
+        self.learn(now, cleared).into_iter().map(|(crash, _)| crash).collect()
+    }
+
+    /// Forgets what is too old to be held against anybody.
+    pub fn sweep(&mut self, now: Time) {
+        self.records.retain(|_, record| {
+            record.crashes.retain(|known| now < known.until);
+            !record.crashes.is_empty()
+        });
+    }
+
+    /// Returns a number that stands for all blocked requests; 0 if there are none.
+    #[must_use]
+    pub fn digest(&self, now: Time) -> u64 {
+        self.blocked(now).iter().fold(0, |sum, crash| sum ^ digest_of(crash))
+    }
+
+    /// Returns all crashes of blocked requests, for processes that may know less.
+    #[must_use]
+    pub fn blocked(&self, now: Time) -> Vec<Crash> {
+        let is_told =
+            |record: &Record| record.is_blocked(now) && record.until().since(now) > LAST_WORD;
+        let told = self.records.iter().filter(|(_, record)| is_told(record));
+        told.flat_map(|(request, record)| record.told(now, *request)).collect()
+    }
+
+    /// Returns what is known of blocked requests and of those that another process spoke of; nothing
+    /// if that is no more than it said.
+    #[must_use]
+    pub fn beyond(&self, now: Time, theirs: &[Crash]) -> Vec<Crash> {
+        let spoken = theirs.iter().filter_map(|crash| {
+            self.records.get(&crash.request).map(|record| (crash.request, record))
+        });
+        let spoken = spoken.flat_map(|(request, record)| record.told(now, request));
+        let all = self.blocked(now).into_iter().chain(spoken);
+        let is_news = |crash: &Crash| !theirs.iter().any(|known| says(known, crash));
+        let mut more: Vec<_> = all.filter(is_news).collect();
+        more.sort_by(|a, b| (a.request, &a.upstream).cmp(&(b.request, &b.upstream)));
+        more.dedup_by(|a, b| says(a, b));
+        more
+    }
+
+    /// Drops what says least where an account, or all of them, have too many requests here.
+    fn make_room(&mut self, now: Time, account: u64) {
+        let count = |wanted: u64| self.records.values().filter(|r| r.account == wanted).count();
+        let of_account = count(account) > MAX_OF_ACCOUNT;
+        if !of_account && self.records.len() <= MAX_REQUESTS {
+            return;
+        }
+        let from = if of_account { account } else { self.largest() };
+        let own = self.records.iter().filter(|(_, record)| record.account == from);
+        // A blocked one is kept the longest: dropped, it would end more upstreams.
+        let least = own.min_by_key(|(_, record)| (record.is_blocked(now), record.until()));
+        if let Some(request) = least.map(|(request, _)| *request) {
+            self.records.remove(&request);
+        }
+    }
+
+    /// Returns the account with the most requests here.
+    fn largest(&self) -> u64 {
+        let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
+        for record in self.records.values() {
+            *counts.entry(record.account).or_default() += 1;
+        }
+        counts.into_iter().max_by_key(|(_, count)| *count).map_or(0, |(account, _)| account)
+    }
+}
+
+/// Tells whether one says all that the other does.
+fn says(one: &Crash, other: &Crash) -> bool {
+    one.request == other.request
+        && one.upstream == other.upstream
+        && (one.cleared || !other.cleared)
+}
+
+fn digest_of(crash: &Crash) -> u64 {
+    let seed = crash.request.number() ^ u64::from(crash.cleared);
+    xxh3_64_with_seed(crash.upstream.as_str().as_bytes(), seed)
+}
--- a/crates/badgerfield-core/src/refusal.rs
+++ b/crates/badgerfield-core/src/refusal.rs
@@ -86,6 +86,9 @@
     /// Upstreams turned the request away, and no more of them may be tried.
     #[error("no other upstream may be tried now; come back later")]
     TriesSpent,
+    /// Upstreams have ended under this request.
+    #[error("upstreams ended while they worked on this request; it is not sent to another for now")]
+    EndsUpstreams,
     /// The process is stopping.
     #[error("this VM is stopping; ask the directory for another")]
     Stopping,
@@ -118,6 +121,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::OutOfTime => "out_of_time",
             Self::TriesSpent => "tries_spent",
+            Self::EndsUpstreams => "ends_upstreams",
             Self::Stopping => "stopping",
             Self::NotReady => "not_ready",
         }
@@ -142,6 +146,7 @@
             | Self::RegionUnknown
             | Self::KeyUndecided
             | Self::TriesSpent
+            | Self::EndsUpstreams
             | Self::Stopping
             | Self::NotReady => 503,
         }
--- a/crates/badgerfield-core/src/replicas/choice.rs
+++ b/crates/badgerfield-core/src/replicas/choice.rs
@@ -40,7 +40,7 @@
         );
         let mut best: Option<(&Replica, f64)> = None;
         let mut second: Option<(&Replica, f64)> = None;
-        for replica in &pool {
+        let cost_of = |replica: &Replica| {
             let is_home = homes.contains(&&replica.info.id);
             let mut cost = replica.cost(now, wanted, &weights, is_home);
             cost += self.locality.cost(replica.distance, wanted.bytes);
@@ -49,6 +49,10 @@
             } else {
                 cost += replica.lag.cost(now, ordinary, wanted.draw);
             }
+            cost
+        };
+        for replica in &pool {
+            let cost = cost_of(replica);
             if best.is_none_or(|(_, least)| cost < least) {
                 second = best;
                 best = Some((replica, cost));
@@ -56,7 +60,8 @@
                 second = Some((replica, cost));
             }
         }
-        let (replica, cost) = best?;
+        let alike = wanted.alike.and_then(|number| alike(&pool, number));
+        let (replica, cost) = alike.map(|r| (r, cost_of(r))).or(best)?;
         let is_home = homes.contains(&&replica.info.id);
         Some(Chosen {
             unread: replica.unread(now, wanted.parts, is_home),
@@ -133,6 +138,14 @@
     best.into_iter().map(|(replica, _)| &replica.info.id).collect()
 }
 
+/// Returns the upstream that all VMs of a region choose for a number, of those in their region if
+/// there are any.
+fn alike<'a>(pool: &[&'a Replica], number: u64) -> Option<&'a Replica> {
+    let weight = |r: &&&Replica| xxh3_64_with_seed(&number.to_be_bytes(), r.seed);
+    let near = pool.iter().filter(|r| r.distance < Distance::Far).max_by_key(weight);
+    near.or_else(|| pool.iter().max_by_key(weight)).copied()
+}
+
 /// Tells whether two upstreams are within the same scope of homes.
 fn shares_home(scope: Scope, one: &Replica, other: &Replica) -> bool {
     match scope {
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -88,6 +88,10 @@
     pub connections: u32,
     /// A random number, to tell equal upstreams apart.
     pub draw: u64,
+    /// A number by which all VMs choose the same upstream, whatever it costs: for a request at
+    /// which an upstream has ended. Sent again through several VMs, it ends one more at the
+    /// most, and two that were at the same crash are not soon at another together.
+    pub alike: Option<u64>,
 }
 
 /// The upstream that was chosen.
--- a/crates/badgerfield-core/tests/canary.rs
+++ b/crates/badgerfield-core/tests/canary.rs
@@ -99,6 +99,7 @@
             resumes: self.resumes.as_ref(),
             connections: 1000,
             draw,
+            alike: None,
         }
     }
 }
--- a/crates/badgerfield-core/tests/lag.rs
+++ b/crates/badgerfield-core/tests/lag.rs
@@ -77,6 +77,7 @@
                         resumes: None,
                         connections: 5,
                         draw: draw.rotate_left(17),
+                        alike: None,
                     };
                     let chosen = table.choose(now, &wanted).expect("there are engines").id;
                     table.begin(now, &chosen, &parts);
--- a/crates/badgerfield-core/tests/locality.rs
+++ b/crates/badgerfield-core/tests/locality.rs
@@ -99,6 +99,7 @@
         resumes: None,
         connections: 100,
         draw,
+        alike: None,
     };
     table.choose(now, &wanted)
 }
--- a/crates/badgerfield-core/tests/overload.rs
+++ b/crates/badgerfield-core/tests/overload.rs
@@ -207,6 +207,7 @@
             resumes: None,
             connections: 2,
             draw: self.draws.next(),
+            alike: None,
         };
         let vm = request.vm;
         let Some(chosen) = self.tables[vm].choose(time, &wanted) else {
--- a/crates/badgerfield-core/tests/replicas.rs
+++ b/crates/badgerfield-core/tests/replicas.rs
@@ -60,6 +60,7 @@
         resumes: None,
         connections: 4,
         draw,
+        alike: None,
     };
     table.choose(now, &wanted).map(|chosen| chosen.id)
 }
@@ -170,6 +171,7 @@
         resumes: None,
         connections: 100,
         draw: 0,
+        alike: None,
     };
     let other = table.choose(at(1), &wanted).expect("somebody serves").id;
     assert_ne!(other, home);
@@ -289,6 +291,7 @@
                 resumes: None,
                 connections: 100,
                 draw: id * 7919,
+                alike: None,
             };
             taken.extend(table.choose(at(2000), &wanted).map(|chosen| chosen.id));
         }
--- a/crates/badgerfield-core/tests/residency.rs
+++ b/crates/badgerfield-core/tests/residency.rs
@@ -186,6 +186,7 @@
             resumes: None,
             connections: 6,
             draw,
+            alike: None,
         };
         let id = self.replicas.choose(now, &wanted)?.id;
         self.replicas.begin(now, &id, wanted.parts);
--- a/crates/badgerfield-core/tests/warm_up.rs
+++ b/crates/badgerfield-core/tests/warm_up.rs
@@ -76,6 +76,7 @@
         resumes: None,
         connections: 100,
         draw,
+        alike: None,
     };
     let id = table.choose(now, &wanted)?.id;
     table.begin(now, &id, &[]);
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -29,7 +29,7 @@
 use crate::follow;
 use crate::gateway::state::Gateway;
 use crate::http;
-use crate::logs::{BILLS, NODE, PLATFORM};
+use crate::logs::{BILLS, NODE, PLATFORM, REQUESTS};
 use crate::metrics::{GatewayCounts, Metrics};
 use crate::peers::{PeerError, Peers};
 use crate::rollouts::TELL_EVERY;
@@ -330,6 +330,11 @@
             Order::Evacuated(from, changes) => self.evacuate(from, &changes),
             Order::RolloutRules(rules) => self.divide_versions(rules),
             Order::TellUpstreams(to, since) => self.tell_upstreams(to, since),
+            Order::Block(requests) => {
+                if let Some(gateway) = &self.gateway {
+                    gateway.note_blocked(requests.len());
+                }
+            }
             Order::Bill(bill) => self.record(&bill),
             Order::Note(note) => self.note(&note),
             Order::Exit => {
@@ -437,6 +442,19 @@
             Note::LenderSilent { budget, lender } => {
                 log::warn!(target: NODE, "lender silent budget={budget} lender={lender}");
             }
+            Note::Crash { crash, blocks, from } => {
+                let from = from.map_or_else(|| "-".to_owned(), |id| id.to_string());
+                log::warn!(
+                    target: REQUESTS,
+                    "crash fingerprint={} upstream={} point={} cleared={} age_ms={} blocks={blocks} \
+                     from={from}",
+                    crash.request,
+                    crash.upstream,
+                    crash.point,
+                    crash.cleared,
+                    crash.age.as_millis()
+                );
+            }
             Note::Rollout(note) => log::info!(target: NODE, "{note}"),
             Note::Renewed(budget) => log::info!(target: NODE, "budget {budget} renewed"),
         }
--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -1,6 +1,6 @@
 //! Steps 1 to 4 of a request: what is asked for, by whom, with which body, and who pays.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use badgerfield_core::amount::Tokens;
@@ -23,6 +23,7 @@
 use crate::gateway::record::{self, Timing};
 use crate::gateway::reservation::Reservation;
 use crate::gateway::state::{Gateway, InForce, OpenRequest};
+use crate::gateway::suspicion;
 
 /// How soon a caller should try another VM when this one stops.
 const ELSEWHERE: Duration = Duration::from_millis(50);
@@ -70,6 +71,10 @@
     let body = read_body(body, table.limits().body, ends).await.map_err(&not_run)?;
     let timing = Timing { body: arrived.elapsed(), ..Timing::default() };
 
+    let original = Original { id: id.clone(), head, body };
+    suspicion::check(&driver, account_id, route, &terms, &original)
+        .map_err(|refusal| (Some(id.clone()), refusal))?;
+
     let service = route.service(rand::random()).ok_or_else(|| not_run(Cause::NoUpstream))?.clone();
     let spec = table.service(&service).cloned().ok_or_else(|| not_run(Cause::NoUpstream))?;
     let objective = if route.objective.is_zero() { patience } else { route.objective };
@@ -80,7 +85,6 @@
     driver.gateway_counts().admitted.inc();
     let now = driver.now();
     gateway.retries().count_request(now, &service);
-    let original = Original { id: id.clone(), head, body };
     let divides = driver.settings.pacing.policy.divide;
     if let Some(size) = size_of(&terms).filter(|_| divides) {
         gateway.replicas().arrived(now, &service, &route.name, size);
@@ -100,6 +104,8 @@
         tried: Vec::new(),
         attempts: 0,
         may_have_run: false,
+        unseen: false,
+        fingerprint: OnceLock::new(),
         timing,
         unread: 0,
         version: None,
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -53,6 +53,11 @@
     head.remove("proxy-connection");
 }
 
+/// How a try ends whose request was blocked meanwhile: the upstream is spared what waits there.
+pub(crate) const BLOCKED: &str = "blocked";
+/// How a try ends whose connection broke.
+pub(crate) const BROKEN: &str = "broken";
+
 /// A request as the caller sent it.
 #[derive(Debug)]
 pub(crate) struct Original {
@@ -90,6 +95,7 @@
     driver: Arc<Driver>,
     gateway: Arc<Gateway>,
     pub(crate) id: UpstreamId,
+    pub(crate) address: SocketAddr,
     health: Health,
     connection: Option<Connection>,
     keep: Option<Duration>,
@@ -114,7 +120,7 @@
     pub(crate) fn new(
         driver: &Arc<Driver>,
         gateway: &Arc<Gateway>,
-        id: &UpstreamId,
+        (id, address): (&UpstreamId, SocketAddr),
         unread: Option<u64>,
         route: &Arc<Route>,
     ) -> Self {
@@ -122,6 +128,7 @@
             driver: Arc::clone(driver),
             gateway: Arc::clone(gateway),
             id: id.clone(),
+            address,
             health: Health::Unknown,
             connection: None,
             keep: None,
@@ -146,7 +153,7 @@
     }
 
     /// Notes that nothing of the request was run, so that it tells nothing of a version.
-    fn note_unrun(&mut self, health: Health) {
+    pub(crate) fn note_unrun(&mut self, health: Health) {
         self.wait = None;
         self.trial = None;
         self.note(health);
@@ -209,13 +216,20 @@
 pub(crate) async fn attempt(
     mut hold: UpstreamHold,
     original: &Original,
-    address: SocketAddr,
     terms: &CallTerms<'_>,
     limit: Duration,
+    blocked: impl Future<Output = ()>,
 ) -> AttemptEnd {
     let gateway = Arc::clone(&hold.gateway);
     let request = call_of(&gateway, original, terms);
-    let sent = tokio::time::timeout(limit, send(&hold, address, request)).await;
+    let sending = tokio::time::timeout(limit, send(&hold, request));
+    let sent = tokio::select! {
+        sent = sending => sent,
+        () = blocked => {
+            hold.note_unrun(Health::Unknown);
+            return AttemptEnd::Broken(BLOCKED);
+        }
+    };
     let (mut response, connection) = match sent {
         Ok(Ok(found)) => found,
         Ok(Err(Unsent::NotSent)) => {
@@ -225,7 +239,7 @@
         Ok(Err(Unsent::Broken)) => {
             hold.wait = None;
             hold.note_failed();
-            return AttemptEnd::Broken("broken");
+            return AttemptEnd::Broken(BROKEN);
         }
         Err(_) => {
             hold.note_failed();
@@ -262,10 +276,10 @@
 
 async fn send(
     hold: &UpstreamHold,
-    address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<(hyper::Response<Incoming>, Connection), Unsent> {
     let connections = &hold.gateway.connections;
+    let address = hold.address;
     let mut connection = connections.take(&hold.id, address).await.map_err(|_| Unsent::NotSent)?;
     hold.check_usable()?;
     let request = match connection.send(request).await {
--- a/crates/badgerfield-node/src/gateway/connections.rs
+++ b/crates/badgerfield-node/src/gateway/connections.rs
@@ -30,9 +30,18 @@
 /// How long the other end may leave bytes or probes unanswered.
 const SILENCE: Duration = Duration::from_millis(2500);
 
+/// How long the address of an upstream that broke off may take to say whether anybody still
+/// listens there: an answer takes a round trip, and a caller waits for it.
+const LISTENS: Duration = Duration::from_millis(150);
+
 /// Why no connection could be had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct ConnectError;
+pub(crate) enum ConnectError {
+    /// Nobody listens there: the process has ended.
+    Refused,
+    /// It did not come up, for another reason or for none that is known.
+    Failed,
+}
 
 /// An open connection that one request has for itself; dropping it closes it.
 #[derive(Debug)]
@@ -62,11 +71,14 @@
     /// Opens a connection.
     async fn open(address: SocketAddr) -> Result<Self, ConnectError> {
         let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
-        let stream = stream.ok().and_then(Result::ok).ok_or(ConnectError)?;
+        let stream = stream.map_err(|_| ConnectError::Failed)?.map_err(|error| {
+            let is_refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
+            if is_refused { ConnectError::Refused } else { ConnectError::Failed }
+        })?;
         guard(&stream);
         let shaken =
             http1::Builder::new().max_buf_size(64 * 1024).handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = shaken.map_err(|_| ConnectError)?;
+        let (sender, connection) = shaken.map_err(|_| ConnectError::Failed)?;
         let task = tokio::spawn(async move {
             // How a connection ends is seen by the request on it.
             let _ = connection.await;
@@ -128,6 +140,19 @@
         Connection::open(address).await
     }
 
+    /// Finds out whether an upstream that broke off has ended: nobody listens at its address
+    /// any more. A connection that comes up is kept for the next request.
+    pub(crate) async fn has_ended(self: &Arc<Self>, id: &UpstreamId, address: SocketAddr) -> bool {
+        match tokio::time::timeout(LISTENS, Connection::open(address)).await {
+            Ok(Ok(connection)) => {
+                self.keep(id.clone(), connection, None);
+                false
+            }
+            Ok(Err(error)) => error == ConnectError::Refused,
+            Err(_) => false,
+        }
+    }
+
     fn take_idle(&self, id: &UpstreamId) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         let line = idle.get_mut(id)?;
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -11,13 +11,14 @@
 //! Every request ends in one [`record::ended`] line. A refusal that says "not run" is
 //! only made while no upstream can have started on the request.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use badgerfield_core::amount::{Time, Tokens};
 use badgerfield_core::ids::{Service, SoftwareVersion, UpstreamId};
 use badgerfield_core::mix::Observed;
 use badgerfield_core::overload;
+use badgerfield_core::poison::Fingerprint;
 use badgerfield_core::refusal::{Cause, Refusal};
 use badgerfield_core::replicas::{Chosen, Wanted};
 use badgerfield_core::residency::{Admission, Residency};
@@ -34,7 +35,7 @@
 use crate::adapter::{CallTerms, RequestTerms};
 use crate::driver::Driver;
 use crate::gateway::admit::admit;
-use crate::gateway::attempt::{Answered, AttemptEnd, Original, UpstreamHold, attempt};
+use crate::gateway::attempt::{Answered, AttemptEnd, BROKEN, Original, UpstreamHold, attempt};
 use crate::gateway::record::{self, Timing};
 use crate::gateway::refusals::{end_refused, refuse};
 use crate::gateway::relay;
@@ -43,6 +44,8 @@
 
 /// The largest plain answer that is passed on, in bytes.
 const MAX_PLAIN: usize = 16 << 20;
+/// How many events may be on their way from an upstream when its answer ends early.
+pub(super) const UNDER_WAY: u64 = 4;
 /// The least time in which an upstream can be asked for anything.
 const LEAST_TIME: Duration = Duration::from_millis(15);
 /// When to come back if this process cannot serve yet, or no upstream can be had.
@@ -86,6 +89,10 @@
     pub(super) tried: Vec<UpstreamId>,
     pub(super) attempts: u32,
     pub(super) may_have_run: bool,
+    /// Whether an upstream may have made more of an answer than is known here.
+    pub(super) unseen: bool,
+    /// What stands for the request, once that was asked.
+    pub(super) fingerprint: OnceLock<Fingerprint>,
     pub(super) timing: Timing,
     /// The prompt tokens that the upstream is expected to read.
     pub(super) unread: u64,
@@ -145,6 +152,7 @@
         let upstream = answered.hold.id.clone();
         match exchange.collect(answered).await {
             Ok((head, body)) => {
+                exchange.note_whole();
                 exchange.end("served", head.status.as_u16(), Some(&upstream), 0);
                 let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
                 return Response::from_parts(head, body);
@@ -224,8 +232,9 @@
             // Only engines read prompts; what waits elsewhere is counted as under way.
             let reading = self.spec.engine.as_ref().map(|_| self.unread);
             let (driver, gateway) = (&self.driver, &self.gateway);
-            let hold = UpstreamHold::new(driver, gateway, &chosen.id, reading, &self.route);
-            let end = attempt(hold, &self.original, chosen.address, &terms, limit).await;
+            let to = (&chosen.id, chosen.address);
+            let hold = UpstreamHold::new(driver, gateway, to, reading, &self.route);
+            let end = attempt(hold, &self.original, &terms, limit, self.until_blocked()).await;
             let outcome = match end {
                 AttemptEnd::Answered(answered) => {
                     self.attempts += 1;
@@ -255,6 +264,9 @@
                 AttemptEnd::Broken(why) => {
                     self.attempts += 1;
                     self.may_have_run = true;
+                    let has_ended =
+                        why == BROKEN && self.note_broken(&chosen.id, chosen.address, last).await;
+                    self.unseen |= !has_ended;
                     why
                 }
             };
@@ -290,7 +302,9 @@
             record::outside(&self.original.id, &self.route.name, &fault, self.admission.version);
             return Err(Cause::RegionUnknown);
         }
+        let alike = self.check_standing()?;
         let wanted = Wanted {
+            alike,
             service: &self.service,
             route: &self.route.name,
             parts: &self.terms.parts,
@@ -372,21 +386,35 @@
     /// Makes the final refusal: "not run" only if no upstream can have started.
     fn give_up(&mut self, cause: Cause) -> Refusal {
         if self.may_have_run {
-            // What an upstream may have made counts as handed out.
-            let reserved = self.reservation.as_ref().map(Reservation::reserved);
-            if let Some((reservation, all)) = self.reservation.as_mut().zip(reserved) {
-                reservation.used(all);
-            }
+            self.count_unseen();
             let cause = if cause == Cause::OutOfTime { cause } else { Cause::BrokenOff };
             return Refusal::unknown(cause);
         }
         let cause = if cause == Cause::OutOfTime { Cause::Overloaded } else { cause };
         let warm_in = self.gateway.replicas().warm_in(self.now(), &self.service);
-        let after = warm_in.filter(|_| cause == Cause::NoUpstream);
+        let after = match cause {
+            Cause::NoUpstream => warm_in,
+            Cause::EndsUpstreams => self.blocked_for(),
+            _ => None,
+        };
         let after = after.unwrap_or_else(|| overload::come_back(rand::random()));
         Refusal::not_run(cause).after(after)
     }
 
+    /// Counts what an upstream may have handed out that did not arrive here: all that is set
+    /// aside, unless each upstream that worked on it has ended. Those had sent what they made,
+    /// but for a few events on their way.
+    fn count_unseen(&mut self) {
+        let (prompt, _) = self.terms.tokens.unwrap_or_default();
+        let under_way = self.stride().saturating_mul(UNDER_WAY);
+        let unseen = self.unseen;
+        if let Some(reservation) = self.reservation.as_mut() {
+            let all = reservation.reserved();
+            let few = Tokens(prompt.saturating_add(under_way));
+            reservation.used(if unseen { all } else { few });
+        }
+    }
+
     fn refuse(&mut self, refusal: &Refusal) -> Response<AnswerBody> {
         let status = refusal.cause.status();
         self.end(refusal.cause.code(), status, self.tried.last().cloned().as_ref(), 0);
--- a/crates/badgerfield-node/src/gateway/mod.rs
+++ b/crates/badgerfield-node/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! - `flow` holds its steps from there to its bill;
 //! - `attempt` is one try at one upstream, over one of the `connections`;
 //! - `relay` passes a streamed answer on;
+//! - `suspicion` says whether it may be sent, if an upstream has ended while it was there;
 //! - `refusals` makes the answer where it is refused.
 //!
 //! Beside them, `state` holds what all requests share; `record` writes a line of the log for each
@@ -27,4 +28,5 @@
 pub(crate) mod relay;
 pub(crate) mod reservation;
 pub(crate) mod state;
+mod suspicion;
 pub(crate) mod trial;
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -7,6 +7,7 @@
 use badgerfield_core::ids::{SoftwareVersion, UpstreamId, Version};
 use badgerfield_core::locality::Crossing;
 use badgerfield_core::mix::Group;
+use badgerfield_core::poison::Fingerprint;
 use badgerfield_core::refusal::Refusal;
 use badgerfield_core::replicas::Chosen;
 use badgerfield_core::residency::ResidencyFault;
@@ -85,6 +86,21 @@
     );
 }
 
+/// Records that a request is sent on at which an upstream has ended.
+pub(crate) fn suspect(id: &str, request: Fingerprint, attempt: u32) {
+    log::info!(target: REQUESTS, "suspect id={id} attempt={attempt} fingerprint={request}");
+}
+
+/// Records that a request is not sent on, since upstreams have ended under it.
+pub(crate) fn blocked(id: &str, request: Fingerprint, upstreams: &[UpstreamId], age: Duration) {
+    let upstreams: Vec<_> = upstreams.iter().map(UpstreamId::as_str).collect();
+    let (upstreams, age) = (upstreams.join(","), age.as_millis());
+    log::warn!(
+        target: REQUESTS,
+        "blocked id={id} fingerprint={request} upstreams={upstreams} age_ms={age}"
+    );
+}
+
 /// Records that a stream goes on at another upstream.
 pub(crate) fn resumed(id: &str, from: &UpstreamId, last: Option<u64>, why: &str) {
     let last = last.map_or_else(|| "-".to_owned(), |last| last.to_string());
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -3,6 +3,7 @@
 
 use badgerfield_core::amount::Tokens;
 use badgerfield_core::event_stream::{EventScanner, MAX_EVENT};
+use badgerfield_core::replicas::Health;
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -10,15 +11,16 @@
 use hyper::body::{Frame, Incoming};
 use tokio::time::Instant;
 
-use crate::gateway::attempt::{Answered, UpstreamHold};
-use crate::gateway::flow::{AnswerBody, BrokenOff, Exchange};
+use crate::gateway::attempt::{Answered, BLOCKED, BROKEN, UpstreamHold};
+use crate::gateway::flow::{AnswerBody, BrokenOff, Exchange, UNDER_WAY};
 use crate::gateway::record;
 
-/// How many events may be on their way from an upstream when its caller leaves.
-const UNDER_WAY: u64 = 4;
 /// How many times the wanted pause a resumable stream waits for one upstream.
 const PATIENCE: u32 = 4;
 
+/// How an answer ends whose connection closed before it was whole.
+const CUT: &str = "cut";
+
 /// A stream on its way to the caller.
 #[derive(Debug)]
 struct Relay {
@@ -35,6 +37,8 @@
     body: Incoming,
     framed: bool,
     hold: UpstreamHold,
+    /// Whether an event has come from it.
+    has_begun: bool,
 }
 
 /// What came of waiting for the upstream.
@@ -50,7 +54,7 @@
     let Answered { head, body, framed, hold } = *answered;
     let scanner = EventScanner::after(exchange.terms.last_event);
     let status = head.status.as_u16();
-    let source = Some(Source { body, framed, hold });
+    let source = Some(Source { body, framed, hold, has_begun: false });
     let relay = Relay { exchange, source, scanner, status, ended: false };
     let parts = stream::unfold(relay, |mut relay| async move {
         let part = relay.next().await?;
@@ -77,6 +81,7 @@
                     }
                     self.exchange.note_events();
                     if let Some(source) = &mut self.source {
+                        source.has_begun = true;
                         source.hold.note_first_event();
                     }
                     self.count(0);
@@ -93,7 +98,7 @@
                     return Some(Ok(rest));
                 }
                 Step::End => {
-                    if let Some(broken) = self.go_on("cut").await {
+                    if let Some(broken) = self.go_on(CUT).await {
                         return Some(broken);
                     }
                 }
@@ -114,9 +119,24 @@
         let Some(source) = self.source.as_mut() else {
             return Step::Broken("no_upstream");
         };
-        match tokio::time::timeout_at(until, source.body.frame()).await {
+        let frame = tokio::time::timeout_at(until, source.body.frame());
+        let waits = !source.has_begun;
+        let exchange = &self.exchange;
+        let blocked = async move {
+            if waits {
+                exchange.until_blocked().await;
+            } else {
+                // What has begun to come is no danger to the upstream that sends it.
+                std::future::pending().await
+            }
+        };
+        let frame = tokio::select! {
+            frame = frame => frame,
+            () = blocked => return Step::Broken(BLOCKED),
+        };
+        match frame {
             Ok(Some(Ok(frame))) => Step::Data(frame.into_data().unwrap_or_default()),
-            Ok(Some(Err(_))) => Step::Broken("broken"),
+            Ok(Some(Err(_))) => Step::Broken(BROKEN),
             Ok(None) => Step::End,
             Err(_) if until >= ends => Step::OutOfTime,
             Err(_) => Step::Broken("silent"),
@@ -143,10 +163,19 @@
         let Some(mut source) = self.source.take() else {
             return Some(self.break_off(why));
         };
-        source.hold.note_failed();
-        let from = source.hold.id.clone();
+        if why == BLOCKED {
+            source.hold.note_unrun(Health::Unknown);
+        } else {
+            source.hold.note_failed();
+        }
+        let (from, address) = (source.hold.id.clone(), source.hold.address);
         // The earlier upstream stops its work when its connection closes.
         drop(source);
+        if why == BROKEN || why == CUT {
+            self.exchange.note_broken(&from, address, self.scanner.last()).await;
+        } else {
+            self.exchange.unseen = true;
+        }
         if !self.resumes() {
             return Some(self.break_off(why));
         }
@@ -156,7 +185,7 @@
         match self.exchange.dispatch(last).await {
             Ok(answered) if answered.head.status.is_success() => {
                 let Answered { body, framed, hold, .. } = *answered;
-                self.source = Some(Source { body, framed, hold });
+                self.source = Some(Source { body, framed, hold, has_begun: false });
                 None
             }
             Ok(_) => Some(self.break_off("resume_failed")),
@@ -183,6 +212,7 @@
             source.hold.finish();
         }
         self.exchange.observe();
+        self.exchange.note_whole();
         self.exchange.end("served", self.status, upstream.as_ref(), self.scanner.events());
     }
 
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use badgerfield_core::retry_budget::{RetryBound, RetryBudget};
 use badgerfield_core::rollout::{RolloutRule, RuleSet};
 use badgerfield_core::routing::RouteTable;
+use tokio::sync::watch;
 
 use crate::adapter::RouteAdapter;
 use crate::gateway::connections::Connections;
@@ -40,6 +41,8 @@
     told_at: Mutex<Option<Time>>,
     /// How often lags of upstreams were noted for others.
     turn: AtomicUsize,
+    /// How many requests were blocked so far: whoever sends one looks again when it changes.
+    blocked: watch::Sender<usize>,
 }
 
 impl Gateway {
@@ -55,6 +58,7 @@
             rolls_out: AtomicBool::new(false),
             told_at: Mutex::default(),
             turn: AtomicUsize::new(0),
+            blocked: watch::Sender::new(0),
         }
     }
 
@@ -97,6 +101,16 @@
         self.turn.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Notes that more requests are blocked.
+    pub(crate) fn note_blocked(&self, count: usize) {
+        self.blocked.send_modify(|blocked| *blocked += count);
+    }
+
+    /// Returns a line that tells when more requests are blocked.
+    pub(crate) fn blocked(&self) -> watch::Receiver<usize> {
+        self.blocked.subscribe()
+    }
+
     /// Tells whether any service is rolled out; else nothing is counted for that.
     pub(crate) fn rolls_out(&self) -> bool {
         self.rolls_out.load(Ordering::Relaxed)
--- /dev/null
+++ b/crates/badgerfield-node/src/gateway/suspicion.rs
@@ -0,0 +1,133 @@
+//! What is held against a request on its way: whether it may be sent, what comes of an upstream
+//! that breaks off under it, and word that it is blocked meanwhile.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use badgerfield_core::Event;
+use badgerfield_core::ids::{Account, UpstreamId};
+use badgerfield_core::poison::{Crash, Fingerprint, Standing};
+use badgerfield_core::refusal::{Cause, Refusal};
+use badgerfield_core::routing::Route;
+
+use crate::adapter::RequestTerms;
+use crate::driver::Driver;
+use crate::gateway::attempt::Original;
+use crate::gateway::flow::Exchange;
+use crate::gateway::record;
+
+/// Returns what stands for a request, whoever sends it again.
+pub(super) fn fingerprint(
+    account: Option<&Account>,
+    route: &Route,
+    terms: &RequestTerms,
+    original: &Original,
+) -> Fingerprint {
+    let head = &original.head;
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let address = (route.host.as_str(), path);
+    Fingerprint::of(account, head.method.as_str(), address, &terms.parts, &original.body)
+}
+
+/// Refuses a request under which upstreams have ended, before anything is set aside for it.
+pub(super) fn check(
+    driver: &Driver,
+    account: Option<&Account>,
+    route: &Route,
+    terms: &RequestTerms,
+    original: &Original,
+) -> Result<(), Refusal> {
+    if !driver.node.has_suspects() {
+        return Ok(());
+    }
+    let request = fingerprint(account, route, terms, original);
+    let standing = driver.node.request_standing(driver.now(), request);
+    let Standing::Blocked { upstreams, age, left } = standing else {
+        return Ok(());
+    };
+    record::blocked(&original.id, request, &upstreams, age);
+    Err(Refusal::not_run(Cause::EndsUpstreams).after(left))
+}
+
+impl Exchange {
+    /// Returns what stands for the request; it is made when it is first needed, which for most
+    /// requests is never.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        let account = self.caller.as_ref().map(|caller| &caller.account);
+        let make = || fingerprint(account, &self.route, &self.terms, &self.original);
+        *self.fingerprint.get_or_init(make)
+    }
+
+    fn standing(&self) -> Standing {
+        if !self.driver.node.has_suspects() {
+            return Standing::Clear;
+        }
+        self.driver.node.request_standing(self.now(), self.fingerprint())
+    }
+
+    /// Returns the number by which all VMs choose alike for the request, if an upstream has
+    /// ended while it was there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request is blocked.
+    pub(super) fn check_standing(&self) -> Result<Option<u64>, Cause> {
+        match self.standing() {
+            Standing::Clear => Ok(None),
+            Standing::Suspect => {
+                let request = self.fingerprint();
+                record::suspect(&self.original.id, request, self.attempts + 1);
+                Ok(Some(request.number()))
+            }
+            Standing::Blocked { upstreams, age, .. } => {
+                record::blocked(&self.original.id, self.fingerprint(), &upstreams, age);
+                Err(Cause::EndsUpstreams)
+            }
+        }
+    }
+
+    /// Returns how much longer the request is blocked, if it is.
+    pub(super) fn blocked_for(&self) -> Option<Duration> {
+        match self.standing() {
+            Standing::Blocked { left, .. } => Some(left),
+            Standing::Clear | Standing::Suspect => None,
+        }
+    }
+
+    /// Waits until the request is blocked, if that comes to pass.
+    pub(super) async fn until_blocked(&self) {
+        let mut line = self.gateway.blocked();
+        while !matches!(self.standing(), Standing::Blocked { .. }) {
+            if line.changed().await.is_err() {
+                // The gateway is gone, and with it whoever could block anything.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Finds out whether an upstream that broke off has ended, and holds that against the
+    /// request; tells whether it has.
+    ///
+    /// A connection that breaks alone is no evidence: upstreams that live break some off.
+    pub(super) async fn note_broken(
+        &self,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+        last: Option<u64>,
+    ) -> bool {
+        if !self.gateway.connections.has_ended(upstream, address).await {
+            return false;
+        }
+        let account = self.caller.as_ref().map(|caller| &caller.account);
+        let crash = Crash::seen(self.fingerprint(), account, upstream, last.unwrap_or(0));
+        self.driver.feed(Event::Crashed(crash));
+        true
+    }
+
+    /// Notes that the request was served whole: no crash that it was at was its doing.
+    pub(super) fn note_whole(&self) {
+        if self.standing() != Standing::Clear {
+            self.driver.feed(Event::SuspectServed(self.fingerprint()));
+        }
+    }
+}
--- a/crates/badgerfield-node/src/kv.rs
+++ b/crates/badgerfield-node/src/kv.rs
@@ -95,6 +95,7 @@
             KvName::View => "view".to_owned(),
             KvName::Ledger(shard) => format!("ledger/{shard}"),
             KvName::Rollout(service) => format!("rollout/{service}"),
+            KvName::Poison => "poison".to_owned(),
         };
         STANDARD.encode(format!("{}{name}", self.prefix))
     }
--- a/crates/badgerfield-node/src/store_calls.rs
+++ b/crates/badgerfield-node/src/store_calls.rs
@@ -39,10 +39,14 @@
     UpstreamsRead,
     /// Waits for a change of the list of upstreams.
     UpstreamsWatch,
+    /// Reads the requests that are blocked.
+    PoisonRead,
+    /// Writes them.
+    PoisonWrite,
 }
 
 impl CallKind {
-    const ALL: [Self; 10] = [
+    const ALL: [Self; 12] = [
         Self::ViewRead,
         Self::ViewWrite,
         Self::LedgerRead,
@@ -53,6 +57,8 @@
         Self::TemplatesWatch,
         Self::UpstreamsRead,
         Self::UpstreamsWatch,
+        Self::PoisonRead,
+        Self::PoisonWrite,
     ];
 
     /// Tells what a call is for.
@@ -65,6 +71,8 @@
             KvCall::Get(KvName::Ledger(_)) => Self::LedgerRead,
             KvCall::Get(KvName::Rollout(_)) => Self::RolloutRead,
             KvCall::Swap { name: KvName::Rollout(_), .. } => Self::RolloutWrite,
+            KvCall::Get(KvName::Poison) => Self::PoisonRead,
+            KvCall::Swap { name: KvName::Poison, .. } => Self::PoisonWrite,
             KvCall::Swap { name: KvName::View, .. } => Self::ViewWrite,
             KvCall::Swap { name: KvName::Ledger(_), .. } => Self::LedgerWrite,
         }
@@ -82,6 +90,8 @@
             Self::TemplatesWatch => "templates_watch",
             Self::UpstreamsRead => "upstreams_read",
             Self::UpstreamsWatch => "upstreams_watch",
+            Self::PoisonRead => "poison_read",
+            Self::PoisonWrite => "poison_write",
         }
     }
 }
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 mod balance;
 mod callers;
+mod crashes;
 mod evacuations;
 mod link;
 mod platform;
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -104,6 +104,7 @@
             | Order::DivideEngines(_)
             | Order::LearnLags(_)
             | Order::TellUpstreams(..)
+            | Order::Block(_)
             | Order::Note(_)
             | Order::Reserved(..) => {}
             Order::RolloutRules(set) => self.put_rules(index, set.rules),
