--- a/crates/badgerfield-core/src/control/poison.rs
+++ b/crates/badgerfield-core/src/control/poison.rs
@@ -19,9 +19,15 @@
 impl Node {
     /// Takes in that an upstream ended while a request of this process was there.
     pub(crate) fn crashed(&self, now: Time, crash: Crash, out: &mut Outbox) {
-        let news = self.board.poison().learn(now, vec![crash]);
+        let request = crash.request;
+        let news = self.board.poison().saw(now, crash);
         let blocks = news.iter().any(|(_, blocks)| *blocks);
-        self.board.poison_record().tell(news.iter().map(|(crash, _)| crash.clone()));
+        let mut told: Vec<_> = news.iter().map(|(crash, _)| crash.clone()).collect();
+        if blocks {
+            // With what came before, for members that have missed it.
+            told = self.board.poison().crashes_of(now, request);
+        }
+        self.board.poison_record().tell(told);
         // At once if a caller may come back with it elsewhere.
         self.tell_crashes(now, blocks, out);
         if blocks {
@@ -139,7 +145,17 @@
         crashes: Vec<Crash>,
         out: &mut Outbox,
     ) {
-        let news = self.board.poison().learn(now, crashes);
+        let (news, records) = {
+            let mut poison = self.board.poison();
+            let news = poison.learn(now, crashes);
+            // Two crashes may be seen at one moment by two processes: either writes it down.
+            let records = news.iter().any(|(c, blocks)| *blocks && poison.is_witness(c.request));
+            (news, records)
+        };
+        if records {
+            self.board.poison_record().note_more();
+            self.call_poison_record(now, out);
+        }
         out.crash_news(from, news);
     }
 
--- a/crates/badgerfield-core/src/poison/table.rs
+++ b/crates/badgerfield-core/src/poison/table.rs
@@ -88,6 +88,8 @@
     cleared: bool,
     /// Until when it is held against the request. A crash may be older than this process.
     until: Time,
+    /// Whether this process saw it.
+    here: bool,
 }
 
 impl Known {
@@ -171,6 +173,23 @@
         Standing::Blocked { upstreams, age, left: KEEP.saturating_sub(age) }
     }
 
+    /// Takes in a crash that this process saw; returns what [`Poison::learn`] does.
+    pub fn saw(&mut self, now: Time, crash: Crash) -> Vec<(Crash, bool)> {
+        let (request, upstream) = (crash.request, crash.upstream.clone());
+        let news = self.learn(now, vec![crash]);
+        let record = self.records.get_mut(&request).into_iter();
+        for known in record.flat_map(|r| &mut r.crashes).filter(|k| k.upstream == upstream) {
+            known.here = true;
+        }
+        news
+    }
+
+    /// Tells whether this process saw any of the crashes of a request.
+    #[must_use]
+    pub fn is_witness(&self, request: Fingerprint) -> bool {
+        self.records.get(&request).is_some_and(|r| r.crashes.iter().any(|known| known.here))
+    }
+
     /// Takes in crashes, in any order; returns those that were news, each with whether its
     /// request is blocked by it.
     pub fn learn(&mut self, now: Time, crashes: Vec<Crash>) -> Vec<(Crash, bool)> {
@@ -193,6 +212,7 @@
                     point: crash.point,
                     cleared: crash.cleared,
                     until: now.after(KEEP.saturating_sub(crash.age)),
+                    here: false,
                 }),
             }
             let blocks = !was && record.is_blocked(now);
@@ -203,13 +223,20 @@
         news
     }
 
+    /// Returns all crashes that a request was at.
+    #[must_use]
+    pub fn crashes_of(&self, now: Time, request: Fingerprint) -> Vec<Crash> {
+        let record = self.records.get(&request);
+        record.map(|record| record.told(now, request).collect()).unwrap_or_default()
+    }
+
     /// Takes in that a request was served whole; returns the crashes that are cleared by that.
     pub fn served(&mut self, now: Time, request: Fingerprint) -> Vec<Crash> {
-        let Some(record) = self.records.get(&request) else {
-            return Vec::new();
-        };
-        let open = record.told(now, request).filter(|crash| !crash.cleared);
-        let cleared = open.map(|crash| Crash { cleared: true, ..crash }).collect();
+        let all = self.crashes_of(now, request).into_iter();
+        let cleared = all
+            .filter(|crash| !crash.cleared)
+            .map(|crash| Crash { cleared: true, ..crash })
+            .collect();
         self.learn(now, cleared).into_iter().map(|(crash, _)| crash).collect()
     }
 
--- /dev/null
+++ b/crates/badgerfield-core/tests/poison.rs
@@ -0,0 +1,179 @@
+//! What is held against a request at which upstreams have ended.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use badgerfield_core::amount::Time;
+use badgerfield_core::ids::{Account, UpstreamId};
+use badgerfield_core::poison::{Crash, Fingerprint, Poison, Standing};
+use badgerfield_core::replicas::PromptPart;
+
+const NOW: Time = Time::from_millis(60_000);
+
+fn account(name: &str) -> Account {
+    name.parse().expect("the name is valid")
+}
+
+fn upstream(n: u32) -> UpstreamId {
+    format!("i-{n}").parse().expect("the name is valid")
+}
+
+fn request(body: &str) -> Fingerprint {
+    let parts = [PromptPart { id: 1, tokens: 80 }];
+    Fingerprint::of(Some(&account("a")), "POST", ("host", "/x"), &parts, body.as_bytes())
+}
+
+fn crash(body: &str, n: u32, point: u64) -> Crash {
+    Crash::seen(request(body), Some(&account("a")), &upstream(n), point)
+}
+
+fn is_blocked(table: &Poison, now: Time, body: &str) -> bool {
+    matches!(table.standing(now, request(body)), Standing::Blocked { .. })
+}
+
+#[test]
+fn the_same_request_is_known_whoever_passes_it_on() {
+    let parts = [PromptPart { id: 1, tokens: 80 }];
+    let of = |name: &str, path: &str, body: &str| {
+        Fingerprint::of(Some(&account(name)), "POST", ("host", path), &parts, body.as_bytes())
+    };
+    assert_eq!(of("a", "/x", "body"), of("a", "/x", "body"));
+    for other in [of("b", "/x", "body"), of("a", "/y", "body"), of("a", "/x", "other")] {
+        assert_ne!(of("a", "/x", "body"), other);
+    }
+    // A field does not run into the next.
+    assert_ne!(of("a", "/x", "yz"), of("a", "/xy", "z"));
+    let text = of("a", "/x", "body").to_string();
+    assert_eq!(text.parse(), Ok(of("a", "/x", "body")));
+    assert!("zz".parse::<Fingerprint>().is_err());
+    assert!(format!("+{}", &text[1..]).parse::<Fingerprint>().is_err());
+}
+
+#[test]
+fn one_crash_makes_a_suspect_and_two_at_one_point_block() {
+    let mut table = Poison::default();
+    assert_eq!(table.standing(NOW, request("q")), Standing::Clear);
+    table.learn(NOW, vec![crash("q", 1, 0)]);
+    assert_eq!(table.standing(NOW, request("q")), Standing::Suspect);
+    // The same crash, told again, is no second one.
+    assert!(table.learn(NOW, vec![crash("q", 1, 0)]).is_empty());
+    let news = table.learn(NOW, vec![crash("q", 2, 3)]);
+    assert_matches!(news.as_slice(), [(_, true)]);
+    let later = NOW.after(Duration::from_secs(10));
+    assert_matches!(
+        table.standing(later, request("q")),
+        Standing::Blocked { upstreams, age, left }
+            if upstreams == [upstream(1), upstream(2)]
+                && age == Duration::from_secs(10)
+                && left == Duration::from_secs(590)
+    );
+}
+
+#[test]
+fn a_stream_that_came_on_between_two_crashes_is_not_blocked_by_them() {
+    let mut table = Poison::default();
+    table.learn(NOW, vec![crash("q", 1, 20), crash("q", 2, 60)]);
+    assert_eq!(table.standing(NOW, request("q")), Standing::Suspect);
+    // A third is one too many, wherever the stream was.
+    table.learn(NOW, vec![crash("q", 3, 100)]);
+    assert!(is_blocked(&table, NOW, "q"));
+}
+
+#[test]
+fn a_request_that_is_served_whole_had_no_part_in_it() {
+    let mut table = Poison::default();
+    table.learn(NOW, vec![crash("q", 1, 0)]);
+    let cleared = table.served(NOW, request("q"));
+    assert_eq!(cleared.len(), 1);
+    assert_eq!(table.standing(NOW, request("q")), Standing::Clear);
+    // Older word of the crash does not bring it back, and another crash is the first.
+    table.learn(NOW, vec![crash("q", 1, 0), crash("q", 2, 0)]);
+    assert_eq!(table.standing(NOW, request("q")), Standing::Suspect);
+}
+
+#[test]
+fn the_order_of_news_does_not_matter() {
+    let cleared = Crash { cleared: true, ..crash("q", 3, 0) };
+    let all = [crash("q", 1, 0), crash("q", 3, 0), cleared, crash("q", 2, 1), crash("r", 2, 0)];
+    let mut digests = Vec::new();
+    for turn in 0..all.len() {
+        let mut table = Poison::default();
+        for n in 0..all.len() {
+            table.learn(NOW, vec![all[(n * 2 + turn) % all.len()].clone()]);
+        }
+        assert!(is_blocked(&table, NOW, "q"));
+        digests.push(table.digest(NOW));
+    }
+    assert!(digests.iter().all(|digest| *digest == digests[0] && *digest != 0), "{digests:?}");
+}
+
+#[test]
+fn two_tables_that_tell_each_other_all_believe_the_same() {
+    let (mut one, mut two) = (Poison::default(), Poison::default());
+    one.learn(NOW, vec![crash("q", 1, 0), crash("q", 2, 0)]);
+    two.learn(NOW, vec![crash("r", 1, 0), crash("r", 2, 0), crash("q", 1, 0)]);
+    two.served(NOW, request("q"));
+    assert_ne!(one.digest(NOW), two.digest(NOW));
+    let theirs = one.blocked(NOW);
+    two.learn(NOW, theirs.clone());
+    one.learn(NOW, two.beyond(NOW, &theirs));
+    assert_eq!(one.digest(NOW), two.digest(NOW));
+    assert!(is_blocked(&one, NOW, "r"));
+    assert!(!is_blocked(&one, NOW, "q"), "it was served whole at the other");
+    assert!(two.beyond(NOW, &one.blocked(NOW)).iter().all(|c| c.request == request("q")));
+}
+
+#[test]
+fn a_block_ends_after_a_while_and_is_not_told_on_at_its_end() {
+    let mut table = Poison::default();
+    table.learn(NOW, vec![crash("q", 1, 0), crash("q", 2, 0)]);
+    let late = NOW.after(Duration::from_secs(597));
+    assert!(is_blocked(&table, late, "q"));
+    assert!(table.blocked(late).is_empty(), "nobody else is told");
+    let end = NOW.after(Duration::from_secs(601));
+    assert_eq!(table.standing(end, request("q")), Standing::Clear);
+    table.sweep(end);
+    assert!(table.is_empty());
+    // What is as old as that is no news.
+    let old = Crash { age: Duration::from_secs(601), ..crash("q", 1, 0) };
+    assert!(table.learn(end, vec![old]).is_empty());
+}
+
+#[test]
+fn word_of_a_crash_older_than_the_process_keeps_its_age() {
+    let mut table = Poison::default();
+    let early = Time::from_millis(1000);
+    let told = |n| Crash { age: Duration::from_secs(300), ..crash("q", n, 0) };
+    table.learn(early, vec![told(1), told(2)]);
+    assert_matches!(
+        table.standing(early, request("q")),
+        Standing::Blocked { age, .. } if age == Duration::from_secs(300)
+    );
+}
+
+#[test]
+fn one_account_crowds_no_other_out() {
+    let mut table = Poison::default();
+    let mut of = |name: &str, n: u32, upstreams: &[u32]| {
+        let owner = account(name);
+        let body = n.to_be_bytes();
+        let request = Fingerprint::of(Some(&owner), "POST", ("host", "/x"), &[], &body);
+        let seen = |u: &u32| Crash::seen(request, Some(&owner), &upstream(*u), 0);
+        table.learn(NOW, upstreams.iter().map(seen).collect());
+        request
+    };
+    let theirs = of("quiet", 0, &[1, 2]);
+    let own = of("busy", 0, &[1, 2]);
+    for n in 1..5000 {
+        of("busy", n, &[n]);
+    }
+    for name in 0..100 {
+        for n in 0..20 {
+            of(&format!("many-{name}"), n, &[n]);
+        }
+    }
+    assert!(table.len() <= 512, "{}", table.len());
+    for request in [theirs, own] {
+        assert_matches!(table.standing(NOW, request), Standing::Blocked { .. });
+    }
+}
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -127,7 +127,7 @@
                 exchange.until_blocked().await;
             } else {
                 // What has begun to come is no danger to the upstream that sends it.
-                std::future::pending().await
+                std::future::pending::<()>().await;
             }
         };
         let frame = tokio::select! {
--- a/crates/badgerfield-standin/src/fleet/platform.rs
+++ b/crates/badgerfield-standin/src/fleet/platform.rs
@@ -96,7 +96,7 @@
     }
 
     /// Returns a value as it stands.
-    pub(super) fn value(&self, name: &KvName) -> Option<Bytes> {
+    pub fn value(&self, name: &KvName) -> Option<Bytes> {
         self.values.get(name)?.value.clone()
     }
 
