Queue: only the thread that takes a request out of the queue sends it

Symptom: a keyed chat ran twice at one engine and once at the other and was billed once (served 809, billed 798), under load only.

Cause: whoever hands over an event pumps the queue afterwards, with no lock between the look at the heads and the taking out. Queue::remove says whether it took anything; nobody asked. The same between finding that an arbiter is late, or its word that came twice, and going on with the run: each may have reserved and queued it a second time; and a refusal of a head that another thread had just sent. All three go through one step under the lock now.

--- a/crates/badgerfield-core/src/control/claiming.rs
+++ b/crates/badgerfield-core/src/control/claiming.rs
@@ -173,8 +173,9 @@
         }
         match verdict {
             Verdict::Granted { earlier, turn } => {
-                if self.keep_own(now, id, epoch, turn, earlier.as_ref()) {
-                    self.granted(id, earlier);
+                if self.keep_own(now, id, epoch, turn, earlier.as_ref())
+                    && self.granted(id, earlier)
+                {
                     self.reserve(now, id, out);
                 }
             }
@@ -217,6 +218,9 @@
             self.assume(now, id, out);
         }
         for id in late {
+            if !self.stops_claiming(id) {
+                continue;
+            }
             let refusal = Refusal::unknown(Cause::KeyUndecided).after(UNDECIDED);
             self.refuse(now, id, refusal, out);
         }
@@ -403,6 +407,10 @@
 
     /// Lets a repeatable request go on although its arbiter does not answer.
     fn assume(&self, now: Time, id: RunId, out: &mut Outbox) {
+        // The arbiter's word may have come since it was found late.
+        if !self.stops_claiming(id) {
+            return;
+        }
         let key = {
             let mut runs = self.board.runs();
             let Some(run) = runs.get_mut(id) else {
@@ -423,7 +431,17 @@
             return false;
         };
         let same = run.keyed.as_ref().is_some_and(|k| k.key == key);
-        same && matches!(run.stage, Stage::Claiming { .. })
+        same && run.is_claiming()
+    }
+
+    /// Ends the wait for an arbiter that took too long; tells whether this thread ended it.
+    fn stops_claiming(&self, id: RunId) -> bool {
+        let mut runs = self.board.runs();
+        let Some(run) = runs.get_mut(id).filter(|run| run.is_claiming()) else {
+            return false;
+        };
+        run.stage = Stage::Reserving;
+        true
     }
 
     /// Remembers an own claim, so that a new arbiter can learn of it.
@@ -456,13 +474,19 @@
         self.board.claims().keep(now, epoch, &record)
     }
 
-    fn granted(&self, id: RunId, earlier: Option<UpstreamId>) {
+    /// Takes in that the arbiter lets a run go on; tells whether this thread may go on with it.
+    /// Another does if the same word came twice, or the wait was over just now.
+    fn granted(&self, id: RunId, earlier: Option<UpstreamId>) -> bool {
+        if !self.stops_claiming(id) {
+            return false;
+        }
         let mut runs = self.board.runs();
         let Some(run) = runs.get_mut(id) else {
-            return;
+            return false;
         };
         run.claimed = if run.over.is_some() { Claimed::Inherited } else { Claimed::Fresh };
         run.earlier = earlier;
+        true
     }
 }
 
--- a/crates/badgerfield-core/src/control/dispatch.rs
+++ b/crates/badgerfield-core/src/control/dispatch.rs
@@ -62,16 +62,19 @@
             };
             match self.choose(now, waiting.run) {
                 Some(Choice::Take(upstream)) => {
-                    self.board.queue().remove(&account, waiting.run);
-                    self.send_new(now, waiting.run, &upstream, out);
+                    // Other threads look at the same head: whoever takes it out sends it.
+                    if self.board.queue().remove(&account, waiting.run) {
+                        self.send_new(now, waiting.run, &upstream, out);
+                    }
                 }
                 Some(Choice::Full(_)) => {
                     blocked.insert(account);
                 }
                 Some(Choice::None) => {
-                    self.board.queue().remove(&account, waiting.run);
-                    let refusal = Refusal::not_run(Cause::NoUpstream).after(NO_UPSTREAM);
-                    self.refuse(now, waiting.run, refusal, out);
+                    if self.board.queue().remove(&account, waiting.run) {
+                        let refusal = Refusal::not_run(Cause::NoUpstream).after(NO_UPSTREAM);
+                        self.refuse(now, waiting.run, refusal, out);
+                    }
                 }
                 None => {
                     self.board.queue().remove(&account, waiting.run);
--- a/crates/badgerfield-core/src/runs.rs
+++ b/crates/badgerfield-core/src/runs.rs
@@ -96,6 +96,11 @@
 }
 
 impl Run {
+    /// Tells whether it waits for the word of its key's arbiter.
+    pub(crate) fn is_claiming(&self) -> bool {
+        matches!(self.stage, Stage::Claiming { .. })
+    }
+
     /// Tells whether the head of the answer has come.
     pub(crate) fn has_head(&self) -> bool {
         matches!(self.parts.first(), Some(Content::Head(_)))
