--- a/crates/badgerfield-core/src/poison/table.rs
+++ b/crates/badgerfield-core/src/poison/table.rs
@@ -67,8 +67,12 @@
 pub enum Standing {
     /// Nothing.
     Clear,
-    /// An upstream ended while it was there: what it does next is watched.
-    Suspect,
+    /// An upstream ended while it was there.
+    Suspect {
+        /// Whether its answer had hardly begun: a stream that had run for a while is less
+        /// likely to have been the cause.
+        early: bool,
+    },
     /// It is sent to no upstream.
     Blocked {
         /// The upstreams that ended under it.
@@ -167,7 +171,8 @@
             return Standing::Clear;
         };
         if !record.is_blocked(now) {
-            return Standing::Suspect;
+            let early = open.iter().any(|known| known.point <= NEAR);
+            return Standing::Suspect { early };
         }
         let upstreams = open.iter().map(|known| known.upstream.clone()).collect();
         Standing::Blocked { upstreams, age, left: KEEP.saturating_sub(age) }
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -87,8 +87,11 @@
 }
 
 /// Records that a request is sent on at which an upstream has ended.
-pub(crate) fn suspect(id: &str, request: Fingerprint, attempt: u32) {
-    log::info!(target: REQUESTS, "suspect id={id} attempt={attempt} fingerprint={request}");
+pub(crate) fn suspect(id: &str, request: Fingerprint, attempt: u32, early: bool) {
+    log::info!(
+        target: REQUESTS,
+        "suspect id={id} attempt={attempt} fingerprint={request} early={early}"
+    );
 }
 
 /// Records that a request is not sent on, since upstreams have ended under it.
--- a/crates/badgerfield-node/src/gateway/suspicion.rs
+++ b/crates/badgerfield-node/src/gateway/suspicion.rs
@@ -74,10 +74,11 @@
     pub(super) fn check_standing(&self) -> Result<Option<u64>, Cause> {
         match self.standing() {
             Standing::Clear => Ok(None),
-            Standing::Suspect => {
+            Standing::Suspect { early } => {
                 let request = self.fingerprint();
-                record::suspect(&self.original.id, request, self.attempts + 1);
-                Ok(Some(request.number()))
+                record::suspect(&self.original.id, request, self.attempts + 1, early);
+                // A stream in full flow goes where its parts are and work is least.
+                Ok(early.then(|| request.number()))
             }
             Standing::Blocked { upstreams, age, .. } => {
                 record::blocked(&self.original.id, self.fingerprint(), &upstreams, age);
@@ -90,7 +91,7 @@
     pub(super) fn blocked_for(&self) -> Option<Duration> {
         match self.standing() {
             Standing::Blocked { left, .. } => Some(left),
-            Standing::Clear | Standing::Suspect => None,
+            Standing::Clear | Standing::Suspect { .. } => None,
         }
     }
 
