--- a/crates/badgerfield-core/src/control/poison.rs
+++ b/crates/badgerfield-core/src/control/poison.rs
@@ -5,10 +5,11 @@
 //! may be gathered. What is lost on the way matters only for blocked requests: those are compared
 //! by digests in signs of life, and recorded at the platform.
 
+use std::time::Duration;
+
 use crate::amount::Time;
 use crate::broadcast;
 use crate::calls::Purpose;
-use crate::control::evacuations::COMPARE;
 use crate::event::{KvCall, KvName, KvResult, Note, Order, Outbox, Versioned, due};
 use crate::ids::Incarnation;
 use crate::message::{CrashNews, Message};
@@ -16,6 +17,10 @@
 use crate::poison::{Crash, Fingerprint};
 use crate::poison_record::{self, RecordCall};
 
+/// The least time between two comparisons with one member: all that is known may be 50 KB, and
+/// what is new was told to all before.
+const COMPARE: Duration = Duration::from_secs(2);
+
 impl Node {
     /// Takes in that an upstream ended while a request of this process was there.
     pub(crate) fn crashed(&self, now: Time, crash: Crash, out: &mut Outbox) {
--- a/crates/badgerfield-core/src/poison/table.rs
+++ b/crates/badgerfield-core/src/poison/table.rs
@@ -27,7 +27,8 @@
 const MAX_REQUESTS: usize = 512;
 /// How many of them may be of one account, so that it crowds no other out.
 const MAX_OF_ACCOUNT: usize = 64;
-/// How many crashes of one request are remembered: more say nothing more.
+/// How many crashes of one request are remembered: more say nothing more. All processes keep those
+/// of the same upstreams, whatever they heard first, or they would never believe the same.
 const MAX_CRASHES: usize = 8;
 
 /// An upstream that has ended while a request was there.
@@ -124,6 +125,41 @@
         open.clone().any(|known| near(known.point) >= SAME_POINT)
     }
 
+    /// Takes in a crash; tells whether it was news.
+    fn take(&mut self, now: Time, crash: &Crash) -> bool {
+        let known = self.crashes.iter_mut().find(|known| known.upstream == crash.upstream);
+        if let Some(known) = known {
+            let clears = crash.cleared && !known.cleared;
+            known.cleared |= crash.cleared;
+            return clears;
+        }
+        if !self.make_room(&crash.upstream) {
+            return false;
+        }
+        self.crashes.push(Known {
+            upstream: crash.upstream.clone(),
+            point: crash.point,
+            cleared: crash.cleared,
+            until: now.after(KEEP.saturating_sub(crash.age)),
+            here: false,
+        });
+        true
+    }
+
+    /// Drops the crash of another upstream if there are too many; tells whether there is room for
+    /// one of this upstream.
+    fn make_room(&mut self, upstream: &UpstreamId) -> bool {
+        if self.crashes.len() < MAX_CRASHES {
+            return true;
+        }
+        let last = (0..self.crashes.len()).max_by_key(|n| &self.crashes[*n].upstream);
+        let last = last.filter(|n| self.crashes[*n].upstream > *upstream);
+        if let Some(n) = last {
+            self.crashes.remove(n);
+        }
+        last.is_some()
+    }
+
     /// Returns until when the newest of its crashes counts.
     fn until(&self) -> Time {
         self.crashes.iter().map(|known| known.until).max().unwrap_or_default()
@@ -206,19 +242,8 @@
             let record = self.records.entry(crash.request).or_default();
             record.account = crash.account;
             let was = record.is_blocked(now);
-            let is_full = record.crashes.len() >= MAX_CRASHES;
-            let known = record.crashes.iter_mut().find(|known| known.upstream == crash.upstream);
-            match known {
-                Some(known) if crash.cleared && !known.cleared => known.cleared = true,
-                Some(_) => continue,
-                None if is_full => continue,
-                None => record.crashes.push(Known {
-                    upstream: crash.upstream.clone(),
-                    point: crash.point,
-                    cleared: crash.cleared,
-                    until: now.after(KEEP.saturating_sub(crash.age)),
-                    here: false,
-                }),
+            if !record.take(now, &crash) {
+                continue;
             }
             let blocks = !was && record.is_blocked(now);
             let account = crash.account;
--- a/crates/badgerfield-core/src/poison_record.rs
+++ b/crates/badgerfield-core/src/poison_record.rs
@@ -96,7 +96,9 @@
     /// Adds news that are to be told to all.
     pub(crate) fn tell(&mut self, crashes: impl IntoIterator<Item = Crash>) {
         self.waiting.extend(crashes);
-        self.waiting.truncate(MAX_TOLD);
+        // What came last may block a request; of many at one crash the first are dropped.
+        let excess = self.waiting.len().saturating_sub(MAX_TOLD);
+        self.waiting.drain(..excess);
     }
 
     /// Takes the news that are to be told now; at once if one of them is urgent.
--- a/crates/badgerfield-core/tests/poison.rs
+++ b/crates/badgerfield-core/tests/poison.rs
@@ -115,6 +115,16 @@
     assert!(digests.iter().all(|digest| *digest == digests[0] && *digest != 0), "{digests:?}");
 }
 
+#[test]
+fn of_many_crashes_all_processes_remember_the_same() {
+    let all: Vec<_> = (0..40).map(|n| crash("q", n, 0)).collect();
+    let (mut one, mut two) = (Poison::default(), Poison::default());
+    one.learn(NOW, all.clone());
+    two.learn(NOW, all.into_iter().rev().collect());
+    assert_eq!(one.digest(NOW), two.digest(NOW));
+    assert_eq!(one.blocked(NOW).len(), 8);
+}
+
 #[test]
 fn two_tables_that_tell_each_other_all_believe_the_same() {
     let (mut one, mut two) = (Poison::default(), Poison::default());
--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -1,6 +1,6 @@
 //! Steps 1 to 4 of a request: what is asked for, by whom, with which body, and who pays.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use badgerfield_core::amount::Tokens;
@@ -72,7 +72,7 @@
     let timing = Timing { body: arrived.elapsed(), ..Timing::default() };
 
     let original = Original { id: id.clone(), head, body };
-    suspicion::check(&driver, account_id, route, &terms, &original)
+    let fingerprint = suspicion::check(&driver, account_id, route, &terms, &original)
         .map_err(|refusal| (Some(id.clone()), refusal))?;
 
     let service = route.service(rand::random()).ok_or_else(|| not_run(Cause::NoUpstream))?.clone();
@@ -105,7 +105,7 @@
         attempts: 0,
         may_have_run: false,
         unseen: false,
-        fingerprint: OnceLock::new(),
+        fingerprint,
         timing,
         unread: 0,
         version: None,
--- a/crates/badgerfield-node/src/gateway/suspicion.rs
+++ b/crates/badgerfield-node/src/gateway/suspicion.rs
@@ -2,6 +2,7 @@
 //! that breaks off under it, and word that it is blocked meanwhile.
 
 use std::net::SocketAddr;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use badgerfield_core::Event;
@@ -29,21 +30,22 @@
     Fingerprint::of(account, head.method.as_str(), address, &terms.parts, &original.body)
 }
 
-/// Refuses a request under which upstreams have ended, before anything is set aside for it.
+/// Refuses a request under which upstreams have ended, before anything is set aside for it;
+/// returns what stands for it, if that had to be made.
 pub(super) fn check(
     driver: &Driver,
     account: Option<&Account>,
     route: &Route,
     terms: &RequestTerms,
     original: &Original,
-) -> Result<(), Refusal> {
+) -> Result<OnceLock<Fingerprint>, Refusal> {
     if !driver.node.has_suspects() {
-        return Ok(());
+        return Ok(OnceLock::new());
     }
     let request = fingerprint(account, route, terms, original);
     let standing = driver.node.request_standing(driver.now(), request);
     let Standing::Blocked { upstreams, age, left } = standing else {
-        return Ok(());
+        return Ok(OnceLock::from(request));
     };
     record::blocked(&original.id, request, &upstreams, age);
     Err(Refusal::not_run(Cause::EndsUpstreams).after(left))
