--- a/crates/badgerfield-core/tests/poison.rs
+++ b/crates/badgerfield-core/tests/poison.rs
@@ -177,7 +177,9 @@
         let body = n.to_be_bytes();
         let request = Fingerprint::of(Some(&owner), "POST", ("host", "/x"), &[], &body);
         let seen = |u: &u32| Crash::seen(request, Some(&owner), &upstream(*u), 0);
-        table.learn(NOW, upstreams.iter().map(seen).collect());
+        // Each a little later than the one before.
+        let now = NOW.after(Duration::from_millis(u64::from(n)));
+        table.learn(now, upstreams.iter().map(seen).collect());
         request
     };
     let theirs = of("quiet", 0, &[1, 2]);
