Poison requests: an account with many blocked requests still gets the next one blocked

Found by the stricter test: with 64 requests of an account blocked, a new suspect was dropped at once as what says least, and so was never blocked. Half of the room is for either kind now.

--- a/crates/badgerfield-core/src/poison/table.rs
+++ b/crates/badgerfield-core/src/poison/table.rs
@@ -312,26 +312,33 @@
     /// Drops what says least where an account, or all of them, have too many requests here.
     fn make_room(&mut self, now: Time, account: u64) {
         let count = |wanted: u64| self.records.values().filter(|r| r.account == wanted).count();
-        let of_account = count(account) > MAX_OF_ACCOUNT;
-        if !of_account && self.records.len() <= MAX_REQUESTS {
+        let count = count(account);
+        let (from, count) = if count > MAX_OF_ACCOUNT {
+            (account, count)
+        } else if self.records.len() > MAX_REQUESTS {
+            self.largest()
+        } else {
             return;
-        }
-        let from = if of_account { account } else { self.largest() };
-        let own = self.records.iter().filter(|(_, record)| record.account == from);
-        // A blocked one is kept the longest: dropped, it would end more upstreams.
-        let least = own.min_by_key(|(_, record)| (record.is_blocked(now), record.until()));
-        if let Some(request) = least.map(|(request, _)| *request) {
+        };
+        let own = || self.records.iter().filter(move |(_, record)| record.account == from);
+        // Half of the room is for either kind: many bystanders of a crash must not drive out what
+        // is blocked, nor many that are blocked the next one that is to be.
+        let blocked = own().filter(|(_, record)| record.is_blocked(now)).count();
+        let drops_blocked = blocked > count / 2;
+        let kind = own().filter(|(_, record)| record.is_blocked(now) == drops_blocked);
+        let oldest = kind.min_by_key(|(_, record)| record.until());
+        if let Some(request) = oldest.map(|(request, _)| *request) {
             self.records.remove(&request);
         }
     }
 
-    /// Returns the account with the most requests here.
-    fn largest(&self) -> u64 {
+    /// Returns the account with the most requests here, and how many those are.
+    fn largest(&self) -> (u64, usize) {
         let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
         for record in self.records.values() {
             *counts.entry(record.account).or_default() += 1;
         }
-        counts.into_iter().max_by_key(|(_, count)| *count).map_or(0, |(account, _)| account)
+        counts.into_iter().max_by_key(|(_, count)| *count).unwrap_or_default()
     }
 }
 
