Poison requests: an upstream that stops to listen last has ended too

The connection that answers the question is watched for 20 ms, and for 150 ms more while the request goes on; if it closes, the address is asked again.

--- a/crates/badgerfield-node/src/gateway/connections.rs
+++ b/crates/badgerfield-node/src/gateway/connections.rs
@@ -34,6 +34,10 @@
 /// listens there: an answer takes a round trip, and a caller waits for it.
 const LISTENS: Duration = Duration::from_millis(150);
 
+/// How long a connection that came up is watched before its upstream counts as one that lives:
+/// a caller whose answer broke off waits for it.
+const STAYS: Duration = Duration::from_millis(20);
+
 /// Why no connection could be had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ConnectError {
@@ -43,6 +47,17 @@
     Failed,
 }
 
+/// What an address says when it is asked whether anybody listens there.
+#[derive(Debug)]
+pub(crate) enum Listening {
+    /// It takes connections, such as this one.
+    Open(Connection),
+    /// Nobody does: the process has ended.
+    Refused,
+    /// No word came in time.
+    Unknown,
+}
+
 /// An open connection that one request has for itself; dropping it closes it.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -140,17 +155,43 @@
         Connection::open(address).await
     }
 
-    /// Finds out whether an upstream that broke off has ended: nobody listens at its address
-    /// any more. A connection that comes up is kept for the next request.
-    pub(crate) async fn has_ended(self: &Arc<Self>, id: &UpstreamId, address: SocketAddr) -> bool {
-        match tokio::time::timeout(LISTENS, Connection::open(address)).await {
-            Ok(Ok(connection)) => {
-                self.keep(id.clone(), connection, None);
-                false
+    /// Finds out whether anybody listens at the address of an upstream that broke off.
+    pub(crate) async fn listening(&self, address: SocketAddr) -> Listening {
+        match self.knock(address).await {
+            Listening::Open(mut connection) => {
+                // A process that ends may close its connections a moment before it stops to listen.
+                match tokio::time::timeout(STAYS, &mut connection.task).await {
+                    Ok(_) => self.knock(address).await,
+                    Err(_) => Listening::Open(connection),
+                }
             }
-            Ok(Err(error)) => error == ConnectError::Refused,
-            Err(_) => false,
+            other => other,
+        }
+    }
+
+    async fn knock(&self, address: SocketAddr) -> Listening {
+        match tokio::time::timeout(LISTENS, Connection::open(address)).await {
+            Ok(Ok(connection)) => Listening::Open(connection),
+            Ok(Err(ConnectError::Refused)) => Listening::Refused,
+            Ok(Err(ConnectError::Failed)) | Err(_) => Listening::Unknown,
+        }
+    }
+
+    /// Tells whether an upstream that still took a connection has ended all the same, for longer
+    /// than a caller is kept waiting for that. A connection that stays open is kept for the next
+    /// request.
+    pub(crate) async fn ends_late(
+        self: &Arc<Self>,
+        id: &UpstreamId,
+        address: SocketAddr,
+        connection: Connection,
+    ) -> bool {
+        tokio::time::sleep(LISTENS).await;
+        if !connection.sender.is_closed() {
+            self.keep(id.clone(), connection, None);
+            return false;
         }
+        matches!(self.knock(address).await, Listening::Refused)
     }
 
     fn take_idle(&self, id: &UpstreamId) -> Option<Connection> {
--- a/crates/badgerfield-node/src/gateway/suspicion.rs
+++ b/crates/badgerfield-node/src/gateway/suspicion.rs
@@ -2,7 +2,7 @@
 //! that breaks off under it, and word that it is blocked meanwhile.
 
 use std::net::SocketAddr;
-use std::sync::OnceLock;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use badgerfield_core::Event;
@@ -14,6 +14,7 @@
 use crate::adapter::RequestTerms;
 use crate::driver::Driver;
 use crate::gateway::attempt::Original;
+use crate::gateway::connections::Listening;
 use crate::gateway::flow::Exchange;
 use crate::gateway::record;
 
@@ -118,13 +119,27 @@
         address: SocketAddr,
         last: Option<u64>,
     ) -> bool {
-        if !self.gateway.connections.has_ended(upstream, address).await {
-            return false;
-        }
         let account = self.caller.as_ref().map(|caller| &caller.account);
-        let crash = Crash::seen(self.fingerprint(), account, upstream, last.unwrap_or(0));
-        self.driver.feed(Event::Crashed(crash));
-        true
+        let crash = || Crash::seen(self.fingerprint(), account, upstream, last.unwrap_or(0));
+        let connections = &self.gateway.connections;
+        match connections.listening(address).await {
+            Listening::Refused => {
+                self.driver.feed(Event::Crashed(crash()));
+                true
+            }
+            Listening::Open(connection) => {
+                // The request goes on meanwhile.
+                let (driver, crash) = (Arc::clone(&self.driver), crash());
+                let connections = Arc::clone(connections);
+                tokio::spawn(async move {
+                    if connections.ends_late(&crash.upstream, address, connection).await {
+                        driver.feed(Event::Crashed(crash));
+                    }
+                });
+                false
+            }
+            Listening::Unknown => false,
+        }
     }
 
     /// Notes that the request was served whole: no crash that it was at was its doing.
