Relay: a stream that breaks off at an upstream which lives is charged its most again

Found by reading the whole change: the charge of the prompt and four events was meant for upstreams that have ended; a stream cut by one that lives, and not gone on with, got it as well, though its upstream may have made more than arrived. Budgets could have been passed by that. No test shows it yet; deadly 10 of 10 and path 19 of 19 are green.

--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -171,11 +171,11 @@
         let (from, address) = (source.hold.id.clone(), source.hold.address);
         // The earlier upstream stops its work when its connection closes.
         drop(source);
-        if why == BROKEN || why == CUT {
-            self.exchange.note_broken(&from, address, self.scanner.last()).await;
-        } else {
-            self.exchange.unseen = true;
-        }
+        let is_cut = why == BROKEN || why == CUT;
+        let has_ended =
+            is_cut && self.exchange.note_broken(&from, address, self.scanner.last()).await;
+        // One that lives may have made more than came here.
+        self.exchange.unseen |= !has_ended;
         if !self.resumes() {
             return Some(self.break_off(why));
         }
