--- a/crates/badgerfield-core/src/ids.rs
+++ b/crates/badgerfield-core/src/ids.rs
@@ -179,7 +179,7 @@
 impl ReservationId {
     /// Returns the number under which the holdings know the reservation.
     #[must_use]
-    pub(crate) fn run(self) -> RunId {
+    pub fn run(self) -> RunId {
         RunId(self.0 | RESERVATION)
     }
 
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -234,8 +234,7 @@
             let to = (&chosen.id, chosen.address);
             let hold = UpstreamHold::new(driver, gateway, to, reading, &self.route);
             let given_up = self.until_given_up(left, last.is_some());
-            let end =
-                attempt(hold, &self.original, &terms, given_up, self.until_blocked()).await;
+            let end = attempt(hold, &self.original, &terms, given_up, self.until_blocked()).await;
             let outcome = match end {
                 AttemptEnd::Answered(answered) => {
                     self.attempts += 1;
