Holdings: requests that are ready to wait get what running ones give back

Cause: a request for which nobody has enough was refused at once as held, whatever its caller's patience, though most of what is left of a budget is set aside at any moment and comes back within 0.3 s; and the refusal held for 0.8 s for all that came after.

Requests on the product's own interface say how long they may wait. As many of them as what runs at this VM gives back as a rule can serve wait on; all others are told at once, as before, and so are requests on routes, whose callers may try another VM.

--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -6,18 +6,17 @@
 use super::coming::Coming;
 use super::giving::Giving;
 use super::promises::Promises;
+use super::waiting::Waiter;
 use crate::amount::{Percent, Rate, Time, Tokens};
-use crate::ids::{BudgetId, Incarnation, Region, RunId, VmId};
+use crate::ids::{BudgetId, Incarnation, Region, VmId};
 use crate::ledger::{LedgerOp, Plan, Terms, Untouched};
 use crate::rate::Meter;
-use crate::refusal::{Cause, Refusal};
+use crate::refusal::Refusal;
 use crate::seal::{Claim, FleetClock, Orphan, Seal, falls_ms};
 
 /// How much demand, in time, a holding keeps ready to spend; the rest is parked.
 const WORKING: Duration = Duration::from_secs(1);
 
-/// How long a refusal holds for further requests.
-const REFUSAL_HOLDS: Duration = Duration::from_millis(800);
 /// After how long without use a holding is given back.
 const IDLE: Duration = Duration::from_mins(1);
 
@@ -68,23 +67,6 @@
     pub(crate) sealing: Option<Sealing>,
 }
 
-/// For whom tokens are wanted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Wanter {
-    /// A request at this process.
-    Run(RunId),
-    /// A process that borrows here.
-    Borrower(Incarnation),
-}
-
-/// A request, here or at a borrower, that waits for tokens.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Waiter {
-    pub(crate) wanter: Wanter,
-    pub(crate) need: Tokens,
-    pub(crate) until: Time,
-}
-
 /// Where the search for tokens stands.
 #[derive(Debug, Clone)]
 pub(crate) enum Search {
@@ -423,16 +405,6 @@
         self.parked.total.max(sent)
     }
 
-    /// Returns what all waiting requests need together.
-    pub(crate) fn wanted(&self) -> Tokens {
-        self.waiters.iter().map(|w| w.need).sum()
-    }
-
-    /// Tells whether what is free, parked or not, is enough for all waiting requests.
-    pub(crate) fn covers_wanted(&self) -> bool {
-        self.free >= self.wanted()
-    }
-
     /// Returns what is ready beyond the needs of waiting requests.
     pub(crate) fn spare(&self) -> Tokens {
         self.ready().saturating_minus(self.wanted())
@@ -535,25 +507,6 @@
         true
     }
 
-    /// Returns the refusal of a moment ago, if it holds for this need too.
-    ///
-    /// A budget that nobody has anything left of is not looked for again with each
-    /// request: the refusal comes at once, and costs the platform no call.
-    pub(crate) fn refused_lately(&self, now: Time, need: Tokens) -> Option<Refusal> {
-        let is_late = |at: Time| now.since(at) >= REFUSAL_HOLDS;
-        if self.spent.is_some_and(|(at, least)| need >= least && !is_late(at)) {
-            return Some(Refusal::not_run(Cause::BudgetSpent));
-        }
-        let (refusal, at, least) = self.refused?;
-        (need >= least && !is_late(at)).then_some(refusal)
-    }
-
-    /// Forgets refusals, because there is more than when they were made.
-    pub(crate) fn forget_refusals(&mut self) {
-        self.refused = None;
-        self.spent = None;
-    }
-
     /// Makes the next change for the ledger.
     pub(crate) fn make_op(
         &mut self,
--- a/crates/badgerfield-core/src/holdings/lending.rs
+++ b/crates/badgerfield-core/src/holdings/lending.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use super::holding::{Holding, Search, Waiter, Wanter};
+use super::holding::{Holding, Search};
 use super::search::next_lender;
+use super::waiting::{Waiter, Wanter};
 use super::{COME_BACK, Holdings};
 use crate::amount::{Time, Tokens};
 use crate::event::{Note, Order, Outbox, due};
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -17,6 +17,7 @@
 mod search;
 mod transfer;
 mod views;
+mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- a/crates/badgerfield-core/src/holdings/requests.rs
+++ b/crates/badgerfield-core/src/holdings/requests.rs
@@ -1,6 +1,6 @@
 //! What requests do to holdings: set tokens aside, wait for them, and settle.
 
-use super::holding::{Waiter, Wanter};
+use super::waiting::{Waiter, Wanter};
 use super::{Decision, Holdings, Reserved};
 use crate::amount::{Time, Tokens};
 use crate::event::Outbox;
@@ -33,10 +33,16 @@
             self.borrow_ahead(now, budget, out);
             return Reserved::Done(period);
         }
+        let waiter = Waiter { wanter: Wanter::Run(run), need, until };
         if let Some(refusal) = holding.refused_lately(now, need) {
-            return Reserved::Refused(refusal);
+            if refusal.cause != Cause::BudgetHeld || !holding.has_room_for(now, &waiter) {
+                return Reserved::Refused(refusal);
+            }
+            holding.waiters.push_back(waiter);
+            self.busy.insert(budget.clone());
+            return Reserved::Waiting;
         }
-        holding.waiters.push_back(Waiter { wanter: Wanter::Run(run), need, until });
+        holding.waiters.push_back(waiter);
         holding.used_at = now;
         self.pursue(now, budget, out);
         Reserved::Waiting
--- a/crates/badgerfield-core/src/holdings/search.rs
+++ b/crates/badgerfield-core/src/holdings/search.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::holding::{Holding, Search, Waiter, Wanter};
+use super::holding::{Holding, Search};
 use super::lending::BorrowerAnswer;
+use super::waiting::{Waiter, Wanter};
 use super::{COME_BACK, Decision, Holdings};
 use crate::amount::{Time, Tokens};
 use crate::event::{Note, Order, Outbox};
@@ -82,7 +83,7 @@
     }
 
     /// Refuses those who wait for so much or more, and whoever asks for as much within a
-    /// moment.
+    /// moment, but for those who may wait on.
     pub(super) fn refuse_waiters(
         &mut self,
         now: Time,
@@ -93,13 +94,11 @@
         let Some(holding) = self.table.get_mut(budget) else {
             return;
         };
-        let waiters: Vec<_> = std::mem::take(&mut holding.waiters).into();
-        let (refused, waiting): (Vec<_>, Vec<_>) =
-            waiters.into_iter().partition(|w| w.need >= need);
-        holding.waiters = waiting.into();
+        let refused = holding.take_refused(now, need, &refusal);
         let least = refused.iter().map(|w| w.need).min();
         holding.refused = least.map(|least| (refusal, now, least)).or(holding.refused);
-        if holding.waiters.is_empty() {
+        // Whoever still waits after a refusal of all waits for what comes back here.
+        if holding.waiters.is_empty() || need.is_zero() {
             holding.search = None;
         }
         self.decide(budget, refused, Some(refusal));
