Holdings: who waits for what comes back is told within half a second; logs of refusals and of waiting

Each refusal on the product's own interface is a line, as each on a route was; so is each decision not to leave a silent upstream.

--- a/crates/badgerfield-core/src/holdings/requests.rs
+++ b/crates/badgerfield-core/src/holdings/requests.rs
@@ -38,7 +38,7 @@
             if refusal.cause != Cause::BudgetHeld || !holding.has_room_for(now, &waiter) {
                 return Reserved::Refused(refusal);
             }
-            holding.waiters.push_back(waiter);
+            holding.waiters.push_back(waiter.for_given_back(now));
             self.busy.insert(budget.clone());
             return Reserved::Waiting;
         }
--- a/crates/badgerfield-core/src/holdings/waiting.rs
+++ b/crates/badgerfield-core/src/holdings/waiting.rs
@@ -10,6 +10,9 @@
 
 /// How long a refusal holds for further requests.
 const REFUSAL_HOLDS: Duration = Duration::from_millis(800);
+/// How long a request waits for what running ones give back, after the search. Short answers of the
+/// users' sheets end within this; whoever gets nothing by then is told.
+const GIVEN_BACK: Duration = Duration::from_millis(500);
 
 /// For whom tokens are wanted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +37,11 @@
     fn is_patient(&self) -> bool {
         matches!(self.wanter, Wanter::Run(run) if ReservationId::of(run).is_none())
     }
+
+    /// Returns it as one that waits for what running requests give back.
+    pub(super) fn for_given_back(self, now: Time) -> Self {
+        Self { until: self.until.min(now.after(GIVEN_BACK)), ..self }
+    }
 }
 
 impl Holding {
@@ -69,7 +77,8 @@
                 continue;
             }
             reach = reach.saturating_minus(waiter.need);
-            waiting.push_back(waiter);
+            let waits_on = stays && waiter.need >= need;
+            waiting.push_back(if waits_on { waiter.for_given_back(now) } else { waiter });
         }
         self.waiters = waiting;
         refused
--- a/crates/badgerfield-core/tests/waiting.rs
+++ b/crates/badgerfield-core/tests/waiting.rs
@@ -163,6 +163,19 @@
     assert_eq!(holdings.figures(&budget()).free, Tokens(177));
 }
 
+#[test]
+fn who_gets_nothing_back_is_told_soon() {
+    let mut holdings = holder();
+    ask(&mut holdings, 100, RunId(2), 5_000);
+    ask(&mut holdings, 100, RunId(3), 5_000);
+    find_nothing(&mut holdings, 110);
+    assert_eq!(held(&mut holdings), [RunId(3)]);
+    holdings.tick(at(600), &mut Outbox::default());
+    assert_eq!(served(&mut holdings), []);
+    holdings.tick(at(620), &mut Outbox::default());
+    assert_eq!(held(&mut holdings), [RunId(2)]);
+}
+
 #[test]
 fn a_request_on_a_route_is_told_at_once() {
     let mut holdings = holder();
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -303,6 +303,7 @@
             Order::Answer(id, place, answer) => {
                 if let Answer::Refused(refusal) | Answer::Broken(refusal) = &answer {
                     self.metrics.count_refusal(refusal);
+                    log_refusal(id, refusal);
                 }
                 if let Some(request) = lock(&self.requests).get(&id) {
                     // A caller that has gone away is told about elsewhere.
@@ -520,3 +521,10 @@
     let value = http::call(client, request, timeout).await.ok()?;
     serde_json::from_value(value).ok()
 }
+
+/// Records that a request on the product's own interface ends without its answer.
+fn log_refusal(id: RequestId, refusal: &Refusal) {
+    let (cause, outcome) = (refusal.cause.code(), refusal.outcome.as_str());
+    let after = refusal.after.map_or_else(|| "-".to_owned(), |span| span.as_millis().to_string());
+    log::info!(target: REQUESTS, "refused request={} outcome={cause} run={outcome} come_back_ms={after}", id.0);
+}
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -342,14 +342,16 @@
     /// upstream's queue, and is served late. Giving up without that cost 276 of 326 streams their
     /// answer where few upstreams were left, and their budgets 4.4 million tokens.
     async fn until_given_up(&self, left: Duration, resumes: bool) {
-        let ends = Instant::now() + left;
+        let (started, tries) = (Instant::now(), self.attempts + 1);
+        let ends = started + left;
         let patience = self.route.objective.saturating_mul(PATIENCE);
         let looks = self.route.repeat.is_idempotent() && !patience.is_zero();
         while looks && Instant::now() + patience < ends {
             tokio::time::sleep(patience).await;
-            if self.has_another(self.attempts + 1, resumes) {
+            if self.has_another(tries, resumes) {
                 return;
             }
+            record::waits_on(&self.original.id, tries, self.tried.last(), started.elapsed());
         }
         tokio::time::sleep_until(ends).await;
     }
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -86,6 +86,16 @@
     );
 }
 
+/// Records that an upstream that says nothing is not left, since no other can be tried now.
+pub(crate) fn waits_on(id: &str, attempt: u32, upstream: Option<&UpstreamId>, silent: Duration) {
+    let upstream = upstream.map_or("-", UpstreamId::as_str);
+    let silent = silent.as_millis();
+    log::info!(
+        target: REQUESTS,
+        "waits_on id={id} attempt={attempt} upstream={upstream} silent_ms={silent}"
+    );
+}
+
 /// Records that a request is sent on at which an upstream has ended.
 pub(crate) fn suspect(id: &str, request: Fingerprint, attempt: u32, early: bool) {
     log::info!(
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -114,12 +114,13 @@
 
     /// Waits for the upstream.
     async fn step(&mut self) -> Step {
-        let ends = self.exchange.ends();
+        let (started, ends) = (Instant::now(), self.exchange.ends());
         loop {
             let until = self.patience().min(ends);
             let Some(source) = self.source.as_mut() else {
                 return Step::Broken("no_upstream");
             };
+            let upstream = &source.hold.id;
             let frame = tokio::time::timeout_at(until, source.body.frame());
             let waits = !source.has_begun;
             let exchange = &self.exchange;
@@ -140,9 +141,13 @@
                 Ok(Some(Err(_))) => Step::Broken(BROKEN),
                 Ok(None) => Step::End,
                 Err(_) if until >= ends => Step::OutOfTime,
-                // It may go on yet, and nobody else can.
-                Err(_) if !exchange.has_another(exchange.attempts, true) => continue,
-                Err(_) => Step::Broken(SILENT),
+                Err(_) if exchange.has_another(exchange.attempts, true) => Step::Broken(SILENT),
+                Err(_) => {
+                    // It may go on yet, and nobody else can.
+                    let (id, tries) = (&exchange.original.id, exchange.attempts);
+                    record::waits_on(id, tries, Some(upstream), started.elapsed());
+                    continue;
+                }
             };
         }
     }
