--- a/crates/badgerfield-core/tests/waiting.rs
+++ b/crates/badgerfield-core/tests/waiting.rs
@@ -9,13 +9,14 @@
 
 use std::sync::Arc;
 
+use assert_matches::assert_matches;
 use badgerfield_core::Pacing;
 use badgerfield_core::amount::{Percent, Time, Tokens};
-use badgerfield_core::event::Outbox;
+use badgerfield_core::event::{Order, Outbox};
 use badgerfield_core::holdings::{Holdings, Reserved};
 use badgerfield_core::ids::{BudgetId, Epoch, Incarnation, Period, ReservationId, RunId, Version};
 use badgerfield_core::ledger::{LedgerReply, Plan, Terms};
-use badgerfield_core::message::Lack;
+use badgerfield_core::message::{Ask, Lack, Message};
 use badgerfield_core::refusal::Cause;
 use badgerfield_core::view::{Member, Standing, View};
 
@@ -48,6 +49,10 @@
 /// Makes one of two holders of a budget that is empty at the ledger. It has 67 tokens left beside
 /// what a request has set aside.
 fn holder() -> Holdings {
+    holder_with(Plan::Share(Tokens::ZERO))
+}
+
+fn holder_with(plan: Plan) -> Holdings {
     let own = member(1);
     let mut holdings = Holdings::new(Incarnation(1), own.vm.clone(), own.region, Pacing::default());
     let members = vec![member(1), member(2)];
@@ -56,7 +61,7 @@
     let terms = Terms { version: Version(1), period: Period(1), limit: Tokens(3_000) };
     holdings.learn(at(0), &budget(), terms, Percent::new(80).expect("a share"));
     assert_eq!(ask(&mut holdings, 10, RunId(1), 5_000), Reserved::Waiting);
-    answer_ledger(&mut holdings, 20, Tokens(200 + BEFORE * USED.0));
+    answer_ledger_with(&mut holdings, 20, Tokens(200 + BEFORE * USED.0), plan);
     assert_eq!(served(&mut holdings), [RunId(1)]);
     for _ in 0..BEFORE {
         end(&mut holdings, 30);
@@ -71,17 +76,23 @@
 }
 
 /// Answers the change that is under way.
-fn answer_ledger(holdings: &mut Holdings, now: u64, granted: Tokens) {
+fn answer_ledger(holdings: &mut Holdings, now: u64, granted: Tokens) -> Outbox {
+    answer_ledger_with(holdings, now, granted, Plan::Share(Tokens::ZERO))
+}
+
+fn answer_ledger_with(holdings: &mut Holdings, now: u64, granted: Tokens, plan: Plan) -> Outbox {
     let (op, _) = holdings.ops(at(now)).pop().expect("the ledger is asked");
     let reply = LedgerReply::Applied {
         seq: op.seq,
         granted,
         left: Tokens::ZERO,
         others: vec![OTHER],
-        plan: Plan::Share(Tokens::ZERO),
+        plan,
         orphans: Vec::new(),
     };
-    holdings.drawn(at(now), &budget(), Period(1), &reply, &mut Outbox::default());
+    let mut out = Outbox::default();
+    holdings.drawn(at(now), &budget(), Period(1), &reply, &mut out);
+    out
 }
 
 /// Ends the search: the ledger has nothing, and the other holder has all of its own set aside.
@@ -150,6 +161,49 @@
     assert_eq!(served(&mut holdings), [RunId(4)]);
 }
 
+/// Returns the message to the other holder.
+fn sent(mut out: Outbox) -> Message {
+    let mut to_other = out.take().into_iter().filter_map(|order| match order {
+        Order::Send(OTHER, message) => Some(message),
+        _ => None,
+    });
+    to_other.next().expect("something is sent")
+}
+
+#[test]
+fn a_crowd_asks_for_the_least_that_helps_one_of_it() {
+    // It asked for what all needed together. Whoever could not give 2,012 tokens said that it was
+    // spent, and so sixteen requests of 133 were refused as spent while 670 were to come back.
+    let mut holdings = holder();
+    for run in 2..5 {
+        ask(&mut holdings, 100, RunId(run), 5_000);
+    }
+    let out = answer_ledger(&mut holdings, 110, Tokens::ZERO);
+    let (need, ahead) = (Tokens(133 - 67), Tokens(2 * 133));
+    assert_matches!(sent(out), Message::Ask(ask) if (ask.need, ask.ahead) == (need, ahead));
+}
+
+#[test]
+fn a_collector_gives_a_crowd_what_it_has() {
+    let wish = |need: u64| Ask {
+        budget: budget(),
+        period: Period(1),
+        need: Tokens(need),
+        ahead: Tokens(2_000),
+    };
+    let mut holdings = holder_with(Plan::Collect(Tokens(3_000)));
+    let mut out = Outbox::default();
+    holdings.asked(at(100), OTHER, &wish(60), &mut out);
+    assert_matches!(sent(out), Message::Transfer(gift) if gift.amount == Tokens(67));
+    // It has nothing now, and enough is to come back for this one, not for the next.
+    let mut out = Outbox::default();
+    holdings.asked(at(110), OTHER, &wish(60), &mut out);
+    assert_matches!(sent(out), Message::Nothing { lack: Lack::Reserved(_), .. });
+    let mut out = Outbox::default();
+    holdings.asked(at(120), OTHER, &wish(2_000), &mut out);
+    assert_matches!(sent(out), Message::Nothing { lack: Lack::Spent, .. });
+}
+
 #[test]
 fn nobody_waits_longer_than_it_is_ready_to() {
     let mut holdings = holder();
