--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -76,9 +76,8 @@
     Lender { since: Time, asked: Vec<Incarnation> },
     /// The ledger was asked.
     Ledger { since: Time },
-    /// Other holders were asked, and these have not answered. Of those that have, one may come to
-    /// have so much.
-    Peers { since: Time, open: BTreeSet<Incarnation>, reach: Tokens },
+    /// Other holders were asked, and these have not answered.
+    Peers { since: Time, open: BTreeSet<Incarnation>, reserved: bool },
 }
 
 /// What a witness knows to be untouched, as its owner sees it.
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -95,8 +95,7 @@
         budget: BudgetId,
         /// The period.
         period: Period,
-        /// How much was asked for; where something may come back to a holder, how much that may
-        /// be.
+        /// How much was asked for.
         need: Tokens,
         /// Why there is nothing.
         lack: Lack,
@@ -334,8 +333,7 @@
     pub period: Period,
     /// The least that would help.
     pub need: Tokens,
-    /// What is wanted beside that: for others who wait, or by a borrower for the requests of its
-    /// next moments.
+    /// What a borrower wants beside that, for the requests of its next moments.
     pub ahead: Tokens,
 }
 
