--- a/crates/badgerfield-core/tests/holdings.rs
+++ b/crates/badgerfield-core/tests/holdings.rs
@@ -1,5 +1,7 @@
 //! Holdings of one process: what it tells the ledger when it begins to borrow.
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,35 +9,16 @@
 use badgerfield_core::amount::{Percent, Time, Tokens};
 use badgerfield_core::event::{Order, Outbox};
 use badgerfield_core::holdings::{Holdings, Reserved};
-use badgerfield_core::ids::{BudgetId, Epoch, Incarnation, Period, RunId, Version};
+use badgerfield_core::ids::{Epoch, Incarnation, Period, RunId, Version};
 use badgerfield_core::ledger::{LedgerOp, LedgerReply, Plan, Terms};
 use badgerfield_core::message::{Lack, Message, ParkItem};
 use badgerfield_core::refusal::Cause;
-use badgerfield_core::view::{Member, Standing, View};
+use badgerfield_core::view::View;
+use support::{at, budget, member};
 
 const ME: Incarnation = Incarnation(1);
 const HELD: Tokens = Tokens(100_000);
 
-fn budget() -> BudgetId {
-    "account/main".parse().expect("the name is valid")
-}
-
-fn at(millis: u64) -> Time {
-    Time::from_millis(millis)
-}
-
-fn member(id: u64) -> Member {
-    Member {
-        vm: format!("vm-{id}").parse().expect("the name is valid"),
-        incarnation: Incarnation(id),
-        region: "north".parse().expect("the name is valid"),
-        domain: "d".parse().expect("the name is valid"),
-        peer: ([127, 0, 0, 1], 1).into(),
-        caller: ([127, 0, 0, 1], 2).into(),
-        standing: Standing::Active,
-    }
-}
-
 /// Returns a view with so many members, of which this process is one.
 fn view(members: u64) -> View {
     let members: Vec<_> = (1..=members).map(member).collect();
--- a/crates/badgerfield-core/tests/waiting.rs
+++ b/crates/badgerfield-core/tests/waiting.rs
@@ -7,18 +7,21 @@
 //! left: `refused request=67 cause=budget_held run=not_run come_back_ms=5000` twelve times in one
 //! millisecond, 267 tokens set aside there, 100 of 133 free, and 101 more free 0.1 s later.
 
+mod support;
+
 use std::sync::Arc;
 
 use assert_matches::assert_matches;
 use badgerfield_core::Pacing;
-use badgerfield_core::amount::{Percent, Time, Tokens};
+use badgerfield_core::amount::{Percent, Tokens};
 use badgerfield_core::event::{Order, Outbox};
 use badgerfield_core::holdings::{Holdings, Reserved};
-use badgerfield_core::ids::{BudgetId, Epoch, Incarnation, Period, ReservationId, RunId, Version};
+use badgerfield_core::ids::{Epoch, Incarnation, Period, ReservationId, RunId, Version};
 use badgerfield_core::ledger::{LedgerReply, Plan, Terms};
 use badgerfield_core::message::{Ask, Lack, Message};
 use badgerfield_core::refusal::Cause;
-use badgerfield_core::view::{Member, Standing, View};
+use badgerfield_core::view::View;
+use support::{at, budget, member};
 
 const NEED: Tokens = Tokens(133);
 const USED: Tokens = Tokens(23);
@@ -26,26 +29,6 @@
 const BEFORE: u64 = 10;
 const OTHER: Incarnation = Incarnation(2);
 
-fn budget() -> BudgetId {
-    "account/main".parse().expect("the name is valid")
-}
-
-fn at(millis: u64) -> Time {
-    Time::from_millis(millis)
-}
-
-fn member(id: u64) -> Member {
-    Member {
-        vm: format!("vm-{id}").parse().expect("the name is valid"),
-        incarnation: Incarnation(id),
-        region: "north".parse().expect("the name is valid"),
-        domain: "d".parse().expect("the name is valid"),
-        peer: ([127, 0, 0, 1], 1).into(),
-        caller: ([127, 0, 0, 1], 2).into(),
-        standing: Standing::Active,
-    }
-}
-
 /// Makes one of two holders of a budget that is empty at the ledger. It has 67 tokens left beside
 /// what a request has set aside.
 fn holder() -> Holdings {
