--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -26,6 +26,7 @@
 
 use crate::adapter::{Adapter, KeyValue};
 use crate::callers::Outgoing;
+use crate::clock::{Clock, SystemClocks, VmClocks};
 use crate::follow;
 use crate::gateway::state::Gateway;
 use crate::http;
@@ -86,7 +87,7 @@
     pub(crate) node: Node,
     pub(crate) settings: Settings,
     pub(crate) metrics: Metrics,
-    started: Instant,
+    clock: Clock,
     pub(crate) store: Arc<dyn KeyValue>,
     gateway: Option<Arc<Gateway>>,
     reservations: Mutex<HashMap<ReservationId, ReservationAnswer>>,
@@ -107,6 +108,19 @@
     ///
     /// Fails if peers cannot be talked to, or the system gives no random bits.
     pub fn new(settings: Settings, adapter: Adapter) -> Result<Arc<Self>, StartError> {
+        Self::with_clocks(settings, adapter, Box::new(SystemClocks))
+    }
+
+    /// Prepares a process that goes by given clocks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if peers cannot be talked to, or the system gives no random bits.
+    pub fn with_clocks(
+        settings: Settings,
+        adapter: Adapter,
+        clocks: Box<dyn VmClocks>,
+    ) -> Result<Arc<Self>, StartError> {
         let incarnation = Incarnation(getrandom::u64()?);
         let seed = getrandom::u64()?;
         let peers = Peers::listen(settings.peers, &settings.secret, &settings.accepted)?;
@@ -145,7 +159,7 @@
         Ok(Arc::new(Self {
             node,
             metrics: Metrics::new(),
-            started: Instant::now(),
+            clock: Clock::new(clocks),
             store,
             gateway,
             reservations: Mutex::default(),
@@ -162,7 +176,7 @@
 
     /// Returns the present time.
     pub fn now(&self) -> Time {
-        Time(self.started.elapsed())
+        self.clock.now()
     }
 
     /// Hands over an event and carries out what comes of it.
--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -1,8 +1,8 @@
 //! The process around the decisions: sockets, clocks and randomness.
 //!
 //! A [`driver::Driver`] owns one [`badgerfield_core::Node`]. Whatever reads from a
-//! socket or a timer makes an event of it and hands it over; the orders that come back
-//! Requests on routes take a way of their own, told in [`gateway`]; what a platform
+//! socket or a timer makes an event of it and hands it over, with the time of its [`clock`], and
+//! carries out the orders that come back. Requests on routes take a way of their own, told in [`gateway`]; what a platform
 //! calls things is translated by an [`adapter`].
 //!
 //! The orders go to [`peers`] (QUIC between the system's processes), [`kv`] (the platform's
@@ -13,6 +13,7 @@
 pub mod adapter;
 pub mod callers;
 mod chat;
+pub mod clock;
 pub mod driver;
 mod evacuations;
 mod follow;
