Clock: the time of the process counts the spans in which its VM is suspended

Callers saw requests worked on for seconds after their time was over, and requests refused as ending upstreams that had done nothing. Cause: the time of the process and every deadline were read from the steady clock, which stands still while a VM is suspended, so that all ages came out too young on waking; and what broke off while the process stood still was taken for evidence against upstreams and requests.

One clock gives the time to all that decides, and counts suspension. Timers of the runtime do not, so the first tick after a suspension wakes all who wait for a time. A wait, a failure or an end of an upstream over a span in which the process stood still, suspended or held up, says nothing of the upstream, its version or the request.

Ruled out: putting the suspension into the runtime's timers (they offer no other clock).

--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use badgerfield_core::amount::Time;
 use badgerfield_core::event::{Answer, Bill, Dispatch, Note};
@@ -26,7 +26,7 @@
 
 use crate::adapter::{Adapter, KeyValue};
 use crate::callers::Outgoing;
-use crate::clock::{Clock, SystemClocks, VmClocks};
+use crate::clock::{Clock, StoodStill, SystemClocks, VmClocks};
 use crate::follow;
 use crate::gateway::state::Gateway;
 use crate::http;
@@ -87,13 +87,13 @@
     pub(crate) node: Node,
     pub(crate) settings: Settings,
     pub(crate) metrics: Metrics,
-    clock: Clock,
+    pub(crate) clock: Arc<Clock>,
     pub(crate) store: Arc<dyn KeyValue>,
     gateway: Option<Arc<Gateway>>,
     reservations: Mutex<HashMap<ReservationId, ReservationAnswer>>,
     next_reservation: AtomicU64,
     /// When the order to stop came.
-    stopped: watch::Sender<Option<tokio::time::Instant>>,
+    stopped: watch::Sender<Option<Time>>,
     peers: Arc<Peers>,
     upstreams: Upstreams,
     requests: Mutex<HashMap<RequestId, OpenRequest>>,
@@ -145,7 +145,9 @@
             seed,
         });
         let Adapter { store, routes } = adapter;
-        let gateway = routes.map(|routes| Arc::new(Gateway::new(routes, settings.retries)));
+        let clock = Arc::new(Clock::new(clocks));
+        let gateway = routes
+            .map(|routes| Arc::new(Gateway::new(routes, settings.retries, Arc::clone(&clock))));
         if let Some(gateway) = &gateway {
             let senders = settings.pacing.policy.warm_up_senders;
             gateway.replicas().set_warm_up_bound(settings.warm_up, senders);
@@ -159,7 +161,7 @@
         Ok(Arc::new(Self {
             node,
             metrics: Metrics::new(),
-            clock: Clock::new(clocks),
+            clock,
             store,
             gateway,
             reservations: Mutex::default(),
@@ -212,7 +214,7 @@
         if let Some(gateway) = &self.gateway {
             gateway.stop();
         }
-        self.stopped.send_replace(Some(tokio::time::Instant::now()));
+        self.stopped.send_replace(Some(self.now()));
         self.feed(Event::Serving(false));
         self.feed(Event::Stop);
     }
@@ -223,7 +225,7 @@
         // The sender lives as long as the driver.
         let at = stopped.wait_for(Option::is_some).await.ok().and_then(|at| *at);
         if let Some(at) = at {
-            tokio::time::sleep_until(at + span).await;
+            self.clock.sleep_until(at.after(span)).await;
         }
     }
 
@@ -232,7 +234,7 @@
     pub(crate) fn refuses_new(&self) -> bool {
         let grace = self.settings.gateway.map_or(Duration::ZERO, |gateway| gateway.grace);
         let stopped = *self.stopped.borrow();
-        stopped.is_some_and(|at| at.elapsed() >= grace * TAKING_PERCENT / 100)
+        stopped.is_some_and(|at| self.now().since(at) >= grace * TAKING_PERCENT / 100)
     }
 
     /// Returns the tables of requests on routes, if this process takes them.
@@ -477,23 +479,33 @@
 
     async fn tick(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(TICK);
-        let mut logged = Instant::now();
-        let mut told = Instant::now();
+        let mut logged = self.now();
+        let mut told = self.now();
         let mut count: u32 = 0;
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
+            if let Some(StoodStill { span, suspended }) = self.clock.tick() {
+                log::warn!(
+                    target: NODE,
+                    "stood still for_ms={} suspended_ms={}",
+                    span.as_millis(),
+                    suspended.as_millis()
+                );
+                count = 0;
+            }
             if count.is_multiple_of(CLOCK_TICKS) {
                 self.feed(Event::Clock(wall_clock()));
             }
             count = count.wrapping_add(1);
-            if logged.elapsed() >= store_calls::LOG_EVERY {
-                logged = Instant::now();
+            let now = self.now();
+            if now.since(logged) >= store_calls::LOG_EVERY {
+                logged = now;
                 self.metrics.calls.log();
                 self.metrics.messages.log();
             }
-            if told.elapsed() >= TELL_EVERY {
-                told = Instant::now();
+            if now.since(told) >= TELL_EVERY {
+                told = now;
                 self.tell_rollouts();
             }
             self.feed(Event::Tick);
@@ -519,7 +531,7 @@
                 }
                 None => log::warn!(target: PLATFORM, "no usable VM list from {uri}"),
             }
-            tokio::time::sleep(every).await;
+            self.clock.sleep(every).await;
         }
     }
 }
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -1,8 +1,9 @@
 //! Follows what the platform says: what operators write there, and the list of upstreams.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use badgerfield_core::amount::Time;
 use badgerfield_core::event::{KvCall, KvName, KvResult};
 use badgerfield_core::ids::Version;
 use badgerfield_core::replica_list::ReplicaChanges;
@@ -56,7 +57,7 @@
     loop {
         if !follows_templates(&driver) {
             after = 0;
-            tokio::time::sleep(pace(driver.node.version() == Version(0))).await;
+            driver.clock.sleep(pace(driver.node.version() == Version(0))).await;
             continue;
         }
         if after == 0 {
@@ -73,7 +74,7 @@
                     driver.feed(Event::Operators(found));
                 }
                 _ => {
-                    tokio::time::sleep(pause.next(&driver)).await;
+                    driver.clock.sleep(pause.next(&driver)).await;
                     continue;
                 }
             }
@@ -91,7 +92,7 @@
             }
             Watched::Lost => {
                 after = 0;
-                tokio::time::sleep(pause.next(&driver)).await;
+                driver.clock.sleep(pause.next(&driver)).await;
             }
         }
     }
@@ -104,31 +105,31 @@
 /// the time, so the watch is asked at a pace rather than again at once.
 pub(crate) async fn upstreams(driver: Arc<Driver>, gateway: Arc<Gateway>) {
     let every = driver.settings.platform.replicas_poll;
-    let mut away: Option<Instant> = None;
+    let mut away: Option<Time> = None;
     let mut pause = Pause::default();
     loop {
         if !is_on_duty(&driver) {
             refresh(&driver, &gateway);
             let is_new = gateway.replicas().is_empty();
-            tokio::time::sleep(pace(is_new)).await;
+            driver.clock.sleep(pace(is_new)).await;
             continue;
         }
         let Some(mut after) = read_list(&driver, &gateway, &mut away).await else {
-            let until = Instant::now() + pause.next(&driver);
-            while Instant::now() < until && is_on_duty(&driver) {
+            let until = driver.now().after(pause.next(&driver));
+            while driver.now() < until && is_on_duty(&driver) {
                 refresh(&driver, &gateway);
-                tokio::time::sleep(FIRST_PAUSE).await;
+                driver.clock.sleep(FIRST_PAUSE).await;
             }
             continue;
         };
         pause = Pause::default();
-        let read_at = tokio::time::Instant::now();
-        while read_at.elapsed() < every && is_on_duty(&driver) {
+        let until = driver.now().after(every);
+        while driver.now() < until && is_on_duty(&driver) {
             refresh(&driver, &gateway);
-            tokio::time::sleep(WATCH_PACE).await;
+            driver.clock.sleep(WATCH_PACE).await;
             driver.metrics.calls.count(CallKind::UpstreamsWatch);
             let watched = gateway.adapter.discovery.watch(after);
-            match tokio::time::timeout_at(read_at + every, watched).await {
+            match driver.clock.timeout_at(until, watched).await {
                 Ok(Watched::Changed(changes)) => {
                     after = after.max(changes.revision);
                     driver.learn_changes(changes);
@@ -154,7 +155,7 @@
 async fn read_list(
     driver: &Arc<Driver>,
     gateway: &Gateway,
-    away: &mut Option<Instant>,
+    away: &mut Option<Time>,
 ) -> Option<u64> {
     driver.metrics.calls.count(CallKind::UpstreamsRead);
     let list = match gateway.adapter.discovery.list().await {
@@ -162,13 +163,13 @@
         Err(error) => {
             if away.is_none() {
                 log::warn!(target: PLATFORM, "list of upstreams lost: {error}");
-                *away = Some(Instant::now());
+                *away = Some(driver.now());
             }
             return None;
         }
     };
     if let Some(since) = away.take() {
-        let away = since.elapsed().as_millis();
+        let away = driver.now().since(since).as_millis();
         log::info!(target: PLATFORM, "list of upstreams regained away_ms={away}");
     }
     let revision = list.revision;
--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use badgerfield_core::amount::Tokens;
+use badgerfield_core::amount::{Time, Tokens};
 use badgerfield_core::ids::Account;
 use badgerfield_core::mix::Size;
 use badgerfield_core::refusal::{Cause, Refusal};
@@ -14,7 +14,6 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, header};
-use tokio::time::Instant;
 
 use crate::adapter::RequestTerms;
 use crate::driver::Driver;
@@ -36,7 +35,7 @@
     driver: Arc<Driver>,
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
-    arrived: Instant,
+    arrived: Time,
     open: OpenRequest,
 ) -> Result<Exchange, NotAdmitted> {
     let in_force = gateway.in_force();
@@ -66,10 +65,10 @@
     record::admitted(&id, &route.name, account, in_force.version);
 
     let patience = terms.patience.unwrap_or(route.timeout).min(route.timeout);
-    let ends = arrived + patience;
+    let ends = arrived.after(patience);
     strip(&mut head.headers);
-    let body = read_body(body, table.limits().body, ends).await.map_err(&not_run)?;
-    let timing = Timing { body: arrived.elapsed(), ..Timing::default() };
+    let body = read_body(&driver, body, table.limits().body, ends).await.map_err(&not_run)?;
+    let timing = Timing { body: driver.now().since(arrived), ..Timing::default() };
 
     let original = Original { id: id.clone(), head, body };
     let fingerprint = suspicion::check(&driver, account_id, route, &terms, &original)
@@ -79,7 +78,7 @@
     let spec = table.service(&service).cloned().ok_or_else(|| not_run(Cause::NoUpstream))?;
     let objective = if route.objective.is_zero() { patience } else { route.objective };
     let wait = objective * driver.settings.pacing.policy.budget_wait / 100;
-    let until = ends.min(arrived + wait);
+    let until = ends.min(arrived.after(wait));
     let reservation = reserve(&driver, &terms, caller.as_ref(), until).await;
     let reservation = reservation.map_err(|refusal| (Some(id.clone()), refusal))?;
     driver.gateway_counts().admitted.inc();
@@ -103,6 +102,7 @@
         ends,
         tried: Vec::new(),
         attempts: 0,
+        sent: arrived,
         may_have_run: false,
         unseen: false,
         fingerprint,
@@ -165,8 +165,13 @@
     Ok(Some(caller.clone()))
 }
 
-async fn read_body(body: Incoming, limit: usize, ends: Instant) -> Result<Bytes, Cause> {
-    let whole = tokio::time::timeout_at(ends, Limited::new(body, limit).collect()).await;
+async fn read_body(
+    driver: &Driver,
+    body: Incoming,
+    limit: usize,
+    ends: Time,
+) -> Result<Bytes, Cause> {
+    let whole = driver.clock.timeout_at(ends, Limited::new(body, limit).collect()).await;
     match whole {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Cause::BodyTooLarge),
@@ -180,7 +185,7 @@
     driver: &Arc<Driver>,
     terms: &RequestTerms,
     caller: Option<&Caller>,
-    until: Instant,
+    until: Time,
 ) -> Result<Option<Reservation>, Refusal> {
     let Some(caller) = caller.filter(|caller| caller.limit.is_some()) else {
         return Ok(None);
@@ -189,10 +194,10 @@
         return Ok(None);
     };
     let amount = Tokens(prompt.saturating_add(output));
-    let started = Instant::now();
-    let until = driver.now().after(until.saturating_duration_since(started));
+    let started = driver.now();
     let result = Reservation::make(driver, &caller.budget, amount, until).await;
+    let took = driver.now().since(started);
     let outcome = result.as_ref().map(|_| ());
-    record::reserved(&terms.id, caller.budget.as_str(), amount.0, started.elapsed(), outcome);
+    record::reserved(&terms.id, caller.budget.as_str(), amount.0, took, outcome);
     result.map(Some)
 }
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use badgerfield_core::amount::Time;
 use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::replicas::Health;
 use badgerfield_core::routing::Route;
@@ -13,7 +14,6 @@
 use hyper::header::HeaderName;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Request, StatusCode, header};
-use tokio::time::Instant;
 
 use crate::adapter::{CallTerms, Verdict};
 use crate::driver::Driver;
@@ -98,6 +98,8 @@
     gateway: Arc<Gateway>,
     pub(crate) id: UpstreamId,
     pub(crate) address: SocketAddr,
+    /// When the request was handed to it.
+    sent: Time,
     health: Health,
     connection: Option<Connection>,
     keep: Option<Duration>,
@@ -112,7 +114,7 @@
 /// A wait for the first event of an engine's answer.
 #[derive(Debug, Clone, Copy)]
 struct Wait {
-    since: Instant,
+    since: Time,
     /// The prompt tokens that the engine is expected to read first.
     unread: u64,
 }
@@ -126,17 +128,19 @@
         unread: Option<u64>,
         route: &Arc<Route>,
     ) -> Self {
+        let now = driver.now();
         Self {
             driver: Arc::clone(driver),
             gateway: Arc::clone(gateway),
             id: id.clone(),
             address,
+            sent: now,
             health: Health::Unknown,
             connection: None,
             keep: None,
             closes: false,
-            wait: unread.map(|unread| Wait { since: Instant::now(), unread }),
-            trial: gateway.rolls_out().then(|| Trial::new(id, route, unread.unwrap_or(0))),
+            wait: unread.map(|unread| Wait { since: now, unread }),
+            trial: gateway.rolls_out().then(|| Trial::new(now, id, route, unread.unwrap_or(0))),
         }
     }
 
@@ -174,7 +178,9 @@
 
     fn tell_wait(&self, wait: Wait) {
         let now = self.driver.now();
-        self.gateway.replicas().waited(now, &self.id, wait.since.elapsed(), wait.unread);
+        if !self.gateway.clock.stood_still_since(wait.since) {
+            self.gateway.replicas().waited(now, &self.id, now.since(wait.since), wait.unread);
+        }
     }
 
     /// Finds out whether the upstream was evacuated or has begun to leave while a connection
@@ -209,8 +215,12 @@
             self.tell_wait(wait);
         }
         self.tell_trial(Trial::note_end);
+        // What a process that stood still takes for silence may be its own.
+        let is_unsure =
+            self.health == Health::Failed && self.gateway.clock.stood_still_since(self.sent);
+        let health = if is_unsure { Health::Unknown } else { self.health };
         let now = self.driver.now();
-        self.gateway.replicas().end(now, &self.id, self.health);
+        self.gateway.replicas().end(now, &self.id, health);
     }
 }
 
--- a/crates/badgerfield-node/src/gateway/connections.rs
+++ b/crates/badgerfield-node/src/gateway/connections.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use badgerfield_core::amount::Time;
 use badgerfield_core::ids::UpstreamId;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -15,8 +16,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
 
+use crate::clock::Clock;
 use crate::sync::lock;
 
 /// How long a connection may take to open.
@@ -128,16 +129,21 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
-    until: Instant,
+    until: Time,
 }
 
 /// The idle connections to all upstreams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Connections {
+    clock: Arc<Clock>,
     idle: Mutex<HashMap<UpstreamId, Vec<Idle>>>,
 }
 
 impl Connections {
+    pub(crate) fn new(clock: Arc<Clock>) -> Self {
+        Self { clock, idle: Mutex::default() }
+    }
+
     /// Takes an idle connection to an upstream, or opens one.
     pub(crate) async fn take(
         &self,
@@ -197,7 +203,7 @@
     fn take_idle(&self, id: &UpstreamId) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         let line = idle.get_mut(id)?;
-        let now = Instant::now();
+        let now = self.clock.now();
         while let Some(mut last) = line.pop() {
             if last.until <= now || last.connection.sender.is_closed() {
                 continue;
@@ -227,7 +233,7 @@
             if !connection.is_clean().await {
                 return;
             }
-            let until = Instant::now() + span;
+            let until = connections.clock.now().after(span);
             let mut idle = lock(&connections.idle);
             idle.entry(id).or_default().push(Idle { connection, until });
         });
@@ -243,7 +249,7 @@
 
     /// Closes connections that were idle for too long, and those to upstreams that are gone.
     pub(crate) fn sweep(&self, wanted: impl Fn(&UpstreamId) -> bool) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = lock(&self.idle);
         idle.retain(|id, line| {
             line.retain(|i| i.until > now && !i.connection.sender.is_closed());
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -30,7 +30,6 @@
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode, header};
 use thiserror::Error;
-use tokio::time::Instant;
 
 use crate::adapter::{CallTerms, RequestTerms};
 use crate::driver::Driver;
@@ -84,10 +83,12 @@
     pub(super) caller: Option<Caller>,
     /// What bound it when it was let in.
     pub(super) admission: Admission,
-    pub(super) arrived: Instant,
-    pub(super) ends: Instant,
+    pub(super) arrived: Time,
+    pub(super) ends: Time,
     pub(super) tried: Vec<UpstreamId>,
     pub(super) attempts: u32,
+    /// When it was sent to an upstream last.
+    pub(super) sent: Time,
     pub(super) may_have_run: bool,
     /// Whether an upstream may have made more of an answer than is known here.
     pub(super) unseen: bool,
@@ -121,14 +122,15 @@
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let arrived = Instant::now();
+    let arrived = driver.now();
     let open = gateway.open();
     let stopping = gateway.is_stopping();
-    let mut response = match admit(driver, gateway, request, arrived, open).await {
+    let admitted = admit(Arc::clone(&driver), gateway, request, arrived, open).await;
+    let mut response = match admitted {
         Ok(exchange) => run(exchange).await,
         Err((id, refusal)) => {
             let id = id.as_deref().unwrap_or("-");
-            end_refused(id, &refusal, 0, None, arrived);
+            end_refused(id, &refusal, 0, None, driver.now().since(arrived));
             refuse(&refusal)
         }
     };
@@ -163,7 +165,7 @@
                     exchange.attempts,
                     &upstream,
                     why,
-                    exchange.arrived.elapsed(),
+                    exchange.took(),
                 );
                 if !exchange.route.repeat.is_idempotent() {
                     return exchange.refuse(&Refusal::unknown(Cause::BrokenOff));
@@ -179,8 +181,13 @@
         self.driver.now()
     }
 
+    /// Returns how long ago the request came.
+    pub(crate) fn took(&self) -> Duration {
+        self.now().since(self.arrived)
+    }
+
     /// Returns when the request must have its final answer.
-    pub(crate) fn ends(&self) -> Instant {
+    pub(crate) fn ends(&self) -> Time {
         self.ends
     }
 
@@ -197,7 +204,7 @@
     pub(crate) async fn dispatch(&mut self, last: Option<u64>) -> Result<Box<Answered>, Refusal> {
         let mut unreachable = 0;
         loop {
-            let left = self.ends.saturating_duration_since(Instant::now());
+            let left = self.ends.since(self.now());
             if left < LEAST_TIME {
                 return Err(self.give_up(Cause::OutOfTime));
             }
@@ -225,9 +232,9 @@
                 last_event: last,
                 fetch: None,
             };
-            let started = Instant::now();
+            self.sent = now;
             self.unread = chosen.unread.saturating_add(self.own_tokens());
-            self.timing.note_sent(self.arrived.elapsed());
+            self.timing.note_sent(self.took());
             // Only engines read prompts; what waits elsewhere is counted as under way.
             let reading = self.spec.engine.as_ref().map(|_| self.unread);
             let (driver, gateway) = (&self.driver, &self.gateway);
@@ -239,9 +246,9 @@
                 AttemptEnd::Answered(answered) => {
                     self.attempts += 1;
                     self.may_have_run = true;
-                    self.timing.head = Some(self.arrived.elapsed());
+                    self.timing.head = Some(self.took());
                     self.version.clone_from(&chosen.version);
-                    self.note_answered(&chosen.id, started.elapsed());
+                    self.note_answered(&chosen.id, self.now().since(now));
                     if answered.head.status.is_server_error() && self.may_try_again(vms) {
                         let mut answered = answered;
                         answered.hold.note_failed();
@@ -271,9 +278,9 @@
                 }
             };
             let id = &self.original.id;
-            record::attempt_failed(id, self.attempts, &chosen.id, outcome, started.elapsed());
+            record::attempt_failed(id, self.attempts, &chosen.id, outcome, self.now().since(now));
             if self.may_have_run && !self.route.repeat.is_idempotent() {
-                let late = self.ends <= Instant::now();
+                let late = self.ends <= self.now();
                 return Err(self.give_up(if late { Cause::OutOfTime } else { Cause::BrokenOff }));
             }
         }
@@ -342,18 +349,24 @@
     /// upstream's queue, and is served late. Giving up without that cost 276 of 326 streams their
     /// answer where few upstreams were left, and their budgets 4.4 million tokens.
     async fn until_given_up(&self, left: Duration, resumes: bool) {
-        let (started, tries) = (Instant::now(), self.attempts + 1);
-        let ends = started + left;
+        let (started, tries) = (self.now(), self.attempts + 1);
+        let ends = started.after(left);
         let patience = self.route.objective.saturating_mul(PATIENCE);
         let looks = self.route.repeat.is_idempotent() && !patience.is_zero();
-        while looks && Instant::now() + patience < ends {
-            tokio::time::sleep(patience).await;
+        while looks && self.now().after(patience) < ends {
+            let since = self.now();
+            self.driver.clock.sleep(patience).await;
+            if self.driver.clock.stood_still_since(since) {
+                // The upstream may have answered, and was not heard.
+                continue;
+            }
             if self.has_another(tries, resumes) {
                 return;
             }
-            record::waits_on(&self.original.id, tries, self.tried.last(), started.elapsed());
+            let silent = self.now().since(started);
+            record::waits_on(&self.original.id, tries, self.tried.last(), silent);
         }
-        tokio::time::sleep_until(ends).await;
+        self.driver.clock.sleep_until(ends).await;
     }
 
     /// Tells whether another upstream can be tried now, after so many tries.
@@ -396,7 +409,7 @@
     ) -> Result<(response::Parts, Bytes), &'static str> {
         let Answered { head, body, mut hold, .. } = *answered;
         let whole = Limited::new(body, MAX_PLAIN).collect();
-        match tokio::time::timeout_at(self.ends, whole).await {
+        match self.driver.clock.timeout_at(self.ends, whole).await {
             Ok(Ok(whole)) => {
                 if head.status.is_server_error() {
                     hold.note_failed();
@@ -466,14 +479,14 @@
         self.ended = true;
         let reservation = self.reservation.as_ref();
         let tokens = reservation.map_or((0, 0), |r| (r.reserved().0, r.spent().0));
-        self.driver.gateway_counts().count_end(outcome, self.arrived.elapsed());
+        self.driver.gateway_counts().count_end(outcome, self.took());
         record::ended(&record::End {
             id: &self.original.id,
             outcome,
             status,
             attempts: self.attempts,
             upstream,
-            took: self.arrived.elapsed(),
+            took: self.took(),
             events,
             tokens,
             timing: self.timing,
@@ -520,7 +533,7 @@
 
     /// Notes that events came from an upstream.
     pub(crate) fn note_events(&mut self) {
-        self.timing.note_events(self.arrived.elapsed());
+        self.timing.note_events(self.took());
     }
 }
 
--- a/crates/badgerfield-node/src/gateway/listener.rs
+++ b/crates/badgerfield-node/src/gateway/listener.rs
@@ -5,12 +5,12 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use badgerfield_core::amount::Time;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
-use tokio::time::Instant;
 
 use crate::callers::listen;
 use crate::driver::{Driver, StartError};
@@ -65,34 +65,31 @@
 /// What is known of one connection's use.
 #[derive(Debug)]
 struct Use {
-    started: Instant,
+    started: Time,
     open: AtomicUsize,
     /// When the last request ended, in milliseconds after the start.
     last: AtomicU64,
 }
 
 impl Use {
-    fn note(&self) {
-        let millis = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    fn note(&self, now: Time) {
+        let millis = u64::try_from(now.since(self.started).as_millis()).unwrap_or(u64::MAX);
         self.last.store(millis, Ordering::Relaxed);
     }
 
     /// Returns when the connection has rested for too long, if nothing comes.
-    fn rests_until(&self, idle: Duration) -> Instant {
+    fn rests_until(&self, now: Time, idle: Duration) -> Time {
         if self.open.load(Ordering::Relaxed) > 0 {
-            return Instant::now() + idle;
+            return now.after(idle);
         }
-        self.started + Duration::from_millis(self.last.load(Ordering::Relaxed)) + idle
+        self.started.after(Duration::from_millis(self.last.load(Ordering::Relaxed))).after(idle)
     }
 }
 
 async fn connection(driver: Arc<Driver>, gateway: Arc<Gateway>, stream: TcpStream) {
     guard(&stream);
-    let used = Arc::new(Use {
-        started: Instant::now(),
-        open: AtomicUsize::new(0),
-        last: AtomicU64::new(0),
-    });
+    let used =
+        Arc::new(Use { started: driver.now(), open: AtomicUsize::new(0), last: AtomicU64::new(0) });
     let limits = gateway.in_force().table.limits();
     let service = {
         let (driver, gateway, used) =
@@ -102,9 +99,9 @@
             let used = Arc::clone(&used);
             async move {
                 used.open.fetch_add(1, Ordering::Relaxed);
-                let response = flow::serve(driver, gateway, request).await;
+                let response = flow::serve(Arc::clone(&driver), gateway, request).await;
                 used.open.fetch_sub(1, Ordering::Relaxed);
-                used.note();
+                used.note(driver.now());
                 Ok::<_, Infallible>(response)
             }
         })
@@ -115,13 +112,14 @@
     let mut served = std::pin::pin!(served);
     loop {
         let idle = gateway.in_force().table.limits().idle;
-        let rests_until = used.rests_until(idle);
+        let rests_until = used.rests_until(driver.now(), idle);
         tokio::select! {
             // How a connection ends matters to its requests only.
             _ = &mut served => return,
             () = driver.lingered(LINGER) => break,
-            () = tokio::time::sleep_until(rests_until) => {
-                if used.rests_until(idle) <= Instant::now() {
+            () = driver.clock.sleep_until(rests_until) => {
+                let now = driver.now();
+                if used.rests_until(now, idle) <= now {
                     break;
                 }
             }
--- a/crates/badgerfield-node/src/gateway/refusals.rs
+++ b/crates/badgerfield-node/src/gateway/refusals.rs
@@ -1,12 +1,13 @@
 //! The answers of refusals.
 
+use std::time::Duration;
+
 use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::refusal::{Outcome, Refusal};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Response, StatusCode, header};
 use serde_json::json;
-use tokio::time::Instant;
 
 use crate::gateway::flow::AnswerBody;
 use crate::gateway::record::{self, Timing};
@@ -17,7 +18,7 @@
     refusal: &Refusal,
     attempts: u32,
     upstream: Option<&UpstreamId>,
-    arrived: Instant,
+    took: Duration,
 ) {
     record::ended(&record::End {
         id,
@@ -25,7 +26,7 @@
         status: refusal.cause.status(),
         attempts,
         upstream,
-        took: arrived.elapsed(),
+        took,
         events: 0,
         tokens: (0, 0),
         timing: Timing::default(),
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -1,7 +1,7 @@
 //! Passes a streamed answer on, event by event, and lets it go on at another upstream
 //! where the route allows that.
 
-use badgerfield_core::amount::Tokens;
+use badgerfield_core::amount::{Time, Tokens};
 use badgerfield_core::event_stream::{EventScanner, MAX_EVENT};
 use badgerfield_core::replicas::Health;
 use bytes::Bytes;
@@ -9,7 +9,6 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
-use tokio::time::Instant;
 
 use crate::gateway::attempt::{Answered, BLOCKED, BROKEN, SILENT, UpstreamHold};
 use crate::gateway::flow::{AnswerBody, BrokenOff, Exchange, UNDER_WAY};
@@ -114,16 +113,18 @@
 
     /// Waits for the upstream.
     async fn step(&mut self) -> Step {
-        let (started, ends) = (Instant::now(), self.exchange.ends());
+        let (started, ends) = (self.exchange.now(), self.exchange.ends());
         loop {
-            let until = self.patience().min(ends);
+            let since = self.exchange.now();
+            let until = self.patience(since).min(ends);
             let Some(source) = self.source.as_mut() else {
                 return Step::Broken("no_upstream");
             };
             let upstream = &source.hold.id;
-            let frame = tokio::time::timeout_at(until, source.body.frame());
-            let waits = !source.has_begun;
             let exchange = &self.exchange;
+            let clock = &exchange.driver.clock;
+            let frame = clock.timeout_at(until, source.body.frame());
+            let waits = !source.has_begun;
             let blocked = async move {
                 if waits {
                     exchange.until_blocked().await;
@@ -140,27 +141,30 @@
                 Ok(Some(Ok(frame))) => Step::Data(frame.into_data().unwrap_or_default()),
                 Ok(Some(Err(_))) => Step::Broken(BROKEN),
                 Ok(None) => Step::End,
-                Err(_) if until >= ends => Step::OutOfTime,
+                Err(_) if exchange.now() >= ends => Step::OutOfTime,
+                // The upstream may have gone on, and was not heard.
+                Err(_) if clock.stood_still_since(since) => continue,
                 Err(_) if exchange.has_another(exchange.attempts, true) => Step::Broken(SILENT),
                 Err(_) => {
                     // It may go on yet, and nobody else can.
                     let (id, tries) = (&exchange.original.id, exchange.attempts);
-                    record::waits_on(id, tries, Some(upstream), started.elapsed());
+                    let silent = exchange.now().since(started);
+                    record::waits_on(id, tries, Some(upstream), silent);
                     continue;
                 }
             };
         }
     }
 
-    /// Returns until when the next bytes of this upstream are waited for.
-    fn patience(&self) -> Instant {
+    /// Returns until when the next bytes of this upstream are waited for, from now on.
+    fn patience(&self, now: Time) -> Time {
         let ends = self.exchange.ends();
         let route = &self.exchange.route;
         let Some(pause) = route.pause.filter(|_| self.resumes()) else {
             return ends;
         };
         let span = if self.scanner.events() == 0 { route.objective.max(pause) } else { pause };
-        Instant::now() + span.saturating_mul(PATIENCE)
+        now.after(span.saturating_mul(PATIENCE))
     }
 
     fn resumes(&self) -> bool {
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use crate::adapter::RouteAdapter;
+use crate::clock::Clock;
 use crate::gateway::connections::Connections;
 use crate::sync::lock;
 
@@ -30,6 +31,7 @@
 pub(crate) struct Gateway {
     pub(crate) adapter: RouteAdapter,
     pub(crate) connections: Arc<Connections>,
+    pub(crate) clock: Arc<Clock>,
     routes: Mutex<InForce>,
     replicas: Mutex<Replicas>,
     retries: Mutex<RetryBudget>,
@@ -46,10 +48,11 @@
 }
 
 impl Gateway {
-    pub(crate) fn new(adapter: RouteAdapter, bound: RetryBound) -> Self {
+    pub(crate) fn new(adapter: RouteAdapter, bound: RetryBound, clock: Arc<Clock>) -> Self {
         Self {
             adapter,
-            connections: Arc::default(),
+            connections: Arc::new(Connections::new(Arc::clone(&clock))),
+            clock,
             routes: Mutex::default(),
             replicas: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(bound)),
--- a/crates/badgerfield-node/src/gateway/suspicion.rs
+++ b/crates/badgerfield-node/src/gateway/suspicion.rs
@@ -119,6 +119,11 @@
         address: SocketAddr,
         last: Option<u64>,
     ) -> bool {
+        // An upstream that came to a planned end while this process stood still is as silent as
+        // one that ended under the request.
+        if self.driver.clock.stood_still_since(self.sent) {
+            return false;
+        }
         let account = self.caller.as_ref().map(|caller| &caller.account);
         let crash = || Crash::seen(self.fingerprint(), account, upstream, last.unwrap_or(0));
         let connections = &self.gateway.connections;
