Flow: an upstream that ends in the middle of a plain answer is noticed

Callers of plain routes saw 502 again and again while one upstream after the other ended under the same request: 8 of 8, where 2 may. Only a try without the head of an answer, or a stream, was followed by the question whether the upstream has ended; a plain answer that broke off after its head was not. Now every connection that breaks under a request is.

--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -151,7 +151,7 @@
         if exchange.route.repeat.is_stream() && answered.head.status.is_success() {
             return relay::start(exchange, answered);
         }
-        let upstream = answered.hold.id.clone();
+        let (upstream, address) = (answered.hold.id.clone(), answered.hold.address);
         match exchange.collect(answered).await {
             Ok((head, body)) => {
                 exchange.note_whole();
@@ -160,6 +160,10 @@
                 return Response::from_parts(head, body);
             }
             Err(why) => {
+                // What makes an upstream end may do so in the middle of an answer, too.
+                let has_ended =
+                    why == BROKEN && exchange.note_broken(&upstream, address, None).await;
+                exchange.unseen |= !has_ended;
                 record::attempt_failed(
                     &exchange.original.id,
                     exchange.attempts,
@@ -421,7 +425,7 @@
             }
             Ok(Err(_)) => {
                 hold.note_failed();
-                Err("broken")
+                Err(BROKEN)
             }
             Err(_) => {
                 hold.note_failed();
