Relay, flow: an answer that its connection ends is asked whether its upstream ended with it

Where neither a length nor chunks tell the end of an answer, a process that ends closes its connection like one that is done. Such an answer is now followed by the question whether anybody listens at the address; if nobody does the answer is cut, and the end counts. Answers with a length or chunks are not asked about.

--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -57,6 +57,8 @@
 pub(crate) const BLOCKED: &str = "blocked";
 /// How a try ends whose connection broke.
 pub(crate) const BROKEN: &str = "broken";
+/// How a try ends whose connection closed in good order before the answer was whole.
+pub(crate) const CUT: &str = "cut";
 /// How a try ends whose upstream said nothing for too long.
 pub(crate) const SILENT: &str = "silent";
 
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -34,7 +34,7 @@
 use crate::adapter::{CallTerms, RequestTerms};
 use crate::driver::Driver;
 use crate::gateway::admit::admit;
-use crate::gateway::attempt::{Answered, AttemptEnd, BROKEN, Original, UpstreamHold, attempt};
+use crate::gateway::attempt::{Answered, AttemptEnd, BROKEN, CUT, Original, UpstreamHold, attempt};
 use crate::gateway::record::{self, Timing};
 use crate::gateway::refusals::{end_refused, refuse};
 use crate::gateway::relay;
@@ -161,8 +161,8 @@
             }
             Err(why) => {
                 // What makes an upstream end may do so in the middle of an answer, too.
-                let has_ended =
-                    why == BROKEN && exchange.note_broken(&upstream, address, None).await;
+                let has_ended = why == CUT
+                    || (why == BROKEN && exchange.note_broken(&upstream, address, None).await);
                 exchange.unseen |= !has_ended;
                 record::attempt_failed(
                     &exchange.original.id,
@@ -411,9 +411,15 @@
         &mut self,
         answered: Box<Answered>,
     ) -> Result<(response::Parts, Bytes), &'static str> {
-        let Answered { head, body, mut hold, .. } = *answered;
+        let Answered { head, body, framed, mut hold } = *answered;
         let whole = Limited::new(body, MAX_PLAIN).collect();
         match self.driver.clock.timeout_at(self.ends, whole).await {
+            // Where only the connection tells where the body ends, an upstream that ends cuts it off
+            // in good order.
+            Ok(Ok(_)) if !framed && self.note_broken(&hold.id, hold.address, None).await => {
+                hold.note_failed();
+                Err(CUT)
+            }
             Ok(Ok(whole)) => {
                 if head.status.is_server_error() {
                     hold.note_failed();
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -10,16 +10,13 @@
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
 
-use crate::gateway::attempt::{Answered, BLOCKED, BROKEN, SILENT, UpstreamHold};
+use crate::gateway::attempt::{Answered, BLOCKED, BROKEN, CUT, SILENT, UpstreamHold};
 use crate::gateway::flow::{AnswerBody, BrokenOff, Exchange, UNDER_WAY};
 use crate::gateway::record;
 
 /// How many times the wanted pause a resumable stream waits for one upstream.
 const PATIENCE: u32 = 4;
 
-/// How an answer ends whose connection closed before it was whole.
-const CUT: &str = "cut";
-
 /// A stream on its way to the caller.
 #[derive(Debug)]
 struct Relay {
@@ -86,15 +83,15 @@
                     self.count(0);
                     return Some(Ok(whole));
                 }
-                Step::End if self.scanner.rest().is_empty() => {
-                    self.finish();
-                    return None;
-                }
                 // The upstream said that its answer is whole, whatever its form.
                 Step::End if self.source.as_ref().is_some_and(|source| source.framed) => {
                     let rest = self.scanner.take_rest();
                     self.finish();
-                    return Some(Ok(rest));
+                    return (!rest.is_empty()).then_some(Ok(rest));
+                }
+                Step::End if self.scanner.rest().is_empty() && !self.ends_with_upstream().await => {
+                    self.finish();
+                    return None;
                 }
                 Step::End => {
                     if let Some(broken) = self.go_on(CUT).await {
@@ -171,6 +168,15 @@
         self.exchange.route.repeat.is_idempotent() && self.exchange.has_tries()
     }
 
+    /// Tells whether an answer whose end only its connection tells ended because its upstream did.
+    async fn ends_with_upstream(&self) -> bool {
+        let Some(source) = &self.source else {
+            return false;
+        };
+        let (id, address) = (&source.hold.id, source.hold.address);
+        self.exchange.note_broken(id, address, self.scanner.last()).await
+    }
+
     /// Goes on at another upstream; returns the end of the answer if that cannot be.
     async fn go_on(&mut self, why: &'static str) -> Option<Result<Bytes, BrokenOff>> {
         let Some(mut source) = self.source.take() else {
