Poison: an upstream that is back under its id and ends again counts again

An end was known by its upstream's id alone, so that a second one of the same upstream counted as the first told twice, and one after a whole answer as cleared. Whoever sends a request now notes how often the upstream was known to have ended under it before; with that number an end names a process. It rests on no clock and on nothing that a list of upstreams may not tell; two senders that had not heard of an end yet name the same process, and the end counts once.

--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -250,6 +250,12 @@
         self.board.poison().standing(now, request)
     }
 
+    /// Returns how often an upstream is known to have ended under a request.
+    #[must_use]
+    pub fn ends_under(&self, request: Fingerprint, upstream: &UpstreamId) -> u32 {
+        self.board.poison().ends_of(request, upstream)
+    }
+
     /// Returns who may send to cold upstreams by the view in force.
     #[must_use]
     pub fn senders(&self) -> Senders {
--- a/crates/badgerfield-core/src/poison/table.rs
+++ b/crates/badgerfield-core/src/poison/table.rs
@@ -40,6 +40,10 @@
     pub account: u64,
     /// The upstream.
     pub upstream: UpstreamId,
+    /// How often it was known to have ended under this request when the request was sent to it: one
+    /// that is back, and ends again, has ended twice.
+    #[serde(default)]
+    pub life: u32,
     /// How many events of the answer the caller had.
     pub point: u64,
     /// Whether the request was served whole since.
@@ -59,7 +63,18 @@
     ) -> Self {
         let account = account.map_or(0, |account| xxh3_64(account.as_str().as_bytes()));
         let upstream = upstream.clone();
-        Self { request, account, upstream, point, cleared: false, age: Duration::ZERO }
+        Self { request, account, upstream, life: 0, point, cleared: false, age: Duration::ZERO }
+    }
+
+    /// Says how often the upstream was known to have ended under the request when that was sent.
+    #[must_use]
+    pub fn in_life(self, life: u32) -> Self {
+        Self { life, ..self }
+    }
+
+    /// Names the process that ended.
+    fn process(&self) -> (&UpstreamId, u32) {
+        (&self.upstream, self.life)
     }
 }
 
@@ -89,6 +104,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Known {
     upstream: UpstreamId,
+    life: u32,
     point: u64,
     cleared: bool,
     /// Until when it is held against the request. A crash may be older than this process.
@@ -98,6 +114,10 @@
 }
 
 impl Known {
+    fn process(&self) -> (&UpstreamId, u32) {
+        (&self.upstream, self.life)
+    }
+
     fn age(&self, now: Time) -> Duration {
         KEEP.saturating_sub(self.until.since(now))
     }
@@ -127,17 +147,18 @@
 
     /// Takes in a crash; tells whether it was news.
     fn take(&mut self, now: Time, crash: &Crash) -> bool {
-        let known = self.crashes.iter_mut().find(|known| known.upstream == crash.upstream);
+        let known = self.crashes.iter_mut().find(|known| known.process() == crash.process());
         if let Some(known) = known {
             let clears = crash.cleared && !known.cleared;
             known.cleared |= crash.cleared;
             return clears;
         }
-        if !self.make_room(&crash.upstream) {
+        if !self.make_room(crash.process()) {
             return false;
         }
         self.crashes.push(Known {
             upstream: crash.upstream.clone(),
+            life: crash.life,
             point: crash.point,
             cleared: crash.cleared,
             until: now.after(KEEP.saturating_sub(crash.age)),
@@ -146,14 +167,14 @@
         true
     }
 
-    /// Drops the crash of another upstream if there are too many; tells whether there is room for
-    /// one of this upstream.
-    fn make_room(&mut self, upstream: &UpstreamId) -> bool {
+    /// Drops the crash of another process if there are too many; tells whether there is room for
+    /// one of this process.
+    fn make_room(&mut self, process: (&UpstreamId, u32)) -> bool {
         if self.crashes.len() < MAX_CRASHES {
             return true;
         }
-        let last = (0..self.crashes.len()).max_by_key(|n| &self.crashes[*n].upstream);
-        let last = last.filter(|n| self.crashes[*n].upstream > *upstream);
+        let last = (0..self.crashes.len()).max_by_key(|n| self.crashes[*n].process());
+        let last = last.filter(|n| self.crashes[*n].process() > process);
         if let Some(n) = last {
             self.crashes.remove(n);
         }
@@ -170,6 +191,7 @@
             request,
             account: self.account,
             upstream: known.upstream.clone(),
+            life: known.life,
             point: known.point,
             cleared: known.cleared,
             age: known.age(now),
@@ -214,12 +236,24 @@
         Standing::Blocked { upstreams, age, left: KEEP.saturating_sub(age) }
     }
 
+    /// Returns how often an upstream is known to have ended under a request.
+    #[must_use]
+    pub fn ends_of(&self, request: Fingerprint, upstream: &UpstreamId) -> u32 {
+        let known = self.records.get(&request).into_iter().flat_map(|record| &record.crashes);
+        let lives = known
+            .filter(|known| known.upstream == *upstream)
+            .map(|known| known.life.saturating_add(1));
+        lives.max().unwrap_or(0)
+    }
+
     /// Takes in a crash that this process saw; returns what [`Poison::learn`] does.
     pub fn saw(&mut self, now: Time, crash: Crash) -> Vec<(Crash, bool)> {
-        let (request, upstream) = (crash.request, crash.upstream.clone());
+        let (request, upstream, life) = (crash.request, crash.upstream.clone(), crash.life);
         let news = self.learn(now, vec![crash]);
         let record = self.records.get_mut(&request).into_iter();
-        for known in record.flat_map(|r| &mut r.crashes).filter(|k| k.upstream == upstream) {
+        for known in
+            record.flat_map(|r| &mut r.crashes).filter(|k| k.process() == (&upstream, life))
+        {
             known.here = true;
         }
         news
@@ -304,7 +338,7 @@
         let all = self.blocked(now).into_iter().chain(spoken);
         let is_news = |crash: &Crash| !theirs.iter().any(|known| says(known, crash));
         let mut more: Vec<_> = all.filter(is_news).collect();
-        more.sort_by(|a, b| (a.request, &a.upstream).cmp(&(b.request, &b.upstream)));
+        more.sort_by(|a, b| (a.request, a.process()).cmp(&(b.request, b.process())));
         more.dedup_by(|a, b| says(a, b));
         more
     }
@@ -345,11 +379,11 @@
 /// Tells whether one says all that the other does.
 fn says(one: &Crash, other: &Crash) -> bool {
     one.request == other.request
-        && one.upstream == other.upstream
+        && one.process() == other.process()
         && (one.cleared || !other.cleared)
 }
 
 fn digest_of(crash: &Crash) -> u64 {
-    let seed = crash.request.number() ^ u64::from(crash.cleared);
+    let seed = crash.request.number() ^ u64::from(crash.cleared) ^ (u64::from(crash.life) << 32);
     xxh3_64_with_seed(crash.upstream.as_str().as_bytes(), seed)
 }
--- a/crates/badgerfield-core/tests/poison.rs
+++ b/crates/badgerfield-core/tests/poison.rs
@@ -69,6 +69,34 @@
     );
 }
 
+#[test]
+fn an_upstream_that_is_back_and_ends_again_counts_again() {
+    let mut table = Poison::default();
+    assert_eq!(table.ends_of(request("q"), &upstream(1)), 0);
+    table.learn(NOW, vec![crash("q", 1, 0)]);
+    assert_eq!(table.ends_of(request("q"), &upstream(1)), 1);
+    assert_eq!(table.ends_of(request("q"), &upstream(2)), 0);
+    // Whoever was there as well, and had not heard of it, saw the same end.
+    assert!(table.learn(NOW, vec![crash("q", 1, 2)]).is_empty());
+    let news = table.learn(NOW, vec![crash("q", 1, 0).in_life(1)]);
+    assert_matches!(news.as_slice(), [(_, true)]);
+}
+
+#[test]
+fn an_end_after_one_that_was_cleared_counts() {
+    let mut table = Poison::default();
+    table.learn(NOW, vec![crash("q", 1, 0)]);
+    table.served(NOW, request("q"));
+    table.learn(NOW, vec![crash("q", 1, 0).in_life(1)]);
+    assert_matches!(table.standing(NOW, request("q")), Standing::Suspect { .. });
+    // Of two processes that heard in another order, both believe the same.
+    let mut other = Poison::default();
+    other.learn(NOW, vec![crash("q", 1, 0).in_life(1)]);
+    other.learn(NOW, vec![Crash { cleared: true, ..crash("q", 1, 0) }]);
+    assert_eq!(table.crashes_of(NOW, request("q")).len(), 2);
+    assert_eq!(other.crashes_of(NOW, request("q")).len(), 2);
+}
+
 #[test]
 fn a_stream_in_full_flow_is_a_lesser_suspect() {
     let mut table = Poison::default();
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -463,10 +463,11 @@
                 let from = from.map_or_else(|| "-".to_owned(), |id| id.to_string());
                 log::warn!(
                     target: REQUESTS,
-                    "crash fingerprint={} upstream={} point={} cleared={} age_ms={} blocks={blocks} \
+                    "crash fingerprint={} upstream={} life={} point={} cleared={} age_ms={} blocks={blocks} \
                      from={from}",
                     crash.request,
                     crash.upstream,
+                    crash.life,
                     crash.point,
                     crash.cleared,
                     crash.age.as_millis()
--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -18,7 +18,7 @@
 use crate::adapter::RequestTerms;
 use crate::driver::Driver;
 use crate::gateway::attempt::{Original, strip};
-use crate::gateway::flow::{COME_BACK, Exchange};
+use crate::gateway::flow::{COME_BACK, Exchange, Sending};
 use crate::gateway::record::{self, Timing};
 use crate::gateway::reservation::Reservation;
 use crate::gateway::state::{Gateway, InForce, OpenRequest};
@@ -102,7 +102,7 @@
         ends,
         tried: Vec::new(),
         attempts: 0,
-        sent: arrived,
+        sent: Sending { at: arrived, life: 0 },
         may_have_run: false,
         unseen: false,
         fingerprint,
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -69,6 +69,15 @@
 /// The body of an answer.
 pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, BrokenOff>;
 
+/// A request's sending to an upstream.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Sending {
+    /// When it was.
+    pub(super) at: Time,
+    /// How often the upstream was known to have ended under the request then.
+    pub(super) life: u32,
+}
+
 /// A request on its way.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -87,8 +96,8 @@
     pub(super) ends: Time,
     pub(super) tried: Vec<UpstreamId>,
     pub(super) attempts: u32,
-    /// When it was sent to an upstream last.
-    pub(super) sent: Time,
+    /// Its last sending to an upstream.
+    pub(super) sent: Sending,
     pub(super) may_have_run: bool,
     /// Whether an upstream may have made more of an answer than is known here.
     pub(super) unseen: bool,
@@ -236,7 +245,7 @@
                 last_event: last,
                 fetch: None,
             };
-            self.sent = now;
+            self.sent = Sending { at: now, life: self.life_of(&chosen.id) };
             self.unread = chosen.unread.saturating_add(self.own_tokens());
             self.timing.note_sent(self.took());
             // Only engines read prompts; what waits elsewhere is counted as under way.
--- a/crates/badgerfield-node/src/gateway/suspicion.rs
+++ b/crates/badgerfield-node/src/gateway/suspicion.rs
@@ -68,6 +68,14 @@
         self.driver.node.request_standing(self.now(), self.fingerprint())
     }
 
+    /// Returns how often an upstream is known to have ended under the request.
+    pub(super) fn life_of(&self, upstream: &UpstreamId) -> u32 {
+        if !self.driver.node.has_suspects() {
+            return 0;
+        }
+        self.driver.node.ends_under(self.fingerprint(), upstream)
+    }
+
     /// Returns the number by which all VMs choose alike for the request, if an upstream has
     /// ended while it was there.
     ///
@@ -121,11 +129,14 @@
     ) -> bool {
         // An upstream that came to a planned end while this process stood still is as silent as
         // one that ended under the request.
-        if self.driver.clock.stood_still_since(self.sent) {
+        if self.driver.clock.stood_still_since(self.sent.at) {
             return false;
         }
         let account = self.caller.as_ref().map(|caller| &caller.account);
-        let crash = || Crash::seen(self.fingerprint(), account, upstream, last.unwrap_or(0));
+        let crash = || {
+            Crash::seen(self.fingerprint(), account, upstream, last.unwrap_or(0))
+                .in_life(self.sent.life)
+        };
         let connections = &self.gateway.connections;
         match connections.listening(address).await {
             Listening::Refused => {
