Suspicion: an upstream that cannot be reached after it broke off counts half

Callers could take down one host after the other: 8 of 8 upstreams ended, and nothing was held against the request, since a host that is gone refuses no connection, and only a refused one was evidence. Now a broken connection after which none comes up is told as what it is, with half the weight, for a minute instead of ten: four at one point of the answer block. An upstream that breaks answers off and takes connections stays no evidence, and a way that is cut holds nobody up for long. A later word that the upstream has ended for certain replaces it, in any order.

--- a/crates/badgerfield-core/src/poison/mod.rs
+++ b/crates/badgerfield-core/src/poison/mod.rs
@@ -3,7 +3,8 @@
 //! A request is known by its [`Fingerprint`], whoever sends it again and under whichever attempt
 //! id. When an upstream ends, each request that was there gets a [`Crash`] noted. One crash is
 //! weak evidence: all that ran there were there. At a second one at the same point of its answer
-//! the request is blocked, and goes to no third upstream. A request that is served whole after a
+//! the request is blocked, and goes to no third upstream. An upstream that only cannot be reached any
+//! more weighs half as much. A request that is served whole after a
 //! crash had no part in it: its crashes are cleared.
 //!
 //! What is known only grows: a crash is named by its request and its upstream, and once it is
@@ -14,4 +15,4 @@
 mod table;
 
 pub use self::fingerprint::Fingerprint;
-pub use self::table::{Crash, Poison, Standing};
+pub use self::table::{Crash, Evidence, Poison, Standing};
--- a/crates/badgerfield-core/src/poison/table.rs
+++ b/crates/badgerfield-core/src/poison/table.rs
@@ -13,13 +13,17 @@
 /// How long a crash is held against its request. A blocked one may be tried again then: the
 /// software of the upstreams may have been mended.
 const KEEP: Duration = Duration::from_secs(600);
+/// The same where it is not certain that the upstream has ended: a way to it may have been cut.
+const KEEP_UNSURE: Duration = Duration::from_secs(60);
 /// How long before that others are told no more, so that none hears anew what it has dropped.
 const LAST_WORD: Duration = Duration::from_secs(5);
 /// How many crashes at one point of the answer block a request: many are at one crash by
 /// accident, few at two.
-const SAME_POINT: usize = 2;
+const SAME_POINT: u32 = 2;
 /// How many crashes block it, wherever its answer was.
-const ANY_POINT: usize = 3;
+const ANY_POINT: u32 = 3;
+/// How many that are not certain weigh as much as one that is.
+const UNSURE_PER_CRASH: u32 = 2;
 /// How many events apart two points of an answer count as one: events may be on their way when
 /// an upstream ends.
 const NEAR: u64 = 8;
@@ -31,6 +35,43 @@
 /// of the same upstreams, whatever they heard first, or they would never believe the same.
 const MAX_CRASHES: usize = 8;
 
+/// How certain it is that an upstream has ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Evidence {
+    /// Its connection broke, and no connection to its address came up or was refused.
+    Unreachable,
+    /// Its address refused connections.
+    #[default]
+    Ended,
+}
+
+impl Evidence {
+    /// Returns how long it is held against a request.
+    fn keep(self) -> Duration {
+        match self {
+            Self::Unreachable => KEEP_UNSURE,
+            Self::Ended => KEEP,
+        }
+    }
+
+    /// Returns how much it weighs, against one that is not certain.
+    fn weight(self) -> u32 {
+        match self {
+            Self::Unreachable => 1,
+            Self::Ended => UNSURE_PER_CRASH,
+        }
+    }
+
+    /// Returns its name in the log.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Ended => "ended",
+        }
+    }
+}
+
 /// An upstream that has ended while a request was there.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
@@ -44,6 +85,9 @@
     /// that is back, and ends again, has ended twice.
     #[serde(default)]
     pub life: u32,
+    /// How certain it is.
+    #[serde(default)]
+    pub evidence: Evidence,
     /// How many events of the answer the caller had.
     pub point: u64,
     /// Whether the request was served whole since.
@@ -63,7 +107,22 @@
     ) -> Self {
         let account = account.map_or(0, |account| xxh3_64(account.as_str().as_bytes()));
         let upstream = upstream.clone();
-        Self { request, account, upstream, life: 0, point, cleared: false, age: Duration::ZERO }
+        Self {
+            request,
+            account,
+            upstream,
+            life: 0,
+            evidence: Evidence::Ended,
+            point,
+            cleared: false,
+            age: Duration::ZERO,
+        }
+    }
+
+    /// Says that the upstream can only not be reached any more.
+    #[must_use]
+    pub fn unsure(self) -> Self {
+        Self { evidence: Evidence::Unreachable, ..self }
     }
 
     /// Says how often the upstream was known to have ended under the request when that was sent.
@@ -105,6 +164,7 @@
 struct Known {
     upstream: UpstreamId,
     life: u32,
+    evidence: Evidence,
     point: u64,
     cleared: bool,
     /// Until when it is held against the request. A crash may be older than this process.
@@ -119,7 +179,7 @@
     }
 
     fn age(&self, now: Time) -> Duration {
-        KEEP.saturating_sub(self.until.since(now))
+        self.evidence.keep().saturating_sub(self.until.since(now))
     }
 }
 
@@ -137,21 +197,38 @@
 
     fn is_blocked(&self, now: Time) -> bool {
         let open = self.open(now);
-        let count = open.clone().count();
-        if count >= ANY_POINT {
+        let weight = |known: &Known| known.evidence.weight();
+        let all: u32 = open.clone().map(weight).sum();
+        if all >= ANY_POINT * UNSURE_PER_CRASH {
             return true;
         }
-        let near = |point: u64| open.clone().filter(|k| k.point.abs_diff(point) <= NEAR).count();
-        open.clone().any(|known| near(known.point) >= SAME_POINT)
+        let is_near = |known: &&Known, point: u64| known.point.abs_diff(point) <= NEAR;
+        let near = |point: u64| -> u32 {
+            open.clone().filter(|known| is_near(known, point)).map(weight).sum()
+        };
+        open.clone().any(|known| near(known.point) >= SAME_POINT * UNSURE_PER_CRASH)
+    }
+
+    /// Returns how much longer it is blocked, if no more crashes come.
+    fn blocked_for(&self, now: Time) -> Duration {
+        let ends = self.open(now).map(|known| known.until);
+        let ends = ends.filter(|at| !self.is_blocked(*at));
+        ends.min().map_or(Duration::ZERO, |at| at.since(now))
     }
 
     /// Takes in a crash; tells whether it was news.
     fn take(&mut self, now: Time, crash: &Crash) -> bool {
+        let until = now.after(crash.evidence.keep().saturating_sub(crash.age));
         let known = self.crashes.iter_mut().find(|known| known.process() == crash.process());
         if let Some(known) = known {
             let clears = crash.cleared && !known.cleared;
             known.cleared |= crash.cleared;
-            return clears;
+            let is_surer = crash.evidence > known.evidence;
+            if is_surer {
+                known.evidence = crash.evidence;
+                known.until = until;
+            }
+            return clears || is_surer;
         }
         if !self.make_room(crash.process()) {
             return false;
@@ -159,9 +236,10 @@
         self.crashes.push(Known {
             upstream: crash.upstream.clone(),
             life: crash.life,
+            evidence: crash.evidence,
             point: crash.point,
             cleared: crash.cleared,
-            until: now.after(KEEP.saturating_sub(crash.age)),
+            until,
             here: false,
         });
         true
@@ -192,6 +270,7 @@
             account: self.account,
             upstream: known.upstream.clone(),
             life: known.life,
+            evidence: known.evidence,
             point: known.point,
             cleared: known.cleared,
             age: known.age(now),
@@ -233,7 +312,7 @@
             return Standing::Suspect { early };
         }
         let upstreams = open.iter().map(|known| known.upstream.clone()).collect();
-        Standing::Blocked { upstreams, age, left: KEEP.saturating_sub(age) }
+        Standing::Blocked { upstreams, age, left: record.blocked_for(now) }
     }
 
     /// Returns how often an upstream is known to have ended under a request.
@@ -270,7 +349,7 @@
     pub fn learn(&mut self, now: Time, crashes: Vec<Crash>) -> Vec<(Crash, bool)> {
         let mut news = Vec::new();
         for crash in crashes {
-            if crash.age >= KEEP {
+            if crash.age >= crash.evidence.keep() {
                 continue;
             }
             let record = self.records.entry(crash.request).or_default();
@@ -381,9 +460,11 @@
     one.request == other.request
         && one.process() == other.process()
         && (one.cleared || !other.cleared)
+        && one.evidence >= other.evidence
 }
 
 fn digest_of(crash: &Crash) -> u64 {
-    let seed = crash.request.number() ^ u64::from(crash.cleared) ^ (u64::from(crash.life) << 32);
+    let said = u64::from(crash.cleared) | u64::from(crash.evidence.weight()) << 1;
+    let seed = crash.request.number() ^ said ^ (u64::from(crash.life) << 32);
     xxh3_64_with_seed(crash.upstream.as_str().as_bytes(), seed)
 }
--- a/crates/badgerfield-core/tests/poison.rs
+++ b/crates/badgerfield-core/tests/poison.rs
@@ -97,6 +97,32 @@
     assert_eq!(other.crashes_of(NOW, request("q")).len(), 2);
 }
 
+#[test]
+fn upstreams_that_only_cannot_be_reached_weigh_half() {
+    let mut table = Poison::default();
+    table.learn(NOW, (1..4).map(|n| crash("q", n, 0).unsure()).collect());
+    assert_matches!(table.standing(NOW, request("q")), Standing::Suspect { .. });
+    let later = NOW.after(Duration::from_secs(5));
+    let news = table.learn(later, vec![crash("q", 4, 0).unsure()]);
+    assert_matches!(news.as_slice(), [(_, true)]);
+    // A cut way may have been the cause, and is mended soon.
+    let left = Duration::from_secs(55);
+    assert_matches!(table.standing(later, request("q")), Standing::Blocked { left: l, .. } if l == left);
+    assert!(!is_blocked(&table, later.after(left), "q"));
+}
+
+#[test]
+fn who_is_certain_of_an_end_says_more_than_who_is_not() {
+    let all = [crash("q", 1, 0).unsure(), crash("q", 1, 0), crash("q", 2, 0).unsure()];
+    let all = all.into_iter().chain([crash("q", 2, 0)]).collect::<Vec<_>>();
+    let (mut one, mut two) = (Poison::default(), Poison::default());
+    one.learn(NOW, all.clone());
+    two.learn(NOW, all.into_iter().rev().collect());
+    assert!(is_blocked(&one, NOW, "q") && is_blocked(&two, NOW, "q"));
+    assert_eq!(one.digest(NOW), two.digest(NOW));
+    assert!(is_blocked(&one, NOW.after(Duration::from_secs(500)), "q"));
+}
+
 #[test]
 fn a_stream_in_full_flow_is_a_lesser_suspect() {
     let mut table = Poison::default();
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -463,11 +463,12 @@
                 let from = from.map_or_else(|| "-".to_owned(), |id| id.to_string());
                 log::warn!(
                     target: REQUESTS,
-                    "crash fingerprint={} upstream={} life={} point={} cleared={} age_ms={} blocks={blocks} \
+                    "crash fingerprint={} upstream={} life={} evidence={} point={} cleared={} age_ms={} blocks={blocks} \
                      from={from}",
                     crash.request,
                     crash.upstream,
                     crash.life,
+                    crash.evidence.as_str(),
                     crash.point,
                     crash.cleared,
                     crash.age.as_millis()
--- a/crates/badgerfield-node/src/gateway/suspicion.rs
+++ b/crates/badgerfield-node/src/gateway/suspicion.rs
@@ -154,7 +154,11 @@
                 });
                 false
             }
-            Listening::Unknown => false,
+            // What takes its host with it refuses no connection.
+            Listening::Unknown => {
+                self.driver.feed(Event::Crashed(crash().unsure()));
+                false
+            }
         }
     }
 
