Suspicion: an upstream whose caller has left is watched for a second; the log says what was asked

Now an upstream that a caller left before there was any answer is watched by one connection, kept for later requests if it stays open; sixteen at a time, so that many who leave at once take few. Ruled out: waiting for the next request that finds the address refused (another upstream is chosen next, so all ended first).

--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -102,6 +102,7 @@
         ends,
         tried: Vec::new(),
         attempts: 0,
+        trying: None,
         sent: Sending { at: arrived, life: 0 },
         may_have_run: false,
         unseen: false,
--- a/crates/badgerfield-node/src/gateway/connections.rs
+++ b/crates/badgerfield-node/src/gateway/connections.rs
@@ -59,6 +59,17 @@
     Unknown,
 }
 
+impl Listening {
+    /// Returns its name in the log.
+    pub(crate) fn as_str(&self) -> &'static str {
+        match self {
+            Self::Open(_) => "open",
+            Self::Refused => "refused",
+            Self::Unknown => "silent",
+        }
+    }
+}
+
 /// An open connection that one request has for itself; dropping it closes it.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -200,6 +211,25 @@
         matches!(self.knock(address).await, Listening::Refused)
     }
 
+    /// Tells whether an upstream ends within a span. A connection to it is open meanwhile, and kept
+    /// for the next request if it stays so.
+    pub(crate) async fn ends_within(
+        self: &Arc<Self>,
+        id: &UpstreamId,
+        address: SocketAddr,
+        span: Duration,
+    ) -> bool {
+        let mut connection = match self.take(id, address).await {
+            Ok(connection) => connection,
+            Err(error) => return error == ConnectError::Refused,
+        };
+        if tokio::time::timeout(span, &mut connection.task).await.is_err() {
+            self.keep(id.clone(), connection, None);
+            return false;
+        }
+        matches!(self.knock(address).await, Listening::Refused)
+    }
+
     fn take_idle(&self, id: &UpstreamId) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         let line = idle.get_mut(id)?;
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -11,6 +11,7 @@
 //! Every request ends in one [`record::ended`] line. A refusal that says "not run" is
 //! only made while no upstream can have started on the request.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -96,6 +97,8 @@
     pub(super) ends: Time,
     pub(super) tried: Vec<UpstreamId>,
     pub(super) attempts: u32,
+    /// The upstream that is tried at present, until the head of its answer has come.
+    pub(super) trying: Option<(UpstreamId, SocketAddr)>,
     /// Its last sending to an upstream.
     pub(super) sent: Sending,
     pub(super) may_have_run: bool,
@@ -118,6 +121,9 @@
         if self.ended {
             return;
         }
+        if let Some((upstream, address)) = &self.trying {
+            self.watch_left(upstream, *address);
+        }
         // The caller left before there was any answer; without this line its tokens seem to be
         // set aside for ever.
         let upstream = self.tried.last().cloned();
@@ -253,8 +259,10 @@
             let (driver, gateway) = (&self.driver, &self.gateway);
             let to = (&chosen.id, chosen.address);
             let hold = UpstreamHold::new(driver, gateway, to, reading, &self.route);
+            self.trying = Some((chosen.id.clone(), chosen.address));
             let given_up = self.until_given_up(left, last.is_some());
             let end = attempt(hold, &self.original, &terms, given_up, self.until_blocked()).await;
+            self.trying = None;
             let outcome = match end {
                 AttemptEnd::Answered(answered) => {
                     self.attempts += 1;
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -96,6 +96,16 @@
     );
 }
 
+/// Records what the address of an upstream that broke off says when it is asked whether anybody
+/// listens there; it is not asked after the process has stood still.
+pub(crate) fn broke(id: &str, upstream: &UpstreamId, listening: &str, took: Duration) {
+    let took = took.as_millis();
+    log::info!(
+        target: REQUESTS,
+        "broke id={id} upstream={upstream} listening={listening} took_ms={took}"
+    );
+}
+
 /// Records that a request is sent on at which an upstream has ended.
 pub(crate) fn suspect(id: &str, request: Fingerprint, attempt: u32, early: bool) {
     log::info!(
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -251,7 +251,11 @@
         }
         // The caller has left; closing the connection tells the upstream.
         self.count(UNDER_WAY);
-        let upstream = self.source.take().map(|source| source.hold.id.clone());
+        let source = self.source.take();
+        if let Some(source) = source.as_ref().filter(|source| !source.has_begun) {
+            self.exchange.watch_left(&source.hold.id, source.hold.address);
+        }
+        let upstream = source.map(|source| source.hold.id.clone());
         self.exchange.end("caller_left", self.status, upstream.as_ref(), self.scanner.events());
     }
 }
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -10,13 +10,16 @@
 use badgerfield_core::retry_budget::{RetryBound, RetryBudget};
 use badgerfield_core::rollout::{RolloutRule, RuleSet};
 use badgerfield_core::routing::RouteTable;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::adapter::RouteAdapter;
 use crate::clock::Clock;
 use crate::gateway::connections::Connections;
 use crate::sync::lock;
 
+/// How many upstreams are watched at once whose callers have left: each takes a connection.
+const MAX_WATCHES: usize = 16;
+
 /// The routes in force, with the version that they came with.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct InForce {
@@ -43,6 +46,8 @@
     told_at: Mutex<Option<Time>>,
     /// How often lags of upstreams were noted for others.
     turn: AtomicUsize,
+    /// Places for watches of upstreams whose callers have left.
+    pub(crate) watches: Arc<Semaphore>,
     /// How many requests were blocked so far: whoever sends one looks again when it changes.
     blocked: watch::Sender<usize>,
 }
@@ -61,6 +66,7 @@
             rolls_out: AtomicBool::new(false),
             told_at: Mutex::default(),
             turn: AtomicUsize::new(0),
+            watches: Arc::new(Semaphore::new(MAX_WATCHES)),
             blocked: watch::Sender::new(0),
         }
     }
--- a/crates/badgerfield-node/src/gateway/suspicion.rs
+++ b/crates/badgerfield-node/src/gateway/suspicion.rs
@@ -10,6 +10,7 @@
 use badgerfield_core::poison::{Crash, Fingerprint, Standing};
 use badgerfield_core::refusal::{Cause, Refusal};
 use badgerfield_core::routing::Route;
+use tokio::runtime::Handle;
 
 use crate::adapter::RequestTerms;
 use crate::driver::Driver;
@@ -18,6 +19,10 @@
 use crate::gateway::flow::Exchange;
 use crate::gateway::record;
 
+/// How long an upstream is watched whose caller has left before there was any answer: what makes it
+/// end does so soon after it began.
+const WATCH: Duration = Duration::from_secs(1);
+
 /// Returns what stands for a request, whoever sends it again.
 pub(super) fn fingerprint(
     account: Option<&Account>,
@@ -129,7 +134,9 @@
     ) -> bool {
         // An upstream that came to a planned end while this process stood still is as silent as
         // one that ended under the request.
+        let id = &self.original.id;
         if self.driver.clock.stood_still_since(self.sent.at) {
+            record::broke(id, upstream, "not_asked", Duration::ZERO);
             return false;
         }
         let account = self.caller.as_ref().map(|caller| &caller.account);
@@ -138,7 +145,10 @@
                 .in_life(self.sent.life)
         };
         let connections = &self.gateway.connections;
-        match connections.listening(address).await {
+        let asked = self.now();
+        let listening = connections.listening(address).await;
+        record::broke(id, upstream, listening.as_str(), self.now().since(asked));
+        match listening {
             Listening::Refused => {
                 self.driver.feed(Event::Crashed(crash()));
                 true
@@ -162,6 +172,28 @@
         }
     }
 
+    /// Watches an upstream for a while that works on the request though its caller has left: it may
+    /// end under it yet, and the same caller may come back.
+    pub(super) fn watch_left(&self, upstream: &UpstreamId, address: SocketAddr) {
+        let watches = Arc::clone(&self.gateway.watches);
+        let (Ok(place), Ok(runtime)) = (watches.try_acquire_owned(), Handle::try_current()) else {
+            // Of many at once it is enough to watch some; without a runtime the process ends.
+            return;
+        };
+        let account = self.caller.as_ref().map(|caller| &caller.account);
+        let crash = Crash::seen(self.fingerprint(), account, upstream, 0).in_life(self.sent.life);
+        let (driver, connections) =
+            (Arc::clone(&self.driver), Arc::clone(&self.gateway.connections));
+        let since = self.now();
+        runtime.spawn(async move {
+            let ends = connections.ends_within(&crash.upstream, address, WATCH).await;
+            if ends && !driver.clock.stood_still_since(since) {
+                driver.feed(Event::Crashed(crash));
+            }
+            drop(place);
+        });
+    }
+
     /// Notes that the request was served whole: no crash that it was at was its doing.
     pub(super) fn note_whole(&self) {
         if self.standing() != Standing::Clear {
