--- a/crates/badgerfield-node/src/gateway/connections.rs
+++ b/crates/badgerfield-node/src/gateway/connections.rs
@@ -39,6 +39,10 @@
 /// a caller whose answer broke off waits for it.
 const STAYS: Duration = Duration::from_millis(20);
 
+/// How long an upstream is watched that may end yet: what makes it end does so soon, and a machine
+/// that is busy may take its time to close what a process had open.
+const WATCH: Duration = Duration::from_secs(1);
+
 /// Why no connection could be had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ConnectError {
@@ -194,40 +198,40 @@
         }
     }
 
-    /// Tells whether an upstream that still took a connection has ended all the same, for longer
-    /// than a caller is kept waiting for that. A connection that stays open is kept for the next
-    /// request.
-    pub(crate) async fn ends_late(
-        self: &Arc<Self>,
-        id: &UpstreamId,
-        address: SocketAddr,
-        connection: Connection,
-    ) -> bool {
-        tokio::time::sleep(LISTENS).await;
-        if !connection.sender.is_closed() {
-            self.keep(id.clone(), connection, None);
-            return false;
+    /// Tells whether an upstream ends while it is watched, by a connection to it.
+    pub(crate) async fn ends_soon(self: &Arc<Self>, id: &UpstreamId, address: SocketAddr) -> bool {
+        match self.take(id, address).await {
+            Ok(connection) => self.ends_after_all(id, address, connection).await,
+            Err(error) => error == ConnectError::Refused,
         }
-        matches!(self.knock(address).await, Listening::Refused)
     }
 
-    /// Tells whether an upstream ends within a span. A connection to it is open meanwhile, and kept
-    /// for the next request if it stays so.
-    pub(crate) async fn ends_within(
+    /// Tells whether an upstream that took a connection ends all the same while it is watched. A
+    /// connection that stays open is kept for the next request.
+    pub(crate) async fn ends_after_all(
         self: &Arc<Self>,
         id: &UpstreamId,
         address: SocketAddr,
-        span: Duration,
+        mut connection: Connection,
     ) -> bool {
-        let mut connection = match self.take(id, address).await {
-            Ok(connection) => connection,
-            Err(error) => return error == ConnectError::Refused,
-        };
-        if tokio::time::timeout(span, &mut connection.task).await.is_err() {
-            self.keep(id.clone(), connection, None);
-            return false;
+        let until = self.clock.now().after(WATCH);
+        let mut pause = STAYS;
+        loop {
+            let left = until.since(self.clock.now());
+            if tokio::time::timeout(left, &mut connection.task).await.is_err() {
+                self.keep(id.clone(), connection, None);
+                return false;
+            }
+            // A process that ends may let connections in until the last moment, and one that lives
+            // may close any.
+            tokio::time::sleep(pause).await;
+            pause = pause.saturating_mul(2);
+            connection = match self.knock(address).await {
+                Listening::Open(connection) => connection,
+                Listening::Refused => return true,
+                Listening::Unknown => return false,
+            };
         }
-        matches!(self.knock(address).await, Listening::Refused)
     }
 
     fn take_idle(&self, id: &UpstreamId) -> Option<Connection> {
--- a/crates/badgerfield-node/src/gateway/suspicion.rs
+++ b/crates/badgerfield-node/src/gateway/suspicion.rs
@@ -19,10 +19,6 @@
 use crate::gateway::flow::Exchange;
 use crate::gateway::record;
 
-/// How long an upstream is watched whose caller has left before there was any answer: what makes it
-/// end does so soon after it began.
-const WATCH: Duration = Duration::from_secs(1);
-
 /// Returns what stands for a request, whoever sends it again.
 pub(super) fn fingerprint(
     account: Option<&Account>,
@@ -158,7 +154,9 @@
                 let (driver, crash) = (Arc::clone(&self.driver), crash());
                 let connections = Arc::clone(connections);
                 tokio::spawn(async move {
-                    if connections.ends_late(&crash.upstream, address, connection).await {
+                    let ends =
+                        connections.ends_after_all(&crash.upstream, address, connection).await;
+                    if ends && !driver.clock.stood_still_since(asked) {
                         driver.feed(Event::Crashed(crash));
                     }
                 });
@@ -186,7 +184,7 @@
             (Arc::clone(&self.driver), Arc::clone(&self.gateway.connections));
         let since = self.now();
         runtime.spawn(async move {
-            let ends = connections.ends_within(&crash.upstream, address, WATCH).await;
+            let ends = connections.ends_soon(&crash.upstream, address).await;
             if ends && !driver.clock.stood_still_since(since) {
                 driver.feed(Event::Crashed(crash));
             }
