--- a/crates/badgerfield-standin/src/engine.rs
+++ b/crates/badgerfield-standin/src/engine.rs
@@ -27,6 +27,8 @@
 
 use crate::server::{Answer, Read, ok, serve, status};
 
+/// How long an engine works on a prompt that ends it.
+const BEFORE_END: Duration = Duration::from_millis(20);
 /// How many bytes of the prompt one token stands for.
 const BYTES_PER_TOKEN: usize = 4;
 /// The longest answer that the stand-in gives of its own accord, in tokens.
@@ -61,7 +63,7 @@
     cancelled: bool,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct Faults {
     /// Refuse new work as if full.
     busy: bool,
@@ -69,6 +71,8 @@
     break_after: Option<usize>,
     /// Report that the engine is leaving.
     leaving: bool,
+    /// End soon after a prompt has come that holds this.
+    ends_under: Option<String>,
 }
 
 #[derive(Debug, Default)]
@@ -180,6 +184,12 @@
             if state.faults.busy || state.running >= self.speed.slots {
                 return status(StatusCode::SERVICE_UNAVAILABLE);
             }
+            if state.faults.ends_under.as_ref().is_some_and(|text| prompt.contains(text)) {
+                tokio::spawn(async {
+                    tokio::time::sleep(BEFORE_END).await;
+                    std::process::exit(1);
+                });
+            }
             state.running += 1;
             state.waiting += tokens;
             *state.runs.entry(name.clone()).or_default() += 1;
@@ -282,8 +292,12 @@
                 let body = read.json();
                 let flag = |name: &str| body[name].as_bool().unwrap_or(false);
                 let limit = body["break_after"].as_u64().and_then(|n| usize::try_from(n).ok());
-                state.faults =
-                    Faults { busy: flag("busy"), break_after: limit, leaving: flag("leaving") };
+                state.faults = Faults {
+                    busy: flag("busy"),
+                    break_after: limit,
+                    leaving: flag("leaving"),
+                    ends_under: body["ends_under"].as_str().map(str::to_owned),
+                };
                 ok(&json!({ "set": body }))
             }
             (&Method::GET, "/truth") => {
--- a/crates/badgerfield-standin/src/site.rs
+++ b/crates/badgerfield-standin/src/site.rs
@@ -98,6 +98,20 @@
     ///
     /// Fails if a process does not start or does not become ready.
     pub async fn start(programs: &Path, vms: usize, limit: u64, decode: u64) -> Result<Self> {
+        Self::start_with_engines(programs, (vms, 2), limit, decode).await
+    }
+
+    /// Does the same with a number of VMs and one of engines.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process does not start or does not become ready.
+    pub async fn start_with_engines(
+        programs: &Path,
+        (vms, engines): (usize, usize),
+        limit: u64,
+        decode: u64,
+    ) -> Result<Self> {
         // A folder of its own: what an earlier run has left would count as this one's.
         let name = format!("badgerfield-{}-{}", std::process::id(), free_port()?.port());
         let folder = std::env::temp_dir().join(name);
@@ -105,7 +119,7 @@
         let mut site = Self {
             kv_admin: free_port()?,
             service_admin: free_port()?,
-            engine_admins: vec![free_port()?, free_port()?],
+            engine_admins: (0..engines).map(|_| free_port()).collect::<Result<_>>()?,
             folder,
             programs: programs.to_owned(),
             client: http::client(),
@@ -220,6 +234,15 @@
         self.get(admin, "/truth").await.json()
     }
 
+    /// Returns how many engines have ended.
+    pub async fn ended_engines(&self) -> usize {
+        let mut ended = 0;
+        for admin in &self.engine_admins {
+            ended += usize::from(self.get(*admin, "/truth").await.status != 200);
+        }
+        ended
+    }
+
     /// Returns the tokens that all engines served.
     pub async fn served(&self) -> u64 {
         let mut served = 0;
@@ -347,7 +370,8 @@
 
     fn start_others(&mut self, vms: usize, decode: u64) -> Result<()> {
         let service = free_port()?;
-        let engines = [free_port()?, free_port()?];
+        let engines: Vec<_> =
+            self.engine_admins.iter().map(|_| free_port()).collect::<Result<_>>()?;
         let list = self.folder.join("vms.json");
         std::fs::write(&list, vm_list(vms, service, &engines).to_string())?;
         let (kv, kv_admin) = (self.kv, self.kv_admin);
