--- a/crates/badgerfield-node/src/gateway/connections.rs
+++ b/crates/badgerfield-node/src/gateway/connections.rs
@@ -33,7 +33,7 @@
 
 /// How long the address of an upstream that broke off may take to say whether anybody still
 /// listens there: an answer takes a round trip, and a caller waits for it.
-const LISTENS: Duration = Duration::from_millis(150);
+pub(crate) const LISTENS: Duration = Duration::from_millis(150);
 
 /// How long a connection that came up is watched before its upstream counts as one that lives:
 /// a caller whose answer broke off waits for it.
@@ -41,7 +41,7 @@
 
 /// How long an upstream is watched that may end yet: what makes it end does so soon, and a machine
 /// that is busy may take its time to close what a process had open.
-const WATCH: Duration = Duration::from_secs(1);
+pub(crate) const WATCH: Duration = Duration::from_secs(1);
 
 /// Why no connection could be had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -201,20 +201,21 @@
     /// Tells whether an upstream ends while it is watched, by a connection to it.
     pub(crate) async fn ends_soon(self: &Arc<Self>, id: &UpstreamId, address: SocketAddr) -> bool {
         match self.take(id, address).await {
-            Ok(connection) => self.ends_after_all(id, address, connection).await,
+            Ok(connection) => self.ends_after_all(id, address, connection, WATCH).await,
             Err(error) => error == ConnectError::Refused,
         }
     }
 
-    /// Tells whether an upstream that took a connection ends all the same while it is watched. A
+    /// Tells whether an upstream that took a connection ends all the same within a span. A
     /// connection that stays open is kept for the next request.
     pub(crate) async fn ends_after_all(
         self: &Arc<Self>,
         id: &UpstreamId,
         address: SocketAddr,
         mut connection: Connection,
+        span: Duration,
     ) -> bool {
-        let until = self.clock.now().after(WATCH);
+        let until = self.clock.now().after(span);
         let mut pause = STAYS;
         loop {
             let left = until.since(self.clock.now());
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -17,8 +17,9 @@
 use crate::gateway::connections::Connections;
 use crate::sync::lock;
 
-/// How many upstreams are watched at once whose callers have left: each takes a connection.
-const MAX_WATCHES: usize = 16;
+/// How many upstreams are watched at once that may end yet. Each takes a connection, of which an
+/// upstream has few when it is overloaded and breaks many off.
+const MAX_WATCHES: usize = 4;
 
 /// The routes in force, with the version that they came with.
 #[derive(Debug, Clone, Default)]
@@ -46,7 +47,7 @@
     told_at: Mutex<Option<Time>>,
     /// How often lags of upstreams were noted for others.
     turn: AtomicUsize,
-    /// Places for watches of upstreams whose callers have left.
+    /// Places for watches of upstreams that may end yet.
     pub(crate) watches: Arc<Semaphore>,
     /// How many requests were blocked so far: whoever sends one looks again when it changes.
     blocked: watch::Sender<usize>,
--- a/crates/badgerfield-node/src/gateway/suspicion.rs
+++ b/crates/badgerfield-node/src/gateway/suspicion.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use badgerfield_core::Event;
+use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{Account, UpstreamId};
 use badgerfield_core::poison::{Crash, Fingerprint, Standing};
 use badgerfield_core::refusal::{Cause, Refusal};
@@ -15,7 +16,7 @@
 use crate::adapter::RequestTerms;
 use crate::driver::Driver;
 use crate::gateway::attempt::Original;
-use crate::gateway::connections::Listening;
+use crate::gateway::connections::{LISTENS, Listening, WATCH};
 use crate::gateway::flow::Exchange;
 use crate::gateway::record;
 
@@ -118,6 +119,12 @@
         }
     }
 
+    /// Returns when the upstream was last known to be at work on the request.
+    fn heard_at(&self) -> Time {
+        let heard = self.timing.last.map(|last| self.arrived.after(last));
+        heard.map_or(self.sent.at, |at| at.max(self.sent.at))
+    }
+
     /// Finds out whether an upstream that broke off has ended, and holds that against the
     /// request; tells whether it has.
     ///
@@ -128,10 +135,10 @@
         address: SocketAddr,
         last: Option<u64>,
     ) -> bool {
+        let id = &self.original.id;
         // An upstream that came to a planned end while this process stood still is as silent as
         // one that ended under the request.
-        let id = &self.original.id;
-        if self.driver.clock.stood_still_since(self.sent.at) {
+        if self.driver.clock.stood_still_since(self.heard_at()) {
             record::broke(id, upstream, "not_asked", Duration::ZERO);
             return false;
         }
@@ -153,12 +160,16 @@
                 // The request goes on meanwhile.
                 let (driver, crash) = (Arc::clone(&self.driver), crash());
                 let connections = Arc::clone(connections);
+                let place = Arc::clone(&self.gateway.watches).try_acquire_owned().ok();
+                let span = if place.is_some() { WATCH } else { LISTENS };
                 tokio::spawn(async move {
-                    let ends =
-                        connections.ends_after_all(&crash.upstream, address, connection).await;
+                    let ends = connections
+                        .ends_after_all(&crash.upstream, address, connection, span)
+                        .await;
                     if ends && !driver.clock.stood_still_since(asked) {
                         driver.feed(Event::Crashed(crash));
                     }
+                    drop(place);
                 });
                 false
             }
