--- a/crates/badgerfield-node/src/clock.rs
+++ b/crates/badgerfield-node/src/clock.rs
@@ -3,7 +3,7 @@
 //! Ages and deadlines go by a clock that counts the spans in which the VM is suspended. Timers of
 //! the runtime do not count them, so whoever waits here is woken by the first tick after one.
 //! A process may also stand still while its VM is awake. Either way what it saw of others over
-//! that time is no evidence against them: [`Clock::stood_still_since`] tells.
+//! that time is no evidence against them.
 
 use std::fmt::Debug;
 use std::sync::Mutex;
