--- a/crates/badgerfield-core/src/poison/mod.rs
+++ b/crates/badgerfield-core/src/poison/mod.rs
@@ -11,8 +11,10 @@
 //! cleared it stays so. So the order in which processes hear of crashes does not matter, and two
 //! that have told each other all believe the same.
 
+mod crash;
 mod fingerprint;
 mod table;
 
+pub use self::crash::{Crash, Evidence};
 pub use self::fingerprint::Fingerprint;
-pub use self::table::{Crash, Evidence, Poison, Standing};
+pub use self::table::{Poison, Standing};
--- a/crates/badgerfield-node/src/gateway/mod.rs
+++ b/crates/badgerfield-node/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! - [`listener`] takes connections of callers;
 //! - `admit` lets a request in, or says why not; `reservation` sets aside what it can cost;
 //! - `flow` holds its steps from there to its bill;
+//! - `dispatch` chooses upstreams, one after the other where that is allowed;
 //! - `attempt` is one try at one upstream, over one of the `connections`;
 //! - `relay` passes a streamed answer on;
 //! - `suspicion` says whether it may be sent, if an upstream has ended while it was there;
@@ -20,6 +21,7 @@
 pub(crate) mod attempt;
 pub(crate) mod connections;
 pub(crate) mod directory;
+mod dispatch;
 pub(crate) mod flow;
 pub mod listener;
 mod overload;
