--- a/crates/badgerfield-node/src/clock.rs
+++ b/crates/badgerfield-node/src/clock.rs
@@ -58,7 +58,7 @@
 /// A span over which the process did nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct StoodStill {
-    /// How long it was, less than a tick apart.
+    /// How long it was, from the last tick before it to the first one after it.
     pub(crate) span: Duration,
     /// How much of it the VM was suspended.
     pub(crate) suspended: Duration,
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -463,8 +463,8 @@
                 let from = from.map_or_else(|| "-".to_owned(), |id| id.to_string());
                 log::warn!(
                     target: REQUESTS,
-                    "crash fingerprint={} upstream={} life={} evidence={} point={} cleared={} age_ms={} blocks={blocks} \
-                     from={from}",
+                    "crash fingerprint={} upstream={} life={} evidence={} point={} cleared={} \
+                     age_ms={} blocks={blocks} from={from}",
                     crash.request,
                     crash.upstream,
                     crash.life,
