Statements: the limit that an upstream names is read and logged

The log could not tell whether a limit was never read or was read and lost: no line said what an answer says of its upstream. A `limit` line says so whenever that changes, an `unreadable` line once for each upstream whose statement cannot be read, with a counter. Nothing is decided by it yet.

--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod refusal;
 pub mod replica_list;
 pub mod replicas;
+pub mod request_limit;
 pub mod residency;
 pub mod retry_budget;
 pub mod rollout;
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -8,6 +8,7 @@
 
 mod canary;
 mod choice;
+mod limits;
 mod listed;
 mod replica;
 mod starts;
--- a/crates/badgerfield-core/src/replicas/replica.rs
+++ b/crates/badgerfield-core/src/replicas/replica.rs
@@ -13,6 +13,7 @@
 use crate::mix::{Division, Group, Mix, READ_MS_PRIOR, float};
 use crate::replica_list::{ReplicaEntry, ReplicaInfo, digest_of};
 use crate::replicas::starts::Starts;
+use crate::request_limit::RequestLimit;
 use crate::residency::RegionMap;
 use crate::warm_up::{Bucket, Share};
 
@@ -86,6 +87,10 @@
     pub(super) distance: Distance,
     /// Until when and how it is spared, while it is cold.
     cold: Option<Cold>,
+    /// How many requests a second it takes from all processes, by its last answer here.
+    pub(super) limit: Option<RequestLimit>,
+    /// Whether it has stated something of itself that cannot be read.
+    pub(super) is_unreadable: bool,
 }
 
 /// How an upstream is spared that is not warm yet.
@@ -158,6 +163,8 @@
             region: None,
             distance: Distance::default(),
             cold: None,
+            limit: None,
+            is_unreadable: false,
         }
     }
 
@@ -178,6 +185,8 @@
         self.parts.clear();
         self.lag = Lag::default();
         self.cold = None;
+        self.limit = None;
+        self.is_unreadable = false;
     }
 
     /// Returns what the platform's list says of it, for other processes.
--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -12,6 +12,7 @@
 use badgerfield_core::ids::{Account, Domain, Region, UpstreamId};
 use badgerfield_core::replica_list::{ReplicaChanges, ReplicaList};
 use badgerfield_core::replicas::PromptPart;
+use badgerfield_core::request_limit::RequestLimit;
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode, Uri};
@@ -145,6 +146,35 @@
     Foreign,
 }
 
+/// What the head of an upstream's answer says of the upstream itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct UpstreamStatement {
+    /// How many requests a second it takes from all VMs together.
+    pub limit: Stated<RequestLimit>,
+}
+
+/// A value that an upstream may state.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Stated<T> {
+    /// It states none.
+    #[default]
+    Nothing,
+    /// It states this one.
+    Value(T),
+    /// It states one that cannot be read.
+    Unreadable,
+}
+
+impl<T> Stated<T> {
+    /// Returns the value, if there is one that can be read.
+    pub fn value(self) -> Option<T> {
+        match self {
+            Self::Value(value) => Some(value),
+            Self::Nothing | Self::Unreadable => None,
+        }
+    }
+}
+
 /// A caller's question which VMs to use.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DirectoryAsk {
@@ -169,6 +199,15 @@
     /// Tells what the head of an upstream's answer to a request means.
     fn verdict(&self, id: &str, status: StatusCode, head: &HeaderMap) -> Verdict;
 
+    /// Reads what the head of an answer says of the upstream that was asked; nothing if another
+    /// one has answered in its place.
+    fn statement(
+        &self,
+        asked: &UpstreamId,
+        status: StatusCode,
+        head: &HeaderMap,
+    ) -> Option<UpstreamStatement>;
+
     /// Reads a question to the directory; nothing if it is none.
     fn directory_ask(&self, uri: &Uri) -> Option<DirectoryAsk>;
 
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -260,8 +260,13 @@
             return AttemptEnd::Broken(BROKEN);
         }
     };
+    let head = (response.status(), response.headers());
     let dialect = &gateway.adapter.dialect;
-    match dialect.verdict(&original.id, response.status(), response.headers()) {
+    let verdict = dialect.verdict(&original.id, head.0, head.1);
+    if verdict != Verdict::Foreign {
+        hold.driver.hear_upstream(&gateway, &original.id, &hold.id, head);
+    }
+    match verdict {
         Verdict::NotRun => {
             hold.note_unrun(Health::Full);
             return AttemptEnd::NotRun(response.status());
--- a/crates/badgerfield-node/src/gateway/mod.rs
+++ b/crates/badgerfield-node/src/gateway/mod.rs
@@ -13,7 +13,8 @@
 //!
 //! Beside them, `state` holds what all requests share; `record` writes a line of the log for each
 //! step; `trial` notes what a try tells of a version that is rolled out, and `overload` what it
-//! tells of the load of a plain service; `directory` tells callers which VMs to use.
+//! tells of the load of a plain service; `statements` takes in what upstreams say of themselves in
+//! their answers; `directory` tells callers which VMs to use.
 //!
 //! What the heads look like is the business of the [`crate::adapter`].
 
@@ -30,5 +31,6 @@
 pub(crate) mod relay;
 pub(crate) mod reservation;
 pub(crate) mod state;
+mod statements;
 mod suspicion;
 pub(crate) mod trial;
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -10,6 +10,7 @@
 use badgerfield_core::poison::Fingerprint;
 use badgerfield_core::refusal::Refusal;
 use badgerfield_core::replicas::Chosen;
+use badgerfield_core::request_limit::RequestLimit;
 use badgerfield_core::residency::ResidencyFault;
 
 use crate::logs::REQUESTS;
@@ -124,6 +125,23 @@
     );
 }
 
+/// Records that an upstream names another limit than before, in requests a second.
+pub(crate) fn limit_named(
+    id: &str,
+    upstream: &UpstreamId,
+    limit: Option<RequestLimit>,
+    before: Option<RequestLimit>,
+) {
+    let named = |limit: Option<RequestLimit>| limit.map_or("-".to_owned(), |l| l.to_string());
+    let (limit, before) = (named(limit), named(before));
+    log::info!(target: REQUESTS, "limit id={id} upstream={upstream} limit={limit} before={before}");
+}
+
+/// Records that an upstream states something of itself that cannot be read.
+pub(crate) fn unreadable_statement(upstream: &UpstreamId) {
+    log::warn!(target: REQUESTS, "unreadable upstream={upstream} outcome=ignored");
+}
+
 /// Records that a stream goes on at another upstream.
 pub(crate) fn resumed(id: &str, from: &UpstreamId, last: Option<u64>, why: &str) {
     let last = last.map_or_else(|| "-".to_owned(), |last| last.to_string());
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -132,6 +132,8 @@
 pub(crate) struct GatewayCounts {
     pub(crate) admitted: Counter,
     sent: Family<SentLabel, Counter>,
+    /// Answers in which an upstream states something of itself that cannot be read.
+    pub(crate) unreadable: Counter,
     ends: Family<EndLabel, Counter>,
     seconds: Histogram,
 }
@@ -142,6 +144,7 @@
         let counts = Self {
             admitted: Counter::default(),
             sent: Family::default(),
+            unreadable: Counter::default(),
             ends: Family::default(),
             seconds: Histogram::new(buckets),
         };
@@ -149,6 +152,12 @@
         registry.register("route_requests_admitted", "Requests on routes let in", admitted);
         let sent = counts.sent.clone();
         registry.register("route_requests_sent", "Tries of requests on routes by distance", sent);
+        let unreadable = counts.unreadable.clone();
+        registry.register(
+            "upstream_statements_unreadable",
+            "Answers that state of their upstream what cannot be read",
+            unreadable,
+        );
         let ends = counts.ends.clone();
         registry.register("route_requests_ended", "Ended requests on routes by outcome", ends);
         let seconds = counts.seconds.clone();
