Limits: a fleet keeps the limit that an upstream names

Callers saw: an upstream in need, which said in each answer how many requests a second it takes from all VMs, went on getting as many as before from all of them, so that it served all of them late. Cause: nothing that an upstream says of itself in its answers was read (class: word of the other side that nobody listens to), and no VM alone can keep a limit of the whole fleet. Ruled out: requests under way, repeats (all were first attempts, chosen seconds later); a share of the limit for each VM (six VMs at 0.4, and 300 at any small limit, break it). Change: the head of every answer is read for a limit. 2 + L/2 VMs by rank over the view send there, each at its part with a bucket of its own; all others keep away from when they know, by an answer or from a neighbour, and learn of the end in the same way. Statements are ordered by versions that grow from one hearer to the next: ages seemed newer with each hop, and no limit grew old. Where no sender has anything to send, others try one after the other. What was chosen before the limit was known needs a permit before its bytes leave. Why it holds: the senders' buckets and rates come to 2 + 4.75 L in 4 s of 6 L + 5; nothing has to arrive in time for that.

--- a/crates/badgerfield-core/src/control/upstream_news.rs
+++ b/crates/badgerfield-core/src/control/upstream_news.rs
@@ -14,6 +14,7 @@
 use crate::message::{Message, UpstreamNews};
 use crate::node::Node;
 use crate::replica_list::ListMark;
+use crate::request_limit::LimitNote;
 use crate::view::SMALL_VIEW;
 
 /// The least time between two fetches of what is missing of the list: about as long as an
@@ -64,6 +65,17 @@
         }
     }
 
+    /// Tells the neighbours of the limits that upstreams name.
+    pub(crate) fn tell_limits(&self, notes: &[LimitNote], out: &mut Outbox) {
+        if notes.is_empty() {
+            return;
+        }
+        let neighbours = self.board.members().neighbours();
+        for to in neighbours {
+            out.send(to, Message::Limits(notes.to_vec()));
+        }
+    }
+
     /// Takes in what another process tells, and passes it on to its part of the ring.
     pub(crate) fn upstream_news(
         &self,
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -20,6 +20,7 @@
 use crate::poison::{Crash, Fingerprint};
 use crate::refusal::Refusal;
 use crate::replica_list::{ListMark, ReplicaList};
+use crate::request_limit::LimitNote;
 use crate::rollout::{OrderChange, RolloutNote, RolloutTally, RuleSet};
 use crate::template::KeyDigest;
 use crate::upstream::{LoadReport, VmList};
@@ -74,6 +75,8 @@
     EngineNeeds(Vec<Needs>),
     /// The upstreams at which requests wait.
     Lags(Vec<LagNote>),
+    /// What other processes should know of the limits that upstreams name.
+    Limits(Vec<LimitNote>),
     /// How the requests of this process went at services that are rolled out, told now and then.
     RolloutTallies(Vec<RolloutTally>),
     /// An upstream has ended while a request of this process was there.
@@ -369,6 +372,8 @@
     DivideEngines(Vec<Needs>),
     /// Take in at which upstreams requests of other processes wait.
     LearnLags(Vec<LagNote>),
+    /// Take in what another process knows of the limits that upstreams name.
+    LearnLimits(Incarnation, Vec<LimitNote>),
     /// Stop or begin to use the upstreams of failure domains, as the platform or a process told.
     Evacuated(Option<Incarnation>, Vec<DomainChange>),
     /// Divide the requests of services between versions by these rules, and by no others.
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -22,7 +22,8 @@
 //! evacuated is told by the same broadcast and compared by digests ([`evacuation`]); upstreams
 //! that come back from there start slowly ([`warm_up`]). Orders to move a service to another
 //! version travel in the same way ([`rollout`]), and so do requests under which upstreams have
-//! ended ([`poison`]), which are sent to no other.
+//! ended ([`poison`]), which are sent to no other. The limits that upstreams name travel from
+//! neighbour to neighbour ([`request_limit`]).
 //!
 //! All state stands in the tables of `board`, with one lock order. The platform's
 //! key-value service holds five kinds of values: the templates, the membership
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -17,6 +17,7 @@
 use crate::mix::Needs;
 use crate::poison::Crash;
 use crate::replica_list::{ListMark, ReplicaChanges, ReplicaList};
+use crate::request_limit::LimitNote;
 use crate::rollout::{Known, RolloutTally};
 use crate::template::{TemplateDelta, TemplateSet};
 use crate::view::Member;
@@ -207,6 +208,8 @@
         /// The serial number that was asked for.
         serial: u64,
     },
+    /// The limits that upstreams name, or have ceased to name, as far as the sender knows.
+    Limits(Vec<LimitNote>),
 }
 
 impl Message {
@@ -224,6 +227,7 @@
             Self::Evacuations(_) | Self::CompareEvacuations(_) => "evacuations",
             Self::Rollouts(_) | Self::CompareRollouts(_) | Self::RolloutReport(_) => "rollouts",
             Self::Crashes(_) | Self::CompareCrashes(_) => "crashes",
+            Self::Limits(_) => "limits",
             Self::Ask(_) | Self::Nothing { .. } => "ask",
             Self::Transfer(_) | Self::Transferred { .. } => "transfer",
             Self::Park(_) | Self::Parked(_) => "park",
@@ -243,7 +247,7 @@
     /// Tells whether the message may as well be lost, since a newer one follows soon.
     #[must_use]
     pub fn is_repeated(&self) -> bool {
-        matches!(self, Self::Heartbeat(_))
+        matches!(self, Self::Heartbeat(_) | Self::Limits(_))
     }
 }
 
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -369,6 +369,7 @@
                 out.push(Order::DivideEngines(members.needs.blend(now)));
             }
             Event::Lags(lags) => self.board.members().lags = lags,
+            Event::Limits(notes) => self.tell_limits(&notes, out),
             Event::RolloutTallies(tallies) => self.count_rollouts(now, tallies, out),
             Event::Crashed(crash) => self.crashed(now, crash, out),
             Event::SuspectServed(request) => self.suspect_served(now, request, out),
@@ -424,6 +425,7 @@
             Message::UpstreamChanges(news) => self.upstream_news(now, from, news, out),
             Message::FetchUpstreams { since } => out.push(Order::TellUpstreams(from, since)),
             Message::Upstreams(list) => out.push(Order::LearnUpstreams(list)),
+            Message::Limits(notes) => out.push(Order::LearnLimits(from, notes)),
             Message::Evacuations(news) => self.evacuation_news(now, from, news, out),
             Message::CompareEvacuations(theirs) => self.evacuations_compared(from, &theirs, out),
             Message::Rollouts(news) => self.rollout_news(now, news, out),
--- a/crates/badgerfield-core/src/replicas/limits.rs
+++ b/crates/badgerfield-core/src/replicas/limits.rs
@@ -1,22 +1,109 @@
-//! What upstreams name as limits on the requests that all processes send them.
+//! The limits that upstreams name, in the table of upstreams.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Replicas;
+use super::replica::Replica;
 use crate::amount::Time;
-use crate::ids::UpstreamId;
-use crate::request_limit::RequestLimit;
+use crate::event::due;
+use crate::ids::{Service, UpstreamId};
+use crate::request_limit::{LimitNote, MAX_NOTES, RequestLimit, place};
+
+/// The least time between two messages about limits to each neighbour.
+const TELL_PACE: Duration = Duration::from_millis(200);
+
+/// A limit that has changed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LimitChange {
+    /// The upstream that names it.
+    pub upstream: UpstreamId,
+    /// The limit; nothing if it names none.
+    pub limit: Option<RequestLimit>,
+    /// The one before.
+    pub before: Option<RequestLimit>,
+}
 
 impl Replicas {
-    /// Takes in which limit an upstream names in an answer, if any; returns the one that it named
-    /// before, if that has changed.
+    /// Takes in which limit an upstream names in an answer, if any; returns what has changed.
     pub fn hear_limit(
         &mut self,
-        _now: Time,
+        now: Time,
         id: &UpstreamId,
         limit: Option<RequestLimit>,
-    ) -> Option<Option<RequestLimit>> {
+    ) -> Option<LimitChange> {
+        let senders = self.starts.senders();
         let replica = self.table.get_mut(id)?;
-        let before = std::mem::replace(&mut replica.limit, limit);
-        (before != limit).then_some(before)
+        let (before, seed) = (replica.limit.limit(), replica.seed);
+        replica.limit.hear(now, limit, || place(senders, seed));
+        change_of(replica, before)
+    }
+
+    /// Takes in what another process tells of limits; returns what has changed.
+    pub fn learn_limits(&mut self, now: Time, notes: &[LimitNote]) -> Vec<LimitChange> {
+        let senders = self.starts.senders();
+        let mut changes = Vec::new();
+        for replica in self.table.values_mut() {
+            let number = replica.number();
+            let note = notes.iter().find(|note| note.upstream == number);
+            let Some(note) = note.filter(|note| note.process == process_number(replica)) else {
+                continue;
+            };
+            let (before, seed) = (replica.limit.limit(), replica.seed);
+            replica.limit.learn(now, note, || place(senders, seed));
+            changes.extend(change_of(replica, before));
+        }
+        changes
+    }
+
+    /// Returns what other processes should be told of limits now, another few at each turn where
+    /// there are many.
+    pub fn limit_notes(&mut self, now: Time) -> Vec<LimitNote> {
+        if !due(now, self.limits_told, TELL_PACE) {
+            return Vec::new();
+        }
+        let note = |r: &Replica| r.limit.note(now, r.number(), process_number(r));
+        let all: Vec<_> = self.table.values().filter_map(note).collect();
+        if all.is_empty() {
+            return all;
+        }
+        self.limits_told = Some(now);
+        let start = self.limits_turn % all.len();
+        self.limits_turn = self.limits_turn.wrapping_add(MAX_NOTES);
+        all.iter().cycle().skip(start).take(all.len().min(MAX_NOTES)).copied().collect()
+    }
+
+    /// Notes that there is a request for a service, whose upstreams may have limits.
+    pub fn want(&mut self, now: Time, service: &Service) {
+        for replica in self.table.values_mut().filter(|r| r.info.service == *service) {
+            replica.limit.want(now);
+        }
+    }
+
+    /// Tells whether a request that was given an upstream at a time may still be sent there.
+    pub fn admits_begun(&mut self, now: Time, id: &UpstreamId, begun: Time) -> bool {
+        let replica = self.table.get_mut(id);
+        replica.is_none_or(|replica| replica.limit.admits_begun(now, begun))
+    }
+
+    /// Returns when the first upstream of a service takes a request of this process again, if
+    /// limits hold all of them back.
+    #[must_use]
+    pub fn admits_in(&self, now: Time, service: &Service) -> Option<Duration> {
+        let usable =
+            || self.table.values().filter(|r| r.info.service == *service && r.is_usable(now));
+        if usable().any(|r| r.limit.limit().is_none()) {
+            return None;
+        }
+        usable().filter_map(|r| r.limit.wait(now)).min()
+    }
+
+    /// Returns how many upstreams have a limit.
+    #[must_use]
+    pub fn limited(&self) -> usize {
+        let listed = self.table.values().filter(|r| r.vanished.is_none());
+        listed.filter(|r| r.limit.limit().is_some()).count()
     }
 
     /// Notes that an upstream states something of itself that cannot be read; tells whether that
@@ -26,3 +113,17 @@
         replica.is_some_and(|replica| !std::mem::replace(&mut replica.is_unreadable, true))
     }
 }
+
+fn change_of(replica: &Replica, before: Option<RequestLimit>) -> Option<LimitChange> {
+    let limit = replica.limit.limit();
+    let upstream = || replica.info.id.clone();
+    (before != limit).then(|| LimitChange { upstream: upstream(), limit, before })
+}
+
+/// Returns the number that stands for the process of an upstream in messages.
+fn process_number(replica: &Replica) -> u32 {
+    let info = &replica.info;
+    let text = format!("{} {}", info.address, info.born.unwrap_or_default());
+    let [a, b, c, d, ..] = xxh3_64(text.as_bytes()).to_be_bytes();
+    u32::from_be_bytes([a, b, c, d])
+}
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -4,7 +4,8 @@
 //! VM saw of each says how it is doing. A request goes where its first part of the
 //! answer is expected soonest: prompt parts that the upstream has read before need not
 //! be read again, and work under way delays it. Upstreams of an evacuated failure domain get
-//! nothing; those that are cold get little ([`crate::warm_up`]).
+//! nothing; those that are cold get little ([`crate::warm_up`]), and those that name a limit no more
+//! than that ([`crate::request_limit`]).
 
 mod canary;
 mod choice;
@@ -31,10 +32,11 @@
 };
 use crate::residency::{RegionMap, Residency};
 use crate::rollout::tally::Tallies;
-use crate::warm_up::{HOLD_OFF, Senders, WarmUp, WarmUpBound};
+use crate::warm_up::{Senders, WarmUp, WarmUpBound};
 use serde::{Deserialize, Serialize};
 
 pub use self::canary::Given;
+pub use self::limits::LimitChange;
 
 /// How long after it was taken back a domain's upstreams may be silent about having turned
 /// cold: the platform's upstreams write their entries anew every 1.2 s.
@@ -161,6 +163,9 @@
     tallies: Tallies,
     /// The services, without engines, that requests of this process went to.
     plain: BTreeSet<Service>,
+    /// When others were told of limits last, and with which note the next turn begins.
+    limits_told: Option<Time>,
+    limits_turn: usize,
 }
 
 impl Replicas {
@@ -208,7 +213,7 @@
     pub fn set_senders(&mut self, now: Time, senders: Senders) {
         self.starts.set_senders(senders);
         for replica in self.table.values_mut() {
-            replica.change_senders(&self.starts, now.after(HOLD_OFF));
+            replica.change_senders(now, &self.starts);
         }
     }
 
--- a/crates/badgerfield-core/src/replicas/replica.rs
+++ b/crates/badgerfield-core/src/replicas/replica.rs
@@ -13,9 +13,9 @@
 use crate::mix::{Division, Group, Mix, READ_MS_PRIOR, float};
 use crate::replica_list::{ReplicaEntry, ReplicaInfo, digest_of};
 use crate::replicas::starts::Starts;
-use crate::request_limit::RequestLimit;
+use crate::request_limit::{self, KnownLimit};
 use crate::residency::RegionMap;
-use crate::warm_up::{Bucket, Share};
+use crate::warm_up::{Bucket, HOLD_OFF, Share};
 
 /// The expected delay by each request under way at an engine, in milliseconds.
 const RUNNING_MS: f64 = 1.5;
@@ -87,8 +87,8 @@
     pub(super) distance: Distance,
     /// Until when and how it is spared, while it is cold.
     cold: Option<Cold>,
-    /// How many requests a second it takes from all processes, by its last answer here.
-    pub(super) limit: Option<RequestLimit>,
+    /// How many requests a second it takes from all processes, and which of them are this one's.
+    pub(super) limit: KnownLimit,
     /// Whether it has stated something of itself that cannot be read.
     pub(super) is_unreadable: bool,
 }
@@ -163,7 +163,7 @@
             region: None,
             distance: Distance::default(),
             cold: None,
-            limit: None,
+            limit: KnownLimit::default(),
             is_unreadable: false,
         }
     }
@@ -185,7 +185,7 @@
         self.parts.clear();
         self.lag = Lag::default();
         self.cold = None;
-        self.limit = None;
+        self.limit = KnownLimit::default();
         self.is_unreadable = false;
     }
 
@@ -260,9 +260,12 @@
         self.cold = Some(Cold { until, since: revision, bucket });
     }
 
-    /// Lets it be sent to by the senders of another view; one that has become a sender begins
-    /// at a time.
-    pub(super) fn change_senders(&mut self, starts: &Starts, from: Time) {
+    /// Lets it be sent to by the senders of another view; one that has become a sender waits until
+    /// the others have learned of it.
+    pub(super) fn change_senders(&mut self, now: Time, starts: &Starts) {
+        let from = now.after(HOLD_OFF);
+        let seed = self.seed;
+        self.limit.change_place(from, || request_limit::place(starts.senders(), seed));
         let Some(cold) = &mut self.cold else {
             return;
         };
@@ -283,6 +286,7 @@
     /// Notes that a request goes there.
     pub(super) fn begin(&mut self, now: Time, share: Option<Share>, parts: &[PromptPart]) {
         self.running += 1;
+        self.limit.take(now);
         let bucket = self.cold.as_mut().and_then(|cold| cold.bucket.as_mut());
         if let Some((bucket, share)) = bucket.zip(share) {
             bucket.take(now, share);
--- a/crates/badgerfield-core/src/replicas/starts.rs
+++ b/crates/badgerfield-core/src/replicas/starts.rs
@@ -30,6 +30,11 @@
         self.senders = senders;
     }
 
+    /// Returns the order in which processes may send to upstreams that take few requests.
+    pub(super) fn senders(&self) -> &Senders {
+        &self.senders
+    }
+
     /// Tells whether this process may send to an upstream while it is cold.
     pub(super) fn is_sender(&self, upstream: u64) -> bool {
         self.senders.rank(upstream).is_some_and(|rank| rank < self.count)
--- a/crates/badgerfield-core/src/request_limit.rs
+++ b/crates/badgerfield-core/src/request_limit.rs
@@ -1,10 +1,49 @@
-//! The limit on requests that an upstream names in its answers.
+//! Limits on requests that upstreams name, and how a fleet keeps them.
+//!
+//! An upstream in need names in its answers how many requests a second it takes from all processes
+//! together. No process can count what the others send, so a few send to it, chosen by rank over
+//! the view, each at its own part of the limit; all others leave it alone from when they know of
+//! the limit. Processes tell each other which limits are in force, and which have ended: one that
+//! sends nothing gets no answer that says so.
+//!
+//! The senders may have nothing to send while another process has. So a process that has heard
+//! nothing of a limit for a while, and has requests for the upstream all that time, tries one. How
+//! long it waits grows with its rank, so that they try one after the other, and the answer to the
+//! first is known to the others before the next one tries.
 
 use std::fmt::{self, Display, Formatter};
 use std::str::FromStr;
+use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::amount::Time;
+use crate::warm_up::{Bucket, Senders, Share};
+
+/// The senders to an upstream whose limit is small.
+const LEAST_SENDERS: f64 = 2.0;
+/// How many requests a second of a limit bring one more sender.
+const RATE_PER_SENDER: f64 = 2.0;
+/// How many requests one sender may send at once, as the span in which it may send as many.
+const BURST: Duration = Duration::from_millis(250);
+/// The least rate at which a fleet sends, in requests a second, whatever the limit: only an answer
+/// tells that a limit has ended.
+const LEAST_RATE: f64 = 0.1;
+/// How long the first process that is no sender waits at the least for news of a limit before it
+/// tries the upstream itself.
+const SILENCE: Duration = Duration::from_secs(6);
+/// How many times the span between two requests of one sender it waits at the least.
+const SILENT_TURNS: f64 = 2.0;
+/// For how long processes tell that a limit has ended.
+const TELL_ENDED: Duration = Duration::from_secs(20);
+/// By how much the age of a note may be off: it grows old on its way.
+const AGE_ERROR: Duration = Duration::from_secs(1);
+/// How many limits a message tells of.
+pub(crate) const MAX_NOTES: usize = 8;
+/// The unit of a limit in a message, in parts of a request a second.
+const NOTE_UNITS: f64 = 1000.0;
+
 /// Why a limit cannot be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("expected a decimal number of requests a second, such as 1.5")]
@@ -29,6 +68,24 @@
     pub fn rate(self) -> f64 {
         self.0
     }
+
+    /// Returns how many of so many processes may send.
+    fn senders(self, members: usize) -> u32 {
+        let members = u32::try_from(members).unwrap_or(u32::MAX).max(1);
+        let wanted = LEAST_SENDERS + (self.0 / RATE_PER_SENDER).floor();
+        if wanted >= f64::from(members) {
+            return members;
+        }
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "within range")]
+        let senders = wanted as u32;
+        senders
+    }
+
+    /// Returns what each of so many senders may send.
+    fn share(self, senders: u32) -> Share {
+        let rate = self.0.max(LEAST_RATE) / f64::from(senders);
+        Share { rate, burst: (rate * BURST.as_secs_f64()).max(1.0) }
+    }
 }
 
 impl FromStr for RequestLimit {
@@ -44,3 +101,263 @@
         write!(f, "{}", self.0)
     }
 }
+
+/// What one process tells another of the limit of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitNote {
+    /// Stands for the upstream.
+    pub upstream: u32,
+    /// Stands for its process: one that starts again has named no limit.
+    pub process: u32,
+    /// Grows with each statement of the upstream that is heard by one who knows of the last.
+    pub version: u32,
+    /// The limit in thousandths of a request a second; nothing if it names none any more.
+    pub limit: Option<u32>,
+    /// How long ago the upstream said so, in milliseconds.
+    pub age_ms: u32,
+}
+
+impl LimitNote {
+    fn limit(&self) -> Option<RequestLimit> {
+        self.limit.map(|limit| RequestLimit(f64::from(limit) / NOTE_UNITS))
+    }
+}
+
+/// What is known of the limit of one upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct KnownLimit {
+    /// The limit in force, and what this process may send.
+    pacer: Option<Pacer>,
+    /// The number of the last statement of the upstream that is known, whoever heard it; 0 before
+    /// the first. Times of several processes cannot be ordered.
+    version: u32,
+    /// When the upstream made that statement.
+    said: Time,
+    /// When it made the last one in an answer to this process.
+    heard: Option<Time>,
+    /// Until when others are told that a limit has ended.
+    tell_until: Time,
+}
+
+/// What one process may send to an upstream with a limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Pacer {
+    limit: RequestLimit,
+    /// From when on this process keeps to it.
+    since: Time,
+    /// How many VMs come before this one, and how many there are; nothing outside the view.
+    place: Option<(usize, usize)>,
+    /// What it may send, if it is a sender.
+    bucket: Option<Bucket>,
+    /// From when to when it had requests for the upstream, without a long pause.
+    wanted: Option<(Time, Time)>,
+    /// When it tried the upstream last without being a sender.
+    tried: Time,
+}
+
+impl Pacer {
+    fn new(limit: RequestLimit, now: Time, place: Option<(usize, usize)>) -> Self {
+        let wanted = None;
+        let mut pacer = Self { limit, since: now, place, bucket: None, wanted, tried: now };
+        pacer.choose_role(now);
+        pacer
+    }
+
+    fn senders(&self) -> u32 {
+        self.limit.senders(self.place.map_or(1, |(_, members)| members))
+    }
+
+    fn share(&self) -> Share {
+        self.limit.share(self.senders())
+    }
+
+    /// Makes this process a sender or none; a new one begins at a time, with nothing to send.
+    fn choose_role(&mut self, from: Time) {
+        let senders = usize::try_from(self.senders()).unwrap_or(usize::MAX);
+        let is_sender = self.place.is_some_and(|(rank, _)| rank < senders);
+        self.bucket = is_sender.then(|| self.bucket.unwrap_or_else(|| Bucket::new(from)));
+    }
+
+    /// Returns how long this process waits for news before it tries the upstream, if it is no
+    /// sender.
+    fn patience(&self) -> Option<Duration> {
+        let (rank, _) = self.place?;
+        let turn = self.share().rate.recip();
+        let least = SILENCE.as_secs_f64().max(SILENT_TURNS * turn);
+        let place = f64::from(u32::try_from(rank).unwrap_or(u32::MAX)) + 1.0;
+        let turns = 1.0 + (place / f64::from(self.senders())).log2();
+        Duration::try_from_secs_f64(least * turns).ok()
+    }
+
+    fn may_try(&self, now: Time, said: Time) -> bool {
+        let Some(((from, _), patience)) = self.wanted.zip(self.patience()) else {
+            return false;
+        };
+        now.since(from.max(said).max(self.tried)) >= patience
+    }
+
+    fn admits(&self, now: Time, said: Time) -> bool {
+        match &self.bucket {
+            Some(bucket) => bucket.may_send(now, self.share()),
+            None => self.may_try(now, said),
+        }
+    }
+
+    fn take(&mut self, now: Time) {
+        let share = self.share();
+        match &mut self.bucket {
+            Some(bucket) => bucket.take(now, share),
+            None => self.tried = now,
+        }
+    }
+
+    fn want(&mut self, now: Time) {
+        let kept = self.wanted.filter(|(_, last)| now.since(*last) < SILENCE);
+        self.wanted = Some((kept.map_or(now, |(from, _)| from), now));
+    }
+}
+
+impl KnownLimit {
+    /// Returns the limit in force.
+    pub(crate) fn limit(&self) -> Option<RequestLimit> {
+        self.pacer.map(|pacer| pacer.limit)
+    }
+
+    /// Takes in what the upstream says in an answer to this process.
+    pub(crate) fn hear(
+        &mut self,
+        now: Time,
+        limit: Option<RequestLimit>,
+        place: impl FnOnce() -> Option<(usize, usize)>,
+    ) {
+        if self.pacer.is_none() && limit.is_none() {
+            self.heard = Some(now);
+            return;
+        }
+        self.version = self.version.saturating_add(1);
+        (self.said, self.heard) = (now, Some(now));
+        self.put(now, limit, place);
+    }
+
+    /// Takes in what another process tells, if that is newer.
+    pub(crate) fn learn(
+        &mut self,
+        now: Time,
+        note: &LimitNote,
+        place: impl FnOnce() -> Option<(usize, usize)>,
+    ) {
+        let limit = note.limit();
+        let differs = limit.is_some() != self.pacer.is_some();
+        if note.version <= self.version {
+            if differs {
+                // The sender has missed what is known here.
+                self.tell_until = now.after(TELL_ENDED);
+            }
+            return;
+        }
+        let age = Duration::from_millis(note.age_ms.into());
+        let at = Time(now.0.saturating_sub(age));
+        if differs && self.heard.is_some_and(|heard| heard.since(at) > AGE_ERROR) {
+            // The upstream has told this process otherwise since.
+            self.version = note.version.saturating_add(1);
+            self.tell_until = now.after(TELL_ENDED);
+            return;
+        }
+        (self.version, self.said) = (note.version, at);
+        self.put(now, limit, place);
+    }
+
+    fn put(
+        &mut self,
+        now: Time,
+        limit: Option<RequestLimit>,
+        place: impl FnOnce() -> Option<(usize, usize)>,
+    ) {
+        match (limit, &mut self.pacer) {
+            (Some(limit), Some(pacer)) if pacer.limit == limit => {}
+            (Some(limit), Some(pacer)) => {
+                pacer.limit = limit;
+                pacer.choose_role(now);
+            }
+            (Some(limit), None) => self.pacer = Some(Pacer::new(limit, now, place())),
+            (None, Some(_)) => {
+                self.pacer = None;
+                self.tell_until = now.after(TELL_ENDED);
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// Takes in a newer view; a process that becomes a sender begins at a time.
+    pub(crate) fn change_place(
+        &mut self,
+        from: Time,
+        place: impl FnOnce() -> Option<(usize, usize)>,
+    ) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.place = place();
+            pacer.choose_role(from);
+        }
+    }
+
+    /// Tells whether a request may be sent.
+    pub(crate) fn admits(&self, now: Time) -> bool {
+        self.pacer.is_none_or(|pacer| pacer.admits(now, self.said))
+    }
+
+    /// Tells whether a request that was given the upstream at a time may still be sent. One that
+    /// was given it before the limit was known here counts from now on.
+    pub(crate) fn admits_begun(&mut self, now: Time, begun: Time) -> bool {
+        if self.pacer.is_none_or(|pacer| pacer.since <= begun) {
+            return true;
+        }
+        let admitted = self.admits(now);
+        if admitted {
+            self.take(now);
+        }
+        admitted
+    }
+
+    /// Counts a request that is sent.
+    pub(crate) fn take(&mut self, now: Time) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.take(now);
+        }
+    }
+
+    /// Notes that there is a request for the upstream's service.
+    pub(crate) fn want(&mut self, now: Time) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.want(now);
+        }
+    }
+
+    /// Returns how long it takes until this process may send; nothing if there is no limit, or
+    /// others send.
+    pub(crate) fn wait(&self, now: Time) -> Option<Duration> {
+        let pacer = self.pacer.as_ref()?;
+        pacer.bucket.map(|bucket| bucket.wait(now, pacer.share()))
+    }
+
+    /// Makes a note for other processes, if there is anything that they should know.
+    pub(crate) fn note(&self, now: Time, upstream: u32, process: u32) -> Option<LimitNote> {
+        let is_told = self.pacer.is_some() || now < self.tell_until;
+        let age_ms = u32::try_from(now.since(self.said).as_millis()).unwrap_or(u32::MAX);
+        let limit = self.pacer.map(|pacer| units(pacer.limit));
+        is_told.then_some(LimitNote { upstream, process, version: self.version, limit, age_ms })
+    }
+}
+
+/// Returns where this process stands among those that may send to an upstream.
+pub(crate) fn place(senders: &Senders, upstream: u64) -> Option<(usize, usize)> {
+    senders.rank(upstream).map(|rank| (rank, senders.count()))
+}
+
+/// Returns a limit in thousandths of a request a second, the most that a message holds if it is
+/// larger.
+fn units(limit: RequestLimit) -> u32 {
+    let units = (limit.0 * NOTE_UNITS).min(f64::from(u32::MAX));
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "within range")]
+    let units = units as u32;
+    units
+}
--- a/crates/badgerfield-core/src/warm_up.rs
+++ b/crates/badgerfield-core/src/warm_up.rs
@@ -64,11 +64,13 @@
     }
 }
 
-/// What one of a few senders may send to a cold upstream.
+/// What one of a few senders may send to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Share {
     /// Requests a second.
     pub rate: f64,
+    /// How many requests at once.
+    pub burst: f64,
 }
 
 impl Share {
@@ -80,7 +82,7 @@
         let rate = bound.most(warm_up) / VIEWS / senders - BURST;
         // What the upstream bears goes before what the fleet is allowed.
         let rate = rate.min(warm_up.rate() / senders);
-        (rate >= LEAST_RATE).then_some(Self { rate })
+        (rate >= LEAST_RATE).then_some(Self { rate, burst: BURST })
     }
 }
 
@@ -111,11 +113,19 @@
     }
 
     fn filled(&self, now: Time, share: Share) -> f64 {
-        (self.tokens + now.since(self.at).as_secs_f64() * share.rate).min(BURST)
+        (self.tokens + now.since(self.at).as_secs_f64() * share.rate).min(share.burst)
+    }
+
+    /// Returns how long it takes until a request may be sent.
+    #[must_use]
+    pub fn wait(&self, now: Time, share: Share) -> Duration {
+        let lacking = (1.0 - self.filled(now, share)).max(0.0);
+        let filling = Duration::try_from_secs_f64(lacking / share.rate).unwrap_or(Duration::MAX);
+        self.at.since(now).saturating_add(filling)
     }
 }
 
-/// The order in which VMs may send to each cold upstream.
+/// The order in which VMs may send to each upstream that takes few requests.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Senders {
     me: Option<u64>,
@@ -147,4 +157,10 @@
         let own = weight(self.me?);
         Some(self.others.iter().filter(|vm| weight(**vm) > own).count())
     }
+
+    /// Returns how many VMs the view has, this one included.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.others.len().saturating_add(1)
+    }
 }
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -344,6 +344,7 @@
                     gateway.replicas().learn_lags(self.now(), &notes);
                 }
             }
+            Order::LearnLimits(from, notes) => self.learn_limits(from, &notes),
             Order::Evacuated(from, changes) => self.evacuate(from, &changes),
             Order::RolloutRules(rules) => self.divide_versions(rules),
             Order::TellUpstreams(to, since) => self.tell_upstreams(to, since),
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -202,10 +202,12 @@
 fn refresh(driver: &Arc<Driver>, gateway: &Gateway) {
     let now = driver.now();
     gateway.sweep(now);
-    let (needs, lags) = {
+    let (needs, lags, limits) = {
         let mut replicas = gateway.replicas();
-        (replicas.needs(now), replicas.lags(now, gateway.next_turn()))
+        let lags = replicas.lags(now, gateway.next_turn());
+        (replicas.needs(now), lags, replicas.limit_notes(now))
     };
+    driver.feed(Event::Limits(limits));
     driver.feed(Event::EngineNeeds(needs));
     driver.feed(Event::Lags(lags));
     driver.feed(Event::Serving(directory::is_ready(gateway)));
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -73,8 +73,8 @@
 /// How a try ended, up to the head of an answer.
 #[derive(Debug)]
 pub(crate) enum AttemptEnd {
-    /// Nothing was sent.
-    NotSent,
+    /// Nothing was sent, for this reason.
+    NotSent(&'static str),
     /// The upstream did not run the request.
     NotRun(StatusCode),
     /// The request may have run, and no answer to it came.
@@ -185,11 +185,18 @@
         }
     }
 
-    /// Finds out whether the upstream was evacuated or has begun to leave while a connection
-    /// to it was opened.
+    /// Finds out whether the upstream was evacuated, has begun to leave or has named a limit while
+    /// a connection to it was opened.
     fn check_usable(&self) -> Result<(), Unsent> {
-        let usable = self.gateway.is_usable(self.driver.now(), &self.id);
-        if usable { Ok(()) } else { Err(Unsent::NotSent) }
+        let now = self.driver.now();
+        let mut replicas = self.gateway.replicas();
+        if !replicas.is_usable(now, &self.id) {
+            return Err(Unsent::NotSent);
+        }
+        if !replicas.admits_begun(now, &self.id, self.sent) {
+            return Err(Unsent::NotAdmitted);
+        }
+        Ok(())
     }
 
     /// Notes how the upstream is doing.
@@ -252,7 +259,11 @@
         Ok(found) => found,
         Err(Unsent::NotSent) => {
             hold.note_unrun(Health::Failed);
-            return AttemptEnd::NotSent;
+            return AttemptEnd::NotSent("unreachable");
+        }
+        Err(Unsent::NotAdmitted) => {
+            hold.note_unrun(Health::Unknown);
+            return AttemptEnd::NotSent("not_admitted");
         }
         Err(Unsent::Broken) => {
             hold.wait = None;
@@ -290,6 +301,8 @@
 /// Why there is no head of an answer.
 enum Unsent {
     NotSent,
+    /// The upstream takes no more at present.
+    NotAdmitted,
     Broken,
 }
 
--- a/crates/badgerfield-node/src/gateway/dispatch.rs
+++ b/crates/badgerfield-node/src/gateway/dispatch.rs
@@ -86,10 +86,10 @@
                         return Ok(answered);
                     }
                 }
-                AttemptEnd::NotSent => {
+                AttemptEnd::NotSent(why) => {
                     unreachable += 1;
                     self.gateway.replicas().refund(&chosen.id, &self.route.name);
-                    "unreachable"
+                    why
                 }
                 AttemptEnd::NotRun(status) => {
                     self.attempts += 1;
@@ -145,6 +145,7 @@
         let residency = self.residency();
         // What is chosen is begun under the same lock: what a cold upstream may get is counted.
         let mut replicas = self.gateway.replicas();
+        replicas.want(now, &self.service);
         if let Err(fault) = residency.check(replicas.regions()) {
             drop(replicas);
             record::outside(&self.original.id, &self.route.name, &fault, self.admission.version);
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -251,9 +251,8 @@
             return Refusal::unknown(cause);
         }
         let cause = if cause == Cause::OutOfTime { Cause::Overloaded } else { cause };
-        let warm_in = self.gateway.replicas().warm_in(self.now(), &self.service);
         let after = match cause {
-            Cause::NoUpstream => warm_in,
+            Cause::NoUpstream => self.upstream_in(),
             Cause::EndsUpstreams => self.blocked_for(),
             _ => None,
         };
@@ -261,6 +260,19 @@
         Refusal::not_run(cause).after(after)
     }
 
+    /// Returns when the first upstream that is cold or has a limit takes a request again, if that is
+    /// known; callers that a limit holds back come one after the other.
+    fn upstream_in(&self) -> Option<Duration> {
+        let now = self.now();
+        let (warm_in, admits_in) = {
+            let replicas = self.gateway.replicas();
+            (replicas.warm_in(now, &self.service), replicas.admits_in(now, &self.service))
+        };
+        let spread = overload::come_back(rand::random());
+        let admits_in = admits_in.map(|span| span.saturating_add(spread));
+        warm_in.into_iter().chain(admits_in).min()
+    }
+
     /// Counts what an upstream may have handed out that did not arrive here: all that is set
     /// aside, unless each upstream that worked on it has ended. Those had sent what they made,
     /// but for a few events on their way.
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
-use badgerfield_core::ids::{SoftwareVersion, UpstreamId, Version};
+use badgerfield_core::ids::{Incarnation, SoftwareVersion, UpstreamId, Version};
 use badgerfield_core::locality::Crossing;
 use badgerfield_core::mix::Group;
 use badgerfield_core::poison::Fingerprint;
 use badgerfield_core::refusal::Refusal;
-use badgerfield_core::replicas::Chosen;
+use badgerfield_core::replicas::{Chosen, LimitChange};
 use badgerfield_core::request_limit::RequestLimit;
 use badgerfield_core::residency::ResidencyFault;
 
@@ -125,18 +125,25 @@
     );
 }
 
-/// Records that an upstream names another limit than before, in requests a second.
-pub(crate) fn limit_named(
-    id: &str,
-    upstream: &UpstreamId,
-    limit: Option<RequestLimit>,
-    before: Option<RequestLimit>,
-) {
-    let named = |limit: Option<RequestLimit>| limit.map_or("-".to_owned(), |l| l.to_string());
-    let (limit, before) = (named(limit), named(before));
+/// Records that an upstream names another limit than before in its answer to a request.
+pub(crate) fn limit_named(id: &str, change: &LimitChange) {
+    let LimitChange { upstream, .. } = change;
+    let (limit, before) = (named(change.limit), named(change.before));
     log::info!(target: REQUESTS, "limit id={id} upstream={upstream} limit={limit} before={before}");
 }
 
+/// Records that an upstream names another limit than before, as another process has told.
+pub(crate) fn limit_learned(from: Incarnation, change: &LimitChange) {
+    let LimitChange { upstream, .. } = change;
+    let (limit, before) = (named(change.limit), named(change.before));
+    log::info!(target: REQUESTS, "limit from={from} upstream={upstream} limit={limit} before={before}");
+}
+
+/// Writes a limit in requests a second.
+fn named(limit: Option<RequestLimit>) -> String {
+    limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string())
+}
+
 /// Records that an upstream states something of itself that cannot be read.
 pub(crate) fn unreadable_statement(upstream: &UpstreamId) {
     log::warn!(target: REQUESTS, "unreadable upstream={upstream} outcome=ignored");
--- a/crates/badgerfield-node/src/gateway/statements.rs
+++ b/crates/badgerfield-node/src/gateway/statements.rs
@@ -1,7 +1,10 @@
 //! What upstreams say of themselves in their answers.
 
-use badgerfield_core::ids::UpstreamId;
-use badgerfield_core::request_limit::RequestLimit;
+use std::sync::Arc;
+
+use badgerfield_core::Event;
+use badgerfield_core::ids::{Incarnation, UpstreamId};
+use badgerfield_core::request_limit::{LimitNote, RequestLimit};
 use hyper::{HeaderMap, StatusCode};
 
 use crate::adapter::{Stated, UpstreamStatement};
@@ -12,7 +15,7 @@
 impl Driver {
     /// Takes in what the head of an answer says of the upstream that was asked.
     pub(crate) fn hear_upstream(
-        &self,
+        self: &Arc<Self>,
         gateway: &Gateway,
         id: &str,
         upstream: &UpstreamId,
@@ -29,15 +32,29 @@
     }
 
     fn hear_limit(
-        &self,
+        self: &Arc<Self>,
         gateway: &Gateway,
         id: &str,
         upstream: &UpstreamId,
         limit: Option<RequestLimit>,
     ) {
-        let before = gateway.replicas().hear_limit(self.now(), upstream, limit);
-        if let Some(before) = before {
-            record::limit_named(id, upstream, limit, before);
+        let change = gateway.replicas().hear_limit(self.now(), upstream, limit);
+        let Some(change) = change else {
+            return;
+        };
+        record::limit_named(id, &change);
+        let notes = gateway.replicas().limit_notes(self.now());
+        self.feed(Event::Limits(notes));
+    }
+
+    /// Takes in what another process knows of the limits that upstreams name.
+    pub(crate) fn learn_limits(&self, from: Incarnation, notes: &[LimitNote]) {
+        let Some(gateway) = self.gateway() else {
+            return;
+        };
+        let changes = gateway.replicas().learn_limits(self.now(), notes);
+        for change in &changes {
+            record::limit_learned(from, change);
         }
     }
 
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -304,10 +304,10 @@
         self.kv_results.get_or_create(&KvLabel { result }).inc();
     }
 
-    /// Notes how many upstreams get nothing since their domain is evacuated, and how many are
-    /// cold.
-    pub(crate) fn note_spared(&self, (evacuated, cold): (usize, usize)) {
-        for (why, count) in [("evacuated", evacuated), ("cold", cold)] {
+    /// Notes how many upstreams get nothing since their domain is evacuated, how many are cold, and
+    /// how many name a limit.
+    pub(crate) fn note_spared(&self, (evacuated, cold): (usize, usize), limited: usize) {
+        for (why, count) in [("evacuated", evacuated), ("cold", cold), ("limited", limited)] {
             let count = u64::try_from(count).unwrap_or(u64::MAX);
             self.spared.get_or_create(&SparedLabel { why }).set(count);
         }
--- a/crates/badgerfield-node/src/operators.rs
+++ b/crates/badgerfield-node/src/operators.rs
@@ -55,7 +55,7 @@
             if let Some(gateway) = driver.gateway() {
                 let replicas = gateway.replicas();
                 let now = driver.now();
-                driver.metrics.note_spared(replicas.spared(now));
+                driver.metrics.note_spared(replicas.spared(now), replicas.limited());
                 let (rules, tallies) = (replicas.rollouts(), replicas.rollout_tallies(now));
                 driver.metrics.rollouts.note(&rules, &tallies);
             }
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -103,6 +103,7 @@
             | Order::ConfirmUpstreams(_)
             | Order::DivideEngines(_)
             | Order::LearnLags(_)
+            | Order::LearnLimits(..)
             | Order::TellUpstreams(..)
             | Order::Block(_)
             | Order::Note(_)
