Statements: leaving and rest are read and logged

Of a request that reached an upstream after that had said that it leaves, or had asked for rest, no line told that it had: hypotheses could not be told apart. Lines `leaving` and `rest` do; nothing is decided by them yet.

--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -151,6 +151,17 @@
 pub struct UpstreamStatement {
     /// How many requests a second it takes from all VMs together.
     pub limit: Stated<RequestLimit>,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// For how long it wants nothing more from this VM, if it turns the request away.
+    pub rest: Stated<Duration>,
+}
+
+impl UpstreamStatement {
+    /// Tells whether it holds anything that cannot be read.
+    pub fn is_unreadable(&self) -> bool {
+        self.limit == Stated::Unreadable || self.rest == Stated::Unreadable
+    }
 }
 
 /// A value that an upstream may state.
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -139,6 +139,17 @@
     log::info!(target: REQUESTS, "limit from={from} upstream={upstream} limit={limit} before={before}");
 }
 
+/// Records that an upstream says in its answer to a request that it is about to leave.
+pub(crate) fn says_leaving(id: &str, upstream: &UpstreamId) {
+    log::info!(target: REQUESTS, "leaving id={id} upstream={upstream}");
+}
+
+/// Records for how long an upstream that turns a request away wants nothing more from this VM.
+pub(crate) fn asks_rest(id: &str, upstream: &UpstreamId, rest: Duration) {
+    let rest = rest.as_millis();
+    log::info!(target: REQUESTS, "rest id={id} upstream={upstream} rest_ms={rest}");
+}
+
 /// Writes a limit in requests a second.
 fn named(limit: Option<RequestLimit>) -> String {
     limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string())
--- a/crates/badgerfield-node/src/gateway/statements.rs
+++ b/crates/badgerfield-node/src/gateway/statements.rs
@@ -7,7 +7,7 @@
 use badgerfield_core::request_limit::{LimitNote, RequestLimit};
 use hyper::{HeaderMap, StatusCode};
 
-use crate::adapter::{Stated, UpstreamStatement};
+use crate::adapter::UpstreamStatement;
 use crate::driver::Driver;
 use crate::gateway::record;
 use crate::gateway::state::Gateway;
@@ -24,10 +24,16 @@
         let Some(statement) = gateway.adapter.dialect.statement(upstream, status, head) else {
             return;
         };
-        let UpstreamStatement { limit } = statement;
-        if limit == Stated::Unreadable {
+        if statement.is_unreadable() {
             self.note_unreadable(gateway, upstream);
         }
+        let UpstreamStatement { limit, leaving, rest } = statement;
+        if leaving {
+            record::says_leaving(id, upstream);
+        }
+        if let Some(rest) = rest.value() {
+            record::asks_rest(id, upstream, rest);
+        }
         self.hear_limit(gateway, id, upstream, limit.value());
     }
 
