Connections: none is kept that leads to an earlier process of an upstream

A caller's request could go to a process that the list no longer names: one whose answer came after its upstream had started again elsewhere under its id. Its connection was kept under that id and taken for the next request. What was kept before the list said so was closed, what came back later was not. The choice names the process now, and a connection is kept only while the list names that process.

--- a/crates/badgerfield-core/src/replicas/limits.rs
+++ b/crates/badgerfield-core/src/replicas/limits.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::Replicas;
 use super::replica::Replica;
 use crate::amount::Time;
@@ -47,7 +45,7 @@
         for replica in self.table.values_mut() {
             let number = replica.number();
             let note = notes.iter().find(|note| note.upstream == number);
-            let Some(note) = note.filter(|note| note.process == process_number(replica)) else {
+            let Some(note) = note.filter(|note| note.process == replica.process()) else {
                 continue;
             };
             let (before, seed) = (replica.limit.limit(), replica.seed);
@@ -63,7 +61,7 @@
         if !due(now, self.limits_told, TELL_PACE) {
             return Vec::new();
         }
-        let note = |r: &Replica| r.limit.note(now, r.number(), process_number(r));
+        let note = |r: &Replica| r.limit.note(now, r.number(), r.process());
         let all: Vec<_> = self.table.values().filter_map(note).collect();
         if all.is_empty() {
             return all;
@@ -119,11 +117,3 @@
     let upstream = || replica.info.id.clone();
     (before != limit).then(|| LimitChange { upstream: upstream(), limit, before })
 }
-
-/// Returns the number that stands for the process of an upstream in messages.
-fn process_number(replica: &Replica) -> u32 {
-    let info = &replica.info;
-    let text = format!("{} {}", info.address, info.born.unwrap_or_default());
-    let [a, b, c, d, ..] = xxh3_64(text.as_bytes()).to_be_bytes();
-    u32::from_be_bytes([a, b, c, d])
-}
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -104,6 +104,8 @@
     pub id: UpstreamId,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Stands for its process: one that starts again under the id has another.
+    pub process: u32,
     /// The version of its software, where the service has several.
     pub version: Option<SoftwareVersion>,
     /// The expected delay in milliseconds.
@@ -389,6 +391,12 @@
         }
     }
 
+    /// Tells whether the list still names a process of an upstream.
+    #[must_use]
+    pub fn is_process(&self, id: &UpstreamId, process: u32) -> bool {
+        self.table.get(id).is_some_and(|replica| replica.process() == process)
+    }
+
     /// Returns how many upstreams the list names.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/badgerfield-core/src/replicas/replica.rs
+++ b/crates/badgerfield-core/src/replicas/replica.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{Health, PromptPart, Wanted};
 use crate::amount::Time;
@@ -210,6 +210,13 @@
         u32::from_be_bytes([a, b, c, d])
     }
 
+    /// Returns the number that stands for its process: one that starts again has another.
+    pub(super) fn process(&self) -> u32 {
+        let text = format!("{} {}", self.info.address, self.info.born.unwrap_or_default());
+        let [a, b, c, d, ..] = xxh3_64(text.as_bytes()).to_be_bytes();
+        u32::from_be_bytes([a, b, c, d])
+    }
+
     pub(super) fn is_usable(&self, now: Time) -> bool {
         if self.info.leaving || self.evacuated {
             return false;
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::UpstreamId;
-use badgerfield_core::replicas::Health;
+use badgerfield_core::replicas::{Chosen, Health};
 use badgerfield_core::routing::Route;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -100,6 +100,8 @@
     gateway: Arc<Gateway>,
     pub(crate) id: UpstreamId,
     pub(crate) address: SocketAddr,
+    /// Stands for its process.
+    process: u32,
     /// When the request was handed to it.
     sent: Time,
     health: Health,
@@ -126,7 +128,7 @@
     pub(crate) fn new(
         driver: &Arc<Driver>,
         gateway: &Arc<Gateway>,
-        (id, address): (&UpstreamId, SocketAddr),
+        chosen: &Chosen,
         unread: Option<u64>,
         route: &Arc<Route>,
     ) -> Self {
@@ -134,15 +136,18 @@
         Self {
             driver: Arc::clone(driver),
             gateway: Arc::clone(gateway),
-            id: id.clone(),
-            address,
+            id: chosen.id.clone(),
+            address: chosen.address,
+            process: chosen.process,
             sent: now,
             health: Health::Unknown,
             connection: None,
             keep: None,
             closes: false,
             wait: unread.map(|unread| Wait { since: now, unread }),
-            trial: gateway.rolls_out().then(|| Trial::new(now, id, route, unread.unwrap_or(0))),
+            trial: gateway
+                .rolls_out()
+                .then(|| Trial::new(now, &chosen.id, route, unread.unwrap_or(0))),
         }
     }
 
@@ -211,7 +216,9 @@
         let Some(connection) = self.connection.take() else {
             return;
         };
-        if !self.closes {
+        // A connection to a process that has ended must not serve for the one that has its id now.
+        let is_current = self.gateway.replicas().is_process(&self.id, self.process);
+        if is_current && !self.closes {
             self.gateway.connections.keep(self.id.clone(), connection, self.keep);
         }
     }
--- a/crates/badgerfield-node/src/gateway/dispatch.rs
+++ b/crates/badgerfield-node/src/gateway/dispatch.rs
@@ -64,8 +64,7 @@
             // Only engines read prompts; what waits elsewhere is counted as under way.
             let reading = self.spec.engine.as_ref().map(|_| self.unread);
             let (driver, gateway) = (&self.driver, &self.gateway);
-            let to = (&chosen.id, chosen.address);
-            let hold = UpstreamHold::new(driver, gateway, to, reading, &self.route);
+            let hold = UpstreamHold::new(driver, gateway, &chosen, reading, &self.route);
             self.trying = Some((chosen.id.clone(), chosen.address));
             let given_up = self.until_given_up(left, last.is_some());
             let end = attempt(hold, &self.original, &terms, given_up, self.until_blocked()).await;
