Statements: they count for the process that made them

A late answer of a process that had ended set the limit of the one that has its id since: requests were refused for 10 s (Retry-After 10.444) though the new process had named none. A statement is dropped unless the list still names the process that was asked. The test was red before (a_late_answer_of_an_earlier_process_does_not_bind_the_one_that_has_its_id: 503).

--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -282,7 +282,8 @@
     let dialect = &gateway.adapter.dialect;
     let verdict = dialect.verdict(&original.id, head.0, head.1);
     if verdict != Verdict::Foreign {
-        hold.driver.hear_upstream(&gateway, &original.id, &hold.id, head);
+        let asked = (&hold.id, hold.process);
+        hold.driver.hear_upstream(&gateway, &original.id, asked, head);
     }
     match verdict {
         Verdict::NotRun => {
--- a/crates/badgerfield-node/src/gateway/statements.rs
+++ b/crates/badgerfield-node/src/gateway/statements.rs
@@ -18,12 +18,16 @@
         self: &Arc<Self>,
         gateway: &Gateway,
         id: &str,
-        upstream: &UpstreamId,
+        (upstream, process): (&UpstreamId, u32),
         (status, head): (StatusCode, &HeaderMap),
     ) {
         let Some(statement) = gateway.adapter.dialect.statement(upstream, status, head) else {
             return;
         };
+        // The answer of a process that has ended says nothing of the one that has its id now.
+        if !gateway.replicas().is_process(upstream, process) {
+            return;
+        }
         if statement.is_unreadable() {
             self.note_unreadable(gateway, upstream);
         }
