Leaving: an upstream's own word is heeded, whatever the list says

Callers saw: requests went on to reach an upstream for as long as the store was away, 9 s after it had told the VM that it leaves; one that ends then takes what it runs with it. Cause: leaving was known from the platform's list alone, and the list was 12 s late: the same class as the unheard limit, word of the other side that nobody listens to. Ruled out: requests under way (they came seconds later). Change: an answer that says so makes the upstream unusable here, for choice, repeats, resumed streams, canaries and what waits for a connection alike: all ask is_usable. It holds until the list names another process under the id; neither an entry that says ready nor a later answer takes it back. What a process has said of itself stands in one place now (replicas/statements.rs).

--- a/crates/badgerfield-core/src/replicas/limits.rs
+++ b/crates/badgerfield-core/src/replicas/limits.rs
@@ -33,8 +33,8 @@
     ) -> Option<LimitChange> {
         let senders = self.starts.senders();
         let replica = self.table.get_mut(id)?;
-        let (before, seed) = (replica.limit.limit(), replica.seed);
-        replica.limit.hear(now, limit, || place(senders, seed));
+        let (before, seed) = (replica.said.limit.limit(), replica.seed);
+        replica.said.limit.hear(now, limit, || place(senders, seed));
         change_of(replica, before)
     }
 
@@ -48,8 +48,8 @@
             let Some(note) = note.filter(|note| note.process == replica.process()) else {
                 continue;
             };
-            let (before, seed) = (replica.limit.limit(), replica.seed);
-            replica.limit.learn(now, note, || place(senders, seed));
+            let (before, seed) = (replica.said.limit.limit(), replica.seed);
+            replica.said.limit.learn(now, note, || place(senders, seed));
             changes.extend(change_of(replica, before));
         }
         changes
@@ -61,7 +61,7 @@
         if !due(now, self.limits_told, TELL_PACE) {
             return Vec::new();
         }
-        let note = |r: &Replica| r.limit.note(now, r.number(), r.process());
+        let note = |r: &Replica| r.said.limit.note(now, r.number(), r.process());
         let all: Vec<_> = self.table.values().filter_map(note).collect();
         if all.is_empty() {
             return all;
@@ -75,14 +75,14 @@
     /// Notes that there is a request for a service, whose upstreams may have limits.
     pub fn want(&mut self, now: Time, service: &Service) {
         for replica in self.table.values_mut().filter(|r| r.info.service == *service) {
-            replica.limit.want(now);
+            replica.said.limit.want(now);
         }
     }
 
     /// Tells whether a request that was given an upstream at a time may still be sent there.
     pub fn admits_begun(&mut self, now: Time, id: &UpstreamId, begun: Time) -> bool {
         let replica = self.table.get_mut(id);
-        replica.is_none_or(|replica| replica.limit.admits_begun(now, begun))
+        replica.is_none_or(|replica| replica.said.limit.admits_begun(now, begun))
     }
 
     /// Returns when the first upstream of a service takes a request of this process again, if
@@ -91,29 +91,22 @@
     pub fn admits_in(&self, now: Time, service: &Service) -> Option<Duration> {
         let usable =
             || self.table.values().filter(|r| r.info.service == *service && r.is_usable(now));
-        if usable().any(|r| r.limit.limit().is_none()) {
+        if usable().any(|r| r.said.limit.limit().is_none()) {
             return None;
         }
-        usable().filter_map(|r| r.limit.wait(now)).min()
+        usable().filter_map(|r| r.said.limit.wait(now)).min()
     }
 
     /// Returns how many upstreams have a limit.
     #[must_use]
     pub fn limited(&self) -> usize {
         let listed = self.table.values().filter(|r| r.vanished.is_none());
-        listed.filter(|r| r.limit.limit().is_some()).count()
-    }
-
-    /// Notes that an upstream states something of itself that cannot be read; tells whether that
-    /// is the first time.
-    pub fn note_unreadable(&mut self, id: &UpstreamId) -> bool {
-        let replica = self.table.get_mut(id);
-        replica.is_some_and(|replica| !std::mem::replace(&mut replica.is_unreadable, true))
+        listed.filter(|r| r.said.limit.limit().is_some()).count()
     }
 }
 
 fn change_of(replica: &Replica, before: Option<RequestLimit>) -> Option<LimitChange> {
-    let limit = replica.limit.limit();
+    let limit = replica.said.limit.limit();
     let upstream = || replica.info.id.clone();
     (before != limit).then(|| LimitChange { upstream: upstream(), limit, before })
 }
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -1,7 +1,7 @@
 //! The table of upstreams that routes lead to, and the choice among them.
 //!
-//! The platform's list says which upstreams there are and which are leaving; what this
-//! VM saw of each says how it is doing. A request goes where its first part of the
+//! The platform's list says which upstreams there are and which are leaving; so do their answers,
+//! and what this VM saw of each says how it is doing. A request goes where its first part of the
 //! answer is expected soonest: prompt parts that the upstream has read before need not
 //! be read again, and work under way delays it. Upstreams of an evacuated failure domain get
 //! nothing; those that are cold get little ([`crate::warm_up`]), and those that name a limit no more
@@ -13,6 +13,7 @@
 mod listed;
 mod replica;
 mod starts;
+mod statements;
 mod trial;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/badgerfield-core/src/replicas/replica.rs
+++ b/crates/badgerfield-core/src/replicas/replica.rs
@@ -13,7 +13,8 @@
 use crate::mix::{Division, Group, Mix, READ_MS_PRIOR, float};
 use crate::replica_list::{ReplicaEntry, ReplicaInfo, digest_of};
 use crate::replicas::starts::Starts;
-use crate::request_limit::{self, KnownLimit};
+use crate::replicas::statements::Statements;
+use crate::request_limit;
 use crate::residency::RegionMap;
 use crate::warm_up::{Bucket, HOLD_OFF, Share};
 
@@ -87,10 +88,8 @@
     pub(super) distance: Distance,
     /// Until when and how it is spared, while it is cold.
     cold: Option<Cold>,
-    /// How many requests a second it takes from all processes, and which of them are this one's.
-    pub(super) limit: KnownLimit,
-    /// Whether it has stated something of itself that cannot be read.
-    pub(super) is_unreadable: bool,
+    /// What its process has said of itself in its answers.
+    pub(super) said: Statements,
 }
 
 /// How an upstream is spared that is not warm yet.
@@ -163,8 +162,7 @@
             region: None,
             distance: Distance::default(),
             cold: None,
-            limit: KnownLimit::default(),
-            is_unreadable: false,
+            said: Statements::default(),
         }
     }
 
@@ -185,8 +183,7 @@
         self.parts.clear();
         self.lag = Lag::default();
         self.cold = None;
-        self.limit = KnownLimit::default();
-        self.is_unreadable = false;
+        self.said = Statements::default();
     }
 
     /// Returns what the platform's list says of it, for other processes.
@@ -218,7 +215,7 @@
     }
 
     pub(super) fn is_usable(&self, now: Time) -> bool {
-        if self.info.leaving || self.evacuated {
+        if self.info.leaving || self.said.is_leaving || self.evacuated {
             return false;
         }
         match self.vanished {
@@ -272,7 +269,7 @@
     pub(super) fn change_senders(&mut self, now: Time, starts: &Starts) {
         let from = now.after(HOLD_OFF);
         let seed = self.seed;
-        self.limit.change_place(from, || request_limit::place(starts.senders(), seed));
+        self.said.limit.change_place(from, || request_limit::place(starts.senders(), seed));
         let Some(cold) = &mut self.cold else {
             return;
         };
@@ -293,7 +290,7 @@
     /// Notes that a request goes there.
     pub(super) fn begin(&mut self, now: Time, share: Option<Share>, parts: &[PromptPart]) {
         self.running += 1;
-        self.limit.take(now);
+        self.said.limit.take(now);
         let bucket = self.cold.as_mut().and_then(|cold| cold.bucket.as_mut());
         if let Some((bucket, share)) = bucket.zip(share) {
             bucket.take(now, share);
--- a/crates/badgerfield-node/src/gateway/record.rs
+++ b/crates/badgerfield-node/src/gateway/record.rs
@@ -139,9 +139,14 @@
     log::info!(target: REQUESTS, "limit from={from} upstream={upstream} limit={limit} before={before}");
 }
 
-/// Records that an upstream says in its answer to a request that it is about to leave.
-pub(crate) fn says_leaving(id: &str, upstream: &UpstreamId) {
-    log::info!(target: REQUESTS, "leaving id={id} upstream={upstream}");
+/// Records that an upstream says in its answer to a request that it is about to leave, and how old
+/// the list of upstreams is that is known.
+pub(crate) fn says_leaving(id: &str, upstream: &UpstreamId, list: u64, list_age: Duration) {
+    let age = list_age.as_millis();
+    log::info!(
+        target: REQUESTS,
+        "leaving id={id} upstream={upstream} list={list} list_age_ms={age}"
+    );
 }
 
 /// Records for how long an upstream that turns a request away wants nothing more from this VM.
--- a/crates/badgerfield-node/src/gateway/statements.rs
+++ b/crates/badgerfield-node/src/gateway/statements.rs
@@ -1,6 +1,7 @@
 //! What upstreams say of themselves in their answers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use badgerfield_core::Event;
 use badgerfield_core::ids::{Incarnation, UpstreamId};
@@ -33,7 +34,7 @@
         }
         let UpstreamStatement { limit, leaving, rest } = statement;
         if leaving {
-            record::says_leaving(id, upstream);
+            self.hear_leaving(gateway, id, upstream);
         }
         if let Some(rest) = rest.value() {
             record::asks_rest(id, upstream, rest);
@@ -41,6 +42,19 @@
         self.hear_limit(gateway, id, upstream, limit.value());
     }
 
+    fn hear_leaving(&self, gateway: &Gateway, id: &str, upstream: &UpstreamId) {
+        let (is_news, (revision, learned)) = {
+            let mut replicas = gateway.replicas();
+            (replicas.hear_leaving(upstream), replicas.age())
+        };
+        if !is_news {
+            return;
+        }
+        let list_age = learned.map_or(Duration::ZERO, |learned| self.now().since(learned));
+        record::says_leaving(id, upstream, revision, list_age);
+        gateway.connections.close(std::slice::from_ref(upstream));
+    }
+
     fn hear_limit(
         self: &Arc<Self>,
         gateway: &Gateway,
