Rest: an upstream that asks for rest gets none of this VM's requests until it is over

Callers saw: a plain upstream that turned everything away and asked for 3 s of rest got eight more requests of one VM in 2 s; each was turned away, some callers twice, while the alert said that over a tenth was not served. Cause: Retry-After of an upstream was read nowhere. A VM rests an upstream by its own count of failures, and where all of a service rest it uses all of them: right for a rest that is a guess, wrong for one that was asked for. Ruled out: requests under way (seconds later). Change: a 503 or 429 with Retry-After holds the upstream back until then, as a state of its own beside the guessed rest, for every choice and at the last place before bytes leave. A later answer cuts none short; another process under the id has asked for nothing. Where all are held back a request is refused at once, and its Retry-After is when the first of them takes one again, spread. Why it holds: nothing chooses a resting upstream, and what was chosen before asks again before it is sent.

--- a/crates/badgerfield-core/src/replicas/choice.rs
+++ b/crates/badgerfield-core/src/replicas/choice.rs
@@ -106,7 +106,7 @@
             .filter(|r| r.is_usable(now))
             .filter(|r| may_serve(r, wanted))
             .filter(|r| !spares || r.bears_more(now, share))
-            .filter(|r| r.said.limit.admits(now))
+            .filter(|r| r.said.admits(now))
             .filter(|r| !wanted.tried.contains(&r.info.id))
             .filter(|r| r.running < wanted.connections)
             .collect();
--- a/crates/badgerfield-core/src/replicas/limits.rs
+++ b/crates/badgerfield-core/src/replicas/limits.rs
@@ -82,19 +82,9 @@
     /// Tells whether a request that was given an upstream at a time may still be sent there.
     pub fn admits_begun(&mut self, now: Time, id: &UpstreamId, begun: Time) -> bool {
         let replica = self.table.get_mut(id);
-        replica.is_none_or(|replica| replica.said.limit.admits_begun(now, begun))
-    }
-
-    /// Returns when the first upstream of a service takes a request of this process again, if
-    /// limits hold all of them back.
-    #[must_use]
-    pub fn admits_in(&self, now: Time, service: &Service) -> Option<Duration> {
-        let usable =
-            || self.table.values().filter(|r| r.info.service == *service && r.is_usable(now));
-        if usable().any(|r| r.said.limit.limit().is_none()) {
-            return None;
-        }
-        usable().filter_map(|r| r.said.limit.wait(now)).min()
+        replica.is_none_or(|replica| {
+            replica.said.rests_until <= now && replica.said.limit.admits_begun(now, begun)
+        })
     }
 
     /// Returns how many upstreams have a limit.
--- a/crates/badgerfield-core/src/replicas/trial.rs
+++ b/crates/badgerfield-core/src/replicas/trial.rs
@@ -46,7 +46,7 @@
                 && r.info.service == *wanted.service
                 && r.is_usable(now)
                 && r.rests_until <= now
-                && r.said.limit.admits(now)
+                && r.said.admits(now)
                 && (!spares || r.bears_more(now, share))
         };
         let is_open = self.table.values().any(may_take);
--- a/crates/badgerfield-node/src/gateway/flow.rs
+++ b/crates/badgerfield-node/src/gateway/flow.rs
@@ -260,8 +260,8 @@
         Refusal::not_run(cause).after(after)
     }
 
-    /// Returns when the first upstream that is cold or has a limit takes a request again, if that is
-    /// known; callers that a limit holds back come one after the other.
+    /// Returns when the first upstream that is cold, rests or has a limit takes a request again, if
+    /// that is known; callers that are held back by the last two come one after the other.
     fn upstream_in(&self) -> Option<Duration> {
         let now = self.now();
         let (warm_in, admits_in) = {
--- a/crates/badgerfield-node/src/gateway/statements.rs
+++ b/crates/badgerfield-node/src/gateway/statements.rs
@@ -37,6 +37,7 @@
             self.hear_leaving(gateway, id, upstream);
         }
         if let Some(rest) = rest.value() {
+            gateway.replicas().hear_rest(self.now(), upstream, rest);
             record::asks_rest(id, upstream, rest);
         }
         self.hear_limit(gateway, id, upstream, limit.value());
