Rest: an engine of the product's own interface is heeded, too

The same cause on the other interface: a 503 or 429 with Retry-After closed an engine for 0.5 s by the VM's own count, whatever it asked for; a chat a second later was sent (the test asked for 4 s: red before, served after 1 s). What it asks for is a state of its own there as well, for new chats and calls; streams that it runs are still resumed at it. The header is read in one place (http.rs).

--- a/crates/badgerfield-core/src/control/answer.rs
+++ b/crates/badgerfield-core/src/control/answer.rs
@@ -27,12 +27,19 @@
                     self.gap(now, attempt, out);
                 }
             }
-            UpstreamEvent::NotSent | UpstreamEvent::Busy => {
+            UpstreamEvent::NotSent => {
                 if let Some((id, upstream)) = self.over(now, attempt) {
                     self.board.upstreams().failed(now, &upstream);
                     self.not_taken(now, id, out);
                 }
             }
+            UpstreamEvent::Busy(rest) => {
+                if let Some((id, upstream)) = self.over(now, attempt) {
+                    self.board.upstreams().failed(now, &upstream);
+                    self.board.upstreams().rest(now, &upstream, rest.unwrap_or_default());
+                    self.not_taken(now, id, out);
+                }
+            }
             UpstreamEvent::NoStream => {
                 if let Some((id, _)) = self.over(now, attempt) {
                     self.no_stream(now, id, out);
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -177,8 +177,9 @@
     },
     /// Nothing reached the upstream: the request cannot have run there.
     NotSent,
-    /// The upstream refused the request before running it.
-    Busy,
+    /// The upstream refused the request before running it, and wants nothing more for a span, if it
+    /// says so.
+    Busy(Option<Duration>),
     /// The upstream does not have the stream that was to be resumed.
     NoStream,
     /// The answer broke off, or never came; the request may have run.
--- a/crates/badgerfield-core/src/upstream.rs
+++ b/crates/badgerfield-core/src/upstream.rs
@@ -128,6 +128,8 @@
     slowness: f64,
     failures: u32,
     closed: Option<Time>,
+    /// Until when it wants nothing from this process.
+    rests_until: Time,
     prefixes: HashMap<u64, Time>,
 }
 
@@ -144,6 +146,7 @@
             slowness: 1.0,
             failures: 0,
             closed: None,
+            rests_until: Time::default(),
             prefixes: HashMap::new(),
         }
     }
@@ -154,7 +157,8 @@
     }
 
     fn is_open(&self, now: Time) -> bool {
-        !self.leaving && self.closed.is_none_or(|until| now >= until)
+        let is_closed = self.closed.is_some_and(|until| now < until);
+        !self.leaving && !is_closed && self.rests_until <= now
     }
 
     /// Returns the share of the prompt that the cache may hold, in tokens.
@@ -387,6 +391,14 @@
         }
     }
 
+    /// Takes in that an upstream wants nothing from this process for a span. A rest that it asked
+    /// for before is not cut short.
+    pub fn rest(&mut self, now: Time, id: &UpstreamId, span: Duration) {
+        if let Some(upstream) = self.table.get_mut(id) {
+            upstream.rests_until = upstream.rests_until.max(now.after(span));
+        }
+    }
+
     /// Notes a failure: the upstream gets nothing for a while that doubles each time.
     pub fn failed(&mut self, now: Time, id: &UpstreamId) {
         let Some(upstream) = self.table.get_mut(id) else {
--- a/crates/badgerfield-node/src/http.rs
+++ b/crates/badgerfield-node/src/http.rs
@@ -7,7 +7,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode, Uri, header};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri, header};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -115,3 +115,27 @@
     let whole = Limited::new(body, limit).collect().await.ok()?;
     Some(whole.to_bytes())
 }
+
+/// An upstream says when to come back in a form that cannot be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("expected seconds in the header retry-after")]
+pub struct InvalidRetryAfter;
+
+/// Reads after how long to come back, in seconds with or without fractions. Dates are not read:
+/// the time of day here may be off by seconds.
+///
+/// # Errors
+///
+/// Refuses what is no such number, or stands twice.
+pub fn retry_after(head: &HeaderMap) -> Result<Option<Duration>, InvalidRetryAfter> {
+    let mut values = head.get_all(header::RETRY_AFTER).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(InvalidRetryAfter);
+    }
+    let seconds = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    let seconds: f64 = seconds.ok_or(InvalidRetryAfter)?;
+    Duration::try_from_secs_f64(seconds).map(Some).map_err(|_| InvalidRetryAfter)
+}
--- a/crates/badgerfield-node/src/upstreams.rs
+++ b/crates/badgerfield-node/src/upstreams.rs
@@ -156,7 +156,7 @@
         self.report(driver, &response);
         match (self.dispatch.resume, response.status()) {
             (_, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) => {
-                UpstreamEvent::Busy
+                self.refused(&response)
             }
             (Some(_), StatusCode::NOT_FOUND) => UpstreamEvent::NoStream,
             (resume, StatusCode::OK) if self.is_chat() => {
@@ -166,6 +166,20 @@
         }
     }
 
+    /// Takes in that the upstream does not run the request now.
+    fn refused(&self, response: &Response<Incoming>) -> UpstreamEvent {
+        let upstream = &self.dispatch.upstream;
+        let rest = http::retry_after(response.headers());
+        if let Ok(Some(rest)) = rest {
+            let (run, rest) = (self.dispatch.run.0, rest.as_millis());
+            log::info!(target: UPSTREAMS, "rest run={run} upstream={upstream} rest_ms={rest}");
+        }
+        if rest.is_err() {
+            log::warn!(target: UPSTREAMS, "unreadable upstream={upstream} outcome=ignored");
+        }
+        UpstreamEvent::Busy(rest.unwrap_or_default())
+    }
+
     /// Makes the request; nothing if its body is gone with its caller.
     fn request(&self) -> Option<Request<Full<Bytes>>> {
         let (address, name) = (self.address, &self.dispatch.stream);
--- a/crates/badgerfield-standin/src/engine.rs
+++ b/crates/badgerfield-standin/src/engine.rs
@@ -67,6 +67,8 @@
 struct Faults {
     /// Refuse new work as if full.
     busy: bool,
+    /// For how many seconds it asks for rest where it refuses new work.
+    rest: Option<u64>,
     /// Break the connection of every stream after this many events.
     break_after: Option<usize>,
     /// Report that the engine is leaving.
@@ -182,7 +184,7 @@
         let stream = {
             let mut state = lock(&self.state);
             if state.faults.busy || state.running >= self.speed.slots {
-                return status(StatusCode::SERVICE_UNAVAILABLE);
+                return full(state.faults.rest);
             }
             if state.faults.ends_under.as_ref().is_some_and(|text| prompt.contains(text)) {
                 tokio::spawn(async {
@@ -294,6 +296,7 @@
                 let limit = body["break_after"].as_u64().and_then(|n| usize::try_from(n).ok());
                 state.faults = Faults {
                     busy: flag("busy"),
+                    rest: body["rest"].as_u64(),
                     break_after: limit,
                     leaving: flag("leaving"),
                     ends_under: body["ends_under"].as_str().map(str::to_owned),
@@ -375,3 +378,12 @@
 fn span(tokens: u64, rate: u64) -> Duration {
     Duration::from_micros(tokens * 1_000_000 / rate.max(1))
 }
+
+/// Refuses new work, and asks for so many seconds of rest.
+fn full(rest: Option<u64>) -> Answer {
+    let mut answer = status(StatusCode::SERVICE_UNAVAILABLE)?;
+    if let Some(seconds) = rest {
+        answer.headers_mut().insert(header::RETRY_AFTER, seconds.into());
+    }
+    Some(answer)
+}
