Canary: a version that waits for an order gets nothing while the others only rest

A request went to an upstream of a new version, which waits until an order would have been heard of, as soon as none of the others could take it at that moment, and was stopped at the last place before its bytes left, which counted as a failure of that upstream: up to four times, then the request was given up. Rest that is asked for and limits make that frequent. The choice asks the same question as that last place now: whether any other version has usable upstreams. Found by reading; the test was red before (v2-1 chosen).

--- a/crates/badgerfield-core/src/replicas/canary.rs
+++ b/crates/badgerfield-core/src/replicas/canary.rs
@@ -129,15 +129,17 @@
         split.map_or(Pass::Free, |split| split.pass(now, replica.info.version.as_ref()))
     }
 
-    /// Leaves those of some upstreams that a request may go to by their versions.
+    /// Leaves those of some upstreams that a request may go to by their versions; `serves_freely`
+    /// tells whether a version that waits for no order has usable upstreams, be they fit or not.
     pub(super) fn narrow<'a>(
         &self,
         now: Time,
         wanted: &Wanted<'_>,
         fit: Vec<&'a Replica>,
+        serves_freely: impl FnOnce() -> bool,
     ) -> Vec<&'a Replica> {
         match self.active(wanted.service) {
-            Some(split) => split.narrow(now, wanted, fit),
+            Some(split) => split.narrow(now, wanted, fit, serves_freely),
             None => fit,
         }
     }
@@ -271,6 +273,7 @@
         now: Time,
         wanted: &Wanted<'_>,
         fit: Vec<&'a Replica>,
+        serves_freely: impl FnOnce() -> bool,
     ) -> Vec<&'a Replica> {
         let mut free = Vec::new();
         let (mut counted, mut held) = (Vec::new(), Vec::new());
@@ -282,7 +285,7 @@
                 Pass::Barred => {}
             }
         }
-        let others = if free.is_empty() { held } else { free };
+        let others = if free.is_empty() && !serves_freely() { held } else { free };
         if let Some((target, share)) = self.shared_with().filter(|_| !counted.is_empty())
             && self.gives(wanted, target, share)
         {
--- a/crates/badgerfield-core/src/replicas/choice.rs
+++ b/crates/badgerfield-core/src/replicas/choice.rs
@@ -110,7 +110,8 @@
             .filter(|r| !wanted.tried.contains(&r.info.id))
             .filter(|r| r.running < wanted.connections)
             .collect();
-        let fit = self.canary.narrow(now, wanted, fit);
+        let serves_freely = || self.serves_freely(now, wanted.service);
+        let fit = self.canary.narrow(now, wanted, fit, serves_freely);
         let rested: Vec<_> = fit.iter().copied().filter(|r| r.rests_until <= now).collect();
         // When most rest, the fault is likely elsewhere, and one of them may serve.
         if rested.is_empty() { fit } else { rested }
--- a/crates/badgerfield-core/tests/canary.rs
+++ b/crates/badgerfield-core/tests/canary.rs
@@ -518,3 +518,16 @@
         (0..200).filter_map(|n| send(&mut table, Time::from_millis(n), &ask.wanted(n * 7919)));
     assert_eq!(sent.filter(is_new).count(), 0);
 }
+
+#[test]
+fn a_version_that_waits_for_an_order_gets_nothing_while_all_others_rest() {
+    let mut table = table(2, 2);
+    let now = Time::from_millis(10);
+    for n in 1..=2 {
+        let id = format!("v1-{n}").parse().expect("the name is valid");
+        table.hear_rest(now, &id, Duration::from_secs(1));
+    }
+    assert_eq!(send(&mut table, now, &Ask::on("chat").wanted(1)), None);
+    let over = Time::from_millis(1010);
+    assert!(send(&mut table, over, &Ask::on("chat").wanted(1)).is_some_and(|id| !is_new(&id)));
+}
