Limits: a limit is kept in thousandths, the same at all who hear of it

By reading: a VM that had heard 1.23456 took 1.234 from its neighbours for a change, then its own answer for another, a line of the log each time. A limit is a whole number of thousandths from when it is read, and travels as that. Requests look for limits only once any was named.

--- a/crates/badgerfield-core/src/replicas/limits.rs
+++ b/crates/badgerfield-core/src/replicas/limits.rs
@@ -35,6 +35,7 @@
         let replica = self.table.get_mut(id)?;
         let (before, seed) = (replica.said.limit.limit(), replica.seed);
         replica.said.limit.hear(now, limit, || place(senders, seed));
+        self.has_limits |= limit.is_some();
         change_of(replica, before)
     }
 
@@ -50,6 +51,7 @@
             };
             let (before, seed) = (replica.said.limit.limit(), replica.seed);
             replica.said.limit.learn(now, note, || place(senders, seed));
+            self.has_limits |= note.limit.is_some();
             changes.extend(change_of(replica, before));
         }
         changes
@@ -74,6 +76,9 @@
 
     /// Notes that there is a request for a service, whose upstreams may have limits.
     pub fn want(&mut self, now: Time, service: &Service) {
+        if !self.has_limits {
+            return;
+        }
         for replica in self.table.values_mut().filter(|r| r.info.service == *service) {
             replica.said.limit.want(now);
         }
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -1,7 +1,8 @@
 //! The table of upstreams that routes lead to, and the choice among them.
 //!
-//! The platform's list says which upstreams there are and which are leaving; so do their answers,
-//! and what this VM saw of each says how it is doing. A request goes where its first part of the
+//! The platform's list says which upstreams there are and which are leaving; an upstream may also
+//! say in its answers that it leaves, rests or has a limit (`statements`); and what this VM saw of
+//! each says how it is doing. A request goes where its first part of the
 //! answer is expected soonest: prompt parts that the upstream has read before need not
 //! be read again, and work under way delays it. Upstreams of an evacuated failure domain get
 //! nothing; those that are cold get little ([`crate::warm_up`]), and those that name a limit no more
@@ -166,6 +167,8 @@
     tallies: Tallies,
     /// The services, without engines, that requests of this process went to.
     plain: BTreeSet<Service>,
+    /// Whether any upstream has named a limit.
+    has_limits: bool,
     /// When others were told of limits last, and with which note the next turn begins.
     limits_told: Option<Time>,
     limits_turn: usize,
--- a/crates/badgerfield-core/src/request_limit.rs
+++ b/crates/badgerfield-core/src/request_limit.rs
@@ -41,38 +41,45 @@
 const AGE_ERROR: Duration = Duration::from_secs(1);
 /// How many limits a message tells of.
 pub(crate) const MAX_NOTES: usize = 8;
-/// The unit of a limit in a message, in parts of a request a second.
-const NOTE_UNITS: f64 = 1000.0;
+/// The units of a limit in a request a second.
+const UNITS: f64 = 1000.0;
 
 /// Why a limit cannot be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("expected a decimal number of requests a second, such as 1.5")]
 pub struct InvalidLimit;
 
-/// How many requests a second an upstream takes from all processes together.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
-pub struct RequestLimit(f64);
+/// How many requests a second an upstream takes from all processes together, in thousandths; all
+/// processes that hear of it have the same one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestLimit(u32);
 
 impl RequestLimit {
-    /// Makes a limit of so many requests a second.
+    /// Makes a limit of so many requests a second; one beyond four millions counts as that.
     ///
     /// # Errors
     ///
     /// Refuses what is negative or not finite.
     pub fn per_second(rate: f64) -> Result<Self, InvalidLimit> {
-        if rate.is_finite() && rate >= 0.0 { Ok(Self(rate)) } else { Err(InvalidLimit) }
+        if !rate.is_finite() || rate < 0.0 {
+            return Err(InvalidLimit);
+        }
+        let units = (rate * UNITS).round().min(f64::from(u32::MAX));
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "within range")]
+        let units = units as u32;
+        Ok(Self(units))
     }
 
     /// Returns the requests a second.
     #[must_use]
     pub fn rate(self) -> f64 {
-        self.0
+        f64::from(self.0) / UNITS
     }
 
     /// Returns how many of so many processes may send.
     fn senders(self, members: usize) -> u32 {
         let members = u32::try_from(members).unwrap_or(u32::MAX).max(1);
-        let wanted = LEAST_SENDERS + (self.0 / RATE_PER_SENDER).floor();
+        let wanted = LEAST_SENDERS + (self.rate() / RATE_PER_SENDER).floor();
         if wanted >= f64::from(members) {
             return members;
         }
@@ -83,7 +90,7 @@
 
     /// Returns what each of so many senders may send.
     fn share(self, senders: u32) -> Share {
-        let rate = self.0.max(LEAST_RATE) / f64::from(senders);
+        let rate = self.rate().max(LEAST_RATE) / f64::from(senders);
         Share { rate, burst: (rate * BURST.as_secs_f64()).max(1.0) }
     }
 }
@@ -98,7 +105,7 @@
 
 impl Display for RequestLimit {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
+        write!(f, "{}", self.rate())
     }
 }
 
@@ -111,18 +118,12 @@
     pub process: u32,
     /// Grows with each statement of the upstream that is heard by one who knows of the last.
     pub version: u32,
-    /// The limit in thousandths of a request a second; nothing if it names none any more.
-    pub limit: Option<u32>,
+    /// The limit; nothing if it names none any more.
+    pub limit: Option<RequestLimit>,
     /// How long ago the upstream said so, in milliseconds.
     pub age_ms: u32,
 }
 
-impl LimitNote {
-    fn limit(&self) -> Option<RequestLimit> {
-        self.limit.map(|limit| RequestLimit(f64::from(limit) / NOTE_UNITS))
-    }
-}
-
 /// What is known of the limit of one upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(crate) struct KnownLimit {
@@ -246,7 +247,7 @@
         note: &LimitNote,
         place: impl FnOnce() -> Option<(usize, usize)>,
     ) {
-        let limit = note.limit();
+        let limit = note.limit;
         let differs = limit.is_some() != self.pacer.is_some();
         if note.version <= self.version {
             if differs {
@@ -343,7 +344,7 @@
     pub(crate) fn note(&self, now: Time, upstream: u32, process: u32) -> Option<LimitNote> {
         let is_told = self.pacer.is_some() || now < self.tell_until;
         let age_ms = u32::try_from(now.since(self.said).as_millis()).unwrap_or(u32::MAX);
-        let limit = self.pacer.map(|pacer| units(pacer.limit));
+        let limit = self.limit();
         is_told.then_some(LimitNote { upstream, process, version: self.version, limit, age_ms })
     }
 }
@@ -352,12 +353,3 @@
 pub(crate) fn place(senders: &Senders, upstream: u64) -> Option<(usize, usize)> {
     senders.rank(upstream).map(|rank| (rank, senders.count()))
 }
-
-/// Returns a limit in thousandths of a request a second, the most that a message holds if it is
-/// larger.
-fn units(limit: RequestLimit) -> u32 {
-    let units = (limit.0 * NOTE_UNITS).min(f64::from(u32::MAX));
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "within range")]
-    let units = units as u32;
-    units
-}
--- a/crates/badgerfield-core/tests/request_limits.rs
+++ b/crates/badgerfield-core/tests/request_limits.rs
@@ -352,3 +352,15 @@
     let sent = (0..100).filter(|draw| choose(&mut alone, at(600_000), *draw).is_some()).count();
     assert_eq!(sent, 0);
 }
+
+#[test]
+fn a_limit_that_others_tell_is_the_one_that_was_heard() {
+    let at = Time::from_millis;
+    let (mut one, mut other) = (table(1), table(1));
+    for table in [&mut one, &mut other] {
+        table.hear_limit(at(1000), &upstream(0), Some(limit(1.234_567_8)));
+    }
+    one.hear_limit(at(2000), &upstream(0), Some(limit(1.234_567_8)));
+    let notes = one.limit_notes(at(2000));
+    assert_eq!(other.learn_limits(at(2100), &notes), [], "nothing has changed");
+}
