--- a/crates/badgerfield-core/tests/request_limits.rs
+++ b/crates/badgerfield-core/tests/request_limits.rs
@@ -364,3 +364,24 @@
     let notes = one.limit_notes(at(2000));
     assert_eq!(other.learn_limits(at(2100), &notes), [], "nothing has changed");
 }
+
+#[test]
+fn senders_that_all_change_with_each_view_send_no_more_than_the_limit() {
+    let rate = 0.2;
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(30, seed);
+        fleet.limit = Some(rate);
+        fleet.run(4000, None);
+        let from = fleet.now;
+        for turn in 0..20 {
+            let members: Vec<_> = (0..30).map(|me| me % 2 == turn % 2).collect();
+            for me in 0..30 {
+                let at = fleet.now + fleet.rng.random_range(0..VIEW);
+                fleet.views.push((at, me, members.clone()));
+            }
+            fleet.run(1000, None);
+        }
+        let most = f64::from(u32::try_from(fleet.most(from)).expect("few"));
+        assert!(most <= allowed(rate), "seed {seed}: {most}");
+    }
+}
