Statements: the number of a process is reckoned when its entry is written

Each choice and each answer reckoned it anew, a text and a hash, which on the busiest VM of a large fleet (0.12 of a core) is time that settings and answers wait for.

--- a/crates/badgerfield-core/src/replicas/choice.rs
+++ b/crates/badgerfield-core/src/replicas/choice.rs
@@ -69,7 +69,7 @@
             group: weights.division.map(|(_, group)| (group, weights.takes(replica))),
             id: replica.info.id.clone(),
             address: replica.info.address,
-            process: replica.process(),
+            process: replica.process,
             version: replica.info.version.clone().filter(|_| self.canary.counts(wanted.service)),
             cost,
             near: replica.distance,
--- a/crates/badgerfield-core/src/replicas/limits.rs
+++ b/crates/badgerfield-core/src/replicas/limits.rs
@@ -46,7 +46,7 @@
         for replica in self.table.values_mut() {
             let number = replica.number();
             let note = notes.iter().find(|note| note.upstream == number);
-            let Some(note) = note.filter(|note| note.process == replica.process()) else {
+            let Some(note) = note.filter(|note| note.process == replica.process) else {
                 continue;
             };
             let (before, seed) = (replica.said.limit.limit(), replica.seed);
@@ -63,7 +63,7 @@
         if !due(now, self.limits_told, TELL_PACE) {
             return Vec::new();
         }
-        let note = |r: &Replica| r.said.limit.note(now, r.number(), r.process());
+        let note = |r: &Replica| r.said.limit.note(now, r.number(), r.process);
         let all: Vec<_> = self.table.values().filter_map(note).collect();
         if all.is_empty() {
             return all;
--- a/crates/badgerfield-core/src/replicas/listed.rs
+++ b/crates/badgerfield-core/src/replicas/listed.rs
@@ -10,7 +10,7 @@
 use super::{Lacking, Replicas};
 use crate::amount::Time;
 use crate::ids::{Service, UpstreamId};
-use crate::replica_list::{ListMark, ReplicaChanges, ReplicaEntry, ReplicaList, digest_of};
+use crate::replica_list::{ListMark, ReplicaChanges, ReplicaEntry, ReplicaList};
 
 /// How long an upstream is remembered after its entry is gone.
 const FORGET: Duration = Duration::from_secs(30);
@@ -126,8 +126,7 @@
             known.changed = revision;
         }
         if known.info != info {
-            known.digest = digest_of(&info);
-            known.info = info;
+            known.describe(info);
             known.locate(&self.place, &self.regions);
         }
         known.vanished = None;
--- a/crates/badgerfield-core/src/replicas/mod.rs
+++ b/crates/badgerfield-core/src/replicas/mod.rs
@@ -398,7 +398,7 @@
     /// Tells whether the list still names a process of an upstream.
     #[must_use]
     pub fn is_process(&self, id: &UpstreamId, process: u32) -> bool {
-        self.table.get(id).is_some_and(|replica| replica.process() == process)
+        self.table.get(id).is_some_and(|replica| replica.process == process)
     }
 
     /// Returns how many upstreams the list names.
--- a/crates/badgerfield-core/src/replicas/replica.rs
+++ b/crates/badgerfield-core/src/replicas/replica.rs
@@ -61,6 +61,8 @@
     /// Stands for what the list says of it. Lists are compared with each piece of news: to
     /// reckon it anew for 3,000 upstreams each time took a tenth of a small VM's processor.
     pub(super) digest: u64,
+    /// Stands for its process in messages: one that starts again has another.
+    pub(super) process: u32,
     pub(super) seed: u64,
     /// Where it stands among the upstreams of its service, from 0 to 1.
     pub(super) place: f64,
@@ -140,12 +142,13 @@
 impl Replica {
     pub(super) fn new(info: ReplicaInfo, revision: u64) -> Self {
         let seed = xxh3_64_with_seed(info.id.as_str().as_bytes(), 0);
-        let digest = digest_of(&info);
+        let (digest, process) = (digest_of(&info), process_of(&info));
         Self {
             info,
             revision,
             changed: revision,
             digest,
+            process,
             seed,
             place: 0.0,
             running: 0,
@@ -207,11 +210,11 @@
         u32::from_be_bytes([a, b, c, d])
     }
 
-    /// Returns the number that stands for its process: one that starts again has another.
-    pub(super) fn process(&self) -> u32 {
-        let text = format!("{} {}", self.info.address, self.info.born.unwrap_or_default());
-        let [a, b, c, d, ..] = xxh3_64(text.as_bytes()).to_be_bytes();
-        u32::from_be_bytes([a, b, c, d])
+    /// Takes in what an entry says of it.
+    pub(super) fn describe(&mut self, info: ReplicaInfo) {
+        self.digest = digest_of(&info);
+        self.process = process_of(&info);
+        self.info = info;
     }
 
     pub(super) fn is_usable(&self, now: Time) -> bool {
@@ -369,6 +372,13 @@
     }
 }
 
+/// Returns the number that stands for the process that an entry names.
+fn process_of(info: &ReplicaInfo) -> u32 {
+    let text = format!("{} {}", info.address, info.born.unwrap_or_default());
+    let [a, b, c, d, ..] = xxh3_64(text.as_bytes()).to_be_bytes();
+    u32::from_be_bytes([a, b, c, d])
+}
+
 /// Returns the parts that other requests may share: all but the last.
 pub(super) fn shared(parts: &[PromptPart]) -> &[PromptPart] {
     parts.split_last().map_or(&[], |(_, rest)| rest)
