--- a/crates/badgerfield-core/tests/request_limits.rs
+++ b/crates/badgerfield-core/tests/request_limits.rs
@@ -6,7 +6,7 @@
 use badgerfield_core::ids::{Service, UpstreamId, VmId};
 use badgerfield_core::replica_list::{ReplicaEntry, ReplicaInfo, ReplicaList};
 use badgerfield_core::replicas::{Health, Replicas, Wanted};
-use badgerfield_core::request_limit::RequestLimit;
+use badgerfield_core::request_limit::{LimitNote, RequestLimit};
 use badgerfield_core::residency::EVERYWHERE;
 use badgerfield_core::warm_up::Senders;
 use proptest::prelude::*;
@@ -15,15 +15,16 @@
 
 /// How long the steps of the emulation are, in milliseconds.
 const STEP: u64 = 50;
-/// How often a VM that has requests sends one, if it may.
+/// How often a VM tells its neighbours of limits, in milliseconds.
 const TELL_EVERY: u64 = 400;
-/// From when on a limit binds, after it was named first.
+/// From when on a limit binds, after it was named first, in milliseconds.
 const BINDS_AFTER: u64 = 3000;
-/// How long before a request arrives its VM must have had an answer that names the limit.
+/// How long before a request arrives its VM must have had an answer that names the limit, in
+/// milliseconds.
 const TOLD_BEFORE: u64 = 500;
-/// The span in which requests count.
+/// The span in which requests count, in milliseconds.
 const SPAN: u64 = 4000;
-/// The most that an answer, a message and a newer view take to arrive.
+/// The most that an answer, a message and a newer view take to arrive, in milliseconds.
 const ANSWER: u64 = 300;
 const MESSAGE: u64 = 100;
 const VIEW: u64 = 900;
@@ -99,7 +100,7 @@
     /// When which VM gets an answer to a request.
     answers: Vec<(u64, usize)>,
     /// What a VM gets told, and when.
-    notes: Vec<(u64, usize, Vec<badgerfield_core::request_limit::LimitNote>)>,
+    notes: Vec<(u64, usize, Vec<LimitNote>)>,
     /// When each VM had its first answer that names the limit.
     told: Vec<Option<u64>>,
     /// What the upstream names.
