--- a/crates/badgerfield-core/tests/holdings.rs
+++ b/crates/badgerfield-core/tests/holdings.rs
@@ -280,3 +280,101 @@
     let reserved = holdings.reserve(at(20_000), &budget(), waiter, &mut Outbox::default());
     assert_eq!(reserved, ReserveOutcome::Waiting);
 }
+
+/// Acknowledges the parked amounts among some commands, as a witness does.
+fn confirm_parks(holdings: &mut Holdings, now: Time, mut out: Outbox) {
+    for command in out.take() {
+        let Command::Send(witness, Message::Park(items)) = command else {
+            continue;
+        };
+        holdings.confirm_parked(now, witness, &items, &mut Outbox::default());
+    }
+}
+
+/// Advances a sealing holder by some milliseconds: its witness acknowledges everything, and the
+/// ledger grants `HELD` once and answers with this plan. Returns the tokens that operations
+/// returned.
+fn run_with_plan(holdings: &mut Holdings, (from, to): (u64, u64), plan: HoldingPlan) -> Tokens {
+    let mut returned = Tokens::ZERO;
+    for millis in (from..to).step_by(10) {
+        let mut out = Outbox::default();
+        holdings.tick(at(millis), &mut out);
+        confirm_parks(holdings, at(millis), out);
+        for (op, _) in holdings.take_due_ops(at(millis)) {
+            returned = returned.saturating_add(op.returned);
+            let reply = LedgerReply::Applied {
+                seq: op.seq,
+                granted: if op.seq == 1 { HELD } else { Tokens::ZERO },
+                remaining: Tokens::ZERO,
+                other_holders: Vec::new(),
+                plan,
+                orphaned_seals: Vec::new(),
+            };
+            let mut out = Outbox::default();
+            holdings.apply_ledger_reply(at(millis + 5), &budget(), Period(1), &reply, &mut out);
+            holdings.process_changed(at(millis + 5), &mut out);
+            confirm_parks(holdings, at(millis + 5), out);
+        }
+    }
+    returned
+}
+
+/// The demand at a busy lender, in tokens per second.
+const DEMAND: u64 = 5_000;
+
+/// Makes a sealing holder with a witness that had `HELD` tokens and has served requests for some
+/// seconds. Returns it with the present time, or `None` if another process lends the budget.
+fn busy_lender(me: u64, seconds: u64) -> Option<(Holdings, u64)> {
+    let mut holdings = sealing_holder(me, 20);
+    run_with_plan(&mut holdings, (0, 600), HoldingPlan::Share(HELD));
+    let (start, cost) = (600, Tokens(DEMAND / 50));
+    for n in 0..seconds * 50 {
+        let now = start + n * 20;
+        let waiter = (RunId(n), cost, at(now + 5_000));
+        let mut out = Outbox::default();
+        let outcome = holdings.reserve(at(now), &budget(), waiter, &mut out);
+        confirm_parks(&mut holdings, at(now), out);
+        run_with_plan(&mut holdings, (now, now + 20), HoldingPlan::Share(HELD));
+        let decisions = holdings.take_decisions();
+        let decided = decisions.iter().filter(|decision| decision.refusal.is_none()).count();
+        let reserved = decided + usize::from(matches!(outcome, ReserveOutcome::Reserved(_)));
+        for _ in 0..reserved {
+            holdings.settle(at(now + 20), &budget(), Period(1), cost, cost);
+        }
+    }
+    let balance = holdings.balance(&budget());
+    let held = balance.free.0 + balance.sealed.0 + balance.parked.0;
+    (held > 0).then_some((holdings, start + seconds * 1000))
+}
+
+/// Tokens beyond a smaller share must return to the ledger within one round of reports, parked or
+/// not. Until then requests at other VMs are refused.
+#[test]
+fn surplus_returns_within_one_round_of_reports() {
+    // One round until the holder learns of the smaller share, and one to return what is beyond it.
+    let rounds = 4;
+    let mut failures = Vec::new();
+    let mut tested = 0;
+    for (me, seconds) in (1..=20).flat_map(|me| [(me, 0), (me, 2), (me, 6), (me, 10)]) {
+        let Some((mut holdings, start)) = busy_lender(me, seconds) else {
+            continue;
+        };
+        tested += 1;
+        let balance = holdings.balance(&budget());
+        let held = balance.free.0 + balance.sealed.0 + balance.parked.0;
+        let mut returned = Vec::new();
+        for round in 0..12 {
+            let from = start + round * 500;
+            let plan = HoldingPlan::Share(Tokens::ZERO);
+            returned.push(run_with_plan(&mut holdings, (from, from + 500), plan).0);
+        }
+        println!("holder {me} after {seconds} s of demand holds {held} and returns {returned:?}");
+        // A second of the earlier demand may stay for requests that still arrive.
+        let in_time: u64 = returned.iter().take(rounds).sum();
+        if in_time + DEMAND < held {
+            failures.push((me, seconds, held, in_time));
+        }
+    }
+    assert!(tested > 0, "no process holds the budget");
+    assert!(failures.is_empty(), "holder, seconds of demand, held, returned: {failures:?}");
+}
