Seals: a promise does not decay while the unsealed tokens are expected to last

Callers saw: after an outage of the store that ended with the loss of power of all VMs, budgets ran dry at 91 to 96 in 100 of their limits and refused all that came after.

Cause: a holder leaves 2 s of demand unsealed, and its promise for the rest decayed from the first moment as well, so that at second t the ledger had to take 2 s + 0.8 t of demand for spent where t was.

Change: the seal tells when its promise begins to decay: when three quarters of the unsealed tokens are expected to be used. The rest covers bursts. The form of records and messages stays: an earlier version reads the later start as an age of zero.

Weighed and dropped: a smaller margin for clocks (messages that a busy process reads late shift its time by as much), the clock of the VM as evidence of when the power came back (it starts at an arbitrary value after a loss of power).

--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -5,7 +5,7 @@
 
 use super::demand::RequestSizes;
 use super::pending_loans::PendingLoans;
-use super::promises::Promises;
+use super::promises::{Promise, Promises};
 use super::return_stats::ReturnStats;
 use super::waiting::Waiter;
 use crate::amount::{Percent, Time, TokenRate, Tokens};
@@ -14,7 +14,7 @@
 use crate::message::TokenRequest;
 use crate::rate_meter::RateMeter;
 use crate::refusal::Refusal;
-use crate::seal::{FleetClock, OrphanedSeal, Seal, SealClaim, decay_span_ms};
+use crate::seal::{FleetClock, OrphanedSeal, Seal, SealClaim, millis};
 
 /// How much demand, in time, a holding keeps available; the rest is parked.
 const WORKING_SPAN: Duration = Duration::from_secs(1);
@@ -25,6 +25,12 @@
 /// How much demand, in time, is left unsealed. Sealed tokens normally become free at the rate at
 /// which they are used; this reserve covers a late report and bursts of requests.
 const UNSEALED_SPAN: Duration = Duration::from_millis(2000);
+/// The measured demand of a holding counts as current if a request has used the holding within this
+/// time.
+const RECENT_USE: Duration = Duration::from_secs(1);
+/// One `BURST_DIVISOR`-th of the unsealed tokens is not counted on for the expected demand, since
+/// requests come in bursts and the measured demand lags behind.
+const BURST_DIVISOR: u64 = 4;
 /// A holding is rebalanced when its unsealed amount differs from the target by more than one
 /// `MARGIN_DIVISOR`-th of the target.
 const MARGIN_DIVISOR: u64 = 8;
@@ -376,25 +382,26 @@
     fn unsealed_target(&self, now: Time) -> Tokens {
         let demand = self.meter.rate(now).over(UNSEALED_SPAN);
         // One request's worth is left unsealed only where it will be spent soon.
-        let is_soon_spent = demand.saturating_add(demand) >= self.largest_request;
+        let is_soon_spent = self.is_soon_spent(demand);
         let target = if is_soon_spent { demand.max(self.largest_request) } else { demand };
         let target = target.min(self.unspent().part(MAX_UNSEALED_PERCENT, 100));
         target.max(self.min_unsealed())
     }
 
     /// Makes the seal of a new operation. Held tokens are promised only if the store is known to be
-    /// reachable.
+    /// reachable; otherwise requests must be able to use them.
     fn make_seal(&mut self, now: Time, sealing: &Sealing, close: bool) -> Seal {
         if !close {
             self.rebalance(now);
         }
-        let at = sealing.clock.time_at(now);
-        // If the store may be unavailable, only the tokens that the operation grants are promised:
-        // requests must be able to use those already held.
-        let is_reachable = at.is_some() && sealing.is_store_reachable(now);
-        let amount = if is_reachable { self.sealed } else { Tokens::ZERO };
-        match at {
-            Some(_) => self.promises.record_pending(now, amount),
+        let promise = if sealing.is_store_reachable(now) {
+            Promise::new(now, self.sealed, self.unsealed_span(now))
+        } else {
+            Promise::new(now, Tokens::ZERO, Duration::ZERO)
+        };
+        let decays_from = sealing.clock.time_at(promise.decays_from);
+        match decays_from {
+            Some(_) => self.promises.record_pending(promise),
             None => self.promises.clear_pending(),
         }
         let claims = sealing.clock.started_at.map_or_else(Vec::new, |started| {
@@ -402,8 +409,32 @@
                 |e: OrphanedSeal| SealClaim { holder: e.holder, unspent: e.unspent_at(started) };
             std::mem::take(&mut self.orphaned_seals).into_iter().map(claim).collect()
         });
-        let (vm, unsealed) = (sealing.vm.clone(), self.unsealing);
-        Seal { vm, amount, unsealed, sealed_at: at, decay_ms: decay_span_ms(), claims }
+        let (vm, amount, unsealed) = (sealing.vm.clone(), promise.amount, self.unsealing);
+        let decay_ms = millis(promise.decay_span);
+        Seal { vm, amount, unsealed, decays_from, decay_ms, claims }
+    }
+
+    /// Returns how long the unsealed tokens are expected to last. Until then the promise need not
+    /// decay: if all VMs lost power, unsealed and decayed tokens would be lost together.
+    ///
+    /// It is zero if single requests cost more than the demand of that span: they may need all
+    /// unsealed tokens at once. It is also zero if no request came lately: requests that have moved
+    /// to other holders ask for the tokens from there.
+    fn unsealed_span(&self, now: Time) -> Duration {
+        let rate = self.meter.rate(now);
+        let is_steady = self.is_soon_spent(rate.over(UNSEALED_SPAN));
+        let is_recent = now.since(self.used_at) < RECENT_USE;
+        if rate == TokenRate(0) || !is_steady || !is_recent {
+            return Duration::ZERO;
+        }
+        let unsealed = self.free.saturating_add(self.unsealing).saturating_sub(self.total_need());
+        let expected = unsealed.saturating_sub(unsealed.part(1, BURST_DIVISOR));
+        Duration::from_millis(expected.0.saturating_mul(1000) / rate.0)
+    }
+
+    /// Returns whether a demand makes it likely that one request's worth is spent soon.
+    fn is_soon_spent(&self, demand: Tokens) -> bool {
+        demand.saturating_add(demand) >= self.largest_request
     }
 
     /// Renews the seal of the pending operation before the operation is sent again.
@@ -411,13 +442,15 @@
     /// Tokens that were held when the operation was made may be in use by now, so only those that
     /// the operation grants are promised.
     pub(crate) fn restamp_seal(&mut self, now: Time, clock: FleetClock) {
+        let promise = Promise::new(now, Tokens::ZERO, Duration::ZERO);
         let Some(seal) = self.op.as_mut().and_then(|(op, _)| op.seal.as_mut()) else {
             return;
         };
-        seal.amount = Tokens::ZERO;
-        seal.sealed_at = clock.time_at(now);
-        if seal.sealed_at.is_some() {
-            self.promises.record_resend(now);
+        seal.amount = promise.amount;
+        seal.decays_from = clock.time_at(promise.decays_from);
+        seal.decay_ms = millis(promise.decay_span);
+        if seal.decays_from.is_some() {
+            self.promises.record_resend(promise);
         }
     }
 
@@ -455,8 +488,7 @@
         let demand = self.meter.rate(now).over(WORKING_SPAN);
         // One request's worth is kept available only where it will be spent soon, because available
         // tokens are lost when this process crashes.
-        let is_soon_spent = demand.saturating_add(demand) >= self.largest_request;
-        if is_soon_spent { demand.max(self.largest_request) } else { demand }
+        if self.is_soon_spent(demand) { demand.max(self.largest_request) } else { demand }
     }
 
     /// Returns how many tokens a borrower prefetches for the given span; zero unless it is busy.
--- a/crates/badgerfield-core/src/holdings/promises.rs
+++ b/crates/badgerfield-core/src/holdings/promises.rs
@@ -4,24 +4,37 @@
 use std::time::Duration;
 
 use crate::amount::{Time, Tokens};
-use crate::seal::{decay_time, promised_after};
+use crate::seal::{MAX_DECAY_DELAY, PROMISE_SPAN, decay_time, promised_after};
 
 /// A promise that the ledger may have on record.
 #[derive(Debug, Clone, Copy)]
-struct Promise {
-    amount: Tokens,
-    /// When the promise was made.
-    made_at: Time,
+pub(super) struct Promise {
+    pub(super) amount: Tokens,
+    /// When the promise begins to decay.
+    pub(super) decays_from: Time,
+    /// The span over which the promise decays.
+    pub(super) decay_span: Duration,
 }
 
 impl Promise {
+    /// Makes a promise that covers the whole amount for `delay`, at most [`MAX_DECAY_DELAY`].
+    pub(super) fn new(now: Time, amount: Tokens, delay: Duration) -> Self {
+        let delay = delay.min(MAX_DECAY_DELAY);
+        let decay_span = PROMISE_SPAN.saturating_sub(delay);
+        Self { amount, decays_from: now.after(delay), decay_span }
+    }
+
     fn remaining(self, now: Time) -> Tokens {
-        promised_after(self.amount, now.since(self.made_at))
+        promised_after(self.amount, now.since(self.decays_from), self.decay_span)
     }
 
     /// Returns after how long at most `limit` tokens of the promise remain.
     fn time_until_at_most(self, now: Time, limit: Tokens) -> Duration {
-        decay_time(self.amount, limit).saturating_sub(now.since(self.made_at))
+        if self.amount <= limit {
+            return Duration::ZERO;
+        }
+        let decay = decay_time(self.amount, limit, self.decay_span);
+        self.decays_from.after(decay).since(now)
     }
 }
 
@@ -40,14 +53,14 @@
 
 impl Promises {
     /// Records the promise of a new operation.
-    pub(super) fn record_pending(&mut self, now: Time, amount: Tokens) {
-        self.pending = vec![Promise { amount, made_at: now }];
+    pub(super) fn record_pending(&mut self, promise: Promise) {
+        self.pending = vec![promise];
     }
 
     /// Records that the pending operation is sent again, promising only the tokens that it grants.
-    pub(super) fn record_resend(&mut self, now: Time) {
+    pub(super) fn record_resend(&mut self, promise: Promise) {
         self.pending.truncate(1);
-        self.pending.push(Promise { amount: Tokens::ZERO, made_at: now });
+        self.pending.push(promise);
     }
 
     /// Records that a new operation promises nothing.
--- a/crates/badgerfield-core/src/ledger.rs
+++ b/crates/badgerfield-core/src/ledger.rs
@@ -402,7 +402,7 @@
         let orphan = |(holder, seal): (Incarnation, &SealRecord)| OrphanedSeal {
             holder,
             amount: seal.amount,
-            sealed_at: seal.sealed_at,
+            decays_from: seal.decays_from,
             decay_ms: seal.decay_ms,
         };
         sealed.filter(|(_, seal)| seal.vm == *vm).map(orphan).collect()
@@ -538,11 +538,11 @@
 /// Returns the record of a holder's seal, with the sealed part of the current grant; `None` if
 /// nothing is sealed.
 fn seal_record(seal: &Seal, granted: Tokens, need: Tokens) -> Option<SealRecord> {
-    let sealed_at = seal.sealed_at?;
+    let decays_from = seal.decays_from?;
     let amount = seal.amount.saturating_add(sealed_part(granted, need));
     (!amount.is_zero()).then(|| {
         let (vm, decay_ms) = (seal.vm.clone(), seal.decay_ms);
-        SealRecord { vm, amount, sealed_at, decay_ms }
+        SealRecord { vm, amount, decays_from, decay_ms }
     })
 }
 
--- a/crates/badgerfield-core/src/seal.rs
+++ b/crates/badgerfield-core/src/seal.rs
@@ -2,9 +2,10 @@
 //!
 //! A process holds tokens ahead of demand for outages of the store. If all processes end at once,
 //! no process knows how much of them was spent. Therefore the ledger records how much of a holding
-//! is sealed, and since when. The promise decays linearly, so that the holder may have spent all
-//! sealed tokens after [`DECAY_SPAN`]. Its successor on the same VM computes how many of them
-//! cannot have been spent when it started, and returns them to the ledger.
+//! is sealed, and how the promise decays: it covers all of the amount until the holder has probably
+//! spent its unsealed tokens, then decays linearly, and has ended after [`PROMISE_SPAN`]. The
+//! holder's successor on the same VM computes how many of the sealed tokens cannot have been spent
+//! when it started, and returns them to the ledger.
 //!
 //! The promise depends on these conditions: only one process runs on a VM at a time; the holder's
 //! clock is monotonic; and there is a fleet time on which more than half of the fleet's clocks
@@ -19,7 +20,7 @@
 use crate::amount::{Time, Tokens};
 use crate::ids::{Incarnation, VmId};
 
-/// The span over which the promise for sealed tokens decays to zero.
+/// The age at which a promise has ended.
 ///
 /// It is a little shorter than the span of demand that is held ahead, so that the tokens last for
 /// an outage of about that length.
@@ -27,7 +28,12 @@
 /// The decay is linear to limit the loss when power fails late in an outage. At 4.5 s, a promise of
 /// the whole amount for 3.2 s lost 34,000 and 33,000 of 120,000 tokens of two accounts; linear
 /// decay lost 22,000 and 13,000.
-pub const DECAY_SPAN: Duration = Duration::from_secs(10);
+pub const PROMISE_SPAN: Duration = Duration::from_secs(10);
+/// The longest time for which a promise covers the whole amount.
+///
+/// A holder may not spend sealed tokens in this time, so it must not be much longer than the span of
+/// demand that is left unsealed.
+pub(crate) const MAX_DECAY_DELAY: Duration = Duration::from_millis(2500);
 /// The maximum difference between clocks that agree.
 pub const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_millis(250);
 
@@ -59,8 +65,8 @@
     pub amount: Tokens,
     /// The amount that this operation unseals.
     pub unsealed: Tokens,
-    /// The time of the seal; `None` if the holder promises nothing.
-    pub sealed_at: Option<FleetTime>,
+    /// The time at which the promise begins to decay; `None` if the holder promises nothing.
+    pub decays_from: Option<FleetTime>,
     /// The span over which the promise decays, in milliseconds. Holders of older versions do not
     /// send it; nothing is claimed from their seals, since they may have spent the whole amount.
     #[serde(default)]
@@ -87,9 +93,9 @@
     /// The amount that is sealed.
     #[serde(rename = "a")]
     pub amount: Tokens,
-    /// The time of the seal.
+    /// The time at which the promise begins to decay.
     #[serde(rename = "t")]
-    pub sealed_at: FleetTime,
+    pub decays_from: FleetTime,
     /// The span over which the promise decays, in milliseconds; 0 if the holder did not send it.
     #[serde(rename = "f", default)]
     pub decay_ms: u64,
@@ -99,36 +105,31 @@
     /// Returns the amount that the holder could not have spent at a time.
     #[must_use]
     pub fn unspent_at(&self, at: FleetTime) -> Tokens {
-        decayed(self.amount, at.0.saturating_sub(self.sealed_at.0), self.decay_ms)
+        decayed(self.amount, at.0.saturating_sub(self.decays_from.0), self.decay_ms)
     }
 }
 
-/// Returns how much of a sealed amount is still promised `age_ms` after it was sealed.
-fn decayed(amount: Tokens, age_ms: u64, decay_ms: u64) -> Tokens {
-    amount.part(decay_ms.saturating_sub(age_ms), decay_ms)
+/// Returns how much of a sealed amount is still promised `elapsed_ms` after its promise has begun to
+/// decay.
+fn decayed(amount: Tokens, elapsed_ms: u64, decay_ms: u64) -> Tokens {
+    amount.part(decay_ms.saturating_sub(elapsed_ms), decay_ms)
 }
 
-/// Returns how much of an amount sealed by this process is still promised at an age.
+/// Returns how much of an amount is still promised some time after its promise has begun to decay.
 #[must_use]
-pub(crate) fn promised_after(amount: Tokens, age: Duration) -> Tokens {
-    decayed(amount, millis(age), decay_span_ms())
+pub(crate) fn promised_after(amount: Tokens, elapsed: Duration, decay_span: Duration) -> Tokens {
+    decayed(amount, millis(elapsed), millis(decay_span))
 }
 
-/// Returns the age at which at most `remaining` of a sealed amount is still promised.
+/// Returns how long a promise must decay until at most `remaining` of its amount is left.
 #[must_use]
-pub(crate) fn decay_time(amount: Tokens, remaining: Tokens) -> Duration {
+pub(crate) fn decay_time(amount: Tokens, remaining: Tokens, decay_span: Duration) -> Duration {
     // Rounded up: the promise must not end earlier than declared.
     let decayed_amount = amount.saturating_sub(remaining);
-    let millis = decay_span_ms().saturating_mul(decayed_amount.0).div_ceil(amount.0.max(1));
+    let millis = millis(decay_span).saturating_mul(decayed_amount.0).div_ceil(amount.0.max(1));
     Duration::from_millis(millis)
 }
 
-/// Returns the span over which promises of this process decay, in milliseconds.
-#[must_use]
-pub(crate) fn decay_span_ms() -> u64 {
-    millis(DECAY_SPAN)
-}
-
 /// The sealed tokens of an earlier process on the same VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrphanedSeal {
@@ -136,8 +137,8 @@
     pub holder: Incarnation,
     /// The amount that was sealed.
     pub amount: Tokens,
-    /// The time of the seal.
-    pub sealed_at: FleetTime,
+    /// The time at which the promise begins to decay.
+    pub decays_from: FleetTime,
     /// The span over which the promise decays, in milliseconds; 0 if the holder did not send it.
     pub decay_ms: u64,
 }
@@ -146,9 +147,9 @@
     /// Returns the amount that is unspent if the successor started at this time.
     #[must_use]
     pub fn unspent_at(&self, started: FleetTime) -> Tokens {
-        let age_ms =
-            started.0.saturating_sub(self.sealed_at.0).saturating_add(millis(MAX_CLOCK_DIFFERENCE));
-        decayed(self.amount, age_ms, self.decay_ms)
+        let latest_start = started.0.saturating_add(millis(MAX_CLOCK_DIFFERENCE));
+        let elapsed_ms = latest_start.saturating_sub(self.decays_from.0);
+        decayed(self.amount, elapsed_ms, self.decay_ms)
     }
 }
 
@@ -183,6 +184,6 @@
     }
 }
 
-fn millis(span: Duration) -> u64 {
+pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/badgerfield-core/tests/ledger.rs
+++ b/crates/badgerfield-core/tests/ledger.rs
@@ -205,9 +205,9 @@
 
 fn seal(vm: &str, amount: u64, claims: &[SealClaim]) -> Seal {
     let vm = vm.parse().expect("the name is valid");
-    let sealed_at = Some(FleetTime(1));
+    let decays_from = Some(FleetTime(1));
     let (amount, unsealed) = (Tokens(amount), Tokens::ZERO);
-    Seal { vm, amount, unsealed, sealed_at, decay_ms: 10_000, claims: claims.to_vec() }
+    Seal { vm, amount, unsealed, decays_from, decay_ms: 10_000, claims: claims.to_vec() }
 }
 
 /// Creates the first operation of a process that reports the holder's unspent tokens as witness.
--- a/crates/badgerfield-standin/tests/lending.rs
+++ b/crates/badgerfield-standin/tests/lending.rs
@@ -451,7 +451,7 @@
         let sealed = balance.sealed.0 + balance.returning_sealed.0 + granted;
         let now = CLOCK_START_MS + u64::try_from(fleet.now.0.as_millis()).expect("a short run");
         if record.unspent_at(FleetTime(now)).0 > sealed {
-            broken.insert(vm, (record.sealed_at, record.amount.0));
+            broken.insert(vm, (record.decays_from, record.amount.0));
         }
     }
     broken
