Seals: an operation that is sent again carries on the promise that is still kept

Callers saw: power lost just after the store was back took all that VMs held.

Cause: an operation that waited for the store was sent again with a promise of zero, and one made while the store may be unreachable promised zero as well. Once recorded, it replaced the good promise, which the holder still kept.

Change: both carry what the promise still covers, on the same schedule, without renewing it: requests use the tokens as it decays.

--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -388,8 +388,8 @@
         target.max(self.min_unsealed())
     }
 
-    /// Makes the seal of a new operation. Held tokens are promised only if the store is known to be
-    /// reachable; otherwise requests must be able to use them.
+    /// Makes the seal of a new operation. The promise is renewed only if the store is known to be
+    /// reachable; otherwise requests must be able to use the tokens as the earlier promise decays.
     fn make_seal(&mut self, now: Time, sealing: &Sealing, close: bool) -> Seal {
         if !close {
             self.rebalance(now);
@@ -397,7 +397,7 @@
         let promise = if sealing.is_store_reachable(now) {
             Promise::new(now, self.sealed, self.unsealed_span(now))
         } else {
-            Promise::new(now, Tokens::ZERO, Duration::ZERO)
+            self.continued_promise(now)
         };
         let decays_from = sealing.clock.time_at(promise.decays_from);
         match decays_from {
@@ -414,6 +414,12 @@
         Seal { vm, amount, unsealed, decays_from, decay_ms, claims }
     }
 
+    /// Returns the promise that is kept now, without renewing it.
+    fn continued_promise(&self, now: Time) -> Promise {
+        let promise = self.promises.continued(now, self.returning_sealed);
+        Promise { amount: promise.amount.min(self.sealed), ..promise }
+    }
+
     /// Returns how long the unsealed tokens are expected to last. Until then the promise need not
     /// decay: if all VMs lost power, unsealed and decayed tokens would be lost together.
     ///
@@ -437,12 +443,13 @@
         demand.saturating_add(demand) >= self.largest_request
     }
 
-    /// Renews the seal of the pending operation before the operation is sent again.
+    /// Updates the seal of the pending operation before the operation is sent again.
     ///
-    /// Tokens that were held when the operation was made may be in use by now, so only those that
-    /// the operation grants are promised.
+    /// Tokens that were sealed when the operation was made may be in use by now. What the promise
+    /// still covers is repeated: a record without it would replace the one that the ledger has, and
+    /// all tokens would be lost if all processes ended before the next operation.
     pub(crate) fn restamp_seal(&mut self, now: Time, clock: FleetClock) {
-        let promise = Promise::new(now, Tokens::ZERO, Duration::ZERO);
+        let promise = self.continued_promise(now);
         let Some(seal) = self.op.as_mut().and_then(|(op, _)| op.seal.as_mut()) else {
             return;
         };
@@ -450,7 +457,7 @@
         seal.decays_from = clock.time_at(promise.decays_from);
         seal.decay_ms = millis(promise.decay_span);
         if seal.decays_from.is_some() {
-            self.promises.record_resend(promise);
+            self.promises.record_resend(now, promise);
         }
     }
 
--- a/crates/badgerfield-core/src/holdings/promises.rs
+++ b/crates/badgerfield-core/src/holdings/promises.rs
@@ -6,6 +6,10 @@
 use crate::amount::{Time, Tokens};
 use crate::seal::{MAX_DECAY_DELAY, PROMISE_SPAN, decay_time, promised_after};
 
+/// A promise that ends sooner than this is not continued: the tokens that an operation grants are
+/// sealed by the same promise, which must outlast the time until the next report.
+const MIN_CONTINUED_SPAN: Duration = Duration::from_secs(2);
+
 /// A promise that the ledger may have on record.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Promise {
@@ -24,6 +28,17 @@
         Self { amount, decays_from: now.after(delay), decay_span }
     }
 
+    /// Returns the promise for what is left of the amount now, which decays as this one does.
+    fn continued(self, now: Time) -> Self {
+        let decays_from = self.decays_from.max(now);
+        let decay_span = self.end().since(decays_from);
+        Self { amount: self.remaining(now), decays_from, decay_span }
+    }
+
+    fn end(self) -> Time {
+        self.decays_from.after(self.decay_span)
+    }
+
     fn remaining(self, now: Time) -> Tokens {
         promised_after(self.amount, now.since(self.decays_from), self.decay_span)
     }
@@ -47,7 +62,7 @@
 pub(super) struct Promises {
     /// The promises of the last operation that was answered.
     confirmed: Vec<Promise>,
-    /// The promises of the pending operation: of its first and of its last sending.
+    /// The promises of the sendings of the pending operation, except for those that have ended.
     pending: Vec<Promise>,
 }
 
@@ -57,12 +72,30 @@
         self.pending = vec![promise];
     }
 
-    /// Records that the pending operation is sent again, promising only the tokens that it grants.
-    pub(super) fn record_resend(&mut self, promise: Promise) {
-        self.pending.truncate(1);
+    /// Records that the pending operation is sent again, with this promise.
+    pub(super) fn record_resend(&mut self, now: Time, promise: Promise) {
+        self.pending.retain(|earlier| earlier.end() > now);
         self.pending.push(promise);
     }
 
+    /// Returns the promise for what must stay unspent now, without renewing it: as it decays,
+    /// requests use the tokens. The pending operation returns `returning` tokens that were promised
+    /// before.
+    pub(super) fn continued(&self, now: Time, returning: Tokens) -> Promise {
+        let confirmed = self.confirmed.iter().map(|promise| {
+            let promise = promise.continued(now);
+            Promise { amount: promise.amount.saturating_sub(returning), ..promise }
+        });
+        let pending = self.pending.iter().map(|promise| promise.continued(now));
+        // The promise also covers tokens that the operation grants, so it must last for a while.
+        let lasting =
+            confirmed.chain(pending).filter(|promise| promise.decay_span >= MIN_CONTINUED_SPAN);
+        let strongest = lasting.max_by_key(|promise| promise.amount);
+        strongest
+            .filter(|promise| !promise.amount.is_zero())
+            .unwrap_or_else(|| Promise::new(now, Tokens::ZERO, Duration::ZERO))
+    }
+
     /// Records that a new operation promises nothing.
     pub(super) fn clear_pending(&mut self) {
         self.pending.clear();
