Holdings: a deferring holder returns its sealed tokens; sealed ones are returned first

Cause: a holder that defers to a collector forwards free tokens only, and each report seals the rest anew, so that some ten in 100 a second came free.

Change: it returns the sealed ones in one operation. A surplus is returned only while the store answers, since a pending return is of use to nobody, and sealed tokens go first: until the return is recorded the promise on record still covers them, and the free ones stay usable.

Evidence: deferring_holder_returns_its_sealed_tokens (nothing returned before).

--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -331,13 +331,16 @@
         self.free = self.free.saturating_add(free).saturating_add(due);
     }
 
-    /// Takes tokens out to return them to the ledger, free ones first, then sealed ones. Returns
-    /// both amounts.
+    /// Takes tokens out to return them to the ledger, sealed ones first, then free ones. Returns both
+    /// amounts, free ones first.
+    ///
+    /// Until the ledger has applied the return, the promise on record still covers sealed tokens. If
+    /// this process ended before, free ones would be lost.
     fn take_return(&mut self, amount: Tokens) -> (Tokens, Tokens) {
-        let taken = self.take(amount);
-        let more = amount.saturating_sub(taken).min(self.sealed).min(self.unparked());
-        self.sealed = self.sealed.saturating_sub(more);
-        (taken, more)
+        let sealed = amount.min(self.sealed).min(self.unparked());
+        self.sealed = self.sealed.saturating_sub(sealed);
+        let free = self.take(amount.saturating_sub(sealed));
+        (free, sealed)
     }
 
     /// Seals tokens beyond those needed soon, or unseals tokens if too few are free.
@@ -481,7 +484,9 @@
     pub(crate) fn surplus(&self, now: Time) -> Tokens {
         let share = match self.plan {
             HoldingPlan::Share(share) | HoldingPlan::Collect(share) => share,
-            HoldingPlan::Defer(_) => return Tokens::ZERO,
+            // Free tokens are forwarded to the collector. Sealed ones would stay here while requests
+            // for them are refused elsewhere, since each report seals them anew.
+            HoldingPlan::Defer(_) => return self.sealed,
         };
         let ample = share.saturating_add(share.part(1, 4)).saturating_add(self.working_target(now));
         if self.unspent() <= ample {
--- a/crates/badgerfield-core/src/holdings/parking.rs
+++ b/crates/badgerfield-core/src/holdings/parking.rs
@@ -97,7 +97,9 @@
             return;
         }
         let surplus = holding.surplus(now).min(holding.returnable());
-        if !surplus.is_zero() && holding.seq > 0 {
+        // While the store is unavailable, no process can use the tokens of a pending return.
+        let can_return = self.local.sealing.is_none() || self.local.is_store_reachable(now);
+        if !surplus.is_zero() && holding.seq > 0 && can_return {
             holding.make_op(now, budget, &self.local, surplus, false);
             return;
         }
--- a/crates/badgerfield-core/tests/holdings.rs
+++ b/crates/badgerfield-core/tests/holdings.rs
@@ -378,3 +378,19 @@
     assert!(tested > 0, "no process holds the budget");
     assert!(failures.is_empty(), "holder, seconds of demand, held, returned: {failures:?}");
 }
+
+/// A holder that defers to a collector must return its sealed tokens. Otherwise they stay with a
+/// process that needs none while requests elsewhere are refused: each report seals them anew.
+#[test]
+fn deferring_holder_returns_its_sealed_tokens() {
+    let mut holdings = sealing_holder(1, 4);
+    run_with_plan(&mut holdings, (0, 1_200), HoldingPlan::Share(HELD));
+    let before = holdings.balance(&budget());
+    assert!(before.sealed > Tokens(HELD.0 / 2), "most tokens are sealed: {before:?}");
+    // One round of reports until the holder learns of the plan, and one to return the tokens.
+    let plan = HoldingPlan::Defer(Incarnation(2));
+    let returned = run_with_plan(&mut holdings, (1_200, 3_300), plan);
+    let after = holdings.balance(&budget());
+    assert!(returned >= before.sealed, "returned {returned}; {after:?}");
+    assert_eq!(after.sealed, Tokens::ZERO);
+}
