--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -37,7 +37,7 @@
 /// The largest part of a holding that is left unsealed for its demand. `min_unsealed` may ask for
 /// more.
 const MAX_UNSEALED_PERCENT: u64 = 40;
-/// Held tokens are promised to the ledger only if the ledger has answered within this time.
+/// The promise for sealed tokens is renewed only if the ledger has answered within this time.
 const MAX_REPLY_AGE: Duration = Duration::from_millis(1100);
 
 /// A borrower is busy if its demand during the prefetch span is at least one `BUSY_DIVISOR`-th of
@@ -322,7 +322,7 @@
     pub(super) fn confirm_op(&mut self, now: Time, sealed: Tokens, free: Tokens) {
         self.promises.confirm(sealed);
         self.returning_sealed = Tokens::ZERO;
-        // The unsealed tokens become free, except for those that the first sending of the operation
+        // The unsealed tokens become free, except for those that a sending of the operation
         // promised.
         let unsealed = std::mem::take(&mut self.unsealing);
         self.sealed = self.sealed.saturating_add(unsealed).saturating_add(sealed);
@@ -417,7 +417,8 @@
         Seal { vm, amount, unsealed, decays_from, decay_ms, claims }
     }
 
-    /// Returns the promise that is kept now, without renewing it.
+    /// Returns the promise that is kept now, without renewing it. It covers no more than is sealed;
+    /// the earlier promises stay on record here as long as the ledger may have them.
     fn continued_promise(&self, now: Time) -> Promise {
         let promise = self.promises.continued(now, self.returning_sealed);
         Promise { amount: promise.amount.min(self.sealed), ..promise }
@@ -426,8 +427,8 @@
     /// Returns how long the unsealed tokens are expected to last. Until then the promise need not
     /// decay: if all VMs lost power, unsealed and decayed tokens would be lost together.
     ///
-    /// It is zero if single requests cost more than the demand of that span: they may need all
-    /// unsealed tokens at once. It is also zero if no request came lately: requests that have moved
+    /// It is zero if a single request may cost more than twice the demand of [`UNSEALED_SPAN`]: it
+    /// would need all unsealed tokens at once. It is also zero if no request came lately: requests that have moved
     /// to other holders ask for the tokens from there.
     fn unsealed_span(&self, now: Time) -> Duration {
         let rate = self.meter.rate(now);
--- a/crates/badgerfield-core/src/holdings/parking.rs
+++ b/crates/badgerfield-core/src/holdings/parking.rs
@@ -103,7 +103,7 @@
             holding.make_op(now, budget, &self.local, surplus, false);
             return;
         }
-        // Seals are renewed with every report because they expire.
+        // Every report renews the seal, because promises end.
         let is_unreported = holding.reported != (holding.billed, holding.wasted);
         let tops_up = self.local.sealing.is_some() && self.pacing.policy.top_up;
         let is_unbalanced =
--- a/crates/badgerfield-core/src/seal.rs
+++ b/crates/badgerfield-core/src/seal.rs
@@ -29,10 +29,8 @@
 /// the whole amount for 3.2 s lost 34,000 and 33,000 of 120,000 tokens of two accounts; linear
 /// decay lost 22,000 and 13,000.
 pub const PROMISE_SPAN: Duration = Duration::from_secs(10);
-/// The longest time for which a promise covers the whole amount.
-///
-/// A holder may not spend sealed tokens in this time, so it must not be much longer than the span of
-/// demand that is left unsealed.
+/// The longest time after which a promise begins to decay. A holder spends only unsealed tokens in
+/// this time, and leaves about two seconds of demand unsealed.
 pub(crate) const MAX_DECAY_DELAY: Duration = Duration::from_millis(2500);
 /// The maximum difference between clocks that agree.
 pub const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_millis(250);
@@ -61,7 +59,7 @@
 pub struct Seal {
     /// The VM of the holder.
     pub vm: VmId,
-    /// The amount that is sealed from now on.
+    /// The amount that is promised to stay unspent.
     pub amount: Tokens,
     /// The amount that this operation unseals.
     pub unsealed: Tokens,
