--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -322,8 +322,7 @@
     pub(super) fn confirm_op(&mut self, now: Time, sealed: Tokens, free: Tokens) {
         self.promises.confirm(sealed);
         self.returning_sealed = Tokens::ZERO;
-        // The unsealed tokens become free, except for those that a sending of the operation
-        // promised.
+        // The unsealed tokens become free, except for those that a sending of the operation promised.
         let unsealed = std::mem::take(&mut self.unsealing);
         self.sealed = self.sealed.saturating_add(unsealed).saturating_add(sealed);
         let due = self.sealed.saturating_sub(self.promised(now)).min(unsealed);
@@ -428,8 +427,8 @@
     /// decay: if all VMs lost power, unsealed and decayed tokens would be lost together.
     ///
     /// It is zero if a single request may cost more than twice the demand of [`UNSEALED_SPAN`]: it
-    /// would need all unsealed tokens at once. It is also zero if no request came lately: requests that have moved
-    /// to other holders ask for the tokens from there.
+    /// would need all unsealed tokens at once. It is also zero if no request came lately: requests
+    /// that have moved to other holders ask for the tokens from there.
     fn unsealed_span(&self, now: Time) -> Duration {
         let rate = self.meter.rate(now);
         let is_steady = self.is_soon_spent(rate.over(UNSEALED_SPAN));
