--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 
 use crate::amount::{Time, TokenRate, Tokens};
+use crate::availability::ConditionReport;
 use crate::evacuation::DomainChange;
 use crate::ids::{
     Account, Adapter, AttemptId, BudgetId, Incarnation, Model, Period, RequestId, RequestKey,
@@ -63,6 +64,10 @@
     WallClock(u64),
     /// Whether this process currently serves callers.
     Serving(bool),
+    /// Whether this process has more work than it can do.
+    Overloaded(bool),
+    /// Processes have announced themselves in the store, under [`StoreKey::Joiner`].
+    Joiners(Vec<Versioned>),
     /// The list of upstreams has changed at the platform. The core sets the update's reach.
     UpstreamChanges(UpstreamUpdate),
     /// Another process knows all changes of the list of upstreams up to this revision, and its
@@ -274,6 +279,8 @@
     Templates,
     /// The membership view.
     View,
+    /// The announcement of the process on a VM that is joining.
+    Joiner(VmId),
     /// A shard of the ledger.
     Ledger(u32),
     /// The progress of a service's rollout, for operators to read.
@@ -427,6 +434,8 @@
         /// The lender that did not answer.
         lender: Incarnation,
     },
+    /// This process reports the condition of a member to all others.
+    Condition(ConditionReport),
     /// Newer templates are in force.
     Templates(crate::ids::TemplateVersion),
     /// The stored templates are invalid; the last valid ones stay in force.
--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -1,6 +1,7 @@
 //! Membership: joins and leaves the view, removes lost members, and distributes views and template
 //! versions.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,11 +12,12 @@
     Command, LogEntry, Outbox, StoreCall, StoreKey, StoreResult, Versioned, is_due,
 };
 use crate::ids::{Epoch, Incarnation, StoreCallId, TemplateVersion};
-use crate::joining::JoinStep;
+use crate::joining::{self, JoinStep};
 use crate::membership::{Membership, MembershipIntent};
 use crate::message::{Heartbeat, Message};
 use crate::node::Node;
 use crate::pending_calls::Purpose;
+use crate::upstream_selection::SelectionBasis;
 use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member, MemberState, View};
 use crate::view_update::ViewUpdate;
 
@@ -25,6 +27,12 @@
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum time between two fetches from one member.
 const MIN_FETCH_INTERVAL: Duration = Duration::from_millis(200);
+/// Additional time for a reply with a whole view, for each member in it: some 60 bytes, sent to
+/// ten neighbours at once over the slowest VM link, 20 Mbit/s in the fleets that are so large.
+const FETCH_TIME_PER_MEMBER: Duration = Duration::from_micros(250);
+/// Time between two requests for the values that a process lacks after its start. A member that
+/// lacks them too sends them as soon as it has them, so they need not be requested often.
+const BOOTSTRAP_INTERVAL: Duration = Duration::from_millis(400);
 
 impl Node {
     /// Returns the members to which callers may be sent.
@@ -33,6 +41,12 @@
         self.state.membership().available_members(now)
     }
 
+    /// Returns the members to which callers should be sent only if there are few others.
+    #[must_use]
+    pub fn overloaded_members(&self, now: Time) -> BTreeSet<Incarnation> {
+        self.state.membership().overloaded_members(now)
+    }
+
     /// Sends heartbeats if they are due.
     pub(crate) fn tick_heartbeat(&self, now: Time, out: &mut Outbox) {
         let is_due = {
@@ -56,6 +70,9 @@
             let mut members = self.state.membership();
             members.heartbeat_at = Some(now);
             members.confirmations_pending = None;
+            if !members.sends_heartbeats() {
+                return;
+            }
             let heartbeat = Heartbeat {
                 epoch: members.view.epoch,
                 confirmations: confirmed,
@@ -90,6 +107,17 @@
         self.state.membership().is_bootstrap_reader(now)
     }
 
+    /// Returns what the selection of upstreams depends on.
+    #[must_use]
+    pub fn selection_basis(&self, now: Time) -> SelectionBasis {
+        let mut members = self.state.membership();
+        SelectionBasis {
+            demand: members.engine_demand.average(now),
+            members: members.view.members.len(),
+            watcher_rank: members.watcher_rank(),
+        }
+    }
+
     /// Returns whether this process is one of the few that probe the store often while it does
     /// not answer. They notify the others once it answers again.
     #[must_use]
@@ -138,7 +166,8 @@
                 return;
             }
             let newer = heartbeat.epoch > members.view.epoch || heartbeat.version > version;
-            if !newer || !is_due(now, members.fetch_sent_at, MIN_FETCH_INTERVAL) {
+            let interval = fetch_interval(members.view.members.len());
+            if !newer || !is_due(now, members.fetch_sent_at, interval) {
                 return;
             }
             members.fetch_sent_at = Some(now);
@@ -167,6 +196,13 @@
             }
         }
         let table = self.state.templates();
+        if table.version == TemplateVersion(0) && needs_full {
+            // The sender gets the templates as soon as they arrive here. If it had to ask again,
+            // they would be late by half an interval at each level of the bootstrap tree.
+            drop(table);
+            self.state.membership().add_template_waiter(from);
+            return;
+        }
         if table.version <= version {
             return;
         }
@@ -244,6 +280,52 @@
         self.send_heartbeats(now, out);
     }
 
+    /// Writes a view with only this process, as if the store had none.
+    ///
+    /// In a fleet that starts, one process succeeds. The others get the stored view with the
+    /// conflict, so that they need not read it first.
+    pub(crate) fn start_joining(&self, now: Time, out: &mut Outbox) {
+        let mut members = self.state.membership();
+        members.view_read_at = Some(now);
+        members.view_requested_at = Some(now);
+        members.view_written_at = Some(now);
+        let view = View::default().with_member(members.me.clone(), false);
+        let value = Bytes::from(view.encode());
+        let ticket = members.store_calls.begin(Purpose::FirstWrite(view));
+        out.push(Command::CallStore(
+            ticket,
+            StoreCall::CompareAndSwap { key: StoreKey::View, expected_revision: 0, value },
+        ));
+    }
+
+    /// Handles the result of the first write of the view.
+    fn handle_first_write(&self, now: Time, view: View, result: StoreResult, out: &mut Outbox) {
+        match result {
+            StoreResult::Written(revision) => {
+                let found = Versioned { value: Some(Bytes::from(view.encode())), revision };
+                // The view was empty before, so all members have joined since.
+                self.state.membership().joining.record_view(&View::default());
+                self.apply_stored_view(now, &found, out);
+            }
+            StoreResult::Conflict(found) => {
+                self.apply_stored_view(now, &found, out);
+                let mut members = self.state.membership();
+                members.view_written_at = None;
+                // A small view without this VM is that of a fleet which starts at this moment: all
+                // its processes would write again.
+                let is_starting = members.stored.members.len() <= MAX_SMALL_VIEW_MEMBERS
+                    && members.stored.members.iter().all(|m| m.vm != members.me.vm);
+                if is_starting {
+                    members.joining.record_conflict(now, self.config.seed);
+                }
+                drop(members);
+                self.write_view(now, out);
+            }
+            // Whether the write succeeded is known after a read.
+            _ => self.state.membership().view_read_at = None,
+        }
+    }
+
     /// Reads the store's values and writes the view if that is due.
     pub(crate) fn tick_store_reads(&self, now: Time, out: &mut Outbox) {
         let complete = self.state.claims().complete_epoch();
@@ -281,7 +363,10 @@
         let mut members = self.state.membership();
         // Without routes, no list of their upstreams is needed.
         let has_list = members.upstream_list.revision > 0 || !has_routes;
-        if (has_templates && has_list) || !is_due(now, members.bootstrap_at, MIN_FETCH_INTERVAL) {
+        if (has_templates && has_list)
+            || members.is_starting_with_fleet(now)
+            || !is_due(now, members.bootstrap_at, BOOTSTRAP_INTERVAL)
+        {
             return;
         }
         members.bootstrap_at = Some(now);
@@ -297,18 +382,20 @@
         }
     }
 
-    /// Writes a joining process into the view, together with others that wait to join.
-    pub(crate) fn handle_join_request(
-        &self,
-        now: Time,
-        from: Incarnation,
-        joiner: Member,
-        out: &mut Outbox,
-    ) {
-        if joiner.incarnation != from {
-            return;
+    /// Returns whether this process watches the announcements of processes that are joining.
+    #[must_use]
+    pub fn is_join_host(&self) -> bool {
+        let members = self.state.membership();
+        members.is_member() && members.host_rank().is_some()
+    }
+
+    /// Adds processes that have announced themselves, once no further ones arrive.
+    pub(crate) fn add_joiners(&self, now: Time, found: &[Versioned], out: &mut Outbox) {
+        {
+            let mut members = self.state.membership();
+            let stored = Arc::clone(&members.stored);
+            members.joining.add_joiners(now, &stored, found);
         }
-        self.state.membership().joining.add_joiner(now, joiner);
         self.write_view(now, out);
     }
 
@@ -328,10 +415,10 @@
         let present = members.view.member(me.incarnation).map(|m| m.standing);
         let next = match (&members.intent, present) {
             (MembershipIntent::Join, None) if !members.removed => {
-                match members.joining.next_step(now, &stored) {
+                match members.joining.next_step(now, &stored, &me) {
                     JoinStep::Write => Some(stored.with_member(me, handed_over)),
-                    JoinStep::RequestFrom(host) => {
-                        out.send(host, Message::Join(me));
+                    JoinStep::Announce(revision) => {
+                        announce(&mut members, revision, out);
                         return;
                     }
                     JoinStep::Wait => return,
@@ -346,9 +433,9 @@
             (MembershipIntent::Join | MembershipIntent::Leave | MembershipIntent::Quit, _) => None,
         };
         let next = next.or_else(|| {
-            let joiners = members.joining.joiners(now, &stored);
-            let can_write = members.is_member() && !joiners.is_empty();
-            can_write.then(|| stored.with_members(joiners, handed_over))
+            let host_rank = members.host_rank().filter(|_| members.is_member())?;
+            let (joiners, revision) = members.joining.joiners(now, &stored, host_rank)?;
+            Some(stored.with_announced(joiners, revision, handed_over))
         });
         let next = next.or_else(|| {
             let gone = members.members_to_remove(now);
@@ -402,6 +489,7 @@
             (Purpose::Read(StoreKey::View), StoreResult::Value(found)) => {
                 self.apply_stored_view(now, &found, out);
             }
+            (Purpose::FirstWrite(view), result) => self.handle_first_write(now, view, result, out),
             (Purpose::Write(view), StoreResult::Written(revision)) => {
                 let view = Arc::new(view);
                 {
@@ -415,7 +503,17 @@
                 self.apply_stored_view(now, &found, out);
                 let mut members = self.state.membership();
                 members.view_written_at = None;
-                members.joining.record_conflict();
+                members.joining.record_conflict(now, self.config.seed);
+                drop(members);
+                self.write_view(now, out);
+            }
+            (Purpose::Announce, StoreResult::Written(_)) => {
+                self.state.membership().joining.record_announced();
+            }
+            (Purpose::Announce, StoreResult::Conflict(found)) => {
+                let mut members = self.state.membership();
+                let me = members.me.clone();
+                members.joining.record_other_announcement(&found, &me);
                 drop(members);
                 self.write_view(now, out);
             }
@@ -425,7 +523,8 @@
                 members.stored_known = false;
                 members.view_read_at = None;
             }
-            (Purpose::Read(_), _) => {}
+            // A write without an answer may have succeeded; the next one finds out.
+            (Purpose::Read(_) | Purpose::Announce, _) => {}
         }
     }
 
@@ -447,6 +546,7 @@
             members.stored = Arc::clone(&view);
             members.stored_known = true;
             members.joining.record_view(&view);
+            members.record_view_size(now, &view);
             members.view_requested_at
         };
         self.apply_view(now, &view, out);
@@ -457,6 +557,27 @@
     }
 }
 
+/// Returns the minimum time between two fetches of views or templates: so long that the reply to the
+/// first one can arrive.
+fn fetch_interval(members: usize) -> Duration {
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    MIN_FETCH_INTERVAL.saturating_add(FETCH_TIME_PER_MEMBER.saturating_mul(members))
+}
+
+/// Writes the announcement of this process over one with a revision.
+fn announce(members: &mut Membership, expected_revision: u64, out: &mut Outbox) {
+    let key = StoreKey::Joiner(members.me.vm.clone());
+    if members.store_calls.is_pending(&key) {
+        return;
+    }
+    let value = Bytes::from(joining::encode(&members.me));
+    let ticket = members.store_calls.begin(Purpose::Announce);
+    out.push(Command::CallStore(
+        ticket,
+        StoreCall::CompareAndSwap { key, expected_revision, value },
+    ));
+}
+
 /// Starts reading a value from the store unless a read is in progress.
 pub(super) fn start_read(members: &mut Membership, now: Time, key: StoreKey, out: &mut Outbox) {
     if members.store_calls.is_pending(&key) {
--- a/crates/badgerfield-core/src/handlers/mod.rs
+++ b/crates/badgerfield-core/src/handlers/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod answer;
+mod availability;
 mod charging;
 mod claims;
 mod directory;
--- a/crates/badgerfield-core/src/handlers/poison.rs
+++ b/crates/badgerfield-core/src/handlers/poison.rs
@@ -184,8 +184,9 @@
     /// Starts the store call for the poison record that is due.
     fn start_poison_call(&self, now: Time, out: &mut Outbox) {
         let mut members = self.state.membership();
+        let may_read = members.reads_poison_record(now);
         let blocked = self.state.poison().blocked_crashes(now);
-        let Some(call) = self.state.poison_record().next_call(now) else {
+        let Some(call) = self.state.poison_record().next_call(now, may_read) else {
             return;
         };
         let (purpose, call) = match call {
--- a/crates/badgerfield-core/src/handlers/templates.rs
+++ b/crates/badgerfield-core/src/handlers/templates.rs
@@ -94,6 +94,19 @@
                 out.push(Command::Log(LogEntry::BudgetRenewed(budget)));
             }
         }
+        self.send_templates_to_waiters(out);
         self.send_heartbeats(now, out);
     }
+
+    /// Sends the templates to the members that asked for them before they arrived here.
+    fn send_templates_to_waiters(&self, out: &mut Outbox) {
+        let waiters = self.state.membership().take_template_waiters();
+        if waiters.is_empty() {
+            return;
+        }
+        let set = self.state.templates().clone();
+        for id in waiters {
+            out.send(id, Message::Templates(Box::new(set.clone())));
+        }
+    }
 }
--- a/crates/badgerfield-core/src/joining.rs
+++ b/crates/badgerfield-core/src/joining.rs
@@ -1,50 +1,80 @@
-//! Joining a large fleet, when many processes start at the same time.
+//! Joining the fleet, also when all processes start at the same time.
 //!
 //! Each process could write itself into the view. But of concurrent writes only one succeeds, and
 //! each success makes all others retry, so that the number of writes grows with the square of the
-//! fleet's size. A process whose write has failed with a conflict therefore sends a request to a
-//! member that has just joined. That member adds all processes that asked it in one write.
+//! fleet's size. A process that cannot write at once therefore announces itself under a key of its
+//! own in the store. A host, one of the few members that watch these keys, adds all announced
+//! processes in one write. No member is sent a message by each process that starts.
+//!
+//! The view contains the revision of the newest announcement that it takes into account
+//! ([`View::joined_revision`]), so that an announcement adds its process at most once, and a
+//! process that was removed does not come back.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::amount::Time;
-use crate::event::is_due;
+use crate::bootstrap;
+use crate::event::{Versioned, is_due};
 use crate::ids::{Incarnation, rendezvous_weight};
-use crate::view::{Member, View};
-
-/// Number of writes that fail with a conflict before a process asks a member instead.
-///
-/// One is enough, since the view that caused the conflict names a member that is running.
-const MAX_LOST_WRITES: u32 = 1;
-/// Interval between requests to a member.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
-/// Number of members that are asked before the process tries to write the view itself again.
-const MAX_REQUESTS: u32 = 4;
-/// How long a member keeps a request to join.
-const REQUEST_TTL: Duration = Duration::from_millis(500);
+use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member, View};
+
+/// Number of members that watch announcements, of all members and of those that joined last.
+const HOSTS: usize = 2;
+/// Time without a further announcement after which a host adds the announced processes: all VMs of
+/// a fleet may start within 0.3 s of each other, and each view costs every member messages.
+const QUIET_TIME: Duration = Duration::from_millis(150);
+/// Maximum time for which a host waits for further announcements.
+const MAX_GATHER_TIME: Duration = Duration::from_secs(1);
+/// Additional wait of each further host, so that usually only one of them writes.
+const HOST_STAGGER: Duration = Duration::from_millis(400);
+/// Duration of a turn, in which some processes write themselves into a large view whose members
+/// may all have ended. It is longer than a write and its distribution take.
+const TURN_DURATION: Duration = Duration::from_millis(500);
+/// Minimum wait of a process whose write has failed before it writes itself again. A host adds it
+/// much earlier.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Range of the random delay that is added to [`RETRY_DELAY`], in milliseconds: without it, all
+/// processes whose host has ended would write at the same time.
+const RETRY_SPREAD_MS: u64 = 2000;
+/// Interval between two attempts to announce this process.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// The next step of a process that is joining.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum JoinStep {
     /// Write the view with this process added.
     Write,
-    /// Send a request to this member.
-    RequestFrom(Incarnation),
-    /// Wait for the member that was asked.
+    /// Write the announcement of this process over one with this revision.
+    Announce(u64),
+    /// Wait for a host, or for this process's turn to write.
     Wait,
 }
 
-/// This process's own attempts to join, and the requests of other processes to be added.
+/// A process that has announced itself.
+#[derive(Debug, Clone)]
+struct Joiner {
+    member: Member,
+    revision: u64,
+}
+
+/// This process's own attempts to join, and the announcements of other processes.
 #[derive(Debug, Default)]
 pub(crate) struct Joining {
     /// The members of the first view that this process has read; they may have ended long ago.
     initial_members: Option<BTreeSet<Incarnation>>,
     lost_writes: u32,
-    request_count: u32,
-    requested_at: Option<Time>,
-    /// The processes that asked this one to add them, with the time of the request.
-    requests: BTreeMap<Incarnation, (Member, Time)>,
+    /// The time before which this process does not write itself into the view again.
+    retry_at: Time,
+    announced: bool,
+    /// The revision of the announcement that an earlier process of this VM has left.
+    known_revision: u64,
+    /// When this process last tried to announce itself.
+    announced_at: Option<Time>,
+    /// The processes that this process adds to the view if it is a host.
+    joiners: BTreeMap<Incarnation, Joiner>,
+    /// When the first and the last of these announcements arrived.
+    gathered: Option<(Time, Time)>,
 }
 
 impl Joining {
@@ -60,43 +90,118 @@
     }
 
     /// Records that a write of the view failed because another process had written it first.
-    pub(crate) fn record_conflict(&mut self) {
+    pub(crate) fn record_conflict(&mut self, now: Time, random: u64) {
         self.lost_writes += 1;
+        let spread = Duration::from_millis(random % RETRY_SPREAD_MS);
+        self.retry_at = now.after(RETRY_DELAY.saturating_add(spread));
     }
 
-    /// Returns the next step of this process towards joining the view.
-    pub(crate) fn next_step(&mut self, now: Time, view: &View) -> JoinStep {
-        let initial_members = self.initial_members.get_or_insert_default();
-        let running =
-            view.members.iter().map(|m| m.incarnation).filter(|id| !initial_members.contains(id));
-        let mut running: Vec<_> = running.collect();
-        if self.lost_writes < MAX_LOST_WRITES || running.is_empty() {
+    /// Returns the next step of this process towards joining the view. Times are counted from the
+    /// start of the process.
+    pub(crate) fn next_step(&mut self, now: Time, view: &View, me: &Member) -> JoinStep {
+        if now >= self.write_at(view, me) {
             return JoinStep::Write;
         }
-        if !is_due(now, self.requested_at, REQUEST_INTERVAL) {
+        if self.announced || !is_due(now, self.announced_at, ANNOUNCE_INTERVAL) {
             return JoinStep::Wait;
         }
-        if self.request_count >= MAX_REQUESTS {
-            self.request_count = 0;
-            self.lost_writes = 0;
-            return JoinStep::Write;
+        self.announced_at = Some(now);
+        JoinStep::Announce(self.known_revision)
+    }
+
+    /// Returns when this process writes itself into the view.
+    ///
+    /// The members of a large view may all have ended. The processes then write in turns, by the
+    /// ranks of their VMs, so that two write at first and twice as many in each further turn.
+    fn write_at(&self, view: &View, me: &Member) -> Time {
+        if self.lost_writes > 0 {
+            return self.retry_at;
+        }
+        if view.members.len() <= MAX_SMALL_VIEW_MEMBERS {
+            return Time::default();
+        }
+        Time::default().after(TURN_DURATION * bootstrap::turn_of(view, me))
+    }
+
+    /// Records that this process is announced in the store.
+    pub(crate) fn record_announced(&mut self) {
+        self.announced = true;
+    }
+
+    /// Records the announcement that is in the store instead of the one that was written.
+    pub(crate) fn record_other_announcement(&mut self, found: &Versioned, me: &Member) {
+        if decode(found).as_ref() == Some(me) {
+            self.announced = true;
+            return;
         }
-        // All processes ask the same member first, so that there are few writes.
-        running.sort_by_key(|id| std::cmp::Reverse(rendezvous_weight(b"host", *id)));
-        let index = usize::try_from(self.request_count).unwrap_or(0) % running.len();
-        self.requested_at = Some(now);
-        self.request_count += 1;
-        running.get(index).map_or(JoinStep::Write, |id| JoinStep::RequestFrom(*id))
+        self.known_revision = found.revision;
+        self.announced_at = None;
     }
 
-    /// Records the request of a process to be added to the view.
-    pub(crate) fn add_joiner(&mut self, now: Time, joiner: Member) {
-        self.requests.insert(joiner.incarnation, (joiner, now));
+    /// Records announcements that were read from the store.
+    pub(crate) fn add_joiners(&mut self, now: Time, view: &View, found: &[Versioned]) {
+        for item in found {
+            let Some(member) = decode(item) else {
+                continue;
+            };
+            if item.revision <= view.joined_revision || view.has_member(member.incarnation) {
+                continue;
+            }
+            let (id, revision) = (member.incarnation, item.revision);
+            if self.joiners.insert(id, Joiner { member, revision }).is_none() {
+                let first = self.gathered.map_or(now, |(first, _)| first);
+                self.gathered = Some((first, now));
+            }
+        }
     }
 
-    /// Returns the processes that asked recently and are not in the view.
-    pub(crate) fn joiners(&mut self, now: Time, view: &View) -> Vec<Member> {
-        self.requests.retain(|id, (_, at)| now.since(*at) < REQUEST_TTL && !view.has_member(*id));
-        self.requests.values().map(|(joiner, _)| joiner.clone()).collect()
+    /// Returns the announced processes that a host of a rank is to add now, and the revision of the
+    /// newest of their announcements.
+    pub(crate) fn joiners(
+        &mut self,
+        now: Time,
+        view: &View,
+        host_rank: usize,
+    ) -> Option<(Vec<Member>, u64)> {
+        self.joiners
+            .retain(|id, joiner| joiner.revision > view.joined_revision && !view.has_member(*id));
+        if self.joiners.is_empty() {
+            self.gathered = None;
+            return None;
+        }
+        let (first, last) = self.gathered?;
+        let stagger = HOST_STAGGER.saturating_mul(u32::try_from(host_rank).unwrap_or(u32::MAX));
+        let is_quiet = now.since(last) >= QUIET_TIME.saturating_add(stagger);
+        if !is_quiet && now.since(first) < MAX_GATHER_TIME.saturating_add(stagger) {
+            return None;
+        }
+        let revision = self.joiners.values().map(|joiner| joiner.revision).max()?;
+        Some((self.joiners.values().map(|joiner| joiner.member.clone()).collect(), revision))
     }
+
+    /// Returns the rank of this process as a host; `None` if it is none.
+    ///
+    /// The first members by weight are hosts. If the members that were there before this process
+    /// started have all ended, those that have joined since are hosts too.
+    pub(crate) fn host_rank(&self, view: &View, me: Incarnation) -> Option<usize> {
+        let rank_among = |is_candidate: &dyn Fn(Incarnation) -> bool| {
+            let weight = rendezvous_weight(b"host", me);
+            let ids = view.members.iter().map(|m| m.incarnation).filter(|id| is_candidate(*id));
+            ids.filter(|id| rendezvous_weight(b"host", *id) > weight).count()
+        };
+        let of_all = rank_among(&|_| true);
+        let of_new = rank_among(&|id| self.is_new(id));
+        Some(of_all.min(of_new)).filter(|rank| *rank < HOSTS)
+    }
+}
+
+/// Encodes the announcement of a process.
+pub(crate) fn encode(member: &Member) -> Vec<u8> {
+    // Serialization to JSON cannot fail for this type.
+    serde_json::to_vec(member).unwrap_or_default()
+}
+
+/// Decodes the announcement of a process; `None` if it is not one.
+fn decode(found: &Versioned) -> Option<Member> {
+    serde_json::from_slice(found.value.as_ref()?).ok()
 }
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -26,7 +26,7 @@
 //! # Exchange between processes
 //!
 //! Processes send each other [messages](message). Where possible these contain only differences,
-//! which [`view_update`] and [`template_history`] compute. Data reach the other processes in four
+//! which [`view_update`] and [`template_history`] compute. Data reach the other processes in these
 //! ways:
 //!
 //! - `broadcast` sends updates of the list of upstreams, of evacuated failure domains
@@ -34,6 +34,8 @@
 //! - Heartbeats carry the [`confirmations`] of a view and the [queueing delays](queueing_delay) of
 //!   engines. They also carry the sender's versions and digests, by which members detect that one
 //!   of them lacks a view, templates or an update.
+//! - `broadcast` also sends reports of members that are silent or overloaded ([`availability`]), to
+//!   which callers should not be directed.
 //! - The rate limits that upstreams announce are sent from neighbour to neighbour
 //!   ([`rate_limit`]).
 //! - The store, a key-value service that outlasts processes, holds five kinds of values: the
@@ -51,6 +53,7 @@
 
 pub mod adaptive_timeout;
 pub mod amount;
+pub mod availability;
 mod bootstrap;
 mod broadcast;
 mod charges;
@@ -92,11 +95,14 @@
 pub mod template;
 pub mod template_history;
 pub mod upstream_list;
+pub mod upstream_selection;
 pub mod upstream_table;
 pub mod view;
 pub mod view_update;
+pub mod vm_load;
 pub mod vm_upstreams;
 pub mod warm_up;
 
+pub use bootstrap::MAX_WAITERS;
 pub use event::{Command, Event};
 pub use node::{BudgetStatus, Config, Node, Pacing, Status, TICK_INTERVAL};
--- a/crates/badgerfield-core/src/locality.rs
+++ b/crates/badgerfield-core/src/locality.rs
@@ -4,9 +4,10 @@
 //! round-trip time and a price for the transferred bytes. The price accounts for the delay that
 //! these bytes cause to other traffic on a slow link, and for what the operator pays for them.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::ids::{Domain, Region};
+use crate::ids::{Domain, Incarnation, Region};
 use crate::residency::RegionMap;
 use crate::view::Member;
 
@@ -147,3 +148,17 @@
     }
     members.iter().collect()
 }
+
+/// Returns the VMs that are not overloaded.
+///
+/// All of them are returned if fewer than half are not overloaded, or fewer than [`MIN_VMS`]: the
+/// callers would overload the few that are left.
+#[must_use]
+pub fn without_overloaded<'a>(
+    members: &[&'a Member],
+    overloaded: &BTreeSet<Incarnation>,
+) -> Vec<&'a Member> {
+    let is_fit = |m: &&Member| !overloaded.contains(&m.incarnation);
+    let fit: Vec<_> = members.iter().copied().filter(is_fit).collect();
+    if fit.len() < MIN_VMS || fit.len() * 2 < members.len() { members.to_vec() } else { fit }
+}
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::amount::Time;
+use crate::availability::{Availability, Condition, ConditionReport};
 use crate::bootstrap;
 use crate::broadcast::{self, BroadcastTarget};
 use crate::event::LogEntry;
@@ -34,13 +35,13 @@
 const REMOVAL_STAGGER: Duration = Duration::from_secs(3);
 /// Maximum number of processes outside the view, removed or joining, whose address is kept.
 const MAX_NON_MEMBERS: usize = 64;
-/// Factor by which a process that joins a large view waits longer between reads of the view.
+/// Factor by which a process that joins waits longer between reads of the view.
 const JOINING_READ_FACTOR: u32 = 3;
 /// Step by which a starting process advances in the list of the region's members when it asks the
 /// next one for values.
 const BOOTSTRAP_PEER_STRIDE: usize = 7;
-/// Maximum number of members to which one member sends heartbeats in a large view.
-const MAX_NEIGHBOURS: usize = 8;
+/// Minimum number of doubling distances in the ring at which a member has neighbours.
+const MIN_NEIGHBOURS: u32 = 8;
 
 /// The change that a process intends to make to its own entry in the view.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -89,6 +90,8 @@
     pub(crate) stored_known: bool,
     pub(crate) intent: MembershipIntent,
     pub(crate) joining: Joining,
+    /// The rank of this process among the hosts of joining processes, if it is one.
+    host_rank: Option<usize>,
     pub(crate) removed: bool,
     pub(crate) stopping_since: Option<Time>,
     /// Since when no request has been running, during a stop.
@@ -99,6 +102,10 @@
     wall_offset: Option<u64>,
     /// Whether this process serves callers.
     pub(crate) serving: bool,
+    /// Whether this process has more work than it can do.
+    pub(crate) overloaded: bool,
+    /// What members have reported about each other and themselves.
+    pub(crate) availability: Availability,
     /// The version of the upstream list that this process has.
     pub(crate) upstream_list: ListVersion,
     /// The demand of requests on engines, at this process and at the others.
@@ -139,12 +146,16 @@
     pub(crate) stored_view_requested_at: Option<Time>,
     /// When the templates were last read from the store.
     pub(crate) templates_read_at: Option<Time>,
+    /// When this process first knew a view of a large fleet.
+    large_view_at: Option<Time>,
     /// When a member was last asked for the values that this process lacks after its start.
     pub(crate) bootstrap_at: Option<Time>,
     /// Index, among the members of the region, of the next member to ask for these values.
     next_peer_index: usize,
     /// How often members were asked for these values.
     bootstrap_attempts: usize,
+    /// The members that asked for templates before this process had any.
+    template_waiters: BTreeSet<Incarnation>,
     pub(crate) view_written_at: Option<Time>,
     /// When a member was last asked for the view or the templates; one member is asked at a time.
     pub(crate) fetch_sent_at: Option<Time>,
@@ -166,12 +177,15 @@
             stored_known: false,
             intent: MembershipIntent::Join,
             joining: Joining::default(),
+            host_rank: None,
             removed: false,
             stopping_since: None,
             idle_since: None,
             store_failures: BTreeMap::new(),
             wall_offset: None,
             serving: true,
+            overloaded: false,
+            availability: Availability::default(),
             upstream_list: ListVersion::default(),
             engine_demand: DemandAverage::default(),
             delay_reports: Vec::new(),
@@ -197,9 +211,11 @@
             view_requested_at: None,
             stored_view_requested_at: None,
             templates_read_at: None,
+            large_view_at: None,
             bootstrap_at: None,
             next_peer_index: 0,
             bootstrap_attempts: 0,
+            template_waiters: BTreeSet::new(),
             view_written_at: None,
             fetch_sent_at: None,
             views_pushed: HashMap::new(),
@@ -261,11 +277,13 @@
         if view.epoch <= self.view.epoch {
             return None;
         }
+        self.record_view_size(now, view);
         let was_member = self.is_member();
         let watched_before: BTreeSet<_> = self.watched().map(|(_, m)| m.incarnation).collect();
         let old = std::mem::replace(&mut self.view, Arc::clone(view));
         self.view_log.record(&old, view);
         self.ranks = Ranks::new(view, &self.me);
+        self.host_rank = self.joining.host_rank(view, self.me.incarnation);
         self.removed |= was_member && !self.is_member() && self.intent != MembershipIntent::Quit;
         for member in &self.view.members {
             let contact = Contact { last_message: now, ..Contact::default() };
@@ -286,6 +304,7 @@
         while self.non_members.len() > MAX_NON_MEMBERS {
             self.non_members.pop_first();
         }
+        self.availability.retain(|id| view.has_member(id));
         for id in &gone {
             self.contacts.remove(id);
             self.views_pushed.remove(id);
@@ -352,7 +371,7 @@
         // reaches all members in a logarithmic number of hops.
         let own_index = self.own_index();
         let mut neighbours = BTreeSet::new();
-        for exponent in 0..MAX_NEIGHBOURS {
+        for exponent in 0..neighbour_count(ids.len()) {
             let next = ids.get((own_index + (1 << exponent)) % ids.len());
             neighbours.extend(next.copied().filter(|id| *id != self.id()));
         }
@@ -362,11 +381,7 @@
     /// Returns the members to which this process sends an update that has to reach the `reach`
     /// members before it in the ring.
     pub(crate) fn broadcast_targets(&self, now: Time, reach: u32) -> Vec<BroadcastTarget> {
-        let silent: BTreeSet<_> = self
-            .watched()
-            .map(|(_, m)| m.incarnation)
-            .filter(|id| self.silence(now, *id) >= self.unresponsive_after)
-            .collect();
+        let silent = self.silent_members(now);
         broadcast::targets(&self.view, self.id(), reach, |id| silent.contains(&id))
     }
 
@@ -383,8 +398,47 @@
     /// Returns whether this process itself reads from the store the values that it lacks after its
     /// start. Otherwise it asks members of its region for them.
     pub(crate) fn is_bootstrap_reader(&self, now: Time) -> bool {
-        let stored = self.stored_known.then_some(&*self.stored);
-        bootstrap::can_read(now, stored, &self.me)
+        let newest = if self.view.epoch > self.stored.epoch { &self.view } else { &self.stored };
+        let known = (self.stored_known || self.view.epoch > Epoch(0)).then_some(&**newest);
+        let span = now.since(self.large_view_at.unwrap_or_default());
+        bootstrap::can_read(Time(span), known, &self.me)
+    }
+
+    /// Records when this process first knows that the fleet is large.
+    pub(crate) fn record_view_size(&mut self, now: Time, view: &View) {
+        if view.members.len() > MAX_SMALL_VIEW_MEMBERS {
+            self.large_view_at.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether this process is starting together with its fleet: the view that it knows is
+    /// small and does not contain it yet. Requests to the few members of that view would all come
+    /// at the same moment.
+    pub(crate) fn is_starting_with_fleet(&self, now: Time) -> bool {
+        !self.is_member()
+            && self.view.members.len() <= MAX_SMALL_VIEW_MEMBERS
+            && now.0 < bootstrap::JOIN_PATIENCE
+    }
+
+    /// Returns whether this process takes part in heartbeats. One that has never been a member is
+    /// known to none.
+    pub(crate) fn sends_heartbeats(&self) -> bool {
+        self.is_member() || self.removed || self.intent != MembershipIntent::Join
+    }
+
+    /// Returns whether this process reads the record of blocked requests from the store after its
+    /// start.
+    ///
+    /// A process that hears from others gets the record from them, since heartbeats carry its
+    /// digest. After the loss of all processes, the first ones in the order of the VMs read it.
+    pub(crate) fn reads_poison_record(&self, now: Time) -> bool {
+        if self.is_member() && self.view.members.len() <= MAX_SMALL_VIEW_MEMBERS {
+            return true;
+        }
+        let is_heard =
+            self.contacts.values().any(|contact| contact.last_heartbeat > Time::default());
+        let is_first = self.is_member() && bootstrap::turn_of(&self.view, &self.me) == 0;
+        is_first || (!is_heard && self.is_bootstrap_reader(now))
     }
 
     /// Returns the member of the region to ask next for the values that this process lacks after
@@ -416,15 +470,26 @@
         id
     }
 
+    /// Records that a member waits for the first templates that this process gets.
+    pub(crate) fn add_template_waiter(&mut self, id: Incarnation) {
+        if self.template_waiters.len() < bootstrap::MAX_WAITERS {
+            self.template_waiters.insert(id);
+        }
+    }
+
+    /// Takes the members that wait for the first templates that this process gets.
+    pub(crate) fn take_template_waiters(&mut self) -> BTreeSet<Incarnation> {
+        std::mem::take(&mut self.template_waiters)
+    }
+
     /// Returns the interval between reads of the view, which is at least `min_interval`.
     ///
-    /// A joining process that has the stored view reads it less often if the view is large: the
-    /// member that it asks adds it to the view, and many processes may start at once behind a slow
-    /// link.
+    /// A joining process that has the stored view reads it less often: a host adds it to the view,
+    /// and many processes may start at once behind a slow link.
     pub(crate) fn view_read_interval(&self, min_interval: Duration) -> Duration {
         let is_joining =
             self.stored_known && !self.is_member() && self.intent == MembershipIntent::Join;
-        if is_joining && self.view.members.len() > MAX_SMALL_VIEW_MEMBERS {
+        if is_joining {
             return min_interval.saturating_mul(JOINING_READ_FACTOR);
         }
         min_interval
@@ -446,12 +511,22 @@
         list_age.is_none_or(|age| age >= wait)
     }
 
+    /// Returns the rank of this process among the members that watch the store.
+    pub(crate) fn watcher_rank(&self) -> u32 {
+        self.ranks.watcher_rank()
+    }
+
     /// Returns whether this process is a watcher or a backup watcher of the store, or has no rank.
     pub(crate) fn can_probe_store(&self) -> bool {
         let is_small = self.view.members.len() <= MAX_SMALL_VIEW_MEMBERS;
         is_small || self.ranks.can_probe()
     }
 
+    /// Returns the rank of this process among the hosts of joining processes, if it is one.
+    pub(crate) fn host_rank(&self) -> Option<usize> {
+        self.host_rank
+    }
+
     /// Returns whether no member that this process watches is responsive.
     fn is_isolated(&self, now: Time) -> bool {
         self.watched().all(|(_, m)| self.silence(now, m.incarnation) >= self.unresponsive_after)
@@ -516,8 +591,7 @@
                 return Some((u32::try_from(distance - 1).ok()?, member));
             }
             let exponent = distance.trailing_zeros();
-            let is_watched =
-                distance.is_power_of_two() && usize::try_from(exponent).ok()? < MAX_NEIGHBOURS;
+            let is_watched = distance.is_power_of_two() && exponent < neighbour_count(count);
             is_watched.then_some((exponent, member))
         })
     }
@@ -529,11 +603,7 @@
 
     /// Returns the members to which callers may be directed.
     pub(crate) fn available_members(&self, now: Time) -> Vec<Member> {
-        let silent: BTreeSet<_> = self
-            .watched()
-            .map(|(_, m)| m.incarnation)
-            .filter(|id| self.silence(now, *id) >= self.unresponsive_after)
-            .collect();
+        let silent = self.silent_members(now);
         self.view
             .members
             .iter()
@@ -546,6 +616,49 @@
             .collect()
     }
 
+    /// Returns the members that send nothing: those that this process hears from normally, and
+    /// those that others have reported.
+    fn silent_members(&self, now: Time) -> BTreeSet<Incarnation> {
+        let mut silent = self.availability.with_condition(now, Condition::Silent);
+        for (_, member) in self.watched() {
+            if self.silence(now, member.incarnation) >= self.unresponsive_after {
+                silent.insert(member.incarnation);
+            } else {
+                silent.remove(&member.incarnation);
+            }
+        }
+        silent
+    }
+
+    /// Returns the members that are overloaded.
+    pub(crate) fn overloaded_members(&self, now: Time) -> BTreeSet<Incarnation> {
+        self.availability.with_condition(now, Condition::Overloaded)
+    }
+
+    /// Returns the reports that this process sends to all members now.
+    ///
+    /// In a small view each member hears from all others. A process that hears from few of the
+    /// members that it watches is more likely cut off itself, and reports none of them.
+    pub(crate) fn condition_reports(&mut self, now: Time) -> Vec<ConditionReport> {
+        let members = self.view.members.len();
+        if members <= MAX_SMALL_VIEW_MEMBERS || !self.is_member() {
+            return Vec::new();
+        }
+        let me = self.id();
+        let (is_overloaded, silent_after) = (self.overloaded, self.unresponsive_after);
+        let watched: Vec<_> = self
+            .watched()
+            .map(|(position, m)| (m.incarnation, position, self.silence(now, m.incarnation)))
+            .collect();
+        let heard = watched.iter().filter(|(_, _, silence)| *silence < silent_after).count();
+        let mut reports = Vec::new();
+        if heard * 2 >= watched.len() {
+            reports = self.availability.observe(now, me, watched.into_iter(), silent_after);
+        }
+        reports.extend(self.availability.report_own(now, me, is_overloaded, members));
+        reports
+    }
+
     /// Records that a member could not reach the store.
     pub(crate) fn record_store_failure(&mut self, now: Time, id: Incarnation) {
         self.store_failures.retain(|_, at| now.since(*at) < STORE_FAILURE_TTL);
@@ -616,6 +729,15 @@
     }
 }
 
+/// Returns at how many doubling distances in the ring a member of a large view has neighbours.
+///
+/// A broadcast sends at all doubling distances, and has to know which of these members are silent:
+/// one that has ended would keep an update from up to half of the fleet.
+fn neighbour_count(members: usize) -> u32 {
+    let distances = usize::BITS - members.saturating_sub(1).leading_zeros();
+    distances.max(MIN_NEIGHBOURS)
+}
+
 fn to_millis(now: Time) -> u64 {
     u64::try_from(now.0.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::amount::Tokens;
+use crate::availability::ConditionReport;
 use crate::confirmations::ConfirmationReport;
 use crate::evacuation::DomainChange;
 use crate::ids::{
@@ -20,7 +21,6 @@
 use crate::rollout::{KnownRollout, RolloutTally};
 use crate::template::{TemplateDelta, TemplateSet};
 use crate::upstream_list::{ListVersion, UpstreamList, UpstreamListChanges};
-use crate::view::Member;
 use crate::view_update::ViewUpdate;
 
 /// A message with its sender and receiver.
@@ -44,8 +44,6 @@
 pub enum Message {
     /// Reports that the sender is alive, and the versions that it has in force.
     Heartbeat(Heartbeat),
-    /// Asks a member to add the sender to the view.
-    Join(Member),
     /// Asks for the view and for templates newer than a version.
     Fetch {
         /// The epoch that the sender has.
@@ -63,6 +61,8 @@
     Templates(Box<TemplateSet>),
     /// Changes of the list of upstreams; broadcast to all members.
     UpstreamChanges(UpstreamUpdate),
+    /// Members that are silent or overloaded, or are so no longer; broadcast to all members.
+    Conditions(ConditionUpdate),
     /// Asks for changes of the list of upstreams.
     FetchUpstreams {
         /// The revision of the list up to which the sender knows all changes; 0 asks for the
@@ -220,7 +220,8 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Self::Heartbeat(_) => "heartbeat",
-            Self::Fetch { .. } | Self::Join(_) | Self::View(_) => "view",
+            Self::Fetch { .. } | Self::View(_) => "view",
+            Self::Conditions(_) => "conditions",
             Self::TemplateDelta(_) | Self::Templates(_) => "templates",
             Self::LedgerRequest(_) | Self::LedgerReplies(_) => "draw",
             Self::UpstreamChanges(_) | Self::FetchUpstreams { .. } | Self::Upstreams(_) => {
@@ -269,6 +270,15 @@
     pub reach: u32,
 }
 
+/// An update about the conditions of members, broadcast to all members.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConditionUpdate {
+    /// The reports.
+    pub reports: Vec<ConditionReport>,
+    /// The number of members before the receiver in the ring to which it forwards the update.
+    pub reach: u32,
+}
+
 /// An update about evacuated failure domains, broadcast to all members.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuationUpdate {
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -340,7 +340,7 @@
     fn handle_event(&self, now: Time, event: Event, out: &mut Outbox) {
         match event {
             Event::Start => {
-                self.tick_store_reads(now, out);
+                self.start_joining(now, out);
                 self.tick_poison(now, out);
             }
             Event::Tick => self.tick(now, out),
@@ -364,6 +364,10 @@
             Event::ReservationEnded(end) => self.settle_reservation(now, &end, out),
             Event::WallClock(wall_ms) => self.state.membership().set_wall_ms(now, wall_ms),
             Event::Serving(serving) => self.state.membership().serving = serving,
+            Event::Overloaded(is_overloaded) => {
+                self.state.membership().overloaded = is_overloaded;
+            }
+            Event::Joiners(found) => self.add_joiners(now, &found, out),
             Event::UpstreamChanges(update) => self.announce_upstream_changes(now, &update, out),
             Event::UpstreamListGap(from, revision) => {
                 self.fetch_missing_upstreams(now, from, revision, out);
@@ -394,6 +398,7 @@
         };
         self.state.holdings().set_clock(clock);
         self.tick_heartbeat(now, out);
+        self.tick_availability(now, out);
         self.tick_rollouts(now, out);
         self.tick_poison(now, out);
         self.tick_store_reads(now, out);
@@ -427,11 +432,11 @@
             Message::Fetch { epoch, version, full } => {
                 self.handle_fetch(from, epoch, version, full, out);
             }
-            Message::Join(joiner) => self.handle_join_request(now, from, joiner, out),
             Message::View(update) => self.receive_view_update(now, from, &update, out),
             Message::TemplateDelta(delta) => self.apply_template_delta(now, from, *delta, out),
             Message::Templates(set) => self.apply_templates(now, *set, out),
             Message::UpstreamChanges(delta) => self.receive_upstream_update(now, from, delta, out),
+            Message::Conditions(update) => self.receive_conditions(now, update, out),
             Message::FetchUpstreams { since } => out.push(Command::SendUpstreamList(from, since)),
             Message::Upstreams(list) => out.push(Command::ApplyUpstreamList(list)),
             Message::LimitReports(reports) => out.push(Command::ApplyLimitReports(from, reports)),
--- a/crates/badgerfield-core/src/pending_calls.rs
+++ b/crates/badgerfield-core/src/pending_calls.rs
@@ -14,6 +14,10 @@
     Read(StoreKey),
     /// Writes the view.
     Write(View),
+    /// Writes the view as the first one of the fleet.
+    FirstWrite(View),
+    /// Writes the announcement of this process.
+    Announce,
     /// Reads or writes a shard of the ledger.
     Ledger(u32),
     /// Reads the record of a service's rollout, or writes the given one.
@@ -50,7 +54,8 @@
     pub(crate) fn is_pending(&self, key: &StoreKey) -> bool {
         self.calls.values().any(|purpose| match purpose {
             Purpose::Read(k) => k == key,
-            Purpose::Write(_) => *key == StoreKey::View,
+            Purpose::Write(_) | Purpose::FirstWrite(_) => *key == StoreKey::View,
+            Purpose::Announce => matches!(key, StoreKey::Joiner(_)),
             Purpose::Ledger(_)
             | Purpose::Rollout(..)
             | Purpose::PoisonRead
--- a/crates/badgerfield-core/src/poison_record.rs
+++ b/crates/badgerfield-core/src/poison_record.rs
@@ -61,9 +61,11 @@
         self.is_dirty = true;
     }
 
-    /// Returns the call that is due, and marks it as pending.
-    pub(crate) fn next_call(&mut self, now: Time) -> Option<RecordCall> {
+    /// Returns the call that is due, and marks it as pending. `may_read` is whether this process
+    /// reads the record even if it has nothing to write.
+    pub(crate) fn next_call(&mut self, now: Time, may_read: bool) -> Option<RecordCall> {
         let call = match self.revision {
+            None if !may_read && !self.is_dirty => return None,
             None => RecordCall::Read,
             Some(revision) if self.is_dirty => RecordCall::Write(revision),
             Some(_) => return None,
--- a/crates/badgerfield-core/src/ranks.rs
+++ b/crates/badgerfield-core/src/ranks.rs
@@ -12,12 +12,19 @@
 /// Time without updates of the upstream list after which backup watchers watch the store, as a
 /// percentage of the time for which a leaving upstream still accepts requests.
 const BACKUP_DELAY_PERCENT: u32 = 60;
-/// Time without updates of the upstream list after which all members watch the store, as a
-/// percentage of the same time.
+/// Time without updates of the upstream list after which further members watch the store, as a
+/// percentage of the same time. Twice as many do after each further [`FALLBACK_STEP_PERCENT`], so
+/// that the store is not read by the whole of a large fleet as soon as the watchers fail.
 ///
 /// If only one member can reach the store, it must have read the list, and sent its last request
 /// to a leaving upstream, before that upstream stops accepting requests.
 const FALLBACK_DELAY_PERCENT: u32 = 70;
+/// Number of members of a region that watch the store after [`FALLBACK_DELAY_PERCENT`].
+const FIRST_FALLBACK_WATCHERS: usize = 48;
+/// Additional delay of each further step.
+const FALLBACK_STEP_PERCENT: u32 = 4;
+/// Delay after which all members watch the store.
+const MAX_DELAY_PERCENT: u32 = 90;
 
 /// The ranks of this process for the roles that only a few members have.
 ///
@@ -56,6 +63,11 @@
         self.watcher.is_none_or(|rank| rank < MAX_WATCHERS_PER_REGION)
     }
 
+    /// Returns the rank as a watcher of the store; 0 without a rank.
+    pub(crate) fn watcher_rank(&self) -> u32 {
+        self.watcher.map_or(0, |rank| u32::try_from(rank).unwrap_or(u32::MAX))
+    }
+
     /// Returns whether the member marks views as complete.
     pub(crate) fn is_completion_writer(&self) -> bool {
         self.completion_writer == Some(0)
@@ -67,7 +79,11 @@
         match self.watcher {
             Some(0..WATCHERS_PER_REGION) => 0,
             Some(WATCHERS_PER_REGION..MAX_WATCHERS_PER_REGION) => BACKUP_DELAY_PERCENT,
-            _ => FALLBACK_DELAY_PERCENT,
+            Some(rank) => {
+                let step = (rank / FIRST_FALLBACK_WATCHERS).checked_ilog2().map_or(0, |n| n + 1);
+                (FALLBACK_DELAY_PERCENT + step * FALLBACK_STEP_PERCENT).min(MAX_DELAY_PERCENT)
+            }
+            None => FALLBACK_DELAY_PERCENT,
         }
     }
 }
--- a/crates/badgerfield-core/src/upstream_list.rs
+++ b/crates/badgerfield-core/src/upstream_list.rs
@@ -43,7 +43,36 @@
     pub warm_in: Duration,
 }
 
-/// All upstreams, as of one revision of the platform's list.
+/// An entry of the platform's list, as it was read from the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedEntry {
+    /// The revision at which the entry was created. It stays the same while the entry is renewed.
+    pub created: u64,
+    /// The entry.
+    pub entry: UpstreamEntry,
+}
+
+/// All entries of the platform's list, as of one revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PlatformList {
+    /// The revision; entries that were written during the read of the list may be newer.
+    pub revision: u64,
+    /// The entries of the list.
+    pub entries: Vec<ListedEntry>,
+}
+
+/// Changes of the platform's list up to a revision, as they were read from the platform.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PlatformChanges {
+    /// The revision of the list up to which the changes are complete.
+    pub revision: u64,
+    /// The written entries, in the order of their revisions.
+    pub written: Vec<ListedEntry>,
+    /// The removed upstreams, with the revisions of the removals.
+    pub gone: Vec<(UpstreamId, u64)>,
+}
+
+/// The upstreams that the fleet uses, as of one revision of the platform's list.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamList {
     /// The revision; entries that were written during the read of the list may be newer.
@@ -52,7 +81,7 @@
     pub entries: Vec<UpstreamEntry>,
 }
 
-/// Changes of the platform's list up to a revision.
+/// Changes of the upstreams that the fleet uses, up to a revision of the platform's list.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamListChanges {
     /// The revision of the list up to which the changes are complete.
--- a/crates/badgerfield-core/src/upstream_table/list.rs
+++ b/crates/badgerfield-core/src/upstream_table/list.rs
@@ -39,13 +39,24 @@
     ///
     /// Returns the upstreams that were added, changed or removed.
     pub fn apply_changes(&mut self, now: Time, changes: UpstreamListChanges) -> Vec<UpstreamId> {
+        let revision = changes.revision;
+        self.apply_changes_at(now, changes, revision)
+    }
+
+    /// Applies changes that were announced at a revision of the list.
+    fn apply_changes_at(
+        &mut self,
+        now: Time,
+        changes: UpstreamListChanges,
+        announced_at: u64,
+    ) -> Vec<UpstreamId> {
         let UpstreamListChanges { revision, written, gone } = changes;
         if revision > 0 && revision >= self.revision {
             self.revision = revision;
             self.updated_at = Some(now);
         }
         let mut affected: Vec<_> =
-            written.into_iter().filter_map(|entry| self.apply_entry(now, entry)).collect();
+            written.into_iter().filter_map(|e| self.apply_entry(now, e, announced_at)).collect();
         let gone: Vec<_> = gone.into_iter().filter(|gone| self.is_new_removal(gone)).collect();
         let lapsed = self.lapsed_services(&gone);
         for (id, revision) in gone {
@@ -103,11 +114,18 @@
     }
 
     /// Applies a written entry; returns its upstream if the entry changed.
-    fn apply_entry(&mut self, now: Time, entry: UpstreamEntry) -> Option<UpstreamId> {
+    fn apply_entry(
+        &mut self,
+        now: Time,
+        entry: UpstreamEntry,
+        announced_at: u64,
+    ) -> Option<UpstreamId> {
         let UpstreamEntry { revision, info, warm_in } = entry;
         let id = info.id.clone();
         let Some(known) = self.upstreams.get_mut(&id) else {
             let mut upstream = Upstream::new(info, revision);
+            // The fleet may begin to use an upstream long after its entry was written.
+            upstream.changed_revision = revision.max(announced_at);
             upstream.evacuated = self.evacuated.contains(&upstream.info.domain);
             upstream.update_location(&self.location, &self.regions);
             upstream.apply_warm_in(now, &self.slow_start, revision, warm_in);
@@ -128,7 +146,7 @@
         let is_change = cold_changed || known.info != info || known.removed_at.is_some();
         known.revision = revision;
         if is_change {
-            known.changed_revision = revision;
+            known.changed_revision = revision.max(announced_at);
         }
         if known.info != info {
             known.set_info(info);
@@ -218,7 +236,8 @@
         let newest = written_revisions
             .chain(changes.gone.iter().map(|gone| gone.1))
             .fold(version.revision, u64::max);
-        let affected = self.apply_changes(now, UpstreamListChanges { revision: 0, ..changes });
+        let changes = UpstreamListChanges { revision: 0, ..changes };
+        let affected = self.apply_changes_at(now, changes, version.revision);
         if self.revision < since {
             let gap =
                 if self.revision < version.revision { ListGap::Changes } else { ListGap::Nothing };
--- a/crates/badgerfield-core/src/upstream_table/mod.rs
+++ b/crates/badgerfield-core/src/upstream_table/mod.rs
@@ -430,6 +430,13 @@
         self.upstreams.get(id).is_some_and(|upstream| upstream.process == process)
     }
 
+    /// Returns the ids of all listed upstreams.
+    #[must_use]
+    pub fn listed_ids(&self) -> BTreeSet<UpstreamId> {
+        let listed = self.upstreams.iter().filter(|(_, u)| u.removed_at.is_none());
+        listed.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns the number of listed upstreams.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/badgerfield-core/src/view.rs
+++ b/crates/badgerfield-core/src/view.rs
@@ -5,7 +5,7 @@
 //! arbiter of a request's key, and which of two processes keeps a parked amount when one of
 //! them is removed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -98,37 +98,62 @@
     /// The most recent sets of uncertain keys, oldest first.
     #[serde(rename = "doubts")]
     pub uncertain_keys: Vec<UncertainKeys>,
+    /// The store's revision of the newest announcement of a process that the view takes into
+    /// account. A process that announced itself up to it was added, and is not added again.
+    #[serde(default)]
+    pub joined_revision: u64,
 }
 
+/// The first byte of a stored view in the binary format.
+const BINARY_FORMAT: u8 = 2;
+
 /// The stored value is not a valid view.
 #[derive(Debug, Error)]
-#[error("expected a membership view in JSON: {0}")]
-pub struct ViewError(#[from] serde_json::Error);
+pub enum ViewError {
+    /// The value begins like JSON, but is not a view in JSON.
+    #[error("expected a membership view in JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The value is not a view in the binary format.
+    #[error("expected a membership view in binary format: {0}")]
+    Binary(#[from] postcard::Error),
+}
 
 impl View {
     /// Decodes a stored value; an absent value is the empty view.
     ///
+    /// Views that were stored in JSON can be read too.
+    ///
     /// # Errors
     ///
-    /// Fails if the value is not a view in JSON.
+    /// Fails if the value is not a view.
     pub fn decode(bytes: Option<&[u8]>) -> Result<Self, ViewError> {
         let Some(bytes) = bytes else {
             return Ok(Self::default());
         };
-        Ok(serde_json::from_slice(bytes)?)
+        let mut view: Self = match bytes.split_first() {
+            Some((&BINARY_FORMAT, rest)) => postcard::from_bytes(rest)?,
+            _ => serde_json::from_slice(bytes)?,
+        };
+        // Members are looked up by binary search.
+        view.members.sort_by_key(|m| m.incarnation);
+        Ok(view)
     }
 
     /// Encodes the view as the value for the store.
+    ///
+    /// Each process that starts reads the whole view, and each change writes it, so it is encoded
+    /// in a binary format, which takes a quarter of the bytes of JSON.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
-        // Serialization to JSON cannot fail for these types.
-        serde_json::to_vec(self).unwrap_or_default()
+        // Encoding cannot fail: views have no field that postcard cannot encode.
+        postcard::to_extend(self, vec![BINARY_FORMAT]).unwrap_or_default()
     }
 
     /// Returns the member with an incarnation.
     #[must_use]
     pub fn member(&self, id: Incarnation) -> Option<&Member> {
-        self.members.iter().find(|m| m.incarnation == id)
+        let index = self.members.binary_search_by_key(&id, |m| m.incarnation).ok()?;
+        self.members.get(index)
     }
 
     /// Returns whether a process is a member.
@@ -163,6 +188,15 @@
         next
     }
 
+    /// Returns the next view, with processes added that have announced themselves up to a revision
+    /// of the store.
+    #[must_use]
+    pub fn with_announced(&self, joiners: Vec<Member>, revision: u64, handed_over: bool) -> Self {
+        let mut next = self.with_members(joiners, handed_over);
+        next.joined_revision = next.joined_revision.max(revision);
+        next
+    }
+
     /// Returns the next view, with a member marked as leaving.
     #[must_use]
     pub fn with_leaving(&self, id: Incarnation, handed_over: bool) -> Self {
@@ -218,9 +252,10 @@
 
     /// Adds the active members that are missing from the recent arbiters.
     fn record_arbiters(&mut self) {
+        let known: BTreeSet<_> = self.recent_arbiters.iter().map(|a| a.id).collect();
         for member in self.members.iter().filter(|m| m.standing == MemberState::Active) {
             let (id, region) = (member.incarnation, member.region.clone());
-            if self.recent_arbiters.iter().all(|a| a.id != id) {
+            if !known.contains(&id) {
                 self.recent_arbiters.push(RecentArbiter {
                     id,
                     region,
--- a/crates/badgerfield-core/src/view_update.rs
+++ b/crates/badgerfield-core/src/view_update.rs
@@ -69,6 +69,8 @@
             complete: self.complete,
             recent_arbiters: Vec::new(),
             uncertain_keys,
+            // Only a process that writes the view needs it.
+            joined_revision: 0,
         };
         (digest(&view) == self.digest).then_some(view)
     }
--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -8,10 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use badgerfield_core::event::{OperatorChanges, StoreCall, StoreResult};
+use badgerfield_core::event::{OperatorChanges, StoreCall, StoreResult, Versioned};
 use badgerfield_core::ids::{Account, Domain, Region, UpstreamId};
 use badgerfield_core::rate_limit::RateLimit;
-use badgerfield_core::upstream_list::{UpstreamList, UpstreamListChanges};
+use badgerfield_core::upstream_list::{PlatformChanges, PlatformList};
 use badgerfield_core::upstream_table::PromptPart;
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -43,10 +43,33 @@
     Changed(T),
     /// Nothing has changed up to this revision of the store.
     Unchanged(u64),
-    /// The wait failed or changes may have been missed. The watched values must be read again.
+    /// The wait failed. A later one may continue from the same revision.
+    Failed,
+    /// Changes may have been missed. The watched values must be read again.
     Lost,
 }
 
+impl<T> WatchResult<T> {
+    /// Translates a change.
+    pub fn map<U>(self, translate: impl FnOnce(T) -> U) -> WatchResult<U> {
+        match self {
+            Self::Changed(change) => WatchResult::Changed(translate(change)),
+            Self::Unchanged(revision) => WatchResult::Unchanged(revision),
+            Self::Failed => WatchResult::Failed,
+            Self::Lost => WatchResult::Lost,
+        }
+    }
+}
+
+/// The announcements of processes that are joining, up to a revision of the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Announcements {
+    /// The revision.
+    pub revision: u64,
+    /// The announcements, with the revisions at which they were written.
+    pub items: Vec<Versioned>,
+}
+
 /// A key-value store with compare-and-swap.
 pub trait KeyValueStore: Debug + Send + Sync {
     /// Executes a call.
@@ -56,6 +79,12 @@
     ///
     /// Never returns if the store does not support watches.
     fn watch_operator_changes(&self, after: u64) -> BoxFuture<'_, WatchResult<OperatorChanges>>;
+
+    /// Reads the announcements of processes that are joining; returns `None` if the call fails.
+    fn list_joiners(&self) -> BoxFuture<'_, Option<Announcements>>;
+
+    /// Waits for announcements of joining processes after a revision of the store.
+    fn watch_joiners(&self, after: u64) -> BoxFuture<'_, WatchResult<Announcements>>;
 }
 
 /// The reason why the list of upstreams could not be read.
@@ -75,10 +104,10 @@
 /// The list of upstreams of a platform.
 pub trait Discovery: Debug + Send + Sync {
     /// Reads the whole list.
-    fn list(&self) -> BoxFuture<'_, Result<UpstreamList, DiscoveryError>>;
+    fn list(&self) -> BoxFuture<'_, Result<PlatformList, DiscoveryError>>;
 
     /// Waits for changes of the list after a revision.
-    fn watch(&self, after: u64) -> BoxFuture<'_, WatchResult<UpstreamListChanges>>;
+    fn watch(&self, after: u64) -> BoxFuture<'_, WatchResult<PlatformChanges>>;
 }
 
 /// The headers of a caller's request.
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -206,6 +206,8 @@
         tokio::spawn(async move { driver.receive_messages().await });
         let driver = Arc::clone(self);
         tokio::spawn(async move { driver.poll_vms().await });
+        let driver = Arc::clone(self);
+        tokio::spawn(follow::watch_joiners(driver));
         let Some(gateway) = self.gateway.clone() else {
             return;
         };
@@ -441,6 +443,12 @@
                 "removes member={member} vm={vm} silent_ms={} view={epoch}",
                 silence.as_millis()
             ),
+            LogEntry::Condition(report) => log::info!(
+                target: NODE,
+                "reports member={} condition={}",
+                report.member,
+                report.condition.as_str()
+            ),
             LogEntry::Removed => log::error!(target: NODE, "removed from view; exits when idle"),
             LogEntry::LedgerApplied {
                 budget,
@@ -504,6 +512,7 @@
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         let mut logged_at = self.now();
         let mut reported_at = self.now();
+        let mut ticked_at = self.now();
         let mut count: u32 = 0;
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -522,6 +531,8 @@
             }
             count = count.wrapping_add(1);
             let now = self.now();
+            self.report_load(now, now.since(ticked_at));
+            ticked_at = now;
             if now.since(logged_at) >= store_calls::LOG_INTERVAL {
                 logged_at = now;
                 self.metrics.store_calls.log();
@@ -535,6 +546,27 @@
         }
     }
 
+    /// Notes how late a tick is, and whether this VM has more work than it can do.
+    fn report_load(self: &Arc<Self>, now: Time, since_last: Duration) {
+        let Some(gateway) = &self.gateway else {
+            return;
+        };
+        let (is_overloaded, lateness) = {
+            let mut load = gateway.vm_load();
+            load.record_timer(now, TICK_INTERVAL, since_last);
+            (load.is_overloaded(now), load.lateness())
+        };
+        if gateway.set_overloaded(is_overloaded) {
+            log::info!(
+                target: NODE,
+                "load overloaded={is_overloaded} lateness_ms={} open={}",
+                lateness.as_millis(),
+                gateway.open_count()
+            );
+        }
+        self.handle_event(Event::Overloaded(is_overloaded));
+    }
+
     async fn receive_messages(self: Arc<Self>) {
         let driver = Arc::clone(&self);
         self.peers.receive(move |envelope| driver.handle_event(Event::Peer(envelope))).await;
--- a/crates/badgerfield-node/src/etcd.rs
+++ b/crates/badgerfield-node/src/etcd.rs
@@ -13,9 +13,14 @@
 use hyper::{Request, Uri, header};
 use serde_json::{Value, json};
 
-use crate::adapter::{KeyValueStore, WatchResult};
+use crate::adapter::{Announcements, KeyValueStore, WatchResult};
 use crate::http::{self, CallError, HttpClient};
 
+/// Prefix of the announcements of joining processes, after the prefix of all keys.
+const JOINERS_PREFIX: &str = "joining/";
+/// Interval between two reads of the announcements by a process that adds them to the view.
+const JOINERS_POLL_INTERVAL: Duration = Duration::from_millis(250);
+
 /// A store in etcd, accessed through its JSON gateway.
 #[derive(Debug, Clone)]
 pub struct EtcdStore {
@@ -40,6 +45,24 @@
     fn watch_operator_changes(&self, _after: u64) -> BoxFuture<'_, WatchResult<OperatorChanges>> {
         Box::pin(futures::future::pending())
     }
+
+    fn list_joiners(&self) -> BoxFuture<'_, Option<Announcements>> {
+        Box::pin(self.read_joiners())
+    }
+
+    fn watch_joiners(&self, after: u64) -> BoxFuture<'_, WatchResult<Announcements>> {
+        Box::pin(async move {
+            tokio::time::sleep(JOINERS_POLL_INTERVAL).await;
+            let Some(mut found) = self.read_joiners().await else {
+                return WatchResult::Failed;
+            };
+            found.items.retain(|item| item.revision > after);
+            if found.items.is_empty() {
+                return WatchResult::Unchanged(found.revision);
+            }
+            WatchResult::Changed(found)
+        })
+    }
 }
 
 impl EtcdStore {
@@ -88,6 +111,21 @@
         parse_range(range).map_or(StoreResult::Unknown, StoreResult::Conflict)
     }
 
+    /// Reads the announcements of all joining processes.
+    async fn read_joiners(&self) -> Option<Announcements> {
+        let prefix = format!("{}{JOINERS_PREFIX}", self.prefix);
+        // The range ends before the first key that does not start with the prefix.
+        let mut end = prefix.clone().into_bytes();
+        if let Some(last) = end.last_mut() {
+            *last += 1;
+        }
+        let body = json!({ "key": STANDARD.encode(prefix), "range_end": STANDARD.encode(end) });
+        let answer = self.post("/v3/kv/range", &body).await.ok()?;
+        let revision = parse_number(&answer["header"]["revision"])?;
+        let pairs = answer["kvs"].as_array().map(Vec::as_slice).unwrap_or_default();
+        Some(Announcements { revision, items: pairs.iter().filter_map(parse_pair).collect() })
+    }
+
     async fn post(&self, path: &str, body: &Value) -> Result<Value, CallError> {
         let uri = format!("{}{path}", self.base.to_string().trim_end_matches('/'));
         let request = Request::post(uri)
@@ -101,6 +139,7 @@
         let name = match key {
             StoreKey::Templates => "templates".to_owned(),
             StoreKey::View => "view".to_owned(),
+            StoreKey::Joiner(vm) => format!("{JOINERS_PREFIX}{vm}"),
             StoreKey::Ledger(shard) => format!("ledger/{shard}"),
             StoreKey::Rollout(service) => format!("rollout/{service}"),
             StoreKey::Poison => "poison".to_owned(),
@@ -115,6 +154,11 @@
     let Some(pair) = answer["kvs"].get(0) else {
         return Some(Versioned::default());
     };
+    parse_pair(pair)
+}
+
+/// Parses a key-value pair.
+fn parse_pair(pair: &Value) -> Option<Versioned> {
     let value = pair["value"].as_str().unwrap_or_default();
     let value = STANDARD.decode(value).ok()?;
     let revision = parse_number(&pair["mod_revision"])?;
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -5,8 +5,9 @@
 
 use badgerfield_core::amount::Time;
 use badgerfield_core::event::{StoreCall, StoreKey, StoreResult};
-use badgerfield_core::ids::TemplateVersion;
-use badgerfield_core::upstream_list::UpstreamListChanges;
+use badgerfield_core::ids::{TemplateVersion, UpstreamId};
+use badgerfield_core::upstream_list::PlatformChanges;
+use badgerfield_core::upstream_selection::UpstreamSelection;
 use badgerfield_core::{Event, TICK_INTERVAL};
 
 use crate::adapter::WatchResult;
@@ -24,6 +25,9 @@
 /// probe it report to the others when it answers again. If no report arrives, this delay plus the
 /// time of the call stays close to the smallest `ContactMs` among the users' platforms (3 s).
 const FOLLOWER_RETRY_DELAY: Duration = Duration::from_millis(2500);
+/// Number of listed upstreams that lengthen the interval between two reads of the complete list by
+/// the interval of a short list. A page of the platform holds as many.
+const ENTRIES_PER_INTERVAL: usize = 500;
 /// Delay between two watches of the list of upstreams.
 const WATCH_DELAY: Duration = Duration::from_millis(400);
 
@@ -97,6 +101,46 @@
                 backoff = Backoff::default();
                 revision = revision.max(current);
             }
+            WatchResult::Failed => driver.clock.sleep(backoff.next_delay(&driver)).await,
+            WatchResult::Lost => {
+                revision = 0;
+                driver.clock.sleep(backoff.next_delay(&driver)).await;
+            }
+        }
+    }
+}
+
+/// Watches the announcements of processes that are joining, while this process is one of the few
+/// that add them to the view.
+///
+/// The announcements are read when it becomes one: some may have waited for that.
+pub(crate) async fn watch_joiners(driver: Arc<Driver>) {
+    let mut revision = 0;
+    let mut backoff = Backoff::default();
+    loop {
+        if !driver.node.is_join_host() {
+            revision = 0;
+            driver.clock.sleep(TICK_INTERVAL).await;
+            continue;
+        }
+        let found = if revision == 0 {
+            driver.metrics.store_calls.count(CallKind::JoinersRead);
+            driver.store.list_joiners().await.map_or(WatchResult::Failed, WatchResult::Changed)
+        } else {
+            driver.metrics.store_calls.count(CallKind::JoinersWatch);
+            driver.store.watch_joiners(revision).await
+        };
+        match found {
+            WatchResult::Changed(found) => {
+                backoff = Backoff::default();
+                revision = revision.max(found.revision);
+                driver.handle_event(Event::Joiners(found.items));
+            }
+            WatchResult::Unchanged(current) => {
+                backoff = Backoff::default();
+                revision = revision.max(current);
+            }
+            WatchResult::Failed => driver.clock.sleep(backoff.next_delay(&driver)).await,
             WatchResult::Lost => {
                 revision = 0;
                 driver.clock.sleep(backoff.next_delay(&driver)).await;
@@ -107,11 +151,10 @@
 
 /// Watches the list of upstreams, and reports whether this process is ready to serve.
 ///
-/// The complete list is read before the first watch, when changes may have been missed, and at a
-/// regular interval, since a watch may return no changes for a while. Upstreams write
-/// their entries all the time, so the next watch starts after a delay rather than at once.
+/// The complete list is read before the first watch, when changes may have been missed, and at
+/// intervals that grow with its size, since a watch may return no changes for a while. Upstreams
+/// write their entries all the time, so the next watch starts after a delay rather than at once.
 pub(crate) async fn watch_upstreams(driver: Arc<Driver>, gateway: Arc<Gateway>) {
-    let read_interval = driver.settings.platform.upstream_poll_interval;
     let mut failing_since: Option<Time> = None;
     let mut backoff = Backoff::default();
     loop {
@@ -121,31 +164,32 @@
             driver.clock.sleep(role_check_interval(is_new)).await;
             continue;
         }
-        let Some(mut revision) = read_list(&driver, &gateway, &mut failing_since).await else {
-            let until = driver.now().after(backoff.next_delay(&driver));
-            while driver.now() < until && is_list_watcher(&driver) {
-                report_state(&driver, &gateway);
-                driver.clock.sleep(FIRST_RETRY_DELAY).await;
-            }
+        let Some(mut followed) = read_list(&driver, &gateway, &mut failing_since).await else {
+            wait_for_retry(&driver, &gateway, &mut backoff).await;
             continue;
         };
         backoff = Backoff::default();
-        let until = driver.now().after(read_interval);
+        let until = driver.now().after(read_interval(&driver, &followed));
         while driver.now() < until && is_list_watcher(&driver) {
             report_state(&driver, &gateway);
             driver.clock.sleep(WATCH_DELAY).await;
             driver.metrics.store_calls.count(CallKind::UpstreamsWatch);
-            let watch = gateway.adapter.discovery.watch(revision);
+            let watch = gateway.adapter.discovery.watch(followed.revision);
             match driver.clock.timeout_at(until, watch).await {
                 Ok(WatchResult::Changed(changes)) => {
-                    revision = revision.max(changes.revision);
-                    driver.apply_upstream_changes(changes);
+                    backoff = Backoff::default();
+                    followed.revision = followed.revision.max(changes.revision);
+                    followed.apply_changes(&driver, &gateway, changes);
                 }
-                Ok(WatchResult::Unchanged(current)) => {
-                    revision = revision.max(current);
-                    let changes =
-                        UpstreamListChanges { revision: current, ..UpstreamListChanges::default() };
-                    driver.apply_upstream_changes(changes);
+                Ok(WatchResult::Unchanged(revision)) => {
+                    backoff = Backoff::default();
+                    followed.revision = followed.revision.max(revision);
+                    let changes = PlatformChanges { revision, ..PlatformChanges::default() };
+                    followed.apply_changes(&driver, &gateway, changes);
+                }
+                // What is known of the list stays valid; only later changes are missing.
+                Ok(WatchResult::Failed) => {
+                    wait_for_retry(&driver, &gateway, &mut backoff).await;
                 }
                 Ok(WatchResult::Lost) | Err(_) => break,
             }
@@ -153,18 +197,54 @@
     }
 }
 
+/// The list of upstreams as a process that watches the platform follows it.
+#[derive(Debug)]
+struct FollowedList {
+    revision: u64,
+    selection: UpstreamSelection,
+}
+
+impl FollowedList {
+    fn apply_changes(&mut self, driver: &Arc<Driver>, gateway: &Gateway, changes: PlatformChanges) {
+        let basis = driver.node.selection_basis(driver.now());
+        let used = gateway.upstreams().listed_ids();
+        let is_used = |id: &UpstreamId| used.contains(id);
+        let changes = self.selection.apply_changes(changes, is_used, &basis, driver.now());
+        driver.apply_upstream_changes(changes);
+    }
+}
+
+/// Returns the interval until the complete list is read again.
+///
+/// It grows with the list: a list of thousands of upstreams takes a noticeable part of a VM's link
+/// and processor.
+fn read_interval(driver: &Driver, followed: &FollowedList) -> Duration {
+    let (listed, _) = followed.selection.counts();
+    let pages = u32::try_from(listed / ENTRIES_PER_INTERVAL).unwrap_or(u32::MAX);
+    driver.settings.platform.upstream_poll_interval.saturating_mul(pages.saturating_add(1))
+}
+
+/// Waits before a failed call is repeated, and reports the state of this process meanwhile.
+async fn wait_for_retry(driver: &Arc<Driver>, gateway: &Gateway, backoff: &mut Backoff) {
+    let until = driver.now().after(backoff.next_delay(driver));
+    while driver.now() < until && is_list_watcher(driver) {
+        report_state(driver, gateway);
+        driver.clock.sleep(FIRST_RETRY_DELAY).await;
+    }
+}
+
 /// Returns the delay before checking again whether this process watches the platform; it is
 /// shorter for a process that has no values yet.
 fn role_check_interval(is_new: bool) -> Duration {
     if is_new { TICK_INTERVAL } else { WATCH_DELAY }
 }
 
-/// Reads and applies the complete list; returns its revision, or `None` if the call fails.
+/// Reads the complete list and applies the selected part of it; returns `None` if the call fails.
 async fn read_list(
     driver: &Arc<Driver>,
     gateway: &Gateway,
     failing_since: &mut Option<Time>,
-) -> Option<u64> {
+) -> Option<FollowedList> {
     driver.metrics.store_calls.count(CallKind::UpstreamsRead);
     let list = match gateway.adapter.discovery.list().await {
         Ok(list) => list,
@@ -181,8 +261,20 @@
         log::info!(target: PLATFORM, "list of upstreams regained away_ms={away_ms}");
     }
     let revision = list.revision;
-    driver.apply_upstream_list(list, UpdateSource::Platform);
-    Some(revision)
+    let mut selection = UpstreamSelection::default();
+    let basis = driver.node.selection_basis(driver.now());
+    let used = gateway.upstreams().listed_ids();
+    let selected = selection.apply_list(list, |id| used.contains(id), &basis, driver.now());
+    let (listed, count) = selection.counts();
+    if listed > count {
+        log::info!(
+            target: PLATFORM,
+            "upstreams selected list={revision} listed={listed} selected={count} rank={}",
+            basis.watcher_rank
+        );
+    }
+    driver.apply_upstream_list(selected, UpdateSource::Platform);
+    Some(FollowedList { revision, selection })
 }
 
 /// Returns whether this process watches the list of upstreams itself instead of only receiving
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -17,7 +17,7 @@
 
 use crate::adapter::{ResponseKind, UpstreamHeaders};
 use crate::driver::Driver;
-use crate::gateway::connections::{Connection, SendError, keep_alive_timeout};
+use crate::gateway::connections::{ConnectError, Connection, SendError, keep_alive_timeout};
 use crate::gateway::rollout_sample::RolloutSample;
 use crate::gateway::state::Gateway;
 
@@ -211,6 +211,18 @@
         Ok(())
     }
 
+    /// Records how long it took to open a connection, unless an open one was taken.
+    fn record_connect(&self, started: Time, taken: Result<&Connection, &ConnectError>) {
+        let says_something = match taken {
+            Ok(connection) => !connection.reused,
+            Err(error) => *error != ConnectError::Refused,
+        };
+        if says_something {
+            let now = self.driver.now();
+            self.gateway.vm_load().record_connect(now, now.since(started));
+        }
+    }
+
     /// Sets the outcome that is reported on drop.
     pub(crate) fn set_outcome(&mut self, outcome: AttemptOutcome) {
         self.outcome = outcome;
@@ -328,8 +340,10 @@
 ) -> Result<(hyper::Response<Incoming>, Connection), AttemptError> {
     let connections = &guard.gateway.connections;
     let address = guard.address;
-    let mut connection =
-        connections.take(&guard.id, address).await.map_err(|_| AttemptError::NotSent)?;
+    let started = guard.driver.now();
+    let taken = connections.take(&guard.id, address).await;
+    guard.record_connect(started, taken.as_ref());
+    let mut connection = taken.map_err(|_| AttemptError::NotSent)?;
     guard.check_usable()?;
     let request = match connection.send(request).await {
         Ok(response) => return Ok((response, connection)),
--- a/crates/badgerfield-node/src/gateway/directory.rs
+++ b/crates/badgerfield-node/src/gateway/directory.rs
@@ -1,11 +1,13 @@
 //! The directory of VMs and the readiness endpoint.
 
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use badgerfield_core::locality::{Location, nearest};
+use badgerfield_core::ids::Incarnation;
+use badgerfield_core::locality::{Location, nearest, without_overloaded};
 use badgerfield_core::view::Member;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -91,8 +93,11 @@
             &json!({ "error": "expected a question" }),
         );
     };
-    let members = driver.node.available_members(driver.now());
-    let addresses = choose_addresses(&members, &caller_location(gateway, query));
+    let now = driver.now();
+    let members = driver.node.available_members(now);
+    let overloaded = driver.node.overloaded_members(now);
+    let caller = caller_location(gateway, query);
+    let addresses = choose_addresses(&members, &overloaded, &caller);
     if addresses.is_empty() {
         let error = json!({ "error": "no VM is ready; come back later" });
         return http::json_response(StatusCode::SERVICE_UNAVAILABLE, &error);
@@ -113,8 +118,12 @@
     Location { domain, region }
 }
 
-/// Returns the addresses of the VMs that are nearest to a caller.
-fn choose_addresses(members: &[Member], caller: &Location) -> Vec<SocketAddr> {
-    let nearest_members = nearest(members, caller).into_iter();
-    nearest_members.map(|member| member.caller).take(MAX_ADDRESSES).collect()
+/// Returns the addresses of the VMs that are nearest to a caller, without overloaded ones.
+fn choose_addresses(
+    members: &[Member],
+    overloaded: &BTreeSet<Incarnation>,
+    caller: &Location,
+) -> Vec<SocketAddr> {
+    let chosen = without_overloaded(&nearest(members, caller), overloaded).into_iter();
+    chosen.map(|member| member.caller).take(MAX_ADDRESSES).collect()
 }
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -1,15 +1,18 @@
 //! The state that all requests of the gateway share.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use badgerfield_core::MAX_WAITERS;
 use badgerfield_core::amount::Time;
-use badgerfield_core::ids::{TemplateVersion, UpstreamId};
+use badgerfield_core::ids::{Incarnation, TemplateVersion, UpstreamId};
 use badgerfield_core::retry_budget::{RetryBudget, RetryLimits};
 use badgerfield_core::rollout::{RolloutRule, RolloutRules};
 use badgerfield_core::routing::RouteTable;
 use badgerfield_core::upstream_table::UpstreamTable;
+use badgerfield_core::vm_load::VmLoad;
 use tokio::sync::{Semaphore, watch};
 
 use crate::adapter::RouteAdapter;
@@ -39,8 +42,14 @@
     routes: Mutex<RouteSnapshot>,
     upstreams: Mutex<UpstreamTable>,
     retries: Mutex<RetryBudget>,
+    /// The processes that asked for the list of upstreams before this one had any.
+    list_waiters: Mutex<BTreeSet<Incarnation>>,
+    /// The signs of overload of this VM.
+    vm_load: Mutex<VmLoad>,
     open_requests: AtomicUsize,
     stopping: AtomicBool,
+    /// Whether this VM was overloaded at the last tick.
+    overloaded: AtomicBool,
     /// Whether any service has a rollout.
     has_rollouts: AtomicBool,
     /// When a bad response of a rollout's target was last reported.
@@ -63,8 +72,11 @@
             routes: Mutex::default(),
             upstreams: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(limits)),
+            list_waiters: Mutex::default(),
+            vm_load: Mutex::default(),
             open_requests: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
+            overloaded: AtomicBool::new(false),
             has_rollouts: AtomicBool::new(false),
             bad_answer_reported_at: Mutex::default(),
             delay_report_turn: AtomicUsize::new(0),
@@ -96,6 +108,24 @@
         lock(&self.retries)
     }
 
+    /// Records that a process waits for the first list of upstreams that this one gets.
+    pub(crate) fn add_list_waiter(&self, id: Incarnation) {
+        let mut waiters = lock(&self.list_waiters);
+        if waiters.len() < MAX_WAITERS {
+            waiters.insert(id);
+        }
+    }
+
+    /// Takes the processes that wait for the first list of upstreams that this one gets.
+    pub(crate) fn take_list_waiters(&self) -> BTreeSet<Incarnation> {
+        std::mem::take(&mut *lock(&self.list_waiters))
+    }
+
+    /// Locks the signs of overload of this VM.
+    pub(crate) fn vm_load(&self) -> MutexGuard<'_, VmLoad> {
+        lock(&self.vm_load)
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub(crate) fn track_request(self: &Arc<Self>) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
@@ -152,6 +182,11 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Sets whether this VM is overloaded; returns whether that has changed.
+    pub(crate) fn set_overloaded(&self, is_overloaded: bool) -> bool {
+        self.overloaded.swap(is_overloaded, Ordering::Relaxed) != is_overloaded
+    }
+
     /// Marks the process as stopping.
     pub(crate) fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/crates/badgerfield-node/src/store_calls.rs
+++ b/crates/badgerfield-node/src/store_calls.rs
@@ -23,6 +23,12 @@
     ViewRead,
     /// Writes the membership view.
     ViewWrite,
+    /// Writes the announcement of a joining process.
+    JoinerWrite,
+    /// Reads the announcements of joining processes.
+    JoinersRead,
+    /// Waits for announcements of joining processes.
+    JoinersWatch,
     /// Reads a shard of the ledger.
     LedgerRead,
     /// Writes a shard of the ledger.
@@ -46,9 +52,12 @@
 }
 
 impl CallKind {
-    const ALL: [Self; 12] = [
+    const ALL: [Self; 15] = [
         Self::ViewRead,
         Self::ViewWrite,
+        Self::JoinerWrite,
+        Self::JoinersRead,
+        Self::JoinersWatch,
         Self::LedgerRead,
         Self::LedgerWrite,
         Self::RolloutRead,
@@ -65,6 +74,8 @@
     pub(crate) fn of(call: &StoreCall) -> Self {
         match call {
             StoreCall::Get(StoreKey::View) => Self::ViewRead,
+            StoreCall::Get(StoreKey::Joiner(_)) => Self::JoinersRead,
+            StoreCall::CompareAndSwap { key: StoreKey::Joiner(_), .. } => Self::JoinerWrite,
             StoreCall::Get(StoreKey::Templates)
             | StoreCall::CompareAndSwap { key: StoreKey::Templates, .. } => Self::TemplatesRead,
             StoreCall::Get(StoreKey::Ledger(_)) => Self::LedgerRead,
@@ -81,6 +92,9 @@
         match self {
             Self::ViewRead => "view_read",
             Self::ViewWrite => "view_write",
+            Self::JoinerWrite => "joiner_write",
+            Self::JoinersRead => "joiners_read",
+            Self::JoinersWatch => "joiners_watch",
             Self::LedgerRead => "ledger_read",
             Self::LedgerWrite => "ledger_write",
             Self::RolloutRead => "rollout_read",
--- a/crates/badgerfield-node/src/upstream_list.rs
+++ b/crates/badgerfield-node/src/upstream_list.rs
@@ -74,6 +74,11 @@
             log::info!(target: PLATFORM, "upstream started again id={id} list={}", version.revision);
         }
         self.handle_event(Event::UpstreamListVersion(version));
+        if count > 0 {
+            for waiter in gateway.take_list_waiters() {
+                self.send_upstream_list(waiter, 0);
+            }
+        }
         if !updated.is_empty() {
             let logged: Vec<_> =
                 updated.iter().take(MAX_LOGGED_UPSTREAMS).map(UpstreamId::as_str).collect();
@@ -120,6 +125,9 @@
         let message = {
             let upstreams = gateway.upstreams();
             if upstreams.is_empty() {
+                drop(upstreams);
+                // It gets the list as soon as one arrives here.
+                gateway.add_list_waiter(to);
                 return;
             }
             let changes = upstreams.changes_since(self.now(), since).filter(|_| since > 0);
--- a/crates/badgerfield-standin/src/fleet/config.rs
+++ b/crates/badgerfield-standin/src/fleet/config.rs
@@ -7,6 +7,7 @@
 use badgerfield_core::event::{Call, Chat, IncomingRequest, Work};
 use badgerfield_core::ids::{Incarnation, Period, Region, TemplateVersion};
 use badgerfield_core::residency::Residency;
+use badgerfield_core::routing::{RetryPolicy, Route, WeightedService};
 use badgerfield_core::template::{AccountTemplate, BudgetTemplate, KeyDigest};
 use badgerfield_core::view::{Member, MemberState};
 use badgerfield_core::vm_upstreams::VmEntry;
@@ -24,6 +25,8 @@
     pub limits: Vec<u64>,
     /// The part of a budget that VMs hold ahead of demand, in percent.
     pub spread: u64,
+    /// The number of routes.
+    pub routes: usize,
     /// The number of shards of the ledger.
     pub shards: u32,
     /// The number of engines that serve the model.
@@ -43,6 +46,7 @@
             domains: 2,
             limits: vec![1_000_000; 4],
             spread: 80,
+            routes: 0,
             shards: 4,
             engines: 4,
             noise_permille: 5,
@@ -153,3 +157,24 @@
     let (secret, key, once) = (secret(spec.budget), spec.key.clone(), spec.at_most_once);
     IncomingRequest { secret_digest: secret, key, at_most_once: once, work, max_wait: None }
 }
+
+/// Returns routes of one service.
+pub(super) fn routes(count: usize) -> Vec<Route> {
+    let service = || "badgerfield-pool".parse().unwrap_or_else(|_| unreachable!("a valid name"));
+    let route = |n: usize| Route {
+        name: format!("route-{n}"),
+        host: format!("host-{n}.example"),
+        prefix: "/".into(),
+        repeat: RetryPolicy::Never,
+        timeout: Duration::from_secs(10),
+        objective: Duration::from_secs(1),
+        rank: 0,
+        split: vec![WeightedService { service: service(), weight: 1 }],
+        attempts: 1,
+        anonymous: false,
+        affinity: true,
+        pause: None,
+        regions: Residency::default(),
+    };
+    (0..count).map(route).collect()
+}
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod evacuations;
 mod link;
+mod listing;
 mod processes;
 mod rollouts;
 mod steps;
@@ -36,6 +37,7 @@
 pub use config::{FleetConfig, RequestSpec, account, engines, member, region_name, secret};
 use config::{account_template, budget_template, incoming_request};
 pub use link::Link;
+pub use listing::Listing;
 pub use rollouts::{RolloutTruth, Traffic, VersionFault, service, version};
 pub use store::FakeStore;
 pub use truth::{Truth, key_of};
@@ -94,6 +96,9 @@
     /// The failure domains that are evacuated as far as the process knows.
     evacuated: BTreeSet<Domain>,
     gateway: rollouts::Gateway,
+    /// Whether the process receives the announcements of joining processes.
+    is_join_host: bool,
+    listing: listing::ListState,
 }
 
 /// An action that is scheduled for a later time.
@@ -101,6 +106,8 @@
 enum ScheduledAction {
     Deliver(Incarnation, Event),
     Tick(Incarnation),
+    /// The store answers a read of the list of upstreams, or of its changes since a revision.
+    ListRead(Incarnation, Option<u64>),
     ExtendStream(usize),
     StoreCall(
         Incarnation,
@@ -132,6 +139,8 @@
     pub violations: Vec<String>,
     /// The link between regions, if its bandwidth is limited.
     pub link: Option<Link>,
+    /// The platform's list of upstreams; VMs have tables of it if it has any.
+    pub listing: Listing,
     /// Links of single VMs on which answers to callers leave little bandwidth.
     pub full_links: BTreeMap<usize, Link>,
     config: FleetConfig,
@@ -152,6 +161,8 @@
     messages: BTreeMap<&'static str, (u64, u64)>,
     /// The same for messages to another region.
     cross_region_messages: BTreeMap<&'static str, (u64, u64)>,
+    /// The same for messages to another failure domain.
+    cross_domain_messages: BTreeMap<&'static str, (u64, u64)>,
     vm_of: HashMap<Incarnation, usize>,
 }
 
@@ -170,6 +181,7 @@
             templates: TemplateSet::default(),
             violations: Vec::new(),
             link: None,
+            listing: Listing::default(),
             full_links: BTreeMap::new(),
             vms: Vec::new(),
             upstreams,
@@ -186,6 +198,7 @@
             rng,
             messages: BTreeMap::new(),
             cross_region_messages: BTreeMap::new(),
+            cross_domain_messages: BTreeMap::new(),
             vm_of: HashMap::new(),
             config,
         };
@@ -290,6 +303,12 @@
         &self.cross_region_messages
     }
 
+    /// Returns the number and the bytes of messages sent to another failure domain, by kind.
+    #[must_use]
+    pub fn cross_domain_messages(&self) -> &BTreeMap<&'static str, (u64, u64)> {
+        &self.cross_domain_messages
+    }
+
     /// Removes a VM from the list of VMs.
     pub fn remove_vm_from_list(&mut self, index: usize) {
         let name = self.vms[index].member.vm.clone();
@@ -368,7 +387,7 @@
     }
 
     fn make_templates(&mut self) {
-        let limits = self.config.limits.clone();
+        let (limits, routes) = (self.config.limits.clone(), self.config.routes);
         let spread = Percent::new(self.config.spread).unwrap_or_else(|_| unreachable!("a share"));
         self.change_templates(|set| {
             for (i, limit) in limits.iter().enumerate() {
@@ -377,6 +396,7 @@
                 set.accounts.insert(account, account_template(spread));
                 set.budgets.insert(Self::budget(i), budget_template(i, *limit));
             }
+            set.routing.routes = config::routes(routes);
         });
     }
 
@@ -398,6 +418,8 @@
                     version: TemplateVersion(0),
                     evacuated: BTreeSet::new(),
                     gateway: rollouts::Gateway::default(),
+                    is_join_host: false,
+                    listing: listing::ListState::default(),
                 });
                 index += 1;
             }
--- a/crates/badgerfield-standin/src/fleet/processes.rs
+++ b/crates/badgerfield-standin/src/fleet/processes.rs
@@ -24,6 +24,8 @@
         vm.version = TemplateVersion(0);
         vm.evacuated.clear();
         vm.gateway = super::rollouts::Gateway::default();
+        vm.is_join_host = false;
+        vm.listing = super::listing::ListState::default();
         vm.node = Some(Node::new(Config {
             member: vm.member.clone(),
             ledger_shards: self.config.shards,
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -41,8 +41,15 @@
                 self.handle_event(index, Event::WallClock(wall));
                 self.handle_event(index, Event::Tick);
                 self.gateway_tick(index);
+                self.join_host_tick(index);
+                self.listing_tick(index);
                 self.schedule(self.now.after(TICK_INTERVAL), ScheduledAction::Tick(to));
             }
+            ScheduledAction::ListRead(to, since) => {
+                if let Some(index) = self.index_of(to).filter(|i| !self.vms[*i].is_suspended) {
+                    self.apply_list_answer(index, since);
+                }
+            }
             ScheduledAction::ExtendStream(stream) => self.extend_stream(stream),
             ScheduledAction::StoreCall(from, id, call, at) => self.apply_call(from, id, &call, at),
             ScheduledAction::DeliverVmList => {
@@ -99,14 +106,13 @@
             Command::Dispatch(attempt, dispatch) => self.dispatch(from, attempt, dispatch),
             Command::Cancel(attempt) => self.cancel(from, attempt),
             Command::Answer(id, _, answer) => self.record_answer(id, answer),
-            // Simulated fleets have no routes, so they have no list of upstreams of routes.
             Command::ApplyUpstreamChanges(..)
             | Command::ApplyUpstreamList(_)
             | Command::ConfirmUpstreamList(_)
-            | Command::DivideEngines(_)
+            | Command::SendUpstreamList(..) => self.execute_list_command(index, command),
+            Command::DivideEngines(_)
             | Command::ApplyDelayReports(_)
             | Command::ApplyLimitReports(..)
-            | Command::SendUpstreamList(..)
             | Command::BlockRequests(_)
             | Command::Log(_)
             | Command::AnswerReserve(..) => {}
@@ -162,6 +168,10 @@
             let entry = self.cross_region_messages.entry(kind).or_default();
             *entry = (entry.0 + 1, entry.1 + size);
         }
+        if self.vms[index].member.domain != self.vms[to].member.domain {
+            let entry = self.cross_domain_messages.entry(kind).or_default();
+            *entry = (entry.0 + 1, entry.1 + size);
+        }
         if a != b
             && (self.partitioned_regions.contains(&a) || self.partitioned_regions.contains(&b))
         {
--- a/crates/badgerfield-standin/src/fleet/store.rs
+++ b/crates/badgerfield-standin/src/fleet/store.rs
@@ -125,6 +125,13 @@
         revision
     }
 
+    /// Returns all announcements of joining processes.
+    fn announcements(&self) -> Vec<Versioned> {
+        let is_joiner = |key: &StoreKey| matches!(key, StoreKey::Joiner(_));
+        let found = self.values.iter().filter(|(key, _)| is_joiner(key));
+        found.map(|(_, value)| value.clone()).collect()
+    }
+
     /// Executes a call. Returns its result and whether the reply is lost.
     fn execute_call(&mut self, call: &StoreCall) -> (StoreResult, bool) {
         match call {
@@ -178,6 +185,7 @@
         } else {
             let (result, is_lost) = self.store.execute_call(call);
             self.check_record_change();
+            self.show_announcement(call, &result);
             match (self.with_orders(result), is_lost) {
                 (_, true) => (StoreResult::Unknown, TIMEOUT),
                 (result, false) => (result, self.store.delay()),
@@ -194,6 +202,43 @@
         self.schedule(at, ScheduledAction::Deliver(from, event));
     }
 
+    /// Delivers an announcement of a joining process to the processes that watch for them.
+    fn show_announcement(&mut self, call: &StoreCall, result: &StoreResult) {
+        let StoreCall::CompareAndSwap { key: StoreKey::Joiner(_), value, .. } = call else {
+            return;
+        };
+        let StoreResult::Written(revision) = result else {
+            return;
+        };
+        let found = Versioned { value: Some(value.clone()), revision: *revision };
+        let hosts: Vec<_> = (0..self.size()).filter(|vm| self.vms[*vm].is_join_host).collect();
+        for vm in hosts {
+            self.deliver_announcements(vm, vec![found.clone()]);
+        }
+    }
+
+    /// Delivers all announcements to a process that has begun to watch for them.
+    pub(super) fn join_host_tick(&mut self, vm: usize) {
+        let is_host = self.node(vm).is_some_and(badgerfield_core::Node::is_join_host);
+        let was_host = std::mem::replace(&mut self.vms[vm].is_join_host, is_host);
+        if is_host && !was_host {
+            let found = self.store.announcements();
+            self.store.reads += 1;
+            self.deliver_announcements(vm, found);
+        }
+    }
+
+    fn deliver_announcements(&mut self, vm: usize, found: Vec<Versioned>) {
+        let is_cut = self.store.partitioned_regions.contains(&self.region_of(vm))
+            || self.store.partitioned_vms.contains(&vm);
+        if found.is_empty() || self.store.down || is_cut {
+            return;
+        }
+        let incarnation = self.vms[vm].member.incarnation;
+        let at = self.now.after(self.store.delay());
+        self.schedule(at, ScheduledAction::Deliver(incarnation, Event::Joiners(found)));
+    }
+
     /// Sends an answer of the store over the link between regions, if it has limited bandwidth and
     /// the receiver is in another region. Returns when the answer arrives, or as an error when the
     /// call times out before that.
--- a/crates/badgerfield-standin/src/lib.rs
+++ b/crates/badgerfield-standin/src/lib.rs
@@ -6,7 +6,7 @@
 //! which requests they executed. [`site`] starts them together with badgerfield processes.
 //! [`load`] sends requests as callers do and compares the answers with the reports of the
 //! engines. [`fleet`] runs many nodes in one process, for tests and for the measurements of
-//! [`measure`], [`capacity`] and [`route`].
+//! [`measure`], [`capacity`], [`route`] and [`whole_fleet`].
 
 pub mod capacity;
 pub mod engine;
@@ -19,3 +19,4 @@
 pub mod service;
 pub mod site;
 pub mod vms;
+pub mod whole_fleet;
--- a/crates/badgerfield-standin/src/main.rs
+++ b/crates/badgerfield-standin/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use badgerfield_standin::{capacity, engine, kv, load, measure, route, service, vms};
+use badgerfield_standin::{capacity, engine, kv, load, measure, route, service, vms, whole_fleet};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 fn command() -> Command {
@@ -42,6 +42,15 @@
                 .about("Measures how state, messages, calls and CPU time grow with the size of the fleet")
                 .arg(number("seed", "1", "The seed of the arrivals and delays")),
         )
+        .subcommand(
+            Command::new("fleet")
+                .about("Measures the start of a whole fleet, and how fast changes reach all VMs")
+                .arg(number("vms", "984", "The number of VMs"))
+                .arg(number("domains", "5", "The number of failure domains"))
+                .arg(number("upstreams", "10000", "The number of upstreams"))
+                .arg(number("budgets", "333", "The number of budgets"))
+                .arg(number("seed", "1", "The seed of the delays")),
+        )
         .subcommand(
             standin("vms", "The VM list").arg(
                 Arg::new("file")
@@ -96,6 +105,10 @@
         }
         return Ok(());
     }
+    if name == "fleet" {
+        whole_fleet::print(fleet_size(args)?);
+        return Ok(());
+    }
     if name == "load" {
         return load::run(load_plan(args)?, args.get_flag("json")).await;
     }
@@ -111,6 +124,20 @@
     Ok(())
 }
 
+fn fleet_size(args: &ArgMatches) -> Result<whole_fleet::FleetSize> {
+    let get = |name: &str| {
+        let value = args.get_one::<u64>(name).copied().context("expected a number")?;
+        usize::try_from(value).context("expected a smaller number")
+    };
+    Ok(whole_fleet::FleetSize {
+        vms: get("vms")?,
+        domains: get("domains")?,
+        upstreams: get("upstreams")?,
+        budgets: get("budgets")?,
+        seed: *args.get_one("seed").context("expected a number")?,
+    })
+}
+
 fn load_plan(args: &ArgMatches) -> Result<load::Plan> {
     let get = |name: &str| args.get_one::<u64>(name).copied().context("expected a number");
     let text = |name: &str| args.get_one::<String>(name).cloned().context("expected a text");
--- a/crates/badgerfield-standin/tests/full_link.rs
+++ b/crates/badgerfield-standin/tests/full_link.rs
@@ -36,6 +36,7 @@
         domains: 3,
         limits: vec![LIMIT],
         spread: 50,
+        routes: 0,
         shards: 1,
         engines: 12,
         seals: true,
--- a/crates/badgerfield-standin/tests/idle_tokens.rs
+++ b/crates/badgerfield-standin/tests/idle_tokens.rs
@@ -62,6 +62,7 @@
         domains: 3,
         limits: vec![seconds * DEMAND],
         spread: 50,
+        routes: 0,
         shards: 1,
         engines: 12,
         seals: true,
--- a/crates/badgerfield-standin/tests/lost_tokens.rs
+++ b/crates/badgerfield-standin/tests/lost_tokens.rs
@@ -27,6 +27,7 @@
         domains: 3,
         limits: vec![LIMIT; 2],
         spread: 50,
+        routes: 0,
         shards: 1,
         engines: 12,
         seals: true,
--- a/crates/badgerfield-standin/tests/power_after_outage.rs
+++ b/crates/badgerfield-standin/tests/power_after_outage.rs
@@ -29,6 +29,7 @@
         domains: 3,
         limits: vec![seconds * DEMAND; 2],
         spread: 50,
+        routes: 0,
         shards: 1,
         engines: 12,
         seals: true,
