List: read beside the watch, by the VMs with the widest links, and by no more than the store can bear

Cause: its three watchers read the list anew, 10,000 entries, which takes a VM of 0.12 cores longer than the 3.5 s after which all others take over.

Change: the whole list is checked beside the watch, at intervals that grow with it. What few do for all is done by the VMs with the widest links first. All members take over only where they could all read the list in a second of a link of 1 Gbit/s. A difference between lists must last a second before the whole list is fetched: one watcher may not have heard of another's change yet. A VM rounds its part of the retry budget with a fraction of its own: with 2,000 VMs every part was rounded down to none (test: retry_budget).

--- a/crates/badgerfield-core/src/bootstrap.rs
+++ b/crates/badgerfield-core/src/bootstrap.rs
@@ -6,6 +6,7 @@
 //! read, and send the values to the others. If these VMs cannot read, others get a turn, twice
 //! as many in each.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -71,9 +72,9 @@
 /// member sends the values to few others.
 pub(crate) fn tree_parent(view: &View, me: &Member) -> Option<Incarnation> {
     let others = view.members.iter().filter(|m| m.region == me.region && m.vm != me.vm);
-    let order: BTreeMap<u64, Incarnation> =
-        others.map(|m| (vm_hash(&m.vm), m.incarnation)).collect();
-    let rank = order.range(..vm_hash(&me.vm)).count();
+    let order: BTreeMap<Position, Incarnation> =
+        others.map(|m| (position(m), m.incarnation)).collect();
+    let rank = order.range(..position(me)).count();
     let parent = rank.checked_sub(FIRST_READERS)? / CHILDREN_PER_PARENT;
     order.values().nth(parent).copied()
 }
@@ -81,9 +82,9 @@
 /// Returns the rank of this VM among those of its region, by an order that is the same for all
 /// members.
 fn rank(view: &View, me: &Member) -> usize {
-    let own = vm_hash(&me.vm);
+    let own = position(me);
     let others = view.members.iter().filter(|m| m.region == me.region && m.vm != me.vm);
-    let before: BTreeSet<u64> = others.map(|m| vm_hash(&m.vm)).filter(|hash| *hash < own).collect();
+    let before: BTreeSet<Position> = others.map(position).filter(|other| *other < own).collect();
     before.len()
 }
 
@@ -92,7 +93,16 @@
     view.members.iter().filter(|m| m.region == me.region && m.vm != me.vm).count() + 1
 }
 
-/// Returns the hash that determines the order of VMs.
+/// The position of a VM in the order of its region.
+type Position = (Reverse<u32>, u64);
+
+/// Returns the position of a member's VM: VMs with the most capacity come first, since they read and
+/// send the values to others.
+fn position(member: &Member) -> Position {
+    (Reverse(member.capacity_class()), vm_hash(&member.vm))
+}
+
+/// Returns the hash that determines the order of VMs of one capacity.
 fn vm_hash(vm: &VmId) -> u64 {
     xxh3_64(vm.as_str().as_bytes())
 }
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -75,8 +75,8 @@
     UpstreamListGap(Incarnation, u64),
     /// Another process has the list of upstreams at the same revision, but with different entries.
     UpstreamListsDiffer(Incarnation),
-    /// The version of the list of upstreams of this process.
-    UpstreamListVersion(ListVersion),
+    /// The version of the list of upstreams of this process, and its number of entries.
+    UpstreamListVersion(ListVersion, usize),
     /// The demand for engines of the requests of this process.
     EngineDemand(Vec<EngineDemand>),
     /// The upstreams at which requests of this process are queued.
--- a/crates/badgerfield-core/src/handlers/spending.rs
+++ b/crates/badgerfield-core/src/handlers/spending.rs
@@ -164,7 +164,8 @@
     /// store.
     fn shard_writer(&self, now: Time, shard: u32, tries: u32) -> Incarnation {
         let members = self.state.membership();
-        let ranked = members.view.ranked(&shard.to_be_bytes(), Some(&members.me.region));
+        let ranked =
+            members.view.ranked_by_capacity(&shard.to_be_bytes(), Some(&members.me.region));
         let can_reach_store = |id: &Incarnation| !members.has_store_failure(now, *id);
         let mut writers: Vec<_> =
             ranked.iter().map(|m| m.incarnation).filter(can_reach_store).take(2).collect();
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -40,6 +40,9 @@
 /// Step by which a starting process advances in the list of the region's members when it asks the
 /// next one for values.
 const BOOTSTRAP_PEER_STRIDE: usize = 7;
+/// Maximum number of entries that all members together may read if the usual watchers of the list
+/// fail: 450 bytes each, a second of a link of 1 Gbit/s.
+const MAX_FALLBACK_ENTRIES: usize = 250_000;
 /// Minimum number of doubling distances in the ring at which a member has neighbours.
 const MIN_NEIGHBOURS: u32 = 8;
 
@@ -108,6 +111,8 @@
     pub(crate) availability: Availability,
     /// The version of the upstream list that this process has.
     pub(crate) upstream_list: ListVersion,
+    /// The number of entries of that list.
+    pub(crate) list_entries: usize,
     /// The demand of requests on engines, at this process and at the others.
     pub(crate) engine_demand: DemandAverage,
     /// The upstreams with a queueing delay.
@@ -187,6 +192,7 @@
             overloaded: false,
             availability: Availability::default(),
             upstream_list: ListVersion::default(),
+            list_entries: 0,
             engine_demand: DemandAverage::default(),
             delay_reports: Vec::new(),
             announced_revision: 0,
@@ -507,7 +513,11 @@
         if is_member && (is_small || self.is_isolated(now)) {
             return true;
         }
-        let wait = self.leave_notice * self.ranks.watch_delay_percent() / 100;
+        let is_heavy = self.view.members.len() * self.list_entries > MAX_FALLBACK_ENTRIES;
+        let Some(percent) = self.ranks.watch_delay_percent(is_heavy) else {
+            return list_age.is_none();
+        };
+        let wait = self.leave_notice * percent / 100;
         list_age.is_none_or(|age| age >= wait)
     }
 
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -373,8 +373,10 @@
                 self.fetch_missing_upstreams(now, from, revision, out);
             }
             Event::UpstreamListsDiffer(from) => self.fetch_all_upstreams(now, from, out),
-            Event::UpstreamListVersion(version) => {
-                self.state.membership().record_list_version(version);
+            Event::UpstreamListVersion(version, entries) => {
+                let mut members = self.state.membership();
+                members.record_list_version(version);
+                members.list_entries = entries;
             }
             Event::EngineDemand(demand) => {
                 let mut members = self.state.membership();
--- a/crates/badgerfield-core/src/ranks.rs
+++ b/crates/badgerfield-core/src/ranks.rs
@@ -1,5 +1,7 @@
 //! Roles by rank: the few members of a region that read or watch the store for the others.
 
+use std::collections::BTreeSet;
+
 use crate::view::{Member, View};
 
 /// Number of members of a region that read the store's values all the time.
@@ -42,13 +44,14 @@
 impl Ranks {
     /// Returns the ranks of a member in a view.
     pub(crate) fn new(view: &View, me: &Member) -> Self {
-        let rank_in = |subject: &[u8], region| {
-            let ranked = view.ranked(subject, region);
-            ranked.iter().position(|m| m.incarnation == me.incarnation)
-        };
+        let position =
+            |ranked: &[&Member]| ranked.iter().position(|m| m.incarnation == me.incarnation);
+        let rank_in = |subject: &[u8], region| position(&view.ranked_by_capacity(subject, region));
         Self {
             reader: rank_in(b"reader", Some(&me.region)),
-            watcher: rank_in(b"follower", Some(&me.region)),
+            watcher: position(&spread_domains(
+                view.ranked_by_capacity(b"follower", Some(&me.region)),
+            )),
             completion_writer: rank_in(b"marker", None),
         }
     }
@@ -75,15 +78,31 @@
 
     /// Returns the time without updates of the upstream list after which the member watches the
     /// store, as a percentage of the time for which a leaving upstream still accepts requests.
-    pub(crate) fn watch_delay_percent(&self) -> u32 {
-        match self.watcher {
+    ///
+    /// `None` means that the member does not watch the store in place of others. If `is_heavy`,
+    /// the list is so long, or the members are so many, that only the backup watchers may read it:
+    /// the answers to more of them would fill the store's link.
+    pub(crate) fn watch_delay_percent(&self, is_heavy: bool) -> Option<u32> {
+        let percent = match self.watcher {
             Some(0..WATCHERS_PER_REGION) => 0,
             Some(WATCHERS_PER_REGION..MAX_WATCHERS_PER_REGION) => BACKUP_DELAY_PERCENT,
+            Some(_) if is_heavy => return None,
             Some(rank) => {
                 let step = (rank / FIRST_FALLBACK_WATCHERS).checked_ilog2().map_or(0, |n| n + 1);
                 (FALLBACK_DELAY_PERCENT + step * FALLBACK_STEP_PERCENT).min(MAX_DELAY_PERCENT)
             }
             None => FALLBACK_DELAY_PERCENT,
-        }
+        };
+        Some(percent)
     }
 }
+
+/// Moves the first member of each failure domain to the front and keeps the order otherwise, so
+/// that the loss of a domain does not take all watchers with it.
+fn spread_domains(ranked: Vec<&Member>) -> Vec<&Member> {
+    let mut seen = BTreeSet::new();
+    let (mut spread, others): (Vec<_>, Vec<_>) =
+        ranked.into_iter().partition(|m| seen.insert(&m.domain));
+    spread.extend(others);
+    spread
+}
--- a/crates/badgerfield-core/src/retry_budget.rs
+++ b/crates/badgerfield-core/src/retry_budget.rs
@@ -2,7 +2,9 @@
 //!
 //! In any window, the repeats that arrive at a service are limited to a ratio of its requests plus
 //! an allowance that all VMs share. Each VM applies the ratio to its own requests and uses an equal
-//! part of the allowance, so the VMs need not exchange messages.
+//! part of the allowance, so the VMs need not exchange messages. In a fleet of hundreds a VM's part
+//! is one or two repeats, or less than one. Each VM therefore adds its own fraction before it
+//! rounds down, so that the parts of all VMs add up to the limit of the fleet.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -42,14 +44,23 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryLimits,
+    /// What this VM adds to its part before it is rounded down, from 0 to 1.
+    rounding: f64,
     services: HashMap<Service, Window>,
 }
 
 impl RetryBudget {
-    /// Creates an unused budget.
+    /// Creates an unused budget that rounds its part down.
     #[must_use]
     pub fn new(limits: RetryLimits) -> Self {
-        Self { limits, services: HashMap::new() }
+        Self { limits, rounding: 0.0, services: HashMap::new() }
+    }
+
+    /// Sets the fraction that is added before the part is rounded down; it should be a random
+    /// number from 0 to 1 that differs between VMs.
+    #[must_use]
+    pub fn with_rounding(self, rounding: f64) -> Self {
+        Self { rounding: rounding.clamp(0.0, 1.0), ..self }
     }
 
     /// Counts a caller's request for a service.
@@ -72,11 +83,11 @@
 
     /// Returns the number of repeats that are left for a service in this window.
     pub fn remaining(&mut self, now: Time, service: &Service, vms: usize) -> f64 {
-        let limits = self.limits;
+        let (limits, rounding) = (self.limits, self.rounding);
         let window = self.window(now, service);
         let allowance = limits.allowance / to_f64(vms.max(1));
         let limit = limits.ratio * to_f64(window.requests.len()) + allowance;
-        limit * USED_PERCENT / 100.0 - to_f64(window.repeats.len())
+        limit * USED_PERCENT / 100.0 + rounding - to_f64(window.repeats.len())
     }
 
     fn window(&mut self, now: Time, service: &Service) -> &mut Window {
--- a/crates/badgerfield-core/src/upstream_selection.rs
+++ b/crates/badgerfield-core/src/upstream_selection.rs
@@ -90,6 +90,10 @@
         let mut changed = BTreeSet::new();
         for listed in written {
             let id = listed.entry.info.id.clone();
+            let known = self.entries.get(&id);
+            if known.is_some_and(|known| known.entry.revision >= listed.entry.revision) {
+                continue;
+            }
             if is_used(&id) {
                 self.selected.insert(id.clone());
             }
@@ -116,6 +120,22 @@
         UpstreamListChanges { revision, written, gone: selected_gone }
     }
 
+    /// Returns the changes that a later read of the whole list shows.
+    ///
+    /// Entries that the read does not contain count as removed, unless they were written after it
+    /// began.
+    #[must_use]
+    pub fn changes_from(&self, list: PlatformList) -> PlatformChanges {
+        let PlatformList { revision, entries: written } = list;
+        let present: BTreeSet<_> = written.iter().map(|listed| &listed.entry.info.id).collect();
+        let is_missing = |(id, known): &(&UpstreamId, &ListedEntry)| {
+            !present.contains(id) && known.entry.revision <= revision
+        };
+        let missing = self.entries.iter().filter(is_missing);
+        let gone = missing.map(|(id, _)| (id.clone(), revision)).collect();
+        PlatformChanges { revision, written, gone }
+    }
+
     /// Returns the number of listed and of selected upstreams.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
--- a/crates/badgerfield-core/src/upstream_table/list.rs
+++ b/crates/badgerfield-core/src/upstream_table/list.rs
@@ -15,6 +15,9 @@
 
 /// How long an upstream is kept after its entry was removed.
 const REMOVED_RETENTION: Duration = Duration::from_secs(30);
+/// How long the list must differ from those of all members that announce changes before it is
+/// fetched: some announcements long.
+const MIN_DIFFERENCE_TIME: Duration = Duration::from_secs(1);
 
 impl UpstreamTable {
     /// Applies the platform's list, unless it is older than the last one.
@@ -66,7 +69,7 @@
             upstream.removed_at = Some(now);
             upstream.leases_lapsed = lapsed.contains(&upstream.info.service);
             upstream.revision = revision;
-            upstream.changed_revision = revision;
+            upstream.changed_revision = revision.max(announced_at);
             affected.push(id);
         }
         self.drop_removed(now);
@@ -247,8 +250,28 @@
         // If this process has seen newer changes than the sender, the digests cannot be compared.
         let has_newer = self.revision > version.revision
             || self.upstreams.values().any(|upstream| upstream.changed_revision > newest);
-        let differs = !has_newer && self.list_version().digest != version.digest;
-        (affected, if differs { ListGap::FullList } else { ListGap::Nothing })
+        if has_newer {
+            return (affected, ListGap::Nothing);
+        }
+        let differs = self.list_version().digest != version.digest;
+        (affected, self.compare_digests(now, differs))
+    }
+
+    /// Returns whether the full list is missing, given whether the digests differ.
+    ///
+    /// Several members announce changes. One that has not received the latest announcement of
+    /// another yet has a different list for a moment, and no other member should fetch it then.
+    fn compare_digests(&mut self, now: Time, differs: bool) -> ListGap {
+        if !differs {
+            self.differs_since = None;
+            return ListGap::Nothing;
+        }
+        let since = *self.differs_since.get_or_insert(now);
+        if now.since(since) < MIN_DIFFERENCE_TIME {
+            return ListGap::Nothing;
+        }
+        self.differs_since = None;
+        ListGap::FullList
     }
 
     /// Returns the services of which all entries are removed at once.
--- a/crates/badgerfield-core/src/upstream_table/mod.rs
+++ b/crates/badgerfield-core/src/upstream_table/mod.rs
@@ -151,6 +151,8 @@
     /// came before the first list.
     dropped_revision: u64,
     upstreams: BTreeMap<UpstreamId, Upstream>,
+    /// Since when the list has differed from each list with which it was compared.
+    differs_since: Option<Time>,
     /// Restarted upstreams that no caller of `take_restarted` has received yet.
     restarted: Vec<UpstreamId>,
     /// The observed mix of requests, by service.
--- a/crates/badgerfield-core/src/view.rs
+++ b/crates/badgerfield-core/src/view.rs
@@ -47,6 +47,18 @@
     pub caller: SocketAddr,
     /// Whether the member accepts new work.
     pub standing: MemberState,
+    /// The bandwidth of the VM's link in Mbit/s; 0 if it is unknown.
+    #[serde(default)]
+    pub link_mbps: u32,
+}
+
+impl Member {
+    /// Returns the class of the VM's capacity; VMs of a higher class do work for others first.
+    ///
+    /// Classes are factors of two, so that VMs of nearly the same size share the work.
+    pub(crate) fn capacity_class(&self) -> u32 {
+        self.link_mbps.checked_ilog2().map_or(0, |class| class + 1)
+    }
 }
 
 /// Whether a member has been an arbiter without interruption since the last complete epoch.
@@ -280,6 +292,18 @@
         members
     }
 
+    /// Returns the same members by their rank for work that a few of them do for all others.
+    ///
+    /// The VMs with the most capacity come first: such work grows with the fleet, and the smallest
+    /// VMs of a large fleet could not do it.
+    #[must_use]
+    pub fn ranked_by_capacity(&self, subject: &[u8], region: Option<&Region>) -> Vec<&Member> {
+        let mut members = self.ranked(subject, region);
+        // The sort is stable: within a class the order is that of the subject.
+        members.sort_by_key(|m| std::cmp::Reverse(m.capacity_class()));
+        members
+    }
+
     /// Returns the arbiter of a key and its backup, if there is one.
     #[must_use]
     pub fn arbiters(
--- a/crates/badgerfield-core/tests/confirmations.rs
+++ b/crates/badgerfield-core/tests/confirmations.rs
@@ -24,6 +24,7 @@
         peer: ([127, 0, 0, 1], 1).into(),
         caller: ([127, 0, 0, 1], 2).into(),
         standing: MemberState::Active,
+        link_mbps: 0,
     };
     let members = members.map(member).collect();
     Arc::new(View { epoch: Epoch(epoch), members, ..View::default() })
--- a/crates/badgerfield-core/tests/locality.rs
+++ b/crates/badgerfield-core/tests/locality.rs
@@ -32,6 +32,7 @@
         peer: ([127, 0, 0, 1], n).into(),
         caller: ([127, 0, 0, 1], n).into(),
         standing: MemberState::Active,
+        link_mbps: 0,
     }
 }
 
--- a/crates/badgerfield-core/tests/retry_budget.rs
+++ b/crates/badgerfield-core/tests/retry_budget.rs
@@ -51,3 +51,28 @@
     assert!(taken >= 1, "some repeats are allowed");
     assert!(taken <= 10, "{taken} repeats; this VM's part of the allowance is 10");
 }
+
+/// Guards against a budget that shrinks as the fleet grows because each VM rounds its part down:
+/// with 2,000 VMs no VM could repeat anything.
+#[test]
+fn the_parts_of_many_vms_add_up_to_the_limit() {
+    let service: Service = "pool".parse().expect("the name is valid");
+    let limits = RetryLimits { ratio: 0.2, allowance: 1040.0, window: Duration::from_secs(10) };
+    for vms in [100_u32, 984, 2000] {
+        let (mut taken, requests) = (0.0, 3);
+        for vm in 0..vms {
+            let rounding = f64::from(vm * 7919 % vms) / f64::from(vms);
+            let mut budget = RetryBudget::new(limits).with_rounding(rounding);
+            for _ in 0..requests {
+                budget.count_request(Time::default(), &service);
+            }
+            let count = usize::try_from(vms).expect("few VMs");
+            while budget.try_take(Time::default(), &service, count) {
+                taken += 1.0;
+            }
+        }
+        let allowed = 0.2 * f64::from(requests * vms) + 1040.0;
+        assert!(taken <= allowed, "{vms} VMs: {taken} of {allowed}");
+        assert!(taken >= allowed * 0.55, "{vms} VMs: {taken} of {allowed}");
+    }
+}
--- a/crates/badgerfield-core/tests/support/mod.rs
+++ b/crates/badgerfield-core/tests/support/mod.rs
@@ -21,5 +21,6 @@
         peer: ([127, 0, 0, 1], 1).into(),
         caller: ([127, 0, 0, 1], 2).into(),
         standing: MemberState::Active,
+        link_mbps: 0,
     }
 }
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -138,6 +138,7 @@
                 .gateway
                 .map_or(settings.caller_address, |gateway| gateway.request_address),
             standing: MemberState::Active,
+            link_mbps: settings.link_mbps,
         };
         let limits = settings.limits;
         let node = Node::new(Config {
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -6,9 +6,10 @@
 use badgerfield_core::amount::Time;
 use badgerfield_core::event::{StoreCall, StoreKey, StoreResult};
 use badgerfield_core::ids::{TemplateVersion, UpstreamId};
-use badgerfield_core::upstream_list::PlatformChanges;
+use badgerfield_core::upstream_list::{PlatformChanges, PlatformList};
 use badgerfield_core::upstream_selection::UpstreamSelection;
 use badgerfield_core::{Event, TICK_INTERVAL};
+use tokio::task::JoinHandle;
 
 use crate::adapter::WatchResult;
 use crate::driver::{Driver, UpdateSource};
@@ -151,8 +152,8 @@
 
 /// Watches the list of upstreams, and reports whether this process is ready to serve.
 ///
-/// The complete list is read before the first watch, when changes may have been missed, and at
-/// intervals that grow with its size, since a watch may return no changes for a while. Upstreams
+/// The complete list is read before the first watch and when changes may have been missed. It is
+/// also read at intervals beside the watch, which may return no changes for a while. Upstreams
 /// write their entries all the time, so the next watch starts after a delay rather than at once.
 pub(crate) async fn watch_upstreams(driver: Arc<Driver>, gateway: Arc<Gateway>) {
     let mut failing_since: Option<Time> = None;
@@ -164,35 +165,86 @@
             driver.clock.sleep(role_check_interval(is_new)).await;
             continue;
         }
-        let Some(mut followed) = read_list(&driver, &gateway, &mut failing_since).await else {
+        let Some(followed) = read_list(&driver, &gateway, &mut failing_since).await else {
             wait_for_retry(&driver, &gateway, &mut backoff).await;
             continue;
         };
         backoff = Backoff::default();
-        let until = driver.now().after(read_interval(&driver, &followed));
-        while driver.now() < until && is_list_watcher(&driver) {
-            report_state(&driver, &gateway);
-            driver.clock.sleep(WATCH_DELAY).await;
-            driver.metrics.store_calls.count(CallKind::UpstreamsWatch);
-            let watch = gateway.adapter.discovery.watch(followed.revision);
-            match driver.clock.timeout_at(until, watch).await {
-                Ok(WatchResult::Changed(changes)) => {
-                    backoff = Backoff::default();
-                    followed.revision = followed.revision.max(changes.revision);
-                    followed.apply_changes(&driver, &gateway, changes);
-                }
-                Ok(WatchResult::Unchanged(revision)) => {
-                    backoff = Backoff::default();
-                    followed.revision = followed.revision.max(revision);
-                    let changes = PlatformChanges { revision, ..PlatformChanges::default() };
-                    followed.apply_changes(&driver, &gateway, changes);
-                }
-                // What is known of the list stays valid; only later changes are missing.
-                Ok(WatchResult::Failed) => {
-                    wait_for_retry(&driver, &gateway, &mut backoff).await;
-                }
-                Ok(WatchResult::Lost) | Err(_) => break,
+        follow_list(&driver, &gateway, followed, &mut backoff).await;
+    }
+}
+
+/// Follows the list while this process watches it, until changes may have been missed.
+async fn follow_list(
+    driver: &Arc<Driver>,
+    gateway: &Arc<Gateway>,
+    mut followed: FollowedList,
+    backoff: &mut Backoff,
+) {
+    let mut check = ListCheck::new(driver);
+    while is_list_watcher(driver) {
+        report_state(driver, gateway);
+        driver.clock.sleep(WATCH_DELAY).await;
+        if let Some(list) = check.next(driver, gateway).await {
+            let changes = followed.selection.changes_from(list);
+            followed.apply_changes(driver, gateway, changes);
+        }
+        driver.metrics.store_calls.count(CallKind::UpstreamsWatch);
+        match gateway.adapter.discovery.watch(followed.revision).await {
+            WatchResult::Changed(changes) => {
+                *backoff = Backoff::default();
+                followed.revision = followed.revision.max(changes.revision);
+                followed.apply_changes(driver, gateway, changes);
+            }
+            WatchResult::Unchanged(revision) => {
+                *backoff = Backoff::default();
+                followed.revision = followed.revision.max(revision);
+                let changes = PlatformChanges { revision, ..PlatformChanges::default() };
+                followed.apply_changes(driver, gateway, changes);
             }
+            // What is known of the list stays valid; only later changes are missing.
+            WatchResult::Failed => wait_for_retry(driver, gateway, backoff).await,
+            WatchResult::Lost => return,
+        }
+    }
+}
+
+/// Reads the complete list from time to time beside the watch.
+///
+/// A read of thousands of entries takes seconds on a small VM. If the watch waited for it, the
+/// members would hear nothing from the platform meanwhile.
+#[derive(Debug)]
+struct ListCheck {
+    due_at: Time,
+    reading: Option<JoinHandle<Option<PlatformList>>>,
+}
+
+impl ListCheck {
+    fn new(driver: &Driver) -> Self {
+        let interval = driver.settings.platform.upstream_poll_interval;
+        Self { due_at: driver.now().after(interval), reading: None }
+    }
+
+    /// Starts a read if one is due; returns the list that has been read, if a read has ended.
+    async fn next(&mut self, driver: &Arc<Driver>, gateway: &Arc<Gateway>) -> Option<PlatformList> {
+        if self.reading.is_none() && driver.now() >= self.due_at {
+            driver.metrics.store_calls.count(CallKind::UpstreamsRead);
+            let discovery = Arc::clone(&gateway.adapter.discovery);
+            self.reading = Some(tokio::spawn(async move { discovery.list().await.ok() }));
+        }
+        let reading = self.reading.take_if(|reading| reading.is_finished())?;
+        // A task that panicked has read nothing.
+        let list = reading.await.ok().flatten();
+        let entries = list.as_ref().map_or(0, |list| list.entries.len());
+        self.due_at = driver.now().after(read_interval(driver, entries));
+        list
+    }
+}
+
+impl Drop for ListCheck {
+    fn drop(&mut self) {
+        if let Some(reading) = &self.reading {
+            reading.abort();
         }
     }
 }
@@ -209,7 +261,9 @@
         let basis = driver.node.selection_basis(driver.now());
         let used = gateway.upstreams().listed_ids();
         let is_used = |id: &UpstreamId| used.contains(id);
-        let changes = self.selection.apply_changes(changes, is_used, &basis, driver.now());
+        let mut changes = self.selection.apply_changes(changes, is_used, &basis, driver.now());
+        // What a read of the whole list shows is announced as of the watch, which is further on.
+        changes.revision = changes.revision.max(self.revision);
         driver.apply_upstream_changes(changes);
     }
 }
@@ -218,9 +272,8 @@
 ///
 /// It grows with the list: a list of thousands of upstreams takes a noticeable part of a VM's link
 /// and processor.
-fn read_interval(driver: &Driver, followed: &FollowedList) -> Duration {
-    let (listed, _) = followed.selection.counts();
-    let pages = u32::try_from(listed / ENTRIES_PER_INTERVAL).unwrap_or(u32::MAX);
+fn read_interval(driver: &Driver, entries: usize) -> Duration {
+    let pages = u32::try_from(entries / ENTRIES_PER_INTERVAL).unwrap_or(u32::MAX);
     driver.settings.platform.upstream_poll_interval.saturating_mul(pages.saturating_add(1))
 }
 
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -71,7 +71,7 @@
             clock,
             routes: Mutex::default(),
             upstreams: Mutex::default(),
-            retries: Mutex::new(RetryBudget::new(limits)),
+            retries: Mutex::new(RetryBudget::new(limits).with_rounding(rand::random())),
             list_waiters: Mutex::default(),
             vm_load: Mutex::default(),
             open_requests: AtomicUsize::new(0),
--- a/crates/badgerfield-node/src/settings.rs
+++ b/crates/badgerfield-node/src/settings.rs
@@ -38,6 +38,8 @@
     pub region: Region,
     /// The failure domain of the VM.
     pub domain: Domain,
+    /// The bandwidth of the VM's link in Mbit/s; 0 if it is unknown.
+    pub link_mbps: u32,
     /// The region of each failure domain, including that of this VM.
     pub regions: RegionMap,
     /// The costs of sending a request to another failure domain or region.
@@ -183,6 +185,7 @@
         let vm = file.required_value("vm", "name");
         let region = file.required_value("vm", "region");
         let domain = file.required_value("vm", "domain");
+        let link_mbps = read_link(&mut file);
         let regions = read_regions(&mut file, domain.as_ref(), region.as_ref());
         let locality = read_locality(&mut file);
         let callers = file.required_value("listen", "callers");
@@ -206,6 +209,7 @@
                 vm: vm?,
                 region: region?,
                 domain: domain?,
+                link_mbps,
                 regions,
                 locality,
                 caller_address: callers?,
@@ -230,6 +234,19 @@
     }
 }
 
+/// Reads the bandwidth of the VM's link in Mbit/s; fractions are dropped.
+fn read_link(file: &mut IniFile) -> u32 {
+    let Some(text) = file.optional_text("vm", "link") else {
+        return 0;
+    };
+    let (whole, _) = text.split_once('.').unwrap_or((&text, ""));
+    whole.parse().unwrap_or_else(|_| {
+        let message = format!("expected a bandwidth in Mbit/s, found {text:?}");
+        file.record_fault("vm", Some("link"), message);
+        0
+    })
+}
+
 impl PlatformSettings {
     fn from_ini(file: &mut IniFile) -> Option<Self> {
         let store_uri = read_http_uri(file, "kv");
--- a/crates/badgerfield-node/src/upstream_list.rs
+++ b/crates/badgerfield-node/src/upstream_list.rs
@@ -73,7 +73,7 @@
         for id in &restarted {
             log::info!(target: PLATFORM, "upstream started again id={id} list={}", version.revision);
         }
-        self.handle_event(Event::UpstreamListVersion(version));
+        self.handle_event(Event::UpstreamListVersion(version, count));
         if count > 0 {
             for waiter in gateway.take_list_waiters() {
                 self.send_upstream_list(waiter, 0);
--- a/crates/badgerfield-standin/src/fleet/config.rs
+++ b/crates/badgerfield-standin/src/fleet/config.rs
@@ -94,6 +94,7 @@
         peer: ([127, 0, 0, 1], port).into(),
         caller: ([127, 0, 0, 1], port).into(),
         standing: MemberState::Active,
+        link_mbps: 0,
     }
 }
 
