Budgets: lenders lend what they have seen no request of

Cause: a VM opens a holding for each budget when it starts, unless there are more than 256. Here there are 333, and a lender with 0.7 requests a second has had none for most of its budgets. It answered that it is no holder; all six lenders did, and the borrower refused. Ruled out: the ledger (17 to 62 ms for a change) and lost answers (no "lender silent").

Change: the terms are taken from the templates when the first request for tokens comes.

--- a/crates/badgerfield-core/src/handlers/spending.rs
+++ b/crates/badgerfield-core/src/handlers/spending.rs
@@ -9,7 +9,7 @@
 use crate::ids::{BudgetId, Incarnation, Period, ReservationId, RunId};
 use crate::ledger::{LedgerOp, LedgerReply, shard_of};
 use crate::ledger_writer;
-use crate::message::{Message, ParkItem, Transfer};
+use crate::message::{Message, ParkItem, TokenRequest, Transfer};
 use crate::node::Node;
 use crate::pending_calls::Purpose;
 use crate::runs::Stage;
@@ -179,6 +179,24 @@
         writers.get(choice).copied().unwrap_or(self.id())
     }
 
+    /// Answers a token request of another process.
+    ///
+    /// In a large fleet most lenders of a budget have had no request for it themselves, and know its
+    /// terms from the templates only.
+    pub(crate) fn handle_token_request(
+        &self,
+        now: Time,
+        from: Incarnation,
+        request: &TokenRequest,
+        out: &mut Outbox,
+    ) {
+        let is_known = self.state.holdings().period(&request.budget).is_some();
+        if !is_known {
+            self.update_terms(now, &request.budget);
+        }
+        self.state.holdings().handle_token_request(now, from, request, out);
+    }
+
     /// Queues ledger operations that this process writes.
     pub(crate) fn handle_ledger_request(&self, now: Time, ops: Vec<LedgerOp>, out: &mut Outbox) {
         let mut results = Vec::new();
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -451,9 +451,7 @@
             Message::RolloutReport(report) => self.state.rollouts().apply_report(from, report),
             Message::LedgerRequest(ops) => self.handle_ledger_request(now, ops, out),
             Message::LedgerReplies(replies) => self.apply_ledger_replies(now, from, replies, out),
-            Message::TokenRequest(request) => {
-                self.state.holdings().handle_token_request(now, from, &request, out);
-            }
+            Message::TokenRequest(request) => self.handle_token_request(now, from, &request, out),
             Message::NoTokens { budget, need, reason, .. } => {
                 self.state.holdings().handle_no_tokens(now, from, &budget, (need, reason), out);
             }
