--- a/crates/badgerfield-core/src/availability.rs
+++ b/crates/badgerfield-core/src/availability.rs
@@ -69,6 +69,8 @@
 pub(crate) struct Availability {
     reports: BTreeMap<Incarnation, (ConditionReport, Time)>,
     last_serial: u64,
+    /// Whether this process has more work than it can do.
+    is_overloaded: bool,
     /// When this process last reported itself overloaded.
     overloaded_at: Option<Time>,
 }
@@ -138,17 +140,20 @@
         reports
     }
 
-    /// Returns the report to send about this process, given whether it is overloaded and the number
-    /// of members.
+    /// Sets whether this process has more work than it can do.
+    pub(crate) fn set_overloaded(&mut self, is_overloaded: bool) {
+        self.is_overloaded = is_overloaded;
+    }
+
+    /// Returns the report to send about this process, given the number of members.
     pub(crate) fn report_own(
         &mut self,
         now: Time,
         me: Incarnation,
-        is_overloaded: bool,
         members: usize,
     ) -> Option<ConditionReport> {
         let was_reported = self.condition(now, me) == Condition::Overloaded;
-        if !is_overloaded {
+        if !self.is_overloaded {
             self.overloaded_at = None;
             return was_reported.then(|| self.new_report(now, me, me, Condition::Available));
         }
--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -11,8 +11,9 @@
 use crate::event::{
     Command, LogEntry, Outbox, StoreCall, StoreKey, StoreResult, Versioned, is_due,
 };
+use crate::handlers::joining;
 use crate::ids::{Epoch, Incarnation, StoreCallId, TemplateVersion};
-use crate::joining::{self, JoinStep};
+use crate::joining::JoinStep;
 use crate::membership::{Membership, MembershipIntent};
 use crate::message::{Heartbeat, Message};
 use crate::node::Node;
@@ -280,52 +281,6 @@
         self.send_heartbeats(now, out);
     }
 
-    /// Writes a view with only this process, as if the store had none.
-    ///
-    /// In a fleet that starts, one process succeeds. The others get the stored view with the
-    /// conflict, so that they need not read it first.
-    pub(crate) fn start_joining(&self, now: Time, out: &mut Outbox) {
-        let mut members = self.state.membership();
-        members.view_read_at = Some(now);
-        members.view_requested_at = Some(now);
-        members.view_written_at = Some(now);
-        let view = View::default().with_member(members.me.clone(), false);
-        let value = Bytes::from(view.encode());
-        let ticket = members.store_calls.begin(Purpose::FirstWrite(view));
-        out.push(Command::CallStore(
-            ticket,
-            StoreCall::CompareAndSwap { key: StoreKey::View, expected_revision: 0, value },
-        ));
-    }
-
-    /// Handles the result of the first write of the view.
-    fn handle_first_write(&self, now: Time, view: View, result: StoreResult, out: &mut Outbox) {
-        match result {
-            StoreResult::Written(revision) => {
-                let found = Versioned { value: Some(Bytes::from(view.encode())), revision };
-                // The view was empty before, so all members have joined since.
-                self.state.membership().joining.record_view(&View::default());
-                self.apply_stored_view(now, &found, out);
-            }
-            StoreResult::Conflict(found) => {
-                self.apply_stored_view(now, &found, out);
-                let mut members = self.state.membership();
-                members.view_written_at = None;
-                // A small view without this VM is that of a fleet which starts at this moment: all
-                // its processes would write again.
-                let is_starting = members.stored.members.len() <= MAX_SMALL_VIEW_MEMBERS
-                    && members.stored.members.iter().all(|m| m.vm != members.me.vm);
-                if is_starting {
-                    members.joining.record_conflict(now, self.config.seed);
-                }
-                drop(members);
-                self.write_view(now, out);
-            }
-            // Whether the write succeeded is known after a read.
-            _ => self.state.membership().view_read_at = None,
-        }
-    }
-
     /// Reads the store's values and writes the view if that is due.
     pub(crate) fn tick_store_reads(&self, now: Time, out: &mut Outbox) {
         let complete = self.state.claims().complete_epoch();
@@ -382,24 +337,8 @@
         }
     }
 
-    /// Returns whether this process watches the announcements of processes that are joining.
-    #[must_use]
-    pub fn is_join_host(&self) -> bool {
-        let members = self.state.membership();
-        members.is_member() && members.host_rank().is_some()
-    }
-
-    /// Adds processes that have announced themselves, once no further ones arrive.
-    pub(crate) fn add_joiners(&self, now: Time, found: &[Versioned], out: &mut Outbox) {
-        {
-            let mut members = self.state.membership();
-            let stored = Arc::clone(&members.stored);
-            members.joining.add_joiners(now, &stored, found);
-        }
-        self.write_view(now, out);
-    }
-
-    fn write_view(&self, now: Time, out: &mut Outbox) {
+    /// Writes the view if this process has a change to make.
+    pub(super) fn write_view(&self, now: Time, out: &mut Outbox) {
         let complete = self.state.claims().complete_epoch();
         let mut members = self.state.membership();
         if !members.stored_known
@@ -418,7 +357,7 @@
                 match members.joining.next_step(now, &stored, &me) {
                     JoinStep::Write => Some(stored.with_member(me, handed_over)),
                     JoinStep::Announce(revision) => {
-                        announce(&mut members, revision, out);
+                        joining::announce(&mut members, revision, out);
                         return;
                     }
                     JoinStep::Wait => return,
@@ -489,7 +428,7 @@
             (Purpose::Read(StoreKey::View), StoreResult::Value(found)) => {
                 self.apply_stored_view(now, &found, out);
             }
-            (Purpose::FirstWrite(view), result) => self.handle_first_write(now, view, result, out),
+            (Purpose::FirstWrite(view), result) => self.handle_first_write(now, &view, result, out),
             (Purpose::Write(view), StoreResult::Written(revision)) => {
                 let view = Arc::new(view);
                 {
@@ -507,28 +446,18 @@
                 drop(members);
                 self.write_view(now, out);
             }
-            (Purpose::Announce, StoreResult::Written(_)) => {
-                self.state.membership().joining.record_announced();
-            }
-            (Purpose::Announce, StoreResult::Conflict(found)) => {
-                let mut members = self.state.membership();
-                let me = members.me.clone();
-                members.joining.record_other_announcement(&found, &me);
-                drop(members);
-                self.write_view(now, out);
-            }
+            (Purpose::Announce, result) => self.handle_announced(now, &result, out),
             // Whether the write succeeded is known after the next read.
             (Purpose::Write(_), _) => {
                 let mut members = self.state.membership();
                 members.stored_known = false;
                 members.view_read_at = None;
             }
-            // A write without an answer may have succeeded; the next one finds out.
-            (Purpose::Read(_) | Purpose::Announce, _) => {}
+            (Purpose::Read(_), _) => {}
         }
     }
 
-    fn apply_stored_view(&self, now: Time, found: &Versioned, out: &mut Outbox) {
+    pub(super) fn apply_stored_view(&self, now: Time, found: &Versioned, out: &mut Outbox) {
         let view = match View::decode(found.value.as_deref()) {
             Ok(view) => Arc::new(view),
             Err(error) => {
@@ -564,20 +493,6 @@
     MIN_FETCH_INTERVAL.saturating_add(FETCH_TIME_PER_MEMBER.saturating_mul(members))
 }
 
-/// Writes the announcement of this process over one with a revision.
-fn announce(members: &mut Membership, expected_revision: u64, out: &mut Outbox) {
-    let key = StoreKey::Joiner(members.me.vm.clone());
-    if members.store_calls.is_pending(&key) {
-        return;
-    }
-    let value = Bytes::from(joining::encode(&members.me));
-    let ticket = members.store_calls.begin(Purpose::Announce);
-    out.push(Command::CallStore(
-        ticket,
-        StoreCall::CompareAndSwap { key, expected_revision, value },
-    ));
-}
-
 /// Starts reading a value from the store unless a read is in progress.
 pub(super) fn start_read(members: &mut Membership, now: Time, key: StoreKey, out: &mut Outbox) {
     if members.store_calls.is_pending(&key) {
--- a/crates/badgerfield-core/src/handlers/mod.rs
+++ b/crates/badgerfield-core/src/handlers/mod.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod dispatch;
 mod evacuations;
+mod joining;
 mod members;
 mod poison;
 mod reservations;
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -38,9 +38,12 @@
 //!   which callers should not be directed.
 //! - The rate limits that upstreams announce are sent from neighbour to neighbour
 //!   ([`rate_limit`]).
-//! - The store, a key-value service that outlasts processes, holds five kinds of values: the
-//!   templates, the membership [`view`], the shards of the ledger, the record of each service's
-//!   last rollout, and the blocked requests.
+//! - The store, a key-value service that outlasts processes, holds six kinds of values: the
+//!   templates, the membership [`view`], the announcements of processes that are joining it, the
+//!   shards of the ledger, the record of each service's last rollout, and the blocked requests.
+//!
+//! The few members that watch the platform's list of upstreams pass on only as many upstreams as
+//! the fleet's requests need ([`upstream_selection`]).
 //!
 //! Upstreams that have just started, or whose failure domain was restored, get few requests at
 //! first ([`warm_up`]). Requests under which upstreams crash repeatedly are blocked and sent to no
--- a/crates/badgerfield-core/src/locality.rs
+++ b/crates/badgerfield-core/src/locality.rs
@@ -151,7 +151,7 @@
 
 /// Returns the VMs that are not overloaded.
 ///
-/// All of them are returned if fewer than half are not overloaded, or fewer than [`MIN_VMS`]: the
+/// All of them are returned if fewer than half are not overloaded, or fewer than two: the
 /// callers would overload the few that are left.
 #[must_use]
 pub fn without_overloaded<'a>(
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -105,8 +105,6 @@
     wall_offset: Option<u64>,
     /// Whether this process serves callers.
     pub(crate) serving: bool,
-    /// Whether this process has more work than it can do.
-    pub(crate) overloaded: bool,
     /// What members have reported about each other and themselves.
     pub(crate) availability: Availability,
     /// The version of the upstream list that this process has.
@@ -189,7 +187,6 @@
             store_failures: BTreeMap::new(),
             wall_offset: None,
             serving: true,
-            overloaded: false,
             availability: Availability::default(),
             upstream_list: ListVersion::default(),
             list_entries: 0,
@@ -655,7 +652,7 @@
             return Vec::new();
         }
         let me = self.id();
-        let (is_overloaded, silent_after) = (self.overloaded, self.unresponsive_after);
+        let silent_after = self.unresponsive_after;
         let watched: Vec<_> = self
             .watched()
             .map(|(position, m)| (m.incarnation, position, self.silence(now, m.incarnation)))
@@ -665,7 +662,7 @@
         if heard * 2 >= watched.len() {
             reports = self.availability.observe(now, me, watched.into_iter(), silent_after);
         }
-        reports.extend(self.availability.report_own(now, me, is_overloaded, members));
+        reports.extend(self.availability.report_own(now, me, members));
         reports
     }
 
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -365,7 +365,7 @@
             Event::WallClock(wall_ms) => self.state.membership().set_wall_ms(now, wall_ms),
             Event::Serving(serving) => self.state.membership().serving = serving,
             Event::Overloaded(is_overloaded) => {
-                self.state.membership().overloaded = is_overloaded;
+                self.state.membership().availability.set_overloaded(is_overloaded);
             }
             Event::Joiners(found) => self.add_joiners(now, &found, out),
             Event::UpstreamChanges(update) => self.announce_upstream_changes(now, &update, out),
--- a/crates/badgerfield-core/src/upstream_selection.rs
+++ b/crates/badgerfield-core/src/upstream_selection.rs
@@ -87,7 +87,7 @@
         now: Time,
     ) -> UpstreamListChanges {
         let PlatformChanges { revision, written, gone } = changes;
-        let mut changed = BTreeSet::new();
+        let mut touched = BTreeSet::new();
         for listed in written {
             let id = listed.entry.info.id.clone();
             let known = self.entries.get(&id);
@@ -97,7 +97,7 @@
             if is_used(&id) {
                 self.selected.insert(id.clone());
             }
-            changed.insert(id.clone());
+            touched.insert(id.clone());
             self.entries.insert(id, listed);
         }
         let mut selected_gone = Vec::new();
@@ -112,10 +112,10 @@
                 selected_gone.push((id, revision));
             }
         }
-        changed.retain(|id| self.selected.contains(id));
-        changed.extend(self.fill(basis, now));
+        touched.retain(|id| self.selected.contains(id));
+        touched.extend(self.fill(basis, now));
         let mut written: Vec<_> =
-            changed.iter().filter_map(|id| self.entries.get(id)).map(|l| l.entry.clone()).collect();
+            touched.iter().filter_map(|id| self.entries.get(id)).map(|l| l.entry.clone()).collect();
         written.sort_by_key(|entry| entry.revision);
         UpstreamListChanges { revision, written, gone: selected_gone }
     }
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -126,7 +126,11 @@
         }
         let found = if revision == 0 {
             driver.metrics.store_calls.count(CallKind::JoinersRead);
-            driver.store.list_joiners().await.map_or(WatchResult::Failed, WatchResult::Changed)
+            let found = driver.store.list_joiners().await;
+            if found.is_none() {
+                log::info!(target: PLATFORM, "announcements of joining processes not read");
+            }
+            found.map_or(WatchResult::Failed, WatchResult::Changed)
         } else {
             driver.metrics.store_calls.count(CallKind::JoinersWatch);
             driver.store.watch_joiners(revision).await
@@ -230,7 +234,10 @@
         if self.reading.is_none() && driver.now() >= self.due_at {
             driver.metrics.store_calls.count(CallKind::UpstreamsRead);
             let discovery = Arc::clone(&gateway.adapter.discovery);
-            self.reading = Some(tokio::spawn(async move { discovery.list().await.ok() }));
+            self.reading = Some(tokio::spawn(async move {
+                let logged = |error| log::info!(target: PLATFORM, "list not checked: {error}");
+                discovery.list().await.map_err(logged).ok()
+            }));
         }
         let reading = self.reading.take_if(|reading| reading.is_finished())?;
         // A task that panicked has read nothing.
--- a/crates/badgerfield-standin/src/fleet/listing.rs
+++ b/crates/badgerfield-standin/src/fleet/listing.rs
@@ -251,7 +251,7 @@
         self.after_list_update(vm, &updated, from_platform && !is_first);
     }
 
-    fn after_list_update(&mut self, vm: usize, updated: &[UpstreamId], announces: bool) {
+    fn after_list_update(&mut self, vm: usize, updated: &[UpstreamId], is_source: bool) {
         let local = self.local_time(vm);
         let table = &self.vms[vm].listing.table;
         let (version, entries) = (table.list_version(), table.len());
@@ -262,7 +262,7 @@
             }
         }
         let is_small = self.node(vm).is_some_and(badgerfield_core::Node::is_small_fleet);
-        if !announces && (!is_small || updated.is_empty()) {
+        if !is_source && (!is_small || updated.is_empty()) {
             return;
         }
         let announced = self.node(vm).map_or(0, badgerfield_core::Node::announced_revision);
