--- a/crates/badgerfield-node/tests/settings.rs
+++ b/crates/badgerfield-node/tests/settings.rs
@@ -231,3 +231,15 @@
         assert!(found.iter().any(|fault| fault.contains("[locality]")), "{invalid}: {found:#?}");
     }
 }
+
+/// Guards against a VM of unknown capacity that does the work of large ones, and against a bandwidth
+/// that is read wrongly without a fault.
+#[test]
+fn the_bandwidth_of_the_link_is_read() {
+    assert_eq!(read(VALID).expect("the settings are valid").link_mbps, 0);
+    let with_link =
+        |link: &str| VALID.replace("domain = d1", &format!("domain = d1\nlink = {link}"));
+    assert_eq!(read(&with_link("200.0")).expect("the settings are valid").link_mbps, 200);
+    let found = faults(read(&with_link("wide")));
+    assert!(found.iter().any(|fault| fault.contains("bandwidth in Mbit/s")), "{found:?}");
+}
--- a/crates/badgerfield/src/args.rs
+++ b/crates/badgerfield/src/args.rs
@@ -17,6 +17,8 @@
 const SETTINGS_HELP: &str = "A settings file has these sections and keys (* is required):
 
   [vm]        name*, region*, domain*
+              link                              bandwidth of its link in Mbit/s; VMs with wide
+                                                links do work for others first
   [listen]    callers*, peers*, operators*      addresses such as 10.0.0.1:8080;
               advertise                         the address that peers use, if different
   [gateway]   requests*, ready*, directory      addresses for requests on routes; the
