List: a selected upstream is announced also at a revision that was announced before

A watcher that fills gaps at the revision that another one has announced a moment before had nothing newer to announce; the others learned of it by the difference of lists only, a second and more later. Test: upstream_table, red before by construction.

--- a/crates/badgerfield-core/src/upstream_table/list.rs
+++ b/crates/badgerfield-core/src/upstream_table/list.rs
@@ -224,6 +224,33 @@
         Some(self.changes_of(now, &ids))
     }
 
+    /// Returns the changes to announce after `updated` have changed, and the revision that they
+    /// build on. `announced` is the revision up to which changes were announced.
+    ///
+    /// An upstream that was selected at a revision which another process has announced already is
+    /// not among the changes since then, so the updated ones are added.
+    #[must_use]
+    pub fn announcement(
+        &self,
+        now: Time,
+        announced: u64,
+        updated: &[UpstreamId],
+    ) -> (UpstreamListChanges, u64) {
+        let Some(mut changes) = self.changes_since(now, announced) else {
+            // Receivers detect from the revision that they lack changes, and request them.
+            return (self.changes_of(now, updated), self.revision);
+        };
+        let is_missing = |id: &&UpstreamId| {
+            changes.written.iter().all(|entry| entry.info.id != **id)
+                && changes.gone.iter().all(|(gone, _)| gone != *id)
+        };
+        let missing: Vec<_> = updated.iter().filter(is_missing).cloned().collect();
+        let added = self.changes_of(now, &missing);
+        changes.written.extend(added.written);
+        changes.gone.extend(added.gone);
+        (changes, announced)
+    }
+
     /// Applies changes that another process sent, together with its list version. A process that
     /// has seen every change up to `since` has, with these, seen every change up to that version.
     ///
--- a/crates/badgerfield-core/tests/upstream_table.rs
+++ b/crates/badgerfield-core/tests/upstream_table.rs
@@ -506,3 +506,16 @@
         }
     }
 }
+
+/// Guards against an upstream that only its watcher knows: another watcher had announced the same
+/// revision of the list before this one was selected.
+#[test]
+fn an_upstream_that_is_selected_at_an_announced_revision_is_announced() {
+    let mut table = table(4);
+    let written = vec![entry(1, info(9, false))];
+    let changes = UpstreamListChanges { revision: 8, written, gone: vec![] };
+    let updated = table.apply_changes(at(10), changes);
+    let (changes, since) = table.announcement(at(10), 8, &updated);
+    let ids: Vec<_> = changes.written.into_iter().map(|entry| entry.info.id).collect();
+    assert_eq!((ids, since), (vec![id(9)], 8));
+}
--- a/crates/badgerfield-node/src/upstream_list.rs
+++ b/crates/badgerfield-node/src/upstream_list.rs
@@ -106,11 +106,7 @@
             // that the update does not contain.
             let upstreams = gateway.upstreams();
             let version = upstreams.list_version();
-            let (changes, since) = match upstreams.changes_since(self.now(), announced) {
-                Some(changes) => (changes, announced),
-                // Receivers detect from `since` that they lack changes, and request them.
-                None => (upstreams.changes_of(self.now(), updated), version.revision),
-            };
+            let (changes, since) = upstreams.announcement(self.now(), announced, updated);
             UpstreamUpdate { changes, since, version, reach: 0 }
         };
         self.handle_event(Event::UpstreamChanges(update));
--- a/crates/badgerfield-standin/src/fleet/listing.rs
+++ b/crates/badgerfield-standin/src/fleet/listing.rs
@@ -267,10 +267,7 @@
         }
         let announced = self.node(vm).map_or(0, badgerfield_core::Node::announced_revision);
         let table = &self.vms[vm].listing.table;
-        let (changes, since) = match table.changes_since(local, announced) {
-            Some(changes) => (changes, announced),
-            None => (table.changes_of(local, updated), version.revision),
-        };
+        let (changes, since) = table.announcement(local, announced, updated);
         let update = UpstreamUpdate { changes, since, version, reach: 0 };
         self.handle_event(vm, Event::UpstreamChanges(update));
     }
