Templates: the log tells how a version arrived; test of changes whose readers lose the store

Observability: 'templates vN in force' names the source, the time since the first word of a newer version, the fetches and the deltas that did not apply; a histogram of that time; a line when reads of the operators' values from the store begin to fail and when they succeed again. All reads of these values pass one function.

The emulator lets VMs watch the operators' values as the driver does.

--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -23,6 +23,7 @@
 use crate::request_mix::EngineDemand;
 use crate::rollout::{OrderChange, RolloutLogEntry, RolloutRules, RolloutTally};
 use crate::template::KeyDigest;
+use crate::template_arrival::TemplateArrival;
 use crate::upstream_list::{ListVersion, UpstreamList};
 use crate::vm_upstreams::{LoadReport, VmList};
 
@@ -47,10 +48,8 @@
     StoreReply(StoreCallId, StoreResult),
     /// The VM list was read.
     VmList(VmList),
-    /// The templates were read, or have changed in the store.
-    Templates(Versioned),
-    /// All values of operators in the store were read.
-    Operators(OperatorValues),
+    /// The store has answered a read of all values of operators, or has not answered it.
+    OperatorsRead(StoreResult),
     /// Operators have changed values in the store.
     OperatorChanges(OperatorChanges),
     /// A request on a route needs reserved tokens; answered with [`Command::AnswerReserve`].
@@ -437,7 +436,11 @@
     /// This process reports the condition of a member to all others.
     Condition(ConditionReport),
     /// Newer templates are in force.
-    Templates(crate::ids::TemplateVersion),
+    Templates(TemplateArrival),
+    /// A read of operators' values from the store failed, after one that succeeded.
+    OperatorsLost,
+    /// A read of operators' values succeeded again, this long after the first one that failed.
+    OperatorsRegained(Duration),
     /// The stored templates are invalid; the last valid ones stay in force.
     BadTemplates(String),
     /// A stored value is invalid.
--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -166,12 +166,19 @@
                 );
                 return;
             }
-            let newer = heartbeat.epoch > members.view.epoch || heartbeat.version > version;
+            let has_templates = heartbeat.version > version;
+            if has_templates {
+                members.pending_templates.notice(now);
+            }
+            let newer = heartbeat.epoch > members.view.epoch || has_templates;
             let interval = fetch_interval(members.view.members.len());
             if !newer || !is_due(now, members.fetch_sent_at, interval) {
                 return;
             }
             members.fetch_sent_at = Some(now);
+            if has_templates {
+                members.pending_templates.record_fetch();
+            }
             let is_near = members.view.member(from).is_some_and(|m| m.region == members.me.region);
             (members.view.epoch, is_near)
         };
@@ -419,11 +426,8 @@
             (Purpose::PoisonRead, result) => self.handle_poison_result(now, false, result, out),
             (Purpose::PoisonWrite, result) => self.handle_poison_result(now, true, result, out),
             (Purpose::Ledger(shard), result) => self.handle_ledger_result(now, shard, result, out),
-            (Purpose::Read(StoreKey::Templates), StoreResult::Value(found)) => {
-                self.apply_stored_templates(now, &found, out);
-            }
-            (Purpose::Read(StoreKey::Templates), StoreResult::Operators(found)) => {
-                self.apply_operator_values(now, found, out);
+            (Purpose::Read(StoreKey::Templates), result) => {
+                self.handle_operator_read(now, result, out);
             }
             (Purpose::Read(StoreKey::View), StoreResult::Value(found)) => {
                 self.apply_stored_view(now, &found, out);
@@ -457,6 +461,26 @@
         }
     }
 
+    /// Handles the result of a read of operators' values.
+    pub(crate) fn handle_operator_read(&self, now: Time, result: StoreResult, out: &mut Outbox) {
+        let is_answered = matches!(result, StoreResult::Value(_) | StoreResult::Operators(_));
+        {
+            let mut members = self.state.membership();
+            if !is_answered && members.operators_lost_at.is_none() {
+                members.operators_lost_at = Some(now);
+                out.push(Command::Log(LogEntry::OperatorsLost));
+            }
+            if let Some(lost) = members.operators_lost_at.take_if(|_| is_answered) {
+                out.push(Command::Log(LogEntry::OperatorsRegained(now.since(lost))));
+            }
+        }
+        match result {
+            StoreResult::Value(found) => self.apply_stored_templates(now, &found, out),
+            StoreResult::Operators(found) => self.apply_operator_values(now, found, out),
+            _ => {}
+        }
+    }
+
     pub(super) fn apply_stored_view(&self, now: Time, found: &Versioned, out: &mut Outbox) {
         let view = match View::decode(found.value.as_deref()) {
             Ok(view) => Arc::new(view),
--- a/crates/badgerfield-core/src/handlers/templates.rs
+++ b/crates/badgerfield-core/src/handlers/templates.rs
@@ -7,6 +7,7 @@
 use crate::message::Message;
 use crate::node::Node;
 use crate::template::{TemplateDelta, TemplateSet};
+use crate::template_arrival::TemplateSource;
 
 impl Node {
     /// Applies the templates that were read from the store.
@@ -19,13 +20,19 @@
     /// Decodes and applies templates that operators have written.
     pub(crate) fn apply_encoded_templates(&self, now: Time, bytes: &[u8], out: &mut Outbox) {
         match TemplateSet::decode(bytes) {
-            Ok(set) => self.apply_templates(now, set, out),
+            Ok(set) => self.apply_templates(now, set, TemplateSource::Store, out),
             Err(error) => out.push(Command::Log(LogEntry::BadTemplates(error.to_string()))),
         }
     }
 
     /// Applies a set of templates if it is newer and valid.
-    pub(crate) fn apply_templates(&self, now: Time, set: TemplateSet, out: &mut Outbox) {
+    pub(crate) fn apply_templates(
+        &self,
+        now: Time,
+        set: TemplateSet,
+        source: TemplateSource,
+        out: &mut Outbox,
+    ) {
         {
             let mut table = self.state.templates();
             if set.version <= table.version || !set.errors().is_empty() {
@@ -33,7 +40,7 @@
             }
             *table = set;
         }
-        self.process_template_change(now, out);
+        self.process_template_change(now, source, out);
     }
 
     /// Applies a delta. If a newer one does not apply, fetches another delta or the complete set.
@@ -54,11 +61,17 @@
             (is_newer, needs_full, is_applied, table.version)
         };
         if is_applied {
-            self.process_template_change(now, out);
+            self.process_template_change(now, TemplateSource::Peer(from), out);
             return;
         }
         if is_newer {
-            let epoch = self.state.membership().view.epoch;
+            let epoch = {
+                let mut members = self.state.membership();
+                members.pending_templates.notice(now);
+                members.pending_templates.record_unapplied();
+                members.pending_templates.record_fetch();
+                members.view.epoch
+            };
             out.send(from, Message::Fetch { epoch, version, full: needs_full });
         }
     }
@@ -79,13 +92,14 @@
         self.state.holdings().update_terms(now, budget, terms.0, terms.1);
     }
 
-    fn process_template_change(&self, now: Time, out: &mut Outbox) {
+    fn process_template_change(&self, now: Time, source: TemplateSource, out: &mut Outbox) {
         let version = {
             let table = self.state.templates();
             self.state.template_history().record(&table);
             table.version
         };
-        out.push(Command::Log(LogEntry::Templates(version)));
+        let arrival = self.state.membership().pending_templates.finish(now, version, source);
+        out.push(Command::Log(LogEntry::Templates(arrival)));
         let budgets: Vec<_> = self.state.holdings().budgets().cloned().collect();
         for budget in budgets {
             let before = self.state.holdings().period(&budget);
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -96,6 +96,7 @@
 pub mod seal;
 mod shared_state;
 pub mod template;
+pub mod template_arrival;
 pub mod template_history;
 pub mod upstream_list;
 pub mod upstream_selection;
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -18,6 +18,7 @@
 use crate::ranks::Ranks;
 use crate::request_mix::DemandAverage;
 use crate::seal::FleetClock;
+use crate::template_arrival::PendingArrival;
 use crate::upstream_list::ListVersion;
 use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member, MemberState, View};
 use crate::view_update::ViewLog;
@@ -162,6 +163,10 @@
     pub(crate) view_written_at: Option<Time>,
     /// When a member was last asked for the view or the templates; one member is asked at a time.
     pub(crate) fetch_sent_at: Option<Time>,
+    /// What has happened since this process first heard of templates newer than its own.
+    pub(crate) pending_templates: PendingArrival,
+    /// Since when reads of operators' values from the store have failed.
+    pub(crate) operators_lost_at: Option<Time>,
     /// When each member with an older view was last sent the view without having asked.
     pub(crate) views_pushed: HashMap<Incarnation, Time>,
     /// When confirmations were received that the next tick has to forward.
@@ -221,6 +226,8 @@
             template_waiters: BTreeSet::new(),
             view_written_at: None,
             fetch_sent_at: None,
+            pending_templates: PendingArrival::default(),
+            operators_lost_at: None,
             views_pushed: HashMap::new(),
             confirmations_pending: None,
         }
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -19,6 +19,7 @@
 use crate::runs::{RunKey, Runs};
 use crate::shared_state::SharedState;
 use crate::template::TemplateSet;
+use crate::template_arrival::TemplateSource;
 use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member, MemberState, View};
 use crate::vm_upstreams::UpstreamKind;
 use crate::warm_up::Senders;
@@ -356,8 +357,7 @@
                 self.state.membership().apply_vm_list(&list);
                 self.state.upstreams().apply_list(&list);
             }
-            Event::Templates(value) => self.apply_stored_templates(now, &value, out),
-            Event::Operators(values) => self.apply_operator_values(now, values, out),
+            Event::OperatorsRead(result) => self.handle_operator_read(now, result, out),
             Event::OperatorChanges(changes) => self.apply_operator_changes(now, changes, out),
             Event::Reserve(request) => self.reserve_for_route(now, &request, out),
             Event::CancelReserve(request) => self.cancel_reserve(now, &request, out),
@@ -436,7 +436,9 @@
             }
             Message::View(update) => self.receive_view_update(now, from, &update, out),
             Message::TemplateDelta(delta) => self.apply_template_delta(now, from, *delta, out),
-            Message::Templates(set) => self.apply_templates(now, *set, out),
+            Message::Templates(set) => {
+                self.apply_templates(now, *set, TemplateSource::Peer(from), out);
+            }
             Message::UpstreamChanges(delta) => self.receive_upstream_update(now, from, delta, out),
             Message::Conditions(update) => self.receive_conditions(now, update, out),
             Message::FetchUpstreams { since } => out.push(Command::SendUpstreamList(from, since)),
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -16,6 +16,7 @@
 use badgerfield_core::message::Envelope;
 use badgerfield_core::refusal::Refusal;
 use badgerfield_core::request_mix::{EngineDemand, EngineDivision};
+use badgerfield_core::template_arrival::TemplateArrival;
 use badgerfield_core::view::{Member, MemberState};
 use badgerfield_core::vm_upstreams::VmList;
 use badgerfield_core::{Command, Config, Event, Node, TICK_INTERVAL};
@@ -424,14 +425,15 @@
                 self.peers.retain_peers(|id| view.has_member(id));
                 self.update_warm_up_senders();
             }
-            LogEntry::Templates(version) => {
-                if let Some(gateway) = &self.gateway {
-                    let (version, table) = self.node.route_table();
-                    gateway.update_routes(version, table);
-                    self.update_warm_ups();
-                }
-                log::info!(target: NODE, "templates {version} in force");
+            LogEntry::Templates(arrival) => self.handle_new_templates(arrival),
+            LogEntry::OperatorsLost => {
+                log::info!(target: PLATFORM, "operators' values not read");
             }
+            LogEntry::OperatorsRegained(away) => log::info!(
+                target: PLATFORM,
+                "operators' values read again away_ms={}",
+                away.as_millis()
+            ),
             LogEntry::BadTemplates(error) => {
                 self.metrics.bad_templates.inc();
                 log::error!(target: NODE, "templates are invalid, the previous templates stay in force: {error}");
@@ -509,6 +511,23 @@
         }
     }
 
+    /// Routes requests by newer templates, and logs how they arrived.
+    fn handle_new_templates(&self, arrival: &TemplateArrival) {
+        if let Some(gateway) = &self.gateway {
+            let (version, table) = self.node.route_table();
+            gateway.update_routes(version, table);
+            self.update_warm_ups();
+        }
+        self.metrics.template_delay.observe(arrival.delay.as_secs_f64());
+        let TemplateArrival { version, source, delay, fetches, unapplied } = arrival;
+        log::info!(
+            target: NODE,
+            "templates {version} in force from={source} delay_ms={} fetches={fetches} \
+             unapplied={unapplied}",
+            delay.as_millis()
+        );
+    }
+
     async fn run_ticks(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         let mut logged_at = self.now();
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -76,20 +76,18 @@
             let call = StoreCall::Get(StoreKey::Templates);
             driver.metrics.store_calls.count(CallKind::of(&call));
             // If no templates exist yet, the watch waits for the first ones.
-            match driver.store.call(&call).await {
-                StoreResult::Value(value) => {
-                    revision = value.revision;
-                    driver.handle_event(Event::Templates(value));
-                }
-                StoreResult::Operators(values) => {
-                    revision = values.revision;
-                    driver.handle_event(Event::Operators(values));
-                }
-                _ => {
-                    driver.clock.sleep(backoff.next_delay(&driver)).await;
-                    continue;
-                }
-            }
+            let result = driver.store.call(&call).await;
+            let found = match &result {
+                StoreResult::Value(value) => Some(value.revision),
+                StoreResult::Operators(values) => Some(values.revision),
+                _ => None,
+            };
+            driver.handle_event(Event::OperatorsRead(result));
+            let Some(found) = found else {
+                driver.clock.sleep(backoff.next_delay(&driver)).await;
+                continue;
+            };
+            revision = found;
         }
         driver.metrics.store_calls.count(CallKind::TemplatesWatch);
         match driver.store.watch_operator_changes(revision).await {
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -185,6 +185,8 @@
     pub(crate) peer_traffic: PeerTraffic,
     pub(crate) store_calls: StoreCalls,
     pub(crate) bad_templates: Counter,
+    /// The time from the first word of newer templates until they are in force.
+    pub(crate) template_delay: Histogram,
     pub(crate) evacuations: Counter,
     restricted_upstreams: Family<RestrictedLabel, Gauge<u64, AtomicU64>>,
     store_results: Family<StoreResultLabel, Counter>,
@@ -222,6 +224,7 @@
             peer_traffic: PeerTraffic::default(),
             store_calls: StoreCalls::default(),
             bad_templates: Counter::default(),
+            template_delay: Histogram::new(exponential_buckets(0.005, 2.0, 13)),
             evacuations: Counter::default(),
             restricted_upstreams: Family::default(),
             store_results: Family::default(),
@@ -260,6 +263,11 @@
             self.store_results.clone(),
         );
         r.register("bad_templates", "Reads of unusable templates", self.bad_templates.clone());
+        r.register(
+            "template_delay_seconds",
+            "Time from the first word of newer templates until they are in force",
+            self.template_delay.clone(),
+        );
         r.register("evacuations", "Domains evacuated or taken back", self.evacuations.clone());
         r.register(
             "upstreams_spared",
--- a/crates/badgerfield-standin/src/fleet/listing.rs
+++ b/crates/badgerfield-standin/src/fleet/listing.rs
@@ -179,16 +179,7 @@
         if self.listing.upstreams == 0 || self.now < self.vms[vm].listing.call_at {
             return;
         }
-        let local = self.local_time(vm);
-        let (_, updated) = self.vms[vm].listing.table.last_update();
-        let Some(node) = self.node(vm) else {
-            return;
-        };
-        let is_watcher = match updated {
-            None => node.is_bootstrap_reader(local),
-            Some(at) => node.watches_store(local, Some(local.since(at))),
-        };
-        if !is_watcher {
+        if !self.watches_list(vm) {
             self.vms[vm].listing.followed = None;
             return;
         }
@@ -215,6 +206,19 @@
         self.schedule(at, ScheduledAction::ListRead(incarnation, revision));
     }
 
+    /// Returns whether a VM watches the list.
+    pub(super) fn watches_list(&self, vm: usize) -> bool {
+        let local = self.local_time(vm);
+        let (_, updated) = self.vms[vm].listing.table.last_update();
+        let Some(node) = self.node(vm) else {
+            return false;
+        };
+        match updated {
+            None => node.is_bootstrap_reader(local),
+            Some(at) => node.watches_store(local, Some(local.since(at))),
+        }
+    }
+
     /// Applies the answer of the store to a read of the whole list, or of the changes since a
     /// revision.
     pub(super) fn apply_list_answer(&mut self, vm: usize, since: Option<u64>) {
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod evacuations;
 mod link;
 mod listing;
+mod operators;
 mod processes;
 mod rollouts;
 mod steps;
@@ -99,6 +100,7 @@
     /// Whether the process receives the announcements of joining processes.
     is_join_host: bool,
     listing: listing::ListState,
+    operators: operators::OperatorWatch,
 }
 
 /// An action that is scheduled for a later time.
@@ -106,6 +108,8 @@
 enum ScheduledAction {
     Deliver(Incarnation, Event),
     Tick(Incarnation),
+    /// The VM checks whether it watches operators' values.
+    CheckOperators(Incarnation),
     /// The store answers a read of the list of upstreams, or of its changes since a revision.
     ListRead(Incarnation, Option<u64>),
     ExtendStream(usize),
@@ -341,6 +345,7 @@
         }
         self.truth.record_limits(&next);
         self.templates = next;
+        self.notify_template_watchers();
         true
     }
 
@@ -420,6 +425,7 @@
                     gateway: rollouts::Gateway::default(),
                     is_join_host: false,
                     listing: listing::ListState::default(),
+                    operators: operators::OperatorWatch::default(),
                 });
                 index += 1;
             }
--- a/crates/badgerfield-standin/src/fleet/processes.rs
+++ b/crates/badgerfield-standin/src/fleet/processes.rs
@@ -39,6 +39,7 @@
         self.vm_of.insert(incarnation, index);
         self.handle_event(index, Event::VmList(self.list.clone()));
         self.handle_event(index, Event::Start);
+        self.start_operator_watch(index);
         let phase = Duration::from_micros(self.rng.random_range(0..50_000));
         self.schedule(self.now.after(phase), ScheduledAction::Tick(incarnation));
     }
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -45,6 +45,11 @@
                 self.listing_tick(index);
                 self.schedule(self.now.after(TICK_INTERVAL), ScheduledAction::Tick(to));
             }
+            ScheduledAction::CheckOperators(to) => {
+                if let Some(index) = self.index_of(to) {
+                    self.check_operators(index);
+                }
+            }
             ScheduledAction::ListRead(to, since) => {
                 if let Some(index) = self.index_of(to).filter(|i| !self.vms[*i].is_suspended) {
                     self.apply_list_answer(index, since);
--- a/crates/badgerfield-standin/src/fleet/store.rs
+++ b/crates/badgerfield-standin/src/fleet/store.rs
@@ -40,6 +40,8 @@
     pub writes: u64,
     /// Writes that failed because the revision of the value was not the expected one.
     pub conflicts: u64,
+    /// When each VM last read operators' values.
+    pub(super) operators_read: BTreeMap<usize, Time>,
     /// Bytes written so far.
     pub bytes: u64,
     evacuated: BTreeMap<Domain, u64>,
@@ -100,6 +102,14 @@
         self.values.get(name)?.value.clone()
     }
 
+    /// Answers a VM that reads the operators' values to watch them from then on.
+    pub(super) fn read_operators(&mut self, vm: usize, now: Time) -> StoreResult {
+        self.reads += 1;
+        self.operators_read.insert(vm, now);
+        let templates = self.value(&StoreKey::Templates);
+        StoreResult::Operators(self.operator_values(templates))
+    }
+
     /// Returns the operators' values, without rollout orders.
     fn operator_values(&self, templates: Option<Bytes>) -> OperatorValues {
         let evacuated = self.evacuated.iter().map(|(domain, revision)| DomainChange {
@@ -183,6 +193,9 @@
         let (result, delay) = if self.store.down || is_cut {
             (StoreResult::Unknown, TIMEOUT)
         } else {
+            if *call == StoreCall::Get(StoreKey::Templates) {
+                self.store.operators_read.insert(vm, self.now);
+            }
             let (result, is_lost) = self.store.execute_call(call);
             self.check_record_change();
             self.show_announcement(call, &result);
--- a/crates/badgerfield-standin/tests/joining.rs
+++ b/crates/badgerfield-standin/tests/joining.rs
@@ -4,7 +4,9 @@
 
 use badgerfield_core::Event;
 use badgerfield_core::amount::{Time, Tokens};
-use badgerfield_core::event::{Command, ReserveRequest, StoreCall, StoreKey, Versioned};
+use badgerfield_core::event::{
+    Command, ReserveRequest, StoreCall, StoreKey, StoreResult, Versioned,
+};
 use badgerfield_core::ids::ReservationId;
 use badgerfield_standin::fleet::{Fleet, FleetConfig};
 
@@ -108,7 +110,7 @@
     let node = fleet.node(0).expect("the VM runs");
     let value = Some(fleet.templates.encode().into());
     let at = Time::from_millis;
-    node.handle(at(1), Event::Templates(Versioned { value, revision: 1 }));
+    node.handle(at(1), Event::OperatorsRead(StoreResult::Value(Versioned { value, revision: 1 })));
     let (id, budget) = (ReservationId(1), Fleet::budget(0));
     let request = ReserveRequest { id, budget, amount: Tokens(100), deadline: at(900) };
     let mut commands = node.handle(at(2), Event::Reserve(request));
--- /dev/null
+++ b/crates/badgerfield-standin/tests/operator_values.rs
@@ -0,0 +1,95 @@
+//! Changes of operators' values, such as a key that is taken away, must be in force in time at all
+//! VMs that are in touch, whichever VMs watch the store and whatever their links are like.
+
+use std::time::Duration;
+
+use badgerfield_core::ids::TemplateVersion;
+use badgerfield_core::template::KeyDigest;
+use badgerfield_standin::fleet::{Fleet, FleetConfig};
+
+/// The number of upstreams in the platform's list.
+const UPSTREAMS: usize = 140;
+/// The time from the acknowledgement of a change until it must be in force.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(3);
+/// The interval at which the VMs are checked while a change is distributed.
+const STEP: Duration = Duration::from_millis(10);
+
+fn fleet(vms: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(FleetConfig {
+        regions: vec![vms],
+        domains: 3,
+        limits: vec![1_000_000; 4],
+        routes: 20,
+        seals: true,
+        noise_permille: 0,
+        seed,
+        ..FleetConfig::default()
+    });
+    fleet.listing.upstreams = UPSTREAMS;
+    fleet.listing.writes_per_second = 200;
+    for vm in 0..vms {
+        fleet.start(vm);
+    }
+    // Entries are written all the time, so the list is confirmed often.
+    fleet.listing.lapses_per_second = 20;
+    // The watches of the VMs that were the first to start have ended by then.
+    fleet.advance_listing(Duration::from_secs(28));
+    fleet
+}
+
+/// Takes the keys of a budget away and returns the version of that change.
+fn replace_key(fleet: &mut Fleet, secret: &str) -> TemplateVersion {
+    let is_written = fleet.change_templates(|set| {
+        if let Some(budget) = set.budgets.get_mut(&Fleet::budget(1)) {
+            budget.keys = [KeyDigest::from_secret(secret)].into();
+        }
+    });
+    assert!(is_written, "the store has refused a change");
+    fleet.templates.version
+}
+
+/// Advances the time until the VMs have a version, or for 8 s. Returns how long half of them and
+/// all of them needed.
+fn wait_for(fleet: &mut Fleet, vms: &[usize], version: TemplateVersion) -> (Duration, Duration) {
+    let (mut took, mut half) = (Duration::ZERO, None);
+    while took < Duration::from_secs(8) {
+        let is_done =
+            |vm: &&usize| fleet.node(**vm).is_some_and(|node| node.template_version() >= version);
+        let done = vms.iter().filter(is_done).count();
+        if done * 2 >= vms.len() {
+            half.get_or_insert(took);
+        }
+        if done == vms.len() {
+            break;
+        }
+        fleet.advance_listing(STEP);
+        took += STEP;
+    }
+    (half.unwrap_or(took), took)
+}
+
+/// Guards against a change that nobody reads because the VMs that watch and read operators' values
+/// have lost the store, and others that took over their work confirm only the list of upstreams.
+#[test]
+fn changes_are_in_force_in_time_though_their_readers_lose_the_store() {
+    let mut late = Vec::new();
+    for seed in 1..=4 {
+        let vms = 87;
+        let mut fleet = fleet(vms, seed);
+        // A quarter of the other VMs lose it too.
+        let cut = fleet.operator_readers().into_iter().chain((0..vms).step_by(4));
+        fleet.store.partitioned_vms = cut.collect();
+        let in_touch: Vec<_> =
+            (0..vms).filter(|vm| !fleet.store.partitioned_vms.contains(vm)).collect();
+        for change in 0..4 {
+            fleet.advance_listing(Duration::from_millis(300 + 250 * change));
+            let version = replace_key(&mut fleet, &format!("secret {change}"));
+            let took = wait_for(&mut fleet, &in_touch, version);
+            println!("seed {seed}, change {change}: {took:?}");
+            if took.1 > APPLY_TIMEOUT {
+                late.push((seed, change, took));
+            }
+        }
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
