Operators' values: an age of their own decides who reads them

Cause: whether a member reads and watches the operators' values was decided by the age of the list of upstreams. The readers and watchers had lost the store; the backups read the list, which confirmed it to all in some ms, so that they were no watchers any more when the task that reads the operators' values looked, each 0.4 s.

Change: members know when one of them last read these values (a broadcast at most each 0.6 s). The roles are the same, but follow that age and the setting 'apply'; a watcher whose watch stalls reads too. Lost updates are found by the version in the broadcast.

--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -48,8 +48,13 @@
     StoreReply(StoreCallId, StoreResult),
     /// The VM list was read.
     VmList(VmList),
-    /// The store has answered a read of all values of operators, or has not answered it.
-    OperatorsRead(StoreResult),
+    /// A read of all values of operators from the store has ended.
+    OperatorsRead {
+        /// When the read was requested.
+        requested_at: Time,
+        /// Its result.
+        result: StoreResult,
+    },
     /// Operators have changed values in the store.
     OperatorChanges(OperatorChanges),
     /// A request on a route needs reserved tokens; answered with [`Command::AnswerReserve`].
--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -307,7 +307,8 @@
         } else {
             reads_view
         };
-        if is_due(now, members.templates_read_at, READ_INTERVAL) && reads_templates {
+        let is_reading = members.store_calls.is_pending(&StoreKey::Templates);
+        if is_due(now, members.templates_read_at, READ_INTERVAL) && reads_templates && !is_reading {
             members.templates_read_at = Some(now);
             start_read(&mut members, now, StoreKey::Templates, out);
         }
@@ -427,7 +428,8 @@
             (Purpose::PoisonWrite, result) => self.handle_poison_result(now, true, result, out),
             (Purpose::Ledger(shard), result) => self.handle_ledger_result(now, shard, result, out),
             (Purpose::Read(StoreKey::Templates), result) => {
-                self.handle_operator_read(now, result, out);
+                let requested_at = self.state.membership().templates_read_at.unwrap_or(now);
+                self.handle_operator_read(now, requested_at, result, out);
             }
             (Purpose::Read(StoreKey::View), StoreResult::Value(found)) => {
                 self.apply_stored_view(now, &found, out);
@@ -461,26 +463,6 @@
         }
     }
 
-    /// Handles the result of a read of operators' values.
-    pub(crate) fn handle_operator_read(&self, now: Time, result: StoreResult, out: &mut Outbox) {
-        let is_answered = matches!(result, StoreResult::Value(_) | StoreResult::Operators(_));
-        {
-            let mut members = self.state.membership();
-            if !is_answered && members.operators_lost_at.is_none() {
-                members.operators_lost_at = Some(now);
-                out.push(Command::Log(LogEntry::OperatorsLost));
-            }
-            if let Some(lost) = members.operators_lost_at.take_if(|_| is_answered) {
-                out.push(Command::Log(LogEntry::OperatorsRegained(now.since(lost))));
-            }
-        }
-        match result {
-            StoreResult::Value(found) => self.apply_stored_templates(now, &found, out),
-            StoreResult::Operators(found) => self.apply_operator_values(now, found, out),
-            _ => {}
-        }
-    }
-
     pub(super) fn apply_stored_view(&self, now: Time, found: &Versioned, out: &mut Outbox) {
         let view = match View::decode(found.value.as_deref()) {
             Ok(view) => Arc::new(view),
@@ -512,7 +494,7 @@
 
 /// Returns the minimum time between two fetches of views or templates: so long that the reply to the
 /// first one can arrive.
-fn fetch_interval(members: usize) -> Duration {
+pub(super) fn fetch_interval(members: usize) -> Duration {
     let members = u32::try_from(members).unwrap_or(u32::MAX);
     MIN_FETCH_INTERVAL.saturating_add(FETCH_TIME_PER_MEMBER.saturating_mul(members))
 }
--- a/crates/badgerfield-core/src/handlers/mod.rs
+++ b/crates/badgerfield-core/src/handlers/mod.rs
@@ -11,6 +11,7 @@
 mod evacuations;
 mod joining;
 mod members;
+mod operator_values;
 mod poison;
 mod reservations;
 mod rollouts;
--- /dev/null
+++ b/crates/badgerfield-core/src/handlers/operator_values.rs
@@ -0,0 +1,142 @@
+//! Values that operators write: who reads them from the store, and how the others learn of it.
+//!
+//! A member that reads the values broadcasts from time to time that it has read them. Members that hear of no reader for too long read the store themselves.
+//! This does not depend on the list of upstreams: members that confirm the list need not have
+//! read the operators' values.
+
+use std::time::Duration;
+
+use crate::amount::Time;
+use crate::broadcast;
+use crate::event::{Command, LogEntry, Outbox, StoreResult, is_due};
+use crate::handlers::members::fetch_interval;
+use crate::ids::{Incarnation, TemplateVersion};
+use crate::message::{Message, OperatorUpdate};
+use crate::node::Node;
+
+/// Minimum time between two broadcasts that announce a read without changes. The readers of a
+/// region read each second, so that members hear of one at least as often, well within the time
+/// after which the first of them read themselves.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(600);
+
+impl Node {
+    /// Returns whether this process reads and watches operators' values in the store itself.
+    #[must_use]
+    pub fn watches_operators(&self, now: Time) -> bool {
+        self.state.membership().watches_operators(now)
+    }
+
+    /// Returns whether a process that watches operators' values has to read them, because no
+    /// member has for so long that the watches seem to have stalled.
+    #[must_use]
+    pub fn must_read_operators(&self, now: Time) -> bool {
+        self.state.membership().must_read_operators(now)
+    }
+
+    /// Returns the time since a member last read operators' values from the store, as far as known.
+    #[must_use]
+    pub fn operators_age(&self, now: Time) -> Option<Duration> {
+        self.state.membership().operators_age(now)
+    }
+
+    /// Handles the result of a read of operators' values that was requested at a time.
+    pub(crate) fn handle_operator_read(
+        &self,
+        now: Time,
+        requested_at: Time,
+        result: StoreResult,
+        out: &mut Outbox,
+    ) {
+        self.log_operator_read(now, &result, out);
+        match result {
+            StoreResult::Value(found) => self.apply_stored_templates(now, &found, out),
+            StoreResult::Operators(found) => self.apply_operator_values(now, found, out),
+            _ => return,
+        }
+        self.announce_operator_read(now, requested_at, out);
+    }
+
+    /// Applies an update of operators' values and forwards it to this process's part of the ring.
+    pub(crate) fn receive_operator_update(
+        &self,
+        now: Time,
+        from: Incarnation,
+        update: &OperatorUpdate,
+        out: &mut Outbox,
+    ) {
+        let targets = {
+            let mut members = self.state.membership();
+            members.operators_announced_at = Some(now);
+            members.record_operator_read(Time(now.0.saturating_sub(update.age)));
+            if update.reach == 0 {
+                Vec::new()
+            } else {
+                members.broadcast_targets(now, update.reach)
+            }
+        };
+        for (to, reach) in targets {
+            out.send(to, Message::Operators(OperatorUpdate { reach, ..update.clone() }));
+        }
+        self.fetch_newer_templates(now, from, update.version, out);
+    }
+
+    /// Records that this process has read operators' values, and announces it if no member has done
+    /// so recently.
+    fn announce_operator_read(&self, now: Time, requested_at: Time, out: &mut Outbox) {
+        {
+            let mut members = self.state.membership();
+            members.record_operator_read(requested_at);
+            if !is_due(now, members.operators_announced_at, ANNOUNCE_INTERVAL) {
+                return;
+            }
+        }
+        let version = self.state.templates().version;
+        let age = now.since(requested_at);
+        let update = OperatorUpdate { version, age, reach: 0 };
+        self.broadcast_operator_update(now, &update, out);
+    }
+
+    fn broadcast_operator_update(&self, now: Time, update: &OperatorUpdate, out: &mut Outbox) {
+        let mut members = self.state.membership();
+        members.operators_announced_at = Some(now);
+        for (to, reach) in members.broadcast_targets(now, broadcast::full_reach(&members.view)) {
+            out.send(to, Message::Operators(OperatorUpdate { reach, ..update.clone() }));
+        }
+    }
+
+    /// Fetches templates from a process that has newer ones, unless a fetch is in progress.
+    pub(crate) fn fetch_newer_templates(
+        &self,
+        now: Time,
+        from: Incarnation,
+        version: TemplateVersion,
+        out: &mut Outbox,
+    ) {
+        let mut members = self.state.membership();
+        let known = self.state.templates().version;
+        // A process that has just started requests its first templates in another way.
+        if version <= known || known == TemplateVersion(0) {
+            return;
+        }
+        members.pending_templates.notice(now);
+        if !is_due(now, members.fetch_sent_at, fetch_interval(members.view.members.len())) {
+            return;
+        }
+        members.fetch_sent_at = Some(now);
+        members.pending_templates.record_fetch();
+        let epoch = members.view.epoch;
+        out.send(from, Message::Fetch { epoch, version: known, full: false });
+    }
+
+    fn log_operator_read(&self, now: Time, result: &StoreResult, out: &mut Outbox) {
+        let is_answered = matches!(result, StoreResult::Value(_) | StoreResult::Operators(_));
+        let mut members = self.state.membership();
+        if !is_answered && members.operators_lost_at.is_none() {
+            members.operators_lost_at = Some(now);
+            out.push(Command::Log(LogEntry::OperatorsLost));
+        }
+        if let Some(lost) = members.operators_lost_at.take_if(|_| is_answered) {
+            out.push(Command::Log(LogEntry::OperatorsRegained(now.since(lost))));
+        }
+    }
+}
--- a/crates/badgerfield-core/src/handlers/templates.rs
+++ b/crates/badgerfield-core/src/handlers/templates.rs
@@ -64,16 +64,17 @@
             self.process_template_change(now, TemplateSource::Peer(from), out);
             return;
         }
-        if is_newer {
-            let epoch = {
-                let mut members = self.state.membership();
-                members.pending_templates.notice(now);
-                members.pending_templates.record_unapplied();
-                members.pending_templates.record_fetch();
-                members.view.epoch
-            };
-            out.send(from, Message::Fetch { epoch, version, full: needs_full });
+        if !is_newer {
+            return;
         }
+        let epoch = {
+            let mut members = self.state.membership();
+            members.pending_templates.notice(now);
+            members.pending_templates.record_unapplied();
+            members.pending_templates.record_fetch();
+            members.view.epoch
+        };
+        out.send(from, Message::Fetch { epoch, version, full: needs_full });
     }
 
     /// Updates the terms of a budget, and the share of it that VMs hold ahead of demand, in the
@@ -93,12 +94,17 @@
     }
 
     fn process_template_change(&self, now: Time, source: TemplateSource, out: &mut Outbox) {
-        let version = {
+        let (version, entries) = {
             let table = self.state.templates();
             self.state.template_history().record(&table);
-            table.version
+            let entries = table.accounts.len() + table.budgets.len() + table.routing.routes.len();
+            (table.version, entries)
+        };
+        let arrival = {
+            let mut members = self.state.membership();
+            members.template_entries = entries;
+            members.pending_templates.finish(now, version, source)
         };
-        let arrival = self.state.membership().pending_templates.finish(now, version, source);
         out.push(Command::Log(LogEntry::Templates(arrival)));
         let budgets: Vec<_> = self.state.holdings().budgets().cloned().collect();
         for budget in budgets {
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -44,6 +44,9 @@
 /// Maximum number of entries that all members together may read if the usual watchers of the list
 /// fail: 450 bytes each, a second of a link of 1 Gbit/s.
 const MAX_FALLBACK_ENTRIES: usize = 250_000;
+/// The share, in percent, of the time within which operators' values have to be in force, after
+/// which the members that watch them read them if no member has.
+const WATCHER_READ_PERCENT: u32 = 60;
 /// Minimum number of doubling distances in the ring at which a member has neighbours.
 const MIN_NEIGHBOURS: u32 = 8;
 
@@ -134,6 +137,8 @@
     unresponsive_after: Duration,
     /// How long a leaving upstream accepts requests after it has announced that it leaves.
     leave_notice: Duration,
+    /// The time within which a change of operators' values has to be in force everywhere.
+    apply_timeout: Duration,
     pub(crate) store_calls: PendingCalls,
     contacts: BTreeMap<Incarnation, Contact>,
     non_members: BTreeMap<Incarnation, SocketAddr>,
@@ -167,6 +172,12 @@
     pub(crate) pending_templates: PendingArrival,
     /// Since when reads of operators' values from the store have failed.
     pub(crate) operators_lost_at: Option<Time>,
+    /// When a member last read operators' values from the store, as far as known.
+    operators_read_at: Option<Time>,
+    /// When such a read was last announced to all members, by this process or another.
+    pub(crate) operators_announced_at: Option<Time>,
+    /// The number of accounts, budgets and routes in the templates.
+    pub(crate) template_entries: usize,
     /// When each member with an older view was last sent the view without having asked.
     pub(crate) views_pushed: HashMap<Incarnation, Time>,
     /// When confirmations were received that the next tick has to forward.
@@ -174,7 +185,14 @@
 }
 
 impl Membership {
-    pub(crate) fn new(me: Member, heartbeat_interval: Duration, leave_notice: Duration) -> Self {
+    /// Creates the state of a process that has not joined. `bounds` are how long a leaving upstream
+    /// accepts requests, and the time within which operators' values have to be in force.
+    pub(crate) fn new(
+        me: Member,
+        heartbeat_interval: Duration,
+        bounds: (Duration, Duration),
+    ) -> Self {
+        let (leave_notice, apply_timeout) = bounds;
         Self {
             me,
             view: Arc::default(),
@@ -206,6 +224,7 @@
             list_confirmed_at: None,
             unresponsive_after: heartbeat_interval.saturating_mul(MAX_MISSED_HEARTBEATS),
             leave_notice,
+            apply_timeout,
             store_calls: PendingCalls::default(),
             contacts: BTreeMap::new(),
             non_members: BTreeMap::new(),
@@ -228,6 +247,9 @@
             fetch_sent_at: None,
             pending_templates: PendingArrival::default(),
             operators_lost_at: None,
+            operators_read_at: None,
+            operators_announced_at: None,
+            template_entries: 0,
             views_pushed: HashMap::new(),
             confirmations_pending: None,
         }
@@ -512,17 +534,55 @@
     /// watch it and forward changes, more do so if these seem to be cut off, and all members do so
     /// if no updates arrive at all.
     pub(crate) fn watches_store(&self, now: Time, list_age: Option<Duration>) -> bool {
+        self.has_watch_role(now, list_age, self.leave_notice, self.list_entries)
+    }
+
+    /// Returns whether this process reads and watches operators' values in the store itself.
+    ///
+    /// The roles are those of [`Self::watches_store`], but they depend on when a member last read
+    /// operators' values. The age of the list of upstreams says nothing about these.
+    pub(crate) fn watches_operators(&self, now: Time) -> bool {
+        let age = self.operators_age(now);
+        self.has_watch_role(now, age, self.apply_timeout, self.template_entries)
+    }
+
+    /// Returns whether no member has read operators' values for so long that a process that watches
+    /// them should do so: its watch may have stalled without notice.
+    pub(crate) fn must_read_operators(&self, now: Time) -> bool {
+        let wait = self.apply_timeout * WATCHER_READ_PERCENT / 100;
+        self.operators_age(now).is_none_or(|age| age >= wait)
+    }
+
+    /// Records that a member has read operators' values from the store.
+    pub(crate) fn record_operator_read(&mut self, at: Time) {
+        self.operators_read_at = self.operators_read_at.max(Some(at));
+    }
+
+    /// Returns the time since a member last read operators' values, as far as known.
+    pub(crate) fn operators_age(&self, now: Time) -> Option<Duration> {
+        self.operators_read_at.map(|at| now.since(at))
+    }
+
+    /// Returns whether this process watches a value of the store whose last confirmation has an age
+    /// and that has to be known in time everywhere.
+    fn has_watch_role(
+        &self,
+        now: Time,
+        age: Option<Duration>,
+        timeout: Duration,
+        entries: usize,
+    ) -> bool {
         let is_member = self.is_member();
         let is_small = self.view.members.len() <= MAX_SMALL_VIEW_MEMBERS;
         if is_member && (is_small || self.is_isolated(now)) {
             return true;
         }
-        let is_heavy = self.view.members.len() * self.list_entries > MAX_FALLBACK_ENTRIES;
+        let is_heavy = self.view.members.len() * entries > MAX_FALLBACK_ENTRIES;
         let Some(percent) = self.ranks.watch_delay_percent(is_heavy) else {
-            return list_age.is_none();
+            return age.is_none();
         };
-        let wait = self.leave_notice * percent / 100;
-        list_age.is_none_or(|age| age >= wait)
+        let wait = timeout * percent / 100;
+        age.is_none_or(|age| age >= wait)
     }
 
     /// Returns the rank of this process among the members that watch the store.
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -212,6 +212,8 @@
     },
     /// Rate limits that upstreams have announced or withdrawn, as known to the sender.
     LimitReports(Vec<LimitReport>),
+    /// Operators' values were read from the store; broadcast to all members.
+    Operators(OperatorUpdate),
 }
 
 impl Message {
@@ -223,6 +225,7 @@
             Self::Fetch { .. } | Self::View(_) => "view",
             Self::Conditions(_) => "conditions",
             Self::TemplateDelta(_) | Self::Templates(_) => "templates",
+            Self::Operators(_) => "operators",
             Self::LedgerRequest(_) | Self::LedgerReplies(_) => "draw",
             Self::UpstreamChanges(_) | Self::FetchUpstreams { .. } | Self::Upstreams(_) => {
                 "upstreams"
@@ -270,6 +273,17 @@
     pub reach: u32,
 }
 
+/// An update about operators' values, broadcast to all members.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperatorUpdate {
+    /// The version of the templates in the store.
+    pub version: TemplateVersion,
+    /// The time since the values were read.
+    pub age: Duration,
+    /// The number of members before the receiver in the ring to which it forwards the update.
+    pub reach: u32,
+}
+
 /// An update about the conditions of members, broadcast to all members.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConditionUpdate {
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -41,6 +41,8 @@
     pub return_timeout: Duration,
     /// How long a leaving upstream accepts requests after it has announced that it leaves.
     pub leave_notice: Duration,
+    /// The time within which a change of operators' values has to be in force at all processes.
+    pub apply_timeout: Duration,
     /// Whether tokens held ahead are sealed instead of parked at a peer.
     pub seal_holdings: bool,
     /// The limits that the platform sets for rollouts.
@@ -57,6 +59,7 @@
             heartbeat_interval: Duration::from_secs(1),
             return_timeout: Duration::from_secs(8),
             leave_notice: Duration::from_secs(3),
+            apply_timeout: Duration::from_secs(3),
             seal_holdings: false,
             rollout: RolloutBound::default(),
             policy: Policy::default(),
@@ -144,7 +147,7 @@
         let members = Membership::new(
             config.member.clone(),
             config.pacing.heartbeat_interval,
-            config.pacing.leave_notice,
+            (config.pacing.leave_notice, config.pacing.apply_timeout),
         );
         let runs = Runs::new(config.answer_retention, config.max_answer_bytes);
         let claims = Claims::new(me, config.key_retention);
@@ -357,7 +360,9 @@
                 self.state.membership().apply_vm_list(&list);
                 self.state.upstreams().apply_list(&list);
             }
-            Event::OperatorsRead(result) => self.handle_operator_read(now, result, out),
+            Event::OperatorsRead { requested_at, result } => {
+                self.handle_operator_read(now, requested_at, result, out);
+            }
             Event::OperatorChanges(changes) => self.apply_operator_changes(now, changes, out),
             Event::Reserve(request) => self.reserve_for_route(now, &request, out),
             Event::CancelReserve(request) => self.cancel_reserve(now, &request, out),
@@ -444,6 +449,7 @@
             Message::FetchUpstreams { since } => out.push(Command::SendUpstreamList(from, since)),
             Message::Upstreams(list) => out.push(Command::ApplyUpstreamList(list)),
             Message::LimitReports(reports) => out.push(Command::ApplyLimitReports(from, reports)),
+            Message::Operators(update) => self.receive_operator_update(now, from, &update, out),
             Message::Evacuations(update) => self.receive_evacuation_update(now, from, update, out),
             Message::CompareEvacuations(theirs) => self.reconcile_evacuations(from, &theirs, out),
             Message::Rollouts(update) => self.receive_rollout_update(now, update, out),
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -58,39 +58,31 @@
 /// Watches the values that operators write, such as the templates and the evacuated failure
 /// domains.
 ///
-/// One watch returns the changes of all values. The values are read before the first watch and
-/// after a watch that may have missed changes.
+/// One watch returns the changes of all values. The values are read before the first watch, after
+/// a watch that may have missed changes, and when no member is known to have read them for a while:
+/// a watch may stall without notice.
 pub(crate) async fn watch_operators(driver: Arc<Driver>) {
     let mut revision = 0;
     let mut backoff = Backoff::default();
     loop {
-        if !is_template_watcher(&driver) {
+        if !is_operator_watcher(&driver) {
             revision = 0;
-            driver
-                .clock
-                .sleep(role_check_interval(driver.node.template_version() == TemplateVersion(0)))
-                .await;
+            driver.clock.sleep(TICK_INTERVAL).await;
             continue;
         }
-        if revision == 0 {
-            let call = StoreCall::Get(StoreKey::Templates);
-            driver.metrics.store_calls.count(CallKind::of(&call));
-            // If no templates exist yet, the watch waits for the first ones.
-            let result = driver.store.call(&call).await;
-            let found = match &result {
-                StoreResult::Value(value) => Some(value.revision),
-                StoreResult::Operators(values) => Some(values.revision),
-                _ => None,
-            };
-            driver.handle_event(Event::OperatorsRead(result));
-            let Some(found) = found else {
+        if revision == 0 || driver.node.must_read_operators(driver.now()) {
+            let Some(found) = read_operators(&driver).await else {
                 driver.clock.sleep(backoff.next_delay(&driver)).await;
                 continue;
             };
-            revision = found;
+            revision = revision.max(found);
         }
         driver.metrics.store_calls.count(CallKind::TemplatesWatch);
-        match driver.store.watch_operator_changes(revision).await {
+        let found = tokio::select! {
+            found = driver.store.watch_operator_changes(revision) => found,
+            () = wait_for_operator_read(&driver) => continue,
+        };
+        match found {
             WatchResult::Changed(changes) => {
                 backoff = Backoff::default();
                 revision = revision.max(changes.revision);
@@ -109,6 +101,29 @@
     }
 }
 
+/// Reads the values of operators and returns their revision, or `None` if the call fails.
+async fn read_operators(driver: &Arc<Driver>) -> Option<u64> {
+    let call = StoreCall::Get(StoreKey::Templates);
+    driver.metrics.store_calls.count(CallKind::of(&call));
+    let requested_at = driver.now();
+    let result = driver.store.call(&call).await;
+    let revision = match &result {
+        // If no templates exist yet, the watch waits for the first ones.
+        StoreResult::Value(value) => Some(value.revision),
+        StoreResult::Operators(values) => Some(values.revision),
+        _ => None,
+    };
+    driver.handle_event(Event::OperatorsRead { requested_at, result });
+    revision
+}
+
+/// Waits until no member is known to have read the operators' values for a while.
+async fn wait_for_operator_read(driver: &Driver) {
+    while !driver.node.must_read_operators(driver.now()) {
+        driver.clock.sleep(TICK_INTERVAL).await;
+    }
+}
+
 /// Watches the announcements of processes that are joining, while this process is one of the few
 /// that add them to the view.
 ///
@@ -349,10 +364,11 @@
     driver.node.watches_store(now, Some(now.since(updated)))
 }
 
-/// Returns whether this process watches the templates itself, which it does while it watches the
-/// list of upstreams. The first templates are read together with the view.
-fn is_template_watcher(driver: &Driver) -> bool {
-    driver.node.template_version() > TemplateVersion(0) && is_list_watcher(driver)
+/// Returns whether this process watches the operators' values itself. The first ones are read
+/// together with the view.
+fn is_operator_watcher(driver: &Driver) -> bool {
+    driver.node.template_version() > TemplateVersion(0)
+        && driver.node.watches_operators(driver.now())
 }
 
 /// Closes unused connections, and reports rate limits, the demand for engines, queueing delays
--- a/crates/badgerfield-node/src/settings.rs
+++ b/crates/badgerfield-node/src/settings.rs
@@ -375,6 +375,7 @@
         ),
         return_timeout: file.duration_or("pacing", "hand_on", default.return_timeout, (min, max)),
         leave_notice: file.duration_or("pacing", "notice", default.leave_notice, (min, max)),
+        apply_timeout: file.duration_or("pacing", "apply", default.apply_timeout, (min, max)),
         seal_holdings: file.value_or("pacing", "seals", default.seal_holdings),
         rollout: read_rollout(file),
         policy: read_policy(file),
--- a/crates/badgerfield-standin/src/fleet/listing.rs
+++ b/crates/badgerfield-standin/src/fleet/listing.rs
@@ -335,7 +335,7 @@
         }
     }
 
-    fn local_time(&self, vm: usize) -> Time {
+    pub(super) fn local_time(&self, vm: usize) -> Time {
         Time(self.now.since(self.vms[vm].started))
     }
 }
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -161,6 +161,9 @@
     /// Transfers to processes that had ended, by sender, receiver and sequence number.
     undeliverable: BTreeMap<(Incarnation, Incarnation, u64), (BudgetId, u64)>,
     rng: ChaCha8Rng,
+    /// Draws the losses and delays of operators' updates, so that their number does not change the
+    /// history of everything else.
+    operators_rng: ChaCha8Rng,
     /// The number and the bytes of messages, by kind.
     messages: BTreeMap<&'static str, (u64, u64)>,
     /// The same for messages to another region.
@@ -175,6 +178,7 @@
     #[must_use]
     pub fn new(config: FleetConfig) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(config.seed);
+        let operators_rng = ChaCha8Rng::seed_from_u64(!config.seed);
         let upstreams = Upstreams::new(config.engines);
         let mut fleet = Self {
             now: Time::from_millis(1000),
@@ -200,6 +204,7 @@
             undeliverable: BTreeMap::new(),
             clock_offsets_ms: BTreeMap::new(),
             rng,
+            operators_rng,
             messages: BTreeMap::new(),
             cross_region_messages: BTreeMap::new(),
             cross_domain_messages: BTreeMap::new(),
--- a/crates/badgerfield-standin/src/fleet/operators.rs
+++ b/crates/badgerfield-standin/src/fleet/operators.rs
@@ -2,23 +2,20 @@
 
 use std::time::Duration;
 
-use badgerfield_core::Event;
 use badgerfield_core::amount::Time;
 use badgerfield_core::event::{OperatorChanges, StoreKey, StoreResult};
 use badgerfield_core::ids::{Incarnation, TemplateVersion};
+use badgerfield_core::{Event, TICK_INTERVAL};
 use bytes::Bytes;
 
 use super::{Fleet, ScheduledAction};
 
-/// The interval at which a VM checks whether it watches operators' values.
-const ROLE_INTERVAL: Duration = Duration::from_millis(400);
 /// The time after which a watch ends without changes.
 const WATCH_TIME: Duration = Duration::from_secs(20);
 /// The time after which a call is given up.
 const TIMEOUT: Duration = Duration::from_millis(700);
-/// The part of [`ROLE_INTERVAL`] by which the checks of one VM are later than those of the one
-/// before.
-const PHASE_STEP: Duration = Duration::from_millis(37);
+/// The time by which the checks of one VM are later than those of the one before.
+const PHASE_STEP: Duration = Duration::from_millis(7);
 
 /// How a VM watches operators' values.
 #[derive(Debug, Default)]
@@ -46,7 +43,7 @@
     /// one, no VM watches the store.
     pub(super) fn start_operator_watch(&mut self, vm: usize) {
         self.vms[vm].operators = OperatorWatch::default();
-        let steps = u32::try_from(vm).unwrap_or(0) % 11;
+        let steps = u32::try_from(vm).unwrap_or(0) % 7;
         let incarnation = self.vms[vm].member.incarnation;
         let at = self.now.after(PHASE_STEP * steps);
         self.schedule(at, ScheduledAction::CheckOperators(incarnation));
@@ -56,10 +53,11 @@
     pub(super) fn check_operators(&mut self, vm: usize) {
         let incarnation = self.vms[vm].member.incarnation;
         let next = ScheduledAction::CheckOperators(incarnation);
-        if self.is_watching_operators(vm) || !self.watches_operators(vm) {
-            self.schedule(self.now.after(ROLE_INTERVAL), next);
+        if !self.has_to_read_operators(vm) {
+            self.schedule(self.now.after(TICK_INTERVAL), next);
             return;
         }
+        let requested_at = self.local_time(vm);
         let is_cut = self.store.partitioned_vms.contains(&vm);
         let (result, at) = if self.store.down || is_cut {
             (StoreResult::Unknown, self.now.after(TIMEOUT))
@@ -68,17 +66,19 @@
             let result = self.store.read_operators(vm, self.now);
             (result, self.now.after(self.store.delay() * 2))
         };
-        self.schedule(at, ScheduledAction::Deliver(incarnation, Event::OperatorsRead(result)));
-        self.schedule(at.after(ROLE_INTERVAL), next);
+        let event = Event::OperatorsRead { requested_at, result };
+        self.schedule(at, ScheduledAction::Deliver(incarnation, event));
+        self.schedule(at.after(TICK_INTERVAL), next);
     }
 
-    fn watches_operators(&self, vm: usize) -> bool {
-        if self.listing.upstreams == 0 {
+    fn has_to_read_operators(&self, vm: usize) -> bool {
+        let local = self.local_time(vm);
+        let Some(node) = self.node(vm).filter(|_| self.listing.upstreams > 0) else {
             return false;
-        }
-        let has_templates =
-            self.node(vm).is_some_and(|node| node.template_version() > TemplateVersion(0));
-        has_templates && self.watches_list(vm)
+        };
+        let is_watcher =
+            node.template_version() > TemplateVersion(0) && node.watches_operators(local);
+        is_watcher && (!self.is_watching_operators(vm) || node.must_read_operators(local))
     }
 
     /// Delivers changed templates to the VMs that watch operators' values.
--- a/crates/badgerfield-standin/src/fleet/processes.rs
+++ b/crates/badgerfield-standin/src/fleet/processes.rs
@@ -54,6 +54,7 @@
             heartbeat_interval: Duration::from_millis(400),
             return_timeout: Duration::from_secs(1),
             leave_notice: Duration::from_secs(3),
+            apply_timeout: Duration::from_secs(3),
             policy: Policy::default(),
             seal_holdings: true,
             rollout: super::rollouts::rollout_bound(),
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -5,7 +5,7 @@
 use badgerfield_core::amount::Time;
 use badgerfield_core::event::Command;
 use badgerfield_core::ids::Incarnation;
-use badgerfield_core::message::Envelope;
+use badgerfield_core::message::{Envelope, Message};
 use badgerfield_core::{Event, TICK_INTERVAL};
 use rand::RngExt;
 
@@ -186,14 +186,20 @@
             self.now.after(if a == b { REGION_LATENCY } else { CROSS_REGION_LATENCY });
         let base = self.send_between_regions((a, b), bytes, None).unwrap_or(without_link);
         let base = self.send_over_vm_links((index, to), bytes, base);
-        let copies = match self.rng.random_range(0..1000) {
+        let rng = match envelope.message {
+            Message::Operators(_) => &mut self.operators_rng,
+            _ => &mut self.rng,
+        };
+        let copies = match rng.random_range(0..1000) {
             n if n < self.config.noise_permille => 0,
             n if n < 2 * self.config.noise_permille => 2,
             _ => 1,
         };
-        for _ in 0..copies {
-            let jitter = Duration::from_micros(self.rng.random_range(0..MAX_JITTER_US));
-            let at = base.after(jitter);
+        let delays: Vec<_> = (0..copies)
+            .map(|_| Duration::from_micros(rng.random_range(0..MAX_JITTER_US)))
+            .collect();
+        for delay in delays {
+            let at = base.after(delay);
             self.schedule(at, ScheduledAction::Deliver(envelope.to, Event::Peer(envelope.clone())));
         }
     }
--- a/crates/badgerfield-standin/tests/joining.rs
+++ b/crates/badgerfield-standin/tests/joining.rs
@@ -110,7 +110,13 @@
     let node = fleet.node(0).expect("the VM runs");
     let value = Some(fleet.templates.encode().into());
     let at = Time::from_millis;
-    node.handle(at(1), Event::OperatorsRead(StoreResult::Value(Versioned { value, revision: 1 })));
+    node.handle(
+        at(1),
+        Event::OperatorsRead {
+            requested_at: at(1),
+            result: StoreResult::Value(Versioned { value, revision: 1 }),
+        },
+    );
     let (id, budget) = (ReservationId(1), Fleet::budget(0));
     let request = ReserveRequest { id, budget, amount: Tokens(100), deadline: at(900) };
     let mut commands = node.handle(at(2), Event::Reserve(request));
