Templates: a change that is read from the store is broadcast with its content

Change: who reads a change broadcasts the difference to the version before, one message a member, if it is small (8 KB). Whoever cannot apply it fetches as before.

--- a/crates/badgerfield-core/src/handlers/operator_values.rs
+++ b/crates/badgerfield-core/src/handlers/operator_values.rs
@@ -1,6 +1,7 @@
 //! Values that operators write: who reads them from the store, and how the others learn of it.
 //!
-//! A member that reads the values broadcasts from time to time that it has read them. Members that hear of no reader for too long read the store themselves.
+//! A member that reads the values broadcasts what has changed, and otherwise, from time to time,
+//! that it has read them. Members that hear of no reader for too long read the store themselves.
 //! This does not depend on the list of upstreams: members that confirm the list need not have
 //! read the operators' values.
 
@@ -13,11 +14,15 @@
 use crate::ids::{Incarnation, TemplateVersion};
 use crate::message::{Message, OperatorUpdate};
 use crate::node::Node;
+use crate::template::TemplateDelta;
 
 /// Minimum time between two broadcasts that announce a read without changes. The readers of a
 /// region read each second, so that members hear of one at least as often, well within the time
 /// after which the first of them read themselves.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(600);
+/// Maximum encoded size of a difference that is broadcast. A member sends it to as many others as
+/// the fleet's size has binary digits; larger ones are fetched by each member once.
+const MAX_BROADCAST_BYTES: usize = 8 << 10;
 
 impl Node {
     /// Returns whether this process reads and watches operators' values in the store itself.
@@ -61,7 +66,7 @@
         &self,
         now: Time,
         from: Incarnation,
-        update: &OperatorUpdate,
+        update: OperatorUpdate,
         out: &mut Outbox,
     ) {
         let targets = {
@@ -77,7 +82,19 @@
         for (to, reach) in targets {
             out.send(to, Message::Operators(OperatorUpdate { reach, ..update.clone() }));
         }
-        self.fetch_newer_templates(now, from, update.version, out);
+        match update.delta {
+            Some(delta) => self.apply_template_delta(now, from, *delta, out),
+            None => self.fetch_newer_templates(now, from, update.version, out),
+        }
+    }
+
+    /// Broadcasts a change of the templates that was read from the store.
+    pub(crate) fn broadcast_templates(&self, now: Time, delta: TemplateDelta, out: &mut Outbox) {
+        let version = delta.version;
+        let size = postcard::to_stdvec(&delta).map_or(usize::MAX, |bytes| bytes.len());
+        let delta = (size <= MAX_BROADCAST_BYTES).then(|| Box::new(delta));
+        let update = OperatorUpdate { delta, version, age: Duration::ZERO, reach: 0 };
+        self.broadcast_operator_update(now, &update, out);
     }
 
     /// Records that this process has read operators' values, and announces it if no member has done
@@ -92,7 +109,7 @@
         }
         let version = self.state.templates().version;
         let age = now.since(requested_at);
-        let update = OperatorUpdate { version, age, reach: 0 };
+        let update = OperatorUpdate { delta: None, version, age, reach: 0 };
         self.broadcast_operator_update(now, &update, out);
     }
 
--- a/crates/badgerfield-core/src/handlers/templates.rs
+++ b/crates/badgerfield-core/src/handlers/templates.rs
@@ -33,12 +33,18 @@
         source: TemplateSource,
         out: &mut Outbox,
     ) {
-        {
+        let delta = {
             let mut table = self.state.templates();
             if set.version <= table.version || !set.errors().is_empty() {
                 return;
             }
-            *table = set;
+            let base = std::mem::replace(&mut *table, set).version;
+            let is_from_store = source == TemplateSource::Store;
+            let history = is_from_store.then(|| self.state.template_history());
+            history.and_then(|history| history.delta(&table, base))
+        };
+        if let Some(delta) = delta {
+            self.broadcast_templates(now, delta, out);
         }
         self.process_template_change(now, source, out);
     }
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -276,6 +276,8 @@
 /// An update about operators' values, broadcast to all members.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OperatorUpdate {
+    /// The change of the templates, if they have changed and it is small.
+    pub delta: Option<Box<TemplateDelta>>,
     /// The version of the templates in the store.
     pub version: TemplateVersion,
     /// The time since the values were read.
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -449,7 +449,7 @@
             Message::FetchUpstreams { since } => out.push(Command::SendUpstreamList(from, since)),
             Message::Upstreams(list) => out.push(Command::ApplyUpstreamList(list)),
             Message::LimitReports(reports) => out.push(Command::ApplyLimitReports(from, reports)),
-            Message::Operators(update) => self.receive_operator_update(now, from, &update, out),
+            Message::Operators(update) => self.receive_operator_update(now, from, update, out),
             Message::Evacuations(update) => self.receive_evacuation_update(now, from, update, out),
             Message::CompareEvacuations(theirs) => self.reconcile_evacuations(from, &theirs, out),
             Message::Rollouts(update) => self.receive_rollout_update(now, update, out),
--- a/crates/badgerfield-standin/tests/operator_values.rs
+++ b/crates/badgerfield-standin/tests/operator_values.rs
@@ -5,7 +5,7 @@
 
 use badgerfield_core::ids::TemplateVersion;
 use badgerfield_core::template::KeyDigest;
-use badgerfield_standin::fleet::{Fleet, FleetConfig};
+use badgerfield_standin::fleet::{Fleet, FleetConfig, Link};
 
 /// The number of upstreams in the platform's list.
 const UPSTREAMS: usize = 140;
@@ -14,7 +14,8 @@
 /// The interval at which the VMs are checked while a change is distributed.
 const STEP: Duration = Duration::from_millis(10);
 
-fn fleet(vms: usize, seed: u64) -> Fleet {
+/// Starts a fleet and lets it run for a while.
+fn fleet(vms: usize, seed: u64, warm_up: Duration) -> Fleet {
     let mut fleet = Fleet::new(FleetConfig {
         regions: vec![vms],
         domains: 3,
@@ -32,8 +33,7 @@
     }
     // Entries are written all the time, so the list is confirmed often.
     fleet.listing.lapses_per_second = 20;
-    // The watches of the VMs that were the first to start have ended by then.
-    fleet.advance_listing(Duration::from_secs(28));
+    fleet.advance_listing(warm_up);
     fleet
 }
 
@@ -75,7 +75,8 @@
     let mut late = Vec::new();
     for seed in 1..=4 {
         let vms = 87;
-        let mut fleet = fleet(vms, seed);
+        // The watches of the VMs that were the first to start have ended by then.
+        let mut fleet = fleet(vms, seed, Duration::from_secs(28));
         // A quarter of the other VMs lose it too.
         let cut = fleet.operator_readers().into_iter().chain((0..vms).step_by(4));
         fleet.store.partitioned_vms = cut.collect();
@@ -93,3 +94,45 @@
     }
     assert!(late.is_empty(), "{late:?}");
 }
+
+/// Guards against changes that need several round trips to a VM whose link makes messages wait, and
+/// against a storm of changes that keeps such a VM from ever catching up.
+#[test]
+fn changes_are_in_force_in_time_behind_a_full_link() {
+    const LINK_BITS_PER_SECOND: f64 = 10e6;
+    let cases = [
+        (60, 1, 1200, APPLY_TIMEOUT),
+        (60, 2, 1200, APPLY_TIMEOUT),
+        (60, 2, 200, Duration::from_millis(800)),
+        (300, 1, 1200, APPLY_TIMEOUT),
+    ];
+    let mut late = Vec::new();
+    for (vms, seed, wait_ms, timeout) in cases {
+        let mut fleet = fleet(vms, seed, Duration::from_secs(8));
+        for vm in (3..vms).step_by(10) {
+            fleet.kill(vm);
+        }
+        let link = Link::new(Duration::from_millis(wait_ms), LINK_BITS_PER_SECOND);
+        fleet.advance_listing(Duration::from_secs(6));
+        // A VM that reads the values itself need not hear of them.
+        let readers = fleet.operator_readers();
+        let mut others = (0..vms).filter(|vm| vm % 10 != 3 && !readers.contains(vm));
+        let busy = others.next().expect("most VMs do not read the values");
+        fleet.full_links.insert(busy, link);
+        fleet.advance_listing(Duration::from_secs(3));
+        for change in 0..16 {
+            replace_key(&mut fleet, &format!("secret {change}"));
+            fleet.advance_listing(Duration::from_millis(300));
+        }
+        let version = replace_key(&mut fleet, "the last secret");
+        let (_, storm) = wait_for(&mut fleet, &[busy], version);
+        fleet.advance_listing(Duration::from_secs(4));
+        let version = replace_key(&mut fleet, "another secret");
+        let (_, single) = wait_for(&mut fleet, &[busy], version);
+        println!("{vms} VMs, seed {seed}, {wait_ms} ms: storm {storm:?}, single {single:?}");
+        if storm.max(single) > timeout {
+            late.push((vms, seed, wait_ms, storm, single));
+        }
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
