Broadcasts: members that seem silent are sent the update too

Cause: the members that would send it a broadcast are those that hear its heartbeats. While its own messages wait behind answers to callers they take it for silent and left it out, though it receives well; and it cannot fetch what it lacks, since its fetches wait as well.

Change: a silent member is not relied on to forward, but it is sent the update. One message a member as before.

--- a/crates/badgerfield-core/src/broadcast.rs
+++ b/crates/badgerfield-core/src/broadcast.rs
@@ -8,7 +8,9 @@
 //!
 //! Each member receives the update once, after at most as many hops as the fleet's size has binary
 //! digits, and the update crosses to each region once. The members at these distances are those
-//! that send heartbeats to this process, so that it can skip unresponsive ones. Messages are not
+//! that send heartbeats to this process, so that it does not rely on unresponsive ones to forward
+//! the update. These are sent it as well: a member whose own messages wait may still receive, and
+//! cannot fetch what it lacks. Messages are not
 //! acknowledged: members compare digests to find updates that were lost.
 
 use std::collections::BTreeMap;
@@ -73,16 +75,18 @@
     let mut start = 1;
     while start <= reach {
         let end = (start * 2 - 1).min(reach);
-        // The first member of a range that is not known to be silent forwards to the rest of it.
+        // The first member of a range that is not known to be silent forwards to the rest of it. A
+        // silent one before it is sent the update too: it may only be unable to send.
         for distance in start..=end {
             let Some(member) = ring.get((index + count - distance) % count) else {
                 continue;
             };
-            if is_silent(member.incarnation) && distance < end {
-                continue;
+            let is_skipped = is_silent(member.incarnation) && distance < end;
+            let reach = if is_skipped { 0 } else { to_count(end - distance) };
+            targets.push((member.incarnation, reach));
+            if !is_skipped {
+                break;
             }
-            targets.push((member.incarnation, to_count(end - distance)));
-            break;
         }
         start *= 2;
     }
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -147,6 +147,8 @@
     pub listing: Listing,
     /// Links of single VMs on which answers to callers leave little bandwidth.
     pub full_links: BTreeMap<usize, Link>,
+    /// The pairs of VMs between which messages from the first to the second are lost.
+    pub lost_paths: BTreeSet<(usize, usize)>,
     config: FleetConfig,
     vms: Vec<Vm>,
     upstreams: Upstreams,
@@ -191,6 +193,7 @@
             link: None,
             listing: Listing::default(),
             full_links: BTreeMap::new(),
+            lost_paths: BTreeSet::new(),
             vms: Vec::new(),
             upstreams,
             scheduled: BTreeMap::new(),
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -168,6 +168,9 @@
             self.record_undeliverable(envelope);
             return;
         };
+        if self.lost_paths.contains(&(index, to)) {
+            return;
+        }
         let (a, b) = (self.region_of(index), self.region_of(to));
         if a != b {
             let entry = self.cross_region_messages.entry(kind).or_default();
--- a/crates/badgerfield-standin/tests/operator_values.rs
+++ b/crates/badgerfield-standin/tests/operator_values.rs
@@ -136,3 +136,28 @@
     }
     assert!(late.is_empty(), "{late:?}");
 }
+
+/// Guards against a VM that misses changes because its own messages wait: it cannot fetch them, and
+/// as it seems silent to others, broadcasts must not leave it out.
+#[test]
+fn changes_reach_vms_that_seem_silent() {
+    let mut late = Vec::new();
+    for (vms, seed) in [(60, 1), (60, 2), (200, 1)] {
+        // The watches of the VMs that were the first to start have ended by then.
+        let mut fleet = fleet(vms, seed, Duration::from_secs(28));
+        let readers = fleet.operator_readers();
+        let mute: Vec<_> = (0..vms).filter(|vm| !readers.contains(vm)).step_by(9).collect();
+        let paths = mute.iter().flat_map(|vm| (0..vms).map(move |other| (*vm, other)));
+        fleet.lost_paths = paths.collect();
+        for change in 0..4 {
+            fleet.advance_listing(Duration::from_secs(3));
+            let version = replace_key(&mut fleet, &format!("secret {change}"));
+            let (_, took) = wait_for(&mut fleet, &mute, version);
+            println!("{vms} VMs, seed {seed}, change {change}: {took:?}");
+            if took > Duration::from_millis(800) {
+                late.push((vms, seed, change, took));
+            }
+        }
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
