Reports of silent members: the latest time at which anyone heard a member decides

Change: a report tells how long ago the member was heard. A report of silence is ignored where the member was heard since; an observer that does not hear it relies for 5 s on one that does; observers that do hear it contradict one after the other; and the member itself does not forward reports about it, since others may not hear them.

--- a/crates/badgerfield-core/src/availability.rs
+++ b/crates/badgerfield-core/src/availability.rs
@@ -6,6 +6,10 @@
 //! all members. Reports expire, so that a lost one does no lasting harm, and the number of reports
 //! is bounded: a silent member has one reporter as a rule, and no member reports itself overloaded
 //! while many others are, since callers have nowhere better to go then.
+//!
+//! Observers of a member may differ, if some of its messages are lost or wait. A report therefore
+//! tells how long ago the member was heard, and the latest time at which anyone heard it decides,
+//! in whichever order the reports arrive.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -27,6 +31,13 @@
 /// The additional time after which each further observer of a silent member reports it, if no
 /// other one has.
 const REPORT_STAGGER: Duration = Duration::from_millis(400);
+/// The additional time after which each further observer contradicts a report that a member is
+/// silent, if no other one has. A broadcast reaches the other observers in less.
+const CONTRADICTION_STAGGER: Duration = Duration::from_millis(150);
+/// How long an observer that does not hear a member relies on another one that does. If the
+/// observers of a member differ for long, this and the report that it ends with set how often they
+/// broadcast.
+const RELIANCE_TIME: Duration = Duration::from_secs(5);
 
 /// The condition of a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,12 +73,16 @@
     pub reporter: Incarnation,
     /// The number of the report among those of the reporter.
     pub serial: u64,
+    /// How long ago the reporter last heard from the member.
+    pub unheard_for: Duration,
 }
 
 /// The reports that a process knows.
 #[derive(Debug, Default)]
 pub(crate) struct Availability {
     reports: BTreeMap<Incarnation, (ConditionReport, Time)>,
+    /// The latest time at which a reporter heard from a member.
+    heard_at: BTreeMap<Incarnation, Time>,
     last_serial: u64,
     /// Whether this process has more work than it can do.
     is_overloaded: bool,
@@ -76,17 +91,29 @@
 }
 
 impl Availability {
-    /// Applies a report; returns whether it is new.
-    pub(crate) fn apply(&mut self, now: Time, report: ConditionReport) -> bool {
+    /// Applies a report unless an earlier one is newer, or says that the member was heard within
+    /// `unresponsive_after`.
+    pub(crate) fn apply(
+        &mut self,
+        now: Time,
+        report: ConditionReport,
+        unresponsive_after: Duration,
+    ) {
         let known = self.reports.get(&report.member);
         let is_older = known.is_some_and(|(known, _)| {
             known.reporter == report.reporter && known.serial >= report.serial
         });
         if is_older {
-            return false;
+            return;
+        }
+        let heard_at = Time(now.0.saturating_sub(report.unheard_for));
+        let last_heard = self.heard_at.entry(report.member).or_default();
+        *last_heard = heard_at.max(*last_heard);
+        let is_contradicted = now.since(*last_heard) < unresponsive_after;
+        if report.condition == Condition::Silent && is_contradicted {
+            return;
         }
         self.reports.insert(report.member, (report, now));
-        true
     }
 
     /// Returns the condition of a member according to the reports.
@@ -111,6 +138,7 @@
     /// Removes the reports about processes that are no members any more.
     pub(crate) fn retain(&mut self, is_member: impl Fn(Incarnation) -> bool) {
         self.reports.retain(|id, _| is_member(*id));
+        self.heard_at.retain(|id, _| is_member(*id));
     }
 
     /// Returns the reports to send about the members that this process observes.
@@ -126,20 +154,44 @@
     ) -> Vec<ConditionReport> {
         let mut reports = Vec::new();
         for (member, position, silence) in observed {
-            let known = self.condition(now, member);
-            let wait = unresponsive_after.saturating_add(REPORT_STAGGER.saturating_mul(position));
-            let condition = match known {
-                Condition::Silent if silence < unresponsive_after => Condition::Available,
-                Condition::Available | Condition::Overloaded if silence >= wait => {
+            let is_heard = silence < unresponsive_after;
+            let reply_delay = CONTRADICTION_STAGGER.saturating_mul(position);
+            let stagger = REPORT_STAGGER.saturating_mul(position);
+            let condition = match self.condition(now, member) {
+                Condition::Silent if is_heard && self.report_age(now, member) >= reply_delay => {
+                    Condition::Available
+                }
+                Condition::Available | Condition::Overloaded
+                    if silence >= unresponsive_after.saturating_add(stagger)
+                        && !self.is_heard_by_others(now, member, silence, stagger) =>
+                {
                     Condition::Silent
                 }
                 _ => continue,
             };
-            reports.push(self.new_report(now, me, member, condition));
+            reports.push(self.new_report(now, me, (member, silence), condition));
         }
         reports
     }
 
+    /// Returns whether another process has reported that it heard a member later than this one,
+    /// whose silence is given, and recently enough, with a margin, to rely on that.
+    pub(crate) fn is_heard_by_others(
+        &self,
+        now: Time,
+        member: Incarnation,
+        silence: Duration,
+        margin: Duration,
+    ) -> bool {
+        let unheard_for = self.heard_at.get(&member).map(|at| now.since(*at));
+        unheard_for.is_some_and(|span| span < silence && span < RELIANCE_TIME + margin)
+    }
+
+    /// Returns the time since the last report about a member was received.
+    fn report_age(&self, now: Time, id: Incarnation) -> Duration {
+        self.reports.get(&id).map_or(Duration::ZERO, |(_, at)| now.since(*at))
+    }
+
     /// Sets whether this process has more work than it can do.
     pub(crate) fn set_overloaded(&mut self, is_overloaded: bool) {
         self.is_overloaded = is_overloaded;
@@ -155,7 +207,8 @@
         let was_reported = self.condition(now, me) == Condition::Overloaded;
         if !self.is_overloaded {
             self.overloaded_at = None;
-            return was_reported.then(|| self.new_report(now, me, me, Condition::Available));
+            let own = (me, Duration::ZERO);
+            return was_reported.then(|| self.new_report(now, me, own, Condition::Available));
         }
         let is_due = self.overloaded_at.is_none_or(|at| now.since(at) >= OVERLOAD_REPORT_INTERVAL);
         let overloaded = self.with_condition(now, Condition::Overloaded).len();
@@ -164,18 +217,19 @@
             return None;
         }
         self.overloaded_at = Some(now);
-        Some(self.new_report(now, me, me, Condition::Overloaded))
+        Some(self.new_report(now, me, (me, Duration::ZERO), Condition::Overloaded))
     }
 
     fn new_report(
         &mut self,
         now: Time,
         me: Incarnation,
-        member: Incarnation,
+        (member, unheard_for): (Incarnation, Duration),
         condition: Condition,
     ) -> ConditionReport {
         self.last_serial += 1;
-        let report = ConditionReport { member, condition, reporter: me, serial: self.last_serial };
+        let serial = self.last_serial;
+        let report = ConditionReport { member, condition, reporter: me, serial, unheard_for };
         self.reports.insert(member, (report, now));
         report
     }
--- a/crates/badgerfield-core/src/handlers/availability.rs
+++ b/crates/badgerfield-core/src/handlers/availability.rs
@@ -18,7 +18,8 @@
             out.push(Command::Log(LogEntry::Condition(*report)));
         }
         let members = self.state.membership();
-        for (to, reach) in members.broadcast_targets(now, broadcast::full_reach(&members.view)) {
+        let reach = broadcast::full_reach(&members.view);
+        for (to, reach) in members.report_targets(now, reach, &reports) {
             let update = ConditionUpdate { reports: reports.clone(), reach };
             out.send(to, Message::Conditions(update));
         }
@@ -29,12 +30,12 @@
         let ConditionUpdate { reports, reach } = update;
         let mut members = self.state.membership();
         for report in &reports {
-            members.availability.apply(now, *report);
+            members.apply_condition_report(now, *report);
         }
         if reach == 0 {
             return;
         }
-        for (to, reach) in members.broadcast_targets(now, reach) {
+        for (to, reach) in members.report_targets(now, reach, &reports) {
             let update = ConditionUpdate { reports: reports.clone(), reach };
             out.send(to, Message::Conditions(update));
         }
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -413,8 +413,21 @@
     /// Returns the members to which this process sends an update that has to reach the `reach`
     /// members before it in the ring.
     pub(crate) fn broadcast_targets(&self, now: Time, reach: u32) -> Vec<BroadcastTarget> {
-        let silent = self.silent_members(now);
-        broadcast::targets(&self.view, self.id(), reach, |id| silent.contains(&id))
+        let unheard = self.unheard_members(now);
+        broadcast::targets(&self.view, self.id(), reach, |id| unheard.contains(&id))
+    }
+
+    /// Returns the same for reports about members. These members do not forward the reports: others
+    /// may not hear them.
+    pub(crate) fn report_targets(
+        &self,
+        now: Time,
+        reach: u32,
+        reports: &[ConditionReport],
+    ) -> Vec<BroadcastTarget> {
+        let mut unheard = self.unheard_members(now);
+        unheard.extend(reports.iter().map(|report| report.member));
+        broadcast::targets(&self.view, self.id(), reach, |id| unheard.contains(&id))
     }
 
     /// Returns whether this process reads the store's values for its region.
@@ -690,18 +703,31 @@
             .collect()
     }
 
-    /// Returns the members that send nothing: those that this process hears from normally, and
-    /// those that others have reported.
+    /// Returns the members that send nothing to any process: those that this process should hear
+    /// from, unless others hear them, and those that others have reported.
     fn silent_members(&self, now: Time) -> BTreeSet<Incarnation> {
-        let mut silent = self.availability.with_condition(now, Condition::Silent);
+        let is_heard = |id: &Incarnation| {
+            let silence = self.silence(now, *id);
+            self.availability.is_heard_by_others(now, *id, silence, Duration::ZERO)
+        };
+        let reported = self.availability.with_condition(now, Condition::Silent);
+        let mut silent = self.unheard_members(now);
+        silent.retain(|id| reported.contains(id) || !is_heard(id));
+        silent
+    }
+
+    /// Returns the members that this process should hear from but does not, and those that others
+    /// have reported to be silent.
+    fn unheard_members(&self, now: Time) -> BTreeSet<Incarnation> {
+        let mut unheard = self.availability.with_condition(now, Condition::Silent);
         for (_, member) in self.watched() {
             if self.silence(now, member.incarnation) >= self.unresponsive_after {
-                silent.insert(member.incarnation);
+                unheard.insert(member.incarnation);
             } else {
-                silent.remove(&member.incarnation);
+                unheard.remove(&member.incarnation);
             }
         }
-        silent
+        unheard
     }
 
     /// Returns the members that are overloaded.
@@ -733,6 +759,11 @@
         reports
     }
 
+    /// Applies another member's report about the condition of a member.
+    pub(crate) fn apply_condition_report(&mut self, now: Time, report: ConditionReport) {
+        self.availability.apply(now, report, self.unresponsive_after);
+    }
+
     /// Records that a member could not reach the store.
     pub(crate) fn record_store_failure(&mut self, now: Time, id: Incarnation) {
         self.store_failures.retain(|_, at| now.since(*at) < STORE_FAILURE_TTL);
