--- a/crates/badgerfield-standin/src/fleet/evacuations.rs
+++ b/crates/badgerfield-standin/src/fleet/evacuations.rs
@@ -25,7 +25,9 @@
         }
         let change = self.store.evacuate(domain, evacuated);
         let at = self.now.after(self.store.delay());
-        let watchers: Vec<_> = (0..self.size()).filter(|vm| self.watches(*vm)).collect();
+        let is_cut = |vm: &usize| self.store.partitioned_vms.contains(vm);
+        let watchers: Vec<_> =
+            (0..self.size()).filter(|vm| self.watches(*vm) && !is_cut(vm)).collect();
         for vm in watchers {
             let event = Event::OperatorChanges(OperatorChanges {
                 revision: change.revision,
--- a/crates/badgerfield-standin/src/fleet/operators.rs
+++ b/crates/badgerfield-standin/src/fleet/operators.rs
@@ -10,6 +10,8 @@
 
 use super::{Fleet, ScheduledAction};
 
+/// The interval at which VMs with that role read operators' values.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
 /// The time after which a watch ends without changes.
 const WATCH_TIME: Duration = Duration::from_secs(20);
 /// The time after which a call is given up.
@@ -25,14 +27,21 @@
 }
 
 impl Fleet {
-    /// Returns the VMs that watch operators' values or have read them in the last two seconds.
+    /// Returns the VMs that watch operators' values or read them each second.
     #[must_use]
     pub fn operator_readers(&self) -> Vec<usize> {
+        let watchers = (0..self.size()).filter(|vm| self.is_watching_operators(*vm));
+        self.regular_readers().into_iter().chain(watchers).collect()
+    }
+
+    /// Returns the VMs that read operators' values each second.
+    #[must_use]
+    pub fn regular_readers(&self) -> Vec<usize> {
         let has_read = |vm: &usize| {
             let read_at = self.store.operators_read.get(vm);
-            read_at.is_some_and(|at| self.now.since(*at) < Duration::from_secs(2))
+            read_at.is_some_and(|at| self.now.since(*at) < READ_INTERVAL * 2)
         };
-        (0..self.size()).filter(|vm| has_read(vm) || self.is_watching_operators(*vm)).collect()
+        (0..self.size()).filter(has_read).collect()
     }
 
     fn is_watching_operators(&self, vm: usize) -> bool {
@@ -85,6 +94,9 @@
     pub(super) fn notify_template_watchers(&mut self) {
         let found = self.store.value(&StoreKey::Templates);
         let at = self.now.after(self.store.delay());
+        if self.store.watches_stalled {
+            return;
+        }
         for vm in 0..self.size() {
             if self.is_watching_operators(vm) && !self.store.partitioned_vms.contains(&vm) {
                 self.deliver_templates(self.vms[vm].member.incarnation, at, found.clone());
--- a/crates/badgerfield-standin/src/fleet/store.rs
+++ b/crates/badgerfield-standin/src/fleet/store.rs
@@ -34,6 +34,8 @@
     pub partitioned_regions: BTreeSet<usize>,
     /// VMs that cannot reach the store.
     pub partitioned_vms: BTreeSet<usize>,
+    /// Whether watches have stalled without notice; calls are answered.
+    pub watches_stalled: bool,
     /// Reads so far.
     pub reads: u64,
     /// Writes so far, with conflicts.
--- a/crates/badgerfield-standin/tests/operator_values.rs
+++ b/crates/badgerfield-standin/tests/operator_values.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use badgerfield_core::ids::TemplateVersion;
+use badgerfield_core::routing::Route;
 use badgerfield_core::template::KeyDigest;
 use badgerfield_standin::fleet::{Fleet, FleetConfig, Link};
 
@@ -161,3 +162,79 @@
     }
     assert!(late.is_empty(), "{late:?}");
 }
+
+/// Guards against an evacuation that nobody reads because the VMs that watch and read operators'
+/// values have lost the store.
+#[test]
+fn evacuations_are_in_force_in_time_though_their_readers_lose_the_store() {
+    for seed in 1..=3 {
+        let vms = 87;
+        // The watches of the VMs that were the first to start have ended by then.
+        let mut fleet = fleet(vms, seed, Duration::from_secs(28));
+        let cut = fleet.operator_readers().into_iter().chain((0..vms).step_by(4));
+        fleet.store.partitioned_vms = cut.collect();
+        fleet.advance_listing(Duration::from_millis(300));
+        let domain = "d-1".parse().expect("the name is valid");
+        assert!(fleet.evacuate(&domain, true));
+        let mut took = Duration::ZERO;
+        while fleet.evacuated_count(&domain) < vms && took < Duration::from_secs(8) {
+            fleet.advance_listing(STEP);
+            took += STEP;
+        }
+        println!("seed {seed}: {took:?}");
+        assert!(took <= APPLY_TIMEOUT, "seed {seed}: in force after {took:?}");
+    }
+}
+
+/// Guards against watches that have stalled without notice, as over a connection that went silent,
+/// while the VMs that read the values each second have ended.
+#[test]
+fn changes_are_in_force_in_time_though_watches_stall() {
+    for seed in 1..=3 {
+        let vms = 87;
+        let mut fleet = fleet(vms, seed, Duration::from_secs(28));
+        for vm in fleet.regular_readers() {
+            fleet.kill(vm);
+        }
+        fleet.store.watches_stalled = true;
+        fleet.advance_listing(Duration::from_millis(300));
+        let running: Vec<_> = (0..vms).filter(|vm| fleet.is_running(*vm)).collect();
+        let version = replace_key(&mut fleet, "secret");
+        let (_, took) = wait_for(&mut fleet, &running, version);
+        println!("seed {seed}: {took:?}, {} of {vms} VMs", running.len());
+        assert!(took <= APPLY_TIMEOUT, "seed {seed}: in force after {took:?}");
+    }
+}
+
+/// Guards against a large change that is sent several times to each VM, because it is fetched again
+/// while the reply is still on its way, and that therefore takes several times as long.
+#[test]
+fn large_change_is_sent_to_each_vm_about_once() {
+    for (vms, seed) in [(60, 1), (60, 2), (120, 1)] {
+        let mut fleet = fleet(vms, seed, Duration::from_secs(8));
+        for vm in 0..vms {
+            fleet.full_links.insert(vm, Link::new(Duration::from_millis(1), 10e6));
+        }
+        fleet.advance_listing(Duration::from_secs(2));
+        let sent = |fleet: &Fleet| fleet.messages().get("templates").map_or(0, |sent| sent.0);
+        let before = sent(&fleet);
+        let is_written = fleet.change_templates(|set| {
+            let route = set.routing.routes[0].clone();
+            let new = (0..2800).map(|n| {
+                let name = format!("new-{n}");
+                Route { host: format!("{name}.example"), name, ..route.clone() }
+            });
+            set.routing.routes.extend(new);
+        });
+        assert!(is_written, "the store has refused a change");
+        let version = fleet.templates.version;
+        let all: Vec<_> = (0..vms).collect();
+        let (half, took) = wait_for(&mut fleet, &all, version);
+        fleet.advance_listing(Duration::from_secs(2));
+        let copies = sent(&fleet) - before;
+        println!("{vms} VMs, seed {seed}: half {half:?}, all {took:?}, {copies} copies");
+        assert!(took <= APPLY_TIMEOUT, "{vms} VMs, seed {seed}: in force after {took:?}");
+        let most = u64::try_from(vms * 6 / 5).expect("few VMs");
+        assert!(copies <= most, "{vms} VMs, seed {seed}: {copies} copies");
+    }
+}
