--- a/crates/badgerfield-core/src/broadcast.rs
+++ b/crates/badgerfield-core/src/broadcast.rs
@@ -10,8 +10,8 @@
 //! digits, and the update crosses to each region once. The members at these distances are those
 //! that send heartbeats to this process, so that it does not rely on unresponsive ones to forward
 //! the update. These are sent it as well: a member whose own messages wait may still receive, and
-//! cannot fetch what it lacks. Messages are not
-//! acknowledged: members compare digests to find updates that were lost.
+//! cannot fetch what it lacks. Messages are not acknowledged: members compare digests to find
+//! updates that were lost.
 
 use std::collections::BTreeMap;
 
--- a/crates/badgerfield-core/src/handlers/operator_values.rs
+++ b/crates/badgerfield-core/src/handlers/operator_values.rs
@@ -38,12 +38,6 @@
         self.state.membership().must_read_operators(now)
     }
 
-    /// Returns the time since a member last read operators' values from the store, as far as known.
-    #[must_use]
-    pub fn operators_age(&self, now: Time) -> Option<Duration> {
-        self.state.membership().operators_age(now)
-    }
-
     /// Handles the result of a read of operators' values that was requested at a time.
     pub(crate) fn handle_operator_read(
         &self,
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -13,6 +13,7 @@
 use crate::ids::{Epoch, Incarnation, VmId};
 use crate::joining::Joining;
 use crate::message::Heartbeat;
+use crate::node::Pacing;
 use crate::pending_calls::PendingCalls;
 use crate::queueing_delay::DelayReport;
 use crate::ranks::Ranks;
@@ -185,14 +186,8 @@
 }
 
 impl Membership {
-    /// Creates the state of a process that has not joined. `bounds` are how long a leaving upstream
-    /// accepts requests, and the time within which operators' values have to be in force.
-    pub(crate) fn new(
-        me: Member,
-        heartbeat_interval: Duration,
-        bounds: (Duration, Duration),
-    ) -> Self {
-        let (leave_notice, apply_timeout) = bounds;
+    /// Creates the state of a process that has not joined.
+    pub(crate) fn new(me: Member, pacing: &Pacing) -> Self {
         Self {
             me,
             view: Arc::default(),
@@ -222,9 +217,9 @@
             rollouts_compared: HashMap::new(),
             crashes_compared: HashMap::new(),
             list_confirmed_at: None,
-            unresponsive_after: heartbeat_interval.saturating_mul(MAX_MISSED_HEARTBEATS),
-            leave_notice,
-            apply_timeout,
+            unresponsive_after: pacing.heartbeat_interval.saturating_mul(MAX_MISSED_HEARTBEATS),
+            leave_notice: pacing.leave_notice,
+            apply_timeout: pacing.apply_timeout,
             store_calls: PendingCalls::default(),
             contacts: BTreeMap::new(),
             non_members: BTreeMap::new(),
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -144,11 +144,7 @@
     #[must_use]
     pub fn new(config: Config) -> Self {
         let me = config.member.incarnation;
-        let members = Membership::new(
-            config.member.clone(),
-            config.pacing.heartbeat_interval,
-            (config.pacing.leave_notice, config.pacing.apply_timeout),
-        );
+        let members = Membership::new(config.member.clone(), &config.pacing);
         let runs = Runs::new(config.answer_retention, config.max_answer_bytes);
         let claims = Claims::new(me, config.key_retention);
         let ledger_writer = LedgerWriter::new(config.ledger_shards, config.pacing.report_interval);
