--- a/crates/badgerfield-standin/tests/operator_values.rs
+++ b/crates/badgerfield-standin/tests/operator_values.rs
@@ -199,10 +199,12 @@
         fleet.store.watches_stalled = true;
         fleet.advance_listing(Duration::from_millis(300));
         let running: Vec<_> = (0..vms).filter(|vm| fleet.is_running(*vm)).collect();
-        let version = replace_key(&mut fleet, "secret");
-        let (_, took) = wait_for(&mut fleet, &running, version);
-        println!("seed {seed}: {took:?}, {} of {vms} VMs", running.len());
-        assert!(took <= APPLY_TIMEOUT, "seed {seed}: in force after {took:?}");
+        for change in 0..4 {
+            let version = replace_key(&mut fleet, &format!("secret {change}"));
+            let (_, took) = wait_for(&mut fleet, &running, version);
+            println!("seed {seed}, change {change}: {took:?}, {} of {vms} VMs", running.len());
+            assert!(took <= APPLY_TIMEOUT, "seed {seed}: in force after {took:?}");
+        }
     }
 }
 
