--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -29,8 +29,8 @@
 //! which [`view_update`] and [`template_history`] compute. Data reach the other processes in these
 //! ways:
 //!
-//! - `broadcast` sends updates of the list of upstreams, of evacuated failure domains
-//!   ([`evacuation`]), of [`rollout`]s and of crashes ([`poison`]) along the ring of members.
+//! - `broadcast` sends updates of the list of upstreams, of the templates, of evacuated failure
+//!   domains ([`evacuation`]), of [`rollout`]s and of crashes ([`poison`]) along the ring of members.
 //! - Heartbeats carry the [`confirmations`] of a view and the [queueing delays](queueing_delay) of
 //!   engines. They also carry the sender's versions and digests, by which members detect that one
 //!   of them lacks a view, templates or an update.
