--- a/crates/badgerfield-core/src/handlers/operator_values.rs
+++ b/crates/badgerfield-core/src/handlers/operator_values.rs
@@ -21,7 +21,7 @@
 /// after which the first of them read themselves.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(600);
 /// Maximum encoded size of a difference that is broadcast. A member sends it to as many others as
-/// the fleet's size has binary digits; larger ones are fetched by each member once.
+/// the fleet's size has binary digits; larger ones are fetched.
 const MAX_BROADCAST_BYTES: usize = 8 << 10;
 
 impl Node {
