Tests: an account that keeps to one VM loses what its VM has prefetched

What callers saw: after an outage of the store that ended with the loss of all power, a budget whose account keeps to one VM ran dry with 6 to 7 in 100 of it in nobody's hands, and every later request was refused as spent.

--- a/crates/badgerfield-standin/tests/idle_tokens.rs
+++ b/crates/badgerfield-standin/tests/idle_tokens.rs
@@ -442,13 +442,14 @@
     DEMAND * u64::try_from(open.as_millis()).unwrap_or(u64::MAX) / 1000
 }
 
-/// Loses all processes in an outage. Returns the cases in which more is lost than may be.
-fn excessive_losses(vms: &[usize], all_sizes: &[Sizes]) -> Vec<(Sizes, u64, u64)> {
+/// Loses all processes in an outage, after `before` seconds of demand. Returns the cases in which
+/// more is lost than may be.
+fn excessive_losses(vms: &[usize], all_sizes: &[Sizes], before: f64) -> Vec<(Sizes, u64, u64)> {
     let mut failures = Vec::new();
     for seed in SEEDS {
         for sizes in all_sizes.iter().copied() {
             let mut fleet = fleet(60, seed);
-            watch(&mut fleet, sizes, vms, 12.0, |_| true);
+            watch(&mut fleet, sizes, vms, before, |_| true);
             let used_before = fleet.balance(0).used;
             let (parts, lost) = lose_power(&mut fleet, sizes, vms, 0.0);
             let used = fleet.balance(0).used - used_before;
@@ -470,7 +471,7 @@
 /// not decay while the unsealed tokens are expected to last.
 #[test]
 fn loss_of_all_processes_in_an_outage_loses_little_beyond_the_downtime() {
-    let failures = excessive_losses(&all_vms(), &[Sizes::Small, Sizes::Medium]);
+    let failures = excessive_losses(&all_vms(), &[Sizes::Small, Sizes::Medium], 12.0);
     assert!(failures.is_empty(), "sizes, seed, lost: {failures:?}");
 }
 
@@ -478,8 +479,18 @@
 /// requests of different sizes.
 #[test]
 fn loss_of_all_processes_with_overstated_or_uneven_demand_loses_little() {
-    let mut failures = excessive_losses(&[3], &ALL_SIZES);
-    failures.extend(excessive_losses(&all_vms(), &[Sizes::Mixed]));
+    let mut failures = excessive_losses(&[3], &ALL_SIZES, 12.0);
+    failures.extend(excessive_losses(&all_vms(), &[Sizes::Mixed], 12.0));
+    assert!(failures.is_empty(), "sizes, seed, lost: {failures:?}");
+}
+
+/// All requests of an account come to one VM that is no lender. What it has prefetched is in no
+/// promise, and its lender leaves the same demand unsealed: both were lost, 7.3 in 100 of a budget
+/// of which others lost 4 (`at hand .. free=215444 .. rate=161955` at the VM beside
+/// `drawn .. held=1745196 sealed=1358172 .. rate=171546` at its lender).
+#[test]
+fn loss_of_all_processes_loses_little_of_an_account_that_has_kept_to_one_vm() {
+    let failures = excessive_losses(&[3], &ALL_SIZES, 30.0);
     assert!(failures.is_empty(), "sizes, seed, lost: {failures:?}");
 }
 
--- a/crates/badgerfield-standin/tests/lending.rs
+++ b/crates/badgerfield-standin/tests/lending.rs
@@ -235,6 +235,26 @@
     assert_eq!(free, 0, "an idle borrower keeps tokens");
 }
 
+/// A busy borrower prefetches little while its lenders answer quickly. If that were too little, each
+/// request would ask a lender, and wait for the answer.
+#[test]
+fn busy_borrower_with_quick_lenders_asks_for_few_requests() {
+    let limit = 1_000_000;
+    let mut first = fleet(limit);
+    load(&mut first, 60);
+    let vm = (0..VMS).find(|vm| !vms_with_tokens(&first).contains(vm)).expect("most VMs borrow");
+    let mut fleet = fleet(limit);
+    // Until its lenders are known to be quick, the borrower prefetches more.
+    load_vm(&mut fleet, vm, 1000);
+    let ask_count = |fleet: &Fleet| fleet.messages().get("ask").map_or(0, |sent| sent.0);
+    let before = ask_count(&fleet);
+    let requests = 500;
+    load_vm(&mut fleet, vm, requests);
+    let asks = ask_count(&fleet) - before;
+    assert!(asks * 8 <= requests as u64, "{asks} of {requests} requests asked");
+    assert_eq!(refused_count(&fleet), 0);
+}
+
 /// The refusal of a large request must not apply to small requests that wait at the same time.
 #[test]
 fn refused_large_request_does_not_refuse_small_ones() {
