--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -40,14 +40,6 @@
 /// The promise for sealed tokens is renewed only if the ledger has answered within this time.
 const MAX_REPLY_AGE: Duration = Duration::from_millis(1100);
 
-/// How often a busy borrower requests a prefetch until it has enough.
-pub(super) const PREFETCH_INTERVAL: Duration = Duration::from_millis(300);
-/// For how many times the span in which a lender answers a borrower prefetches. A prefetch is
-/// requested when half of its target is left, which must last until the answer.
-const PREFETCH_ANSWERS: u32 = 2;
-/// A borrower is busy if its demand during the longest prefetch span is at least this many of its
-/// largest requests.
-const BUSY_REQUESTS: u64 = 4;
 /// A holding is topped up when it lacks at least one `TOP_UP_DIVISOR`-th of its share.
 const TOP_UP_DIVISOR: u64 = 4;
 
@@ -508,22 +500,6 @@
         if self.is_soon_spent(demand) { demand.max(self.largest_request) } else { demand }
     }
 
-    /// Returns how many tokens a borrower prefetches; zero unless it is busy.
-    ///
-    /// They last until the next prefetch has been answered, but for `max_span` at most. No promise
-    /// covers them, so they are lost when this process ends.
-    pub(crate) fn prefetch_target(&self, now: Time, max_span: Duration) -> Tokens {
-        let rate = self.meter.rate(now);
-        let is_busy = !self.largest_request.is_zero()
-            && rate.over(max_span) >= self.largest_request.part(BUSY_REQUESTS, 1);
-        if !is_busy || self.state != HoldingState::Open {
-            return Tokens::ZERO;
-        }
-        let answer_time = self.pending_loans.expected_answer_time(now).unwrap_or(max_span);
-        let span = answer_time.saturating_mul(PREFETCH_ANSWERS).max(PREFETCH_INTERVAL);
-        rate.over(span.min(max_span))
-    }
-
     /// Returns whether this process borrows instead of holding tokens of its own.
     pub(crate) fn is_borrower(&self) -> bool {
         !self.lenders.is_empty()
--- a/crates/badgerfield-core/src/holdings/lending.rs
+++ b/crates/badgerfield-core/src/holdings/lending.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use super::holding::{Holding, PREFETCH_INTERVAL, Search};
-use super::search::next_lender;
+use super::holding::{Holding, Search};
 use super::waiting::{QueueOutcome, Requester, Waiter};
 use super::{Holdings, RETRY_AFTER};
 use crate::amount::{Time, Tokens};
-use crate::event::{Command, LogEntry, Outbox, is_due};
+use crate::event::{Command, LogEntry, Outbox};
 use crate::ids::{BudgetId, Incarnation, Period};
 use crate::ledger::HoldingPlan;
 use crate::lenders::Lenders;
@@ -54,55 +53,6 @@
         }
     }
 
-    /// Asks a lender for the tokens of the next requests, so that these need not wait.
-    pub(super) fn prefetch_tokens(&mut self, now: Time, budget: &BudgetId, out: &mut Outbox) {
-        let Some(holding) = self.table.get_mut(budget) else {
-            return;
-        };
-        let target = holding.prefetch_target(now, self.pacing.policy.prefetch_span);
-        let has_enough = holding.free >= target.part(1, 2).max(Tokens(1));
-        if has_enough
-            || self.leaving.is_closing()
-            || holding.search.is_some()
-            || !holding.is_borrower()
-        {
-            return;
-        }
-        let Some(to) = next_lender(holding, &self.view, &self.silent_lenders, now, &[]) else {
-            return;
-        };
-        let prefetch = holding.start_prefetch(now, self.pacing.policy.prefetch_span);
-        if prefetch.is_zero() {
-            return;
-        }
-        let need = holding.largest_request;
-        let prefetch = prefetch.saturating_sub(need);
-        holding.pending_loans.record_request(now, to, need, prefetch);
-        let (budget, period) = (budget.clone(), holding.terms.period);
-        out.send(to, Message::TokenRequest(TokenRequest { budget, period, need, extra: prefetch }));
-    }
-
-    /// Logs the tokens of borrowed budgets that are busy here or have tokens in transit.
-    pub(super) fn log_prefetched(&self, now: Time, out: &mut Outbox) {
-        let in_transit = self.transfers.all_in_transit();
-        for (budget, holding) in self.table.iter().filter(|(_, holding)| holding.is_borrower()) {
-            let amount_in_transit = in_transit.get(budget).copied().unwrap_or_default();
-            let target = holding.prefetch_target(now, self.pacing.policy.prefetch_span);
-            if target.is_zero() && amount_in_transit.is_zero() {
-                continue;
-            }
-            out.push(Command::Log(LogEntry::Prefetched {
-                budget: budget.clone(),
-                free: holding.free,
-                reserved: holding.reserved,
-                in_transit: amount_in_transit,
-                waiting: holding.waiters.len(),
-                rate: holding.meter.rate(now),
-                answer_time: holding.pending_loans.expected_answer_time(now),
-            }));
-        }
-    }
-
     /// Lends to a borrower, at once or after the ledger has answered.
     pub(super) fn handle_loan_request(
         &mut self,
@@ -222,20 +172,6 @@
 }
 
 impl Holding {
-    /// Returns how many tokens to prefetch with a request to a lender. It is zero while a prefetch
-    /// is pending: otherwise prefetched tokens would pile up here while answers are slow.
-    pub(super) fn start_prefetch(&mut self, now: Time, span: Duration) -> Tokens {
-        let target = self.prefetch_target(now, span);
-        if target.is_zero()
-            || self.pending_loans.has_prefetch(now)
-            || !is_due(now, self.prefetched_at, PREFETCH_INTERVAL)
-        {
-            return Tokens::ZERO;
-        }
-        self.prefetched_at = Some(now);
-        target
-    }
-
     /// Asks a lender for each waiting request that is not covered by available tokens and pending
     /// loans, and for the first `least` requests in any case.
     pub(super) fn request_uncovered(
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -12,6 +12,7 @@
 mod parking;
 mod peers;
 mod pending_loans;
+mod prefetch;
 mod promises;
 mod requests;
 mod return_stats;
--- a/crates/badgerfield-core/src/holdings/parking.rs
+++ b/crates/badgerfield-core/src/holdings/parking.rs
@@ -17,8 +17,6 @@
 const PARK_RESEND_INTERVAL: Duration = Duration::from_millis(100);
 /// How often a borrower returns tokens that it does not need.
 const RETURN_INTERVAL: Duration = Duration::from_millis(100);
-/// A borrower keeps at most this multiple of its prefetch target and returns the rest.
-const MAX_PREFETCH_FACTOR: u64 = 2;
 /// How often the rest of a low budget is forwarded to its collector.
 const FORWARD_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -263,11 +261,11 @@
         let is_borrower = holding.is_borrower();
         let span = self.pacing.policy.prefetch_span;
         let keep = if is_borrower && !self.leaving.is_closing() {
-            holding.prefetch_target(now, span)
+            holding.max_prefetched(now, span)
         } else {
             Tokens::ZERO
         };
-        let spare = holding.free.saturating_sub(keep.part(MAX_PREFETCH_FACTOR, 1));
+        let spare = holding.free.saturating_sub(keep);
         let lender = next_lender(holding, &self.view, &self.silent_lenders, now, &[]);
         let Some(to) = lender.filter(|to| *to != self.me) else {
             return;
