--- a/crates/badgerfield-core/src/holdings/prefetch.rs
+++ b/crates/badgerfield-core/src/holdings/prefetch.rs
@@ -13,8 +13,8 @@
 
 /// How often a busy borrower requests a prefetch until it has enough.
 const PREFETCH_INTERVAL: Duration = Duration::from_millis(300);
-/// A borrower prefetches its demand of this many answers of a lender. A prefetch is requested when
-/// half of its target is left, which must last until the answer.
+/// A borrower prefetches its demand during this many times the time that a lender takes to answer.
+/// A prefetch is requested when half of its target is left, which must last until the answer.
 const PREFETCH_ANSWERS: u32 = 2;
 /// A borrower is busy if its demand during the longest prefetch span is at least this many of its
 /// largest requests.
--- a/crates/badgerfield-core/tests/prefetch.rs
+++ b/crates/badgerfield-core/tests/prefetch.rs
@@ -28,7 +28,7 @@
 const RUN_TIME: u64 = 100;
 /// The demand of one second, in tokens.
 const DEMAND: u64 = 1000 / REQUEST_INTERVAL * REQUEST_COST.0;
-/// The most members of a view with which this process is sought as a borrower.
+/// The size of the largest view that is tried until this process is a borrower.
 const MAX_MEMBERS: u64 = 200;
 
 /// A borrower with a constant demand whose lenders have as many tokens as it requests.
--- a/crates/badgerfield-standin/tests/idle_tokens.rs
+++ b/crates/badgerfield-standin/tests/idle_tokens.rs
@@ -485,8 +485,8 @@
 }
 
 /// All requests of an account come to one VM that is no lender. What it has prefetched is in no
-/// promise, and its lender leaves the same demand unsealed: both were lost, 7.3 in 100 of a budget
-/// of which others lost 4 (`at hand .. free=215444 .. rate=161955` at the VM beside
+/// promise, and its lender leaves the same demand unsealed, so both were lost: 7.3 in 100 of such a
+/// budget, and about 4 of others (`at hand .. free=215444 .. rate=161955` at the VM beside
 /// `drawn .. held=1745196 sealed=1358172 .. rate=171546` at its lender).
 #[test]
 fn loss_of_all_processes_loses_little_of_an_account_that_has_kept_to_one_vm() {
