--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -378,7 +378,7 @@
     /// Applies changes of the list of upstreams that another process forwarded.
     ApplyUpstreamChanges(Incarnation, UpstreamUpdate),
     /// Applies the complete list of upstreams of another process.
-    ApplyUpstreamList(UpstreamList),
+    ApplyUpstreamList(Incarnation, UpstreamList),
     /// Confirms that the list of upstreams is unchanged up to a revision.
     ConfirmUpstreamList(u64),
     /// Divides the engines by the demand of the requests of all processes.
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -443,7 +443,7 @@
             Message::UpstreamChanges(delta) => self.receive_upstream_update(now, from, delta, out),
             Message::Conditions(update) => self.receive_conditions(now, update, out),
             Message::FetchUpstreams { since } => out.push(Command::SendUpstreamList(from, since)),
-            Message::Upstreams(list) => out.push(Command::ApplyUpstreamList(list)),
+            Message::Upstreams(list) => out.push(Command::ApplyUpstreamList(from, list)),
             Message::LimitReports(reports) => out.push(Command::ApplyLimitReports(from, reports)),
             Message::Operators(update) => self.receive_operator_update(now, from, update, out),
             Message::Evacuations(update) => self.receive_evacuation_update(now, from, update, out),
--- a/crates/badgerfield-core/src/upstream_table/list.rs
+++ b/crates/badgerfield-core/src/upstream_table/list.rs
@@ -54,6 +54,7 @@
         announced_at: u64,
     ) -> Vec<UpstreamId> {
         let UpstreamListChanges { revision, written, gone } = changes;
+        let list_age = self.updated_at.map(|at| now.since(at));
         if revision > 0 && revision >= self.revision {
             self.revision = revision;
             self.updated_at = Some(now);
@@ -72,6 +73,7 @@
             upstream.changed_revision = revision.max(announced_at);
             affected.push(id);
         }
+        self.record_departures(now, &affected, list_age);
         self.drop_removed(now);
         if !affected.is_empty() {
             self.assign_positions();
--- a/crates/badgerfield-core/src/upstream_table/mod.rs
+++ b/crates/badgerfield-core/src/upstream_table/mod.rs
@@ -12,6 +12,7 @@
 mod announcements;
 mod canary;
 mod choice;
+mod departures;
 mod limits;
 mod list;
 mod rollout;
@@ -40,6 +41,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::canary::SentCounts;
+pub use self::departures::Departure;
 pub use self::limits::LimitChange;
 
 /// The maximum delay until the entries of a restored domain's upstreams say that these are cold:
@@ -155,6 +157,8 @@
     differs_since: Option<Time>,
     /// Restarted upstreams that no caller of `take_restarted` has received yet.
     restarted: Vec<UpstreamId>,
+    /// The upstreams that leave and that no caller of `take_departures` has received yet.
+    departures: Vec<Departure>,
     /// The observed mix of requests, by service.
     request_mixes: BTreeMap<Service, RequestMix>,
     /// The failure domains that operators have evacuated.
--- a/crates/badgerfield-core/src/upstream_table/upstream.rs
+++ b/crates/badgerfield-core/src/upstream_table/upstream.rs
@@ -68,6 +68,8 @@
     /// Its position among the upstreams of its service, from 0 to 1.
     pub(super) position: f64,
     pub(super) running: u32,
+    /// When a request was last sent to it.
+    pub(super) last_sent_at: Option<Time>,
     /// When its entry was found to be gone, if it has not reappeared since.
     pub(super) removed_at: Option<Time>,
     /// Whether all entries of its service vanished at once, as when the platform lets leases lapse;
@@ -156,6 +158,7 @@
             seed,
             position: 0.0,
             running: 0,
+            last_sent_at: None,
             removed_at: None,
             leases_lapsed: false,
             failed_share: 0.0,
@@ -312,6 +315,7 @@
         parts: &[PromptPart],
     ) {
         self.running += 1;
+        self.last_sent_at = Some(now);
         self.announced.limit.record_sent(now);
         let bucket = self.cold.as_mut().and_then(|cold| cold.bucket.as_mut());
         if let Some((bucket, share)) = bucket.zip(share) {
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -4,6 +4,7 @@
 //! tables under its lock order. Commands are executed by the task that received them.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -52,7 +53,16 @@
     /// Read from the platform.
     Platform,
     /// Received from another process.
-    Peer,
+    Peer(Incarnation),
+}
+
+impl fmt::Display for UpdateSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Platform => f.write_str("store"),
+            Self::Peer(id) => id.fmt(f),
+        }
+    }
 }
 
 /// Why a process cannot start.
@@ -353,7 +363,9 @@
                 let _ = answer.map(|answer| answer.send(result));
             }
             Command::ApplyUpstreamChanges(from, update) => self.apply_peer_update(from, update),
-            Command::ApplyUpstreamList(list) => self.apply_upstream_list(list, UpdateSource::Peer),
+            Command::ApplyUpstreamList(from, list) => {
+                self.apply_upstream_list(list, UpdateSource::Peer(from));
+            }
             Command::ConfirmUpstreamList(revision) => {
                 if let Some(gateway) = &self.gateway {
                     gateway.upstreams().confirm_revision(self.now(), revision);
--- a/crates/badgerfield-node/src/peers.rs
+++ b/crates/badgerfield-node/src/peers/mod.rs
@@ -4,6 +4,8 @@
 //! secret in its settings. A peer with an unknown key is refused in the handshake. Messages
 //! may be lost: a sender that needs a reply repeats its message.
 
+mod sender;
+
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -26,6 +28,8 @@
 use thiserror::Error;
 use tokio::sync::mpsc;
 
+use self::sender::PeerSender;
+use crate::clock::{Clock, SystemClocks};
 use crate::logs::PEERS;
 use crate::sync::lock;
 
@@ -244,6 +248,7 @@
     /// but not its connections.
     connections: Arc<Mutex<HashMap<Incarnation, Connection>>>,
     handler: Arc<OnceLock<MessageHandler>>,
+    clock: Arc<Clock>,
 }
 
 impl fmt::Debug for Network {
@@ -317,7 +322,9 @@
         let mut endpoint = Endpoint::server(server, address)?;
         endpoint.set_default_client_config(client);
         let (connections, handler) = (Arc::default(), Arc::default());
-        Ok(Self { network: Network { endpoint, connections, handler }, peers: Mutex::default() })
+        let clock = Arc::new(Clock::new(Box::new(SystemClocks)));
+        let network = Network { endpoint, connections, handler, clock };
+        Ok(Self { network, peers: Mutex::default() })
     }
 
     /// Passes received messages to a handler until the endpoint is closed.
@@ -347,7 +354,7 @@
         }
         let peer = peers.entry(to).or_insert_with(|| {
             let (queue, receiver) = mpsc::channel(MAX_QUEUED_MESSAGES);
-            tokio::spawn(self.network.clone().send_queued(to, address, receiver));
+            tokio::spawn(PeerSender::new(self.network.clone(), to, address).run(receiver));
             Peer { address, queue }
         });
         if peer.queue.try_send(envelope).is_err() {
@@ -445,105 +452,42 @@
         }
     }
 
-    /// Sends the messages queued for one peer until none has been queued for `IDLE_TIMEOUT`.
-    async fn send_queued(
-        self,
+    /// Returns the open connection with a peer, or opens one.
+    async fn get_or_connect(
+        &self,
         to: Incarnation,
         address: SocketAddr,
-        mut queue: mpsc::Receiver<Envelope>,
-    ) {
-        let mut batch = Vec::new();
-        loop {
-            let received = queue.recv_many(&mut batch, MAX_BATCH_MESSAGES);
-            match tokio::time::timeout(IDLE_TIMEOUT, received).await {
-                Ok(count) if count > 0 => {}
-                Ok(_) | Err(_) => return,
-            }
-            let Some(connection) = self.get_or_connect(to, address).await else {
-                // Messages to an unreachable peer are dropped: they are outdated when it is
-                // reachable again.
-                batch.clear();
-                tokio::time::sleep(RECONNECT_DELAY).await;
-                while queue.try_recv().is_ok() {}
-                continue;
-            };
-            let (repeated, others): (Vec<_>, Vec<_>) =
-                batch.drain(..).partition(|envelope| envelope.message.is_repeated());
-            let unsent = send_datagram(&connection, repeated);
-            let remaining: Vec<_> = unsent.into_iter().chain(others).collect();
-            if remaining.is_empty() {
-                continue;
-            }
-            if let Err(error) = send_stream(&connection, &remaining).await {
-                log::debug!(target: PEERS, "lost {} messages to {address}: {error}", remaining.len());
-            }
-        }
-    }
-
-    /// Returns the open connection with a peer, or opens one; `None` if that fails.
-    async fn get_or_connect(&self, to: Incarnation, address: SocketAddr) -> Option<Connection> {
+    ) -> Result<Connection, ConnectError> {
         let existing = lock(&self.connections).get(&to).cloned();
         if let Some(connection) = existing.filter(|c| c.close_reason().is_none()) {
-            return Some(connection);
+            return Ok(connection);
         }
         let connection = connect(&self.endpoint, address).await?;
         lock(&self.connections).insert(to, connection.clone());
         tokio::spawn(self.clone().serve(connection.clone()));
-        Some(connection)
-    }
-}
-
-/// Sends messages that are repeated anyway, and so may be lost, in one datagram. Returns them if
-/// they do not fit or cannot be sent.
-fn send_datagram(connection: &Connection, batch: Vec<Envelope>) -> Vec<Envelope> {
-    if batch.is_empty() {
-        return batch;
-    }
-    let bytes = encode(&batch);
-    let fits = connection.max_datagram_size().is_some_and(|max| bytes.len() <= max);
-    if fits && connection.send_datagram(bytes.into()).is_ok() {
-        return Vec::new();
+        Ok(connection)
     }
-    batch
-}
-
-/// Sends messages on a stream of their own.
-async fn send_stream(connection: &Connection, batch: &[Envelope]) -> Result<(), SendError> {
-    let mut stream = connection.open_uni().await?;
-    stream.write_all(&encode(batch)).await?;
-    stream.finish()?;
-    Ok(())
 }
 
-/// Why a batch was not sent.
+/// Why a connection to a peer could not be opened.
 #[derive(Debug, Error)]
-enum SendError {
+enum ConnectError {
+    /// The connection cannot be started.
     #[error(transparent)]
-    Connection(#[from] quinn::ConnectionError),
+    Start(#[from] quinn::ConnectError),
+    /// The handshake failed.
     #[error(transparent)]
-    Write(#[from] quinn::WriteError),
-    #[error(transparent)]
-    Closed(#[from] quinn::ClosedStream),
+    Handshake(#[from] quinn::ConnectionError),
+    /// The handshake did not end in time.
+    #[error("no answer within {CONNECT_TIMEOUT:?}")]
+    TimedOut,
 }
 
-/// Opens a connection; logs the reason and returns `None` if that fails.
-async fn connect(endpoint: &Endpoint, address: SocketAddr) -> Option<Connection> {
-    let connecting = match endpoint.connect(address, "badgerfield") {
-        Ok(connecting) => connecting,
-        Err(error) => {
-            log::warn!(target: PEERS, "cannot start to connect to {address}: {error}");
-            return None;
-        }
-    };
+/// Opens a connection.
+async fn connect(endpoint: &Endpoint, address: SocketAddr) -> Result<Connection, ConnectError> {
+    let connecting = endpoint.connect(address, "badgerfield")?;
     match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-        Ok(Ok(connection)) => Some(connection),
-        Ok(Err(error)) => {
-            log::debug!(target: PEERS, "cannot connect to {address}: {error}");
-            None
-        }
-        Err(_) => {
-            log::debug!(target: PEERS, "{address} did not answer within {CONNECT_TIMEOUT:?}");
-            None
-        }
+        Ok(connection) => Ok(connection?),
+        Err(_) => Err(ConnectError::TimedOut),
     }
 }
--- a/crates/badgerfield-node/src/upstream_list.rs
+++ b/crates/badgerfield-node/src/upstream_list.rs
@@ -1,11 +1,12 @@
 //! Applies updates of the list of upstreams and announces them to other processes.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use badgerfield_core::ids::{Incarnation, UpstreamId};
 use badgerfield_core::message::{Message, UpstreamUpdate};
 use badgerfield_core::upstream_list::{UpstreamList, UpstreamListChanges};
-use badgerfield_core::upstream_table::ListGap;
+use badgerfield_core::upstream_table::{Departure, ListGap};
 use badgerfield_core::{Command, Event};
 
 use crate::driver::{Driver, UpdateSource};
@@ -33,7 +34,7 @@
         };
         let UpstreamUpdate { changes, since, version, .. } = update;
         let (updated, gap) = gateway.upstreams().apply_update(self.now(), changes, since, version);
-        self.handle_list_update(gateway, &updated, UpdateSource::Peer);
+        self.handle_list_update(gateway, &updated, UpdateSource::Peer(from));
         match gap {
             ListGap::Nothing => {}
             ListGap::Changes => self.handle_event(Event::UpstreamListGap(from, version.revision)),
@@ -50,24 +51,35 @@
             let mut upstreams = gateway.upstreams();
             (upstreams.last_update().0 == 0, upstreams.apply_list(self.now(), list))
         };
+        self.record_list_update(gateway, &updated, source);
         // The first list of a process that has just started contains nothing new for others.
-        let source = if is_first { UpdateSource::Peer } else { source };
-        self.handle_list_update(gateway, &updated, source);
+        let is_news = source == UpdateSource::Platform && !is_first;
+        self.announce_new_changes(gateway, &updated, is_news);
     }
 
-    /// Closes connections to restarted upstreams, logs the changed upstreams, and announces the
-    /// update to other processes if it comes from the platform. In a small fleet it also announces
-    /// changes that come from a peer and are new here.
     fn handle_list_update(
         self: &Arc<Self>,
         gateway: &Gateway,
         updated: &[UpstreamId],
         source: UpdateSource,
     ) {
-        let (version, count, (evacuated, cold), restarted) = {
+        self.record_list_update(gateway, updated, source);
+        self.announce_new_changes(gateway, updated, source == UpdateSource::Platform);
+    }
+
+    /// Closes connections to restarted upstreams, and logs the changed upstreams and those that
+    /// leave.
+    fn record_list_update(
+        self: &Arc<Self>,
+        gateway: &Gateway,
+        updated: &[UpstreamId],
+        source: UpdateSource,
+    ) {
+        let (version, count, (evacuated, cold), restarted, departures) = {
             let mut upstreams = gateway.upstreams();
             let restricted = upstreams.restricted_counts(self.now());
-            (upstreams.list_version(), upstreams.len(), restricted, upstreams.take_restarted())
+            let (restarted, departures) = (upstreams.take_restarted(), upstreams.take_departures());
+            (upstreams.list_version(), upstreams.len(), restricted, restarted, departures)
         };
         gateway.connections.close(&restarted);
         for id in &restarted {
@@ -91,8 +103,21 @@
                 logged.join(",")
             );
         }
+        for departure in &departures {
+            log_departure(departure, version.revision, source);
+        }
+    }
+
+    /// Announces an update to other processes if it comes from the platform. In a small fleet it
+    /// also announces changes that come from a peer and are new here.
+    fn announce_new_changes(
+        self: &Arc<Self>,
+        gateway: &Gateway,
+        updated: &[UpstreamId],
+        is_from_platform: bool,
+    ) {
         let is_small = self.node.is_small_fleet();
-        if source == UpdateSource::Platform || (is_small && !updated.is_empty()) {
+        if is_from_platform || (is_small && !updated.is_empty()) {
             self.announce_changes(gateway, updated);
         }
     }
@@ -138,3 +163,20 @@
         self.execute(Command::Send(to, message));
     }
 }
+
+/// Logs that an upstream leaves: from whom this process learned it, how old its list was until
+/// then, and what it has sent to the upstream.
+fn log_departure(departure: &Departure, list: u64, source: UpdateSource) {
+    let Departure { id, removed, revision, list_age, running, last_sent } = departure;
+    let sign = if *removed { "removed" } else { "leaving" };
+    let millis = |span: &Option<Duration>| {
+        span.map_or_else(|| "-".to_owned(), |span| span.as_millis().to_string())
+    };
+    log::info!(
+        target: PLATFORM,
+        "upstream leaves id={id} sign={sign} entry={revision} list={list} from={source} \
+         list_age_ms={} running={running} last_sent_ms={}",
+        millis(list_age),
+        millis(last_sent)
+    );
+}
--- a/crates/badgerfield-standin/src/fleet/listing.rs
+++ b/crates/badgerfield-standin/src/fleet/listing.rs
@@ -299,7 +299,7 @@
                     }
                 }
             }
-            Command::ApplyUpstreamList(list) => self.apply_listed(vm, list, false),
+            Command::ApplyUpstreamList(_, list) => self.apply_listed(vm, list, false),
             Command::ConfirmUpstreamList(revision) => {
                 self.vms[vm].listing.table.confirm_revision(local, revision);
             }
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -112,7 +112,7 @@
             Command::Cancel(attempt) => self.cancel(from, attempt),
             Command::Answer(id, _, answer) => self.record_answer(id, answer),
             Command::ApplyUpstreamChanges(..)
-            | Command::ApplyUpstreamList(_)
+            | Command::ApplyUpstreamList(..)
             | Command::ConfirmUpstreamList(_)
             | Command::SendUpstreamList(..) => self.execute_list_command(index, command),
             Command::DivideEngines(_)
