Peers: what a VM is told does not wait for its acknowledgements

What callers saw (DRAIN): a request reached an upstream over 3 s after it had said that it leaves, at the VM to which a large account keeps.

Cause: the link of that VM is full of answers, so its acknowledgements wait or are lost, and messages to it rested on them in three ways.

Change: 4096 streams, a first window of 128 KB, 3 s for a handshake. The flow-control window of a connection, 512 KB, bounds the memory as before.

--- a/crates/badgerfield-node/src/peers/mod.rs
+++ b/crates/badgerfield-node/src/peers/mod.rs
@@ -15,6 +15,7 @@
 
 use badgerfield_core::ids::Incarnation;
 use badgerfield_core::message::Envelope;
+use quinn::congestion::CubicConfig;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{Connection, Endpoint, TransportConfig};
 use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
@@ -39,8 +40,9 @@
 const MAX_QUEUED_MESSAGES: usize = 4096;
 /// Maximum number of messages in one batch.
 const MAX_BATCH_MESSAGES: usize = 256;
-/// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout for opening a connection. The replies of a VM whose link is full of answers to callers
+/// wait for more than a second; messages to it are dropped if its handshake is given up earlier.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay before the next attempt to connect to an unreachable peer.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
 /// Idle timeout of a connection. QUIC sends no keep-alive packets: heartbeats keep the
@@ -52,8 +54,14 @@
 const STREAM_WINDOW_BYTES: u32 = 128 << 10;
 /// Flow-control window of all streams of a connection together.
 const CONNECTION_WINDOW_BYTES: u32 = 512 << 10;
-/// Maximum number of streams, one batch each, that a peer may have open at once.
-const MAX_STREAMS: u32 = 64;
+/// Maximum number of streams, one batch each, that a peer may have open at once. A stream counts
+/// until its end is acknowledged, so this is the number of batches sent in the seconds in which the
+/// acknowledgements of a VM with a full link wait or are lost. `CONNECTION_WINDOW_BYTES` limits the
+/// memory.
+const MAX_STREAMS: u32 = 4096;
+/// Initial congestion window: the messages to one VM in the seconds in which its acknowledgements
+/// wait or are lost. With a smaller one, what others tell the VM would wait for its full link too.
+const INITIAL_WINDOW_BYTES: u64 = 128 << 10;
 /// Size of the send buffer and of the receive buffer for datagrams, which carry heartbeats and
 /// other repeated messages. A full buffer drops the oldest datagrams.
 const DATAGRAM_BUFFER_BYTES: usize = 16 << 10;
@@ -311,6 +319,9 @@
         transport.send_window(CONNECTION_WINDOW_BYTES.into());
         transport.datagram_receive_buffer_size(Some(DATAGRAM_BUFFER_BYTES));
         transport.datagram_send_buffer_size(DATAGRAM_BUFFER_BYTES);
+        let mut congestion = CubicConfig::default();
+        congestion.initial_window(INITIAL_WINDOW_BYTES);
+        transport.congestion_controller_factory(Arc::new(congestion));
         // No path MTU discovery: messages fit into the minimum MTU of QUIC, which every path has.
         transport.mtu_discovery_config(None);
         let transport = Arc::new(transport);
--- a/crates/badgerfield-node/tests/full_link.rs
+++ b/crates/badgerfield-node/tests/full_link.rs
@@ -134,7 +134,7 @@
     tokio::spawn(async move {
         peer.receive(move |envelope| {
             if let Message::UpstreamChanges(update) = envelope.message {
-                drop(sender.send((update.version.revision, Instant::now())));
+                let _ = sender.send((update.version.revision, Instant::now()));
             }
         })
         .await;
