--- a/crates/badgerfield-node/src/peers/mod.rs
+++ b/crates/badgerfield-node/src/peers/mod.rs
@@ -55,10 +55,10 @@
 /// Flow-control window of all streams of a connection together.
 const CONNECTION_WINDOW_BYTES: u32 = 512 << 10;
 /// Maximum number of streams, one batch each, that a peer may have open at once. A stream counts
-/// until its end is acknowledged, so this is the number of batches sent in the seconds in which the
-/// acknowledgements of a VM with a full link wait or are lost. `CONNECTION_WINDOW_BYTES` limits the
-/// memory.
-const MAX_STREAMS: u32 = 4096;
+/// until its end is acknowledged, so this is the number of batches to a VM in the seconds in which
+/// its acknowledgements wait or are lost at its full link. Each stream that a peer may open takes
+/// some 30 bytes, whether or not it is used.
+const MAX_STREAMS: u32 = 256;
 /// Initial congestion window: the messages to one VM in the seconds in which its acknowledgements
 /// wait or are lost. With a smaller one, what others tell the VM would wait for its full link too.
 const INITIAL_WINDOW_BYTES: u64 = 128 << 10;
