--- a/crates/badgerfield-standin/src/fleet/listing.rs
+++ b/crates/badgerfield-standin/src/fleet/listing.rs
@@ -168,6 +168,12 @@
         running.map(|vm| vm.listing.leaving_known.get(upstream).copied()).collect()
     }
 
+    /// Returns the VMs that watch the list.
+    #[must_use]
+    pub fn list_watchers(&self) -> Vec<usize> {
+        (0..self.size()).filter(|vm| self.watches_list(*vm)).collect()
+    }
+
     /// Returns the number of upstreams that a VM has in its table.
     #[must_use]
     pub fn known_upstreams(&self, vm: usize) -> usize {
