--- a/crates/badgerfield-node/tests/full_link.rs
+++ b/crates/badgerfield-node/tests/full_link.rs
@@ -107,6 +107,7 @@
     port: u16,
     received: &mut mpsc::UnboundedReceiver<(u64, Instant)>,
     numbers: std::ops::Range<u64>,
+    interval: Duration,
 ) -> Vec<Option<Duration>> {
     let mut queued = Vec::new();
     for number in numbers.clone() {
@@ -116,7 +117,7 @@
             Envelope { from: Incarnation(1), sender_address, to: Incarnation(2), message };
         queued.push(Instant::now());
         from.send(address(port), envelope);
-        tokio::time::sleep(SEND_INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
     let mut delays = vec![None; queued.len()];
     let until = tokio::time::Instant::now() + Duration::from_secs(2);
@@ -156,11 +157,11 @@
     let back = ReturnPath::new(0);
     forward(30_303, address(30_302), Arc::clone(&back)).await?;
     let mut received = receive(&b);
-    let before = send_updates(&a, 30_303, &mut received, 0..5).await;
+    let before = send_updates(&a, 30_303, &mut received, 0..5, SEND_INTERVAL).await;
     assert_eq!(summary(&before).1, 0, "{before:?}");
     back.set(LOST);
     // The link of a VM that is asked too much is full for seconds.
-    let delays = send_updates(&a, 30_303, &mut received, 5..155).await;
+    let delays = send_updates(&a, 30_303, &mut received, 5..155, SEND_INTERVAL).await;
     let (longest, missing) = summary(&delays);
     println!("longest {longest:?}, {missing} missing");
     assert_eq!(missing, 0, "of {} messages", delays.len());
@@ -176,7 +177,7 @@
     let back = ReturnPath::new(1500);
     forward(30_306, address(30_305), Arc::clone(&back)).await?;
     let mut received = receive(&b);
-    let delays = send_updates(&a, 30_306, &mut received, 0..100).await;
+    let delays = send_updates(&a, 30_306, &mut received, 0..100, SEND_INTERVAL).await;
     let (longest, missing) = summary(&delays);
     println!("longest {longest:?}, {missing} missing");
     assert_eq!(missing, 0, "of {} messages", delays.len());
@@ -184,3 +185,24 @@
     assert!(longest.is_some_and(|longest| longest <= wait + MAX_DELAY), "{longest:?}");
     Ok(())
 }
+
+/// Guards against a connection that is given up while its peer receives but gets no reply through: a
+/// new one cannot be opened then.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn messages_reach_a_peer_whose_replies_are_lost_for_long() -> Result<()> {
+    /// The interval of broadcasts.
+    const INTERVAL: Duration = Duration::from_millis(400);
+    let (a, b) = (listen(30_307)?, listen(30_308)?);
+    let back = ReturnPath::new(0);
+    forward(30_309, address(30_308), Arc::clone(&back)).await?;
+    let mut received = receive(&b);
+    let before = send_updates(&a, 30_309, &mut received, 0..5, INTERVAL).await;
+    assert_eq!(summary(&before).1, 0, "{before:?}");
+    back.set(LOST);
+    let delays = send_updates(&a, 30_309, &mut received, 5..40, INTERVAL).await;
+    let (longest, missing) = summary(&delays);
+    println!("longest {longest:?}, {missing} missing");
+    assert_eq!(missing, 0, "of {} messages", delays.len());
+    assert!(longest.is_some_and(|longest| longest <= MAX_DELAY), "{longest:?}");
+    Ok(())
+}
