Peers: a connection to a VM whose replies do not get through is kept for 30 s

Cause: the link drops the packets of that VM, so its peers hear nothing and give the connection up after 10 s, though what they send arrives. A new one cannot be opened: the handshake needs an answer.

Change: a connection ends after 30 s without a packet of the peer, which is longer than a silent member stays in the view; one that neither side uses is closed after 10 s, as before, now by the processes.

Evidence: full_link::messages_reach_a_peer_whose_replies_are_lost_for_long, 10 of 35 messages missing before, none now (0.8 ms).

--- a/crates/badgerfield-node/src/peers/mod.rs
+++ b/crates/badgerfield-node/src/peers/mod.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
+use badgerfield_core::amount::Time;
 use badgerfield_core::ids::Incarnation;
 use badgerfield_core::message::Envelope;
 use quinn::congestion::CubicConfig;
@@ -45,9 +46,13 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay before the next attempt to connect to an unreachable peer.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
-/// Idle timeout of a connection. QUIC sends no keep-alive packets: heartbeats keep the
-/// connections between neighbours open, and other connections close when they are not used.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time without messages in either direction after which a connection is closed. Heartbeats keep the
+/// connections between neighbours open.
+const UNUSED_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time without any packet from the peer after which a connection is given up. While the link of a
+/// VM is full, it receives but none of its packets may get through, nor could a new connection be
+/// opened. A member that is silent for longer is removed from the view.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Flow-control window of one stream. Most messages have 100 B; the largest, a complete set of
 /// templates, takes several round trips. This constant and the ones below limit the memory that
 /// is bound by a peer that does not read.
@@ -254,11 +259,19 @@
     endpoint: Endpoint,
     /// Keyed by incarnation: a process that restarts on a VM has the address of its predecessor
     /// but not its connections.
-    connections: Arc<Mutex<HashMap<Incarnation, Connection>>>,
+    connections: Arc<Mutex<HashMap<Incarnation, OpenConnection>>>,
     handler: Arc<OnceLock<MessageHandler>>,
     clock: Arc<Clock>,
 }
 
+/// A connection with a peer.
+#[derive(Debug)]
+struct OpenConnection {
+    connection: Connection,
+    /// When it was last used to send messages.
+    used_at: Time,
+}
+
 impl fmt::Debug for Network {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Network").field("endpoint", &self.endpoint).finish_non_exhaustive()
@@ -311,7 +324,7 @@
         client.alpn_protocols = vec![ALPN_PROTOCOL.to_vec()];
 
         let mut transport = TransportConfig::default();
-        transport.max_idle_timeout(IDLE_TIMEOUT.try_into().ok());
+        transport.max_idle_timeout(SILENCE_TIMEOUT.try_into().ok());
         transport.max_concurrent_bidi_streams(0_u32.into());
         transport.max_concurrent_uni_streams(MAX_STREAMS.into());
         transport.stream_receive_window(STREAM_WINDOW_BYTES.into());
@@ -408,10 +421,16 @@
 }
 
 impl Network {
-    /// Receives messages on a connection, whichever side opened it, until it is closed.
+    /// Receives messages on a connection, whichever side opened it, until it is closed or neither
+    /// side uses it.
     async fn serve(self, connection: Connection) {
         let error = loop {
             tokio::select! {
+                () = tokio::time::sleep(UNUSED_TIMEOUT) => {
+                    if !self.is_sending_on(&connection) {
+                        connection.close(0_u32.into(), b"unused");
+                    }
+                }
                 stream = connection.accept_uni() => match stream {
                     Ok(mut stream) => {
                         let (network, connection) = (self.clone(), connection.clone());
@@ -432,7 +451,16 @@
         };
         let address = connection.remote_address();
         log::debug!(target: PEERS, "connection with {address} closed: {error}");
-        lock(&self.connections).retain(|_, open| open.stable_id() != connection.stable_id());
+        let id = connection.stable_id();
+        lock(&self.connections).retain(|_, open| open.connection.stable_id() != id);
+    }
+
+    /// Returns whether messages were sent on a connection recently.
+    fn is_sending_on(&self, connection: &Connection) -> bool {
+        let (id, now) = (connection.stable_id(), self.clock.now());
+        lock(&self.connections)
+            .values()
+            .any(|open| open.connection.stable_id() == id && open.is_used(now))
     }
 
     /// Passes the messages of a batch to the handler and records which peer the connection
@@ -457,29 +485,42 @@
     /// Records the connection with a peer unless it has an open connection already.
     fn record_connection(&self, peer: Incarnation, connection: &Connection) {
         let mut connections = lock(&self.connections);
-        let is_open = connections.get(&peer).is_some_and(|c| c.close_reason().is_none());
-        if !is_open {
-            connections.insert(peer, connection.clone());
+        if connections.get(&peer).is_none_or(OpenConnection::is_closed) {
+            connections.insert(peer, self.open_connection(connection));
         }
     }
 
+    fn open_connection(&self, connection: &Connection) -> OpenConnection {
+        OpenConnection { connection: connection.clone(), used_at: self.clock.now() }
+    }
+
     /// Returns the open connection with a peer, or opens one.
     async fn get_or_connect(
         &self,
         to: Incarnation,
         address: SocketAddr,
     ) -> Result<Connection, ConnectError> {
-        let existing = lock(&self.connections).get(&to).cloned();
-        if let Some(connection) = existing.filter(|c| c.close_reason().is_none()) {
-            return Ok(connection);
+        if let Some(open) = lock(&self.connections).get_mut(&to).filter(|open| !open.is_closed()) {
+            open.used_at = self.clock.now();
+            return Ok(open.connection.clone());
         }
         let connection = connect(&self.endpoint, address).await?;
-        lock(&self.connections).insert(to, connection.clone());
+        lock(&self.connections).insert(to, self.open_connection(&connection));
         tokio::spawn(self.clone().serve(connection.clone()));
         Ok(connection)
     }
 }
 
+impl OpenConnection {
+    fn is_closed(&self) -> bool {
+        self.connection.close_reason().is_some()
+    }
+
+    fn is_used(&self, now: Time) -> bool {
+        now.since(self.used_at) < UNUSED_TIMEOUT
+    }
+}
+
 /// Why a connection to a peer could not be opened.
 #[derive(Debug, Error)]
 enum ConnectError {
--- a/crates/badgerfield-node/src/peers/sender.rs
+++ b/crates/badgerfield-node/src/peers/sender.rs
@@ -10,7 +10,7 @@
 use thiserror::Error;
 use tokio::sync::mpsc;
 
-use super::{ConnectError, IDLE_TIMEOUT, MAX_BATCH_MESSAGES, Network, RECONNECT_DELAY, encode};
+use super::{ConnectError, MAX_BATCH_MESSAGES, Network, RECONNECT_DELAY, UNUSED_TIMEOUT, encode};
 use crate::logs::PEERS;
 
 /// How long a batch may take to be handed to its connection before that is logged.
@@ -38,12 +38,12 @@
         Self { network, to, address, outage: None }
     }
 
-    /// Sends messages until none has been queued for `IDLE_TIMEOUT`.
+    /// Sends messages until none has been queued for `UNUSED_TIMEOUT`.
     pub(super) async fn run(mut self, mut queue: mpsc::Receiver<Envelope>) {
         let mut batch = Vec::new();
         loop {
             let received = queue.recv_many(&mut batch, MAX_BATCH_MESSAGES);
-            match tokio::time::timeout(IDLE_TIMEOUT, received).await {
+            match tokio::time::timeout(UNUSED_TIMEOUT, received).await {
                 Ok(count) if count > 0 => {}
                 Ok(_) | Err(_) => return,
             }
