--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -17,6 +17,7 @@
 use futures::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode, Uri};
 use thiserror::Error;
+use tokio::net::TcpStream;
 
 /// The adapter of one platform.
 #[derive(Debug, Clone)]
@@ -34,6 +35,24 @@
     pub discovery: Arc<dyn Discovery>,
     /// The formats of requests, of calls to upstreams and of the directory.
     pub protocol: Arc<dyn Protocol>,
+    /// Opens connections to upstreams.
+    pub dialer: Arc<dyn Dialer>,
+}
+
+/// Opens connections to upstreams.
+pub trait Dialer: Debug + Send + Sync {
+    /// Opens a TCP connection.
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, std::io::Result<TcpStream>>;
+}
+
+/// Opens connections with the sockets of the operating system.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemDialer;
+
+impl Dialer for SystemDialer {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, std::io::Result<TcpStream>> {
+        Box::pin(TcpStream::connect(address))
+    }
 }
 
 /// The result of waiting for a change.
--- a/crates/badgerfield-node/src/gateway/connections.rs
+++ b/crates/badgerfield-node/src/gateway/connections.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::adapter::Dialer;
 use crate::clock::Clock;
 use crate::sync::lock;
 
@@ -101,8 +102,8 @@
 
 impl Connection {
     /// Opens a connection.
-    async fn open(address: SocketAddr) -> Result<Self, ConnectError> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    async fn open(dialer: &dyn Dialer, address: SocketAddr) -> Result<Self, ConnectError> {
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, dialer.connect(address)).await;
         let stream = stream.map_err(|_| ConnectError::Failed)?.map_err(|error| {
             let is_refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
             if is_refused { ConnectError::Refused } else { ConnectError::Failed }
@@ -152,12 +153,13 @@
 #[derive(Debug)]
 pub(crate) struct Connections {
     clock: Arc<Clock>,
+    dialer: Arc<dyn Dialer>,
     idle: Mutex<HashMap<UpstreamId, Vec<Idle>>>,
 }
 
 impl Connections {
-    pub(crate) fn new(clock: Arc<Clock>) -> Self {
-        Self { clock, idle: Mutex::default() }
+    pub(crate) fn new(clock: Arc<Clock>, dialer: Arc<dyn Dialer>) -> Self {
+        Self { clock, dialer, idle: Mutex::default() }
     }
 
     /// Takes an idle connection to an upstream, or opens a new one.
@@ -169,12 +171,12 @@
         if let Some(connection) = self.take_idle(id) {
             return Ok(connection);
         }
-        Connection::open(address).await
+        self.open(address).await
     }
 
     /// Opens a new connection to an upstream.
     pub(crate) async fn open(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
-        Connection::open(address).await
+        Connection::open(&*self.dialer, address).await
     }
 
     /// Probes whether a process still listens at the address of an upstream after its connection
@@ -193,7 +195,7 @@
     }
 
     async fn probe_once(&self, address: SocketAddr) -> ProbeResult {
-        match tokio::time::timeout(LISTEN_TIMEOUT, Connection::open(address)).await {
+        match tokio::time::timeout(LISTEN_TIMEOUT, self.open(address)).await {
             Ok(Ok(connection)) => ProbeResult::Open(connection),
             Ok(Err(ConnectError::Refused)) => ProbeResult::Refused,
             Ok(Err(ConnectError::Failed)) | Err(_) => ProbeResult::Unknown,
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -65,9 +65,10 @@
 
 impl Gateway {
     pub(crate) fn new(adapter: RouteAdapter, limits: RetryLimits, clock: Arc<Clock>) -> Self {
+        let connections = Connections::new(Arc::clone(&clock), Arc::clone(&adapter.dialer));
         Self {
             adapter,
-            connections: Arc::new(Connections::new(Arc::clone(&clock))),
+            connections: Arc::new(connections),
             clock,
             routes: Mutex::default(),
             upstreams: Mutex::default(),
