Poison requests: a cut of a VM's own links is no crash of upstreams

Cause: an address that refuses a connection after one broke was proof that its upstream had ended. Behind a cut every address does.

If none opens, the VM's own links are the likelier cause and nothing is reported; the line `crash ignored` says so. Where there is no other upstream the evidence stands as before.

Evidence: cut_off::a_cut_does_not_count_as_a_crash_of_upstreams, red before (503 with Retry-After 598 s at a VM that was never cut off), green now; poison_requests, unseen_crashes and suspension stay green.

--- a/crates/badgerfield-core/src/upstream_table/mod.rs
+++ b/crates/badgerfield-core/src/upstream_table/mod.rs
@@ -15,6 +15,7 @@
 mod departures;
 mod limits;
 mod list;
+mod probes;
 mod rollout;
 mod slow_start;
 mod upstream;
--- a/crates/badgerfield-node/src/gateway/connections.rs
+++ b/crates/badgerfield-node/src/gateway/connections.rs
@@ -194,6 +194,11 @@
         }
     }
 
+    /// Returns whether an address accepts a connection, which is closed at once.
+    pub(crate) async fn accepts_connection(&self, address: SocketAddr) -> bool {
+        matches!(self.probe_once(address).await, ProbeResult::Open(_))
+    }
+
     async fn probe_once(&self, address: SocketAddr) -> ProbeResult {
         match tokio::time::timeout(LISTEN_TIMEOUT, self.open(address)).await {
             Ok(Ok(connection)) => ProbeResult::Open(connection),
--- a/crates/badgerfield-node/src/gateway/poison.rs
+++ b/crates/badgerfield-node/src/gateway/poison.rs
@@ -19,6 +19,7 @@
 use crate::gateway::connections::{CRASH_WATCH_TIME, LISTEN_TIMEOUT, ProbeResult};
 use crate::gateway::exchange::Exchange;
 use crate::gateway::request_log;
+use crate::gateway::state::Gateway;
 
 /// Returns the fingerprint of a request, which is the same whenever the request is sent again.
 pub(super) fn fingerprint(
@@ -54,6 +55,17 @@
     Err(Refusal::not_run(Cause::EndsUpstreams).with_retry_after(remaining))
 }
 
+/// Reports a crash of an upstream to the fleet, unless this VM reaches no other upstream either: then
+/// its own links have probably failed. Returns whether the crash was reported.
+async fn report_crash(driver: &Arc<Driver>, gateway: &Gateway, crash: Crash) -> bool {
+    if !gateway.reaches_another(driver.now(), &crash.upstream).await {
+        request_log::crash_ignored(crash.request, &crash.upstream);
+        return false;
+    }
+    driver.handle_event(Event::UpstreamCrashed(crash));
+    true
+}
+
 impl Exchange {
     /// Returns the fingerprint of the request. It is computed on first use, which most requests
     /// never need.
@@ -152,21 +164,19 @@
         let probe_result = connections.probe_listener(address).await;
         request_log::broke(id, upstream, probe_result.as_str(), self.now().since(probed_at));
         match probe_result {
-            ProbeResult::Refused => {
-                self.driver.handle_event(Event::UpstreamCrashed(crash()));
-                true
-            }
+            ProbeResult::Refused => report_crash(&self.driver, &self.gateway, crash()).await,
             ProbeResult::Open(connection) => {
                 // The request continues in the meantime.
                 let (driver, crash) = (Arc::clone(&self.driver), crash());
-                let connections = Arc::clone(connections);
+                let gateway = Arc::clone(&self.gateway);
                 let permit = Arc::clone(&self.gateway.crash_watches).try_acquire_owned().ok();
                 let span = if permit.is_some() { CRASH_WATCH_TIME } else { LISTEN_TIMEOUT };
                 tokio::spawn(async move {
-                    let has_exited =
-                        connections.exits_within(&crash.upstream, address, connection, span).await;
-                    if has_exited && !driver.clock.has_stalled_since(probed_at) {
-                        driver.handle_event(Event::UpstreamCrashed(crash));
+                    let upstream = &crash.upstream;
+                    let watch =
+                        gateway.connections.exits_within(upstream, address, connection, span);
+                    if watch.await && !driver.clock.has_stalled_since(probed_at) {
+                        report_crash(&driver, &gateway, crash).await;
                     }
                     drop(permit);
                 });
@@ -175,7 +185,7 @@
             // A failure of the whole host refuses no connection, so the crash is recorded as
             // unconfirmed.
             ProbeResult::Unknown => {
-                self.driver.handle_event(Event::UpstreamCrashed(crash().unconfirmed()));
+                report_crash(&self.driver, &self.gateway, crash().unconfirmed()).await;
                 false
             }
         }
@@ -194,13 +204,12 @@
         let account = self.caller.as_ref().map(|caller| &caller.account);
         let crash = Crash::new(self.fingerprint(), account, upstream, 0)
             .with_prior_crashes(self.last_dispatch.prior_crashes);
-        let (driver, connections) =
-            (Arc::clone(&self.driver), Arc::clone(&self.gateway.connections));
+        let (driver, gateway) = (Arc::clone(&self.driver), Arc::clone(&self.gateway));
         let since = self.now();
         runtime.spawn(async move {
-            let has_exited = connections.exits_soon(&crash.upstream, address).await;
+            let has_exited = gateway.connections.exits_soon(&crash.upstream, address).await;
             if has_exited && !driver.clock.has_stalled_since(since) {
-                driver.handle_event(Event::UpstreamCrashed(crash));
+                report_crash(&driver, &gateway, crash).await;
             }
             drop(permit);
         });
--- a/crates/badgerfield-node/src/gateway/request_log.rs
+++ b/crates/badgerfield-node/src/gateway/request_log.rs
@@ -107,6 +107,14 @@
     );
 }
 
+/// Logs that a crash is not reported, because this VM reaches no other upstream either.
+pub(crate) fn crash_ignored(request: Fingerprint, upstream: &UpstreamId) {
+    log::warn!(
+        target: REQUESTS,
+        "crash ignored fingerprint={request} upstream={upstream} reason=no_upstream_reached"
+    );
+}
+
 /// Logs that a suspect is sent to an upstream: an upstream has crashed while serving the request.
 pub(crate) fn suspect(id: &str, request: Fingerprint, attempt: u32, early: bool) {
     log::info!(
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -24,6 +24,9 @@
 /// connection, and an overloaded upstream has few of them and closes many early.
 const MAX_CRASH_WATCHES: usize = 4;
 
+/// The number of other upstreams that are probed before a crash of one is reported.
+const COMPARED_UPSTREAMS: usize = 3;
+
 /// The routes in force, with the template version that they belong to.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RouteSnapshot {
@@ -54,6 +57,8 @@
     has_rollouts: AtomicBool,
     /// When a bad response of a rollout's target was last reported.
     bad_answer_reported_at: Mutex<Option<Time>>,
+    /// How many rounds of probes have been started.
+    probe_turn: AtomicUsize,
     /// How many delay reports have been prepared for peers.
     delay_report_turn: AtomicUsize,
     /// Permits for watching upstreams for a crash.
@@ -80,6 +85,7 @@
             overloaded: AtomicBool::new(false),
             has_rollouts: AtomicBool::new(false),
             bad_answer_reported_at: Mutex::default(),
+            probe_turn: AtomicUsize::new(0),
             delay_report_turn: AtomicUsize::new(0),
             crash_watches: Arc::new(Semaphore::new(MAX_CRASH_WATCHES)),
             blocked: watch::Sender::new(0),
@@ -198,6 +204,19 @@
         self.connections.sweep(|id| self.is_usable(now, id));
     }
 
+    /// Returns whether this VM can open a connection to an upstream other than the given one, or
+    /// there is no other.
+    pub(crate) async fn reaches_another(&self, now: Time, upstream: &UpstreamId) -> bool {
+        let turn = self.probe_turn.fetch_add(1, Ordering::Relaxed);
+        let others = self.upstreams().probe_targets(now, COMPARED_UPSTREAMS, turn, Some(upstream));
+        if others.is_empty() {
+            return true;
+        }
+        let probes =
+            others.iter().map(|(_, address)| self.connections.accepts_connection(*address));
+        futures::future::join_all(probes).await.into_iter().any(|is_open| is_open)
+    }
+
     /// Returns whether an upstream may still receive requests.
     pub(crate) fn is_usable(&self, now: Time, id: &UpstreamId) -> bool {
         self.upstreams().is_usable(now, id)
