--- a/crates/badgerfield-core/src/availability.rs
+++ b/crates/badgerfield-core/src/availability.rs
@@ -48,6 +48,8 @@
     Overloaded,
     /// It sends nothing.
     Silent,
+    /// It has lost its links to upstreams, and sends requests through peers.
+    CutOff,
 }
 
 impl Condition {
@@ -58,6 +60,7 @@
             Self::Available => "available",
             Self::Overloaded => "overloaded",
             Self::Silent => "silent",
+            Self::CutOff => "cut_off",
         }
     }
 }
@@ -86,8 +89,10 @@
     last_serial: u64,
     /// Whether this process has more work than it can do.
     is_overloaded: bool,
-    /// When this process last reported itself overloaded.
-    overloaded_at: Option<Time>,
+    /// Whether this process is cut off from upstreams.
+    is_cut_off: bool,
+    /// When this process last reported itself overloaded or cut off.
+    reported_at: Option<Time>,
 }
 
 impl Availability {
@@ -123,7 +128,7 @@
         };
         let ttl = match report.condition {
             Condition::Available => return Condition::Available,
-            Condition::Overloaded => OVERLOADED_TTL,
+            Condition::Overloaded | Condition::CutOff => OVERLOADED_TTL,
             Condition::Silent => SILENT_TTL,
         };
         if now.since(*at) < ttl { report.condition } else { Condition::Available }
@@ -161,7 +166,7 @@
                 Condition::Silent if is_heard && self.report_age(now, member) >= reply_delay => {
                     Condition::Available
                 }
-                Condition::Available | Condition::Overloaded
+                Condition::Available | Condition::Overloaded | Condition::CutOff
                     if silence >= unresponsive_after.saturating_add(stagger)
                         && !self.is_heard_by_others(now, member, silence, stagger) =>
                 {
@@ -197,6 +202,14 @@
         self.is_overloaded = is_overloaded;
     }
 
+    /// Sets whether this process is cut off from upstreams.
+    pub(crate) fn set_cut_off(&mut self, is_cut_off: bool) {
+        if self.is_cut_off != is_cut_off {
+            self.reported_at = None;
+        }
+        self.is_cut_off = is_cut_off;
+    }
+
     /// Returns the report to send about this process, given the number of members.
     pub(crate) fn report_own(
         &mut self,
@@ -204,20 +217,32 @@
         me: Incarnation,
         members: usize,
     ) -> Option<ConditionReport> {
-        let was_reported = self.condition(now, me) == Condition::Overloaded;
-        if !self.is_overloaded {
-            self.overloaded_at = None;
-            let own = (me, Duration::ZERO);
-            return was_reported.then(|| self.new_report(now, me, own, Condition::Available));
-        }
-        let is_due = self.overloaded_at.is_none_or(|at| now.since(at) >= OVERLOAD_REPORT_INTERVAL);
-        let overloaded = self.with_condition(now, Condition::Overloaded).len();
-        let is_allowed = was_reported || (overloaded + 1) * 100 <= members * MAX_OVERLOADED_PERCENT;
+        let reported = self.condition(now, me);
+        let was_reported = matches!(reported, Condition::Overloaded | Condition::CutOff);
+        let condition = match (self.is_cut_off, self.is_overloaded) {
+            (true, _) => Condition::CutOff,
+            (false, true) => Condition::Overloaded,
+            (false, false) => {
+                self.reported_at = None;
+                let own = (me, Duration::ZERO);
+                return was_reported.then(|| self.new_report(now, me, own, Condition::Available));
+            }
+        };
+        let is_due = self.reported_at.is_none_or(|at| now.since(at) >= OVERLOAD_REPORT_INTERVAL);
+        let is_allowed = reported == condition
+            || condition == Condition::CutOff
+            || self.may_report_overload(now, members);
         if !is_due || !is_allowed {
             return None;
         }
-        self.overloaded_at = Some(now);
-        Some(self.new_report(now, me, (me, Duration::ZERO), Condition::Overloaded))
+        self.reported_at = Some(now);
+        Some(self.new_report(now, me, (me, Duration::ZERO), condition))
+    }
+
+    /// Returns whether so few members count as overloaded that another one may.
+    fn may_report_overload(&self, now: Time, members: usize) -> bool {
+        let overloaded = self.with_condition(now, Condition::Overloaded).len();
+        (overloaded + 1) * 100 <= members * MAX_OVERLOADED_PERCENT
     }
 
     fn new_report(
--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -70,6 +70,8 @@
     Serving(bool),
     /// Whether this process has more work than it can do.
     Overloaded(bool),
+    /// Whether this process is cut off from upstreams.
+    CutOff(bool),
     /// Processes have announced themselves in the store, under [`StoreKey::Joiner`].
     Joiners(Vec<Versioned>),
     /// The list of upstreams has changed at the platform. The core sets the update's reach.
--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -48,6 +48,12 @@
         self.state.membership().overloaded_members(now)
     }
 
+    /// Returns the members that are cut off from upstreams, and send requests through peers.
+    #[must_use]
+    pub fn cut_off_members(&self, now: Time) -> BTreeSet<Incarnation> {
+        self.state.membership().cut_off_members(now)
+    }
+
     /// Sends heartbeats if they are due.
     pub(crate) fn tick_heartbeat(&self, now: Time, out: &mut Outbox) {
         let is_due = {
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -86,6 +86,7 @@
 mod ranks;
 pub mod rate_limit;
 mod rate_meter;
+pub mod reachability;
 pub mod refusal;
 pub mod request_mix;
 pub mod residency;
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -730,16 +730,29 @@
         self.availability.with_condition(now, Condition::Overloaded)
     }
 
+    /// Returns the members that are cut off from upstreams.
+    pub(crate) fn cut_off_members(&self, now: Time) -> BTreeSet<Incarnation> {
+        self.availability.with_condition(now, Condition::CutOff)
+    }
+
     /// Returns the reports that this process sends to all members now.
     ///
-    /// In a small view each member hears from all others. A process that hears from few of the
-    /// members that it watches is more likely cut off itself, and reports none of them.
+    /// In a small view each member hears from all others, and reports only whether it is cut off
+    /// from upstreams itself. A process that hears from few of the members that it watches is more
+    /// likely isolated itself, and reports none of them.
     pub(crate) fn condition_reports(&mut self, now: Time) -> Vec<ConditionReport> {
         let members = self.view.members.len();
-        if members <= MAX_SMALL_VIEW_MEMBERS || !self.is_member() {
+        if !self.is_member() {
             return Vec::new();
         }
         let me = self.id();
+        if members <= MAX_SMALL_VIEW_MEMBERS {
+            let own = self.availability.report_own(now, me, members);
+            return own
+                .filter(|report| report.condition != Condition::Overloaded)
+                .into_iter()
+                .collect();
+        }
         let silent_after = self.unresponsive_after;
         let watched: Vec<_> = self
             .watched()
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -368,6 +368,9 @@
             Event::Overloaded(is_overloaded) => {
                 self.state.membership().availability.set_overloaded(is_overloaded);
             }
+            Event::CutOff(is_cut_off) => {
+                self.state.membership().availability.set_cut_off(is_cut_off);
+            }
             Event::Joiners(found) => self.add_joiners(now, &found, out),
             Event::UpstreamChanges(update) => self.announce_upstream_changes(now, &update, out),
             Event::UpstreamListGap(from, revision) => {
--- a/crates/badgerfield-core/src/upstream_table/probes.rs
+++ b/crates/badgerfield-core/src/upstream_table/probes.rs
@@ -8,6 +8,20 @@
 use crate::ids::{Domain, UpstreamId};
 
 impl UpstreamTable {
+    /// Returns the address of a listed upstream.
+    #[must_use]
+    pub fn address(&self, id: &UpstreamId) -> Option<SocketAddr> {
+        self.upstreams.get(id).map(|upstream| upstream.info.address)
+    }
+
+    /// Drops what was learned of upstreams from failed and delayed requests: while this VM was cut
+    /// off from them, it was not their fault.
+    pub fn forget_failures(&mut self) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.forget_failures();
+        }
+    }
+
     /// Returns up to `count` usable upstreams, in as many failure domains as possible, other than
     /// `except`. Each turn returns other ones.
     #[must_use]
--- a/crates/badgerfield-core/src/upstream_table/upstream.rs
+++ b/crates/badgerfield-core/src/upstream_table/upstream.rs
@@ -190,14 +190,19 @@
     /// Resets the observations of the previous process: a new process has cached no prompts, has no
     /// backlog and may work where the previous one failed.
     pub(super) fn reset_process(&mut self) {
+        self.forget_failures();
+        self.parts.clear();
+        self.cold = None;
+        self.announced = Announcements::default();
+    }
+
+    /// Drops what was learned from failed and delayed requests.
+    pub(super) fn forget_failures(&mut self) {
         self.failed_share = 0.0;
         self.rejected_share = 0.0;
         self.consecutive_failures = 0;
         self.avoid_until = Time::default();
-        self.parts.clear();
         self.queueing_delay = QueueingDelay::default();
-        self.cold = None;
-        self.announced = Announcements::default();
     }
 
     /// Returns its list entry, for other processes.
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -30,6 +30,8 @@
 use crate::caller_api::Outgoing;
 use crate::clock::{Clock, Stall, SystemClocks, VmClocks};
 use crate::follow;
+use crate::gateway::forward::serve;
+use crate::gateway::reachability;
 use crate::gateway::state::Gateway;
 use crate::http;
 use crate::logs::{BILLS, NODE, PLATFORM, REQUESTS};
@@ -226,7 +228,21 @@
         let driver = Arc::clone(self);
         tokio::spawn(follow::watch_operators(driver));
         let driver = Arc::clone(self);
-        tokio::spawn(follow::watch_upstreams(driver, gateway));
+        tokio::spawn(follow::watch_upstreams(driver, Arc::clone(&gateway)));
+        let driver = Arc::clone(self);
+        tokio::spawn(reachability::watch(driver, Arc::clone(&gateway)));
+        self.handle_calls(gateway);
+    }
+
+    /// Handles the calls of peers that are cut off from upstreams.
+    fn handle_calls(self: &Arc<Self>, gateway: Arc<Gateway>) {
+        let driver = Arc::downgrade(self);
+        self.peers.set_call_handler(move |stream| {
+            let Some(driver) = driver.upgrade() else {
+                return;
+            };
+            tokio::spawn(serve::handle_call(driver, Arc::clone(&gateway), stream));
+        });
     }
 
     /// Starts a planned stop.
@@ -261,6 +277,11 @@
             .is_some_and(|started| self.now().since(started) >= grace * ADMISSION_PERCENT / 100)
     }
 
+    /// Returns whether this VM is cut off from upstreams, so that requests go through peers.
+    pub fn is_cut_off(&self) -> bool {
+        self.gateway.as_ref().is_some_and(|gateway| gateway.reachability().is_cut_off())
+    }
+
     /// Returns the gateway, if this process accepts requests on routes.
     pub(crate) fn gateway(&self) -> Option<&Arc<Gateway>> {
         self.gateway.as_ref()
@@ -281,6 +302,10 @@
         (id, receiver)
     }
 
+    pub(crate) fn peers(&self) -> &PeerTransport {
+        &self.peers
+    }
+
     pub(crate) fn upstream_client(&self) -> &UpstreamClient {
         &self.upstream_client
     }
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
@@ -9,11 +10,13 @@
 use badgerfield_core::routing::Route;
 use badgerfield_core::upstream_table::{AttemptOutcome, ChosenUpstream};
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Request, StatusCode, header};
+use thiserror::Error;
 
 use crate::adapter::{ResponseKind, UpstreamHeaders};
 use crate::driver::Driver;
@@ -84,11 +87,19 @@
     Answered(Box<UpstreamResponse>),
 }
 
+/// The error of a response that broke off.
+#[derive(Debug, Clone, Copy, Error)]
+#[error("the upstream broke off its response")]
+pub(crate) struct BodyBroken;
+
+/// The body of an upstream's response.
+pub(crate) type UpstreamBody = UnsyncBoxBody<Bytes, BodyBroken>;
+
 /// A response whose head has arrived.
 #[derive(Debug)]
 pub(crate) struct UpstreamResponse {
     pub(crate) head: response::Parts,
-    pub(crate) body: Incoming,
+    pub(crate) body: UpstreamBody,
     /// Whether the headers determine the end of the body. Otherwise it ends with the connection.
     pub(crate) framed: bool,
     pub(crate) guard: UpstreamGuard,
@@ -114,6 +125,26 @@
     wait: Option<FirstEventWait>,
     /// The sample of this attempt, if a rollout is in progress.
     sample: Option<RolloutSample>,
+    /// The peer that the request went through, which records the outcome itself.
+    peer: Option<PeerVerdict>,
+}
+
+/// What a peer has found out about the upstream to which it sent a request for this process.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PeerVerdict {
+    crashed: Arc<AtomicBool>,
+}
+
+impl PeerVerdict {
+    /// Records that the upstream has crashed.
+    pub(crate) fn record_crash(&self) {
+        self.crashed.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the upstream has crashed.
+    pub(crate) fn has_crashed(&self) -> bool {
+        self.crashed.load(Ordering::Relaxed)
+    }
 }
 
 /// A wait for the first event of an engine's response.
@@ -151,9 +182,39 @@
             sample: gateway
                 .has_rollouts()
                 .then(|| RolloutSample::new(now, &chosen.id, route, uncached_tokens.unwrap_or(0))),
+            peer: None,
+        }
+    }
+
+    /// Creates the guard of an upstream to which a peer has sent the request.
+    pub(crate) fn through_peer(
+        driver: &Arc<Driver>,
+        gateway: &Arc<Gateway>,
+        (id, address): (UpstreamId, SocketAddr),
+        verdict: PeerVerdict,
+    ) -> Self {
+        Self {
+            driver: Arc::clone(driver),
+            gateway: Arc::clone(gateway),
+            id,
+            address,
+            process: 0,
+            sent_at: driver.now(),
+            outcome: AttemptOutcome::Unknown,
+            connection: None,
+            keep_alive: None,
+            closes_connection: false,
+            wait: None,
+            sample: None,
+            peer: Some(verdict),
         }
     }
 
+    /// Returns what the peer has found out, if the request went through one.
+    pub(crate) fn peer_verdict(&self) -> Option<PeerVerdict> {
+        self.peer.clone()
+    }
+
     /// Records the arrival of an event. The first event ends the wait of this attempt.
     pub(crate) fn record_first_event(&mut self) {
         if let Some(wait) = self.wait.take() {
@@ -217,10 +278,14 @@
             Ok(connection) => !connection.reused,
             Err(error) => *error != ConnectError::Refused,
         };
+        let now = self.driver.now();
         if says_something {
-            let now = self.driver.now();
             self.gateway.vm_load().record_connect(now, now.since(started));
         }
+        let opened = taken.is_ok_and(|connection| !connection.reused);
+        if opened || taken.is_err() {
+            self.gateway.reachability().record_connect(now, opened);
+        }
     }
 
     /// Sets the outcome that is reported on drop.
@@ -246,6 +311,9 @@
 
 impl Drop for UpstreamGuard {
     fn drop(&mut self) {
+        if self.peer.is_some() {
+            return;
+        }
         // A wait that was given up lasted at least this long.
         if let Some(wait) = self.wait.take() {
             self.record_wait(wait);
@@ -323,6 +391,7 @@
     let framed = is_framed(response.headers());
     strip_hop_by_hop(response.headers_mut());
     let (head, body) = response.into_parts();
+    let body = body.map_err(|_| BodyBroken).boxed_unsync();
     AttemptEnd::Answered(Box::new(UpstreamResponse { head, body, framed, guard }))
 }
 
--- a/crates/badgerfield-node/src/gateway/directory.rs
+++ b/crates/badgerfield-node/src/gateway/directory.rs
@@ -95,9 +95,10 @@
     };
     let now = driver.now();
     let members = driver.node.available_members(now);
-    let overloaded = driver.node.overloaded_members(now);
+    let mut avoided = driver.node.overloaded_members(now);
+    avoided.extend(driver.node.cut_off_members(now));
     let caller = caller_location(gateway, query);
-    let addresses = choose_addresses(&members, &overloaded, &caller);
+    let addresses = choose_addresses(&members, &avoided, &caller);
     if addresses.is_empty() {
         let error = json!({ "error": "no VM is ready; come back later" });
         return http::json_response(StatusCode::SERVICE_UNAVAILABLE, &error);
@@ -118,12 +119,13 @@
     Location { domain, region }
 }
 
-/// Returns the addresses of the VMs that are nearest to a caller, without overloaded ones.
+/// Returns the addresses of the VMs that are nearest to a caller, without avoided ones unless these
+/// are most of them.
 fn choose_addresses(
     members: &[Member],
-    overloaded: &BTreeSet<Incarnation>,
+    avoided: &BTreeSet<Incarnation>,
     caller: &Location,
 ) -> Vec<SocketAddr> {
-    let chosen = without_overloaded(&nearest(members, caller), overloaded).into_iter();
+    let chosen = without_overloaded(&nearest(members, caller), avoided).into_iter();
     chosen.map(|member| member.caller).take(MAX_ADDRESSES).collect()
 }
--- a/crates/badgerfield-node/src/gateway/dispatch.rs
+++ b/crates/badgerfield-node/src/gateway/dispatch.rs
@@ -4,16 +4,25 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
+use badgerfield_core::ids::{SoftwareVersion, UpstreamId};
 use badgerfield_core::refusal::{Cause, Refusal};
 use badgerfield_core::residency::Residency;
+use badgerfield_core::routing::ServiceSpec;
 use badgerfield_core::upstream_table::{ChosenUpstream, UpstreamCriteria};
 use hyper::StatusCode;
 
 use crate::adapter::UpstreamHeaders;
 use crate::gateway::attempt::{AttemptEnd, BROKEN, UpstreamGuard, UpstreamResponse, attempt};
 use crate::gateway::exchange::{Exchange, LastDispatch};
+use crate::gateway::forward::TriedPeers;
+use crate::gateway::forward::origin::PeerAttempt;
 use crate::gateway::request_log;
 
+/// The number of unreachable upstreams after which a request waits until it is known whether this
+/// VM is cut off: further ones would be unreachable too.
+const UNREACHABLE_IN_DOUBT: u32 = 2;
+/// The maximum time for which a request waits for that.
+const MAX_FINDING_WAIT: Duration = Duration::from_millis(1500);
 /// The minimum time for an attempt: with less time left, no upstream is tried.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
 /// The maximum number of unreachable upstreams before a request is refused.
@@ -29,6 +38,16 @@
 /// The share of an upstream's connections that all VMs together may use, in percent.
 const MAX_CONNECTION_PERCENT: u64 = 80;
 
+/// The result of one attempt.
+struct AttemptStep {
+    /// The upstream, if one was chosen.
+    upstream: Option<UpstreamId>,
+    version: Option<SoftwareVersion>,
+    end: AttemptEnd,
+    /// Whether the upstream has crashed.
+    crashed: bool,
+}
+
 impl Exchange {
     /// Sends the request to upstreams until one responds.
     ///
@@ -40,49 +59,32 @@
         last_event: Option<u64>,
     ) -> Result<Box<UpstreamResponse>, Refusal> {
         let mut unreachable = 0;
+        let mut tried_peers = TriedPeers::default();
         loop {
             let now = self.now();
             let vm_count = self.driver.node.member_count();
             if let Err(cause) = self.check_attempts(now, vm_count, unreachable) {
                 return Err(self.final_refusal(cause));
             }
-            let remaining = self.deadline.since(now);
-            let chosen = match self.choose(now, vm_count, last_event.is_some()) {
-                Ok(chosen) => chosen,
-                Err(cause) => return Err(self.final_refusal(cause)),
-            };
-            if self.attempts > 0 {
-                self.gateway.retries().try_take(now, &self.service, vm_count);
+            if unreachable >= UNREACHABLE_IN_DOUBT {
+                self.await_finding(now).await;
             }
-            self.tried.push(chosen.id.clone());
-            let headers = UpstreamHeaders {
-                upstream: &chosen.id,
-                remaining,
-                account: self.caller.as_ref().map(|caller| &caller.account),
-                rank: self.rank(),
-                last_event,
-                fetch_from: None,
+            let is_direct = self.gateway.reachability().sends_directly(rand::random());
+            let step = if is_direct {
+                self.attempt_directly(now, vm_count, last_event).await
+            } else {
+                self.attempt_elsewhere(now, vm_count, last_event, &mut tried_peers).await
+            };
+            let AttemptStep { upstream, version, end, crashed } = match step {
+                Ok(step) => step,
+                Err(cause) => return Err(self.final_refusal(cause)),
             };
-            self.last_dispatch =
-                LastDispatch { at: now, prior_crashes: self.crash_count(&chosen.id) };
-            self.uncached_tokens = chosen.uncached_tokens.saturating_add(self.unshared_tokens());
-            self.timing.record_sent(self.elapsed());
-            // Only engines read prompts. At plain services, waiting requests count as in flight.
-            let engine_tokens = self.spec.engine.as_ref().map(|_| self.uncached_tokens);
-            let (driver, gateway) = (&self.driver, &self.gateway);
-            let guard = UpstreamGuard::new(driver, gateway, &chosen, engine_tokens, &self.route);
-            self.current_upstream = Some((chosen.id.clone(), chosen.address));
-            let timed_out = self.wait_until_timeout(remaining, last_event.is_some());
-            let end =
-                attempt(guard, &self.original, &headers, timed_out, self.until_blocked()).await;
-            self.current_upstream = None;
             let outcome = match end {
                 AttemptEnd::Answered(response) => {
                     self.attempts += 1;
                     self.may_have_run = true;
                     self.timing.head = Some(self.elapsed());
-                    self.version.clone_from(&chosen.version);
-                    self.record_response_time(&chosen.id, self.now().since(now));
+                    self.version = version;
                     if response.head.status.is_server_error() && self.can_retry(vm_count) {
                         let mut response = response;
                         response.guard.record_failure();
@@ -94,28 +96,23 @@
                 }
                 AttemptEnd::NotSent(reason) => {
                     unreachable += 1;
-                    self.gateway.upstreams().undo_sent(&chosen.id, &self.route.name);
                     reason
                 }
                 AttemptEnd::NotRun(status) => {
                     self.attempts += 1;
-                    self.record_rejection(&chosen.id, status);
                     not_run_outcome(status)
                 }
                 AttemptEnd::Broken(reason) => {
                     self.attempts += 1;
                     self.may_have_run = true;
-                    let has_crashed = reason == BROKEN
-                        && self.detect_crash(&chosen.id, chosen.address, last_event).await;
-                    self.has_unseen_output |= !has_crashed;
+                    self.has_unseen_output |= !crashed;
                     reason
                 }
             };
-            let id = &self.original.id;
             request_log::attempt_failed(
-                id,
+                &self.original.id,
                 self.attempts,
-                &chosen.id,
+                upstream.as_ref(),
                 outcome,
                 self.now().since(now),
             );
@@ -130,6 +127,88 @@
         }
     }
 
+    /// Waits, if this VM may be cut off from upstreams, until it knows.
+    async fn await_finding(&self, now: Time) {
+        let until = now.after(MAX_FINDING_WAIT).min(self.deadline);
+        let mut rounds = self.gateway.subscribe_rounds();
+        while self.gateway.reachability().awaits_finding(self.now()) {
+            if self.driver.clock.timeout_at(until, rounds.changed()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Records that a second or later attempt begins.
+    fn count_retry(&self, now: Time, vm_count: usize) {
+        if self.attempts > 0 {
+            self.gateway.retries().try_take(now, &self.service, vm_count);
+        }
+    }
+
+    /// Sends the request through a peer.
+    async fn attempt_elsewhere(
+        &mut self,
+        now: Time,
+        vm_count: usize,
+        last_event: Option<u64>,
+        tried_peers: &mut TriedPeers,
+    ) -> Result<AttemptStep, Cause> {
+        self.count_retry(now, vm_count);
+        self.last_dispatch.at = now;
+        self.timing.record_sent(self.elapsed());
+        let attempt = self.attempt_through_peer(now, last_event, tried_peers).await?;
+        self.tried.extend(attempt.upstream.clone());
+        let PeerAttempt { upstream, version, end, crashed, .. } = attempt;
+        Ok(AttemptStep { upstream, version, end, crashed })
+    }
+
+    /// Sends the request to an upstream.
+    async fn attempt_directly(
+        &mut self,
+        now: Time,
+        vm_count: usize,
+        last_event: Option<u64>,
+    ) -> Result<AttemptStep, Cause> {
+        let remaining = self.deadline.since(now);
+        let chosen = self.choose(now, vm_count, last_event.is_some())?;
+        self.count_retry(now, vm_count);
+        self.tried.push(chosen.id.clone());
+        let headers = UpstreamHeaders {
+            upstream: &chosen.id,
+            remaining,
+            account: self.caller.as_ref().map(|caller| &caller.account),
+            rank: self.rank(),
+            last_event,
+            fetch_from: None,
+        };
+        self.last_dispatch = LastDispatch { at: now, prior_crashes: self.crash_count(&chosen.id) };
+        self.uncached_tokens = chosen.uncached_tokens.saturating_add(self.unshared_tokens());
+        self.timing.record_sent(self.elapsed());
+        // Only engines read prompts. At plain services, waiting requests count as in flight.
+        let engine_tokens = self.spec.engine.as_ref().map(|_| self.uncached_tokens);
+        let (driver, gateway) = (&self.driver, &self.gateway);
+        let guard = UpstreamGuard::new(driver, gateway, &chosen, engine_tokens, &self.route);
+        self.current_upstream = Some((chosen.id.clone(), chosen.address));
+        let timed_out = self.wait_until_timeout(remaining, last_event.is_some());
+        let end = attempt(guard, &self.original, &headers, timed_out, self.until_blocked()).await;
+        self.current_upstream = None;
+        let mut crashed = false;
+        match &end {
+            AttemptEnd::Answered(_) => {
+                self.record_response_time(&chosen.id, self.now().since(now));
+            }
+            AttemptEnd::NotSent(_) => {
+                self.gateway.upstreams().undo_sent(&chosen.id, &self.route.name);
+            }
+            AttemptEnd::NotRun(status) => self.record_rejection(&chosen.id, *status),
+            AttemptEnd::Broken(reason) => {
+                crashed = *reason == BROKEN
+                    && self.detect_crash(&chosen.id, chosen.address, last_event).await;
+            }
+        }
+        Ok(AttemptStep { upstream: Some(chosen.id), version: chosen.version, end, crashed })
+    }
+
     /// Returns whether another upstream may be tried, given the number of unreachable ones so far.
     fn check_attempts(&self, now: Time, vm_count: usize, unreachable: u32) -> Result<(), Cause> {
         if self.deadline.since(now) < MIN_ATTEMPT_TIME {
@@ -147,7 +226,7 @@
 
     /// Returns the regions in which the request may be served, by the template version of its
     /// admission and by the newest one.
-    fn current_residency(&self) -> Residency {
+    pub(super) fn current_residency(&self) -> Residency {
         let newest = self.gateway.routes();
         self.admission.current_residency(newest.version, || {
             // The head may have lost its host, because hop-by-hop headers are removed.
@@ -193,9 +272,6 @@
         vm_count: usize,
         is_resume: bool,
     ) -> UpstreamCriteria<'a> {
-        let vm_count = u64::try_from(vm_count).unwrap_or(u64::MAX).saturating_add(1);
-        let connections =
-            u64::from(self.spec.connections) * MAX_CONNECTION_PERCENT / 100 / vm_count;
         UpstreamCriteria {
             rendezvous_key,
             service: &self.service,
@@ -205,7 +281,7 @@
             residency,
             tried: &self.tried,
             resumed_version: self.version.as_ref().filter(|_| is_resume),
-            max_connections: u32::try_from(connections).unwrap_or(u32::MAX).max(2),
+            max_connections: connection_share(&self.spec, vm_count),
             random: rand::random(),
         }
     }
@@ -216,7 +292,7 @@
     /// may be queued at the upstream and is served late. Timing out without an alternative cost 276
     /// of 326 streams their response when few upstreams were left, and their budgets 4.4 million
     /// tokens.
-    async fn wait_until_timeout(&self, remaining: Duration, is_resume: bool) {
+    pub(super) async fn wait_until_timeout(&self, remaining: Duration, is_resume: bool) {
         let (started, attempts) = (self.now(), self.attempts + 1);
         let deadline = started.after(remaining);
         let timeout = self.route.objective.saturating_mul(OBJECTIVE_TIMEOUT_FACTOR);
@@ -250,7 +326,7 @@
     }
 
     /// Returns the rank of the request. The rank of the account overrides that of the route.
-    fn rank(&self) -> u8 {
+    pub(super) fn rank(&self) -> u8 {
         let account_rank = self.caller.as_ref().and_then(|caller| caller.rank);
         account_rank.unwrap_or(self.route.rank)
     }
@@ -262,15 +338,10 @@
             && self.gateway.retries().remaining(now, &self.service, vm_count) >= 1.0
     }
 
-    /// Returns the expected number of bytes between this VM and an upstream: the body of the
-    /// request and the response.
+    /// Returns the expected number of bytes between this VM and an upstream.
     fn transfer_bytes(&self) -> u64 {
-        let body = u64::try_from(self.original.body.len()).unwrap_or(u64::MAX);
-        let response = match self.headers.tokens {
-            Some((_, output)) => output.saturating_mul(BYTES_PER_TOKEN),
-            None => PLAIN_RESPONSE_BYTES,
-        };
-        body.saturating_add(response)
+        let output = self.headers.tokens.map(|(_, output)| output);
+        transfer_bytes(self.original.body.len(), output)
     }
 
     fn unshared_tokens(&self) -> u64 {
@@ -278,6 +349,24 @@
     }
 }
 
+/// Returns the expected number of bytes between a VM and an upstream: the body of the request and
+/// the response, for which an engine has a maximum number of tokens.
+pub(super) fn transfer_bytes(body: usize, output_tokens: Option<u64>) -> u64 {
+    let body = u64::try_from(body).unwrap_or(u64::MAX);
+    let response = match output_tokens {
+        Some(output) => output.saturating_mul(BYTES_PER_TOKEN),
+        None => PLAIN_RESPONSE_BYTES,
+    };
+    body.saturating_add(response)
+}
+
+/// Returns how many connections a VM may have to one upstream, given the number of VMs.
+pub(super) fn connection_share(spec: &ServiceSpec, vm_count: usize) -> u32 {
+    let vm_count = u64::try_from(vm_count).unwrap_or(u64::MAX).saturating_add(1);
+    let connections = u64::from(spec.connections) * MAX_CONNECTION_PERCENT / 100 / vm_count;
+    u32::try_from(connections).unwrap_or(u32::MAX).max(2)
+}
+
 /// Returns the log value for the reason why an upstream did not run a request.
 fn not_run_outcome(status: StatusCode) -> &'static str {
     match status {
--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -154,6 +154,7 @@
             return relay::start(exchange, response);
         }
         let (upstream, address) = (response.guard.id.clone(), response.guard.address);
+        let peer = response.guard.peer_verdict();
         match exchange.collect(response).await {
             Ok((head, body)) => {
                 exchange.record_served();
@@ -163,13 +164,19 @@
             }
             Err(reason) => {
                 // A poison request may also crash an upstream in the middle of the response.
-                let has_crashed = reason == CUT
-                    || (reason == BROKEN && exchange.detect_crash(&upstream, address, None).await);
+                let has_crashed = match peer {
+                    Some(verdict) => verdict.has_crashed(),
+                    None => {
+                        reason == CUT
+                            || (reason == BROKEN
+                                && exchange.detect_crash(&upstream, address, None).await)
+                    }
+                };
                 exchange.has_unseen_output |= !has_crashed;
                 request_log::attempt_failed(
                     &exchange.original.id,
                     exchange.attempts,
-                    &upstream,
+                    Some(&upstream),
                     reason,
                     exchange.elapsed(),
                 );
--- a/crates/badgerfield-node/src/gateway/mod.rs
+++ b/crates/badgerfield-node/src/gateway/mod.rs
@@ -7,6 +7,8 @@
 //! - `exchange` holds its state and its steps from admission to settlement;
 //! - `dispatch` chooses upstreams, one after the other where the route allows retries;
 //! - `attempt` is one attempt at one upstream, over one of the `connections`;
+//! - `forward` sends requests through peers while this VM is cut off from upstreams, as
+//!   `reachability` finds out by opening connections, and sends those of peers;
 //! - `relay` forwards a streamed response;
 //! - `poison` detects crashes of upstreams that serve the request, and blocks poison requests;
 //! - `refusals` builds the response of a refused request.
@@ -25,9 +27,11 @@
 pub(crate) mod directory;
 mod dispatch;
 pub(crate) mod exchange;
+pub(crate) mod forward;
 pub mod listener;
 mod overload;
 mod poison;
+pub(crate) mod reachability;
 mod refusals;
 pub(crate) mod relay;
 pub(crate) mod request_log;
--- a/crates/badgerfield-node/src/gateway/poison.rs
+++ b/crates/badgerfield-node/src/gateway/poison.rs
@@ -137,39 +137,91 @@
         last_event.map_or(self.last_dispatch.at, |at| at.max(self.last_dispatch.at))
     }
 
+    fn crash_check(&self) -> CrashCheck {
+        CrashCheck {
+            driver: Arc::clone(&self.driver),
+            gateway: Arc::clone(&self.gateway),
+            id: self.original.id.clone(),
+            account: self.caller.as_ref().map(|caller| caller.account.clone()),
+            request: self.fingerprint(),
+            prior_crashes: self.last_dispatch.prior_crashes,
+            last_contact: self.last_contact(),
+        }
+    }
+
+    /// Detects whether an upstream has crashed after its connection failed, and records a crash for
+    /// the request. Returns whether it has crashed.
+    pub(super) async fn detect_crash(
+        &self,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+        last_event: Option<u64>,
+    ) -> bool {
+        self.crash_check().detect(upstream, address, last_event).await
+    }
+
+    /// Watches an upstream that still works on the request after its caller disconnected.
+    pub(super) fn watch_abandoned(&self, upstream: &UpstreamId, address: SocketAddr) {
+        self.crash_check().watch_abandoned(upstream, address);
+    }
+
+    /// Records that the request was served completely, and so caused none of the crashes under it.
+    pub(super) fn record_served(&self) {
+        if self.poison_status() != PoisonStatus::Clear {
+            self.driver.handle_event(Event::SuspectServed(self.fingerprint()));
+        }
+    }
+}
+
+/// What the detection of a crash needs to know about a request that an upstream was running.
+#[derive(Debug)]
+pub(super) struct CrashCheck {
+    pub(super) driver: Arc<Driver>,
+    pub(super) gateway: Arc<Gateway>,
+    /// The id of the request.
+    pub(super) id: String,
+    pub(super) account: Option<Account>,
+    pub(super) request: Fingerprint,
+    /// How many crashes of the upstream under the request were known when it was sent.
+    pub(super) prior_crashes: u32,
+    /// When the upstream was last known to work on the request.
+    pub(super) last_contact: Time,
+}
+
+impl CrashCheck {
+    fn crash(&self, upstream: &UpstreamId, events_sent: u64) -> Crash {
+        Crash::new(self.request, self.account.as_ref(), upstream, events_sent)
+            .with_prior_crashes(self.prior_crashes)
+    }
+
     /// Detects whether an upstream has crashed after its connection failed, and records a crash for
     /// the request. Returns whether it has crashed.
     ///
     /// A failed connection alone is no evidence: running upstreams close some connections early.
-    pub(super) async fn detect_crash(
+    pub(super) async fn detect(
         &self,
         upstream: &UpstreamId,
         address: SocketAddr,
         last_event: Option<u64>,
     ) -> bool {
-        let id = &self.original.id;
+        let (driver, gateway) = (&self.driver, &self.gateway);
         // While this process was stalled, the upstream may have been stopped as planned, which
         // looks the same as a crash.
-        if self.driver.clock.has_stalled_since(self.last_contact()) {
-            request_log::broke(id, upstream, "not_asked", Duration::ZERO);
+        if driver.clock.has_stalled_since(self.last_contact) {
+            request_log::broke(&self.id, upstream, "not_asked", Duration::ZERO);
             return false;
         }
-        let account = self.caller.as_ref().map(|caller| &caller.account);
-        let crash = || {
-            Crash::new(self.fingerprint(), account, upstream, last_event.unwrap_or(0))
-                .with_prior_crashes(self.last_dispatch.prior_crashes)
-        };
-        let connections = &self.gateway.connections;
-        let probed_at = self.now();
-        let probe_result = connections.probe_listener(address).await;
-        request_log::broke(id, upstream, probe_result.as_str(), self.now().since(probed_at));
+        let crash = self.crash(upstream, last_event.unwrap_or(0));
+        let probed_at = driver.now();
+        let probe_result = gateway.connections.probe_listener(address).await;
+        let took = driver.now().since(probed_at);
+        request_log::broke(&self.id, upstream, probe_result.as_str(), took);
         match probe_result {
-            ProbeResult::Refused => report_crash(&self.driver, &self.gateway, crash()).await,
+            ProbeResult::Refused => report_crash(driver, gateway, crash).await,
             ProbeResult::Open(connection) => {
                 // The request continues in the meantime.
-                let (driver, crash) = (Arc::clone(&self.driver), crash());
-                let gateway = Arc::clone(&self.gateway);
-                let permit = Arc::clone(&self.gateway.crash_watches).try_acquire_owned().ok();
+                let (driver, gateway) = (Arc::clone(driver), Arc::clone(gateway));
+                let permit = Arc::clone(&gateway.crash_watches).try_acquire_owned().ok();
                 let span = if permit.is_some() { CRASH_WATCH_TIME } else { LISTEN_TIMEOUT };
                 tokio::spawn(async move {
                     let upstream = &crash.upstream;
@@ -185,7 +237,7 @@
             // A failure of the whole host refuses no connection, so the crash is recorded as
             // unconfirmed.
             ProbeResult::Unknown => {
-                report_crash(&self.driver, &self.gateway, crash().unconfirmed()).await;
+                report_crash(driver, gateway, crash.unconfirmed()).await;
                 false
             }
         }
@@ -201,11 +253,9 @@
             // runtime, the process is exiting.
             return;
         };
-        let account = self.caller.as_ref().map(|caller| &caller.account);
-        let crash = Crash::new(self.fingerprint(), account, upstream, 0)
-            .with_prior_crashes(self.last_dispatch.prior_crashes);
+        let crash = self.crash(upstream, 0);
         let (driver, gateway) = (Arc::clone(&self.driver), Arc::clone(&self.gateway));
-        let since = self.now();
+        let since = driver.now();
         runtime.spawn(async move {
             let has_exited = gateway.connections.exits_soon(&crash.upstream, address).await;
             if has_exited && !driver.clock.has_stalled_since(since) {
@@ -214,11 +264,4 @@
             drop(permit);
         });
     }
-
-    /// Records that the request was served completely, and so caused none of the crashes under it.
-    pub(super) fn record_served(&self) {
-        if self.poison_status() != PoisonStatus::Clear {
-            self.driver.handle_event(Event::SuspectServed(self.fingerprint()));
-        }
-    }
 }
--- /dev/null
+++ b/crates/badgerfield-node/src/gateway/reachability.rs
@@ -0,0 +1,195 @@
+//! Finds out whether this VM reaches upstreams: opens connections without requests to a few of
+//! them, and asks peers for those that do not answer.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use badgerfield_core::Event;
+use badgerfield_core::amount::Time;
+use badgerfield_core::ids::{Incarnation, UpstreamId};
+use badgerfield_core::reachability::{ProbeRound, ReachChange};
+use badgerfield_core::view::Member;
+use futures::future::join_all;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::driver::Driver;
+use crate::gateway::forward::PeerCall;
+use crate::gateway::forward::Reached;
+use crate::gateway::state::Gateway;
+use crate::logs::NODE;
+use crate::peers::calls::{CallError, read_frame, write_frame};
+
+/// How often this process checks whether probes are due.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The number of upstreams that are probed at once if nothing is wrong as far as known.
+const PROBED_UPSTREAMS: usize = 2;
+/// The number of upstreams that are probed at once in doubt.
+const PROBED_IN_DOUBT: usize = 8;
+/// The maximum number of upstreams that peers are asked for.
+const ASKED_UPSTREAMS: usize = 3;
+/// The number of peers that are asked. Requests go through those that reach upstreams.
+const ASKED_PEERS: usize = 4;
+/// How many of these are the nearest ones; the others are in other failure domains, since a whole
+/// domain may be cut off.
+const NEAR_PEERS: usize = 2;
+/// How long peers may take to answer. A VM whose own link is full gets no answer in time: its
+/// requests would wait at that link in any case, so they must not go through peers.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// The interval at which peers are asked while this VM is cut off.
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
+/// The maximum size of an answer of a peer.
+const MAX_ANSWER_BYTES: usize = 4096;
+
+/// Probes upstreams whenever that is due, until the process ends.
+pub(crate) async fn watch(driver: Arc<Driver>, gateway: Arc<Gateway>) {
+    let mut asked_at: Option<Time> = None;
+    loop {
+        driver.clock.sleep(CHECK_INTERVAL).await;
+        if gateway.reachability().is_round_due(driver.now()) {
+            run_round(&driver, &gateway, &mut asked_at).await;
+        }
+    }
+}
+
+async fn run_round(driver: &Arc<Driver>, gateway: &Arc<Gateway>, asked_at: &mut Option<Time>) {
+    let started = driver.now();
+    let turn = gateway.next_probe_turn();
+    let is_decisive = gateway.reachability().is_decisive();
+    let count = if is_decisive { PROBED_IN_DOUBT } else { PROBED_UPSTREAMS };
+    let targets = gateway.upstreams().probe_targets(started, count, turn, None);
+    let probes = targets.iter().map(|(_, address)| gateway.connections.open(*address));
+    let results = join_all(probes).await;
+    let missed: Vec<_> = targets
+        .iter()
+        .zip(&results)
+        .filter(|(_, result)| result.is_err())
+        .map(|((id, _), _)| id.clone())
+        .collect();
+    let opened = targets.len() - missed.len();
+    drop(results);
+    let is_cut_off = gateway.reachability().is_cut_off();
+    let is_due = !is_cut_off || asked_at.is_none_or(|at| started.since(at) >= ASK_INTERVAL);
+    let mut round = ProbeRound { probed: targets.len(), opened, asked: 0, reached: 0 };
+    if !missed.is_empty() && is_due {
+        *asked_at = Some(started);
+        let asked: Vec<_> = missed.into_iter().take(ASKED_UPSTREAMS).collect();
+        (round.asked, round.reached) = ask_peers(driver, gateway, asked).await;
+    }
+    if round.opened < round.probed {
+        let took = driver.now().since(started);
+        log::info!(target: NODE, "upstreams missed {} took_ms={}", evidence(round), took.as_millis());
+    }
+    // A process that was stalled may have missed all answers itself.
+    if driver.clock.has_stalled_since(started) {
+        return;
+    }
+    let change = gateway.reachability().record_round(driver.now(), round);
+    if let Some(change) = change {
+        apply_change(driver, gateway, change, round);
+    }
+    gateway.notify_round();
+}
+
+/// Asks peers which upstreams they reach. Returns for how many upstreams an answer came, and how
+/// many of these a peer reaches.
+async fn ask_peers(
+    driver: &Arc<Driver>,
+    gateway: &Gateway,
+    upstreams: Vec<UpstreamId>,
+) -> (usize, usize) {
+    let peers = candidates(driver);
+    let calls = peers.iter().map(|(id, address)| ask_peer(driver, *id, *address, &upstreams));
+    let answers = join_all(calls).await;
+    let mut reached = BTreeSet::new();
+    let mut found = Vec::new();
+    for (peer, answer) in peers.iter().zip(&answers) {
+        let Some(answer) = answer else {
+            continue;
+        };
+        if !answer.is_empty() {
+            found.push(*peer);
+        }
+        reached.extend(answer.iter().filter(|id| upstreams.contains(id)).cloned());
+    }
+    gateway.forward_peers.replace(&found);
+    let is_answered = answers.iter().any(Option::is_some);
+    (if is_answered { upstreams.len() } else { 0 }, reached.len())
+}
+
+/// Returns the upstreams that a peer reaches, or `None` if it does not answer in time.
+async fn ask_peer(
+    driver: &Arc<Driver>,
+    id: Incarnation,
+    address: SocketAddr,
+    upstreams: &[UpstreamId],
+) -> Option<Vec<UpstreamId>> {
+    let call = async {
+        let mut stream = driver.peers().call(id, address).await?;
+        write_frame(&mut stream.send, &PeerCall::Reach(upstreams.to_vec())).await?;
+        let reached = read_frame::<Reached>(&mut stream.receive, MAX_ANSWER_BYTES).await?;
+        Ok::<_, CallError>(reached.upstreams)
+    };
+    match tokio::time::timeout(ANSWER_TIMEOUT, call).await {
+        Ok(Ok(reached)) => Some(reached),
+        Ok(Err(error)) => {
+            log::debug!(target: NODE, "peer {id} not asked: {error}");
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+/// Returns the peers to ask: the nearest ones, and some in other failure domains. Each VM asks
+/// others first, so that the requests of many VMs that are cut off are spread.
+fn candidates(driver: &Driver) -> Vec<(Incarnation, SocketAddr)> {
+    let now = driver.now();
+    let me = driver.node.id();
+    let settings = &driver.settings;
+    let mut avoided = driver.node.overloaded_members(now);
+    avoided.extend(driver.node.cut_off_members(now));
+    let mut members: Vec<Member> = driver.node.available_members(now);
+    members.retain(|member| member.incarnation != me && !avoided.contains(&member.incarnation));
+    let rank = |member: &Member| {
+        let distance =
+            u8::from(member.domain != settings.domain) + u8::from(member.region != settings.region);
+        (distance, xxh3_64_with_seed(&member.incarnation.0.to_be_bytes(), me.0))
+    };
+    members.sort_by_key(rank);
+    let far = members.iter().filter(|member| member.domain != settings.domain);
+    let far: Vec<_> = far.take(ASKED_PEERS).cloned().collect();
+    let near = members.iter().filter(|member| member.domain == settings.domain);
+    let mut chosen: Vec<_> = near.take(NEAR_PEERS).cloned().collect();
+    let missing = ASKED_PEERS - chosen.len();
+    chosen.extend(far.into_iter().take(missing));
+    chosen.into_iter().map(|member| (member.incarnation, member.peer)).collect()
+}
+
+/// Returns the evidence of a round, for the log.
+fn evidence(round: ProbeRound) -> String {
+    let ProbeRound { probed, opened, asked, reached } = round;
+    format!("probed={probed} opened={opened} asked={asked} reached={reached}")
+}
+
+fn apply_change(driver: &Arc<Driver>, gateway: &Gateway, change: ReachChange, round: ProbeRound) {
+    let evidence = evidence(round);
+    match change {
+        ReachChange::CutOff => {
+            gateway.upstreams().forget_failures();
+            let peers: Vec<_> =
+                gateway.forward_peers.ids().iter().map(ToString::to_string).collect();
+            log::warn!(target: NODE, "upstreams cut off {evidence} peers={}", peers.join(","));
+            driver.handle_event(Event::CutOff(true));
+        }
+        ReachChange::Returning => {
+            gateway.upstreams().forget_failures();
+            log::info!(target: NODE, "upstreams reached {evidence}");
+        }
+        ReachChange::Returned(away) => {
+            let away_ms = away.as_millis();
+            log::info!(target: NODE, "upstreams direct {evidence} away_ms={away_ms}");
+            driver.handle_event(Event::CutOff(false));
+        }
+    }
+}
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -8,9 +8,11 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 
-use crate::gateway::attempt::{BLOCKED, BROKEN, CUT, SILENT, UpstreamGuard, UpstreamResponse};
+use crate::gateway::attempt::{
+    BLOCKED, BROKEN, CUT, SILENT, UpstreamBody, UpstreamGuard, UpstreamResponse,
+};
 use crate::gateway::exchange::{Exchange, MAX_IN_FLIGHT_EVENTS, ResponseBody, ResponseTruncated};
 use crate::gateway::request_log;
 
@@ -31,7 +33,7 @@
 /// The upstream connection that a stream is read from.
 #[derive(Debug)]
 struct Source {
-    body: Incoming,
+    body: UpstreamBody,
     framed: bool,
     guard: UpstreamGuard,
     /// Whether an event has arrived from this upstream.
@@ -184,7 +186,7 @@
     }
 
     /// Returns whether an unframed response ended because its upstream crashed.
-    async fn has_upstream_crashed(&self) -> bool {
+    async fn has_upstream_crashed(&mut self) -> bool {
         let Some(source) = &self.source else {
             return false;
         };
@@ -206,11 +208,15 @@
             source.guard.record_failure();
         }
         let (from, address) = (source.guard.id.clone(), source.guard.address);
+        let peer = source.guard.peer_verdict();
         // The earlier upstream stops its work when the connection closes.
         drop(source);
         let is_disconnected = reason == BROKEN || reason == CUT;
-        let has_crashed = is_disconnected
-            && self.exchange.detect_crash(&from, address, self.scanner.last_event_id()).await;
+        let last_event = self.scanner.last_event_id();
+        let has_crashed = match peer {
+            Some(verdict) => verdict.has_crashed(),
+            None => is_disconnected && self.exchange.detect_crash(&from, address, last_event).await,
+        };
         // An upstream that has not crashed may have generated more than arrived here.
         self.exchange.has_unseen_output |= !has_crashed;
         if !self.can_resume() {
@@ -281,7 +287,10 @@
         // The caller disconnected. The upstream is notified by closing its connection.
         self.record_usage(MAX_IN_FLIGHT_EVENTS);
         let source = self.source.take();
-        if let Some(source) = source.as_ref().filter(|source| !source.has_begun) {
+        // A peer watches the upstreams to which it has sent a request itself.
+        let is_watched =
+            |source: &&Source| !source.has_begun && source.guard.peer_verdict().is_none();
+        if let Some(source) = source.as_ref().filter(is_watched) {
             self.exchange.watch_abandoned(&source.guard.id, source.guard.address);
         }
         let upstream = source.map(|source| source.guard.id.clone());
--- a/crates/badgerfield-node/src/gateway/request_log.rs
+++ b/crates/badgerfield-node/src/gateway/request_log.rs
@@ -76,10 +76,11 @@
 pub(crate) fn attempt_failed(
     id: &str,
     attempt: u32,
-    upstream: &UpstreamId,
+    upstream: Option<&UpstreamId>,
     outcome: &str,
     took: Duration,
 ) {
+    let upstream = upstream.map_or("-", UpstreamId::as_str);
     let took = took.as_millis();
     log::info!(
         target: REQUESTS,
@@ -87,6 +88,34 @@
     );
 }
 
+/// Logs an attempt through a peer, up to the head of the response.
+pub(crate) fn forwarded(
+    id: &str,
+    attempt: u32,
+    peer: Incarnation,
+    upstream: Option<&UpstreamId>,
+    outcome: &str,
+    took: Duration,
+) {
+    let upstream = upstream.map_or("-", UpstreamId::as_str);
+    let took = took.as_millis();
+    log::info!(
+        target: REQUESTS,
+        "forwarded id={id} attempt={attempt} peer={peer} upstream={upstream} outcome={outcome} \
+         took_ms={took}"
+    );
+}
+
+/// Logs the end of an attempt that this VM made for a peer.
+pub(crate) fn sent_for_peer(id: &str, attempt: u32, upstream: &str, outcome: &str, took: Duration) {
+    let took = took.as_millis();
+    log::info!(
+        target: REQUESTS,
+        "sent_for_peer id={id} attempt={attempt} upstream={upstream} outcome={outcome} \
+         took_ms={took}"
+    );
+}
+
 /// Logs that a request stays at a silent upstream because no other one can be tried now.
 pub(crate) fn waits_on(id: &str, attempt: u32, upstream: Option<&UpstreamId>, silent: Duration) {
     let upstream = upstream.map_or("-", UpstreamId::as_str);
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use badgerfield_core::MAX_WAITERS;
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{Incarnation, TemplateVersion, UpstreamId};
+use badgerfield_core::reachability::Reachability;
 use badgerfield_core::retry_budget::{RetryBudget, RetryLimits};
 use badgerfield_core::rollout::{RolloutRule, RolloutRules};
 use badgerfield_core::routing::RouteTable;
@@ -18,12 +19,16 @@
 use crate::adapter::RouteAdapter;
 use crate::clock::Clock;
 use crate::gateway::connections::Connections;
+use crate::gateway::forward::ForwardPeers;
 use crate::sync::lock;
 
 /// The maximum number of upstreams that are watched for a crash at once. Each watch takes a
 /// connection, and an overloaded upstream has few of them and closes many early.
 const MAX_CRASH_WATCHES: usize = 4;
 
+/// The maximum number of requests that this VM sends for peers at once: the requests of a peer that
+/// is as busy as this VM, a few of which may come through each other VM.
+const MAX_FORWARDED_REQUESTS: usize = 128;
 /// The number of other upstreams that are probed before a crash of one is reported.
 const COMPARED_UPSTREAMS: usize = 3;
 
@@ -49,6 +54,14 @@
     list_waiters: Mutex<BTreeSet<Incarnation>>,
     /// The signs of overload of this VM.
     vm_load: Mutex<VmLoad>,
+    /// Whether this VM reaches upstreams.
+    reachability: Mutex<Reachability>,
+    /// The peers through which requests go while this VM is cut off.
+    pub(crate) forward_peers: ForwardPeers,
+    /// Permits for requests of peers that are cut off.
+    pub(crate) forward_permits: Semaphore,
+    /// Counts the rounds of probes. Requests that meet unreachable upstreams wait for the next ones.
+    rounds: watch::Sender<usize>,
     open_requests: AtomicUsize,
     stopping: AtomicBool,
     /// Whether this VM was overloaded at the last tick.
@@ -80,6 +93,10 @@
             retries: Mutex::new(RetryBudget::new(limits).with_rounding(rand::random())),
             list_waiters: Mutex::default(),
             vm_load: Mutex::default(),
+            reachability: Mutex::default(),
+            forward_peers: ForwardPeers::default(),
+            forward_permits: Semaphore::new(MAX_FORWARDED_REQUESTS),
+            rounds: watch::Sender::new(0),
             open_requests: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             overloaded: AtomicBool::new(false),
@@ -133,6 +150,26 @@
         lock(&self.vm_load)
     }
 
+    /// Locks what this VM knows about its links to upstreams.
+    pub(crate) fn reachability(&self) -> MutexGuard<'_, Reachability> {
+        lock(&self.reachability)
+    }
+
+    /// Notifies waiting requests that a round of probes has ended.
+    pub(crate) fn notify_round(&self) {
+        self.rounds.send_modify(|rounds| *rounds = rounds.wrapping_add(1));
+    }
+
+    /// Returns a receiver that is notified when a round of probes has ended.
+    pub(crate) fn subscribe_rounds(&self) -> watch::Receiver<usize> {
+        self.rounds.subscribe()
+    }
+
+    /// Returns the number of the next round of probes.
+    pub(crate) fn next_probe_turn(&self) -> usize {
+        self.probe_turn.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub(crate) fn track_request(self: &Arc<Self>) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
@@ -207,7 +244,7 @@
     /// Returns whether this VM can open a connection to an upstream other than the given one, or
     /// there is no other.
     pub(crate) async fn reaches_another(&self, now: Time, upstream: &UpstreamId) -> bool {
-        let turn = self.probe_turn.fetch_add(1, Ordering::Relaxed);
+        let turn = self.next_probe_turn();
         let others = self.upstreams().probe_targets(now, COMPARED_UPSTREAMS, turn, Some(upstream));
         if others.is_empty() {
             return true;
@@ -217,6 +254,15 @@
         futures::future::join_all(probes).await.into_iter().any(|is_open| is_open)
     }
 
+    /// Returns those of the given upstreams to which a connection can be opened.
+    pub(crate) async fn reached_upstreams(&self, ids: Vec<UpstreamId>) -> Vec<UpstreamId> {
+        let probes = ids.into_iter().map(|id| async move {
+            let address = self.upstreams().address(&id)?;
+            self.connections.accepts_connection(address).await.then_some(id)
+        });
+        futures::future::join_all(probes).await.into_iter().flatten().collect()
+    }
+
     /// Returns whether an upstream may still receive requests.
     pub(crate) fn is_usable(&self, now: Time, id: &UpstreamId) -> bool {
         self.upstreams().is_usable(now, id)
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -54,6 +54,13 @@
     billed: &'static str,
 }
 
+/// Whether this VM sent the request through a peer, or a peer through this VM, and what came of it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ForwardLabel {
+    direction: &'static str,
+    outcome: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct EndLabel {
     outcome: String,
@@ -133,6 +140,7 @@
     pub(crate) invalid_announcements: Counter,
     ended: Family<EndLabel, Counter>,
     seconds: Histogram,
+    forwarded: Family<ForwardLabel, Counter>,
 }
 
 impl GatewayCounts {
@@ -144,7 +152,13 @@
             invalid_announcements: Counter::default(),
             ended: Family::default(),
             seconds: Histogram::new(buckets),
+            forwarded: Family::default(),
         };
+        registry.register(
+            "route_requests_forwarded",
+            "Attempts through a peer while cut off from upstreams, sent (out) and received (in)",
+            counts.forwarded.clone(),
+        );
         let admitted = counts.admitted.clone();
         registry.register("route_requests_admitted", "Requests on routes let in", admitted);
         let sent = counts.sent.clone();
@@ -162,6 +176,12 @@
         counts
     }
 
+    /// Counts an attempt through a peer by its outcome.
+    pub(crate) fn count_forwarded(&self, direction: &'static str, outcome: &str) {
+        let label = ForwardLabel { direction, outcome: outcome.to_owned() };
+        self.forwarded.get_or_create(&label).inc();
+    }
+
     /// Counts an attempt to send a request to an upstream.
     pub(crate) fn count_sent(&self, near: Distance, crossing: Option<CrossingReason>) {
         let crossed = crossing.map_or("-", CrossingReason::as_str);
--- a/crates/badgerfield-node/src/peers/mod.rs
+++ b/crates/badgerfield-node/src/peers/mod.rs
@@ -4,6 +4,7 @@
 //! secret in its settings. A peer with an unknown key is refused in the handshake. Messages
 //! may be lost: a sender that needs a reply repeats its message.
 
+pub(crate) mod calls;
 mod sender;
 
 use std::collections::HashMap;
@@ -30,6 +31,7 @@
 use thiserror::Error;
 use tokio::sync::mpsc;
 
+use self::calls::CallHandler;
 use self::sender::PeerSender;
 use crate::clock::{Clock, SystemClocks};
 use crate::logs::PEERS;
@@ -64,6 +66,8 @@
 /// its acknowledgements wait or are lost at its full link. Each stream that a peer may open takes
 /// some 30 bytes, whether or not it is used.
 const MAX_STREAMS: u32 = 256;
+/// Maximum number of calls that a peer may have open at once on one connection.
+const MAX_CALLS: u32 = 64;
 /// Initial congestion window: the messages to one VM in the seconds in which its acknowledgements
 /// wait or are lost. With a smaller one, what others tell the VM would wait for its full link too.
 const INITIAL_WINDOW_BYTES: u64 = 128 << 10;
@@ -261,6 +265,9 @@
     /// but not its connections.
     connections: Arc<Mutex<HashMap<Incarnation, OpenConnection>>>,
     handler: Arc<OnceLock<MessageHandler>>,
+    /// The connections on which this process calls peers.
+    call_connections: Arc<Mutex<HashMap<Incarnation, OpenConnection>>>,
+    call_handler: Arc<OnceLock<CallHandler>>,
     clock: Arc<Clock>,
 }
 
@@ -325,7 +332,7 @@
 
         let mut transport = TransportConfig::default();
         transport.max_idle_timeout(SILENCE_TIMEOUT.try_into().ok());
-        transport.max_concurrent_bidi_streams(0_u32.into());
+        transport.max_concurrent_bidi_streams(MAX_CALLS.into());
         transport.max_concurrent_uni_streams(MAX_STREAMS.into());
         transport.stream_receive_window(STREAM_WINDOW_BYTES.into());
         transport.receive_window(CONNECTION_WINDOW_BYTES.into());
@@ -346,8 +353,10 @@
         let mut endpoint = Endpoint::server(server, address)?;
         endpoint.set_default_client_config(client);
         let (connections, handler) = (Arc::default(), Arc::default());
+        let (call_connections, call_handler) = (Arc::default(), Arc::default());
         let clock = Arc::new(Clock::new(Box::new(SystemClocks)));
-        let network = Network { endpoint, connections, handler, clock };
+        let network =
+            Network { endpoint, connections, handler, call_connections, call_handler, clock };
         Ok(Self { network, peers: Mutex::default() })
     }
 
@@ -424,13 +433,19 @@
     /// Receives messages on a connection, whichever side opened it, until it is closed or neither
     /// side uses it.
     async fn serve(self, connection: Connection) {
+        let active_calls = Arc::new(());
         let error = loop {
             tokio::select! {
                 () = tokio::time::sleep(UNUSED_TIMEOUT) => {
-                    if !self.is_sending_on(&connection) {
+                    let has_calls = Arc::strong_count(&active_calls) > 1;
+                    if !has_calls && !self.is_sending_on(&connection) {
                         connection.close(0_u32.into(), b"unused");
                     }
                 }
+                call = connection.accept_bi() => match call {
+                    Ok((send, receive)) => self.handle_call(send, receive, &active_calls),
+                    Err(error) => break error,
+                },
                 stream = connection.accept_uni() => match stream {
                     Ok(mut stream) => {
                         let (network, connection) = (self.clone(), connection.clone());
@@ -500,14 +515,30 @@
         to: Incarnation,
         address: SocketAddr,
     ) -> Result<Connection, ConnectError> {
-        if let Some(open) = lock(&self.connections).get_mut(&to).filter(|open| !open.is_closed()) {
+        let (connection, is_new) = self.connect_in(&self.connections, to, address).await?;
+        if is_new {
+            tokio::spawn(self.clone().serve(connection.clone()));
+        }
+        Ok(connection)
+    }
+
+    /// Returns the open connection with a peer among `connections`, or opens one. Also returns
+    /// whether it is new.
+    async fn connect_in(
+        &self,
+        connections: &Mutex<HashMap<Incarnation, OpenConnection>>,
+        to: Incarnation,
+        address: SocketAddr,
+    ) -> Result<(Connection, bool), ConnectError> {
+        if let Some(open) = lock(connections).get_mut(&to).filter(|open| !open.is_closed()) {
             open.used_at = self.clock.now();
-            return Ok(open.connection.clone());
+            return Ok((open.connection.clone(), false));
         }
         let connection = connect(&self.endpoint, address).await?;
-        lock(&self.connections).insert(to, self.open_connection(&connection));
-        tokio::spawn(self.clone().serve(connection.clone()));
-        Ok(connection)
+        let mut open = lock(connections);
+        open.retain(|_, open| !open.is_closed());
+        open.insert(to, self.open_connection(&connection));
+        Ok((connection, true))
     }
 }
 
@@ -523,7 +554,7 @@
 
 /// Why a connection to a peer could not be opened.
 #[derive(Debug, Error)]
-enum ConnectError {
+pub(crate) enum ConnectError {
     /// The connection cannot be started.
     #[error(transparent)]
     Start(#[from] quinn::ConnectError),
