--- a/crates/badgerfield-core/src/availability.rs
+++ b/crates/badgerfield-core/src/availability.rs
@@ -18,6 +18,7 @@
 
 use crate::amount::Time;
 use crate::ids::Incarnation;
+use crate::view::MAX_SMALL_VIEW_MEMBERS;
 
 /// How long a member counts as silent after the report. The observers of a silent member remove it
 /// from the view after this time.
@@ -210,7 +211,8 @@
         self.is_cut_off = is_cut_off;
     }
 
-    /// Returns the report to send about this process, given the number of members.
+    /// Returns the report to send about this process, given the number of members. In a small view,
+    /// callers have nowhere better to go than to a member that is overloaded.
     pub(crate) fn report_own(
         &mut self,
         now: Time,
@@ -219,7 +221,8 @@
     ) -> Option<ConditionReport> {
         let reported = self.condition(now, me);
         let was_reported = matches!(reported, Condition::Overloaded | Condition::CutOff);
-        let condition = match (self.is_cut_off, self.is_overloaded) {
+        let is_overloaded = self.is_overloaded && members > MAX_SMALL_VIEW_MEMBERS;
+        let condition = match (self.is_cut_off, is_overloaded) {
             (true, _) => Condition::CutOff,
             (false, true) => Condition::Overloaded,
             (false, false) => {
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -747,11 +747,7 @@
         }
         let me = self.id();
         if members <= MAX_SMALL_VIEW_MEMBERS {
-            let own = self.availability.report_own(now, me, members);
-            return own
-                .filter(|report| report.condition != Condition::Overloaded)
-                .into_iter()
-                .collect();
+            return self.availability.report_own(now, me, members).into_iter().collect();
         }
         let silent_after = self.unresponsive_after;
         let watched: Vec<_> = self
--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -108,7 +108,7 @@
         tried: Vec::new(),
         attempts: 0,
         current_upstream: None,
-        last_dispatch: LastDispatch { at: arrived_at, prior_crashes: 0 },
+        last_dispatch: LastDispatch { at: arrived_at, prior_crashes: 0, through_peer: false },
         may_have_run: false,
         has_unseen_output: false,
         fingerprint,
--- a/crates/badgerfield-node/src/gateway/dispatch.rs
+++ b/crates/badgerfield-node/src/gateway/dispatch.rs
@@ -154,7 +154,7 @@
         tried_peers: &mut TriedPeers,
     ) -> Result<AttemptStep, Cause> {
         self.count_retry(now, vm_count);
-        self.last_dispatch.at = now;
+        self.last_dispatch = LastDispatch { at: now, prior_crashes: 0, through_peer: true };
         self.timing.record_sent(self.elapsed());
         let attempt = self.attempt_through_peer(now, last_event, tried_peers).await?;
         self.tried.extend(attempt.upstream.clone());
@@ -181,7 +181,8 @@
             last_event,
             fetch_from: None,
         };
-        self.last_dispatch = LastDispatch { at: now, prior_crashes: self.crash_count(&chosen.id) };
+        let prior_crashes = self.crash_count(&chosen.id);
+        self.last_dispatch = LastDispatch { at: now, prior_crashes, through_peer: false };
         self.uncached_tokens = chosen.uncached_tokens.saturating_add(self.unshared_tokens());
         self.timing.record_sent(self.elapsed());
         // Only engines read prompts. At plain services, waiting requests count as in flight.
@@ -193,14 +194,17 @@
         let end = attempt(guard, &self.original, &headers, timed_out, self.until_blocked()).await;
         self.current_upstream = None;
         let mut crashed = false;
+        let (ended, kind) = (self.now(), (&self.spec, &*self.route));
         match &end {
             AttemptEnd::Answered(_) => {
-                self.record_response_time(&chosen.id, self.now().since(now));
+                self.gateway.record_response_time(ended, kind, &chosen.id, ended.since(now));
             }
             AttemptEnd::NotSent(_) => {
                 self.gateway.upstreams().undo_sent(&chosen.id, &self.route.name);
             }
-            AttemptEnd::NotRun(status) => self.record_rejection(&chosen.id, *status),
+            AttemptEnd::NotRun(status) => {
+                self.gateway.record_rejection(ended, kind, &chosen.id, *status);
+            }
             AttemptEnd::Broken(reason) => {
                 crashed = *reason == BROKEN
                     && self.detect_crash(&chosen.id, chosen.address, last_event).await;
--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -64,6 +64,8 @@
     pub(super) at: Time,
     /// How many crashes of the upstream under this request were known at that time.
     pub(super) prior_crashes: u32,
+    /// Whether it went through a peer.
+    pub(super) through_peer: bool,
 }
 
 /// A request in progress.
@@ -347,8 +349,9 @@
         else {
             return;
         };
-        // The timing of a stream that two engines shared describes neither of them.
-        if self.attempts != 1 {
+        // The timing of a stream that two engines shared describes neither of them, and only a peer
+        // knows which part of the prompt its upstream had cached.
+        if self.attempts != 1 || self.last_dispatch.through_peer {
             return;
         }
         let timing = ObservedTiming {
--- a/crates/badgerfield-node/src/gateway/forward/mod.rs
+++ b/crates/badgerfield-node/src/gateway/forward/mod.rs
@@ -106,6 +106,8 @@
     Busy,
     /// It is cut off itself.
     CutOff,
+    /// It is stopping.
+    Stopping,
     /// No upstream may get the request.
     NoUpstream,
     /// The upstream that it chose is out of reach.
@@ -121,6 +123,7 @@
         match self {
             Self::Busy => "peer_busy",
             Self::CutOff => "peer_cut_off",
+            Self::Stopping => "peer_stopping",
             Self::NoUpstream => "peer_without_upstream",
             Self::Unreachable => "unreachable",
             Self::NotAdmitted => "not_admitted",
@@ -131,7 +134,7 @@
     /// Returns whether the peer would send no other request either.
     fn is_peer_fault(self) -> bool {
         match self {
-            Self::Busy | Self::CutOff | Self::Invalid => true,
+            Self::Busy | Self::CutOff | Self::Stopping | Self::Invalid => true,
             Self::NoUpstream | Self::Unreachable | Self::NotAdmitted => false,
         }
     }
--- a/crates/badgerfield-node/src/gateway/forward/origin.rs
+++ b/crates/badgerfield-node/src/gateway/forward/origin.rs
@@ -3,6 +3,7 @@
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{SoftwareVersion, UpstreamId};
 use badgerfield_core::refusal::Cause;
+use badgerfield_core::residency::Residency;
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -50,9 +51,11 @@
         tried_peers: &mut TriedPeers,
     ) -> Result<PeerAttempt, Cause> {
         let rendezvous_key = self.check_poison()?;
-        let peer = self.gateway.forward_peers.choose(tried_peers).ok_or(Cause::NoUpstream)?;
+        let residency = self.current_residency();
+        let peers = &self.gateway.forward_peers;
+        let peer = peers.choose(tried_peers, &residency).ok_or(Cause::NoUpstream)?;
         let call = peer.start_call();
-        let request = self.forwarded_request(now, last_event, rendezvous_key);
+        let request = self.forwarded_request(now, last_event, rendezvous_key, residency);
         let attempt = self.attempts + 1;
         let exchange = async {
             let mut stream = self.driver.peers().call(peer.id, peer.address).await?;
@@ -81,6 +84,7 @@
         now: Time,
         last_event: Option<u64>,
         rendezvous_key: Option<u64>,
+        residency: Residency,
     ) -> ForwardedRequest {
         let head = &self.original.head;
         let headers = head.headers.iter();
@@ -104,7 +108,7 @@
             last_event,
             version: self.version.clone().filter(|_| last_event.is_some()),
             tried: self.tried.clone(),
-            residency: self.current_residency(),
+            residency,
             rendezvous_key,
             fingerprint: self.fingerprint(),
         }
--- a/crates/badgerfield-node/src/gateway/forward/peers.rs
+++ b/crates/badgerfield-node/src/gateway/forward/peers.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
-use badgerfield_core::ids::Incarnation;
+use badgerfield_core::ids::{Incarnation, Region};
+use badgerfield_core::residency::Residency;
+use badgerfield_core::view::Member;
 
 use crate::sync::lock;
 
@@ -19,6 +21,7 @@
 pub(crate) struct ForwardPeer {
     pub(crate) id: Incarnation,
     pub(crate) address: SocketAddr,
+    region: Region,
     open: Arc<AtomicUsize>,
 }
 
@@ -60,25 +63,30 @@
 
 impl ForwardPeers {
     /// Replaces the peers by those that reach upstreams, nearest first.
-    pub(crate) fn replace(&self, found: &[(Incarnation, SocketAddr)]) {
+    pub(crate) fn replace(&self, found: &[Member]) {
         let mut peers = lock(&self.peers);
         let known = std::mem::take(&mut *peers);
         let open_calls = |id| known.iter().find(|peer| peer.id == id).map(|p| Arc::clone(&p.open));
         *peers = found
             .iter()
-            .map(|(id, address)| ForwardPeer {
-                id: *id,
-                address: *address,
-                open: open_calls(*id).unwrap_or_default(),
+            .map(|member| ForwardPeer {
+                id: member.incarnation,
+                address: member.peer,
+                region: member.region.clone(),
+                open: open_calls(member.incarnation).unwrap_or_default(),
             })
             .collect();
     }
 
     /// Returns the peer with the fewest open calls, the nearest of several; one that was tried
-    /// before only if there is no other, and one that has failed not at all.
-    pub(crate) fn choose(&self, tried: &TriedPeers) -> Option<ForwardPeer> {
+    /// before only if there is no other, and one that has failed not at all. The request must be
+    /// allowed in the region of the peer.
+    pub(crate) fn choose(&self, tried: &TriedPeers, residency: &Residency) -> Option<ForwardPeer> {
         let peers = lock(&self.peers);
-        let candidates = peers.iter().filter(|peer| !tried.failed.contains(&peer.id));
+        let candidates = peers
+            .iter()
+            .filter(|peer| !tried.failed.contains(&peer.id))
+            .filter(|peer| residency.allows(Some(&peer.region)));
         let rank = |peer: &&ForwardPeer| {
             (tried.tried.contains(&peer.id), peer.open.load(Ordering::Relaxed))
         };
--- a/crates/badgerfield-node/src/gateway/forward/serve.rs
+++ b/crates/badgerfield-node/src/gateway/forward/serve.rs
@@ -99,6 +99,12 @@
         counts.count_forwarded("in", NotSentReason::CutOff.as_str());
         return write_frame(&mut stream.send, &refuse(NotSentReason::CutOff)).await;
     }
+    if gateway.is_stopping() {
+        counts.count_forwarded("in", NotSentReason::Stopping.as_str());
+        return write_frame(&mut stream.send, &refuse(NotSentReason::Stopping)).await;
+    }
+    // A process that stops finishes the requests of peers too.
+    let _open_request = gateway.track_request();
     let Ok(original) = parse_request(&mut request) else {
         counts.count_forwarded("in", NotSentReason::Invalid.as_str());
         return write_frame(&mut stream.send, &refuse(NotSentReason::Invalid)).await;
@@ -170,8 +176,11 @@
         mut stream: CallStream,
     ) -> Result<(), CallError> {
         let upstream = chosen.id.clone();
+        let (ended, kind) = (self.driver.now(), (&self.request.spec, &self.request.route));
         let reply = match end {
             AttemptEnd::Answered(response) => {
+                let took = ended.since(self.started);
+                self.gateway.record_response_time(ended, kind, &upstream, took);
                 return self.relay(*response, chosen, prior_crashes, stream).await;
             }
             AttemptEnd::NotSent(outcome) => {
@@ -184,6 +193,7 @@
                 ForwardReply::NotSent { upstream: Some(upstream), reason }
             }
             AttemptEnd::NotRun(status) => {
+                self.gateway.record_rejection(ended, kind, &upstream, status);
                 self.record_end(upstream.as_str(), "not_run");
                 ForwardReply::NotRun { upstream, status: status.as_u16() }
             }
@@ -214,6 +224,10 @@
         mut stream: CallStream,
     ) -> Result<(), CallError> {
         let UpstreamResponse { head, mut body, framed, mut guard } = response;
+        // The sender may read no further, to send the request to another upstream.
+        if head.status.is_server_error() {
+            guard.record_failure();
+        }
         let headers = head.headers.iter();
         let reply = ForwardReply::Answered {
             upstream: chosen.id.clone(),
@@ -243,9 +257,7 @@
             && !is_late
             && self.detect_crash(chosen, prior_crashes, self.request.last_event).await;
         if is_complete && !has_crashed {
-            if head.status.is_server_error() {
-                guard.record_failure();
-            } else {
+            if !head.status.is_server_error() {
                 guard.finish();
             }
             self.record_end(chosen.id.as_str(), "answered");
--- a/crates/badgerfield-node/src/gateway/overload.rs
+++ b/crates/badgerfield-node/src/gateway/overload.rs
@@ -2,33 +2,47 @@
 
 use std::time::Duration;
 
+use badgerfield_core::amount::Time;
 use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::overload;
+use badgerfield_core::routing::{Route, ServiceSpec};
 use hyper::StatusCode;
 
-use crate::gateway::exchange::Exchange;
+use crate::gateway::state::Gateway;
 
-impl Exchange {
-    /// Returns the objective for the response time, if the request goes to a plain service and its
-    /// route has one.
-    fn plain_objective(&self) -> Option<Duration> {
-        let objective = self.route.objective;
-        (self.spec.engine.is_none() && !objective.is_zero()).then_some(objective)
-    }
+/// Returns the objective for the response time, if a request goes to a plain service and its route
+/// has one.
+fn plain_objective(spec: &ServiceSpec, route: &Route) -> Option<Duration> {
+    let objective = route.objective;
+    (spec.engine.is_none() && !objective.is_zero()).then_some(objective)
+}
 
+impl Gateway {
     /// Records the response time of an upstream.
-    pub(super) fn record_response_time(&self, id: &UpstreamId, span: Duration) {
-        if self.plain_objective().is_some() {
-            self.gateway.upstreams().record_response_time(self.now(), id, span);
+    pub(super) fn record_response_time(
+        &self,
+        now: Time,
+        (spec, route): (&ServiceSpec, &Route),
+        id: &UpstreamId,
+        span: Duration,
+    ) {
+        if plain_objective(spec, route).is_some() {
+            self.upstreams().record_response_time(now, id, span);
         }
     }
 
-    /// Records that an upstream rejected the request without running it.
-    pub(super) fn record_rejection(&self, id: &UpstreamId, status: StatusCode) {
+    /// Records that an upstream rejected a request without running it.
+    pub(super) fn record_rejection(
+        &self,
+        now: Time,
+        (spec, route): (&ServiceSpec, &Route),
+        id: &UpstreamId,
+        status: StatusCode,
+    ) {
         let full = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
-        if let Some(objective) = self.plain_objective().filter(|_| full.contains(&status)) {
+        if let Some(objective) = plain_objective(spec, route).filter(|_| full.contains(&status)) {
             let span = overload::rejection_wait(objective);
-            self.gateway.upstreams().record_response_time(self.now(), id, span);
+            self.upstreams().record_response_time(now, id, span);
         }
     }
 }
--- a/crates/badgerfield-node/src/gateway/reachability.rs
+++ b/crates/badgerfield-node/src/gateway/reachability.rs
@@ -2,21 +2,19 @@
 //! them, and asks peers for those that do not answer.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use badgerfield_core::Event;
 use badgerfield_core::amount::Time;
-use badgerfield_core::ids::{Incarnation, UpstreamId};
+use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::reachability::{ProbeRound, ReachChange};
 use badgerfield_core::view::Member;
 use futures::future::join_all;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::driver::Driver;
-use crate::gateway::forward::PeerCall;
-use crate::gateway::forward::Reached;
+use crate::gateway::forward::{PeerCall, Reached};
 use crate::gateway::state::Gateway;
 use crate::logs::NODE;
 use crate::peers::calls::{CallError, read_frame, write_frame};
@@ -44,16 +42,25 @@
 
 /// Probes upstreams whenever that is due, until the process ends.
 pub(crate) async fn watch(driver: Arc<Driver>, gateway: Arc<Gateway>) {
-    let mut asked_at: Option<Time> = None;
+    let mut asked = Asked::default();
     loop {
         driver.clock.sleep(CHECK_INTERVAL).await;
         if gateway.reachability().is_round_due(driver.now()) {
-            run_round(&driver, &gateway, &mut asked_at).await;
+            run_round(&driver, &gateway, &mut asked).await;
         }
     }
 }
 
-async fn run_round(driver: &Arc<Driver>, gateway: &Arc<Gateway>, asked_at: &mut Option<Time>) {
+/// When peers were asked.
+#[derive(Debug, Default)]
+struct Asked {
+    last: Option<Time>,
+    /// How often in a row none of them has answered.
+    unanswered: u32,
+}
+
+/// Probes upstreams, asks peers for those that do not answer, and applies the result.
+async fn run_round(driver: &Arc<Driver>, gateway: &Arc<Gateway>, asked: &mut Asked) {
     let started = driver.now();
     let turn = gateway.next_probe_turn();
     let is_decisive = gateway.reachability().is_decisive();
@@ -70,12 +77,12 @@
     let opened = targets.len() - missed.len();
     drop(results);
     let is_cut_off = gateway.reachability().is_cut_off();
-    let is_due = !is_cut_off || asked_at.is_none_or(|at| started.since(at) >= ASK_INTERVAL);
+    let is_due = !is_cut_off || asked.last.is_none_or(|at| started.since(at) >= ASK_INTERVAL);
     let mut round = ProbeRound { probed: targets.len(), opened, asked: 0, reached: 0 };
     if !missed.is_empty() && is_due {
-        *asked_at = Some(started);
-        let asked: Vec<_> = missed.into_iter().take(ASKED_UPSTREAMS).collect();
-        (round.asked, round.reached) = ask_peers(driver, gateway, asked).await;
+        asked.last = Some(started);
+        let missed: Vec<_> = missed.into_iter().take(ASKED_UPSTREAMS).collect();
+        (round.asked, round.reached) = ask_peers(driver, gateway, missed, asked).await;
     }
     if round.opened < round.probed {
         let took = driver.now().since(started);
@@ -98,9 +105,10 @@
     driver: &Arc<Driver>,
     gateway: &Gateway,
     upstreams: Vec<UpstreamId>,
+    asked: &mut Asked,
 ) -> (usize, usize) {
     let peers = candidates(driver);
-    let calls = peers.iter().map(|(id, address)| ask_peer(driver, *id, *address, &upstreams));
+    let calls = peers.iter().map(|peer| ask_peer(driver, peer, &upstreams));
     let answers = join_all(calls).await;
     let mut reached = BTreeSet::new();
     let mut found = Vec::new();
@@ -109,24 +117,28 @@
             continue;
         };
         if !answer.is_empty() {
-            found.push(*peer);
+            found.push(peer.clone());
         }
         reached.extend(answer.iter().filter(|id| upstreams.contains(id)).cloned());
     }
-    gateway.forward_peers.replace(&found);
     let is_answered = answers.iter().any(Option::is_some);
+    asked.unanswered = if is_answered { 0 } else { asked.unanswered + 1 };
+    // Answers may be lost now and then; the peers known so far are probably still there.
+    if asked.unanswered != 1 {
+        gateway.forward_peers.replace(&found);
+    }
     (if is_answered { upstreams.len() } else { 0 }, reached.len())
 }
 
 /// Returns the upstreams that a peer reaches, or `None` if it does not answer in time.
 async fn ask_peer(
     driver: &Arc<Driver>,
-    id: Incarnation,
-    address: SocketAddr,
+    peer: &Member,
     upstreams: &[UpstreamId],
 ) -> Option<Vec<UpstreamId>> {
+    let id = peer.incarnation;
     let call = async {
-        let mut stream = driver.peers().call(id, address).await?;
+        let mut stream = driver.peers().call(id, peer.peer).await?;
         write_frame(&mut stream.send, &PeerCall::Reach(upstreams.to_vec())).await?;
         let reached = read_frame::<Reached>(&mut stream.receive, MAX_ANSWER_BYTES).await?;
         Ok::<_, CallError>(reached.upstreams)
@@ -143,7 +155,7 @@
 
 /// Returns the peers to ask: the nearest ones, and some in other failure domains. Each VM asks
 /// others first, so that the requests of many VMs that are cut off are spread.
-fn candidates(driver: &Driver) -> Vec<(Incarnation, SocketAddr)> {
+fn candidates(driver: &Driver) -> Vec<Member> {
     let now = driver.now();
     let me = driver.node.id();
     let settings = &driver.settings;
@@ -163,7 +175,7 @@
     let mut chosen: Vec<_> = near.take(NEAR_PEERS).cloned().collect();
     let missing = ASKED_PEERS - chosen.len();
     chosen.extend(far.into_iter().take(missing));
-    chosen.into_iter().map(|member| (member.incarnation, member.peer)).collect()
+    chosen
 }
 
 /// Returns the evidence of a round, for the log.
