Reachability: a full link is no cut; probes cost less

Its connections opened late because its own link was full, while its peers answered in time over QUIC. Now a peer's answer counts only if it also accepts a TCP connection in that time, as the full link would delay that as well.

--- a/crates/badgerfield-node/src/gateway/reachability.rs
+++ b/crates/badgerfield-node/src/gateway/reachability.rs
@@ -10,7 +10,8 @@
 use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::reachability::{ProbeRound, ReachChange};
 use badgerfield_core::view::Member;
-use futures::future::join_all;
+use futures::future::{join_all, try_join};
+use tokio::net::TcpStream;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::driver::Driver;
@@ -22,7 +23,10 @@
 /// How often this process checks whether probes are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The number of upstreams that are probed at once if nothing is wrong as far as known.
-const PROBED_UPSTREAMS: usize = 2;
+const PROBED_UPSTREAMS: usize = 1;
+/// How long an upstream is expected to keep a connection on which nothing was sent. Its answers say
+/// how long it keeps others.
+const PROBE_KEEP_ALIVE: Duration = Duration::from_millis(1900);
 /// The number of upstreams that are probed at once in doubt.
 const PROBED_IN_DOUBT: usize = 8;
 /// The maximum number of upstreams that peers are asked for.
@@ -32,8 +36,9 @@
 /// How many of these are the nearest ones; the others are in other failure domains, since a whole
 /// domain may be cut off.
 const NEAR_PEERS: usize = 2;
-/// How long peers may take to answer. A VM whose own link is full gets no answer in time: its
-/// requests would wait at that link in any case, so they must not go through peers.
+/// How long a peer may take to answer, and to accept a connection. At a VM whose own link is full,
+/// connections open late to whomever; its requests must not go through peers, as they would wait at
+/// that link in any case.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// The interval at which peers are asked while this VM is cut off.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
@@ -75,10 +80,15 @@
         .map(|((id, _), _)| id.clone())
         .collect();
     let opened = targets.len() - missed.len();
-    drop(results);
+    for ((id, _), connection) in targets.into_iter().zip(results) {
+        // The next request to the upstream needs no new connection then.
+        if let Ok(connection) = connection {
+            gateway.connections.keep(id, connection, Some(PROBE_KEEP_ALIVE));
+        }
+    }
     let is_cut_off = gateway.reachability().is_cut_off();
     let is_due = !is_cut_off || asked.last.is_none_or(|at| started.since(at) >= ASK_INTERVAL);
-    let mut round = ProbeRound { probed: targets.len(), opened, asked: 0, reached: 0 };
+    let mut round = ProbeRound { probed: opened + missed.len(), opened, asked: 0, reached: 0 };
     if !missed.is_empty() && is_due {
         asked.last = Some(started);
         let missed: Vec<_> = missed.into_iter().take(ASKED_UPSTREAMS).collect();
@@ -143,8 +153,9 @@
         let reached = read_frame::<Reached>(&mut stream.receive, MAX_ANSWER_BYTES).await?;
         Ok::<_, CallError>(reached.upstreams)
     };
-    match tokio::time::timeout(ANSWER_TIMEOUT, call).await {
-        Ok(Ok(reached)) => Some(reached),
+    let connection = async { Ok(TcpStream::connect(peer.caller).await?) };
+    match tokio::time::timeout(ANSWER_TIMEOUT, try_join(call, connection)).await {
+        Ok(Ok((reached, _))) => Some(reached),
         Ok(Err(error)) => {
             log::debug!(target: NODE, "peer {id} not asked: {error}");
             None
--- a/crates/badgerfield-node/src/peers/calls.rs
+++ b/crates/badgerfield-node/src/peers/calls.rs
@@ -40,6 +40,8 @@
     Read(#[from] quinn::ReadExactError),
     #[error(transparent)]
     Format(#[from] postcard::Error),
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
     #[error("expected a frame of at most {max} bytes, found {size}")]
     TooLarge { size: usize, max: usize },
 }
