Calls between peers: a stream that is dropped early ends with an error

By reading: a handler that ended early, by a panic or an error, dropped its stream, and QUIC ends a dropped stream as if it were complete. A part of a response would have looked whole to the VM of the caller. A call is now completed explicitly, and reset otherwise. The attempt that a peer makes has a file of its own, in smaller steps.

--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -59,6 +59,8 @@
 /// The outcome of an attempt that was cancelled because its request was blocked. Waiting requests
 /// are withdrawn to protect the upstream.
 pub(crate) const BLOCKED: &str = "blocked";
+/// The outcome of an attempt whose upstream accepts no more requests at present.
+pub(crate) const NOT_ADMITTED: &str = "not_admitted";
 /// The outcome of an attempt whose connection failed.
 pub(crate) const BROKEN: &str = "broken";
 /// The outcome of an attempt whose connection closed normally before the response was complete.
@@ -358,7 +360,7 @@
         }
         Err(AttemptError::NotAdmitted) => {
             guard.record_not_run(AttemptOutcome::Unknown);
-            return AttemptEnd::NotSent("not_admitted");
+            return AttemptEnd::NotSent(NOT_ADMITTED);
         }
         Err(AttemptError::Broken) => {
             guard.wait = None;
--- a/crates/badgerfield-node/src/gateway/forward/mod.rs
+++ b/crates/badgerfield-node/src/gateway/forward/mod.rs
@@ -3,12 +3,13 @@
 //! Each attempt is one call to a peer. The peer chooses the upstream by its own table, sends the
 //! request and passes the response back as it arrives. It does not send it through another peer.
 //! Admission, reservation, retries, settlement and the caller's response stay with the VM that the
-//! caller sent the request to ([`origin`]). What an upstream announces applies at the peer
-//! ([`serve`]), which is the one that sends to it.
+//! caller sent the request to ([`origin`]). What an upstream announces applies at the peer, which is
+//! the one that sends to it ([`serve`], [`peer_request`]).
 //!
 //! [`peers`] keeps the peers that reach upstreams.
 
 pub(super) mod origin;
+mod peer_request;
 mod peers;
 pub(crate) mod serve;
 
@@ -151,6 +152,12 @@
     Silent,
 }
 
+/// Returns headers in the form in which they are sent to a peer.
+fn format_headers(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let fields = headers.iter();
+    fields.map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec())).collect()
+}
+
 /// Returns the headers of a head, without those that cannot be parsed.
 fn parse_headers(headers: &[(String, Vec<u8>)]) -> HeaderMap {
     let mut map = HeaderMap::new();
--- a/crates/badgerfield-node/src/gateway/forward/origin.rs
+++ b/crates/badgerfield-node/src/gateway/forward/origin.rs
@@ -87,15 +87,12 @@
         residency: Residency,
     ) -> ForwardedRequest {
         let head = &self.original.head;
-        let headers = head.headers.iter();
         ForwardedRequest {
             id: self.original.id.clone(),
             attempt: self.attempts + 1,
             method: head.method.as_str().to_owned(),
             uri: head.uri.to_string(),
-            headers: headers
-                .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
-                .collect(),
+            headers: super::format_headers(&head.headers),
             body: self.original.body.to_vec(),
             route: (*self.route).clone(),
             service: self.service.clone(),
--- a/crates/badgerfield-node/src/peers/calls.rs
+++ b/crates/badgerfield-node/src/peers/calls.rs
@@ -18,15 +18,55 @@
 /// Handles the stream of a call from a peer.
 pub(super) type CallHandler = Arc<dyn Fn(CallStream) + Send + Sync>;
 
-/// The stream of a call.
+/// The stream of a call. If it is dropped before it is completed, the other end sees an error: a part
+/// of a response must not look like a whole one.
 #[derive(Debug)]
 pub(crate) struct CallStream {
     pub(crate) send: SendStream,
     pub(crate) receive: RecvStream,
+    is_completed: bool,
     /// Keeps the connection open.
     _active: Arc<()>,
 }
 
+impl CallStream {
+    fn new(send: SendStream, receive: RecvStream, active: Arc<()>) -> Self {
+        Self { send, receive, is_completed: false, _active: active }
+    }
+
+    /// Sends the last frame.
+    pub(crate) async fn answer<T: Serialize>(mut self, value: &T) -> Result<(), CallError> {
+        write_frame(&mut self.send, value).await?;
+        self.complete().await;
+        Ok(())
+    }
+
+    /// Ends the stream, and waits until the other end has received all of it.
+    pub(crate) async fn complete(mut self) {
+        self.is_completed = true;
+        // Both fail only if the other end has withdrawn the call.
+        let _ = self.send.finish();
+        let _ = self.send.stopped().await;
+    }
+
+    /// Ends the stream with an error.
+    pub(crate) fn abort(mut self, code: u32) {
+        self.is_completed = true;
+        let _ = self.send.reset(code.into());
+    }
+}
+
+impl Drop for CallStream {
+    fn drop(&mut self) {
+        if !self.is_completed {
+            let _ = self.send.reset(ABANDONED_CODE.into());
+        }
+    }
+}
+
+/// The error code with which an abandoned stream is reset.
+const ABANDONED_CODE: u32 = 0;
+
 /// Why a call failed.
 #[derive(Debug, Error)]
 pub(crate) enum CallError {
@@ -60,7 +100,7 @@
         let network = &self.network;
         let (connection, _) = network.connect_in(&network.call_connections, to, address).await?;
         let (send, receive) = connection.open_bi().await?;
-        Ok(CallStream { send, receive, _active: Arc::default() })
+        Ok(CallStream::new(send, receive, Arc::default()))
     }
 
     /// Sets the handler of calls from peers. Only the first one is used.
@@ -75,7 +115,7 @@
     pub(super) fn handle_call(&self, send: SendStream, receive: RecvStream, active: &Arc<()>) {
         // Without a handler the call is cancelled.
         if let Some(handler) = self.call_handler.get() {
-            handler(CallStream { send, receive, _active: Arc::clone(active) });
+            handler(CallStream::new(send, receive, Arc::clone(active)));
         }
     }
 }
