--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -20,7 +20,8 @@
 //! A request on a route (any method, plain or streamed) takes another path. [`routing`] determines
 //! its service, [`event::Event::Reserve`] reserves its tokens, and [`upstream_table`] chooses the
 //! upstream, using the statistics of requests and engines in [`request_mix`]. [`retry_budget`]
-//! limits how many requests are sent a second time. [`event_stream`] splits streams into events, so
+//! limits how many requests are sent a second time. While this VM is cut off from upstreams, as
+//! [`reachability`] decides, requests go through other processes. [`event_stream`] splits streams into events, so
 //! that a stream can be resumed at another upstream.
 //!
 //! # Exchange between processes
@@ -34,8 +35,8 @@
 //! - Heartbeats carry the [`confirmations`] of a view and the [queueing delays](queueing_delay) of
 //!   engines. They also carry the sender's versions and digests, by which members detect that one
 //!   of them lacks a view, templates or an update.
-//! - `broadcast` also sends reports of members that are silent or overloaded ([`availability`]), to
-//!   which callers should not be directed.
+//! - `broadcast` also sends reports of members that are silent, overloaded or cut off from upstreams
+//!   ([`availability`]), to which callers should not be directed.
 //! - The rate limits that upstreams announce are sent from neighbour to neighbour
 //!   ([`rate_limit`]).
 //! - The store, a key-value service that outlasts processes, holds six kinds of values: the
