--- a/crates/badgerfield-node/src/gateway/forward/origin.rs
+++ b/crates/badgerfield-node/src/gateway/forward/origin.rs
@@ -21,10 +21,12 @@
 };
 use crate::gateway::exchange::Exchange;
 use crate::gateway::request_log;
+use crate::logs::REQUESTS;
 use crate::peers::calls::{CallError, CallStream, read_frame, write_frame};
 
 /// The maximum size of a part of a body that is read at once.
 const CHUNK_BYTES: usize = 16 << 10;
+
 /// The result of an attempt through a peer.
 #[derive(Debug)]
 pub(in crate::gateway) struct PeerAttempt {
@@ -119,13 +121,14 @@
     ) -> (PeerAttempt, &'static str) {
         let (reply, stream) = match result {
             Ok(answer) => answer,
-            // Nothing has left this VM, or the peer may have sent it.
+            // No stream was opened, so the peer has not received the request.
             Err(CallError::Connect(_) | CallError::Connection(_)) => {
                 let end = AttemptEnd::NotSent("peer_unreachable");
                 return (PeerAttempt { is_peer_fault: true, ..failed(end) }, "peer_unreachable");
             }
+            // The peer may have sent the request before the call failed.
             Err(error) => {
-                log::debug!(target: crate::logs::REQUESTS, "call of a peer failed: {error}");
+                log::info!(target: REQUESTS, "call failed id={} reason={error:?}", self.original.id);
                 return (failed(AttemptEnd::Broken(BROKEN)), "peer_lost");
             }
         };
--- a/crates/badgerfield-node/src/gateway/reachability.rs
+++ b/crates/badgerfield-node/src/gateway/reachability.rs
@@ -64,34 +64,22 @@
     unanswered: u32,
 }
 
+impl Asked {
+    /// Returns whether peers should be asked again. Before a cut is noticed, each round may decide.
+    fn is_due(&self, now: Time, is_cut_off: bool) -> bool {
+        !is_cut_off || self.last.is_none_or(|at| now.since(at) >= ASK_INTERVAL)
+    }
+}
+
 /// Probes upstreams, asks peers for those that do not answer, and applies the result.
 async fn run_round(driver: &Arc<Driver>, gateway: &Arc<Gateway>, asked: &mut Asked) {
     let started = driver.now();
-    let turn = gateway.next_probe_turn();
-    let is_decisive = gateway.reachability().is_decisive();
-    let count = if is_decisive { PROBED_IN_DOUBT } else { PROBED_UPSTREAMS };
-    let targets = gateway.upstreams().probe_targets(started, count, turn, None);
-    let probes = targets.iter().map(|(_, address)| gateway.connections.open(*address));
-    let results = join_all(probes).await;
-    let missed: Vec<_> = targets
-        .iter()
-        .zip(&results)
-        .filter(|(_, result)| result.is_err())
-        .map(|((id, _), _)| id.clone())
-        .collect();
-    let opened = targets.len() - missed.len();
-    for ((id, _), connection) in targets.into_iter().zip(results) {
-        // The next request to the upstream needs no new connection then.
-        if let Ok(connection) = connection {
-            gateway.connections.keep(id, connection, Some(PROBE_KEEP_ALIVE));
-        }
-    }
-    let is_cut_off = gateway.reachability().is_cut_off();
-    let is_due = !is_cut_off || asked.last.is_none_or(|at| started.since(at) >= ASK_INTERVAL);
+    let (opened, mut missed) = probe(started, gateway).await;
     let mut round = ProbeRound { probed: opened + missed.len(), opened, asked: 0, reached: 0 };
-    if !missed.is_empty() && is_due {
+    let is_cut_off = gateway.reachability().is_cut_off();
+    if !missed.is_empty() && asked.is_due(started, is_cut_off) {
         asked.last = Some(started);
-        let missed: Vec<_> = missed.into_iter().take(ASKED_UPSTREAMS).collect();
+        missed.truncate(ASKED_UPSTREAMS);
         (round.asked, round.reached) = ask_peers(driver, gateway, missed, asked).await;
     }
     if round.opened < round.probed {
@@ -109,6 +97,27 @@
     gateway.notify_round();
 }
 
+/// Opens connections to some upstreams. Returns how many opened, and the upstreams of the others.
+async fn probe(now: Time, gateway: &Gateway) -> (usize, Vec<UpstreamId>) {
+    let is_decisive = gateway.reachability().is_decisive();
+    let count = if is_decisive { PROBED_IN_DOUBT } else { PROBED_UPSTREAMS };
+    let turn = gateway.next_probe_turn();
+    let targets = gateway.upstreams().probe_targets(now, count, turn, None);
+    let probes = targets.iter().map(|(_, address)| gateway.connections.open(*address));
+    let results = join_all(probes).await;
+    let (mut opened, mut missed) = (0, Vec::new());
+    for ((id, _), connection) in targets.into_iter().zip(results) {
+        let Ok(connection) = connection else {
+            missed.push(id);
+            continue;
+        };
+        opened += 1;
+        // The next request to the upstream needs no new connection then.
+        gateway.connections.keep(id, connection, Some(PROBE_KEEP_ALIVE));
+    }
+    (opened, missed)
+}
+
 /// Asks peers which upstreams they reach. Returns for how many upstreams an answer came, and how
 /// many of these a peer reaches.
 async fn ask_peers(
@@ -180,13 +189,9 @@
         (distance, xxh3_64_with_seed(&member.incarnation.0.to_be_bytes(), me.0))
     };
     members.sort_by_key(rank);
-    let far = members.iter().filter(|member| member.domain != settings.domain);
-    let far: Vec<_> = far.take(ASKED_PEERS).cloned().collect();
-    let near = members.iter().filter(|member| member.domain == settings.domain);
-    let mut chosen: Vec<_> = near.take(NEAR_PEERS).cloned().collect();
-    let missing = ASKED_PEERS - chosen.len();
-    chosen.extend(far.into_iter().take(missing));
-    chosen
+    let (near, far): (Vec<_>, Vec<_>) =
+        members.into_iter().partition(|member| member.domain == settings.domain);
+    near.into_iter().take(NEAR_PEERS).chain(far).take(ASKED_PEERS).collect()
 }
 
 /// Returns the evidence of a round, for the log.
