Dispatch: the time that is left is read after the wait for a finding

By reading: a request that met two unreachable upstreams and waited for the finding, up to 1.5 s, was sent on with the time that had been left before. The wait now comes first in each turn, so that deadline, attempts and the time given to the upstream are those of the moment of sending. No test: a finding comes within some 0.1 to 0.5 s, too little to tell.

--- a/crates/badgerfield-node/src/gateway/dispatch.rs
+++ b/crates/badgerfield-node/src/gateway/dispatch.rs
@@ -61,14 +61,14 @@
         let mut unreachable = 0;
         let mut tried_peers = TriedPeers::default();
         loop {
+            if unreachable >= UNREACHABLE_IN_DOUBT {
+                self.await_finding().await;
+            }
             let now = self.now();
             let vm_count = self.driver.node.member_count();
             if let Err(cause) = self.check_attempts(now, vm_count, unreachable) {
                 return Err(self.final_refusal(cause));
             }
-            if unreachable >= UNREACHABLE_IN_DOUBT {
-                self.await_finding(now).await;
-            }
             let is_direct = self.gateway.reachability().sends_directly(rand::random());
             let step = if is_direct {
                 self.attempt_directly(now, vm_count, last_event).await
@@ -128,8 +128,8 @@
     }
 
     /// Waits, if this VM may be cut off from upstreams, until it knows.
-    async fn await_finding(&self, now: Time) {
-        let until = now.after(MAX_FINDING_WAIT).min(self.deadline);
+    async fn await_finding(&self) {
+        let until = self.now().after(MAX_FINDING_WAIT).min(self.deadline);
         let mut rounds = self.gateway.subscribe_rounds();
         while self.gateway.reachability().awaits_finding(self.now()) {
             if self.driver.clock.timeout_at(until, rounds.changed()).await.is_err() {
