Requests: the log tells which stream a request resumes, and the version of each upstream

'admitted' has resumes= and last_event= now, 'chosen' names the version of the upstream's entry. No decision is changed.

--- a/crates/badgerfield-core/src/upstream_table/choice.rs
+++ b/crates/badgerfield-core/src/upstream_table/choice.rs
@@ -78,11 +78,8 @@
             id: upstream.info.id.clone(),
             address: upstream.info.address,
             process: upstream.process,
-            version: upstream
-                .info
-                .version
-                .clone()
-                .filter(|_| self.canary.has_versions(criteria.service)),
+            version: upstream.info.version.clone(),
+            has_versions: self.canary.has_versions(criteria.service),
             cost,
             distance: upstream.distance,
             crossing: crossing_reason(&pool, upstream),
--- a/crates/badgerfield-core/src/upstream_table/mod.rs
+++ b/crates/badgerfield-core/src/upstream_table/mod.rs
@@ -113,8 +113,10 @@
     pub address: SocketAddr,
     /// Identifies its process: an upstream that restarts under the same id has another value.
     pub process: u32,
-    /// The version of its software, if the service has several.
+    /// The version of its software; `None` if the list does not contain it.
     pub version: Option<SoftwareVersion>,
+    /// Whether the versions of the service make a difference at present.
+    pub has_versions: bool,
     /// The expected delay in milliseconds.
     pub cost: f64,
     /// The number of prompt tokens that the upstream is expected to read.
--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -144,6 +144,8 @@
     pub parts: Vec<PromptPart>,
     /// The last event that the caller received of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// The request that brought the first event of that stream, by the id that the caller gave it.
+    pub resumes: Option<String>,
 }
 
 /// The reason why the headers of a request cannot be used.
--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -66,7 +66,7 @@
     let account = account_id.map(Account::as_str);
     let residency = check_residency(&gateway, &in_force, &id, route, account_id)
         .map_err(|refusal| (Some(id.clone()), refusal))?;
-    request_log::admitted(&id, &route.name, account, in_force.version);
+    request_log::admitted(&headers, &route.name, account, in_force.version);
 
     let max_wait = headers.max_wait.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived_at.after(max_wait);
--- a/crates/badgerfield-node/src/gateway/dispatch.rs
+++ b/crates/badgerfield-node/src/gateway/dispatch.rs
@@ -210,7 +210,8 @@
                     && self.detect_crash(&chosen.id, chosen.address, last_event).await;
             }
         }
-        Ok(AttemptStep { upstream: Some(chosen.id), version: chosen.version, end, crashed })
+        let version = chosen.version.filter(|_| chosen.has_versions);
+        Ok(AttemptStep { upstream: Some(chosen.id), version, end, crashed })
     }
 
     /// Returns whether another upstream may be tried, given the number of unreachable ones so far.
--- a/crates/badgerfield-node/src/gateway/forward/peer_request.rs
+++ b/crates/badgerfield-node/src/gateway/forward/peer_request.rs
@@ -311,7 +311,7 @@
     ForwardReply::Answered {
         upstream: chosen.id.clone(),
         address: chosen.address,
-        version: chosen.version.clone(),
+        version: chosen.version.clone().filter(|_| chosen.has_versions),
         status: head.status.as_u16(),
         headers: super::format_headers(&head.headers),
     }
--- a/crates/badgerfield-node/src/gateway/request_log.rs
+++ b/crates/badgerfield-node/src/gateway/request_log.rs
@@ -13,12 +13,24 @@
 use badgerfield_core::residency::ResidencyError;
 use badgerfield_core::upstream_table::{ChosenUpstream, LimitChange};
 
+use crate::adapter::RequestHeaders;
 use crate::logs::REQUESTS;
 
-/// Logs that a request was admitted.
-pub(crate) fn admitted(id: &str, route: &str, account: Option<&str>, version: TemplateVersion) {
-    let account = account.unwrap_or("-");
-    log::info!(target: REQUESTS, "admitted id={id} route={route} account={account} templates={version}");
+/// Logs that a request was admitted, and the stream that it resumes, if any.
+pub(crate) fn admitted(
+    headers: &RequestHeaders,
+    route: &str,
+    account: Option<&str>,
+    version: TemplateVersion,
+) {
+    let (id, account) = (&headers.id, account.unwrap_or("-"));
+    let resumes = headers.resumes.as_deref().unwrap_or("-");
+    let last = headers.last_event.map_or_else(|| "-".to_owned(), |last| last.to_string());
+    log::info!(
+        target: REQUESTS,
+        "admitted id={id} route={route} account={account} templates={version} resumes={resumes} \
+         last_event={last}"
+    );
 }
 
 /// Logs that a request may not be served in any known region.
