Streams: the version of the first event binds a stream inside one answer

Callers got events of two software versions in one answer. Cause: the version was a preference that fell back to any upstream, it was that of the last response instead of the first event that went to the caller, and it was unknown while the service had one version. Now the first event binds the stream; only upstreams of that version are candidates, also through a peer; events of another version end the stream. A delayed version continues what it began; a limited one within its share only, since a bad version whose streams break off would get more than its rule allows; a blocked one (rolled back, or replaced by a completed rollout) not at all. If none is left, the stream ends visibly cut.

A peer of the version before cannot read a request that is bound; the stream ends then. Requests that are not bound have the same bytes as before.

--- a/crates/badgerfield-core/src/ids.rs
+++ b/crates/badgerfield-core/src/ids.rs
@@ -275,6 +275,28 @@
     }
 }
 
+/// A short digest of the version of an upstream's software, as processes send it to each other.
+///
+/// All upstreams whose entries name no version count as one version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct VersionTag(u32);
+
+impl VersionTag {
+    /// Returns the tag of a version, or of upstreams without one.
+    #[must_use]
+    pub fn new(version: Option<&SoftwareVersion>) -> Self {
+        let name = version.map_or("", SoftwareVersion::as_str);
+        let [a, b, c, d, ..] = xxh3_64_with_seed(name.as_bytes(), 0).to_be_bytes();
+        Self(u32::from_be_bytes([a, b, c, d]))
+    }
+}
+
+impl fmt::Display for VersionTag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
 /// Returns the weight of a process for a subject in rendezvous hashing; the highest weight wins.
 #[must_use]
 pub(crate) fn rendezvous_weight(subject: &[u8], node: Incarnation) -> u64 {
--- a/crates/badgerfield-core/src/upstream_table/canary.rs
+++ b/crates/badgerfield-core/src/upstream_table/canary.rs
@@ -14,7 +14,7 @@
 use super::UpstreamCriteria;
 use super::upstream::{Upstream, shared_parts};
 use crate::amount::{Percent, Time};
-use crate::ids::{Service, SoftwareVersion};
+use crate::ids::{Service, SoftwareVersion, VersionTag};
 use crate::rollout::{Allowance, RolloutRule};
 
 /// How long a version that is new to a service gets no requests while other versions serve. The
@@ -148,6 +148,22 @@
         }
     }
 
+    /// Returns those of the `eligible` upstreams at which a stream that began at `version` can be
+    /// resumed. What two versions write does not fit together.
+    pub(super) fn filter_bound<'a>(
+        &self,
+        now: Time,
+        criteria: &UpstreamCriteria<'_>,
+        mut eligible: Vec<&'a Upstream>,
+        version: VersionTag,
+    ) -> Vec<&'a Upstream> {
+        eligible.retain(|upstream| upstream.version_tag == version);
+        if let Some(versions) = self.active_service(criteria.service) {
+            eligible.retain(|upstream| versions.may_continue(now, criteria, upstream));
+        }
+        eligible
+    }
+
     /// Returns the version that is rolled out at a service.
     pub(super) fn target(&self, service: &Service) -> Option<&SoftwareVersion> {
         let first = self.services.get(service)?.rules.first()?;
@@ -187,11 +203,6 @@
             .flat_map(|versions| versions.rules.iter().map(|active| (&active.rule, versions.sent)))
     }
 
-    /// Returns whether the versions of a service make a difference at present.
-    pub(super) fn has_versions(&self, service: &Service) -> bool {
-        self.active_service(service).is_some()
-    }
-
     fn active_service(&self, service: &Service) -> Option<&ServiceVersions> {
         let known = self.services.get(service)?;
         let kind_count = known.versions.len() + usize::from(known.has_unnamed);
@@ -302,9 +313,25 @@
                 return canary;
             }
         }
-        match criteria.resumed_version {
-            Some(version) => prefer_version(others, version),
-            None => others,
+        others
+    }
+
+    /// Returns whether an upstream may get a request that resumes a stream of its version.
+    ///
+    /// A limited version gets it within its share only: otherwise a bad version whose streams break
+    /// off would get more requests than the rule allows.
+    fn may_continue(
+        &self,
+        now: Time,
+        criteria: &UpstreamCriteria<'_>,
+        upstream: &Upstream,
+    ) -> bool {
+        match self.access(now, upstream.info.version.as_ref()) {
+            Access::Unrestricted | Access::Delayed => true,
+            Access::Limited => {
+                self.target_share().is_some_and(|(_, share)| self.credit(criteria) + share >= 1.0)
+            }
+            Access::Blocked => false,
         }
     }
 
@@ -322,9 +349,9 @@
         if credit < 1.0 {
             return false;
         }
-        // A retry does not go to the target, unless it resumes a stream that the target began.
+        // A request that failed at one version must not fail at the other too.
         if !criteria.tried.is_empty() {
-            return criteria.resumed_version == Some(target);
+            return false;
         }
         let Some(prefix) = shared_parts(criteria.parts).last() else {
             return true;
@@ -403,13 +430,6 @@
     limited
 }
 
-/// Returns the upstreams of a version, or all if there are none of it.
-fn prefer_version<'a>(pool: Vec<&'a Upstream>, version: &SoftwareVersion) -> Vec<&'a Upstream> {
-    let matches = |upstream: &&&Upstream| upstream.info.version.as_ref() == Some(version);
-    let same: Vec<_> = pool.iter().filter(matches).copied().collect();
-    if same.is_empty() { pool } else { same }
-}
-
 fn seed_of(target: &SoftwareVersion) -> u64 {
     xxh3_64_with_seed(target.as_str().as_bytes(), 0)
 }
--- a/crates/badgerfield-core/src/upstream_table/choice.rs
+++ b/crates/badgerfield-core/src/upstream_table/choice.rs
@@ -79,7 +79,7 @@
             address: upstream.info.address,
             process: upstream.process,
             version: upstream.info.version.clone(),
-            has_versions: self.canary.has_versions(criteria.service),
+            is_bound: criteria.bound_version.is_some(),
             cost,
             distance: upstream.distance,
             crossing: crossing_reason(&pool, upstream),
@@ -119,8 +119,13 @@
             .filter(|u| !criteria.tried.contains(&u.info.id))
             .filter(|u| u.running < criteria.max_connections)
             .collect();
-        let has_unrestricted = || self.has_unrestricted(now, criteria.service);
-        let eligible = self.canary.filter_by_version(now, criteria, eligible, has_unrestricted);
+        let eligible = match criteria.bound_version {
+            Some(version) => self.canary.filter_bound(now, criteria, eligible, version),
+            None => {
+                let has_unrestricted = || self.has_unrestricted(now, criteria.service);
+                self.canary.filter_by_version(now, criteria, eligible, has_unrestricted)
+            }
+        };
         let available: Vec<_> = eligible.iter().copied().filter(|u| u.avoid_until <= now).collect();
         // If all of them failed recently, the fault is probably elsewhere, and one may still serve.
         if available.is_empty() { eligible } else { available }
--- a/crates/badgerfield-core/src/upstream_table/mod.rs
+++ b/crates/badgerfield-core/src/upstream_table/mod.rs
@@ -29,7 +29,7 @@
 use self::upstream::Upstream;
 use crate::amount::Time;
 use crate::evacuation::DomainChange;
-use crate::ids::{Domain, Service, SoftwareVersion, UpstreamId};
+use crate::ids::{Domain, Service, SoftwareVersion, UpstreamId, VersionTag};
 use crate::locality::{CrossingReason, Distance, DistanceCosts, Location};
 use crate::queueing_delay::{self, DelayReport};
 use crate::request_mix::{
@@ -91,8 +91,9 @@
     pub residency: &'a Residency,
     /// The upstreams to which the request was sent before.
     pub tried: &'a [UpstreamId],
-    /// The version that began the stream, if the request resumes one.
-    pub resumed_version: Option<&'a SoftwareVersion>,
+    /// The version that began the stream, if the request resumes one. Only upstreams of this
+    /// version can continue it.
+    pub bound_version: Option<VersionTag>,
     /// The maximum number of connections from this VM to one upstream.
     pub max_connections: u32,
     /// A random number that breaks ties between equal upstreams.
@@ -115,8 +116,8 @@
     pub process: u32,
     /// The version of its software; `None` if the list does not contain it.
     pub version: Option<SoftwareVersion>,
-    /// Whether the versions of the service make a difference at present.
-    pub has_versions: bool,
+    /// Whether the request is bound to this version, because it resumes a stream.
+    pub is_bound: bool,
     /// The expected delay in milliseconds.
     pub cost: f64,
     /// The number of prompt tokens that the upstream is expected to read.
@@ -433,6 +434,21 @@
         }
     }
 
+    /// Returns whether an upstream may still get a request that resumes a stream of its version.
+    ///
+    /// A version that is delayed gets no new requests, but continues what it began.
+    #[must_use]
+    pub fn may_continue(&self, now: Time, id: &UpstreamId) -> bool {
+        let upstream = self.upstreams.get(id).filter(|u| u.is_usable(now));
+        upstream.is_some_and(|upstream| self.canary.access(now, upstream) != Access::Blocked)
+    }
+
+    /// Returns the version of an upstream's software, if the upstream is known.
+    #[must_use]
+    pub fn version_tag(&self, id: &UpstreamId) -> Option<VersionTag> {
+        self.upstreams.get(id).map(|upstream| upstream.version_tag)
+    }
+
     /// Returns whether the table still has this process of an upstream.
     #[must_use]
     pub fn is_current_process(&self, id: &UpstreamId, process: u32) -> bool {
--- a/crates/badgerfield-core/src/upstream_table/upstream.rs
+++ b/crates/badgerfield-core/src/upstream_table/upstream.rs
@@ -7,7 +7,7 @@
 
 use super::{AttemptOutcome, PromptPart, UpstreamCriteria};
 use crate::amount::Time;
-use crate::ids::Region;
+use crate::ids::{Region, VersionTag};
 use crate::locality::{Distance, Location};
 use crate::queueing_delay::QueueingDelay;
 use crate::rate_limit;
@@ -64,6 +64,8 @@
     pub(super) digest: u64,
     /// Identifies its process in messages: an upstream that restarts has another value.
     pub(super) process: u32,
+    /// The version of its software.
+    pub(super) version_tag: VersionTag,
     pub(super) seed: u64,
     /// Its position among the upstreams of its service, from 0 to 1.
     pub(super) position: f64,
@@ -149,12 +151,14 @@
     pub(super) fn new(info: ListedUpstream, revision: u64) -> Self {
         let seed = xxh3_64_with_seed(info.id.as_str().as_bytes(), 0);
         let (digest, process) = (description_digest(&info), process_id(&info));
+        let version_tag = VersionTag::new(info.version.as_ref());
         Self {
             info,
             revision,
             changed_revision: revision,
             digest,
             process,
+            version_tag,
             seed,
             position: 0.0,
             running: 0,
@@ -230,6 +234,7 @@
     pub(super) fn set_info(&mut self, info: ListedUpstream) {
         self.digest = description_digest(&info);
         self.process = process_id(&info);
+        self.version_tag = VersionTag::new(info.version.as_ref());
         self.info = info;
     }
 
--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -19,7 +19,7 @@
 use crate::adapter::RequestHeaders;
 use crate::driver::Driver;
 use crate::gateway::attempt::{Original, strip_hop_by_hop};
-use crate::gateway::exchange::{Exchange, LastDispatch, RETRY_DELAY};
+use crate::gateway::exchange::{Exchange, LastDispatch, RETRY_DELAY, StreamVersion};
 use crate::gateway::poison;
 use crate::gateway::request_log::{self, Timing};
 use crate::gateway::reservation::Reservation;
@@ -114,7 +114,7 @@
         fingerprint,
         timing,
         uncached_tokens: 0,
-        version: None,
+        stream_version: StreamVersion::NotBegun,
         gateway,
         ended: false,
         _open_request: open_request,
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
-use badgerfield_core::ids::UpstreamId;
+use badgerfield_core::ids::{UpstreamId, VersionTag};
 use badgerfield_core::routing::Route;
 use badgerfield_core::upstream_table::{AttemptOutcome, ChosenUpstream};
 use bytes::Bytes;
@@ -116,6 +116,10 @@
     pub(crate) address: SocketAddr,
     /// The number that identifies the process of the upstream.
     process: u32,
+    /// The version of the upstream's software; `None` if a peer chose one that is unknown here.
+    pub(crate) version: Option<VersionTag>,
+    /// Whether the request is bound to that version, because it resumes a stream.
+    is_bound: bool,
     /// When the request was sent to the upstream.
     sent_at: Time,
     outcome: AttemptOutcome,
@@ -174,6 +178,8 @@
             id: chosen.id.clone(),
             address: chosen.address,
             process: chosen.process,
+            version: Some(VersionTag::new(chosen.version.as_ref())),
+            is_bound: chosen.is_bound,
             sent_at: now,
             outcome: AttemptOutcome::Unknown,
             connection: None,
@@ -193,6 +199,7 @@
         driver: &Arc<Driver>,
         gateway: &Arc<Gateway>,
         (id, address): (UpstreamId, SocketAddr),
+        version: Option<VersionTag>,
         verdict: PeerVerdict,
     ) -> Self {
         Self {
@@ -201,6 +208,8 @@
             id,
             address,
             process: 0,
+            version,
+            is_bound: false,
             sent_at: driver.now(),
             outcome: AttemptOutcome::Unknown,
             connection: None,
@@ -265,7 +274,12 @@
     fn check_usable(&self) -> Result<(), AttemptError> {
         let now = self.driver.now();
         let mut upstreams = self.gateway.upstreams();
-        if !upstreams.is_usable(now, &self.id) {
+        let is_usable = if self.is_bound {
+            upstreams.may_continue(now, &self.id)
+        } else {
+            upstreams.is_usable(now, &self.id)
+        };
+        if !is_usable {
             return Err(AttemptError::NotSent);
         }
         if !upstreams.can_still_send(now, &self.id, self.sent_at) {
--- a/crates/badgerfield-node/src/gateway/dispatch.rs
+++ b/crates/badgerfield-node/src/gateway/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
-use badgerfield_core::ids::{SoftwareVersion, UpstreamId};
+use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::refusal::{Cause, Refusal};
 use badgerfield_core::residency::Residency;
 use badgerfield_core::routing::ServiceSpec;
@@ -42,7 +42,6 @@
 struct AttemptStep {
     /// The upstream, if one was chosen.
     upstream: Option<UpstreamId>,
-    version: Option<SoftwareVersion>,
     end: AttemptEnd,
     /// Whether the upstream has crashed.
     crashed: bool,
@@ -75,7 +74,7 @@
             } else {
                 self.attempt_elsewhere(now, vm_count, last_event, &mut tried_peers).await
             };
-            let AttemptStep { upstream, version, end, crashed } = match step {
+            let AttemptStep { upstream, end, crashed } = match step {
                 Ok(step) => step,
                 Err(cause) => return Err(self.final_refusal(cause)),
             };
@@ -84,7 +83,6 @@
                     self.attempts += 1;
                     self.may_have_run = true;
                     self.timing.head = Some(self.elapsed());
-                    self.version = version;
                     if response.head.status.is_server_error() && self.can_retry(vm_count) {
                         let mut response = response;
                         response.guard.record_failure();
@@ -158,8 +156,8 @@
         self.timing.record_sent(self.elapsed());
         let attempt = self.attempt_through_peer(now, last_event, tried_peers).await?;
         self.tried.extend(attempt.upstream.clone());
-        let PeerAttempt { upstream, version, end, crashed, .. } = attempt;
-        Ok(AttemptStep { upstream, version, end, crashed })
+        let PeerAttempt { upstream, end, crashed, .. } = attempt;
+        Ok(AttemptStep { upstream, end, crashed })
     }
 
     /// Sends the request to an upstream.
@@ -170,7 +168,7 @@
         last_event: Option<u64>,
     ) -> Result<AttemptStep, Cause> {
         let remaining = self.deadline.since(now);
-        let chosen = self.choose(now, vm_count, last_event.is_some())?;
+        let chosen = self.choose(now, vm_count)?;
         self.count_retry(now, vm_count);
         self.tried.push(chosen.id.clone());
         let headers = UpstreamHeaders {
@@ -190,7 +188,7 @@
         let (driver, gateway) = (&self.driver, &self.gateway);
         let guard = UpstreamGuard::new(driver, gateway, &chosen, engine_tokens, &self.route);
         self.current_upstream = Some((chosen.id.clone(), chosen.address));
-        let timed_out = self.wait_until_timeout(remaining, last_event.is_some());
+        let timed_out = self.wait_until_timeout(remaining);
         let end = attempt(guard, &self.original, &headers, timed_out, self.until_blocked()).await;
         self.current_upstream = None;
         let mut crashed = false;
@@ -210,8 +208,7 @@
                     && self.detect_crash(&chosen.id, chosen.address, last_event).await;
             }
         }
-        let version = chosen.version.filter(|_| chosen.has_versions);
-        Ok(AttemptStep { upstream: Some(chosen.id), version, end, crashed })
+        Ok(AttemptStep { upstream: Some(chosen.id), end, crashed })
     }
 
     /// Returns whether another upstream may be tried, given the number of unreachable ones so far.
@@ -241,7 +238,7 @@
         })
     }
 
-    fn choose(&self, now: Time, vm_count: usize, is_resume: bool) -> Result<ChosenUpstream, Cause> {
+    fn choose(&self, now: Time, vm_count: usize) -> Result<ChosenUpstream, Cause> {
         let residency = self.current_residency();
         // Choosing an upstream and starting the request happen under the same lock, because the
         // requests that a cold upstream may get are counted.
@@ -258,7 +255,7 @@
             return Err(Cause::RegionUnknown);
         }
         let rendezvous_key = self.check_poison()?;
-        let criteria = self.criteria(&residency, rendezvous_key, vm_count, is_resume);
+        let criteria = self.criteria(&residency, rendezvous_key, vm_count);
         let chosen = upstreams.choose(now, &criteria).ok_or(Cause::NoUpstream)?;
         let list = upstreams.last_update();
         upstreams.start_request(now, &chosen.id, &self.headers.parts);
@@ -275,7 +272,6 @@
         residency: &'a Residency,
         rendezvous_key: Option<u64>,
         vm_count: usize,
-        is_resume: bool,
     ) -> UpstreamCriteria<'a> {
         UpstreamCriteria {
             rendezvous_key,
@@ -285,7 +281,7 @@
             bytes: self.transfer_bytes(),
             residency,
             tried: &self.tried,
-            resumed_version: self.version.as_ref().filter(|_| is_resume),
+            bound_version: self.stream_version.bound(),
             max_connections: connection_share(&self.spec, vm_count),
             random: rand::random(),
         }
@@ -297,7 +293,7 @@
     /// may be queued at the upstream and is served late. Timing out without an alternative cost 276
     /// of 326 streams their response when few upstreams were left, and their budgets 4.4 million
     /// tokens.
-    pub(super) async fn wait_until_timeout(&self, remaining: Duration, is_resume: bool) {
+    pub(super) async fn wait_until_timeout(&self, remaining: Duration) {
         let (started, attempts) = (self.now(), self.attempts + 1);
         let deadline = started.after(remaining);
         let timeout = self.route.objective.saturating_mul(OBJECTIVE_TIMEOUT_FACTOR);
@@ -309,7 +305,7 @@
                 // The upstream may have responded while this process was stalled.
                 continue;
             }
-            if self.has_other_upstream(attempts, is_resume) {
+            if self.has_other_upstream(attempts) {
                 return;
             }
             let silent = self.now().since(started);
@@ -319,14 +315,14 @@
     }
 
     /// Returns whether another upstream can be tried now, after `attempts` attempts.
-    pub(crate) fn has_other_upstream(&self, attempts: u32, is_resume: bool) -> bool {
+    pub(crate) fn has_other_upstream(&self, attempts: u32) -> bool {
         let (now, vm_count) = (self.now(), self.driver.node.member_count());
         let has_retries = self.gateway.retries().remaining(now, &self.service, vm_count) >= 1.0;
         if !has_retries || attempts >= self.route.attempts {
             return false;
         }
         let residency = self.current_residency();
-        let criteria = self.criteria(&residency, None, vm_count, is_resume);
+        let criteria = self.criteria(&residency, None, vm_count);
         self.gateway.upstreams().choose(now, &criteria).is_some()
     }
 
--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::{Time, Tokens};
-use badgerfield_core::ids::{Service, SoftwareVersion, UpstreamId};
+use badgerfield_core::ids::{Service, UpstreamId, VersionTag};
 use badgerfield_core::overload;
 use badgerfield_core::poison::Fingerprint;
 use badgerfield_core::refusal::{Cause, Refusal};
@@ -54,6 +54,11 @@
 #[error("the response ended before it was complete")]
 pub(crate) struct ResponseTruncated;
 
+/// The events of an upstream do not fit to those that another version has sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("another version began the stream")]
+pub(super) struct OtherVersion;
+
 /// The body of a response.
 pub(crate) type ResponseBody = UnsyncBoxBody<Bytes, ResponseTruncated>;
 
@@ -68,6 +73,28 @@
     pub(super) through_peer: bool,
 }
 
+/// The version of upstreams' software that began a stream. Only upstreams of this version can
+/// continue it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StreamVersion {
+    /// No event has been passed on.
+    NotBegun,
+    /// This version sent the first event.
+    Begun(VersionTag),
+    /// An upstream whose version is not known sent the first event.
+    Unknown,
+}
+
+impl StreamVersion {
+    /// Returns the version that upstreams must have.
+    pub(crate) fn bound(self) -> Option<VersionTag> {
+        match self {
+            Self::Begun(version) => Some(version),
+            Self::NotBegun | Self::Unknown => None,
+        }
+    }
+}
+
 /// A request in progress.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -98,8 +125,8 @@
     pub(super) timing: Timing,
     /// The prompt tokens that the upstream is expected to read.
     pub(super) uncached_tokens: u64,
-    /// The version that responded last, if the service has several versions.
-    pub(super) version: Option<SoftwareVersion>,
+    /// The version that began the stream.
+    pub(super) stream_version: StreamVersion,
     /// Whether the end of the request has been recorded.
     pub(super) ended: bool,
     pub(super) _open_request: OpenRequest,
@@ -211,6 +238,21 @@
         self.attempts < self.route.attempts
     }
 
+    /// Binds the stream to the version of the upstream that sends the first event.
+    ///
+    /// # Errors
+    ///
+    /// Fails if another version began the stream.
+    pub(super) fn bind_stream(&mut self, version: Option<VersionTag>) -> Result<(), OtherVersion> {
+        let bound = match self.stream_version {
+            StreamVersion::NotBegun => version.map_or(StreamVersion::Unknown, StreamVersion::Begun),
+            StreamVersion::Begun(begun) if version != Some(begun) => return Err(OtherVersion),
+            known => known,
+        };
+        self.stream_version = bound;
+        Ok(())
+    }
+
     /// Records that an upstream has read the prompt.
     pub(super) fn record_prompt(&mut self, status: StatusCode) {
         let prompt = self.headers.tokens.map_or(0, |(prompt, _)| prompt);
--- a/crates/badgerfield-node/src/gateway/forward/mod.rs
+++ b/crates/badgerfield-node/src/gateway/forward/mod.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use badgerfield_core::ids::{Account, Service, SoftwareVersion, UpstreamId};
+use badgerfield_core::ids::{Account, Service, SoftwareVersion, UpstreamId, VersionTag};
 use badgerfield_core::poison::Fingerprint;
 use badgerfield_core::residency::Residency;
 use badgerfield_core::routing::{Route, ServiceSpec};
@@ -73,7 +73,7 @@
     /// The last event that arrived of a stream that is resumed.
     last_event: Option<u64>,
     /// The version that began the stream, if it is resumed.
-    version: Option<SoftwareVersion>,
+    bound_version: Option<VersionTag>,
     tried: Vec<UpstreamId>,
     /// The regions in which the request may be served, as far as the sender knows.
     residency: Residency,
--- a/crates/badgerfield-node/src/gateway/forward/origin.rs
+++ b/crates/badgerfield-node/src/gateway/forward/origin.rs
@@ -1,7 +1,7 @@
 //! Sends an attempt through a peer, and receives its response.
 
 use badgerfield_core::amount::Time;
-use badgerfield_core::ids::{SoftwareVersion, UpstreamId};
+use badgerfield_core::ids::{UpstreamId, VersionTag};
 use badgerfield_core::refusal::Cause;
 use badgerfield_core::residency::Residency;
 use bytes::Bytes;
@@ -32,7 +32,6 @@
 pub(in crate::gateway) struct PeerAttempt {
     /// The upstream that the peer chose, if it has.
     pub(in crate::gateway) upstream: Option<UpstreamId>,
-    pub(in crate::gateway) version: Option<SoftwareVersion>,
     pub(in crate::gateway) end: AttemptEnd,
     /// Whether the peer has found that the upstream crashed.
     pub(in crate::gateway) crashed: bool,
@@ -65,7 +64,7 @@
             let reply = read_frame::<ForwardReply>(&mut stream.receive, MAX_REPLY_BYTES).await?;
             Ok::<_, CallError>((reply, stream))
         };
-        let timed_out = self.wait_until_timeout(self.deadline.since(now), last_event.is_some());
+        let timed_out = self.wait_until_timeout(self.deadline.since(now));
         let (attempt_result, outcome) = tokio::select! {
             result = exchange => self.read_reply(result, call),
             () = timed_out => (failed(AttemptEnd::Broken(SILENT)), SILENT),
@@ -105,7 +104,7 @@
             output_tokens: self.headers.tokens.map(|(_, output)| output),
             remaining: self.deadline.since(now),
             last_event,
-            version: self.version.clone().filter(|_| last_event.is_some()),
+            bound_version: self.stream_version.bound(),
             tried: self.tried.clone(),
             residency,
             rendezvous_key,
@@ -157,8 +156,18 @@
                 let verdict = PeerVerdict::default();
                 let body = response_body(stream, call, verdict.clone());
                 let target = (upstream.clone(), address);
-                let guard =
-                    UpstreamGuard::through_peer(&self.driver, &self.gateway, target, verdict);
+                // A peer names no version if the entry of the upstream has none there.
+                let version = match version {
+                    Some(version) => Some(VersionTag::new(Some(&version))),
+                    None => self.gateway.upstreams().version_tag(&upstream),
+                };
+                let guard = UpstreamGuard::through_peer(
+                    &self.driver,
+                    &self.gateway,
+                    target,
+                    version,
+                    verdict,
+                );
                 let mut response = Response::new(());
                 *response.status_mut() =
                     StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -167,14 +176,14 @@
                 // The end of the stream shows that the response is complete.
                 let response = UpstreamResponse { head, body, framed: true, guard };
                 let end = AttemptEnd::Answered(Box::new(response));
-                (PeerAttempt { upstream: Some(upstream), version, ..failed(end) }, "answered")
+                (PeerAttempt { upstream: Some(upstream), ..failed(end) }, "answered")
             }
         }
     }
 }
 
 fn failed(end: AttemptEnd) -> PeerAttempt {
-    PeerAttempt { upstream: None, version: None, end, crashed: false, is_peer_fault: false }
+    PeerAttempt { upstream: None, end, crashed: false, is_peer_fault: false }
 }
 
 /// The part of a call from which the body of a response is read.
--- a/crates/badgerfield-node/src/gateway/forward/peer_request.rs
+++ b/crates/badgerfield-node/src/gateway/forward/peer_request.rs
@@ -252,7 +252,7 @@
             bytes: transfer_bytes(self.original.body.len(), request.output_tokens),
             residency: &residency,
             tried: &request.tried,
-            resumed_version: request.version.as_ref(),
+            bound_version: request.bound_version,
             max_connections: connection_share(&request.spec, vm_count),
             random: rand::random(),
         };
@@ -311,7 +311,7 @@
     ForwardReply::Answered {
         upstream: chosen.id.clone(),
         address: chosen.address,
-        version: chosen.version.clone().filter(|_| chosen.has_versions),
+        version: chosen.version.clone(),
         status: head.status.as_u16(),
         headers: super::format_headers(&head.headers),
     }
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -13,13 +13,18 @@
 use crate::gateway::attempt::{
     BLOCKED, BROKEN, CUT, SILENT, UpstreamBody, UpstreamGuard, UpstreamResponse,
 };
-use crate::gateway::exchange::{Exchange, MAX_IN_FLIGHT_EVENTS, ResponseBody, ResponseTruncated};
+use crate::gateway::exchange::{
+    Exchange, MAX_IN_FLIGHT_EVENTS, OtherVersion, ResponseBody, ResponseTruncated, StreamVersion,
+};
 use crate::gateway::request_log;
 
 /// The timeout for the next event of a resumable stream, in multiples of the route's target for the
 /// longest pause between two events.
 const PAUSE_TIMEOUT_FACTOR: u32 = 4;
 
+/// The outcome of a stream whose next events come from another version than the one that began it.
+const OTHER_VERSION: &str = "other_version";
+
 /// A stream that is forwarded to the caller.
 #[derive(Debug)]
 struct Relay {
@@ -79,7 +84,9 @@
                         continue;
                     }
                     self.exchange.record_events();
-                    self.record_begun();
+                    if self.record_begun().is_err() {
+                        return Some(self.fail(OTHER_VERSION));
+                    }
                     self.record_usage(0);
                     return Some(Ok(events));
                 }
@@ -112,15 +119,21 @@
     }
 
     /// Records the arrival of events. The first event shows that the upstream runs the request.
-    fn record_begun(&mut self) {
+    ///
+    /// # Errors
+    ///
+    /// Fails if another version began the stream.
+    fn record_begun(&mut self) -> Result<(), OtherVersion> {
         let Some(source) = self.source.as_mut().filter(|source| !source.has_begun) else {
-            return;
+            return Ok(());
         };
         source.has_begun = true;
         source.guard.record_first_event();
-        let exchange = &self.exchange;
+        let version = source.guard.version;
+        let exchange = &mut self.exchange;
         let (id, took) = (&exchange.original.id, exchange.elapsed());
-        request_log::begun(id, exchange.attempts, &source.guard.id, took);
+        request_log::begun(id, exchange.attempts, &source.guard.id, version, took);
+        exchange.bind_stream(version)
     }
 
     /// Reads the next part of the response from the upstream.
@@ -156,7 +169,7 @@
                 Err(_) if exchange.now() >= deadline => ReadResult::OutOfTime,
                 // The upstream may have sent data while this process was stalled.
                 Err(_) if clock.has_stalled_since(wait_start) => continue,
-                Err(_) if exchange.has_other_upstream(exchange.attempts, true) => {
+                Err(_) if exchange.has_other_upstream(exchange.attempts) => {
                     ReadResult::Broken(SILENT)
                 }
                 Err(_) => {
@@ -182,7 +195,9 @@
     }
 
     fn can_resume(&self) -> bool {
-        self.exchange.route.repeat.is_idempotent() && self.exchange.has_attempts_left()
+        self.exchange.route.repeat.is_idempotent()
+            && self.exchange.has_attempts_left()
+            && self.exchange.stream_version != StreamVersion::Unknown
     }
 
     /// Returns whether an unframed response ended because its upstream crashed.
--- a/crates/badgerfield-node/src/gateway/request_log.rs
+++ b/crates/badgerfield-node/src/gateway/request_log.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
-use badgerfield_core::ids::{Incarnation, SoftwareVersion, TemplateVersion, UpstreamId};
+use badgerfield_core::ids::{
+    Incarnation, SoftwareVersion, TemplateVersion, UpstreamId, VersionTag,
+};
 use badgerfield_core::locality::CrossingReason;
 use badgerfield_core::poison::Fingerprint;
 use badgerfield_core::rate_limit::RateLimit;
@@ -216,9 +218,19 @@
 
 /// Logs the arrival of the first event of a stream and the time since the request arrived. From
 /// then on, the tokens reserved for the prompt count as used.
-pub(crate) fn begun(id: &str, attempt: u32, upstream: &UpstreamId, took: Duration) {
+pub(crate) fn begun(
+    id: &str,
+    attempt: u32,
+    upstream: &UpstreamId,
+    version: Option<VersionTag>,
+    took: Duration,
+) {
+    let version = version.map_or_else(|| "-".to_owned(), |version| version.to_string());
     let took = took.as_millis();
-    log::info!(target: REQUESTS, "begun id={id} attempt={attempt} upstream={upstream} took_ms={took}");
+    log::info!(
+        target: REQUESTS,
+        "begun id={id} attempt={attempt} upstream={upstream} tag={version} took_ms={took}"
+    );
 }
 
 /// Logs that a stream is resumed at another upstream.
