Upstreams: an entry whose version alone changes is another process

Its connections were kept and used for streams of the new version, and its recorded process stayed the same. an_upstream_with_another_version_counts_as_new fails without it.

--- a/crates/badgerfield-core/src/upstream_table/upstream.rs
+++ b/crates/badgerfield-core/src/upstream_table/upstream.rs
@@ -7,7 +7,7 @@
 
 use super::{AttemptOutcome, PromptPart, UpstreamCriteria};
 use crate::amount::Time;
-use crate::ids::{Region, VersionTag};
+use crate::ids::{Region, SoftwareVersion, VersionTag};
 use crate::locality::{Distance, Location};
 use crate::queueing_delay::QueueingDelay;
 use crate::rate_limit;
@@ -188,7 +188,7 @@
             .started_at
             .zip(info.started_at)
             .is_some_and(|(known, listed)| known != listed);
-        is_restarted || self.info.address != info.address
+        is_restarted || self.info.address != info.address || self.info.version != info.version
     }
 
     /// Resets the observations of the previous process: a new process has cached no prompts, has no
@@ -420,7 +420,8 @@
 
 /// Returns the number that identifies the process of an entry.
 fn process_id(info: &ListedUpstream) -> u32 {
-    let text = format!("{} {}", info.address, info.started_at.unwrap_or_default());
+    let version = info.version.as_ref().map_or("", SoftwareVersion::as_str);
+    let text = format!("{} {} {version}", info.address, info.started_at.unwrap_or_default());
     let [a, b, c, d, ..] = xxh3_64(text.as_bytes()).to_be_bytes();
     u32::from_be_bytes([a, b, c, d])
 }
--- a/crates/badgerfield-core/tests/upstream_table.rs
+++ b/crates/badgerfield-core/tests/upstream_table.rs
@@ -454,6 +454,28 @@
     ListedUpstream { started_at: Some(started_at), ..info(n, false) }
 }
 
+/// Guards against connections to an earlier process that are used for streams of another version,
+/// because only the version of the entry has changed.
+#[test]
+fn an_upstream_with_another_version_counts_as_new() {
+    let of_version = |version: &str| {
+        let version = Some(version.parse().expect("a version"));
+        ListedUpstream { version, ..started(1, 1_000) }
+    };
+    let mut table = table(0);
+    table.apply_list(at(0), list(1, vec![of_version("v1")]));
+    let known = table.version_tag(&id(1));
+    assert!(table.take_restarted().is_empty());
+    let changed = UpstreamListChanges {
+        revision: 2,
+        written: vec![entry(2, of_version("v2"))],
+        gone: vec![],
+    };
+    table.apply_changes(at(1), changed);
+    assert_eq!(table.take_restarted(), [id(1)]);
+    assert_ne!(table.version_tag(&id(1)), known);
+}
+
 #[test]
 fn an_upstream_that_restarts_under_its_id_counts_as_new() {
     // The start time of an upstream was ignored. An upstream that crashed and came back under its
