Upstreams: an answer that names another instance is foreign

An address may pass to a process of another version while a VM's list is old. Upstreams reject requests that expect another instance; should one answer all the same and say who it is, its events are not passed on. a_response_of_another_instance_is_not_the_answer failed before (Answer instead of Foreign). An answer that names no instance cannot be told from that of the expected one.

--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -256,8 +256,15 @@
     /// Converts the headers of a caller's request to those of a call to an upstream.
     fn write_headers(&self, head: &mut HeaderMap, headers: &UpstreamHeaders<'_>);
 
-    /// Classifies the response of an upstream to the request `id` by its head.
-    fn classify_response(&self, id: &str, status: StatusCode, head: &HeaderMap) -> ResponseKind;
+    /// Classifies the response to the request `id` by its head. `expected` is the upstream that the
+    /// request was sent to.
+    fn classify_response(
+        &self,
+        id: &str,
+        expected: &UpstreamId,
+        status: StatusCode,
+        head: &HeaderMap,
+    ) -> ResponseKind;
 
     /// Parses the announcements in the head of a response. `expected` is the upstream that the
     /// request was sent to; returns `None` if the response comes from another one.
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -384,7 +384,7 @@
     };
     let head = (response.status(), response.headers());
     let protocol = &gateway.adapter.protocol;
-    let kind = protocol.classify_response(&original.id, head.0, head.1);
+    let kind = protocol.classify_response(&original.id, &guard.id, head.0, head.1);
     if kind != ResponseKind::Foreign {
         let sender = (&guard.id, guard.process);
         guard.driver.apply_announcement(&gateway, &original.id, sender, head);
