Streams: any VM finds the version at which a stream began

Each VM now records its streams before the caller gets the first event, under a digest of account and attempt id, with a digest of service and version. Unless the list shows that there has been one version only, copies go to two VMs, in different failure domains, that the id determines. A request with Resumes or Last-Event-Id is bound by the VM's own record, else by that of one of four VMs that it asks, else by the list, if that has named one version for as long as a stream lasts, is at most 8 s old, and a peer that answers knows no other. Otherwise it is refused at once, not run: stream_unknown, or version_gone if no upstream has the version.

The line 'origin' says what was found, where, how old, who answered; a counter by outcome. A route with several services goes on at the one that began the stream.

--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -22,6 +22,7 @@
 use crate::refusal::Refusal;
 use crate::request_mix::EngineDemand;
 use crate::rollout::{OrderChange, RolloutLogEntry, RolloutRules, RolloutTally};
+use crate::stream_origins::StreamOrigin;
 use crate::template::KeyDigest;
 use crate::template_arrival::TemplateArrival;
 use crate::upstream_list::{ListVersion, UpstreamList};
@@ -91,6 +92,13 @@
     LimitReports(Vec<LimitReport>),
     /// Outcomes of the requests of this process at services with a rollout; sent periodically.
     RolloutTallies(Vec<RolloutTally>),
+    /// The first event of a stream has arrived; sent before the caller gets it.
+    StreamBegun {
+        /// The record of the stream.
+        origin: StreamOrigin,
+        /// Whether other processes keep copies of the record.
+        copied: bool,
+    },
     /// An upstream has crashed while it ran a request of this process.
     UpstreamCrashed(Crash),
     /// A request that an upstream ran when it crashed has been served completely.
--- a/crates/badgerfield-core/src/handlers/mod.rs
+++ b/crates/badgerfield-core/src/handlers/mod.rs
@@ -17,5 +17,6 @@
 mod rollouts;
 mod spending;
 mod stopping;
+mod streams;
 mod templates;
 mod upstream_updates;
--- a/crates/badgerfield-core/src/ids.rs
+++ b/crates/badgerfield-core/src/ids.rs
@@ -275,18 +275,21 @@
     }
 }
 
-/// A short digest of the version of an upstream's software, as processes send it to each other.
+/// A short digest of a service and of a version of its upstreams' software, as processes send it to
+/// each other.
 ///
-/// All upstreams whose entries name no version count as one version.
+/// All upstreams of a service whose entries name no version count as one version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct VersionTag(u32);
 
 impl VersionTag {
     /// Returns the tag of a version, or of upstreams without one.
     #[must_use]
-    pub fn new(version: Option<&SoftwareVersion>) -> Self {
-        let name = version.map_or("", SoftwareVersion::as_str);
-        let [a, b, c, d, ..] = xxh3_64_with_seed(name.as_bytes(), 0).to_be_bytes();
+    pub fn new(service: &Service, version: Option<&SoftwareVersion>) -> Self {
+        let version = version.map_or("", SoftwareVersion::as_str);
+        // Identifiers contain no line breaks.
+        let text = format!("{service}\n{version}");
+        let [a, b, c, d, ..] = xxh3_64_with_seed(text.as_bytes(), 0).to_be_bytes();
         Self(u32::from_be_bytes([a, b, c, d]))
     }
 }
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -97,6 +97,7 @@
 mod runs;
 pub mod seal;
 mod shared_state;
+pub mod stream_origins;
 pub mod template;
 pub mod template_arrival;
 pub mod template_history;
--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership.rs
@@ -700,7 +700,7 @@
 
     /// Returns the members that send nothing to any process: those that this process should hear
     /// from, unless others hear them, and those that others have reported.
-    fn silent_members(&self, now: Time) -> BTreeSet<Incarnation> {
+    pub(crate) fn silent_members(&self, now: Time) -> BTreeSet<Incarnation> {
         let is_heard = |id: &Incarnation| {
             let silence = self.silence(now, *id);
             self.availability.is_heard_by_others(now, *id, silence, Duration::ZERO)
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -19,6 +19,7 @@
 use crate::rate_limit::LimitReport;
 use crate::request_mix::EngineDemand;
 use crate::rollout::{KnownRollout, RolloutTally};
+use crate::stream_origins::StreamOrigin;
 use crate::template::{TemplateDelta, TemplateSet};
 use crate::upstream_list::{ListVersion, UpstreamList, UpstreamListChanges};
 use crate::view_update::ViewUpdate;
@@ -214,6 +215,8 @@
     LimitReports(Vec<LimitReport>),
     /// Operators' values were read from the store; broadcast to all members.
     Operators(OperatorUpdate),
+    /// Records of streams that the sender has begun, of which the receiver keeps copies.
+    StreamOrigins(Vec<StreamOrigin>),
 }
 
 impl Message {
@@ -234,6 +237,7 @@
             Self::Rollouts(_) | Self::CompareRollouts(_) | Self::RolloutReport(_) => "rollouts",
             Self::Crashes(_) | Self::CompareCrashes(_) => "crashes",
             Self::LimitReports(_) => "limits",
+            Self::StreamOrigins(_) => "streams",
             Self::TokenRequest(_) | Self::NoTokens { .. } => "ask",
             Self::Transfer(_) | Self::TransferAck { .. } => "transfer",
             Self::Park(_) | Self::ParkAck(_) => "park",
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -392,6 +392,7 @@
             Event::RolloutTallies(tallies) => self.record_rollout_tallies(now, tallies, out),
             Event::UpstreamCrashed(crash) => self.record_crash(now, crash, out),
             Event::SuspectServed(request) => self.record_suspect_served(now, request, out),
+            Event::StreamBegun { origin, copied } => self.record_stream(now, origin, copied, out),
             Event::Stop => self.stop(now, out),
         }
     }
@@ -415,6 +416,7 @@
         self.tick_charges(now, out);
         self.tick_stop(now, out);
         self.sweep_runs(now);
+        self.sweep_stream_origins(now);
     }
 
     /// Does the work that any event may make necessary.
@@ -455,6 +457,7 @@
             Message::CompareRollouts(theirs) => self.reconcile_rollouts(now, from, &theirs, out),
             Message::Crashes(update) => self.receive_crash_update(now, from, update, out),
             Message::CompareCrashes(theirs) => self.reconcile_crashes(now, from, &theirs, out),
+            Message::StreamOrigins(origins) => self.keep_stream_origins(now, from, origins),
             Message::RolloutReport(report) => self.state.rollouts().apply_report(from, report),
             Message::LedgerRequest(ops) => self.handle_ledger_request(now, ops, out),
             Message::LedgerReplies(replies) => self.apply_ledger_replies(now, from, replies, out),
--- a/crates/badgerfield-core/src/refusal.rs
+++ b/crates/badgerfield-core/src/refusal.rs
@@ -81,6 +81,12 @@
     /// The body exceeds the size limit.
     #[error("the body is larger than callers may send")]
     BodyTooLarge,
+    /// It is not known at which version the stream began, so it cannot be resumed.
+    #[error("it is not known which version began this stream; begin it anew")]
+    StreamUnknown,
+    /// No upstream has the version that began the stream.
+    #[error("no upstream has the version that began this stream; begin it anew")]
+    VersionGone,
     /// The deadline of the request has passed.
     #[error("the time for the request has passed before its answer came")]
     OutOfTime,
@@ -120,6 +126,8 @@
             Self::RegionUnknown => "region_unknown",
             Self::BadRequest => "bad_request",
             Self::BodyTooLarge => "body_too_large",
+            Self::StreamUnknown => "stream_unknown",
+            Self::VersionGone => "version_gone",
             Self::OutOfTime => "out_of_time",
             Self::TriesSpent => "tries_spent",
             Self::EndsUpstreams => "ends_upstreams",
@@ -146,6 +154,8 @@
             | Self::NoUpstream
             | Self::RegionUnknown
             | Self::KeyUndecided
+            | Self::StreamUnknown
+            | Self::VersionGone
             | Self::TriesSpent
             | Self::EndsUpstreams
             | Self::Stopping
--- a/crates/badgerfield-core/src/shared_state.rs
+++ b/crates/badgerfield-core/src/shared_state.rs
@@ -18,6 +18,7 @@
 use crate::queue::Queue;
 use crate::rollout::Rollouts;
 use crate::runs::Runs;
+use crate::stream_origins::StreamOrigins;
 use crate::template::TemplateSet;
 use crate::template_history::TemplateHistory;
 use crate::vm_upstreams::VmUpstreams;
@@ -39,6 +40,7 @@
     claims: Mutex<Claims>,
     holdings: Mutex<Holdings>,
     ledger_writer: Mutex<LedgerWriter>,
+    stream_origins: Mutex<StreamOrigins>,
 }
 
 impl SharedState {
@@ -64,6 +66,7 @@
             claims: Mutex::new(claims),
             holdings: Mutex::new(holdings),
             ledger_writer: Mutex::new(ledger_writer),
+            stream_origins: Mutex::default(),
         }
     }
 
@@ -137,6 +140,11 @@
     pub(crate) fn ledger_writer(&self) -> MutexGuard<'_, LedgerWriter> {
         lock(&self.ledger_writer)
     }
+
+    /// Locks the records of streams' beginnings.
+    pub(crate) fn stream_origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        lock(&self.stream_origins)
+    }
 }
 
 /// Locks a table. If a panic poisoned the lock, the table is used as the last step left it.
--- a/crates/badgerfield-core/src/upstream_table/canary.rs
+++ b/crates/badgerfield-core/src/upstream_table/canary.rs
@@ -20,7 +20,7 @@
 /// How long a version that is new to a service gets no requests while other versions serve. The
 /// rollout order and the list of upstreams arrive by different watches; a connected process
 /// receives either within a few seconds.
-const ORDER_DELAY: Duration = Duration::from_secs(10);
+pub(super) const ORDER_DELAY: Duration = Duration::from_secs(10);
 /// The maximum credit of a route, in requests. It evens out the uneven arrival of prompt prefixes,
 /// and is small beside the dozens of requests that a fleet is usually allowed.
 const MAX_CREDIT: f64 = 3.0;
--- a/crates/badgerfield-core/src/upstream_table/choice.rs
+++ b/crates/badgerfield-core/src/upstream_table/choice.rs
@@ -79,6 +79,7 @@
             address: upstream.info.address,
             process: upstream.process,
             version: upstream.info.version.clone(),
+            version_tag: upstream.version_tag,
             is_bound: criteria.bound_version.is_some(),
             cost,
             distance: upstream.distance,
@@ -119,12 +120,11 @@
             .filter(|u| !criteria.tried.contains(&u.info.id))
             .filter(|u| u.running < criteria.max_connections)
             .collect();
-        let eligible = match criteria.bound_version {
-            Some(version) => self.canary.filter_bound(now, criteria, eligible, version),
-            None => {
-                let has_unrestricted = || self.has_unrestricted(now, criteria.service);
-                self.canary.filter_by_version(now, criteria, eligible, has_unrestricted)
-            }
+        let eligible = if let Some(version) = criteria.bound_version {
+            self.canary.filter_bound(now, criteria, eligible, version)
+        } else {
+            let has_unrestricted = || self.has_unrestricted(now, criteria.service);
+            self.canary.filter_by_version(now, criteria, eligible, has_unrestricted)
         };
         let available: Vec<_> = eligible.iter().copied().filter(|u| u.avoid_until <= now).collect();
         // If all of them failed recently, the fault is probably elsewhere, and one may still serve.
--- a/crates/badgerfield-core/src/upstream_table/list.rs
+++ b/crates/badgerfield-core/src/upstream_table/list.rs
@@ -56,8 +56,7 @@
         let UpstreamListChanges { revision, written, gone } = changes;
         let list_age = self.updated_at.map(|at| now.since(at));
         if revision > 0 && revision >= self.revision {
-            self.revision = revision;
-            self.updated_at = Some(now);
+            self.record_revision(now, revision);
         }
         let mut affected: Vec<_> =
             written.into_iter().filter_map(|e| self.apply_entry(now, e, announced_at)).collect();
@@ -84,12 +83,13 @@
 
     /// Drops upstreams whose entries were removed long ago.
     fn drop_removed(&mut self, now: Time) {
-        let dropped_revision = &mut self.dropped_revision;
+        let (dropped_revision, versions) = (&mut self.dropped_revision, &mut self.versions);
         self.upstreams.retain(|_, u| {
             let is_kept =
                 u.running > 0 || u.removed_at.is_none_or(|at| now.since(at) < REMOVED_RETENTION);
             if !is_kept {
                 *dropped_revision = u.changed_revision.max(*dropped_revision);
+                versions.record_past(now, &u.info.service, u.version_tag);
             }
             is_kept
         });
@@ -154,6 +154,7 @@
             known.changed_revision = revision.max(announced_at);
         }
         if known.info != info {
+            self.versions.record_past(now, &known.info.service, known.version_tag);
             known.set_info(info);
             known.update_location(&self.location, &self.regions);
         }
@@ -176,11 +177,16 @@
     /// Records that the list has no further changes up to a revision.
     pub fn confirm_revision(&mut self, now: Time, revision: u64) {
         if revision > self.revision {
-            self.revision = revision;
-            self.updated_at = Some(now);
+            self.record_revision(now, revision);
         }
     }
 
+    fn record_revision(&mut self, now: Time, revision: u64) {
+        self.versions.record_contact(now, self.updated_at);
+        self.revision = revision;
+        self.updated_at = Some(now);
+    }
+
     /// Returns the version of the list in this process.
     #[must_use]
     pub fn list_version(&self) -> ListVersion {
--- a/crates/badgerfield-core/src/upstream_table/mod.rs
+++ b/crates/badgerfield-core/src/upstream_table/mod.rs
@@ -19,6 +19,7 @@
 mod rollout;
 mod slow_start;
 mod upstream;
+mod versions;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -27,6 +28,7 @@
 use self::canary::{Access, Canary};
 use self::slow_start::SlowStart;
 use self::upstream::Upstream;
+use self::versions::VersionHistory;
 use crate::amount::Time;
 use crate::evacuation::DomainChange;
 use crate::ids::{Domain, Service, SoftwareVersion, UpstreamId, VersionTag};
@@ -116,6 +118,8 @@
     pub process: u32,
     /// The version of its software; `None` if the list does not contain it.
     pub version: Option<SoftwareVersion>,
+    /// The digest of that version.
+    pub version_tag: VersionTag,
     /// Whether the request is bound to this version, because it resumes a stream.
     pub is_bound: bool,
     /// The expected delay in milliseconds.
@@ -174,6 +178,7 @@
     distance_costs: DistanceCosts,
     slow_start: SlowStart,
     canary: Canary,
+    versions: VersionHistory,
     /// The sequence number of the rollout rules in force.
     rules_sequence: u64,
     /// The outcomes of requests at services with a rollout.
--- a/crates/badgerfield-core/src/upstream_table/upstream.rs
+++ b/crates/badgerfield-core/src/upstream_table/upstream.rs
@@ -151,7 +151,7 @@
     pub(super) fn new(info: ListedUpstream, revision: u64) -> Self {
         let seed = xxh3_64_with_seed(info.id.as_str().as_bytes(), 0);
         let (digest, process) = (description_digest(&info), process_id(&info));
-        let version_tag = VersionTag::new(info.version.as_ref());
+        let version_tag = VersionTag::new(&info.service, info.version.as_ref());
         Self {
             info,
             revision,
@@ -234,7 +234,7 @@
     pub(super) fn set_info(&mut self, info: ListedUpstream) {
         self.digest = description_digest(&info);
         self.process = process_id(&info);
-        self.version_tag = VersionTag::new(info.version.as_ref());
+        self.version_tag = VersionTag::new(&info.service, info.version.as_ref());
         self.info = info;
     }
 
--- /dev/null
+++ b/crates/badgerfield-core/src/upstream_table/versions.rs
@@ -0,0 +1,129 @@
+//! What the list of upstreams tells about the versions at which streams can have begun.
+//!
+//! A stream needs no record if its service has had one version for as long as the stream can have
+//! lasted. A process knows that only of the time in which it followed the list without gaps. A gap
+//! matters once a version can have appeared in it and begun a stream: that takes
+//! [`super::canary::ORDER_DELAY`], for which a version that is new to a service gets no requests
+//! while others serve.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::UpstreamTable;
+use super::canary::ORDER_DELAY;
+use crate::amount::Time;
+use crate::ids::{Service, VersionTag};
+
+/// The maximum age of a list that lacks no version which another process may already send to.
+///
+/// The list of another process may be newer by the time that a change takes to arrive here.
+pub(super) const MAX_LIST_AGE: Duration = ORDER_DELAY.saturating_sub(Duration::from_secs(2));
+/// The maximum age of a list by which streams begin without copies of their records: a process that
+/// hears from the platform is well below it.
+const FRESH_LIST_AGE: Duration = Duration::from_secs(3);
+/// The maximum number of services and versions that are remembered after they left the list.
+const MAX_PAST_VERSIONS: usize = 256;
+
+/// The versions that the list named earlier.
+#[derive(Debug, Default)]
+pub(super) struct VersionHistory {
+    /// When versions that are not in the table any more were last in it.
+    past: BTreeMap<Service, BTreeMap<VersionTag, Time>>,
+    /// Since when the list has been followed without gaps.
+    followed_since: Option<Time>,
+}
+
+impl VersionHistory {
+    /// Records that the list was applied or confirmed; `last` is when that last happened.
+    pub(super) fn record_contact(&mut self, now: Time, last: Option<Time>) {
+        if last.is_none_or(|last| now.since(last) > MAX_LIST_AGE) {
+            self.followed_since = Some(now);
+        }
+    }
+
+    /// Records that an upstream of a version leaves the table.
+    pub(super) fn record_past(&mut self, now: Time, service: &Service, version: VersionTag) {
+        let count: usize = self.past.values().map(BTreeMap::len).sum();
+        if count >= MAX_PAST_VERSIONS {
+            // What has been forgotten may matter, so the list counts as unknown before now.
+            self.past.clear();
+            self.followed_since = Some(now);
+        }
+        self.past.entry(service.clone()).or_default().insert(version, now);
+    }
+
+    /// Returns the past versions of a service that were listed at most `span` ago.
+    fn past_versions(
+        &self,
+        now: Time,
+        service: &Service,
+        span: Duration,
+    ) -> impl Iterator<Item = VersionTag> {
+        let past = self.past.get(service).into_iter().flatten();
+        past.filter(move |(_, last)| now.since(**last) < span).map(|(version, _)| *version)
+    }
+
+    fn is_complete(&self, now: Time, span: Duration) -> bool {
+        self.followed_since.is_some_and(|since| now.since(since) >= span)
+    }
+}
+
+impl UpstreamTable {
+    /// Returns the version at which every stream of a service that can still be resumed has begun,
+    /// if the list shows that there is only one. `lifetime` is how long streams can be resumed.
+    #[must_use]
+    pub fn only_version(
+        &self,
+        now: Time,
+        service: &Service,
+        lifetime: Duration,
+    ) -> Option<VersionTag> {
+        if self.list_age(now)? > MAX_LIST_AGE || !self.versions.is_complete(now, lifetime) {
+            return None;
+        }
+        let known = self.known_versions(now, service, lifetime);
+        let only = known.first().copied();
+        only.filter(|_| known.len() == 1)
+    }
+
+    /// Returns whether the records of streams that begin now need copies at other processes.
+    #[must_use]
+    pub fn needs_stream_copies(&self, now: Time, service: &Service, lifetime: Duration) -> bool {
+        self.list_age(now).is_none_or(|age| age > FRESH_LIST_AGE)
+            || self.only_version(now, service, lifetime).is_none()
+    }
+
+    /// Returns whether the list has named another version of a service.
+    #[must_use]
+    pub fn knows_other_version(
+        &self,
+        now: Time,
+        service: &Service,
+        version: VersionTag,
+        lifetime: Duration,
+    ) -> bool {
+        self.known_versions(now, service, lifetime).iter().any(|known| *known != version)
+    }
+
+    /// Returns whether an upstream of a service has this version, or had it until recently.
+    #[must_use]
+    pub fn has_version(&self, service: &Service, version: VersionTag) -> bool {
+        let mut in_service = self.upstreams.values().filter(|u| u.info.service == *service);
+        in_service.any(|u| u.version_tag == version)
+    }
+
+    fn known_versions(
+        &self,
+        now: Time,
+        service: &Service,
+        lifetime: Duration,
+    ) -> BTreeSet<VersionTag> {
+        let in_table = self.upstreams.values().filter(|u| u.info.service == *service);
+        let past = self.versions.past_versions(now, service, lifetime);
+        in_table.map(|u| u.version_tag).chain(past).collect()
+    }
+
+    fn list_age(&self, now: Time) -> Option<Duration> {
+        self.updated_at.map(|at| now.since(at))
+    }
+}
--- a/crates/badgerfield-core/tests/canary.rs
+++ b/crates/badgerfield-core/tests/canary.rs
@@ -365,7 +365,7 @@
     let resumed = |table: &mut UpstreamTable, from: &str, random| {
         let mut request = TestRequest::on_route("r");
         request.tried = vec![entry(from, 1).info.id];
-        request.bound_version = Some(VersionTag::new(Some(&version(from))));
+        request.bound_version = Some(VersionTag::new(&service(), Some(&version(from))));
         send(table, LATER, &request.criteria(random))
     };
     count_by_version(&mut table, LATER, 9);
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -178,7 +178,7 @@
             id: chosen.id.clone(),
             address: chosen.address,
             process: chosen.process,
-            version: Some(VersionTag::new(chosen.version.as_ref())),
+            version: Some(chosen.version_tag),
             is_bound: chosen.is_bound,
             sent_at: now,
             outcome: AttemptOutcome::Unknown,
--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -174,6 +174,10 @@
 
 /// Runs steps 5 to 7: dispatch, response and settlement.
 async fn run(mut exchange: Exchange) -> Response<ResponseBody> {
+    if let Err(cause) = exchange.find_stream_version().await {
+        let refusal = exchange.final_refusal(cause);
+        return exchange.refuse(&refusal);
+    }
     loop {
         let response = match exchange.dispatch(None).await {
             Ok(response) => response,
@@ -238,21 +242,6 @@
         self.attempts < self.route.attempts
     }
 
-    /// Binds the stream to the version of the upstream that sends the first event.
-    ///
-    /// # Errors
-    ///
-    /// Fails if another version began the stream.
-    pub(super) fn bind_stream(&mut self, version: Option<VersionTag>) -> Result<(), OtherVersion> {
-        let bound = match self.stream_version {
-            StreamVersion::NotBegun => version.map_or(StreamVersion::Unknown, StreamVersion::Begun),
-            StreamVersion::Begun(begun) if version != Some(begun) => return Err(OtherVersion),
-            known => known,
-        };
-        self.stream_version = bound;
-        Ok(())
-    }
-
     /// Records that an upstream has read the prompt.
     pub(super) fn record_prompt(&mut self, status: StatusCode) {
         let prompt = self.headers.tokens.map_or(0, |(prompt, _)| prompt);
--- a/crates/badgerfield-node/src/gateway/forward/mod.rs
+++ b/crates/badgerfield-node/src/gateway/forward/mod.rs
@@ -25,6 +25,7 @@
 use serde::{Deserialize, Serialize};
 
 pub(crate) use self::peers::{ForwardPeers, TriedPeers};
+use crate::gateway::stream_origin::OriginQuery;
 
 /// The maximum size of a call, with the body of a request.
 const MAX_CALL_BYTES: usize = 16 << 20;
@@ -43,6 +44,10 @@
     /// Sends a request to an upstream; answered with a [`ForwardReply`] and the body of the
     /// response.
     Forward(Box<ForwardedRequest>),
+    /// Asks at which version a stream began; answered with an [`OriginAnswer`].
+    ///
+    /// [`OriginAnswer`]: crate::gateway::stream_origin::OriginAnswer
+    StreamOrigin(OriginQuery),
 }
 
 /// The upstreams that a peer reaches, of those that it was asked for.
--- a/crates/badgerfield-node/src/gateway/forward/origin.rs
+++ b/crates/badgerfield-node/src/gateway/forward/origin.rs
@@ -158,7 +158,7 @@
                 let target = (upstream.clone(), address);
                 // A peer names no version if the entry of the upstream has none there.
                 let version = match version {
-                    Some(version) => Some(VersionTag::new(Some(&version))),
+                    Some(version) => Some(VersionTag::new(&self.service, Some(&version))),
                     None => self.gateway.upstreams().version_tag(&upstream),
                 };
                 let guard = UpstreamGuard::through_peer(
--- a/crates/badgerfield-node/src/gateway/forward/serve.rs
+++ b/crates/badgerfield-node/src/gateway/forward/serve.rs
@@ -13,6 +13,7 @@
 use crate::driver::Driver;
 use crate::gateway::attempt::Original;
 use crate::gateway::state::Gateway;
+use crate::gateway::stream_origin;
 use crate::logs::PEERS;
 use crate::peers::calls::{CallError, CallStream, read_frame};
 
@@ -28,6 +29,9 @@
     let result = match read_frame::<PeerCall>(&mut stream.receive, MAX_CALL_BYTES).await {
         Ok(PeerCall::Reach(upstreams)) => answer_reach(&driver, &gateway, upstreams, stream).await,
         Ok(PeerCall::Forward(request)) => send_for_peer(driver, gateway, *request, stream).await,
+        Ok(PeerCall::StreamOrigin(query)) => {
+            stream_origin::answer_query(&driver, &gateway, query, stream).await
+        }
         Err(error) => Err(error),
     };
     if let Err(error) = result {
--- a/crates/badgerfield-node/src/gateway/mod.rs
+++ b/crates/badgerfield-node/src/gateway/mod.rs
@@ -38,3 +38,4 @@
 pub(crate) mod reservation;
 pub(crate) mod rollout_sample;
 pub(crate) mod state;
+pub(crate) mod stream_origin;
--- a/crates/badgerfield-node/src/gateway/request_log.rs
+++ b/crates/badgerfield-node/src/gateway/request_log.rs
@@ -10,12 +10,13 @@
 use badgerfield_core::locality::CrossingReason;
 use badgerfield_core::poison::Fingerprint;
 use badgerfield_core::rate_limit::RateLimit;
-use badgerfield_core::refusal::Refusal;
+use badgerfield_core::refusal::{Cause, Refusal};
 use badgerfield_core::request_mix::PromptGroup;
 use badgerfield_core::residency::ResidencyError;
 use badgerfield_core::upstream_table::{ChosenUpstream, LimitChange};
 
 use crate::adapter::RequestHeaders;
+use crate::gateway::stream_origin::{FoundOrigin, KeeperAnswers, LearnedFrom};
 use crate::logs::REQUESTS;
 
 /// Logs that a request was admitted, and the stream that it resumes, if any.
@@ -40,6 +41,32 @@
     log::warn!(target: REQUESTS, "outside id={id} route={route} templates={version} fault={fault:?}");
 }
 
+/// Logs how the version was found at which a stream began that a request resumes, or why it is not
+/// resumed.
+pub(crate) fn origin(
+    id: &str,
+    resumes: Option<&str>,
+    found: Option<&FoundOrigin>,
+    answers: &KeeperAnswers,
+    refused: Option<Cause>,
+) {
+    let resumes = resumes.unwrap_or("-");
+    let tag = found.map_or_else(|| "-".to_owned(), |found| found.version.to_string());
+    let from = match found.map(|found| found.from) {
+        Some(LearnedFrom::Peer(peer)) => peer.to_string(),
+        Some(from) => from.as_str().to_owned(),
+        None => "-".to_owned(),
+    };
+    let age = millis_or_none(found.map(|found| found.age));
+    let KeeperAnswers { asked, answered, .. } = answers;
+    let outcome = refused.map_or("bound", Cause::code);
+    log::info!(
+        target: REQUESTS,
+        "origin id={id} resumes={resumes} tag={tag} from={from} age_ms={age} asked={asked} \
+         answered={answered} outcome={outcome}"
+    );
+}
+
 /// Logs the outcome of a token reservation.
 pub(crate) fn reserved(
     id: &str,
--- /dev/null
+++ b/crates/badgerfield-node/src/gateway/stream_origin.rs
@@ -0,0 +1,303 @@
+//! Finds the version at which a stream began that a request resumes, and records the streams that
+//! begin here.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use badgerfield_core::Event;
+use badgerfield_core::amount::Time;
+use badgerfield_core::ids::{Incarnation, Service, VersionTag};
+use badgerfield_core::refusal::Cause;
+use badgerfield_core::stream_origins::{
+    KnownOrigin, OriginSource, StreamKey, StreamOrigin, max_lifetime,
+};
+use badgerfield_core::view::Member;
+use futures::future::join_all;
+use serde::{Deserialize, Serialize};
+
+use crate::driver::Driver;
+use crate::gateway::exchange::{Exchange, OtherVersion, StreamVersion};
+use crate::gateway::forward::PeerCall;
+use crate::gateway::request_log;
+use crate::gateway::state::Gateway;
+use crate::logs::REQUESTS;
+use crate::peers::calls::{CallError, CallStream, read_frame, write_frame};
+
+/// The maximum time for which a request waits for the answers of keepers.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// The maximum size of an answer.
+const MAX_ANSWER_BYTES: usize = 64;
+
+/// Asks a keeper at which version a stream began.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct OriginQuery {
+    key: StreamKey,
+    /// The service and its only version, as far as the sender knows, and how long a stream can
+    /// last.
+    only: Option<(Service, VersionTag, Duration)>,
+}
+
+/// The answer of a keeper.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum OriginAnswer {
+    /// The stream began at this version, as recorded this long ago.
+    Recorded { version: VersionTag, age: Duration },
+    /// Two records contradict each other.
+    Contradictory,
+    /// It has no record, and knows another version of the service.
+    OtherVersions,
+    /// It has no record, and knows no other version of the service.
+    NoRecord,
+}
+
+/// Where the version of a stream was learned, for the log and the metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LearnedFrom {
+    /// The record of this process, or its copy of another process's record.
+    Record,
+    /// The record of a peer.
+    Peer(Incarnation),
+    /// The list of upstreams, which has named only one version.
+    List,
+}
+
+impl LearnedFrom {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Record => "record",
+            Self::Peer(_) => "peer",
+            Self::List => "list",
+        }
+    }
+}
+
+/// The version at which a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct FoundOrigin {
+    pub(crate) version: VersionTag,
+    pub(crate) from: LearnedFrom,
+    /// The age of the record or of the list.
+    pub(crate) age: Duration,
+}
+
+impl FoundOrigin {
+    /// Returns what a record of this process says, unless it is contradictory.
+    fn from_record(known: KnownOrigin) -> Option<Self> {
+        let KnownOrigin { version, source, age } = known;
+        let from = match source {
+            OriginSource::Own => LearnedFrom::Record,
+            OriginSource::Peer(peer) => LearnedFrom::Peer(peer),
+        };
+        version.map(|version| Self { version, from, age })
+    }
+}
+
+/// The answers of the keepers that were asked.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct KeeperAnswers {
+    pub(crate) asked: usize,
+    pub(crate) answered: usize,
+    recorded: Option<FoundOrigin>,
+    is_contradictory: bool,
+    knows_others: bool,
+}
+
+impl KeeperAnswers {
+    fn add(&mut self, keeper: Incarnation, answer: OriginAnswer) {
+        self.answered += 1;
+        match answer {
+            OriginAnswer::Recorded { version, age } => {
+                let known = *self.recorded.get_or_insert(FoundOrigin {
+                    version,
+                    from: LearnedFrom::Peer(keeper),
+                    age,
+                });
+                self.is_contradictory |= known.version != version;
+            }
+            OriginAnswer::Contradictory => self.is_contradictory = true,
+            OriginAnswer::OtherVersions => self.knows_others = true,
+            OriginAnswer::NoRecord => {}
+        }
+    }
+}
+
+impl Exchange {
+    /// Finds the version at which the stream began that the request resumes, if it resumes one, and
+    /// binds the request to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause of the refusal if the version is not known, or has no upstream left.
+    pub(super) async fn find_stream_version(&mut self) -> Result<(), Cause> {
+        let is_resume = self.headers.resumes.is_some() || self.headers.last_event.is_some();
+        if !is_resume || !self.route.repeat.is_stream() {
+            return Ok(());
+        }
+        let key = self.headers.resumes.as_ref().map(|first| self.stream_key(first));
+        let own = key.and_then(|key| self.driver.node.stream_origin(self.now(), key));
+        let (found, answers) = match own {
+            Some(known) => (FoundOrigin::from_record(known), KeeperAnswers::default()),
+            None => self.ask_keepers(key).await,
+        };
+        let (id, resumes) = (&self.original.id, self.headers.resumes.as_deref());
+        let result = found.ok_or(Cause::StreamUnknown).and_then(|found| {
+            self.choose_service_of(found.version).map(|service| (found.version, service))
+        });
+        let cause = result.as_ref().err().copied();
+        request_log::origin(id, resumes, found.as_ref(), &answers, cause);
+        self.driver.gateway_counts().count_resumed(found.map(|found| found.from), cause);
+        let (version, service) = result?;
+        self.use_service(service)?;
+        self.stream_version = StreamVersion::Begun(version);
+        if let (Some(key), Some(LearnedFrom::Peer(_))) = (key, found.map(|found| found.from)) {
+            // The next try of the caller may come here, too.
+            self.record_origin(key, version, false);
+        }
+        Ok(())
+    }
+
+    /// Binds the stream to the version of the upstream that sends the first event, and records it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if another version began the stream.
+    pub(super) fn bind_stream(&mut self, version: Option<VersionTag>) -> Result<(), OtherVersion> {
+        match (self.stream_version, version) {
+            (StreamVersion::NotBegun, Some(version)) => {
+                self.stream_version = StreamVersion::Begun(version);
+                if self.route.repeat.is_idempotent() {
+                    let key = self.stream_key(&self.original.id);
+                    self.record_origin(key, version, self.needs_copies());
+                }
+            }
+            (StreamVersion::NotBegun, None) => self.stream_version = StreamVersion::Unknown,
+            (StreamVersion::Begun(begun), _) if version != Some(begun) => return Err(OtherVersion),
+            (StreamVersion::Begun(_) | StreamVersion::Unknown, _) => {}
+        }
+        Ok(())
+    }
+
+    fn stream_key(&self, request: &str) -> StreamKey {
+        StreamKey::new(self.caller.as_ref().map(|caller| &caller.account), request)
+    }
+
+    /// Returns whether the record of a stream that begins now needs copies. A route with several
+    /// services needs them always, since the list does not tell which one began a stream.
+    fn needs_copies(&self) -> bool {
+        let (now, lifetime) = (self.now(), max_lifetime(self.route.timeout));
+        self.route.split.len() > 1
+            || self.gateway.upstreams().needs_stream_copies(now, &self.service, lifetime)
+    }
+
+    fn record_origin(&self, key: StreamKey, version: VersionTag, copied: bool) {
+        let origin = StreamOrigin::new(key, version, self.route.timeout);
+        self.driver.handle_event(Event::StreamBegun { origin, copied });
+    }
+
+    /// Asks keepers for a record. If none has one, the version follows from the list if that has
+    /// named only one, here and at each keeper that answers.
+    async fn ask_keepers(&self, key: Option<StreamKey>) -> (Option<FoundOrigin>, KeeperAnswers) {
+        let now = self.now();
+        let only = self.only_version(now);
+        let key = key.unwrap_or_else(|| self.stream_key(&self.original.id));
+        let query = OriginQuery {
+            key,
+            only: only.map(|found| {
+                (self.service.clone(), found.version, max_lifetime(self.route.timeout))
+            }),
+        };
+        let keepers = self.driver.node.stream_keepers(now, key);
+        let answers = ask(&self.driver, &keepers, &query).await;
+        if answers.is_contradictory {
+            return (None, answers);
+        }
+        // Without an answer this VM may be behind a cut, and its list may lack a version.
+        let is_alone = keepers.is_empty() || answers.answered > 0;
+        let only = only.filter(|_| is_alone && !answers.knows_others);
+        (answers.recorded.or(only), answers)
+    }
+
+    /// Returns the only version of the route's service, if the list has named only one.
+    fn only_version(&self, now: Time) -> Option<FoundOrigin> {
+        if self.route.split.len() > 1 {
+            return None;
+        }
+        let lifetime = max_lifetime(self.route.timeout);
+        let upstreams = self.gateway.upstreams();
+        let version = upstreams.only_version(now, &self.service, lifetime)?;
+        let age = upstreams.last_update().1.map_or(Duration::ZERO, |at| now.since(at));
+        Some(FoundOrigin { version, from: LearnedFrom::List, age })
+    }
+
+    /// Returns the service of the route that has upstreams of a version.
+    fn choose_service_of(&self, version: VersionTag) -> Result<Service, Cause> {
+        let upstreams = self.gateway.upstreams();
+        let mut services = self.route.split.iter().map(|split| &split.service);
+        let service = services.find(|service| upstreams.has_version(service, version));
+        service.cloned().ok_or(Cause::VersionGone)
+    }
+
+    /// Sends the request to another service of its route.
+    fn use_service(&mut self, service: Service) -> Result<(), Cause> {
+        if service == self.service {
+            return Ok(());
+        }
+        let routes = self.gateway.routes();
+        self.spec = routes.table.service(&service).cloned().ok_or(Cause::NoUpstream)?;
+        self.service = service;
+        Ok(())
+    }
+}
+
+/// Asks keepers at the same time, and waits for their answers.
+async fn ask(driver: &Driver, keepers: &[Member], query: &OriginQuery) -> KeeperAnswers {
+    let calls = keepers.iter().map(|keeper| async move {
+        let answer = tokio::time::timeout(ANSWER_TIMEOUT, ask_keeper(driver, keeper, query)).await;
+        match answer {
+            Ok(Ok(answer)) => Some((keeper.incarnation, answer)),
+            Ok(Err(error)) => {
+                log::debug!(target: REQUESTS, "keeper {} not asked: {error}", keeper.incarnation);
+                None
+            }
+            Err(_) => None,
+        }
+    });
+    let mut answers = KeeperAnswers { asked: keepers.len(), ..KeeperAnswers::default() };
+    for (keeper, answer) in join_all(calls).await.into_iter().flatten() {
+        answers.add(keeper, answer);
+    }
+    answers
+}
+
+async fn ask_keeper(
+    driver: &Driver,
+    keeper: &Member,
+    query: &OriginQuery,
+) -> Result<OriginAnswer, CallError> {
+    let mut stream = driver.peers().call(keeper.incarnation, keeper.peer).await?;
+    write_frame(&mut stream.send, &PeerCall::StreamOrigin(query.clone())).await?;
+    read_frame(&mut stream.receive, MAX_ANSWER_BYTES).await
+}
+
+/// Answers the query of a process that is to resume a stream.
+pub(crate) async fn answer_query(
+    driver: &Arc<Driver>,
+    gateway: &Gateway,
+    query: OriginQuery,
+    stream: CallStream,
+) -> Result<(), CallError> {
+    let now = driver.now();
+    let answer = match driver.node.stream_origin(now, query.key) {
+        Some(KnownOrigin { version: Some(version), age, .. }) => {
+            OriginAnswer::Recorded { version, age }
+        }
+        Some(KnownOrigin { version: None, .. }) => OriginAnswer::Contradictory,
+        None => {
+            let knows_other = query.only.is_some_and(|(service, version, lifetime)| {
+                gateway.upstreams().knows_other_version(now, &service, version, lifetime)
+            });
+            if knows_other { OriginAnswer::OtherVersions } else { OriginAnswer::NoRecord }
+        }
+    };
+    stream.answer(&answer).await
+}
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -7,7 +7,7 @@
 use badgerfield_core::event::{Bill, StoreResult};
 use badgerfield_core::ids::Service;
 use badgerfield_core::locality::{CrossingReason, Distance};
-use badgerfield_core::refusal::Refusal;
+use badgerfield_core::refusal::{Cause, Refusal};
 use badgerfield_core::rollout::{RolloutRule, RolloutTally};
 use badgerfield_core::upstream_table::SentCounts;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -19,6 +19,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::buffered_log;
+use crate::gateway::stream_origin::LearnedFrom;
 use crate::peer_traffic::PeerTraffic;
 use crate::store_calls::StoreCalls;
 
@@ -131,6 +132,13 @@
     crossed: &'static str,
 }
 
+/// Where the version of a resumed stream was learned, and whether it was resumed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResumeLabel {
+    from: &'static str,
+    outcome: &'static str,
+}
+
 /// Metrics of requests on routes.
 #[derive(Debug)]
 pub(crate) struct GatewayCounts {
@@ -141,6 +149,7 @@
     ended: Family<EndLabel, Counter>,
     seconds: Histogram,
     forwarded: Family<ForwardLabel, Counter>,
+    resumed: Family<ResumeLabel, Counter>,
 }
 
 impl GatewayCounts {
@@ -153,12 +162,18 @@
             ended: Family::default(),
             seconds: Histogram::new(buckets),
             forwarded: Family::default(),
+            resumed: Family::default(),
         };
         registry.register(
             "route_requests_forwarded",
             "Attempts through a peer while cut off from upstreams, sent (out) and received (in)",
             counts.forwarded.clone(),
         );
+        registry.register(
+            "route_streams_resumed",
+            "Streams that callers resume, by where their version was learned and by outcome",
+            counts.resumed.clone(),
+        );
         let admitted = counts.admitted.clone();
         registry.register("route_requests_admitted", "Requests on routes let in", admitted);
         let sent = counts.sent.clone();
@@ -182,6 +197,13 @@
         self.forwarded.get_or_create(&label).inc();
     }
 
+    /// Counts a stream that a caller resumes.
+    pub(crate) fn count_resumed(&self, from: Option<LearnedFrom>, refused: Option<Cause>) {
+        let from = from.map_or("-", LearnedFrom::as_str);
+        let outcome = refused.map_or("bound", Cause::code);
+        self.resumed.get_or_create(&ResumeLabel { from, outcome }).inc();
+    }
+
     /// Counts an attempt to send a request to an upstream.
     pub(crate) fn count_sent(&self, near: Distance, crossing: Option<CrossingReason>) {
         let crossed = crossing.map_or("-", CrossingReason::as_str);
