Streams: the versions that a service had outlast restarts

A VM that had just started did not know whether a service had one version only, so for a minute each of its streams needed copies, and streams of VMs that had died went on only where a copy was left; after the death of all VMs none did. Now the store keeps the versions at which streams can have begun (one value, written by at most three members and only when the versions change); a VM that has not followed the list for as long as a stream lasts asks a member each second, and three members read the store. Without a value there no stream has begun yet.

What both records in the store have in common is StoredRecord.

--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -26,6 +26,7 @@
 use crate::template::KeyDigest;
 use crate::template_arrival::TemplateArrival;
 use crate::upstream_list::{ListVersion, UpstreamList};
+use crate::version_record::{KnownVersions, ServiceVersions};
 use crate::vm_upstreams::{LoadReport, VmList};
 
 /// An input of the core.
@@ -99,6 +100,8 @@
         /// Whether other processes keep copies of the record.
         copied: bool,
     },
+    /// The versions that this process knows from the list of upstreams; sent periodically.
+    KnownVersions(KnownVersions),
     /// An upstream has crashed while it ran a request of this process.
     UpstreamCrashed(Crash),
     /// A request that an upstream ran when it crashed has been served completely.
@@ -301,6 +304,8 @@
     Rollout(Service),
     /// The requests that are blocked because upstreams crashed under them.
     Poison,
+    /// The versions at which streams can have begun.
+    Versions,
 }
 
 /// A call to the store.
@@ -406,6 +411,8 @@
     /// Sends a process the changes of the list of upstreams since a revision; the complete list for
     /// revision 0.
     SendUpstreamList(Incarnation, u64),
+    /// Applies the versions that the store recorded when it was read at this time.
+    ApplyVersions(Time, ServiceVersions),
     /// Blocks requests and ends their running attempts.
     BlockRequests(Vec<Fingerprint>),
     /// Writes an entry to the record of charges.
--- a/crates/badgerfield-core/src/handlers/mod.rs
+++ b/crates/badgerfield-core/src/handlers/mod.rs
@@ -20,3 +20,4 @@
 mod streams;
 mod templates;
 mod upstream_updates;
+mod versions;
--- a/crates/badgerfield-core/src/handlers/poison.rs
+++ b/crates/badgerfield-core/src/handlers/poison.rs
@@ -17,7 +17,8 @@
 use crate::node::Node;
 use crate::pending_calls::Purpose;
 use crate::poison::{Crash, Fingerprint};
-use crate::poison_record::{self, RecordCall};
+use crate::poison_record;
+use crate::stored_record::RecordCall;
 
 /// Minimum time between two comparisons with one member. The known crashes may take 50 KB, and new
 /// ones have already been broadcast.
@@ -38,7 +39,7 @@
         // A blocked request is broadcast at once, because its caller may retry it elsewhere.
         self.broadcast_crashes(now, blocks, out);
         if blocks {
-            self.state.poison_record().mark_dirty();
+            self.state.poison_record().stored.mark_dirty();
         }
         out.push_crashes(None, new_crashes);
         self.start_poison_call(now, out);
@@ -115,14 +116,16 @@
         out: &mut Outbox,
     ) {
         match result {
-            StoreResult::Written(revision) => self.state.poison_record().set_revision(revision),
+            StoreResult::Written(revision) => {
+                self.state.poison_record().stored.set_revision(revision);
+            }
             StoreResult::Value(found) => self.apply_poison_record(now, &found, out),
             StoreResult::Conflict(found) => {
                 // The crashes to be written are still known here, so they are written again.
-                self.state.poison_record().mark_dirty();
+                self.state.poison_record().stored.mark_dirty();
                 self.apply_poison_record(now, &found, out);
             }
-            _ => self.state.poison_record().record_failure(is_write),
+            _ => self.state.poison_record().stored.record_failure(is_write),
         }
         self.start_poison_call(now, out);
     }
@@ -135,7 +138,7 @@
     }
 
     fn apply_poison_record(&self, now: Time, found: &Versioned, out: &mut Outbox) {
-        self.state.poison_record().set_revision(found.revision);
+        self.state.poison_record().stored.set_revision(found.revision);
         match poison_record::decode(found.value.as_deref()) {
             Ok(crashes) => self.apply_crashes(now, None, crashes, out),
             // An unreadable record is replaced by the next one.
@@ -162,7 +165,7 @@
             (new_crashes, must_record)
         };
         if must_record {
-            self.state.poison_record().mark_dirty();
+            self.state.poison_record().stored.mark_dirty();
             self.start_poison_call(now, out);
         }
         out.push_crashes(from, new_crashes);
@@ -186,7 +189,7 @@
         let mut members = self.state.membership();
         let may_read = members.reads_poison_record(now);
         let blocked = self.state.poison().blocked_crashes(now);
-        let Some(call) = self.state.poison_record().next_call(now, may_read) else {
+        let Some(call) = self.state.poison_record().stored.next_call(now, may_read) else {
             return;
         };
         let (purpose, call) = match call {
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -392,6 +392,7 @@
             Event::RolloutTallies(tallies) => self.record_rollout_tallies(now, tallies, out),
             Event::UpstreamCrashed(crash) => self.record_crash(now, crash, out),
             Event::SuspectServed(request) => self.record_suspect_served(now, request, out),
+            Event::KnownVersions(known) => self.handle_known_versions(now, known, out),
             Event::StreamBegun { origin, copied } => self.record_stream(now, origin, copied, out),
             Event::Stop => self.stop(now, out),
         }
--- a/crates/badgerfield-core/src/pending_calls.rs
+++ b/crates/badgerfield-core/src/pending_calls.rs
@@ -5,6 +5,7 @@
 use crate::event::StoreKey;
 use crate::ids::{Service, StoreCallId};
 use crate::rollout::RolloutRecord;
+use crate::version_record::ServiceVersions;
 use crate::view::View;
 
 /// The purpose of a call to the store.
@@ -26,6 +27,10 @@
     PoisonRead,
     /// Writes the record of poison requests.
     PoisonWrite,
+    /// Reads the record of versions.
+    VersionsRead,
+    /// Writes this content of the record of versions.
+    VersionsWrite(ServiceVersions),
 }
 
 /// The calls that await a result.
@@ -59,7 +64,9 @@
             Purpose::Ledger(_)
             | Purpose::Rollout(..)
             | Purpose::PoisonRead
-            | Purpose::PoisonWrite => false,
+            | Purpose::PoisonWrite
+            | Purpose::VersionsRead
+            | Purpose::VersionsWrite(_) => false,
         })
     }
 }
--- a/crates/badgerfield-core/src/poison_record.rs
+++ b/crates/badgerfield-core/src/poison_record.rs
@@ -9,13 +9,8 @@
 use crate::amount::Time;
 use crate::event::is_due;
 use crate::poison::Crash;
+use crate::stored_record::StoredRecord;
 
-/// Minimum time between two reads of the record by one process. A read is repeated while the store
-/// is unavailable.
-const READ_INTERVAL: Duration = Duration::from_secs(1);
-/// Minimum time between two writes of the record by one process. Each write contains all blocked
-/// requests known at that time.
-const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum number of crashes in the record, of some 150 B each.
 const MAX_RECORDED: usize = 256;
 /// Maximum time that crashes wait for more of them to be sent together, unless one blocks a
@@ -30,74 +25,16 @@
 #[error("expected a list of crashes, found {0}")]
 pub(crate) struct RecordError(String);
 
-/// The purpose of a call for the record.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum RecordCall {
-    /// Read the record.
-    Read,
-    /// Write the record if the stored one has this revision.
-    Write(u64),
-}
-
 /// The state of the record in the store as this process knows it, and the crashes that wait to be
 /// sent.
 #[derive(Debug, Default)]
 pub(crate) struct PoisonRecord {
-    /// The revision of the record; `None` while it is unknown.
-    revision: Option<u64>,
-    /// Whether this process knows crashes that it has not written.
-    is_dirty: bool,
-    /// Whether a call is pending.
-    is_call_pending: bool,
-    last_read: Option<Time>,
-    last_write: Option<Time>,
+    pub(crate) stored: StoredRecord,
     pending: Vec<Crash>,
     last_update: Option<Time>,
 }
 
 impl PoisonRecord {
-    /// Marks the record as incomplete: it may not contain a request that is blocked.
-    pub(crate) fn mark_dirty(&mut self) {
-        self.is_dirty = true;
-    }
-
-    /// Returns the call that is due, and marks it as pending. `may_read` is whether this process
-    /// reads the record even if it has nothing to write.
-    pub(crate) fn next_call(&mut self, now: Time, may_read: bool) -> Option<RecordCall> {
-        let call = match self.revision {
-            None if !may_read && !self.is_dirty => return None,
-            None => RecordCall::Read,
-            Some(revision) if self.is_dirty => RecordCall::Write(revision),
-            Some(_) => return None,
-        };
-        let (last, interval) = match call {
-            RecordCall::Read => (&mut self.last_read, READ_INTERVAL),
-            RecordCall::Write(_) => (&mut self.last_write, WRITE_INTERVAL),
-        };
-        if self.is_call_pending || !is_due(now, *last, interval) {
-            return None;
-        }
-        *last = Some(now);
-        self.is_call_pending = true;
-        if call != RecordCall::Read {
-            self.is_dirty = false;
-        }
-        Some(call)
-    }
-
-    /// Handles a successful call: the record was read or written and has this revision.
-    pub(crate) fn set_revision(&mut self, revision: u64) {
-        self.is_call_pending = false;
-        self.revision = Some(revision);
-    }
-
-    /// Handles a failed call: the record may have changed.
-    pub(crate) fn record_failure(&mut self, was_write: bool) {
-        self.is_call_pending = false;
-        self.is_dirty |= was_write;
-        self.revision = None;
-    }
-
     /// Queues crashes to be sent to all members.
     pub(crate) fn enqueue(&mut self, crashes: impl IntoIterator<Item = Crash>) {
         self.pending.extend(crashes);
--- a/crates/badgerfield-core/src/routing.rs
+++ b/crates/badgerfield-core/src/routing.rs
@@ -235,6 +235,7 @@
     limits: CallerLimits,
     /// The allowed regions of accounts that are restricted to some.
     regions: BTreeMap<Account, Residency>,
+    max_stream_timeout: Duration,
 }
 
 impl RouteTable {
@@ -264,7 +265,10 @@
         let restricted = set.accounts.iter().filter(|(_, account)| account.regions.is_restricted());
         let regions =
             restricted.map(|(id, account)| (id.clone(), account.regions.clone())).collect();
-        Self { hosts, callers, services, limits: set.routing.limits, regions }
+        let streams = set.routing.routes.iter().filter(|route| route.repeat.is_stream());
+        let max_stream_timeout = streams.map(|route| route.timeout).max().unwrap_or_default();
+        let limits = set.routing.limits;
+        Self { hosts, callers, services, limits, regions, max_stream_timeout }
     }
 
     /// Returns the route for a host and path. A port in the host is ignored.
@@ -278,6 +282,12 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Returns the longest timeout of a route with streams.
+    #[must_use]
+    pub fn max_stream_timeout(&self) -> Duration {
+        self.max_stream_timeout
+    }
+
     /// Returns the caller that a key identifies.
     #[must_use]
     pub fn caller(&self, key: &KeyDigest) -> Option<&Caller> {
--- a/crates/badgerfield-core/src/shared_state.rs
+++ b/crates/badgerfield-core/src/shared_state.rs
@@ -21,6 +21,7 @@
 use crate::stream_origins::StreamOrigins;
 use crate::template::TemplateSet;
 use crate::template_history::TemplateHistory;
+use crate::version_record::VersionRecord;
 use crate::vm_upstreams::VmUpstreams;
 
 /// All tables of the core, in the order in which they may be locked.
@@ -41,6 +42,7 @@
     holdings: Mutex<Holdings>,
     ledger_writer: Mutex<LedgerWriter>,
     stream_origins: Mutex<StreamOrigins>,
+    version_record: Mutex<VersionRecord>,
 }
 
 impl SharedState {
@@ -67,6 +69,7 @@
             holdings: Mutex::new(holdings),
             ledger_writer: Mutex::new(ledger_writer),
             stream_origins: Mutex::default(),
+            version_record: Mutex::default(),
         }
     }
 
@@ -145,6 +148,11 @@
     pub(crate) fn stream_origins(&self) -> MutexGuard<'_, StreamOrigins> {
         lock(&self.stream_origins)
     }
+
+    /// Locks the record of the versions at which streams can have begun.
+    pub(crate) fn version_record(&self) -> MutexGuard<'_, VersionRecord> {
+        lock(&self.version_record)
+    }
 }
 
 /// Locks a table. If a panic poisoned the lock, the table is used as the last step left it.
--- a/crates/badgerfield-core/src/upstream_table/versions.rs
+++ b/crates/badgerfield-core/src/upstream_table/versions.rs
@@ -13,6 +13,7 @@
 use super::canary::ORDER_DELAY;
 use crate::amount::Time;
 use crate::ids::{Service, VersionTag};
+use crate::version_record::{KnownVersions, ServiceVersions};
 
 /// The maximum age of a list that lacks no version which another process may already send to.
 ///
@@ -29,15 +30,26 @@
 pub(super) struct VersionHistory {
     /// When versions that are not in the table any more were last in it.
     past: BTreeMap<Service, BTreeMap<VersionTag, Time>>,
-    /// Since when the list has been followed without gaps.
-    followed_since: Option<Time>,
+    followed: Followed,
+}
+
+/// The time in which a process has followed the list of upstreams without gaps.
+#[derive(Debug, Clone, Copy, Default)]
+enum Followed {
+    /// It has no list yet.
+    #[default]
+    Never,
+    /// Since this time.
+    Since(Time),
+    /// The versions of the time before are known from another process or from the store.
+    Always,
 }
 
 impl VersionHistory {
     /// Records that the list was applied or confirmed; `last` is when that last happened.
     pub(super) fn record_contact(&mut self, now: Time, last: Option<Time>) {
         if last.is_none_or(|last| now.since(last) > MAX_LIST_AGE) {
-            self.followed_since = Some(now);
+            self.followed = Followed::Since(now);
         }
     }
 
@@ -47,7 +59,7 @@
         if count >= MAX_PAST_VERSIONS {
             // What has been forgotten may matter, so the list counts as unknown before now.
             self.past.clear();
-            self.followed_since = Some(now);
+            self.followed = Followed::Since(now);
         }
         self.past.entry(service.clone()).or_default().insert(version, now);
     }
@@ -64,7 +76,11 @@
     }
 
     fn is_complete(&self, now: Time, span: Duration) -> bool {
-        self.followed_since.is_some_and(|since| now.since(since) >= span)
+        match self.followed {
+            Followed::Never => false,
+            Followed::Since(since) => now.since(since) >= span,
+            Followed::Always => true,
+        }
     }
 }
 
@@ -112,6 +128,48 @@
         in_service.any(|u| u.version_tag == version)
     }
 
+    /// Returns the versions of all services at which streams can have begun.
+    #[must_use]
+    pub fn all_known_versions(&self, now: Time, lifetime: Duration) -> KnownVersions {
+        let mut versions = ServiceVersions::new();
+        for upstream in self.upstreams.values() {
+            let service = upstream.info.service.clone();
+            versions.entry(service).or_default().insert(upstream.version_tag);
+        }
+        for service in self.versions.past.keys() {
+            let past: Vec<_> = self.versions.past_versions(now, service, lifetime).collect();
+            if !past.is_empty() {
+                versions.entry(service.clone()).or_default().extend(past);
+            }
+        }
+        let is_fresh = self.list_age(now).is_some_and(|age| age <= MAX_LIST_AGE);
+        let is_complete = is_fresh && self.versions.is_complete(now, lifetime);
+        KnownVersions { versions, is_complete }
+    }
+
+    /// Adds the versions that were known elsewhere at a time, when there were no others. Returns
+    /// whether all versions are known now.
+    pub fn apply_versions(
+        &mut self,
+        now: Time,
+        known_at: Time,
+        versions: &ServiceVersions,
+    ) -> bool {
+        for (service, tags) in versions {
+            for tag in tags {
+                if !self.has_version(service, *tag) {
+                    self.versions.record_past(now, service, *tag);
+                }
+            }
+        }
+        if let Followed::Since(since) = self.versions.followed
+            && since <= known_at
+        {
+            self.versions.followed = Followed::Always;
+        }
+        matches!(self.versions.followed, Followed::Always)
+    }
+
     fn known_versions(
         &self,
         now: Time,
--- a/crates/badgerfield-node/src/driver.rs
+++ b/crates/badgerfield-node/src/driver.rs
@@ -42,6 +42,7 @@
 use crate::store_calls::{self, CallKind};
 use crate::sync::lock;
 use crate::upstream_client::UpstreamClient;
+use crate::versions;
 
 /// Share of the grace period of a stop, in percent, in which new requests are still accepted:
 /// callers cache the answer of the directory for a while.
@@ -406,6 +407,9 @@
             Command::ApplyEvacuations(from, changes) => self.apply_evacuations(from, &changes),
             Command::ApplyRolloutRules(rules) => self.apply_rollout_rules(rules),
             Command::SendUpstreamList(to, since) => self.send_upstream_list(to, since),
+            Command::ApplyVersions(known_at, versions) => {
+                self.apply_versions(known_at, &versions, "store");
+            }
             Command::BlockRequests(requests) => {
                 if let Some(gateway) = &self.gateway {
                     gateway.notify_blocked(requests.len());
@@ -576,6 +580,7 @@
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         let mut logged_at = self.now();
         let mut reported_at = self.now();
+        let mut versions_reported_at = Time::default();
         let mut ticked_at = self.now();
         let mut count: u32 = 0;
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -606,6 +611,10 @@
                 reported_at = now;
                 self.report_rollouts();
             }
+            if now.since(versions_reported_at) >= versions::REPORT_INTERVAL {
+                versions_reported_at = now;
+                self.report_versions();
+            }
             self.handle_event(Event::Tick);
         }
     }
--- a/crates/badgerfield-node/src/etcd.rs
+++ b/crates/badgerfield-node/src/etcd.rs
@@ -143,6 +143,7 @@
             StoreKey::Ledger(shard) => format!("ledger/{shard}"),
             StoreKey::Rollout(service) => format!("rollout/{service}"),
             StoreKey::Poison => "poison".to_owned(),
+            StoreKey::Versions => "versions".to_owned(),
         };
         STANDARD.encode(format!("{}{name}", self.prefix))
     }
--- a/crates/badgerfield-node/src/gateway/forward/mod.rs
+++ b/crates/badgerfield-node/src/gateway/forward/mod.rs
@@ -48,6 +48,10 @@
     ///
     /// [`OriginAnswer`]: crate::gateway::stream_origin::OriginAnswer
     StreamOrigin(OriginQuery),
+    /// Asks for the versions at which streams can have begun; answered with a [`VersionAnswer`].
+    ///
+    /// [`VersionAnswer`]: crate::versions::VersionAnswer
+    Versions,
 }
 
 /// The upstreams that a peer reaches, of those that it was asked for.
--- a/crates/badgerfield-node/src/gateway/forward/serve.rs
+++ b/crates/badgerfield-node/src/gateway/forward/serve.rs
@@ -16,6 +16,7 @@
 use crate::gateway::stream_origin;
 use crate::logs::PEERS;
 use crate::peers::calls::{CallError, CallStream, read_frame};
+use crate::versions;
 
 /// The maximum number of upstreams that are probed for a peer at once.
 const MAX_PROBED_UPSTREAMS: usize = 4;
@@ -32,6 +33,7 @@
         Ok(PeerCall::StreamOrigin(query)) => {
             stream_origin::answer_query(&driver, &gateway, query, stream).await
         }
+        Ok(PeerCall::Versions) => versions::answer(&driver, &gateway, stream).await,
         Err(error) => Err(error),
     };
     if let Err(error) = result {
--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod templates;
 pub mod upstream_client;
 mod upstream_list;
+mod versions;
--- a/crates/badgerfield-node/src/store_calls.rs
+++ b/crates/badgerfield-node/src/store_calls.rs
@@ -49,10 +49,14 @@
     PoisonRead,
     /// Writes the list of blocked requests.
     PoisonWrite,
+    /// Reads the record of versions.
+    VersionsRead,
+    /// Writes the record of versions.
+    VersionsWrite,
 }
 
 impl CallKind {
-    const ALL: [Self; 15] = [
+    const ALL: [Self; 17] = [
         Self::ViewRead,
         Self::ViewWrite,
         Self::JoinerWrite,
@@ -68,6 +72,8 @@
         Self::UpstreamsWatch,
         Self::PoisonRead,
         Self::PoisonWrite,
+        Self::VersionsRead,
+        Self::VersionsWrite,
     ];
 
     /// Returns the purpose of a call.
@@ -83,6 +89,8 @@
             StoreCall::CompareAndSwap { key: StoreKey::Rollout(_), .. } => Self::RolloutWrite,
             StoreCall::Get(StoreKey::Poison) => Self::PoisonRead,
             StoreCall::CompareAndSwap { key: StoreKey::Poison, .. } => Self::PoisonWrite,
+            StoreCall::Get(StoreKey::Versions) => Self::VersionsRead,
+            StoreCall::CompareAndSwap { key: StoreKey::Versions, .. } => Self::VersionsWrite,
             StoreCall::CompareAndSwap { key: StoreKey::View, .. } => Self::ViewWrite,
             StoreCall::CompareAndSwap { key: StoreKey::Ledger(_), .. } => Self::LedgerWrite,
         }
@@ -105,6 +113,8 @@
             Self::UpstreamsWatch => "upstreams_watch",
             Self::PoisonRead => "poison_read",
             Self::PoisonWrite => "poison_write",
+            Self::VersionsRead => "versions_read",
+            Self::VersionsWrite => "versions_write",
         }
     }
 }
--- /dev/null
+++ b/crates/badgerfield-node/src/versions.rs
@@ -0,0 +1,101 @@
+//! Keeps what is known of the versions at which streams can have begun: reports it to the core,
+//! and asks a member while this process has not followed the list for long enough.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use badgerfield_core::Event;
+use badgerfield_core::amount::Time;
+use badgerfield_core::stream_origins::max_lifetime;
+use badgerfield_core::version_record::{KnownVersions, ServiceVersions};
+use serde::{Deserialize, Serialize};
+
+use crate::driver::Driver;
+use crate::gateway::forward::PeerCall;
+use crate::gateway::state::Gateway;
+use crate::logs::NODE;
+use crate::peers::calls::{CallError, CallStream, read_frame, write_frame};
+
+/// The interval of reports, and the time between two questions to members.
+pub(crate) const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// The maximum time for which the answer of a member is awaited.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The maximum size of an answer.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+
+/// The answer of a member: the versions that it knows, if there are no others.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct VersionAnswer {
+    versions: Option<ServiceVersions>,
+}
+
+impl Driver {
+    /// Reports the versions that this process knows from the list, and asks a member if there may
+    /// be others.
+    pub(crate) fn report_versions(self: &Arc<Self>) {
+        let Some(gateway) = self.gateway().cloned() else {
+            return;
+        };
+        if gateway.upstreams().is_empty() {
+            return;
+        }
+        let known = known_versions(self.now(), &gateway);
+        let is_complete = known.is_complete;
+        self.handle_event(Event::KnownVersions(known));
+        if !is_complete {
+            tokio::spawn(ask_member(Arc::clone(self)));
+        }
+    }
+
+    /// Applies the versions that the store or a member knew at a time.
+    pub(crate) fn apply_versions(&self, known_at: Time, versions: &ServiceVersions, from: &str) {
+        let Some(gateway) = self.gateway() else {
+            return;
+        };
+        let is_complete = gateway.upstreams().apply_versions(self.now(), known_at, versions);
+        let count: usize = versions.values().map(std::collections::BTreeSet::len).sum();
+        log::info!(target: NODE, "versions known count={count} from={from} complete={is_complete}");
+    }
+}
+
+/// Returns the versions at which streams on any route can have begun.
+fn known_versions(now: Time, gateway: &Gateway) -> KnownVersions {
+    let timeout = gateway.routes().table.max_stream_timeout();
+    gateway.upstreams().all_known_versions(now, max_lifetime(timeout))
+}
+
+/// Asks a random member.
+async fn ask_member(driver: Arc<Driver>) {
+    let asked_at = driver.now();
+    let mut members = driver.node.available_members(asked_at);
+    members.retain(|member| member.incarnation != driver.node.id());
+    if members.is_empty() {
+        return;
+    }
+    let member = members.swap_remove(rand::random_range(0..members.len()));
+    let call = async {
+        let mut stream = driver.peers().call(member.incarnation, member.peer).await?;
+        write_frame(&mut stream.send, &PeerCall::Versions).await?;
+        read_frame::<VersionAnswer>(&mut stream.receive, MAX_ANSWER_BYTES).await
+    };
+    match tokio::time::timeout(ANSWER_TIMEOUT, call).await {
+        Ok(Ok(VersionAnswer { versions: Some(versions) })) => {
+            driver.apply_versions(asked_at, &versions, &member.incarnation.to_string());
+        }
+        Ok(Ok(VersionAnswer { versions: None })) | Err(_) => {}
+        Ok(Err(error)) => {
+            log::debug!(target: NODE, "member {} not asked: {error}", member.incarnation);
+        }
+    }
+}
+
+/// Answers a member that asks for the versions.
+pub(crate) async fn answer(
+    driver: &Driver,
+    gateway: &Gateway,
+    stream: CallStream,
+) -> Result<(), CallError> {
+    let known = known_versions(driver.now(), gateway);
+    let versions = known.is_complete.then_some(known.versions);
+    stream.answer(&VersionAnswer { versions }).await
+}
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -118,6 +118,7 @@
             Command::DivideEngines(_)
             | Command::ApplyDelayReports(_)
             | Command::ApplyLimitReports(..)
+            | Command::ApplyVersions(..)
             | Command::BlockRequests(_)
             | Command::Log(_)
             | Command::AnswerReserve(..) => {}
