--- a/crates/badgerfield-core/src/upstream_table/versions.rs
+++ b/crates/badgerfield-core/src/upstream_table/versions.rs
@@ -143,8 +143,8 @@
             }
         }
         let is_fresh = self.list_age(now).is_some_and(|age| age <= MAX_LIST_AGE);
-        let is_complete = is_fresh && self.versions.is_complete(now, lifetime);
-        KnownVersions { versions, is_complete }
+        let is_complete = self.versions.is_complete(now, lifetime);
+        KnownVersions { versions, is_complete, is_fresh }
     }
 
     /// Adds the versions that were known elsewhere at a time, when there were no others. Returns
--- a/crates/badgerfield-core/src/version_record.rs
+++ b/crates/badgerfield-core/src/version_record.rs
@@ -27,8 +27,18 @@
 pub struct KnownVersions {
     /// The versions at which streams that can still be resumed may have begun.
     pub versions: ServiceVersions,
-    /// Whether there are no others.
+    /// Whether there were no others when the list was last confirmed.
     pub is_complete: bool,
+    /// Whether the list was confirmed so lately that there are no others now.
+    pub is_fresh: bool,
+}
+
+impl KnownVersions {
+    /// Returns whether there are no other versions now.
+    #[must_use]
+    pub fn is_conclusive(&self) -> bool {
+        self.is_complete && self.is_fresh
+    }
 }
 
 /// The record of versions as this process knows it.
@@ -62,11 +72,11 @@
         self.content = Some(content);
     }
 
-    /// Returns the content to write: what is known here and, unless that is complete, what the
+    /// Returns the content to write: what is known here and, unless that is conclusive, what the
     /// record contains besides.
     pub(crate) fn next_content(&self) -> ServiceVersions {
         let mut next = self.known.versions.clone();
-        if self.known.is_complete {
+        if self.known.is_conclusive() {
             return next;
         }
         for (service, versions) in self.content.iter().flatten() {
--- a/crates/badgerfield-node/src/versions.rs
+++ b/crates/badgerfield-node/src/versions.rs
@@ -96,6 +96,6 @@
     stream: CallStream,
 ) -> Result<(), CallError> {
     let known = known_versions(driver.now(), gateway);
-    let versions = known.is_complete.then_some(known.versions);
+    let versions = known.is_conclusive().then_some(known.versions);
     stream.answer(&VersionAnswer { versions }).await
 }
