--- a/crates/badgerfield-core/src/handlers/streams.rs
+++ b/crates/badgerfield-core/src/handlers/streams.rs
@@ -15,12 +15,6 @@
         self.state.stream_origins().find(now, key)
     }
 
-    /// Returns the number of recorded streams.
-    #[must_use]
-    pub fn stream_origin_count(&self) -> usize {
-        self.state.stream_origins().len()
-    }
-
     /// Returns the processes to ask for the beginning of a stream.
     #[must_use]
     pub fn stream_keepers(&self, now: Time, key: StreamKey) -> Vec<Member> {
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -127,6 +127,8 @@
     pub queued: usize,
     /// The number of keys whose claims are remembered.
     pub remembered_keys: usize,
+    /// The number of streams whose beginning is recorded, copies for other processes included.
+    pub recorded_streams: usize,
     /// The number of charges that wait for their arbiter's decision.
     pub unsettled_charges: usize,
     /// The size of the kept answers, in bytes.
@@ -308,6 +310,7 @@
             let table = self.state.claims();
             (table.complete_epoch(), table.len())
         };
+        let recorded_streams = self.state.stream_origins().len();
         let (excess_tokens, budgets) = {
             let table = self.state.holdings();
             let status = |budget: &BudgetId| BudgetStatus {
@@ -329,6 +332,7 @@
             running,
             queued,
             remembered_keys,
+            recorded_streams,
             unsettled_charges,
             answer_bytes,
             write_counts,
--- a/crates/badgerfield-core/src/upstream_table/versions.rs
+++ b/crates/badgerfield-core/src/upstream_table/versions.rs
@@ -131,17 +131,16 @@
     /// Returns the versions of all services at which streams can have begun.
     #[must_use]
     pub fn all_known_versions(&self, now: Time, lifetime: Duration) -> KnownVersions {
-        let mut versions = ServiceVersions::new();
+        let mut known: BTreeMap<&Service, BTreeSet<VersionTag>> = BTreeMap::new();
         for upstream in self.upstreams.values() {
-            let service = upstream.info.service.clone();
-            versions.entry(service).or_default().insert(upstream.version_tag);
+            known.entry(&upstream.info.service).or_default().insert(upstream.version_tag);
         }
         for service in self.versions.past.keys() {
-            let past: Vec<_> = self.versions.past_versions(now, service, lifetime).collect();
-            if !past.is_empty() {
-                versions.entry(service.clone()).or_default().extend(past);
-            }
+            let past = self.versions.past_versions(now, service, lifetime);
+            known.entry(service).or_default().extend(past);
         }
+        let versions =
+            known.into_iter().map(|(service, versions)| (service.clone(), versions)).collect();
         let is_fresh = self.list_age(now).is_some_and(|age| age <= MAX_LIST_AGE);
         let is_complete = self.versions.is_complete(now, lifetime);
         KnownVersions { versions, is_complete, is_fresh }
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -243,6 +243,7 @@
     running_requests: Gauge<u64, AtomicU64>,
     queued_requests: Gauge<u64, AtomicU64>,
     remembered_keys: Gauge<u64, AtomicU64>,
+    recorded_streams: Gauge<u64, AtomicU64>,
     unsettled_charges: Gauge<u64, AtomicU64>,
     excess_tokens: Gauge<u64, AtomicU64>,
     members: Gauge<u64, AtomicU64>,
@@ -281,6 +282,7 @@
             running_requests: Gauge::default(),
             queued_requests: Gauge::default(),
             remembered_keys: Gauge::default(),
+            recorded_streams: Gauge::default(),
             unsettled_charges: Gauge::default(),
             excess_tokens: Gauge::default(),
             members: Gauge::default(),
@@ -335,6 +337,8 @@
             self.queued_requests.clone(),
         );
         r.register("keys_remembered", "Request keys remembered", self.remembered_keys.clone());
+        let streams = self.recorded_streams.clone();
+        r.register("streams_recorded", "Streams whose beginning is recorded", streams);
         r.register(
             "charges_open",
             "Charges without an arbiter's word",
@@ -405,6 +409,7 @@
         self.running_requests.set(count(status.running));
         self.queued_requests.set(count(status.queued));
         self.remembered_keys.set(count(status.remembered_keys));
+        self.recorded_streams.set(count(status.recorded_streams));
         self.unsettled_charges.set(count(status.unsettled_charges));
         self.members.set(count(status.members));
         self.excess_tokens.set(status.excess_tokens.0);
