--- a/crates/badgerfield-core/src/stream_origins.rs
+++ b/crates/badgerfield-core/src/stream_origins.rs
@@ -22,7 +22,7 @@
 
 /// The number of processes that keep a copy of a record. They lie in different failure domains if
 /// there are several, so that the loss of one domain leaves a copy.
-pub(crate) const COPIES: usize = 2;
+pub const COPIES: usize = 2;
 /// The number of processes that are asked for a record. Processes that have joined or fallen silent
 /// since the record was made shift the keepers by a few ranks.
 const ASKED_KEEPERS: usize = 4;
@@ -108,7 +108,7 @@
 
 /// The records that a process has, and the members among which it chooses keepers.
 #[derive(Debug, Default)]
-pub(crate) struct StreamOrigins {
+pub struct StreamOrigins {
     records: HashMap<StreamKey, Record>,
     /// The records by the time at which they expire.
     expiry: BTreeSet<(Time, StreamKey)>,
@@ -117,7 +117,7 @@
 
 impl StreamOrigins {
     /// Adds a record. If there are too many, those that expire first are dropped.
-    pub(crate) fn record(&mut self, now: Time, origin: StreamOrigin, source: OriginSource) {
+    pub fn record(&mut self, now: Time, origin: StreamOrigin, source: OriginSource) {
         let StreamOrigin { key, version, kept_s } = origin;
         let expires_at = now.after(Duration::from_secs(u64::from(kept_s)));
         let known = self.records.entry(key).or_insert(Record {
@@ -140,14 +140,15 @@
     }
 
     /// Returns what is known of a stream.
-    pub(crate) fn find(&self, now: Time, key: StreamKey) -> Option<KnownOrigin> {
+    #[must_use]
+    pub fn find(&self, now: Time, key: StreamKey) -> Option<KnownOrigin> {
         let record = self.records.get(&key).filter(|record| now < record.expires_at)?;
         let Record { version, source, recorded_at, .. } = *record;
         Some(KnownOrigin { version, source, age: now.since(recorded_at) })
     }
 
     /// Drops the records that have expired.
-    pub(crate) fn sweep(&mut self, now: Time) {
+    pub fn sweep(&mut self, now: Time) {
         while let Some((expires_at, key)) = self.expiry.first().copied()
             && expires_at <= now
         {
@@ -157,12 +158,19 @@
     }
 
     /// Returns the number of records.
-    pub(crate) fn len(&self) -> usize {
+    #[must_use]
+    pub fn len(&self) -> usize {
         self.records.len()
     }
 
+    /// Returns whether there are no records.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Returns the processes to which copies of a record are sent.
-    pub(crate) fn copy_targets(
+    pub fn copy_targets(
         &mut self,
         key: StreamKey,
         view: &View,
@@ -174,7 +182,7 @@
     }
 
     /// Returns the processes to ask for a record, those that are most likely to have it first.
-    pub(crate) fn asked_keepers(
+    pub fn asked_keepers(
         &mut self,
         key: StreamKey,
         view: &View,
