--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -22,7 +22,8 @@
 //! upstream, using the statistics of requests and engines in [`request_mix`]. [`retry_budget`]
 //! limits how many requests are sent a second time. While this VM is cut off from upstreams, as
 //! [`reachability`] decides, requests go through other processes. [`event_stream`] splits streams into events, so
-//! that a stream can be resumed at another upstream.
+//! that a stream can be resumed at another upstream. It must have the version at which the stream
+//! began, which the process knows from [`stream_origins`] or from the list of upstreams.
 //!
 //! # Exchange between processes
 //!
@@ -39,9 +40,10 @@
 //!   ([`availability`]), to which callers should not be directed.
 //! - The rate limits that upstreams announce are sent from neighbour to neighbour
 //!   ([`rate_limit`]).
-//! - The store, a key-value service that outlasts processes, holds six kinds of values: the
+//! - The store, a key-value service that outlasts processes, holds seven kinds of values: the
 //!   templates, the membership [`view`], the announcements of processes that are joining it, the
-//!   shards of the ledger, the record of each service's last rollout, and the blocked requests.
+//!   shards of the ledger, the record of each service's last rollout, the blocked requests, and the
+//!   versions at which streams can have begun ([`version_record`]).
 //!
 //! The few members that watch the platform's list of upstreams pass on only as many upstreams as
 //! the fleet's requests need ([`upstream_selection`]).
--- a/crates/badgerfield-node/src/gateway/stream_origin.rs
+++ b/crates/badgerfield-node/src/gateway/stream_origin.rs
@@ -32,9 +32,17 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct OriginQuery {
     key: StreamKey,
-    /// The service and its only version, as far as the sender knows, and how long a stream can
-    /// last.
-    only: Option<(Service, VersionTag, Duration)>,
+    /// What the sender goes by if there is no record.
+    only: Option<OnlyVersion>,
+}
+
+/// The only version of a service, as far as a process knows.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct OnlyVersion {
+    service: Service,
+    version: VersionTag,
+    /// How long a stream and the tries of its caller can last.
+    lifetime: Duration,
 }
 
 /// The answer of a keeper.
@@ -200,20 +208,20 @@
         let now = self.now();
         let only = self.only_version(now);
         let key = key.unwrap_or_else(|| self.stream_key(&self.original.id));
-        let query = OriginQuery {
-            key,
-            only: only.map(|found| {
-                (self.service.clone(), found.version, max_lifetime(self.route.timeout))
-            }),
+        let only_version = |found: FoundOrigin| OnlyVersion {
+            service: self.service.clone(),
+            version: found.version,
+            lifetime: max_lifetime(self.route.timeout),
         };
+        let query = OriginQuery { key, only: only.map(only_version) };
         let keepers = self.driver.node.stream_keepers(now, key);
         let answers = ask(&self.driver, &keepers, &query).await;
         if answers.is_contradictory {
             return (None, answers);
         }
         // Without an answer this VM may be behind a cut, and its list may lack a version.
-        let is_alone = keepers.is_empty() || answers.answered > 0;
-        let only = only.filter(|_| is_alone && !answers.knows_others);
+        let is_connected = keepers.is_empty() || answers.answered > 0;
+        let only = only.filter(|_| is_connected && !answers.knows_others);
         (answers.recorded.or(only), answers)
     }
 
@@ -293,9 +301,10 @@
         }
         Some(KnownOrigin { version: None, .. }) => OriginAnswer::Contradictory,
         None => {
-            let knows_other = query.only.is_some_and(|(service, version, lifetime)| {
-                gateway.upstreams().knows_other_version(now, &service, version, lifetime)
-            });
+            let knows_other =
+                query.only.is_some_and(|OnlyVersion { service, version, lifetime }| {
+                    gateway.upstreams().knows_other_version(now, &service, version, lifetime)
+                });
             if knows_other { OriginAnswer::OtherVersions } else { OriginAnswer::NoRecord }
         }
     };
