--- a/crates/badgerfield-core/src/upstream_table/versions.rs
+++ b/crates/badgerfield-core/src/upstream_table/versions.rs
@@ -18,7 +18,7 @@
 /// The maximum age of a list that lacks no version which another process may already send to.
 ///
 /// The list of another process may be newer by the time that a change takes to arrive here.
-pub(super) const MAX_LIST_AGE: Duration = ORDER_DELAY.saturating_sub(Duration::from_secs(2));
+const MAX_LIST_AGE: Duration = ORDER_DELAY.saturating_sub(Duration::from_secs(2));
 /// The maximum age of a list by which streams begin without copies of their records: a process that
 /// hears from the platform is well below it.
 const FRESH_LIST_AGE: Duration = Duration::from_secs(3);
