--- a/crates/badgerfield-core/src/stream_origins.rs
+++ b/crates/badgerfield-core/src/stream_origins.rs
@@ -8,7 +8,7 @@
 //! a stream can ask them.
 //!
 //! A record is never changed: two that contradict each other cancel out. A stream without a record
-//! is not resumed, so no promise rests on a message that arrives.
+//! is resumed only if the list shows that its service has had one version.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
