Reachability: ask peers that are cut off too, after all others

Cause: that VM had been cut off itself until 0.1 s before. It tells the fleet that it reaches upstreams only when all of its own requests are sent directly again, 2.4 s after its links are back, and VMs did not ask members that count as cut off. It answered by its links all the while, but nobody asked.

--- a/crates/badgerfield-node/src/gateway/reachability.rs
+++ b/crates/badgerfield-node/src/gateway/reachability.rs
@@ -175,23 +175,27 @@
 
 /// Returns the peers to ask: the nearest ones, and some in other failure domains. Each VM asks
 /// others first, so that the requests of many VMs that are cut off are spread.
+///
+/// Peers that are cut off come last. Their links may be back already, and no other peer may be left.
 fn candidates(driver: &Driver) -> Vec<Member> {
     let now = driver.now();
     let me = driver.node.id();
     let settings = &driver.settings;
-    let mut avoided = driver.node.overloaded_members(now);
-    avoided.extend(driver.node.cut_off_members(now));
+    let overloaded = driver.node.overloaded_members(now);
+    let cut_off = driver.node.cut_off_members(now);
     let mut members: Vec<Member> = driver.node.available_members(now);
-    members.retain(|member| member.incarnation != me && !avoided.contains(&member.incarnation));
+    members.retain(|member| member.incarnation != me && !overloaded.contains(&member.incarnation));
     let rank = |member: &Member| {
         let distance =
             u8::from(member.domain != settings.domain) + u8::from(member.region != settings.region);
         (distance, xxh3_64_with_seed(&member.incarnation.0.to_be_bytes(), me.0))
     };
     members.sort_by_key(rank);
+    let (last, first): (Vec<_>, Vec<_>) =
+        members.into_iter().partition(|member| cut_off.contains(&member.incarnation));
     let (near, far): (Vec<_>, Vec<_>) =
-        members.into_iter().partition(|member| member.domain == settings.domain);
-    near.into_iter().take(NEAR_PEERS).chain(far).take(ASKED_PEERS).collect()
+        first.into_iter().partition(|member| member.domain == settings.domain);
+    near.into_iter().take(NEAR_PEERS).chain(far).chain(last).take(ASKED_PEERS).collect()
 }
 
 /// Returns the evidence of a round, for the log.
