Membership: roles, liveness and clocks in modules of their own

membership.rs had 852 lines on four subjects. Lines were moved only; two functions are visible to the modules beside them now (unheard_members, to_millis).

--- a/crates/badgerfield-core/src/membership.rs
+++ b/crates/badgerfield-core/src/membership/mod.rs
@@ -1,4 +1,12 @@
-//! Membership: the current view, the liveness of its members, and store calls about both.
+//! Membership: the current view, and how this process hears from its members.
+//!
+//! [`roles`] tells which values of the store this process reads and watches for others,
+//! [`liveness`] which members are silent, unavailable or to be removed, and [`clock`] what the
+//! clocks of the fleet agree on.
+
+mod clock;
+mod liveness;
+mod roles;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -6,11 +14,9 @@
 use std::time::Duration;
 
 use crate::amount::Time;
-use crate::availability::{Availability, Condition, ConditionReport};
-use crate::bootstrap;
+use crate::availability::{Availability, ConditionReport};
 use crate::broadcast::{self, BroadcastTarget};
-use crate::event::LogEntry;
-use crate::ids::{Epoch, Incarnation, VmId};
+use crate::ids::{Incarnation, VmId};
 use crate::joining::Joining;
 use crate::message::Heartbeat;
 use crate::node::Pacing;
@@ -18,36 +24,18 @@
 use crate::queueing_delay::DelayReport;
 use crate::ranks::Ranks;
 use crate::request_mix::DemandAverage;
-use crate::seal::FleetClock;
 use crate::template_arrival::PendingArrival;
 use crate::upstream_list::ListVersion;
 use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member, MemberState, View};
 use crate::view_update::ViewLog;
 
-/// Silence after which a member is removed from the view.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Heartbeat intervals of silence after which a member counts as unresponsive and is left out
 /// of the directory.
 const MAX_MISSED_HEARTBEATS: u32 = 4;
-/// How long a member that could not reach the store is not chosen to write the ledger.
-const STORE_FAILURE_TTL: Duration = Duration::from_secs(1);
 /// Time without a tick after which this process counts as having been stalled.
 const STALL_THRESHOLD: Duration = Duration::from_secs(2);
-/// Additional wait of each further observer before it removes a member.
-const REMOVAL_STAGGER: Duration = Duration::from_secs(3);
 /// Maximum number of processes outside the view, removed or joining, whose address is kept.
 const MAX_NON_MEMBERS: usize = 64;
-/// Factor by which a process that joins waits longer between reads of the view.
-const JOINING_READ_FACTOR: u32 = 3;
-/// Step by which a starting process advances in the list of the region's members when it asks the
-/// next one for values.
-const BOOTSTRAP_PEER_STRIDE: usize = 7;
-/// Maximum number of entries that all members together may read if the usual watchers of the list
-/// fail: 450 bytes each, a second of a link of 1 Gbit/s.
-const MAX_FALLBACK_ENTRIES: usize = 250_000;
-/// The share, in percent, of the time within which operators' values have to be in force, after
-/// which the members that watch them read them if no member has.
-const WATCHER_READ_PERCENT: u32 = 60;
 /// Minimum number of doubling distances in the ring at which a member has neighbours.
 const MIN_NEIGHBOURS: u32 = 8;
 
@@ -355,7 +343,7 @@
             contact.not_serving = !heartbeat.serving;
             self.engine_demand.record_peer(now, from, &heartbeat.engine_demand);
             contact.wall_offset =
-                heartbeat.wall_ms.map(|wall_ms| wall_ms.saturating_sub(to_millis(now)));
+                heartbeat.wall_ms.map(|wall_ms| wall_ms.saturating_sub(clock::to_millis(now)));
         }
     }
 
@@ -425,240 +413,6 @@
         broadcast::targets(&self.view, self.id(), reach, |id| unheard.contains(&id))
     }
 
-    /// Returns whether this process reads the store's values for its region.
-    ///
-    /// An isolated process may have been removed, so it reads the store itself to find out.
-    pub(crate) fn is_reader(&self, now: Time) -> bool {
-        if self.is_isolated(now) || !self.is_member() {
-            return true;
-        }
-        self.ranks.is_reader()
-    }
-
-    /// Returns whether this process itself reads from the store the values that it lacks after its
-    /// start. Otherwise it asks members of its region for them.
-    pub(crate) fn is_bootstrap_reader(&self, now: Time) -> bool {
-        let newest = if self.view.epoch > self.stored.epoch { &self.view } else { &self.stored };
-        let known = (self.stored_known || self.view.epoch > Epoch(0)).then_some(&**newest);
-        let span = now.since(self.large_view_at.unwrap_or_default());
-        bootstrap::can_read(Time(span), known, &self.me)
-    }
-
-    /// Records when this process first knows that the fleet is large.
-    pub(crate) fn record_view_size(&mut self, now: Time, view: &View) {
-        if view.members.len() > MAX_SMALL_VIEW_MEMBERS {
-            self.large_view_at.get_or_insert(now);
-        }
-    }
-
-    /// Returns whether this process is starting together with its fleet: the view that it knows is
-    /// small and does not contain it yet. Requests to the few members of that view would all come
-    /// at the same moment.
-    pub(crate) fn is_starting_with_fleet(&self, now: Time) -> bool {
-        !self.is_member()
-            && self.view.members.len() <= MAX_SMALL_VIEW_MEMBERS
-            && now.0 < bootstrap::JOIN_PATIENCE
-    }
-
-    /// Returns whether this process takes part in heartbeats. One that has never been a member is
-    /// known to none.
-    pub(crate) fn sends_heartbeats(&self) -> bool {
-        self.is_member() || self.removed || self.intent != MembershipIntent::Join
-    }
-
-    /// Returns whether this process reads the record of blocked requests from the store after its
-    /// start.
-    ///
-    /// A process that hears from others gets the record from them, since heartbeats carry its
-    /// digest. After the loss of all processes, the first ones in the order of the VMs read it.
-    pub(crate) fn reads_poison_record(&self, now: Time) -> bool {
-        if self.is_member() && self.view.members.len() <= MAX_SMALL_VIEW_MEMBERS {
-            return true;
-        }
-        let is_heard =
-            self.contacts.values().any(|contact| contact.last_heartbeat > Time::default());
-        let is_first = self.is_member() && bootstrap::turn_of(&self.view, &self.me) == 0;
-        is_first || (!is_heard && self.is_bootstrap_reader(now))
-    }
-
-    /// Returns the member of the region to ask next for the values that this process lacks after
-    /// its start.
-    ///
-    /// Every other call, from the first on, returns the parent in the bootstrap tree, if there is
-    /// one, because it has the values early. The other calls step through the members of the
-    /// region.
-    pub(crate) fn next_bootstrap_peer(&mut self) -> Option<Incarnation> {
-        self.bootstrap_attempts += 1;
-        let parent = bootstrap::tree_parent(&self.view, &self.me)
-            .filter(|_| self.bootstrap_attempts % 2 == 1);
-        if parent.is_some() {
-            return parent;
-        }
-        let is_candidate = |m: &&Member| m.region == self.me.region && m.incarnation != self.id();
-        let mut candidates: Vec<_> =
-            self.view.members.iter().filter(is_candidate).map(|m| m.incarnation).collect();
-        // Members that joined since this process started are running; others may have ended.
-        let running: Vec<_> =
-            candidates.iter().copied().filter(|id| self.joining.is_new(*id)).collect();
-        if !running.is_empty() {
-            candidates = running;
-        }
-        let index = self.next_peer_index.checked_rem(candidates.len())?;
-        let id = candidates.get(index).copied();
-        // The stride shares no factor with most region sizes, so that all members are asked.
-        self.next_peer_index += BOOTSTRAP_PEER_STRIDE;
-        id
-    }
-
-    /// Records that a member waits for the first templates that this process gets.
-    pub(crate) fn add_template_waiter(&mut self, id: Incarnation) {
-        if self.template_waiters.len() < bootstrap::MAX_WAITERS {
-            self.template_waiters.insert(id);
-        }
-    }
-
-    /// Takes the members that wait for the first templates that this process gets.
-    pub(crate) fn take_template_waiters(&mut self) -> BTreeSet<Incarnation> {
-        std::mem::take(&mut self.template_waiters)
-    }
-
-    /// Returns the interval between reads of the view, which is at least `min_interval`.
-    ///
-    /// A joining process that has the stored view reads it less often: a host adds it to the view,
-    /// and many processes may start at once behind a slow link.
-    pub(crate) fn view_read_interval(&self, min_interval: Duration) -> Duration {
-        let is_joining =
-            self.stored_known && !self.is_member() && self.intent == MembershipIntent::Join;
-        if is_joining {
-            return min_interval.saturating_mul(JOINING_READ_FACTOR);
-        }
-        min_interval
-    }
-
-    /// Returns whether this process watches the store's values itself.
-    ///
-    /// `list_age` is the time since it last received an update or a confirmation of the upstream
-    /// list, which are frequent. In a small view all members watch the store. In a large view a few
-    /// watch it and forward changes, more do so if these seem to be cut off, and all members do so
-    /// if no updates arrive at all.
-    pub(crate) fn watches_store(&self, now: Time, list_age: Option<Duration>) -> bool {
-        self.has_watch_role(now, list_age, self.leave_notice, self.list_entries)
-    }
-
-    /// Returns whether this process reads and watches operators' values in the store itself.
-    ///
-    /// The roles are those of [`Self::watches_store`], but they depend on when a member last read
-    /// operators' values. The age of the list of upstreams says nothing about these.
-    pub(crate) fn watches_operators(&self, now: Time) -> bool {
-        let age = self.operators_age(now);
-        self.has_watch_role(now, age, self.apply_timeout, self.template_entries)
-    }
-
-    /// Returns whether no member has read operators' values for so long that a process that watches
-    /// them should do so: its watch may have stalled without notice.
-    pub(crate) fn must_read_operators(&self, now: Time) -> bool {
-        let wait = self.apply_timeout * WATCHER_READ_PERCENT / 100;
-        self.operators_age(now).is_none_or(|age| age >= wait)
-    }
-
-    /// Records that a member has read operators' values from the store.
-    pub(crate) fn record_operator_read(&mut self, at: Time) {
-        self.operators_read_at = self.operators_read_at.max(Some(at));
-    }
-
-    /// Returns the time since a member last read operators' values, as far as known.
-    pub(crate) fn operators_age(&self, now: Time) -> Option<Duration> {
-        self.operators_read_at.map(|at| now.since(at))
-    }
-
-    /// Returns whether this process watches a value of the store whose last confirmation has an age
-    /// and that has to be known in time everywhere.
-    fn has_watch_role(
-        &self,
-        now: Time,
-        age: Option<Duration>,
-        timeout: Duration,
-        entries: usize,
-    ) -> bool {
-        let is_member = self.is_member();
-        let is_small = self.view.members.len() <= MAX_SMALL_VIEW_MEMBERS;
-        if is_member && (is_small || self.is_isolated(now)) {
-            return true;
-        }
-        let is_heavy = self.view.members.len() * entries > MAX_FALLBACK_ENTRIES;
-        let Some(percent) = self.ranks.watch_delay_percent(is_heavy) else {
-            return age.is_none();
-        };
-        let wait = timeout * percent / 100;
-        age.is_none_or(|age| age >= wait)
-    }
-
-    /// Returns the rank of this process among the members that watch the store.
-    pub(crate) fn watcher_rank(&self) -> u32 {
-        self.ranks.watcher_rank()
-    }
-
-    /// Returns whether this process is a watcher or a backup watcher of the store, or has no rank.
-    pub(crate) fn can_probe_store(&self) -> bool {
-        let is_small = self.view.members.len() <= MAX_SMALL_VIEW_MEMBERS;
-        is_small || self.ranks.can_probe()
-    }
-
-    /// Returns the rank of this process among the hosts of joining processes, if it is one.
-    pub(crate) fn host_rank(&self) -> Option<usize> {
-        self.host_rank
-    }
-
-    /// Returns whether no member that this process watches is responsive.
-    fn is_isolated(&self, now: Time) -> bool {
-        self.watched().all(|(_, m)| self.silence(now, m.incarnation) >= self.unresponsive_after)
-    }
-
-    /// Returns whether this process marks views as complete in the store.
-    pub(crate) fn is_completion_writer(&self) -> bool {
-        self.ranks.is_completion_writer()
-    }
-
-    /// Returns whether this process has to read the view from the store before it can mark the
-    /// epoch `complete` as complete, because it has received the current view from peers only.
-    pub(crate) fn must_read_to_complete(&self, complete: Epoch) -> bool {
-        complete == self.view.epoch && self.stored.epoch < complete && self.is_completion_writer()
-    }
-
-    /// Returns the members that this process should remove from the view.
-    ///
-    /// Removing a member that is still running is safe and costs only its restart. The observers
-    /// of a member wait for different times, so that usually only one of them removes it.
-    pub(crate) fn members_to_remove(&self, now: Time) -> Vec<Incarnation> {
-        let mut to_remove = Vec::new();
-        let watched: Vec<_> = self.watched().collect();
-        let is_responsive =
-            |m: &&Member| self.silence(now, m.incarnation) < self.unresponsive_after;
-        let is_cut_off = !watched.iter().any(|(_, m)| is_responsive(m));
-        for (position, member) in watched {
-            let wait = REMOVAL_STAGGER.saturating_mul(position);
-            let silence = self.silence(now, member.incarnation);
-            let is_unlisted = self.unlisted_vms.contains(&member.vm)
-                && silence >= self.unresponsive_after.saturating_add(wait);
-            // If all watched members are silent, this process is more likely to be cut off than to
-            // be the only one left.
-            let is_silent = self.is_same_region(member)
-                && !is_cut_off
-                && silence >= SILENCE_TIMEOUT.saturating_add(wait);
-            if is_unlisted || is_silent {
-                to_remove.push(member.incarnation);
-            }
-        }
-        to_remove
-    }
-
-    /// Returns the log entry for the removal of a member.
-    pub(crate) fn removal_entry(&self, now: Time, id: Incarnation) -> LogEntry {
-        let vm = self.view.member(id).map_or_else(|| self.me.vm.clone(), |m| m.vm.clone());
-        let (silence, epoch) = (self.silence(now, id), self.stored.epoch);
-        LogEntry::RemovesMember { member: id, vm, silence, epoch }
-    }
-
     /// Returns the members that send heartbeats to this process, each with this process's position
     /// among its observers.
     fn watched(&self) -> impl Iterator<Item = (u32, &Member)> {
@@ -683,152 +437,6 @@
         self.view.members.iter().position(|m| m.incarnation == me).unwrap_or(0)
     }
 
-    /// Returns the members to which callers may be directed.
-    pub(crate) fn available_members(&self, now: Time) -> Vec<Member> {
-        let silent = self.silent_members(now);
-        self.view
-            .members
-            .iter()
-            .filter(|m| m.standing == MemberState::Active && !self.leaving_vms.contains(&m.vm))
-            .filter(|m| !self.unlisted_vms.contains(&m.vm))
-            .filter(|m| {
-                !silent.contains(&m.incarnation) && !self.is_not_serving(now, m.incarnation)
-            })
-            .cloned()
-            .collect()
-    }
-
-    /// Returns the members that send nothing to any process: those that this process should hear
-    /// from, unless others hear them, and those that others have reported.
-    pub(crate) fn silent_members(&self, now: Time) -> BTreeSet<Incarnation> {
-        let is_heard = |id: &Incarnation| {
-            let silence = self.silence(now, *id);
-            self.availability.is_heard_by_others(now, *id, silence, Duration::ZERO)
-        };
-        let reported = self.availability.with_condition(now, Condition::Silent);
-        let mut silent = self.unheard_members(now);
-        silent.retain(|id| reported.contains(id) || !is_heard(id));
-        silent
-    }
-
-    /// Returns the members that this process should hear from but does not, and those that others
-    /// have reported to be silent.
-    fn unheard_members(&self, now: Time) -> BTreeSet<Incarnation> {
-        let mut unheard = self.availability.with_condition(now, Condition::Silent);
-        for (_, member) in self.watched() {
-            if self.silence(now, member.incarnation) >= self.unresponsive_after {
-                unheard.insert(member.incarnation);
-            } else {
-                unheard.remove(&member.incarnation);
-            }
-        }
-        unheard
-    }
-
-    /// Returns the members that are overloaded.
-    pub(crate) fn overloaded_members(&self, now: Time) -> BTreeSet<Incarnation> {
-        self.availability.with_condition(now, Condition::Overloaded)
-    }
-
-    /// Returns the members that are cut off from upstreams.
-    pub(crate) fn cut_off_members(&self, now: Time) -> BTreeSet<Incarnation> {
-        self.availability.with_condition(now, Condition::CutOff)
-    }
-
-    /// Returns the reports that this process sends to all members now.
-    ///
-    /// In a small view each member hears from all others, and reports only whether it is cut off
-    /// from upstreams itself. A process that hears from few of the members that it watches is more
-    /// likely isolated itself, and reports none of them.
-    pub(crate) fn condition_reports(&mut self, now: Time) -> Vec<ConditionReport> {
-        let members = self.view.members.len();
-        if !self.is_member() {
-            return Vec::new();
-        }
-        let me = self.id();
-        if members <= MAX_SMALL_VIEW_MEMBERS {
-            return self.availability.report_own(now, me, members).into_iter().collect();
-        }
-        let silent_after = self.unresponsive_after;
-        let watched: Vec<_> = self
-            .watched()
-            .map(|(position, m)| (m.incarnation, position, self.silence(now, m.incarnation)))
-            .collect();
-        let heard = watched.iter().filter(|(_, _, silence)| *silence < silent_after).count();
-        let mut reports = Vec::new();
-        if heard * 2 >= watched.len() {
-            reports = self.availability.observe(now, me, watched.into_iter(), silent_after);
-        }
-        reports.extend(self.availability.report_own(now, me, members));
-        reports
-    }
-
-    /// Applies another member's report about the condition of a member.
-    pub(crate) fn apply_condition_report(&mut self, now: Time, report: ConditionReport) {
-        self.availability.apply(now, report, self.unresponsive_after);
-    }
-
-    /// Records that a member could not reach the store.
-    pub(crate) fn record_store_failure(&mut self, now: Time, id: Incarnation) {
-        self.store_failures.retain(|_, at| now.since(*at) < STORE_FAILURE_TTL);
-        self.store_failures.insert(id, now);
-    }
-
-    /// Returns whether a member recently could not reach the store.
-    pub(crate) fn has_store_failure(&self, now: Time, id: Incarnation) -> bool {
-        self.store_failures.get(&id).is_some_and(|at| now.since(*at) < STORE_FAILURE_TTL)
-    }
-
-    /// Sets this VM's wall clock, in milliseconds.
-    pub(crate) fn set_wall_ms(&mut self, now: Time, wall_ms: u64) {
-        self.wall_offset = Some(wall_ms.saturating_sub(to_millis(now)));
-    }
-
-    /// Returns this VM's wall clock in milliseconds, if it is known.
-    pub(crate) fn wall_ms(&self, now: Time) -> Option<u64> {
-        self.wall_offset.map(|offset| offset.saturating_add(to_millis(now)))
-    }
-
-    /// Returns the fleet's clock, from the clocks of this VM and of all members that sent a
-    /// heartbeat recently.
-    pub(crate) fn fleet_clock(&self, now: Time) -> FleetClock {
-        let recent = self
-            .contacts
-            .values()
-            .filter(|contact| now.since(contact.last_heartbeat) < self.unresponsive_after);
-        let offsets =
-            recent.filter_map(|contact| contact.wall_offset).chain(self.wall_offset).collect();
-        FleetClock::from_offsets(offsets, self.clock_quorum())
-    }
-
-    /// Returns how many clocks must agree.
-    ///
-    /// In a small view more than half of all clocks must agree. In a large view, where only some
-    /// members send heartbeats to this process, three quarters of the clocks of this process and of
-    /// these members must agree.
-    fn clock_quorum(&self) -> usize {
-        let members = self.view.members.len();
-        if members <= MAX_SMALL_VIEW_MEMBERS {
-            return members / 2 + 1;
-        }
-        let clocks = self.watched().count() + 1;
-        (clocks * 3).div_ceil(4)
-    }
-
-    /// Returns whether a recent heartbeat of a member reports that it does not serve callers.
-    ///
-    /// In a large view most members send no heartbeats to this process, and those that they sent
-    /// while the view was small are out of date.
-    fn is_not_serving(&self, now: Time, id: Incarnation) -> bool {
-        if id == self.id() {
-            return !self.serving;
-        }
-        let contact = self.contacts.get(&id);
-        contact.is_some_and(|contact| {
-            contact.not_serving && now.since(contact.last_heartbeat) < self.unresponsive_after
-        })
-    }
-
     fn is_same_region(&self, member: &Member) -> bool {
         member.region == self.me.region
     }
@@ -846,7 +454,3 @@
     let distances = usize::BITS - members.saturating_sub(1).leading_zeros();
     distances.max(MIN_NEIGHBOURS)
 }
-
-fn to_millis(now: Time) -> u64 {
-    u64::try_from(now.0.as_millis()).unwrap_or(u64::MAX)
-}
