--- /dev/null
+++ b/crates/badgerfield-node/src/driver/ticks.rs
@@ -0,0 +1,88 @@
+//! What is due at each tick: time, load and reports.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use badgerfield_core::amount::Time;
+use badgerfield_core::{Event, TICK_INTERVAL};
+
+use super::Driver;
+use crate::clock::Stall;
+use crate::logs::NODE;
+use crate::rollouts::REPORT_INTERVAL;
+use crate::{store_calls, versions};
+
+/// Number of ticks between two readings of the wall clock.
+const WALL_CLOCK_TICKS: u32 = 4;
+
+impl Driver {
+    pub(super) async fn run_ticks(self: Arc<Self>) {
+        let mut ticks = tokio::time::interval(TICK_INTERVAL);
+        let mut logged_at = self.now();
+        let mut reported_at = self.now();
+        let mut versions_reported_at = Time::default();
+        let mut ticked_at = self.now();
+        let mut count: u32 = 0;
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            if let Some(Stall { span, suspended }) = self.clock.tick() {
+                log::warn!(
+                    target: NODE,
+                    "stood still for_ms={} suspended_ms={}",
+                    span.as_millis(),
+                    suspended.as_millis()
+                );
+                count = 0;
+            }
+            if count.is_multiple_of(WALL_CLOCK_TICKS) {
+                self.handle_event(Event::WallClock(wall_clock()));
+            }
+            count = count.wrapping_add(1);
+            let now = self.now();
+            self.report_load(now, now.since(ticked_at));
+            ticked_at = now;
+            if now.since(logged_at) >= store_calls::LOG_INTERVAL {
+                logged_at = now;
+                self.metrics.store_calls.log();
+                self.metrics.peer_traffic.log();
+            }
+            if now.since(reported_at) >= REPORT_INTERVAL {
+                reported_at = now;
+                self.report_rollouts();
+            }
+            if now.since(versions_reported_at) >= versions::REPORT_INTERVAL {
+                versions_reported_at = now;
+                self.report_versions();
+            }
+            self.handle_event(Event::Tick);
+        }
+    }
+
+    /// Notes how late a tick is, and whether this VM has more work than it can do.
+    fn report_load(self: &Arc<Self>, now: Time, since_last: Duration) {
+        let Some(gateway) = &self.gateway else {
+            return;
+        };
+        let (is_overloaded, lateness) = {
+            let mut load = gateway.vm_load();
+            load.record_timer(now, TICK_INTERVAL, since_last);
+            (load.is_overloaded(now), load.lateness())
+        };
+        if gateway.set_overloaded(is_overloaded) {
+            log::info!(
+                target: NODE,
+                "load overloaded={is_overloaded} lateness_ms={} open={}",
+                lateness.as_millis(),
+                gateway.open_count()
+            );
+        }
+        self.handle_event(Event::Overloaded(is_overloaded));
+    }
+}
+
+/// Returns the wall-clock time in milliseconds since 1970.
+fn wall_clock() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
