--- a/crates/badgerfield-core/src/holdings/holding.rs
+++ b/crates/badgerfield-core/src/holdings/holding.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use super::demand::RequestSizes;
+use super::local_holder::{LocalHolder, Sealing};
 use super::pending_loans::PendingLoans;
 use super::promises::{Promise, Promises};
 use super::return_stats::ReturnStats;
 use super::waiting::Waiter;
 use crate::amount::{Percent, Time, TokenRate, Tokens};
-use crate::ids::{BudgetId, Incarnation, Region, VmId};
+use crate::ids::{BudgetId, Incarnation, Region};
 use crate::ledger::{BudgetTerms, HoldingPlan, LedgerOp, WitnessReport};
 use crate::message::TokenRequest;
 use crate::rate_meter::RateMeter;
@@ -37,43 +38,10 @@
 /// The largest part of a holding that is left unsealed for its demand. `min_unsealed` may ask for
 /// more.
 const MAX_UNSEALED_PERCENT: u64 = 40;
-/// The promise for sealed tokens is renewed only if the ledger has answered within this time.
-const MAX_REPLY_AGE: Duration = Duration::from_millis(1100);
 
 /// A holding is topped up when it lacks at least one `TOP_UP_DIVISOR`-th of its share.
 const TOP_UP_DIVISOR: u64 = 4;
 
-/// The data with which a process seals tokens.
-#[derive(Debug)]
-pub(crate) struct Sealing {
-    pub(crate) vm: VmId,
-    pub(crate) clock: FleetClock,
-    /// When the ledger last answered an operation.
-    pub(crate) last_reply: Option<Time>,
-}
-
-impl Sealing {
-    /// Returns whether the ledger has answered recently, which shows that the store is reachable.
-    pub(super) fn is_store_reachable(&self, now: Time) -> bool {
-        self.last_reply.is_some_and(|at| now.since(at) < MAX_REPLY_AGE)
-    }
-}
-
-impl LocalHolder {
-    /// Returns whether the ledger has answered recently. Without sealing this is never known.
-    pub(super) fn is_store_reachable(&self, now: Time) -> bool {
-        self.sealing.as_ref().is_some_and(|sealing| sealing.is_store_reachable(now))
-    }
-}
-
-/// This process as the author of ledger operations.
-#[derive(Debug)]
-pub(crate) struct LocalHolder {
-    pub(crate) me: Incarnation,
-    /// `None` if the process parks tokens instead of sealing them.
-    pub(crate) sealing: Option<Sealing>,
-}
-
 /// The state of a search for tokens.
 #[derive(Debug, Clone)]
 pub(crate) enum Search {
--- a/crates/badgerfield-core/src/holdings/mod.rs
+++ b/crates/badgerfield-core/src/holdings/mod.rs
@@ -9,6 +9,7 @@
 mod holding;
 mod ledger_replies;
 mod lending;
+mod local_holder;
 mod parking;
 mod peers;
 mod pending_loans;
@@ -28,7 +29,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use self::holding::{Holding, LocalHolder, Sealing, Search};
+use self::holding::{Holding, Search};
+use self::local_holder::{LocalHolder, Sealing};
 use self::transfer::Transfers;
 use self::witness::Witness;
 use crate::amount::{Percent, Time, Tokens};
