--- a/crates/badgerfield-standin/src/fleet/listing.rs
+++ b/crates/badgerfield-standin/src/fleet/listing.rs
@@ -18,7 +18,7 @@
 use badgerfield_core::upstream_table::{ListGap, UpstreamTable};
 use rand::RngExt;
 
-use super::{Fleet, ScheduledAction, link};
+use super::{Fleet, FleetConfig, ScheduledAction, link};
 
 /// The interval between two calls of a VM that watches the list.
 const WATCH_INTERVAL: Duration = Duration::from_millis(400);
@@ -125,6 +125,32 @@
 }
 
 impl Fleet {
+    /// Creates a fleet with operators' values and a list of upstreams, starts all processes, and lets
+    /// them run for a while.
+    ///
+    /// Entries of upstreams are written all the time, so that the list is confirmed often.
+    #[must_use]
+    pub fn started_with_listing(vms: usize, upstreams: usize, seed: u64, span: Duration) -> Self {
+        let mut fleet = Self::new(FleetConfig {
+            regions: vec![vms],
+            domains: 3,
+            limits: vec![1_000_000; 4],
+            routes: 20,
+            seals: true,
+            noise_permille: 0,
+            seed,
+            ..FleetConfig::default()
+        });
+        fleet.listing.upstreams = upstreams;
+        fleet.listing.writes_per_second = 200;
+        for vm in 0..vms {
+            fleet.start(vm);
+        }
+        fleet.listing.lapses_per_second = 20;
+        fleet.advance_listing(span);
+        fleet
+    }
+
     /// Lets upstreams write their entries for a span, and some of them vanish and return.
     pub fn advance_listing(&mut self, span: Duration) {
         const STEP: Duration = Duration::from_millis(50);
--- a/crates/badgerfield-standin/tests/leavings.rs
+++ b/crates/badgerfield-standin/tests/leavings.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use badgerfield_standin::fleet::{Fleet, FleetConfig, Link};
+use badgerfield_standin::fleet::{Fleet, Link};
 
 /// The number of upstreams in the platform's list.
 const UPSTREAMS: usize = 140;
@@ -15,24 +15,7 @@
 const LEAVINGS: usize = 6;
 
 fn fleet(vms: usize, seed: u64) -> Fleet {
-    let mut fleet = Fleet::new(FleetConfig {
-        regions: vec![vms],
-        domains: 3,
-        limits: vec![1_000_000; 4],
-        routes: 20,
-        seals: true,
-        noise_permille: 0,
-        seed,
-        ..FleetConfig::default()
-    });
-    fleet.listing.upstreams = UPSTREAMS;
-    fleet.listing.writes_per_second = 200;
-    for vm in 0..vms {
-        fleet.start(vm);
-    }
-    fleet.listing.lapses_per_second = 20;
-    fleet.advance_listing(Duration::from_secs(12));
-    fleet
+    Fleet::started_with_listing(vms, UPSTREAMS, seed, Duration::from_secs(12))
 }
 
 /// Lets upstreams leave, and returns the longest time until a VM knew it; `None` if it never did.
--- a/crates/badgerfield-standin/tests/lending.rs
+++ b/crates/badgerfield-standin/tests/lending.rs
@@ -71,6 +71,18 @@
     }
 }
 
+/// Ends all processes at once, and starts them again on the same VMs.
+fn replace_all(fleet: &mut Fleet) {
+    for vm in 0..VMS {
+        fleet.kill(vm);
+    }
+    fleet.advance(Duration::from_millis(700));
+    for vm in 0..VMS {
+        fleet.start(vm);
+    }
+    fleet.advance(Duration::from_secs(6));
+}
+
 fn refused_count(fleet: &Fleet) -> usize {
     let ends = fleet.requests.values().filter_map(|request| request.end.as_ref());
     ends.filter(|(end, _)| matches!(end, End::Refused(_))).count()
@@ -168,14 +180,7 @@
     let mut fleet = fleet(limit);
     load(&mut fleet, 200);
     fleet.advance(Duration::from_secs(1));
-    for vm in 0..VMS {
-        fleet.kill(vm);
-    }
-    fleet.advance(Duration::from_millis(700));
-    for vm in 0..VMS {
-        fleet.start(vm);
-    }
-    fleet.advance(Duration::from_secs(6));
+    replace_all(&mut fleet);
     for _ in 0..12 {
         load(&mut fleet, 100);
         fleet.advance(Duration::from_secs(2));
@@ -310,14 +315,7 @@
     // Holders draw tokens again, then all processes crash before they can send another report.
     load_vm(&mut fleet, vm, 100);
     let held = fleet.held(0);
-    for vm in 0..VMS {
-        fleet.kill(vm);
-    }
-    fleet.advance(Duration::from_millis(700));
-    for vm in 0..VMS {
-        fleet.start(vm);
-    }
-    fleet.advance(Duration::from_secs(6));
+    replace_all(&mut fleet);
     for _ in 0..30 {
         load(&mut fleet, 100);
         fleet.advance(Duration::from_secs(2));
--- a/crates/badgerfield-standin/tests/operator_values.rs
+++ b/crates/badgerfield-standin/tests/operator_values.rs
@@ -6,7 +6,7 @@
 use badgerfield_core::ids::TemplateVersion;
 use badgerfield_core::routing::Route;
 use badgerfield_core::template::KeyDigest;
-use badgerfield_standin::fleet::{Fleet, FleetConfig, Link};
+use badgerfield_standin::fleet::{Fleet, Link};
 
 /// The number of upstreams in the platform's list.
 const UPSTREAMS: usize = 140;
@@ -15,27 +15,8 @@
 /// The interval at which the VMs are checked while a change is distributed.
 const STEP: Duration = Duration::from_millis(10);
 
-/// Starts a fleet and lets it run for a while.
 fn fleet(vms: usize, seed: u64, warm_up: Duration) -> Fleet {
-    let mut fleet = Fleet::new(FleetConfig {
-        regions: vec![vms],
-        domains: 3,
-        limits: vec![1_000_000; 4],
-        routes: 20,
-        seals: true,
-        noise_permille: 0,
-        seed,
-        ..FleetConfig::default()
-    });
-    fleet.listing.upstreams = UPSTREAMS;
-    fleet.listing.writes_per_second = 200;
-    for vm in 0..vms {
-        fleet.start(vm);
-    }
-    // Entries are written all the time, so the list is confirmed often.
-    fleet.listing.lapses_per_second = 20;
-    fleet.advance_listing(warm_up);
-    fleet
+    Fleet::started_with_listing(vms, UPSTREAMS, seed, warm_up)
 }
 
 /// Takes the keys of a budget away and returns the version of that change.
