--- a/crates/badgerfield-core/src/seal.rs
+++ b/crates/badgerfield-core/src/seal.rs
@@ -25,9 +25,8 @@
 /// It is a little shorter than the span of demand that is held ahead, so that the tokens last for
 /// an outage of about that length.
 ///
-/// The decay is linear to limit the loss when power fails late in an outage. At 4.5 s, a promise of
-/// the whole amount for 3.2 s lost 34,000 and 33,000 of 120,000 tokens of two accounts; linear
-/// decay lost 22,000 and 13,000.
+/// The decay is linear, so that less is lost when power fails late in an outage than by a promise
+/// of the whole amount that ends at once.
 pub const PROMISE_SPAN: Duration = Duration::from_secs(10);
 /// The longest time after which a promise begins to decay. A holder spends only unsealed tokens in
 /// this time, and leaves about two seconds of demand unsealed.
--- a/crates/badgerfield-core/tests/upstream_table.rs
+++ b/crates/badgerfield-core/tests/upstream_table.rs
@@ -102,7 +102,7 @@
 fn upstreams_that_vanish_one_by_one_get_no_requests() {
     // The entries of upstreams that leave vanish one by one. When two of three had vanished within
     // two seconds, this was taken for a lapse of all leases, and upstreams that had left got
-    // requests (a violation of the DRAIN rule).
+    // requests.
     let mut table = table(3);
     table.apply_list(at(10), list(2, vec![info(2, false), info(3, false)]));
     table.apply_list(at(900), list(3, vec![info(3, false)]));
--- a/crates/badgerfield-standin/tests/whole_fleet.rs
+++ b/crates/badgerfield-standin/tests/whole_fleet.rs
@@ -30,8 +30,8 @@
     fleet
 }
 
-/// 280 of 984 VMs were ready when callers came, 24 s after the start: each VM asked the same member
-/// to add it, and read the templates and the whole list of upstreams from the store.
+/// Guards against VMs that are not ready when callers come, because each of them asks the same
+/// member to add it, and reads the templates and the whole list of upstreams from the store.
 #[test]
 fn all_vms_are_ready_soon_and_call_the_store_little() {
     let fleet = started();
