--- a/crates/badgerfield-node/src/driver/mod.rs
+++ b/crates/badgerfield-node/src/driver/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Any task may pass an event; the worker threads of the runtime share the node's
 //! tables under its lock order. Commands are executed by the task that received them
-//! ([`commands`]); [`log_entries`] writes what the core logs, and [`ticks`] does what is due
+//! (module `commands`); `log_entries` writes what the core logs, and `ticks` does what is due
 //! periodically.
 
 mod commands;
