View: what is uncertain is held once, not once a removal (LOST)

Callers lost requests in series of planned stops, since processes exceeded the memory of their VM and were ended with all they served.

Cause: each removal before a view was complete added an entry of uncertain keys with a copy of all arbiters since then, up to 16 entries, each longer than the one before; each write of the view and each conflict carries them.

Until a view is complete, arbiters are only added or turn into gone ones, so the last entry includes the keys of the earlier ones, which are dropped. It holds no arbiters that have just joined, since they vouch for no key. More than 2,048 arbiters are reduced to the members and one gone arbiter a region, so that all keys are uncertain: a view that is never complete would exceed the largest value of the store.

--- a/crates/badgerfield-core/src/view.rs
+++ b/crates/badgerfield-core/src/view.rs
@@ -20,6 +20,9 @@
 pub(crate) const MAX_SMALL_VIEW_MEMBERS: usize = 16;
 /// Maximum number of [`UncertainKeys`] entries of a view.
 const MAX_UNCERTAIN_KEYS: usize = 16;
+/// Maximum number of [`RecentArbiter`] entries of a view: three times the members of a full-size
+/// fleet. Each write of the view carries them.
+pub(crate) const MAX_RECENT_ARBITERS: usize = 2048;
 
 /// Whether a member accepts new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -240,15 +243,47 @@
             arbiter.state = ArbiterState::Gone;
             gone_count += 1;
         }
+        next.limit_recent_arbiters();
         if gone_count > 1 && !gone.is_empty() {
-            let (epoch, arbiters) = (next.epoch, next.recent_arbiters.clone());
-            next.uncertain_keys.push(UncertainKeys { epoch, arbiters });
+            let arbiters = next.recent_arbiters.iter();
+            let arbiters = arbiters.filter(|a| a.state != ArbiterState::Joined).cloned().collect();
+            next.uncertain_keys.push(UncertainKeys { epoch: next.epoch, arbiters });
         }
-        let excess = next.uncertain_keys.len().saturating_sub(MAX_UNCERTAIN_KEYS);
-        next.uncertain_keys.drain(..excess);
+        next.compact_uncertain_keys();
         next
     }
 
+    /// Removes entries of uncertain keys that a later entry includes.
+    ///
+    /// Until a view is complete, arbiters are only added to the recent ones or turn from members
+    /// into gone ones, so the last entry since then includes all keys of the earlier ones.
+    pub(crate) fn compact_uncertain_keys(&mut self) {
+        let complete = self.complete;
+        let last = self.uncertain_keys.last().map(|keys| keys.epoch);
+        self.uncertain_keys.retain(|keys| keys.epoch <= complete || Some(keys.epoch) == last);
+        let excess = self.uncertain_keys.len().saturating_sub(MAX_UNCERTAIN_KEYS);
+        self.uncertain_keys.drain(..excess);
+    }
+
+    /// Reduces the recent arbiters to the members and one gone arbiter of each region, if there are
+    /// too many.
+    ///
+    /// All keys of these regions are uncertain then, until a view is complete.
+    fn limit_recent_arbiters(&mut self) {
+        if self.recent_arbiters.len() <= MAX_RECENT_ARBITERS {
+            return;
+        }
+        let mut regions = BTreeSet::new();
+        self.recent_arbiters
+            .retain(|a| a.state != ArbiterState::Gone || regions.insert(a.region.clone()));
+        // A member that stayed would vouch for the keys that it decides about.
+        for arbiter in &mut self.recent_arbiters {
+            if arbiter.state == ArbiterState::Stayed {
+                arbiter.state = ArbiterState::Joined;
+            }
+        }
+    }
+
     /// Returns the same view with all its handovers marked as complete.
     #[must_use]
     pub fn completed(&self) -> Self {
