Claims: a process keeps no views until one is complete (LOST)

Callers lost requests in series of planned stops, since processes exceeded the memory of their VM and were ended with all they served.

Cause: to know whether it has always been the arbiter of a key, a process kept each view whole since the last complete one. In a series of stops with one each 0.25 s the view changes ten times a second and none becomes complete. `view_memory` was red: 16,644 kB after 136 views at one process.

Now it keeps the members that were active in any of these views. A process was the arbiter in all of them exactly if it was active in all and no such member ranks above it, which the property test `arbiter_history` compares with a model that keeps the views. Over 2,048 members it decides about nothing until a view is complete. Entries of `uncertain_seen` whose epoch the view no longer names are dropped too.

--- a/crates/badgerfield-core/src/claims/handover.rs
+++ b/crates/badgerfield-core/src/claims/handover.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::arbiter_history::ArbiterHistory;
 use super::{Claims, arbiter_and_backup};
 use crate::amount::Time;
 use crate::confirmations::{ConfirmationReport, Confirmations};
@@ -32,8 +33,10 @@
             return;
         }
         let old = std::mem::replace(&mut self.view, Arc::clone(view));
-        self.views_since_complete.push(Arc::clone(view));
+        self.arbiters_since_complete.record(self.me, view);
         self.confirmations = Confirmations::new(view);
+        self.uncertain_seen
+            .retain(|epoch, _| view.uncertain_keys.iter().any(|k| k.epoch == *epoch));
         for uncertain in &view.uncertain_keys {
             self.uncertain_seen.entry(uncertain.epoch).or_insert(now);
         }
@@ -172,7 +175,8 @@
     fn check_complete(&mut self) {
         if self.view.has_member(self.me) && self.confirmations.is_complete() {
             self.complete_epoch = self.view.epoch;
-            self.views_since_complete = vec![Arc::clone(&self.view)];
+            self.arbiters_since_complete = ArbiterHistory::default();
+            self.arbiters_since_complete.record(self.me, &self.view);
         }
     }
 }
--- a/crates/badgerfield-core/src/claims/mod.rs
+++ b/crates/badgerfield-core/src/claims/mod.rs
@@ -5,6 +5,7 @@
 //! members hand over the claims that other members now decide about. An arbiter decides only
 //! about keys for which it has received all earlier claims.
 
+mod arbiter_history;
 mod handover;
 
 use std::collections::{BTreeMap, HashMap};
@@ -19,6 +20,7 @@
     ChargeId, ClaimDecision, ClaimProgress, ClaimRecord, ClaimRequest, Message, SettleRequest,
 };
 use crate::view::View;
+use arbiter_history::ArbiterHistory;
 use handover::PendingHandover;
 
 /// A recorded claim.
@@ -65,8 +67,8 @@
     view: Arc<View>,
     /// The newest epoch for which all handovers have arrived.
     complete_epoch: Epoch,
-    /// The view of `complete_epoch` and the views applied after it.
-    views_since_complete: Vec<Arc<View>>,
+    /// The arbiters in the view of `complete_epoch` and in the views applied after it.
+    arbiters_since_complete: ArbiterHistory,
     confirmations: Confirmations,
     handovers: BTreeMap<Incarnation, PendingHandover>,
     /// When this process first saw the uncertain keys of an epoch.
@@ -84,7 +86,7 @@
             entries: HashMap::new(),
             view: Arc::default(),
             complete_epoch: Epoch(0),
-            views_since_complete: Vec::new(),
+            arbiters_since_complete: ArbiterHistory::default(),
             confirmations: Confirmations::default(),
             handovers: BTreeMap::new(),
             uncertain_seen: HashMap::new(),
@@ -246,7 +248,7 @@
         }
         self.complete_epoch == self.view.epoch
             || (self.complete_epoch > Epoch(0)
-                && self.views_since_complete.iter().all(|view| is_arbiter(view)))
+                && self.arbiters_since_complete.always_ranks_first(self.me, key, home))
     }
 
     /// Records a claim as its requester or backup.
