View: updates from peers keep few entries of uncertain keys (LOST)

Callers lost requests when a process exceeded the memory of its VM.

Cause: only a process that writes the view dropped old entries. One that gets the view from peers kept all that were ever sent. `view_update` fails before: 17 entries after 17 updates, without end.

Both use the same function now: at most 16 entries, one for all epochs that are not complete.

--- a/crates/badgerfield-core/src/view_update.rs
+++ b/crates/badgerfield-core/src/view_update.rs
@@ -63,7 +63,7 @@
         }
         members.extend(self.members.iter().map(|m| (m.incarnation, m.clone())));
         uncertain_keys.extend(self.uncertain_keys.iter().cloned());
-        let view = View {
+        let mut view = View {
             epoch: self.epoch,
             members: members.into_values().collect(),
             complete: self.complete,
@@ -72,6 +72,7 @@
             // Only a process that writes the view needs it.
             joined_revision: 0,
         };
+        view.compact_uncertain_keys();
         (digest(&view) == self.digest).then_some(view)
     }
 }
