--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -425,10 +425,32 @@
     Bill(Bill),
     /// Writes a log entry for operators.
     Log(LogEntry),
+    /// Shows callers that this process stops. Repeated if it is removed while it stops.
+    StopStarted(StopReason),
     /// Ends the process: it has handed over all its state.
     Exit,
 }
 
+/// Why a process stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopReason {
+    /// It was asked to.
+    Signal,
+    /// Other members have removed it from the view, and what it held is written off.
+    Removal,
+}
+
+impl StopReason {
+    /// Returns the name of the reason in the log.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Signal => "signal",
+            Self::Removal => "removal",
+        }
+    }
+}
+
 /// An entry for the operators' log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LogEntry {
--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -9,7 +9,7 @@
 
 use crate::amount::Time;
 use crate::event::{
-    Command, LogEntry, Outbox, StoreCall, StoreKey, StoreResult, Versioned, is_due,
+    Command, LogEntry, Outbox, StopReason, StoreCall, StoreKey, StoreResult, Versioned, is_due,
 };
 use crate::handlers::joining;
 use crate::ids::{Epoch, Incarnation, StoreCallId, TemplateVersion};
@@ -289,7 +289,7 @@
         out.push(Command::Log(LogEntry::View(view.epoch)));
         if removed {
             out.push(Command::Log(LogEntry::Removed));
-            self.stop(now, out);
+            self.start_stop(now, StopReason::Removal, out);
         }
         self.send_heartbeats(now, out);
     }
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -6,7 +6,7 @@
 use crate::amount::{Time, Tokens};
 use crate::claims::Claims;
 use crate::evacuation::DomainChange;
-use crate::event::{Command, Event, Outbox};
+use crate::event::{Command, Event, Outbox, StopReason};
 use crate::holdings::{HoldingBalance, Holdings};
 use crate::ids::{BudgetId, Epoch, Incarnation, RunId, TemplateVersion, UpstreamId};
 use crate::ledger_writer::LedgerWriter;
@@ -442,10 +442,20 @@
             Event::SuspectServed(request) => self.record_suspect_served(now, request, out),
             Event::KnownVersions(known) => self.handle_known_versions(now, known, out),
             Event::StreamBegun { origin, copied } => self.record_stream(now, origin, copied, out),
-            Event::Stop => self.stop(now, out),
+            Event::Stop => self.start_stop(now, StopReason::Signal, out),
         }
     }
 
+    /// Starts to stop and tells the driver why. A signal changes nothing once a stop has started.
+    pub(crate) fn start_stop(&self, now: Time, reason: StopReason, out: &mut Outbox) {
+        let has_started = self.state.membership().stopping_since.is_some();
+        if has_started && reason == StopReason::Signal {
+            return;
+        }
+        out.push(Command::StopStarted(reason));
+        self.stop(now, out);
+    }
+
     fn tick(&self, now: Time, out: &mut Outbox) {
         let clock = {
             let mut members = self.state.membership();
--- a/crates/badgerfield-node/src/driver/commands.rs
+++ b/crates/badgerfield-node/src/driver/commands.rs
@@ -89,10 +89,8 @@
             }
             Command::Bill(bill) => self.log_bill(&bill),
             Command::Log(entry) => self.handle_log_entry(&entry),
-            Command::Exit => {
-                log::info!(target: NODE, "all state is handed over; the process may exit");
-                self.exit.send_replace(true);
-            }
+            Command::StopStarted(reason) => self.apply_stop(reason),
+            Command::Exit => self.apply_handover(),
         }
     }
 
--- a/crates/badgerfield-node/src/driver/mod.rs
+++ b/crates/badgerfield-node/src/driver/mod.rs
@@ -27,7 +27,7 @@
 use http_body_util::Full;
 use hyper::{Request, Uri};
 use thiserror::Error;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 
 use crate::adapter::{KeyValueStore, PlatformAdapter};
 use crate::caller_api::Outgoing;
@@ -41,13 +41,10 @@
 use crate::metrics::{GatewayCounts, Metrics};
 use crate::peers::{PeerError, PeerTransport};
 use crate::settings::Settings;
+use crate::shutdown::Shutdown;
 use crate::sync::lock;
 use crate::upstream_client::UpstreamClient;
 
-/// Share of the grace period of a stop, in percent, in which new requests are still accepted:
-/// callers cache the answer of the directory for a while.
-const ADMISSION_PERCENT: u32 = 30;
-
 /// Where an update of the list of upstreams comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum UpdateSource {
@@ -104,13 +101,11 @@
     gateway: Option<Arc<Gateway>>,
     reservations: Mutex<HashMap<ReservationId, ReservationAnswer>>,
     next_reservation: AtomicU64,
-    /// When the planned stop started; `None` before it.
-    stopping_since: watch::Sender<Option<Time>>,
+    pub(crate) shutdown: Shutdown,
     peers: Arc<PeerTransport>,
     upstream_client: UpstreamClient,
     requests: Mutex<HashMap<RequestId, OpenRequest>>,
     next_request: AtomicU64,
-    exit: watch::Sender<bool>,
 }
 
 impl Driver {
@@ -185,12 +180,11 @@
             gateway,
             reservations: Mutex::default(),
             next_reservation: AtomicU64::new(1),
-            stopping_since: watch::channel(None).0,
+            shutdown: Shutdown::new(),
             peers: Arc::new(peers),
             upstream_client,
             requests: Mutex::default(),
             next_request: AtomicU64::new(1),
-            exit: watch::channel(false).0,
             settings,
         }))
     }
@@ -246,34 +240,21 @@
 
     /// Starts a planned stop.
     pub fn stop(self: &Arc<Self>) {
-        log::info!(target: NODE, "stops: leaves the directory and finishes running requests");
-        if let Some(gateway) = &self.gateway {
-            gateway.stop();
-        }
-        self.stopping_since.send_replace(Some(self.now()));
-        self.handle_event(Event::Serving(false));
         self.handle_event(Event::Stop);
     }
 
     /// Waits until a span has passed since the planned stop started.
     pub(crate) async fn sleep_until_stopped_for(&self, span: Duration) {
-        let mut stopping_since = self.stopping_since.subscribe();
-        // The sender lives as long as the driver.
-        let started =
-            stopping_since.wait_for(Option::is_some).await.ok().and_then(|started| *started);
-        if let Some(started) = started {
-            self.clock.sleep_until(started.after(span)).await;
+        if let Some(stop) = self.shutdown.started().await {
+            self.clock.sleep_until(stop.since.after(span)).await;
         }
     }
 
-    /// Returns whether so much of the grace period of a stop has passed that a new request
-    /// might not finish before its end.
+    /// Returns whether new requests are refused because the process stops.
     pub(crate) fn is_refusing_requests(&self) -> bool {
         let grace =
             self.settings.gateway.map_or(Duration::ZERO, |gateway| gateway.shutdown_timeout);
-        let stopping_since = *self.stopping_since.borrow();
-        stopping_since
-            .is_some_and(|started| self.now().since(started) >= grace * ADMISSION_PERCENT / 100)
+        self.shutdown.is_refusing(self.now(), grace)
     }
 
     /// Returns whether this VM is cut off from upstreams, so that requests go through peers.
@@ -312,9 +293,7 @@
     /// Waits until the process may exit: the core has handed over its state and no request on a
     /// route is open.
     pub async fn wait_for_exit(&self) {
-        let mut exit = self.exit.subscribe();
-        // The sender lives as long as the driver.
-        let _ = exit.wait_for(|may_exit| *may_exit).await;
+        self.shutdown.handed_over().await;
         while self.gateway.as_ref().is_some_and(|gateway| gateway.open_count() > 0) {
             tokio::time::sleep(TICK_INTERVAL).await;
         }
--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod peers;
 mod rollouts;
 pub mod settings;
+mod shutdown;
 mod store_calls;
 mod suspects;
 pub mod sync;
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -122,6 +122,7 @@
             | Command::ApplyVersions(..)
             | Command::BlockRequests(_)
             | Command::Log(_)
+            | Command::StopStarted(_)
             | Command::AnswerReserve(..) => {}
             Command::ApplyRolloutRules(set) => self.apply_rules(index, set.rules),
             Command::ApplyEvacuations(_, changes) => self.apply_evacuations(index, &changes),
