--- a/crates/badgerfield-node/src/caller_api.rs
+++ b/crates/badgerfield-node/src/caller_api.rs
@@ -2,7 +2,6 @@
 //! directory.
 
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,17 +18,18 @@
 use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 use crate::chat::{self, AnswerBuilder, ChatBody};
 use crate::driver::{Driver, IndexedAnswer, StartError};
 use crate::http::{self, Body};
 use crate::logs::CALLERS;
+use crate::serving::{self, Connection};
+use crate::shutdown::ListensUntil;
 
 /// Timeout for receiving the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -85,48 +85,35 @@
 pub async fn serve(driver: Arc<Driver>) -> Result<(), StartError> {
     let address = driver.settings.caller_address;
     let listener = listen(address).await?;
-    tokio::spawn(async move {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                continue;
-            };
-            // Nagle's algorithm would delay the small events of a stream.
-            let _ = stream.set_nodelay(true);
-            let driver = Arc::clone(&driver);
-            tokio::spawn(async move {
-                let service =
-                    service_fn(move |request| handle_request(Arc::clone(&driver), request));
-                let served = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(HEADER_TIMEOUT)
-                    .max_buf_size(MAX_HEADER_BYTES)
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
-                if let Err(error) = served {
-                    log::debug!(target: CALLERS, "connection with a caller failed: {error}");
-                }
-            });
-        }
-    });
+    let until = ListensUntil::HandedOver;
+    let max_connections = Semaphore::MAX_PERMITS;
+    serving::spawn_listener(&driver, listener, until, max_connections, serve_connection);
     Ok(())
 }
 
+async fn serve_connection(driver: Arc<Driver>, connection: Connection) {
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new());
+    builder.header_read_timeout(HEADER_TIMEOUT);
+    builder.max_buf_size(MAX_HEADER_BYTES);
+    let respond = |request| handle_request(Arc::clone(&driver), request);
+    if let Err(error) = connection.serve(&driver, &builder, || None, respond).await {
+        log::debug!(target: CALLERS, "connection with a caller failed: {error}");
+    }
+}
+
 pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(|error| StartError::Listen(address, error))
 }
 
-async fn handle_request(
-    driver: Arc<Driver>,
-    request: Request<Incoming>,
-) -> Result<Response<Body>, Infallible> {
+async fn handle_request(driver: Arc<Driver>, request: Request<Incoming>) -> Response<Body> {
     let path = request.uri().path().to_owned();
-    let response = match (request.method(), path.as_str()) {
+    match (request.method(), path.as_str()) {
         (&Method::POST, "/v1/chat/completions") => chat_completion(driver, request).await,
         (&Method::GET, "/v1/vms") => directory_response(&driver, request.headers()),
         (_, path) if path.starts_with("/svc/") => service_call(driver, request).await,
         _ => error_response(&RequestError::Path),
-    };
-    Ok(response)
+    }
 }
 
 async fn chat_completion(driver: Arc<Driver>, request: Request<Incoming>) -> Response<Body> {
--- a/crates/badgerfield-node/src/driver/mod.rs
+++ b/crates/badgerfield-node/src/driver/mod.rs
@@ -23,7 +23,7 @@
 use badgerfield_core::refusal::Refusal;
 use badgerfield_core::view::{Member, MemberState};
 use badgerfield_core::vm_upstreams::VmList;
-use badgerfield_core::{Config, Event, Node, TICK_INTERVAL};
+use badgerfield_core::{Config, Event, Node};
 use http_body_util::Full;
 use hyper::{Request, Uri};
 use thiserror::Error;
@@ -41,7 +41,7 @@
 use crate::metrics::{GatewayCounts, Metrics};
 use crate::peers::{PeerError, PeerTransport};
 use crate::settings::Settings;
-use crate::shutdown::Shutdown;
+use crate::shutdown::{Shutdown, Use};
 use crate::sync::lock;
 use crate::upstream_client::UpstreamClient;
 
@@ -234,7 +234,12 @@
             let Some(driver) = driver.upgrade() else {
                 return;
             };
-            tokio::spawn(serve::handle_call(driver, Arc::clone(&gateway), stream));
+            let call = driver.shutdown.track(Use::Call);
+            let handled = serve::handle_call(driver, Arc::clone(&gateway), stream);
+            tokio::spawn(async move {
+                handled.await;
+                drop(call);
+            });
         });
     }
 
@@ -243,13 +248,6 @@
         self.handle_event(Event::Stop);
     }
 
-    /// Waits until a span has passed since the planned stop started.
-    pub(crate) async fn sleep_until_stopped_for(&self, span: Duration) {
-        if let Some(stop) = self.shutdown.started().await {
-            self.clock.sleep_until(stop.since.after(span)).await;
-        }
-    }
-
     /// Returns whether new requests are refused because the process stops.
     pub(crate) fn is_refusing_requests(&self) -> bool {
         let grace =
@@ -290,16 +288,6 @@
         &self.upstream_client
     }
 
-    /// Waits until the process may exit: the core has handed over its state and no request on a
-    /// route is open.
-    pub async fn wait_for_exit(&self) {
-        self.shutdown.handed_over().await;
-        while self.gateway.as_ref().is_some_and(|gateway| gateway.open_count() > 0) {
-            tokio::time::sleep(TICK_INTERVAL).await;
-        }
-        self.peers.close().await;
-    }
-
     /// Registers a request and returns its id and the receiver of its answer; `None` if the
     /// limit of open requests is reached.
     pub(crate) fn open_request(
--- a/crates/badgerfield-node/src/gateway/directory.rs
+++ b/crates/badgerfield-node/src/gateway/directory.rs
@@ -1,7 +1,6 @@
 //! The directory of VMs and the readiness endpoint.
 
 use std::collections::BTreeSet;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,23 +10,20 @@
 use badgerfield_core::view::Member;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use serde_json::json;
+use tokio::sync::Semaphore;
 
 use crate::adapter::DirectoryRequest;
 use crate::caller_api::listen;
 use crate::driver::{Driver, StartError};
-use crate::gateway::connections::configure_socket;
 use crate::gateway::state::Gateway;
 use crate::http::{self, Body};
+use crate::serving::{self, Connection};
+use crate::shutdown::ListensUntil;
 
 /// How long callers cache a response of the directory.
 const CACHE_TIME: Duration = Duration::from_secs(1);
-/// The delay after an error of accepting a connection, for example when file descriptors are
-/// exhausted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The maximum number of addresses in one response.
 const MAX_ADDRESSES: usize = 64;
 
@@ -44,30 +40,24 @@
 ) -> Result<(), StartError> {
     for address in directory.into_iter().chain([ready]) {
         let listener = listen(address).await?;
-        let (driver, gateway) = (Arc::clone(driver), Arc::clone(gateway));
-        tokio::spawn(async move {
-            loop {
-                let Ok((stream, _)) = listener.accept().await else {
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                    continue;
-                };
-                configure_socket(&stream);
-                let (driver, gateway) = (Arc::clone(&driver), Arc::clone(&gateway));
-                tokio::spawn(async move {
-                    let service = service_fn(move |request| {
-                        let response = respond(&driver, &gateway, &request);
-                        async move { Ok::<_, Infallible>(response) }
-                    });
-                    let io = TokioIo::new(stream);
-                    // A caller that disconnects needs no response.
-                    let _ = http1::Builder::new().serve_connection(io, service).await;
-                });
-            }
-        });
+        let gateway = Arc::clone(gateway);
+        let serve =
+            move |driver, connection| serve_connection(driver, Arc::clone(&gateway), connection);
+        let until = ListensUntil::HandedOver;
+        serving::spawn_listener(driver, listener, until, Semaphore::MAX_PERMITS, serve);
     }
     Ok(())
 }
 
+async fn serve_connection(driver: Arc<Driver>, gateway: Arc<Gateway>, connection: Connection) {
+    let respond = |request| {
+        let response = respond(&driver, &gateway, &request);
+        async move { response }
+    };
+    // A caller that disconnects needs no response.
+    let _ = connection.serve(&driver, &http1::Builder::new(), || None, respond).await;
+}
+
 /// Returns whether this process can serve callers.
 pub(crate) fn is_ready(gateway: &Gateway) -> bool {
     gateway.routes().version.0 > 0 && !gateway.is_stopping() && !gateway.upstreams().is_empty()
--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -29,7 +29,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::http::response;
-use hyper::{Request, Response, StatusCode, header};
+use hyper::{Request, Response, StatusCode};
 use thiserror::Error;
 
 use crate::adapter::RequestHeaders;
@@ -161,21 +161,15 @@
 ) -> Response<ResponseBody> {
     let arrived_at = driver.now();
     let open_request = gateway.track_request();
-    let is_stopping = gateway.is_stopping();
     let admitted = admit(Arc::clone(&driver), gateway, request, arrived_at, open_request).await;
-    let mut response = match admitted {
+    match admitted {
         Ok(exchange) => run(exchange).await,
         Err((id, refusal)) => {
             let id = id.as_deref().unwrap_or("-");
             record_refused(id, &refusal, 0, None, driver.now().since(arrived_at));
             refusal_response(&refusal)
         }
-    };
-    if is_stopping {
-        let close = header::HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
     }
-    response
 }
 
 /// Runs steps 5 to 7: dispatch, response and settlement.
--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -29,6 +29,7 @@
 mod peer_traffic;
 pub mod peers;
 mod rollouts;
+mod serving;
 pub mod settings;
 mod shutdown;
 mod store_calls;
--- a/crates/badgerfield-node/src/operator_api.rs
+++ b/crates/badgerfield-node/src/operator_api.rs
@@ -1,6 +1,5 @@
 //! The HTTP API for operators: health, metrics and status, on a separate address.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 
 use badgerfield_core::Status;
@@ -8,15 +7,16 @@
 use badgerfield_core::upstream_table::SentCounts;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
+use tokio::sync::Semaphore;
 
 use crate::caller_api::listen;
 use crate::driver::{Driver, StartError};
 use crate::http::{self, Body};
 use crate::rollouts::format_allowance;
+use crate::serving::{self, Connection};
+use crate::shutdown::ListensUntil;
 
 /// Listens for operators and serves them until the process exits.
 ///
@@ -25,25 +25,21 @@
 /// Fails if the address is in use.
 pub async fn serve(driver: Arc<Driver>) -> Result<(), StartError> {
     let listener = listen(driver.settings.operator_address).await?;
-    tokio::spawn(async move {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                continue;
-            };
-            let driver = Arc::clone(&driver);
-            tokio::spawn(async move {
-                let service = service_fn(move |request| {
-                    let response = respond(&driver, &request);
-                    async move { Ok::<_, Infallible>(response) }
-                });
-                // An error means that the client closed the connection; no response is needed.
-                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-            });
-        }
-    });
+    let until = ListensUntil::HandedOver;
+    let max_connections = Semaphore::MAX_PERMITS;
+    serving::spawn_listener(&driver, listener, until, max_connections, serve_connection);
     Ok(())
 }
 
+async fn serve_connection(driver: Arc<Driver>, connection: Connection) {
+    let respond = |request| {
+        let response = respond(&driver, &request);
+        async move { response }
+    };
+    // An error means that the client closed the connection; no response is needed.
+    let _ = connection.serve(&driver, &http1::Builder::new(), || None, respond).await;
+}
+
 fn respond(driver: &Driver, request: &Request<Incoming>) -> Response<Body> {
     if request.method() != Method::GET {
         return http::json_response(
--- /dev/null
+++ b/crates/badgerfield-node/src/serving.rs
@@ -0,0 +1,266 @@
+//! Accepts the connections of an interface, and serves each to its end.
+//!
+//! What is accepted while the process ends is answered, or the process waits for it: a caller that
+//! gets no answer on an accepted connection cannot tell whether its request has run.
+
+use std::convert::Infallible;
+use std::error::Error;
+use std::future::Future;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use badgerfield_core::amount::Time;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::driver::Driver;
+use crate::gateway::connections::configure_socket;
+use crate::logs::NODE;
+use crate::shutdown::{InUse, ListensUntil, Use};
+
+/// The delay after an error of accepting a connection, for example when file descriptors are
+/// exhausted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// How long an accepted connection may stay without its first request once the process has stopped
+/// to listen: the request may be on its way.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(200);
+/// How long a connection without an open request may take to end once the process has stopped to
+/// listen: its caller may read the last answer slowly, or never finish a request that it began.
+const LAST_BYTES_TIME: Duration = Duration::from_secs(10);
+
+/// The activity of one connection.
+#[derive(Debug)]
+struct Activity {
+    started: Time,
+    has_request: AtomicBool,
+    open_requests: AtomicUsize,
+    /// When the last request ended, in milliseconds after the start.
+    last_end_ms: AtomicU64,
+}
+
+impl Activity {
+    /// Returns when the connection has had no open request for so long, if no request arrives.
+    fn idle_deadline(&self, now: Time, idle: Duration) -> Time {
+        if self.open_requests.load(Ordering::Relaxed) > 0 {
+            return now.after(idle);
+        }
+        self.started
+            .after(Duration::from_millis(self.last_end_ms.load(Ordering::Relaxed)))
+            .after(idle)
+    }
+}
+
+/// A request of a connection, open until the last part of its answer was taken or its caller left.
+struct OpenRequest {
+    driver: Arc<Driver>,
+    activity: Arc<Activity>,
+}
+
+impl OpenRequest {
+    fn new(driver: &Arc<Driver>, activity: &Arc<Activity>) -> Self {
+        activity.has_request.store(true, Ordering::Relaxed);
+        activity.open_requests.fetch_add(1, Ordering::Relaxed);
+        Self { driver: Arc::clone(driver), activity: Arc::clone(activity) }
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        let span = self.driver.now().since(self.activity.started);
+        let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        self.activity.last_end_ms.store(millis, Ordering::Relaxed);
+        self.activity.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The body of an answer, with the request that it belongs to.
+struct AnswerBody<B> {
+    body: B,
+    _request: OpenRequest,
+}
+
+impl<B: Body + Unpin> Body for AnswerBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// An accepted connection. The process does not end before it is dropped.
+pub(crate) struct Connection {
+    stream: TcpStream,
+    until: ListensUntil,
+    _in_use: InUse,
+    _slot: Option<OwnedSemaphorePermit>,
+}
+
+/// Spawns a task that accepts connections until the process stops to listen.
+pub(crate) fn spawn_listener<S, F>(
+    driver: &Arc<Driver>,
+    listener: TcpListener,
+    until: ListensUntil,
+    max_connections: usize,
+    serve: S,
+) where
+    S: Fn(Arc<Driver>, Connection) -> F + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let driver = Arc::clone(driver);
+    let listening = driver.shutdown.track(Use::Listener);
+    let slots = Arc::new(Semaphore::new(max_connections));
+    tokio::spawn(async move {
+        let spawn = |stream, slot| {
+            configure_socket(&stream);
+            let in_use = driver.shutdown.track(Use::Connection);
+            let connection = Connection { stream, until, _in_use: in_use, _slot: slot };
+            tokio::spawn(serve(Arc::clone(&driver), connection));
+        };
+        loop {
+            let accepted = tokio::select! {
+                accepted = accept(&listener, &slots) => accepted,
+                () = driver.shutdown.stopped_listening(&driver.clock, until) => break,
+            };
+            match accepted {
+                Ok((stream, slot)) => spawn(stream, slot),
+                Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            }
+        }
+        for stream in close(listener) {
+            spawn(stream, None);
+        }
+        drop(listening);
+        driver.log_closed_listener(until);
+    });
+}
+
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+) -> std::io::Result<(TcpStream, Option<OwnedSemaphorePermit>)> {
+    // The semaphore is never closed.
+    let slot = Arc::clone(slots).acquire_owned().await.ok();
+    let (stream, _) = listener.accept().await?;
+    Ok((stream, slot))
+}
+
+/// Closes a listener and returns the connections that the operating system had accepted for it: it
+/// would reset them.
+fn close(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!(target: NODE, "a listener was closed with connections: {error}");
+            return streams;
+        }
+    };
+    // The listener does not block, so the first error says that no connection is left.
+    while let Ok((stream, _)) = listener.accept() {
+        let adopted = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        match adopted {
+            Ok(stream) => streams.push(stream),
+            Err(error) => log::warn!(target: NODE, "an accepted connection was lost: {error}"),
+        }
+    }
+    streams
+}
+
+impl Connection {
+    /// Serves the requests of the connection until its last byte is written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does, for example because its caller left.
+    pub(crate) async fn serve<R, F, B>(
+        self,
+        driver: &Arc<Driver>,
+        builder: &http1::Builder,
+        idle_timeout: impl Fn() -> Option<Duration>,
+        respond: R,
+    ) -> hyper::Result<()>
+    where
+        R: Fn(Request<Incoming>) -> F,
+        F: Future<Output = Response<B>>,
+        B: Body<Data = Bytes> + Unpin + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
+        let Self { stream, until, _in_use, _slot } = self;
+        let activity = Arc::new(Activity {
+            started: driver.now(),
+            has_request: AtomicBool::new(false),
+            open_requests: AtomicUsize::new(0),
+            last_end_ms: AtomicU64::new(0),
+        });
+        let service = service_fn(|request| {
+            let open_request = OpenRequest::new(driver, &activity);
+            let response = respond(request);
+            async move {
+                let mut response = response.await;
+                if open_request.driver.shutdown.stop().is_some() {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                let body = |body| AnswerBody { body, _request: open_request };
+                Ok::<_, Infallible>(response.map(body))
+            }
+        });
+        let mut served = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        let clock = &driver.clock;
+        loop {
+            let idle = idle_timeout().unwrap_or(Duration::MAX);
+            let idle_deadline = activity.idle_deadline(driver.now(), idle);
+            tokio::select! {
+                result = &mut served => return result,
+                () = driver.shutdown.stopped_listening(clock, until) => break,
+                () = clock.sleep_until(idle_deadline) => {
+                    let now = driver.now();
+                    if activity.idle_deadline(now, idle) <= now {
+                        break;
+                    }
+                }
+            }
+        }
+        if !activity.has_request.load(Ordering::Relaxed) {
+            tokio::select! {
+                result = &mut served => return result,
+                () = clock.sleep(FIRST_REQUEST_TIME) => {}
+            }
+        }
+        served.as_mut().graceful_shutdown();
+        let closing_since = driver.now();
+        loop {
+            tokio::select! {
+                result = &mut served => return result,
+                () = clock.sleep(LAST_BYTES_TIME) => {
+                    let now = driver.now();
+                    let quiet_since = activity.idle_deadline(now, Duration::ZERO);
+                    if now.since(quiet_since.max(closing_since)) >= LAST_BYTES_TIME {
+                        return Ok(());
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/badgerfield-node/src/shutdown.rs
+++ b/crates/badgerfield-node/src/shutdown.rs
@@ -1,4 +1,13 @@
-//! When and why this process stops.
+//! How this process ends, the same for every reason:
+//!
+//! 1. It is no longer ready, leaves the directory, and answers with `Connection: close`.
+//! 2. After a signal it admits requests for a while and then refuses them. After a removal it
+//!    refuses them at once, since what it held is written off.
+//! 3. It stops to listen for requests on routes once callers have had time to learn of the stop.
+//! 4. Once the core has handed over its state, the other listeners close too. The process waits
+//!    until the last byte of each accepted connection is written and each call of a peer is over.
+//! 5. It closes the connections to peers.
+//! 6. It ends, and the log is flushed.
 //!
 //! The core starts a stop and names its reason; the driver changes what callers see of it only
 //! then, so that the two cannot differ about whether the process stops.
@@ -11,12 +20,16 @@
 use badgerfield_core::event::StopReason;
 use tokio::sync::watch;
 
+use crate::clock::Clock;
 use crate::driver::Driver;
 use crate::logs::NODE;
 
 /// Share of the grace period of a stop, in percent, in which new requests are still accepted:
 /// callers cache the answer of the directory for a while.
 const ADMISSION_PERCENT: u32 = 30;
+/// How long this process listens for requests on routes after a stop starts, because callers cache
+/// responses of the directory.
+const LINGER_TIME: Duration = Duration::from_millis(3500);
 
 /// A stop of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +39,61 @@
     pub(crate) reason: StopReason,
 }
 
+/// When an interface stops to listen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ListensUntil {
+    /// Callers have had time to learn of the stop.
+    CallersKnow,
+    /// The state is handed over too.
+    HandedOver,
+}
+
+/// What the process waits for before it ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Use {
+    /// A listener may still accept connections.
+    Listener,
+    /// A connection may still carry requests or answers.
+    Connection,
+    /// A peer waits for the answer to a call.
+    Call,
+}
+
+/// How many uses of each kind there are.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct UseCounts {
+    listeners: usize,
+    connections: usize,
+    calls: usize,
+}
+
+impl UseCounts {
+    fn total(self) -> usize {
+        self.listeners + self.connections + self.calls
+    }
+
+    fn count_mut(&mut self, kind: Use) -> &mut usize {
+        match kind {
+            Use::Listener => &mut self.listeners,
+            Use::Connection => &mut self.connections,
+            Use::Call => &mut self.calls,
+        }
+    }
+}
+
+/// A use of the process, which does not end before this guard is dropped.
+#[derive(Debug)]
+pub(crate) struct InUse {
+    counts: Arc<watch::Sender<UseCounts>>,
+    kind: Use,
+}
+
+impl Drop for InUse {
+    fn drop(&mut self) {
+        self.counts.send_modify(|counts| *counts.count_mut(self.kind) -= 1);
+    }
+}
+
 /// How far the end of the process has come.
 #[derive(Debug)]
 pub(crate) struct Shutdown {
@@ -33,11 +101,19 @@
     stop: watch::Sender<Option<Stop>>,
     /// Whether the core has handed over its state.
     handed_over: watch::Sender<bool>,
+    /// Whether all listeners close.
+    closes_listeners: watch::Sender<bool>,
+    uses: Arc<watch::Sender<UseCounts>>,
 }
 
 impl Shutdown {
     pub(crate) fn new() -> Self {
-        Self { stop: watch::Sender::new(None), handed_over: watch::Sender::new(false) }
+        Self {
+            stop: watch::Sender::new(None),
+            handed_over: watch::Sender::new(false),
+            closes_listeners: watch::Sender::new(false),
+            uses: Arc::new(watch::Sender::new(UseCounts::default())),
+        }
     }
 
     /// Starts the stop, or makes a removal the reason of one that has started. Returns whether
@@ -57,8 +133,45 @@
         *self.stop.borrow()
     }
 
+    /// Counts a use of the process until the guard is dropped.
+    pub(crate) fn track(&self, kind: Use) -> InUse {
+        self.uses.send_modify(|counts| *counts.count_mut(kind) += 1);
+        InUse { counts: Arc::clone(&self.uses), kind }
+    }
+
+    /// Waits until an interface must stop to listen.
+    pub(crate) async fn stopped_listening(&self, clock: &Clock, until: ListensUntil) {
+        match until {
+            ListensUntil::CallersKnow => self.callers_know(clock).await,
+            ListensUntil::HandedOver => {
+                // The sender lives as long as the driver.
+                let _ = self.closes_listeners.subscribe().wait_for(|closes| *closes).await;
+            }
+        }
+    }
+
+    /// Waits until callers have had time to learn of the stop.
+    async fn callers_know(&self, clock: &Clock) {
+        let Some(stop) = self.started().await else {
+            return;
+        };
+        tokio::select! {
+            () = clock.sleep_until(stop.since.after(LINGER_TIME)) => {}
+            () = self.planned_handover() => {}
+        }
+    }
+
+    /// Waits until a planned stop has handed over the state, which takes longer than callers
+    /// cache the directory. After a removal the core waits for nothing.
+    async fn planned_handover(&self) {
+        self.handed_over().await;
+        if self.stop().is_some_and(|stop| stop.reason == StopReason::Removal) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Waits until the stop starts.
-    pub(crate) async fn started(&self) -> Option<Stop> {
+    async fn started(&self) -> Option<Stop> {
         let mut stop = self.stop.subscribe();
         // The sender lives as long as the driver.
         stop.wait_for(Option::is_some).await.ok().and_then(|stop| *stop)
@@ -70,7 +183,7 @@
     }
 
     /// Waits until the core has handed over its state.
-    pub(crate) async fn handed_over(&self) {
+    async fn handed_over(&self) {
         // The sender lives as long as the driver.
         let _ = self.handed_over.subscribe().wait_for(|is_over| *is_over).await;
     }
@@ -108,8 +221,48 @@
         if !self.shutdown.record_handover() {
             return;
         }
-        let stop = self.shutdown.stop();
-        let after = stop.map_or(Duration::ZERO, |stop| self.now().since(stop.since));
+        let after = self.time_since_stop();
         log::info!(target: NODE, "may exit after_ms={}: all state is handed over", after.as_millis());
     }
+
+    /// Logs that the listener of requests on routes is closed.
+    pub(crate) fn log_closed_listener(&self, until: ListensUntil) {
+        if until != ListensUntil::CallersKnow {
+            return;
+        }
+        log::info!(
+            target: NODE,
+            "listeners closed open_requests={} connections={} after_ms={}",
+            self.open_request_count(),
+            self.shutdown.uses.borrow().connections,
+            self.time_since_stop().as_millis()
+        );
+    }
+
+    /// Waits until the process may exit: its state is handed over, it accepts nothing more, and
+    /// what it accepted is done.
+    pub async fn wait_for_exit(&self) {
+        let shutdown = &self.shutdown;
+        shutdown.handed_over().await;
+        shutdown.stopped_listening(&self.clock, ListensUntil::CallersKnow).await;
+        shutdown.closes_listeners.send_replace(true);
+        // The sender lives as long as the driver.
+        let _ = shutdown.uses.subscribe().wait_for(|counts| counts.total() == 0).await;
+        self.peers().close().await;
+        log::info!(
+            target: NODE,
+            "ends reason={} after_ms={} open={}",
+            shutdown.stop().map_or("-", |stop| stop.reason.as_str()),
+            self.time_since_stop().as_millis(),
+            self.open_request_count() + shutdown.uses.borrow().total()
+        );
+    }
+
+    fn time_since_stop(&self) -> Duration {
+        self.shutdown.stop().map_or(Duration::ZERO, |stop| self.now().since(stop.since))
+    }
+
+    fn open_request_count(&self) -> usize {
+        self.gateway().map_or(0, |gateway| gateway.open_count())
+    }
 }
--- a/crates/badgerfield/src/run.rs
+++ b/crates/badgerfield/src/run.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use std::num::NonZero;
+use std::pin::pin;
 use std::sync::Arc;
 
 use anyhow::Result;
@@ -39,17 +40,16 @@
     caller_api::serve(std::sync::Arc::clone(&driver)).await?;
     listener::serve(&driver).await?;
     driver.start();
+    // One future to the end: a signal must not start over what has begun.
+    let mut exit = pin!(driver.wait_for_exit());
     loop {
         tokio::select! {
-            _ = sigterm.recv() => break,
-            _ = sigint.recv() => break,
+            _ = sigterm.recv() => driver.stop(),
+            _ = sigint.recv() => driver.stop(),
             _ = sighup.recv() => check_settings(path),
-            () = driver.wait_for_exit() => return Ok(()),
+            () = &mut exit => return Ok(()),
         }
     }
-    driver.stop();
-    driver.wait_for_exit().await;
-    Ok(())
 }
 
 /// Builds the runtime. On a single core it has one thread, since more threads would only add
