--- a/crates/badgerfield-node/tests/buffered_log.rs
+++ b/crates/badgerfield-node/tests/buffered_log.rs
@@ -1,8 +1,11 @@
 //! The log buffer: a slow or blocked reader neither delays the code that logs nor uses unbounded
 //! memory.
 
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use badgerfield_node::buffered_log::{BufferedLog, MAX_PENDING_BYTES, dropped_lines};
@@ -112,3 +115,131 @@
     buffer.flush();
     assert_eq!(text(&writes), "one\ntwo\n");
 }
+
+/// Reads from a pipe at most this many bytes at a time.
+const READ_BYTES: usize = 8192;
+
+/// Starts a reader of a pipe that rests after each read. Returns the sink of the log, and the
+/// thread that returns all text it has read once the sink is closed.
+fn slow_pipe(rest: Duration) -> (io::PipeWriter, thread::JoinHandle<String>) {
+    let (mut reader, writer) = io::pipe().expect("a pipe is created");
+    let reading = thread::spawn(move || {
+        let (mut read, mut buffer) = (Vec::new(), vec![0; READ_BYTES]);
+        while let Ok(length @ 1..) = reader.read(&mut buffer) {
+            read.extend_from_slice(&buffer[..length]);
+            thread::sleep(rest);
+        }
+        String::from_utf8_lossy(&read).into_owned()
+    });
+    (writer, reading)
+}
+
+/// The sink of a process that ends: nothing is written after its end.
+struct EndingSink {
+    pipe: Option<io::PipeWriter>,
+    ended: Arc<AtomicBool>,
+}
+
+impl Write for EndingSink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.ended.load(Ordering::Relaxed) {
+            self.pipe = None;
+        }
+        let Some(pipe) = &mut self.pipe else {
+            return Err(io::ErrorKind::BrokenPipe.into());
+        };
+        pipe.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn ended_line(n: usize, outcome: &str) -> String {
+    let filler = "x".repeat(150);
+    format!("ended id=p-{n:06} outcome={outcome} attempts=1 upstream=u-17 {filler}")
+}
+
+/// Fails if the lines of the last ended requests are lost at the end of a process because the log
+/// collector reads slowly: it reads 400 KB/s, and the buffer holds nearly all it may.
+#[test]
+fn lines_of_ended_requests_reach_a_slow_reader_before_the_end() {
+    let (pipe, reading) = slow_pipe(Duration::from_millis(20));
+    let ended = Arc::new(AtomicBool::new(false));
+    let sink = EndingSink { pipe: Some(pipe), ended: Arc::clone(&ended) };
+    let buffer = BufferedLog::start(sink).expect("the thread starts");
+    let mut lines = 0;
+    while buffer.pending_bytes() + 300 < MAX_PENDING_BYTES {
+        log(&buffer, REQUESTS, &ended_line(lines, "broken_off status=502"));
+        lines += 1;
+    }
+    let started = Instant::now();
+    buffer.flush();
+    let waited = started.elapsed();
+    ended.store(true, Ordering::Relaxed);
+    // Makes the writer notice the end.
+    log(&buffer, NODE, "after the end");
+    let text = reading.join().expect("the reader ends");
+    assert_eq!(text.matches("ended id=").count(), lines);
+    assert!(waited < Duration::from_secs(2), "{waited:?}");
+}
+
+/// Fails if a reader that reads nothing holds the end of a process.
+#[test]
+fn blocked_reader_does_not_hold_the_end() {
+    let buffer = BufferedLog::start(BlockedSink).expect("the thread starts");
+    log(&buffer, NODE, "first");
+    let started = Instant::now();
+    buffer.flush();
+    assert!(started.elapsed() < Duration::from_millis(500), "{:?}", started.elapsed());
+}
+
+/// Fails if lines of requests that all end within the last 100 ms are dropped though the reader is
+/// quick: 2,000 connections may be open at a VM.
+#[test]
+fn requests_that_end_at_once_all_have_their_lines() {
+    const OPEN_REQUESTS: usize = 2000;
+    let (sink, writes) = channel();
+    let buffer = BufferedLog::start(ChannelSink(sink)).expect("the thread starts");
+    for n in 0..OPEN_REQUESTS {
+        log(&buffer, REQUESTS, &ended_line(n, "served status=200"));
+        if n % 20 == 19 {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+    buffer.flush();
+    assert_eq!(text(&writes).matches("ended id=").count(), OPEN_REQUESTS);
+}
+
+/// A sink that cannot take the first writes.
+struct FailingSink {
+    fails: usize,
+    writes: Sender<Vec<u8>>,
+}
+
+impl Write for FailingSink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.fails > 0 {
+            self.fails -= 1;
+            return Err(io::ErrorKind::WouldBlock.into());
+        }
+        self.writes.send(bytes.to_vec()).map_err(io::Error::other)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Fails if lines that the sink does not take are missing and no line tells of it.
+#[test]
+fn lines_that_the_sink_refuses_are_counted() {
+    let (writes, read) = channel();
+    let buffer = BufferedLog::start(FailingSink { fails: 1, writes }).expect("the thread starts");
+    log(&buffer, NODE, "one");
+    log(&buffer, NODE, "two");
+    buffer.flush();
+    assert!(text(&read).contains("log lines dropped=2"));
+}
