Log: a flush waits as long as the reader reads, 1.8 s at most

The last lines of a process did not reach a log collector that reads slowly.

Cause: a flush waited 300 ms, however much was written meanwhile.

A flush goes on while each 300 ms bring a write, six times at most. A reader that reads nothing holds the end no longer than before (blocked_reader_does_not_hold_the_end).

--- a/crates/badgerfield-node/src/buffered_log.rs
+++ b/crates/badgerfield-node/src/buffered_log.rs
@@ -6,7 +6,7 @@
 
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
 use log::{Log, Metadata, Record};
@@ -24,9 +24,12 @@
 /// The maximum number of bytes in one write, except for a single longer line. A pipe accepts up to
 /// this size (`PIPE_BUF`) atomically; readers may truncate longer writes.
 const MAX_WRITE_BYTES: usize = 4096;
-/// The maximum time that a flush waits for the buffer to be written, for instance when the process
-/// exits.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
+/// The interval at which a flush checks whether the reader still reads. A reader that is stuck would
+/// only delay the next start of the process.
+const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// The maximum number of such intervals that a flush waits, for instance when the process exits:
+/// 1.8 s, since the process has to end within the grace time of its stop.
+const MAX_FLUSH_INTERVALS: usize = 6;
 
 /// The number of lines dropped by all logs of this process.
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
@@ -43,6 +46,14 @@
     dropped: u64,
     /// Whether the writer thread is writing bytes that it took from the buffer.
     is_writing: bool,
+    /// The number of completed writes to the sink.
+    writes: u64,
+}
+
+impl Pending {
+    fn is_busy(&self) -> bool {
+        self.is_writing || !self.bytes.is_empty()
+    }
 }
 
 #[derive(Debug, Default)]
@@ -101,13 +112,22 @@
         self.push(&line, is_success_line);
     }
 
-    /// Waits until the buffer is written, but at most for `FLUSH_TIMEOUT`, so that the last lines
-    /// are not lost.
+    /// Waits until the buffer is written, so that the last lines are not lost.
+    ///
+    /// Gives up after [`MAX_FLUSH_INTERVALS`], or after one in which the reader accepted nothing.
     fn flush(&self) {
-        let pending = lock(&self.shared.pending);
-        let is_busy = |w: &mut Pending| w.is_writing || !w.bytes.is_empty();
-        // The last lines are lost if the reader is too slow.
-        let _ = self.shared.writer_idle.wait_timeout_while(pending, FLUSH_TIMEOUT, is_busy);
+        let mut pending = lock(&self.shared.pending);
+        for _ in 0..MAX_FLUSH_INTERVALS {
+            let writes = pending.writes;
+            let waited =
+                self.shared
+                    .writer_idle
+                    .wait_timeout_while(pending, FLUSH_CHECK_INTERVAL, |p| p.is_busy());
+            pending = waited.unwrap_or_else(PoisonError::into_inner).0;
+            if !pending.is_busy() || pending.writes == writes {
+                return;
+            }
+        }
     }
 }
 
@@ -147,6 +167,7 @@
         for batch in split_batches(&bytes) {
             // There is nowhere to report an error of the sink.
             let _ = sink.write_all(batch);
+            lock(&shared.pending).writes += 1;
         }
         if dropped > 0 {
             let _ = writeln!(sink, "WARN  node: log lines dropped={dropped}");
