Log: a buffer that fills quickly is written at once

Lines of requests that ended together were dropped though the log collector reads quickly.

Cause: the writer woke each 100 ms only, and lines of served requests have 128 KB until then.

From 32 KB on the writer is woken; a flush wakes it as well.

--- a/crates/badgerfield-node/src/buffered_log.rs
+++ b/crates/badgerfield-node/src/buffered_log.rs
@@ -19,7 +19,10 @@
 /// The maximum number of waiting bytes up to which lines about successful requests are accepted.
 /// Lines about failures are accepted up to [`MAX_PENDING_BYTES`].
 const MAX_SUCCESS_BYTES: usize = MAX_PENDING_BYTES / 2;
-/// The interval between writes of the buffer.
+/// The number of waiting bytes at which the buffer is written at once. If many requests end
+/// together, their lines do not fit into the buffer until the next regular write.
+const URGENT_BYTES: usize = MAX_SUCCESS_BYTES / 4;
+/// The longest interval between writes of the buffer.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// The maximum number of bytes in one write, except for a single longer line. A pipe accepts up to
 /// this size (`PIPE_BUF`) atomically; readers may truncate longer writes.
@@ -46,6 +49,8 @@
     dropped: u64,
     /// Whether the writer thread is writing bytes that it took from the buffer.
     is_writing: bool,
+    /// Whether the buffer has to be written at once.
+    is_urgent: bool,
     /// The number of completed writes to the sink.
     writes: u64,
 }
@@ -59,6 +64,8 @@
 #[derive(Debug, Default)]
 struct Shared {
     pending: Mutex<Pending>,
+    /// Notified when the buffer has to be written at once.
+    is_urgent: Condvar,
     /// Notified after each write of the buffer.
     writer_idle: Condvar,
 }
@@ -98,6 +105,10 @@
         }
         pending.bytes.extend_from_slice(line.as_bytes());
         pending.bytes.push(b'\n');
+        if pending.bytes.len() >= URGENT_BYTES {
+            pending.is_urgent = true;
+            self.shared.is_urgent.notify_one();
+        }
     }
 }
 
@@ -117,6 +128,8 @@
     /// Gives up after [`MAX_FLUSH_INTERVALS`], or after one in which the reader accepted nothing.
     fn flush(&self) {
         let mut pending = lock(&self.shared.pending);
+        pending.is_urgent = true;
+        self.shared.is_urgent.notify_one();
         for _ in 0..MAX_FLUSH_INTERVALS {
             let writes = pending.writes;
             let waited =
@@ -156,14 +169,20 @@
     })
 }
 
+/// Waits until the buffer is to be written, and takes its bytes and the number of dropped lines.
+fn wait_for_lines(shared: &Shared) -> (Vec<u8>, u64) {
+    let pending = lock(&shared.pending);
+    let waited =
+        shared.is_urgent.wait_timeout_while(pending, WRITE_INTERVAL, |pending| !pending.is_urgent);
+    let mut pending = waited.unwrap_or_else(PoisonError::into_inner).0;
+    pending.is_urgent = false;
+    pending.is_writing = true;
+    (std::mem::take(&mut pending.bytes), std::mem::take(&mut pending.dropped))
+}
+
 fn run_writer(shared: &Shared, mut sink: impl Write) {
     loop {
-        std::thread::sleep(WRITE_INTERVAL);
-        let (bytes, dropped) = {
-            let mut pending = lock(&shared.pending);
-            pending.is_writing = true;
-            (std::mem::take(&mut pending.bytes), std::mem::take(&mut pending.dropped))
-        };
+        let (bytes, dropped) = wait_for_lines(shared);
         for batch in split_batches(&bytes) {
             // There is nowhere to report an error of the sink.
             let _ = sink.write_all(batch);
