Log: lines that the sink refuses are counted and told

Lines were missing and nothing told of it when a write to the log collector failed.

Cause: the writer ignored errors of the sink.

Refused lines count as dropped, and a report that fails itself is repeated with the next write.

--- a/crates/badgerfield-node/src/buffered_log.rs
+++ b/crates/badgerfield-node/src/buffered_log.rs
@@ -183,16 +183,34 @@
 fn run_writer(shared: &Shared, mut sink: impl Write) {
     loop {
         let (bytes, dropped) = wait_for_lines(shared);
+        let mut refused = 0;
         for batch in split_batches(&bytes) {
-            // There is nowhere to report an error of the sink.
-            let _ = sink.write_all(batch);
+            if sink.write_all(batch).is_err() {
+                refused += count_lines(batch);
+            }
             lock(&shared.pending).writes += 1;
         }
-        if dropped > 0 {
-            let _ = writeln!(sink, "WARN  node: log lines dropped={dropped}");
-        }
-        let _ = sink.flush();
-        lock(&shared.pending).is_writing = false;
-        shared.writer_idle.notify_all();
+        DROPPED_LINES.fetch_add(refused, Ordering::Relaxed);
+        let dropped = dropped + refused;
+        let report = if dropped > 0 {
+            writeln!(sink, "WARN  node: log lines dropped={dropped}")
+        } else {
+            Ok(())
+        };
+        // A report that fails is repeated after the next write.
+        let is_reported = report.and_then(|()| sink.flush()).is_ok();
+        finish_write(shared, if is_reported { 0 } else { dropped });
     }
 }
+
+/// Records that the writer has written what it took, and the dropped lines that are not reported.
+fn finish_write(shared: &Shared, unreported: u64) {
+    let mut pending = lock(&shared.pending);
+    pending.is_writing = false;
+    pending.dropped += unreported;
+    shared.writer_idle.notify_all();
+}
+
+fn count_lines(batch: &[u8]) -> u64 {
+    u64::try_from(batch.iter().filter(|byte| **byte == b'\n').count()).unwrap_or(u64::MAX)
+}
