Log: a process tells its memory and the size of its view

Processes were ended by the platform for their memory (LOST), and no line of theirs told of it.

Cause: nothing read the memory of the process, and the size of the view and how long none had been complete stood nowhere.

Each second the process reads /proc/self/status and the view; each 10 s it writes one line (memory ..), and once each time that it passes 80 in 100 of [vm] memory a warning. Read each second, since a process that grew by 10 MB a second went from 80 in 100 of 160 MB to the end in 3.2 s (reckoned). A file that cannot be read is reported once.

--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -110,6 +110,7 @@
 pub mod upstream_table;
 pub mod version_record;
 pub mod view;
+pub mod view_status;
 pub mod view_update;
 pub mod vm_load;
 pub mod vm_upstreams;
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -1,6 +1,7 @@
 //! A process of the system: handles events and returns commands.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::amount::{Time, Tokens};
@@ -21,6 +22,7 @@
 use crate::template::TemplateSet;
 use crate::template_arrival::TemplateSource;
 use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member, MemberState, View};
+use crate::view_status::ViewStatus;
 use crate::vm_upstreams::UpstreamKind;
 use crate::warm_up::Senders;
 
@@ -180,6 +182,14 @@
         View::clone(&self.state.membership().view)
     }
 
+    /// Returns the size of the view in force.
+    #[must_use]
+    pub fn view_status(&self) -> ViewStatus {
+        let view = Arc::clone(&self.state.membership().view);
+        let complete_epoch = self.state.claims().complete_epoch();
+        ViewStatus::new(&view, complete_epoch)
+    }
+
     /// Returns the address at which another process receives messages.
     #[must_use]
     pub fn peer_address(&self, id: Incarnation) -> Option<SocketAddr> {
--- a/crates/badgerfield-node/src/buffered_log.rs
+++ b/crates/badgerfield-node/src/buffered_log.rs
@@ -212,5 +212,5 @@
 }
 
 fn count_lines(batch: &[u8]) -> u64 {
-    u64::try_from(batch.iter().filter(|byte| **byte == b'\n').count()).unwrap_or(u64::MAX)
+    u64::try_from(batch.split_inclusive(|byte| *byte == b'\n').count()).unwrap_or(u64::MAX)
 }
--- a/crates/badgerfield-node/src/driver/ticks.rs
+++ b/crates/badgerfield-node/src/driver/ticks.rs
@@ -9,6 +9,7 @@
 use super::Driver;
 use crate::clock::Stall;
 use crate::logs::NODE;
+use crate::memory::{self, MemoryWatch};
 use crate::rollouts::REPORT_INTERVAL;
 use crate::{store_calls, versions};
 
@@ -22,6 +23,8 @@
         let mut reported_at = self.now();
         let mut versions_reported_at = Time::default();
         let mut ticked_at = self.now();
+        let mut memory_read_at = self.now();
+        let mut memory = MemoryWatch::new(self.settings.memory_limit);
         let mut count: u32 = 0;
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -42,10 +45,15 @@
             let now = self.now();
             self.report_load(now, now.since(ticked_at));
             ticked_at = now;
+            if now.since(memory_read_at) >= memory::READ_INTERVAL {
+                memory_read_at = now;
+                self.read_memory(now, &mut memory);
+            }
             if now.since(logged_at) >= store_calls::LOG_INTERVAL {
                 logged_at = now;
                 self.metrics.store_calls.log();
                 self.metrics.peer_traffic.log();
+                self.metrics.memory.log();
             }
             if now.since(reported_at) >= REPORT_INTERVAL {
                 reported_at = now;
@@ -59,6 +67,26 @@
         }
     }
 
+    /// Reads how much memory the process uses and how large its view is.
+    fn read_memory(&self, now: Time, watch: &mut MemoryWatch) {
+        let view = self.node.view_status();
+        let incomplete = watch.record_view(now, &view);
+        self.metrics.memory.set_view(&view, incomplete);
+        match memory::read_usage() {
+            Ok(usage) => {
+                self.metrics.memory.set_usage(usage, watch.limit());
+                if watch.record_usage(usage) {
+                    self.metrics.memory.warn();
+                }
+            }
+            Err(error) => {
+                if watch.record_error() {
+                    log::warn!(target: NODE, "memory unreadable: {error}");
+                }
+            }
+        }
+    }
+
     /// Notes how late a tick is, and whether this VM has more work than it can do.
     fn report_load(self: &Arc<Self>, now: Time, since_last: Duration) {
         let Some(gateway) = &self.gateway else {
--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod http;
 pub mod ini_file;
 pub mod logs;
+pub mod memory;
 pub mod metrics;
 pub mod operator_api;
 mod peer_traffic;
--- a/crates/badgerfield-node/src/metrics.rs
+++ b/crates/badgerfield-node/src/metrics.rs
@@ -20,6 +20,7 @@
 
 use crate::buffered_log;
 use crate::gateway::stream_origin::LearnedFrom;
+use crate::memory::MemoryMetrics;
 use crate::peer_traffic::PeerTraffic;
 use crate::store_calls::StoreCalls;
 
@@ -226,6 +227,7 @@
     pub(crate) requests: Counter,
     pub(crate) peer_traffic: PeerTraffic,
     pub(crate) store_calls: StoreCalls,
+    pub(crate) memory: MemoryMetrics,
     pub(crate) bad_templates: Counter,
     /// The time from the first word of newer templates until they are in force.
     pub(crate) template_delay: Histogram,
@@ -266,6 +268,7 @@
             requests: Counter::default(),
             peer_traffic: PeerTraffic::default(),
             store_calls: StoreCalls::default(),
+            memory: MemoryMetrics::default(),
             bad_templates: Counter::default(),
             template_delay: Histogram::new(exponential_buckets(0.005, 2.0, 13)),
             evacuations: Counter::default(),
@@ -300,6 +303,7 @@
         r.register("requests", "Requests taken in", self.requests.clone());
         self.peer_traffic.register(r);
         self.store_calls.register(r);
+        self.memory.register(r);
         self.rollouts.register(r);
         r.register(
             "kv_results",
--- a/crates/badgerfield-node/src/settings.rs
+++ b/crates/badgerfield-node/src/settings.rs
@@ -18,6 +18,7 @@
 use log::LevelFilter;
 
 use crate::ini_file::{IniError, IniFile};
+use crate::memory::Kilobytes;
 use crate::peers::FleetSecret;
 
 /// The maximum price of bytes sent to another domain or region, in milliseconds per 1,000 bytes.
@@ -40,6 +41,8 @@
     pub domain: Domain,
     /// The bandwidth of the VM's link in Mbit/s; 0 if it is unknown.
     pub link_mbps: u32,
+    /// The memory that the process may use; `None` if the platform sets no limit.
+    pub memory_limit: Option<Kilobytes>,
     /// The region of each failure domain, including that of this VM.
     pub regions: RegionMap,
     /// The costs of sending a request to another failure domain or region.
@@ -186,6 +189,7 @@
         let region = file.required_value("vm", "region");
         let domain = file.required_value("vm", "domain");
         let link_mbps = read_link(&mut file);
+        let memory_limit = read_memory_limit(&mut file);
         let regions = read_regions(&mut file, domain.as_ref(), region.as_ref());
         let locality = read_locality(&mut file);
         let callers = file.required_value("listen", "callers");
@@ -210,6 +214,7 @@
                 region: region?,
                 domain: domain?,
                 link_mbps,
+                memory_limit,
                 regions,
                 locality,
                 caller_address: callers?,
@@ -247,6 +252,21 @@
     })
 }
 
+/// Reads the memory limit, which the platform states in MB; fractions are dropped.
+///
+/// An empty value counts as absent: a settings file made from a template leaves it empty where the
+/// platform sets no limit.
+fn read_memory_limit(file: &mut IniFile) -> Option<Kilobytes> {
+    let text = file.optional_text("vm", "memory").filter(|text| !text.is_empty())?;
+    let (whole, _) = text.split_once('.').unwrap_or((&text, ""));
+    let megabytes: Option<u64> = whole.parse().ok().filter(|megabytes| *megabytes > 0);
+    if megabytes.is_none() {
+        let message = format!("expected a size in MB, found {text:?}");
+        file.record_fault("vm", Some("memory"), message);
+    }
+    megabytes.map(Kilobytes::from_megabytes)
+}
+
 impl PlatformSettings {
     fn from_ini(file: &mut IniFile) -> Option<Self> {
         let store_uri = read_http_uri(file, "kv");
--- a/crates/badgerfield-node/tests/settings.rs
+++ b/crates/badgerfield-node/tests/settings.rs
@@ -8,6 +8,7 @@
 use badgerfield_core::rollout::RolloutBound;
 use badgerfield_core::warm_up::WarmUpBound;
 use badgerfield_node::ini_file::{IniError, IniFile};
+use badgerfield_node::memory::Kilobytes;
 use badgerfield_node::settings::Settings;
 use badgerfield_node::templates;
 
@@ -232,6 +233,22 @@
     }
 }
 
+/// Guards against a process that does not warn before the platform ends it for its memory, since its
+/// limit was not read.
+#[test]
+fn the_memory_limit_is_read() {
+    let with_memory =
+        |memory: &str| VALID.replace("domain = d1", &format!("domain = d1\nmemory = {memory}"));
+    let limit = |text: &str| read(text).expect("the settings are valid").memory_limit;
+    assert_eq!(limit(VALID), None);
+    assert_eq!(limit(&with_memory("")), None);
+    assert_eq!(limit(&with_memory("160.0")), Some(Kilobytes(156_250)));
+    for invalid in ["much", "0", "-1"] {
+        let found = faults(read(&with_memory(invalid)));
+        assert!(found.iter().any(|fault| fault.contains("size in MB")), "{invalid}: {found:?}");
+    }
+}
+
 /// Guards against a VM of unknown capacity that does the work of large ones, and against a bandwidth
 /// that is read wrongly without a fault.
 #[test]
--- a/crates/badgerfield/src/args.rs
+++ b/crates/badgerfield/src/args.rs
@@ -19,6 +19,7 @@
   [vm]        name*, region*, domain*
               link                              bandwidth of its link in Mbit/s; VMs with wide
                                                 links do work for others first
+              memory                            MB that the process may use; it warns near them
   [listen]    callers*, peers*, operators*      addresses such as 10.0.0.1:8080;
               advertise                         the address that peers use, if different
   [gateway]   requests*, ready*, directory      addresses for requests on routes; the
