Membership: what is known of members that left is dropped with each view

A process keeps entries of members that have left for as long as it lives.

Cause: contacts, and when evacuations and rollouts were compared, were dropped at the removal only, and a message that came later made new entries; when crashes were compared was never dropped. The test process_forgets_members_that_have_left: 5600 of 5600 former members were known (2048, the changes that the view's log keeps, may be); green now.

Each newer view drops the entries of processes that are neither members nor among the 64 outside the view whose address is kept, as joining ones are.

--- a/crates/badgerfield-core/src/membership/mod.rs
+++ b/crates/badgerfield-core/src/membership/mod.rs
@@ -325,10 +325,25 @@
             self.views_pushed.remove(id);
             self.evacuations_compared.remove(id);
             self.rollouts_compared.remove(id);
+            self.crashes_compared.remove(id);
         }
+        self.forget_former_members();
         Some(gone)
     }
 
+    /// Drops what is known of processes that have left the view long ago.
+    ///
+    /// Messages of a removed member may arrive after its removal, so dropping its entries only then
+    /// would leave some forever. Processes whose address is kept may be joining.
+    fn forget_former_members(&mut self) {
+        let (view, non_members) = (&self.view, &self.non_members);
+        let is_known = |id: &Incarnation| view.has_member(*id) || non_members.contains_key(id);
+        self.contacts.retain(|id, _| is_known(id));
+        self.evacuations_compared.retain(|id, _| is_known(id));
+        self.rollouts_compared.retain(|id, _| is_known(id));
+        self.crashes_compared.retain(|id, _| is_known(id));
+    }
+
     /// Records a message from another process, and the contents of a heartbeat.
     pub(crate) fn record_contact(
         &mut self,
