Soak: series of planned stops, kept connections, and no answer is cut (LOST)

Callers lost requests while many VMs stopped in a series. The soak could not see that: it stopped one VM now and then, each request had a connection of its own, and no rule said that an answer must not be cut.

--- a/crates/badgerfield/tests/soak.rs
+++ b/crates/badgerfield/tests/soak.rs
@@ -4,7 +4,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-use badgerfield_platform_standin::soak::schedule::{self, Fault, SiteSize, TimedFault, Version};
+use badgerfield_platform_standin::soak::schedule::{
+    self, Fault, SiteSize, StoreFault, TimedFault, Version,
+};
 use badgerfield_platform_standin::soak::{self, Plan};
 
 /// Runs the soak test with the faults of one seed. Every rule must hold.
@@ -24,6 +26,23 @@
     run_faults(seed, faults, size, span).await;
 }
 
+/// Runs two series of planned stops that overlap, and a slow store. Every rule must hold.
+async fn run_stop_series(seed: u64) {
+    let at = schedule::FAULT_FREE_START;
+    let series = |vms: usize, gap_ms: u64, count: usize| {
+        let gap = Duration::from_millis(gap_ms);
+        Fault::StopSeries { vms, gap, count }
+    };
+    let slow = Fault::Store(StoreFault::Slow(250), Duration::from_secs(3));
+    let faults = vec![
+        TimedFault { at, fault: series(2, 600, 10) },
+        TimedFault { at: at + Duration::from_secs(2), fault: series(1, 250, 16) },
+        TimedFault { at: at + Duration::from_secs(3), fault: slow },
+    ];
+    let size = SiteSize { vms: 4, upstreams: 5, domains: 3 };
+    run_faults(seed, faults, size, Duration::from_secs(14)).await;
+}
+
 /// Runs the soak test with a schedule of faults. Every rule must hold.
 async fn run_faults(seed: u64, faults: Vec<TimedFault>, size: SiteSize, length: Duration) {
     let program = Path::new(env!("CARGO_BIN_EXE_badgerfield"));
@@ -68,3 +87,10 @@
 async fn a_slow_version_of_plain_upstreams_is_rolled_back_in_time() {
     run_rollout(103, Version::Slow, false).await;
 }
+
+/// Fails if a process that is asked to stop cuts a request on a kept or a new connection, or does
+/// not end in time, while series of stops overlap.
+#[tokio::test(flavor = "multi_thread")]
+async fn overlapping_series_of_stops_break_no_rule() {
+    run_stop_series(104).await;
+}
