--- a/crates/badgerfield-standin/src/fleet/config.rs
+++ b/crates/badgerfield-standin/src/fleet/config.rs
@@ -35,6 +35,9 @@
     pub noise_permille: u64,
     /// Whether tokens held ahead of demand are sealed, instead of parked at a peer.
     pub seals: bool,
+    /// Whether incarnations are in no order, as those of real processes. Otherwise each is larger
+    /// than those of all processes before it.
+    pub unordered_incarnations: bool,
     /// The seed of all random numbers.
     pub seed: u64,
 }
@@ -51,6 +54,7 @@
             engines: 4,
             noise_permille: 5,
             seals: false,
+            unordered_incarnations: false,
             seed: 1,
         }
     }
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -328,6 +328,14 @@
         self.publish_vm_list();
     }
 
+    /// Adds a VM to the list of VMs again.
+    pub fn add_vm_to_list(&mut self, index: usize) {
+        let vm = self.vms[index].member.vm.clone();
+        self.list.vms.retain(|entry| entry.vm != vm);
+        self.list.vms.push(VmEntry { vm, leaving: false, upstream: None });
+        self.publish_vm_list();
+    }
+
     /// Marks an upstream as leaving in the list of VMs, which reaches the processes after a delay.
     pub fn mark_upstream_leaving(&mut self, index: usize) {
         for vm in &mut self.list.vms {
--- a/crates/badgerfield-standin/src/fleet/processes.rs
+++ b/crates/badgerfield-standin/src/fleet/processes.rs
@@ -9,11 +9,13 @@
 
 use super::{CLOCK_START_MS, End, Fleet, ScheduledAction};
 
+/// Factor that is odd, so that different numbers stay different when multiplied by it.
+const INCARNATION_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
 impl Fleet {
     /// Starts the process of a VM as a new incarnation.
     pub fn start(&mut self, index: usize) {
-        let incarnation = Incarnation(self.next_incarnation * 7919 + self.config.seed);
-        self.next_incarnation += 1;
+        let incarnation = self.new_incarnation();
         let seed = self.rng.random();
         let pacing = self.pacing();
         let vm = &mut self.vms[index];
@@ -44,6 +46,15 @@
         self.schedule(self.now.after(phase), ScheduledAction::Tick(incarnation));
     }
 
+    fn new_incarnation(&mut self) -> Incarnation {
+        let id = self.next_incarnation * 7919 + self.config.seed;
+        self.next_incarnation += 1;
+        if self.config.unordered_incarnations {
+            return Incarnation(id.wrapping_mul(INCARNATION_FACTOR));
+        }
+        Incarnation(id)
+    }
+
     pub(super) fn pacing(&self) -> Pacing {
         if !self.config.seals {
             return Pacing::default();
@@ -76,6 +87,13 @@
         self.clock_offsets_ms.insert(index, millis);
     }
 
+    /// Returns the incarnation of the process of a VM, if it runs.
+    #[must_use]
+    pub fn incarnation(&self, index: usize) -> Option<Incarnation> {
+        let vm = self.vms.get(index)?;
+        vm.node.as_ref().map(|_| vm.member.incarnation)
+    }
+
     /// Returns how many processes were killed.
     #[must_use]
     pub fn kill_count(&self) -> u64 {
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -105,7 +105,7 @@
                 let arrives_at = self
                     .send_between_regions(direction, link::call_bytes(&call), None)
                     .unwrap_or(sent);
-                let at = arrives_at.after(self.store.delay());
+                let at = arrives_at.after(self.store.call_delay(index));
                 self.schedule(at, ScheduledAction::StoreCall(from, call_id, call, sent));
             }
             Command::Dispatch(attempt, dispatch) => self.dispatch(from, attempt, dispatch),
--- a/crates/badgerfield-standin/src/fleet/store.rs
+++ b/crates/badgerfield-standin/src/fleet/store.rs
@@ -30,6 +30,11 @@
     pub stale: bool,
     /// Additional delay of each call.
     pub slow: Duration,
+    /// Additional delay of announcements of joining processes on their way to hosts.
+    pub announcement_delay: Duration,
+    /// Additional delay of each call that a VM's process makes, by VM. The call is executed even if
+    /// the process has ended meanwhile.
+    pub late_vms: BTreeMap<usize, Duration>,
     /// Regions that cannot reach the store.
     pub partitioned_regions: BTreeSet<usize>,
     /// VMs that cannot reach the store.
@@ -144,6 +149,11 @@
         found.map(|(_, value)| value.clone()).collect()
     }
 
+    /// Returns how long a call of a VM's process takes until it is executed.
+    pub(super) fn call_delay(&self, vm: usize) -> Duration {
+        self.delay() + self.late_vms.get(&vm).copied().unwrap_or_default()
+    }
+
     /// Executes a call. Returns its result and whether the reply is lost.
     fn execute_call(&mut self, call: &StoreCall) -> (StoreResult, bool) {
         match call {
@@ -250,7 +260,7 @@
             return;
         }
         let incarnation = self.vms[vm].member.incarnation;
-        let at = self.now.after(self.store.delay());
+        let at = self.now.after(self.store.delay() + self.store.announcement_delay);
         self.schedule(at, ScheduledAction::Deliver(incarnation, Event::Joiners(found)));
     }
 
