--- a/crates/badgerfield-core/src/joining.rs
+++ b/crates/badgerfield-core/src/joining.rs
@@ -16,7 +16,7 @@
 use crate::amount::Time;
 use crate::bootstrap;
 use crate::event::{Versioned, is_due};
-use crate::ids::{Incarnation, rendezvous_weight};
+use crate::ids::{Incarnation, VmId, rendezvous_weight};
 use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member, View};
 
 /// Number of members that watch announcements, of all members and of those that joined last.
@@ -71,8 +71,8 @@
     known_revision: u64,
     /// When this process last tried to announce itself.
     announced_at: Option<Time>,
-    /// The processes that this process adds to the view if it is a host.
-    joiners: BTreeMap<Incarnation, Joiner>,
+    /// The processes that this process adds to the view if it is a host: the newest one of each VM.
+    joiners: BTreeMap<VmId, Joiner>,
     /// When the first and the last of these announcements arrived.
     gathered: Option<(Time, Time)>,
 }
@@ -147,11 +147,14 @@
             if item.revision <= view.joined_revision || view.has_member(member.incarnation) {
                 continue;
             }
-            let (id, revision) = (member.incarnation, item.revision);
-            if self.joiners.insert(id, Joiner { member, revision }).is_none() {
-                let first = self.gathered.map_or(now, |(first, _)| first);
-                self.gathered = Some((first, now));
+            // Of two processes of one VM, the one with the older announcement has ended.
+            let known = self.joiners.get(&member.vm).map_or(0, |joiner| joiner.revision);
+            if item.revision <= known {
+                continue;
             }
+            self.joiners.insert(member.vm.clone(), Joiner { member, revision: item.revision });
+            let first = self.gathered.map_or(now, |(first, _)| first);
+            self.gathered = Some((first, now));
         }
     }
 
@@ -163,8 +166,9 @@
         view: &View,
         host_rank: usize,
     ) -> Option<(Vec<Member>, u64)> {
-        self.joiners
-            .retain(|id, joiner| joiner.revision > view.joined_revision && !view.has_member(*id));
+        self.joiners.retain(|_, joiner| {
+            joiner.revision > view.joined_revision && !view.has_member(joiner.member.incarnation)
+        });
         if self.joiners.is_empty() {
             self.gathered = None;
             return None;
