--- a/crates/badgerfield-core/src/handlers/joining.rs
+++ b/crates/badgerfield-core/src/handlers/joining.rs
@@ -7,7 +7,6 @@
 
 use crate::amount::Time;
 use crate::event::{Command, Outbox, StoreCall, StoreKey, StoreResult, Versioned};
-use crate::joining;
 use crate::membership::Membership;
 use crate::node::Node;
 use crate::pending_calls::Purpose;
@@ -69,7 +68,9 @@
     /// Handles the result of the announcement of this process.
     pub(super) fn handle_announced(&self, now: Time, result: &StoreResult, out: &mut Outbox) {
         match result {
-            StoreResult::Written(_) => self.state.membership().joining.record_announced(),
+            StoreResult::Written(revision) => {
+                self.state.membership().joining.record_announced(*revision);
+            }
             StoreResult::Conflict(found) => {
                 let mut members = self.state.membership();
                 let me = members.me.clone();
@@ -106,7 +107,8 @@
     if members.store_calls.is_pending(&key) {
         return;
     }
-    let value = Bytes::from(joining::encode(&members.me));
+    let me = members.me.clone();
+    let value = Bytes::from(members.joining.announcement(&me));
     let ticket = members.store_calls.begin(Purpose::Announce);
     out.push(Command::CallStore(
         ticket,
--- a/crates/badgerfield-core/src/joining.rs
+++ b/crates/badgerfield-core/src/joining.rs
@@ -9,10 +9,17 @@
 //! The view contains the revision of the newest announcement that it takes into account
 //! ([`View::joined_revision`]), so that an announcement adds its process at most once, and a
 //! process that was removed does not come back.
+//!
+//! A host may read an announcement late, or it may be written late, when its process has ended and a
+//! newer one of its VM is a member. An announcement therefore names the earlier processes of its VM,
+//! and replaces a member only if it names it. A process that finds another one of its VM in the view
+//! names that one too and announces itself again.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::amount::Time;
 use crate::bootstrap;
 use crate::event::{Versioned, is_due};
@@ -39,6 +46,9 @@
 const RETRY_SPREAD_MS: u64 = 2000;
 /// Interval between two attempts to announce this process.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
+/// Maximum number of earlier processes that an announcement names: hosts read all announcements. If
+/// one more is a member, the process notices that and names it.
+const MAX_EARLIER: usize = 8;
 
 /// The next step of a process that is joining.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,13 +61,34 @@
     Wait,
 }
 
+/// The announcement of a process, as it is stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Announcement {
+    #[serde(flatten)]
+    member: Member,
+    /// The earlier processes of the VM that are known to this one, the newest last. Processes of the
+    /// version before do not write this field, and ignore it.
+    #[serde(default)]
+    earlier: Option<Vec<Incarnation>>,
+}
+
 /// A process that has announced itself.
 #[derive(Debug, Clone)]
 struct Joiner {
-    member: Member,
+    announcement: Announcement,
     revision: u64,
 }
 
+impl Joiner {
+    /// Returns whether this process may become the member of its VM instead of the present one.
+    fn may_replace(&self, present: Incarnation) -> bool {
+        if present == self.announcement.member.incarnation {
+            return false;
+        }
+        self.announcement.earlier.as_ref().is_none_or(|earlier| earlier.contains(&present))
+    }
+}
+
 /// This process's own attempts to join, and the announcements of other processes.
 #[derive(Debug, Default)]
 pub(crate) struct Joining {
@@ -66,8 +97,14 @@
     lost_writes: u32,
     /// The time before which this process does not write itself into the view again.
     retry_at: Time,
-    announced: bool,
-    /// The revision of the announcement that an earlier process of this VM has left.
+    /// The earlier processes of this VM that are known, the newest last.
+    earlier: Vec<Incarnation>,
+    /// Those that the announcement names which was written last, maybe without success.
+    sent_earlier: Vec<Incarnation>,
+    /// Those that the announcement in the store names, if it is one of this process.
+    announced_earlier: Option<Vec<Incarnation>>,
+    /// The revision of the announcement in the store that this process or an earlier one of this VM
+    /// has written.
     known_revision: u64,
     /// When this process last tried to announce itself.
     announced_at: Option<Time>,
@@ -102,7 +139,10 @@
         if now >= self.write_at(view, me) {
             return JoinStep::Write;
         }
-        if self.announced || !is_due(now, self.announced_at, ANNOUNCE_INTERVAL) {
+        let of_vm = view.members.iter().filter(|m| m.vm == me.vm);
+        self.record_earlier(of_vm.map(|m| m.incarnation), me);
+        let is_announced = self.announced_earlier.as_ref() == Some(&self.earlier);
+        if is_announced || !is_due(now, self.announced_at, ANNOUNCE_INTERVAL) {
             return JoinStep::Wait;
         }
         self.announced_at = Some(now);
@@ -123,27 +163,59 @@
         Time::default().after(TURN_DURATION * bootstrap::turn_of(view, me))
     }
 
-    /// Records that this process is announced in the store.
-    pub(crate) fn record_announced(&mut self) {
-        self.announced = true;
+    /// Records processes of this VM. They have ended, since this one holds the VM's listener.
+    fn record_earlier(&mut self, ids: impl Iterator<Item = Incarnation>, me: &Member) {
+        for id in ids {
+            if id == me.incarnation || self.earlier.contains(&id) {
+                continue;
+            }
+            self.earlier.push(id);
+        }
+        let excess = self.earlier.len().saturating_sub(MAX_EARLIER);
+        self.earlier.drain(..excess);
+    }
+
+    /// Returns the announcement of this process, encoded, and records that it is being written.
+    pub(crate) fn announcement(&mut self, me: &Member) -> Vec<u8> {
+        self.sent_earlier.clone_from(&self.earlier);
+        let announcement =
+            Announcement { member: me.clone(), earlier: Some(self.sent_earlier.clone()) };
+        // Serialization to JSON cannot fail for this type.
+        serde_json::to_vec(&announcement).unwrap_or_default()
+    }
+
+    /// Records that the announcement of this process was stored with a revision.
+    pub(crate) fn record_announced(&mut self, revision: u64) {
+        self.announced_earlier = Some(self.sent_earlier.clone());
+        self.known_revision = revision;
     }
 
     /// Records the announcement that is in the store instead of the one that was written.
     pub(crate) fn record_other_announcement(&mut self, found: &Versioned, me: &Member) {
-        if decode(found).as_ref() == Some(me) {
-            self.announced = true;
-            return;
-        }
         self.known_revision = found.revision;
         self.announced_at = None;
+        let Some(announcement) = decode(found) else {
+            return;
+        };
+        let earlier = announcement.earlier.unwrap_or_default();
+        if announcement.member == *me {
+            // A write whose answer was lost has succeeded.
+            self.announced_earlier = Some(earlier);
+            return;
+        }
+        // The processes that are known already are members, and may be newer than these.
+        let known = std::mem::take(&mut self.earlier);
+        let ids = earlier.into_iter().chain([announcement.member.incarnation]).chain(known);
+        self.record_earlier(ids, me);
     }
 
     /// Records announcements that were read from the store.
     pub(crate) fn add_joiners(&mut self, now: Time, view: &View, found: &[Versioned]) {
         for item in found {
-            let Some(member) = decode(item) else {
+            let Some(announcement) = decode(item) else {
                 continue;
             };
+            let member = &announcement.member;
             if item.revision <= view.joined_revision || view.has_member(member.incarnation) {
                 continue;
             }
@@ -152,7 +224,8 @@
             if item.revision <= known {
                 continue;
             }
-            self.joiners.insert(member.vm.clone(), Joiner { member, revision: item.revision });
+            let vm = member.vm.clone();
+            self.joiners.insert(vm, Joiner { announcement, revision: item.revision });
             let first = self.gathered.map_or(now, |(first, _)| first);
             self.gathered = Some((first, now));
         }
@@ -166,9 +239,7 @@
         view: &View,
         host_rank: usize,
     ) -> Option<(Vec<Member>, u64)> {
-        self.joiners.retain(|_, joiner| {
-            joiner.revision > view.joined_revision && !view.has_member(joiner.member.incarnation)
-        });
+        self.retain_joiners(view);
         if self.joiners.is_empty() {
             self.gathered = None;
             return None;
@@ -180,7 +251,21 @@
             return None;
         }
         let revision = self.joiners.values().map(|joiner| joiner.revision).max()?;
-        Some((self.joiners.values().map(|joiner| joiner.member.clone()).collect(), revision))
+        let members = self.joiners.values().map(|joiner| joiner.announcement.member.clone());
+        Some((members.collect(), revision))
+    }
+
+    /// Forgets the announced processes that are members, were members before, or have ended before
+    /// the member of their VM started.
+    fn retain_joiners(&mut self, view: &View) {
+        if self.joiners.is_empty() {
+            return;
+        }
+        let present: BTreeMap<_, _> = view.members.iter().map(|m| (&m.vm, m.incarnation)).collect();
+        self.joiners.retain(|vm, joiner| {
+            joiner.revision > view.joined_revision
+                && present.get(vm).is_none_or(|id| joiner.may_replace(*id))
+        });
     }
 
     /// Returns the rank of this process as a host; `None` if it is none.
@@ -199,13 +284,7 @@
     }
 }
 
-/// Encodes the announcement of a process.
-pub(crate) fn encode(member: &Member) -> Vec<u8> {
-    // Serialization to JSON cannot fail for this type.
-    serde_json::to_vec(member).unwrap_or_default()
-}
-
 /// Decodes the announcement of a process; `None` if it is not one.
-fn decode(found: &Versioned) -> Option<Member> {
+fn decode(found: &Versioned) -> Option<Announcement> {
     serde_json::from_slice(found.value.as_ref()?).ok()
 }
--- a/crates/badgerfield-core/tests/announcements.rs
+++ b/crates/badgerfield-core/tests/announcements.rs
@@ -245,7 +245,7 @@
     process.advance(JOIN_TIME);
     let announced = process.announced().expect("the process announces itself");
     assert_eq!(announced["incarnation"], json!(ME));
-    assert_eq!(announced["earlier"], json!([9, 2, 3]), "{announced}");
+    assert_eq!(announced["earlier"], json!([2, 9, 3]), "{announced}");
 }
 
 /// Guards against a live process that waits for a host in vain: an earlier process of its VM was
