--- a/crates/badgerfield-standin/tests/full_link.rs
+++ b/crates/badgerfield-standin/tests/full_link.rs
@@ -41,6 +41,7 @@
         engines: 12,
         seals: true,
         noise_permille: 0,
+        unordered_incarnations: false,
         seed,
     };
     let mut fleet = Fleet::started(config);
--- a/crates/badgerfield-standin/tests/lost_tokens.rs
+++ b/crates/badgerfield-standin/tests/lost_tokens.rs
@@ -32,6 +32,7 @@
         engines: 12,
         seals: true,
         noise_permille: 0,
+        unordered_incarnations: false,
         seed,
     })
 }
--- a/crates/badgerfield-standin/tests/power_after_outage.rs
+++ b/crates/badgerfield-standin/tests/power_after_outage.rs
@@ -34,6 +34,7 @@
         engines: 12,
         seals: true,
         noise_permille: 0,
+        unordered_incarnations: false,
         seed,
     };
     Fleet::started(config)
