--- a/crates/badgerfield-node/src/shutdown.rs
+++ b/crates/badgerfield-node/src/shutdown.rs
@@ -209,7 +209,7 @@
         if !self.shutdown.start(self.now(), reason) {
             return;
         }
-        log::info!(target: NODE, "stops reason={}", reason.as_str());
+        log::info!(target: NODE, "stops: reason={}", reason.as_str());
         if let Some(gateway) = self.gateway() {
             gateway.stop();
         }
