--- a/crates/badgerfield-core/tests/prefetch.rs
+++ b/crates/badgerfield-core/tests/prefetch.rs
@@ -193,3 +193,29 @@
     let least = demand_of(Duration::from_millis(1100));
     assert!(u128::from(prefetch) >= least, "at most {prefetch} tokens were prefetched");
 }
+
+/// Returns what a process knows of silent lenders.
+fn silent_lenders(holdings: &Holdings) -> String {
+    let text = format!("{holdings:?}");
+    let (_, silent) = text.split_once("silent_lenders: {").expect("the field exists");
+    silent.split_once('}').expect("the map ends").0.to_owned()
+}
+
+/// Guards against a process that grows with each lender that ends without an answer: only an answer
+/// removed what is known of a silent lender.
+#[test]
+fn silent_lenders_that_have_left_are_forgotten() {
+    let mut borrower = Borrower::new(5);
+    let holdings = &mut borrower.holdings;
+    let mut out = Outbox::default();
+    let waiter = (RunId(2), REQUEST_COST, at(60_000));
+    holdings.reserve(at(0), &budget(), waiter, &mut out);
+    for now in (0..20_000).step_by(50) {
+        holdings.tick(at(now), &mut out);
+    }
+    assert_ne!(silent_lenders(holdings), "");
+    let members = std::iter::once(1).chain(1000..1100).map(member).collect();
+    let view = View { epoch: Epoch(3), members, ..View::default() };
+    holdings.apply_view(at(20_000), &Arc::new(view), &mut out);
+    assert_eq!(silent_lenders(holdings), "");
+}
