Holdings: silent lenders that have left the view are forgotten

A process keeps an entry of each lender that ended without an answer.

Cause: only an answer of the lender removed it. The test silent_lenders_that_have_left_are_forgotten found six entries of lenders that are no members any more; now none.

A newer view drops them. Lenders that are no members are never asked, so nothing else changes.

--- a/crates/badgerfield-core/src/holdings/views.rs
+++ b/crates/badgerfield-core/src/holdings/views.rs
@@ -19,6 +19,8 @@
         self.view = Arc::clone(view);
         self.joined |= view.has_member(self.me);
         self.transfers.apply_view(view);
+        // A lender that has ended never answers, which is what removes it otherwise.
+        self.silent_lenders.retain(|lender, _| view.has_member(*lender));
         if self.removed {
             self.write_off_parked();
             self.witness.apply_view(view, self.me);
