--- a/crates/badgerfield-core/src/availability.rs
+++ b/crates/badgerfield-core/src/availability.rs
@@ -77,10 +77,22 @@
     pub reporter: Incarnation,
     /// The number of the report among those of the reporter.
     pub serial: u64,
-    /// How long ago the reporter last heard from the member.
+    /// How long ago the reporter last heard from the member; [`Duration::MAX`] if never.
     pub unheard_for: Duration,
 }
 
+/// A member that this process observes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Observed {
+    pub(crate) member: Incarnation,
+    /// The position of this process among the observers of the member.
+    pub(crate) position: u32,
+    /// For how long the member should have sent something and has not.
+    pub(crate) silence: Duration,
+    /// The time since its last message; [`Duration::MAX`] if there was none.
+    pub(crate) unheard_for: Duration,
+}
+
 /// The reports that a process knows.
 #[derive(Debug, Default)]
 pub(crate) struct Availability {
@@ -149,18 +161,17 @@
 
     /// Returns the reports to send about the members that this process observes.
     ///
-    /// `observed` are these members, each with this process's position among its observers, the
-    /// time since its last message, and the silence after which it counts as silent.
+    /// A member counts as silent after a silence of `unresponsive_after`.
     pub(crate) fn observe(
         &mut self,
         now: Time,
         me: Incarnation,
-        observed: impl Iterator<Item = (Incarnation, u32, Duration)>,
+        observed: impl Iterator<Item = Observed>,
         unresponsive_after: Duration,
     ) -> Vec<ConditionReport> {
         let mut reports = Vec::new();
-        for (member, position, silence) in observed {
-            let is_heard = silence < unresponsive_after;
+        for Observed { member, position, silence, unheard_for } in observed {
+            let is_heard = unheard_for < unresponsive_after;
             let reply_delay = CONTRADICTION_STAGGER.saturating_mul(position);
             let stagger = REPORT_STAGGER.saturating_mul(position);
             let condition = match self.condition(now, member) {
@@ -175,7 +186,7 @@
                 }
                 _ => continue,
             };
-            reports.push(self.new_report(now, me, (member, silence), condition));
+            reports.push(self.new_report(now, me, (member, unheard_for), condition));
         }
         reports
     }
--- a/crates/badgerfield-core/src/membership/liveness.rs
+++ b/crates/badgerfield-core/src/membership/liveness.rs
@@ -5,7 +5,7 @@
 
 use super::Membership;
 use crate::amount::Time;
-use crate::availability::{Condition, ConditionReport};
+use crate::availability::{Condition, ConditionReport, Observed};
 use crate::event::LogEntry;
 use crate::ids::Incarnation;
 use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member, MemberState};
@@ -70,16 +70,20 @@
     /// Returns the members that send nothing to any process: those that this process should hear
     /// from, unless others hear them, and those that others have reported.
     pub(crate) fn silent_members(&self, now: Time) -> BTreeSet<Incarnation> {
-        let is_heard = |id: &Incarnation| {
-            let silence = self.silence(now, *id);
-            self.availability.is_heard_by_others(now, *id, silence, Duration::ZERO)
-        };
+        let is_heard = |id: &Incarnation| self.is_heard_by_others(now, *id, Duration::ZERO);
         let reported = self.availability.with_condition(now, Condition::Silent);
         let mut silent = self.unheard_members(now);
         silent.retain(|id| reported.contains(id) || !is_heard(id));
         silent
     }
 
+    /// Returns whether others have reported that they heard a member later than this process, and
+    /// recently enough, with a margin, to rely on that.
+    fn is_heard_by_others(&self, now: Time, id: Incarnation, margin: Duration) -> bool {
+        let silence = self.silence(now, id);
+        self.availability.is_heard_by_others(now, id, silence, margin)
+    }
+
     /// Returns the members that this process should hear from but does not, and those that others
     /// have reported to be silent.
     pub(super) fn unheard_members(&self, now: Time) -> BTreeSet<Incarnation> {
@@ -121,9 +125,14 @@
         let silent_after = self.unresponsive_after;
         let watched: Vec<_> = self
             .watched()
-            .map(|(position, m)| (m.incarnation, position, self.silence(now, m.incarnation)))
+            .map(|(position, m)| Observed {
+                member: m.incarnation,
+                position,
+                silence: self.silence(now, m.incarnation),
+                unheard_for: self.unheard_for(now, m.incarnation),
+            })
             .collect();
-        let heard = watched.iter().filter(|(_, _, silence)| *silence < silent_after).count();
+        let heard = watched.iter().filter(|observed| observed.silence < silent_after).count();
         let mut reports = Vec::new();
         if heard * 2 >= watched.len() {
             reports = self.availability.observe(now, me, watched.into_iter(), silent_after);
--- a/crates/badgerfield-core/src/membership/mod.rs
+++ b/crates/badgerfield-core/src/membership/mod.rs
@@ -55,6 +55,9 @@
 struct Contact {
     /// When the last message of any kind was received.
     last_message: Time,
+    /// The time before which its silence says nothing: it did not send to this process, or this
+    /// process could not receive.
+    expected_from: Time,
     /// When the last heartbeat was received; the fields below are taken from it.
     last_heartbeat: Time,
     /// Whether the sender does not serve callers.
@@ -301,7 +304,7 @@
         self.host_rank = self.joining.host_rank(view, self.me.incarnation);
         self.removed |= was_member && !self.is_member() && self.intent != MembershipIntent::Quit;
         for member in &self.view.members {
-            let contact = Contact { last_message: now, ..Contact::default() };
+            let contact = Contact { expected_from: now, ..Contact::default() };
             self.contacts.entry(member.incarnation).or_insert(contact);
         }
         // Each change of the view moves the ring. Members that this process did not watch before
@@ -309,7 +312,7 @@
         let watched_now: Vec<_> = self.watched().map(|(_, m)| m.incarnation).collect();
         for id in watched_now.into_iter().filter(|id| !watched_before.contains(id)) {
             let contact = self.contacts.entry(id).or_default();
-            contact.last_message = contact.last_message.max(now);
+            contact.expected_from = contact.expected_from.max(now);
         }
         let ids = old.members.iter().map(|m| m.incarnation);
         let gone: Vec<_> = ids.filter(|id| !self.view.has_member(*id)).collect();
@@ -357,7 +360,7 @@
             return;
         }
         for contact in self.contacts.values_mut() {
-            contact.last_message = now;
+            contact.expected_from = now;
         }
     }
 
@@ -442,7 +445,19 @@
     }
 
     fn silence(&self, now: Time, id: Incarnation) -> Duration {
-        self.contacts.get(&id).map_or(Duration::ZERO, |contact| now.since(contact.last_message))
+        let contact = self.contacts.get(&id);
+        let since = contact.map(|contact| contact.last_message.max(contact.expected_from));
+        since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    /// Returns the time since the last message of a member; [`Duration::MAX`] if there was none.
+    ///
+    /// A process that has just begun to watch an ended member has not heard it: if it told others
+    /// that it had, they would keep that member.
+    fn unheard_for(&self, now: Time, id: Incarnation) -> Duration {
+        let last_message = self.contacts.get(&id).map(|contact| contact.last_message);
+        let last_message = last_message.filter(|at| *at > Time::default());
+        last_message.map_or(Duration::MAX, |at| now.since(at))
     }
 }
 
