--- a/crates/badgerfield-core/src/membership/liveness.rs
+++ b/crates/badgerfield-core/src/membership/liveness.rs
@@ -14,14 +14,20 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long a member that could not reach the store is not chosen to write the ledger.
 const STORE_FAILURE_TTL: Duration = Duration::from_secs(1);
+/// How much longer than for its availability a member counts as heard by others for its removal: the
+/// reports about it wait on full links. With the time for availability it is less than
+/// [`SILENCE_TIMEOUT`], so the removal of an ended member waits for no report.
+const HEARD_MARGIN: Duration = Duration::from_secs(5);
 /// Additional wait of each further observer before it removes a member.
 const REMOVAL_STAGGER: Duration = Duration::from_secs(3);
 
 impl Membership {
     /// Returns the members that this process should remove from the view.
     ///
-    /// Removing a member that is still running is safe and costs only its restart. The observers
-    /// of a member wait for different times, so that usually only one of them removes it.
+    /// Removing a member that is still running is safe, but its process ends and its callers have to
+    /// find another. A member that others hear is therefore kept: only the messages to this process
+    /// are lost. The observers of a member wait for different times, so that usually only one of
+    /// them removes it.
     pub(crate) fn members_to_remove(&self, now: Time) -> Vec<Incarnation> {
         let mut to_remove = Vec::new();
         let watched: Vec<_> = self.watched().collect();
@@ -37,7 +43,8 @@
             // be the only one left.
             let is_silent = self.is_same_region(member)
                 && !is_cut_off
-                && silence >= SILENCE_TIMEOUT.saturating_add(wait);
+                && silence >= SILENCE_TIMEOUT.saturating_add(wait)
+                && !self.is_heard_by_others(now, member.incarnation, HEARD_MARGIN);
             if is_unlisted || is_silent {
                 to_remove.push(member.incarnation);
             }
