--- a/crates/badgerfield-core/src/membership/liveness.rs
+++ b/crates/badgerfield-core/src/membership/liveness.rs
@@ -5,7 +5,7 @@
 
 use super::Membership;
 use crate::amount::Time;
-use crate::availability::{Condition, ConditionReport};
+use crate::availability::{Condition, ConditionReport, Observed};
 use crate::event::LogEntry;
 use crate::ids::Incarnation;
 use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member, MemberState};
@@ -14,14 +14,20 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long a member that could not reach the store is not chosen to write the ledger.
 const STORE_FAILURE_TTL: Duration = Duration::from_secs(1);
+/// How much longer than for its availability a member counts as heard by others for its removal: the
+/// reports about it wait on full links. With the time for availability it is less than
+/// [`SILENCE_TIMEOUT`], so the removal of an ended member waits for no report.
+const HEARD_MARGIN: Duration = Duration::from_secs(5);
 /// Additional wait of each further observer before it removes a member.
 const REMOVAL_STAGGER: Duration = Duration::from_secs(3);
 
 impl Membership {
     /// Returns the members that this process should remove from the view.
     ///
-    /// Removing a member that is still running is safe and costs only its restart. The observers
-    /// of a member wait for different times, so that usually only one of them removes it.
+    /// Removing a member that is still running is safe, but its process ends and its callers have to
+    /// find another. A member that others hear is therefore kept: only the messages to this process
+    /// are lost. The observers of a member wait for different times, so that usually only one of
+    /// them removes it.
     pub(crate) fn members_to_remove(&self, now: Time) -> Vec<Incarnation> {
         let mut to_remove = Vec::new();
         let watched: Vec<_> = self.watched().collect();
@@ -37,7 +43,8 @@
             // be the only one left.
             let is_silent = self.is_same_region(member)
                 && !is_cut_off
-                && silence >= SILENCE_TIMEOUT.saturating_add(wait);
+                && silence >= SILENCE_TIMEOUT.saturating_add(wait)
+                && !self.is_heard_by_others(now, member.incarnation, HEARD_MARGIN);
             if is_unlisted || is_silent {
                 to_remove.push(member.incarnation);
             }
@@ -70,16 +77,20 @@
     /// Returns the members that send nothing to any process: those that this process should hear
     /// from, unless others hear them, and those that others have reported.
     pub(crate) fn silent_members(&self, now: Time) -> BTreeSet<Incarnation> {
-        let is_heard = |id: &Incarnation| {
-            let silence = self.silence(now, *id);
-            self.availability.is_heard_by_others(now, *id, silence, Duration::ZERO)
-        };
+        let is_heard = |id: &Incarnation| self.is_heard_by_others(now, *id, Duration::ZERO);
         let reported = self.availability.with_condition(now, Condition::Silent);
         let mut silent = self.unheard_members(now);
         silent.retain(|id| reported.contains(id) || !is_heard(id));
         silent
     }
 
+    /// Returns whether others have reported that they heard a member later than this process, and
+    /// recently enough, with a margin, to rely on that.
+    fn is_heard_by_others(&self, now: Time, id: Incarnation, margin: Duration) -> bool {
+        let silence = self.silence(now, id);
+        self.availability.is_heard_by_others(now, id, silence, margin)
+    }
+
     /// Returns the members that this process should hear from but does not, and those that others
     /// have reported to be silent.
     pub(super) fn unheard_members(&self, now: Time) -> BTreeSet<Incarnation> {
@@ -121,9 +132,14 @@
         let silent_after = self.unresponsive_after;
         let watched: Vec<_> = self
             .watched()
-            .map(|(position, m)| (m.incarnation, position, self.silence(now, m.incarnation)))
+            .map(|(position, m)| Observed {
+                member: m.incarnation,
+                position,
+                silence: self.silence(now, m.incarnation),
+                unheard_for: self.unheard_for(now, m.incarnation),
+            })
             .collect();
-        let heard = watched.iter().filter(|(_, _, silence)| *silence < silent_after).count();
+        let heard = watched.iter().filter(|observed| observed.silence < silent_after).count();
         let mut reports = Vec::new();
         if heard * 2 >= watched.len() {
             reports = self.availability.observe(now, me, watched.into_iter(), silent_after);
