--- a/crates/badgerfield-standin/src/fleet/store.rs
+++ b/crates/badgerfield-standin/src/fleet/store.rs
@@ -42,6 +42,8 @@
     pub writes: u64,
     /// Writes that failed because the revision of the value was not the expected one.
     pub conflicts: u64,
+    /// Writes of the view so far, with conflicts.
+    pub view_writes: u64,
     /// When each VM last read operators' values.
     pub(super) operators_read: BTreeMap<usize, Time>,
     /// Bytes written so far.
@@ -159,6 +161,7 @@
             }
             StoreCall::CompareAndSwap { key: name, expected_revision, value } => {
                 self.writes += 1;
+                self.view_writes += u64::from(*name == StoreKey::View);
                 let found = self.values.get(name).cloned().unwrap_or_default();
                 if found.revision != *expected_revision {
                     self.conflicts += 1;
