--- a/crates/badgerfield-standin/tests/planned_stops.rs
+++ b/crates/badgerfield-standin/tests/planned_stops.rs
@@ -129,7 +129,9 @@
 
     fn run(&mut self, series: &[Series], mut disturb: impl FnMut(&mut Fleet, Duration)) {
         let began = self.fleet.now;
-        let ends = series.iter().map(|s| s.begins_at + s.gap * u32::try_from(s.stops).unwrap());
+        let ends = series
+            .iter()
+            .map(|s| s.begins_at + s.gap * u32::try_from(s.stops).expect("a small number"));
         let end = ends.max().unwrap_or_default() + GRACE + Duration::from_secs(4);
         let mut done = vec![0; series.len()];
         while self.fleet.now.since(began) < end {
@@ -139,7 +141,8 @@
                 while *done < series.stops
                     && at
                         >= series.begins_at
-                            + series.gap * u32::try_from(*done / series.at_once).unwrap()
+                            + series.gap
+                                * u32::try_from(*done / series.at_once).expect("a small number")
                 {
                     self.stop((series.first_vm + *done) % self.fleet.size());
                     *done += 1;
@@ -171,7 +174,8 @@
 fn overlapping(vms: usize, part: usize, gap: Duration, at_once: usize) -> Vec<Series> {
     let stops = vms / part;
     let first = Series { begins_at: Duration::from_secs(1), gap, at_once, first_vm: 0, stops };
-    let begins_at = first.begins_at + gap * u32::try_from(stops / at_once / 2).unwrap();
+    let begins_at =
+        first.begins_at + gap * u32::try_from(stops / at_once / 2).expect("a small number");
     vec![first, Series { begins_at, first_vm: vms / 2, ..first }]
 }
 
@@ -211,7 +215,7 @@
 
 fn check_writes(writes: u64, series: &[Series]) {
     let stops: usize = series.iter().map(|s| s.stops).sum();
-    let stops = u64::try_from(stops).unwrap();
+    let stops = u64::try_from(stops).expect("a small number");
     assert!(writes <= MAX_VIEW_WRITES * stops, "{writes} writes of the view in {stops} stops");
 }
 
