--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -319,6 +319,7 @@
             start_read(&mut members, now, StoreKey::Templates, out);
         }
         drop(members);
+        self.notify_hosts(now, out);
         self.write_view(now, out);
     }
 
@@ -366,6 +367,7 @@
         let handed_over = complete == stored.epoch && complete > Epoch(0);
         let me = members.me.clone();
         let present = members.view.member(me.incarnation).map(|m| m.standing);
+        let writes_departure = members.writes_departure(now);
         let next = match (&members.intent, present) {
             (MembershipIntent::Join, None) if !members.removed => {
                 match members.joining.next_step(now, &stored, &me) {
@@ -377,14 +379,18 @@
                     JoinStep::Wait => return,
                 }
             }
-            (MembershipIntent::Leave, Some(MemberState::Active)) => {
+            (MembershipIntent::Leave, Some(MemberState::Active)) if writes_departure => {
                 Some(stored.with_leaving(me.incarnation, handed_over))
             }
-            (MembershipIntent::Quit, Some(_)) => {
+            (MembershipIntent::Quit, Some(_)) if writes_departure => {
                 Some(stored.without_members(&[me.incarnation], handed_over))
             }
             (MembershipIntent::Join | MembershipIntent::Leave | MembershipIntent::Quit, _) => None,
         };
+        let next = next.or_else(|| {
+            let can_write = members.is_member();
+            can_write.then(|| members.departures.due_view(now, &stored, handed_over)).flatten()
+        });
         let next = next.or_else(|| {
             let host_rank = members.host_rank().filter(|_| members.is_member())?;
             let (joiners, revision) = members.joining.joiners(now, &stored, host_rank)?;
@@ -453,6 +459,7 @@
                     members.stored = Arc::clone(&view);
                 }
                 self.apply_view(now, &view, out);
+                self.inform_departed(out);
             }
             (Purpose::Write(_), StoreResult::Conflict(found)) => {
                 self.apply_stored_view(now, &found, out);
--- a/crates/badgerfield-core/src/handlers/mod.rs
+++ b/crates/badgerfield-core/src/handlers/mod.rs
@@ -6,6 +6,7 @@
 mod availability;
 mod charging;
 mod claims;
+mod departures;
 mod directory;
 mod dispatch;
 mod evacuations;
--- a/crates/badgerfield-core/src/membership/mod.rs
+++ b/crates/badgerfield-core/src/membership/mod.rs
@@ -1,10 +1,11 @@
 //! Membership: the current view, and how this process hears from its members.
 //!
 //! [`roles`] tells which values of the store this process reads and watches for others,
-//! [`liveness`] which members are silent, unavailable or to be removed, and [`clock`] what the
-//! clocks of the fleet agree on.
+//! [`liveness`] which members are silent, unavailable or to be removed, [`departures`] which members
+//! leave a large view, and [`clock`] what the clocks of the fleet agree on.
 
 mod clock;
+pub(crate) mod departures;
 mod liveness;
 mod roles;
 
@@ -13,6 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use self::departures::{Departures, OwnNotices};
 use crate::amount::Time;
 use crate::availability::{Availability, ConditionReport};
 use crate::broadcast::{self, BroadcastTarget};
@@ -86,6 +88,10 @@
     pub(crate) stored_known: bool,
     pub(crate) intent: MembershipIntent,
     pub(crate) joining: Joining,
+    /// The departures that this process writes for others.
+    pub(crate) departures: Departures,
+    /// The notices that this process has sent about its own departure.
+    own_notices: OwnNotices,
     /// The rank of this process among the hosts of joining processes, if it is one.
     host_rank: Option<usize>,
     pub(crate) removed: bool,
@@ -186,6 +192,8 @@
             stored_known: false,
             intent: MembershipIntent::Join,
             joining: Joining::default(),
+            departures: Departures::default(),
+            own_notices: OwnNotices::default(),
             host_rank: None,
             removed: false,
             stopping_since: None,
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -220,6 +220,9 @@
     StreamOrigins(Vec<StreamOrigin>),
     /// Services that are brittle or no longer so, as known to the sender.
     BrittleReports(Vec<BrittleReport>),
+    /// Asks a host to write that the sender, whose view has this epoch, leaves or (`true`) quits;
+    /// repeated until the view shows it.
+    Departure(Epoch, bool),
 }
 
 impl Message {
@@ -228,7 +231,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Self::Heartbeat(_) => "heartbeat",
-            Self::Fetch { .. } | Self::View(_) => "view",
+            Self::Fetch { .. } | Self::View(_) | Self::Departure(..) => "view",
             Self::Conditions(_) => "conditions",
             Self::TemplateDelta(_) | Self::Templates(_) => "templates",
             Self::Operators(_) => "operators",
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -489,6 +489,9 @@
             Message::Fetch { epoch, version, full } => {
                 self.handle_fetch(from, epoch, version, full, out);
             }
+            Message::Departure(epoch, quits) => {
+                self.handle_departure(now, from, epoch, quits, out);
+            }
             Message::View(update) => self.receive_view_update(now, from, &update, out),
             Message::TemplateDelta(delta) => self.apply_template_delta(now, from, *delta, out),
             Message::Templates(set) => {
