--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -284,6 +284,7 @@
             (gone, members.removed && !was_removed)
         };
         self.state.claims().apply_view(now, view, out);
+        self.acknowledge_early_handovers(view.epoch, out);
         self.state.ledger_writer().mark_removed(gone);
         self.state.holdings().apply_view(now, view, out);
         out.push(Command::Log(LogEntry::View(view.epoch)));
--- a/crates/badgerfield-core/src/handlers/mod.rs
+++ b/crates/badgerfield-core/src/handlers/mod.rs
@@ -10,6 +10,7 @@
 mod directory;
 mod dispatch;
 mod evacuations;
+mod handovers;
 mod joining;
 mod members;
 mod operator_values;
--- a/crates/badgerfield-core/src/membership/mod.rs
+++ b/crates/badgerfield-core/src/membership/mod.rs
@@ -18,7 +18,7 @@
 use crate::amount::Time;
 use crate::availability::{Availability, ConditionReport};
 use crate::broadcast::{self, BroadcastTarget};
-use crate::ids::{Incarnation, VmId};
+use crate::ids::{Epoch, Incarnation, VmId};
 use crate::joining::Joining;
 use crate::message::Heartbeat;
 use crate::node::Pacing;
@@ -88,6 +88,8 @@
     pub(crate) stored_known: bool,
     pub(crate) intent: MembershipIntent,
     pub(crate) joining: Joining,
+    /// The last handover of each member that came before its view, with its part.
+    pub(crate) early_handovers: BTreeMap<Incarnation, (Epoch, u32)>,
     /// The departures that this process writes for others.
     pub(crate) departures: Departures,
     /// The notices that this process has sent about its own departure.
@@ -192,6 +194,7 @@
             stored_known: false,
             intent: MembershipIntent::Join,
             joining: Joining::default(),
+            early_handovers: BTreeMap::new(),
             departures: Departures::default(),
             own_notices: OwnNotices::default(),
             host_rank: None,
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -544,12 +544,7 @@
             }
             Message::Charges(charges) => self.take_over_charges(now, from, charges, out),
             Message::ChargesAck(ids) => self.handle_charges_ack(&ids),
-            Message::Handover(part) => {
-                let (epoch, index) = (part.epoch, part.index);
-                if self.state.claims().receive_handover(now, from, &part) {
-                    out.send(from, Message::HandoverAck { epoch, index });
-                }
-            }
+            Message::Handover(part) => self.handle_handover(now, from, &part, out),
             Message::HandoverAck { epoch, index } => {
                 self.state.claims().handle_handover_ack(now, from, epoch, index, out);
             }
