A process that has quit ends once its view shows it (LOST)

What callers saw: as before, VMs killed at the end of the grace time.

Cause: a process outside the view went on waiting for acknowledgements of handovers and for operations of the ledger, which nobody answers to it (traced: view without it, intent to quit, handover not complete at idle 4.4 s and 5.4 s; or an operation that the ledger refuses for ever).

Change: it ends at once if it has asked to quit, is in the view no more and has no charges. It asks only after its claims were handed over and its holdings closed.

--- a/crates/badgerfield-core/src/handlers/stopping.rs
+++ b/crates/badgerfield-core/src/handlers/stopping.rs
@@ -46,6 +46,10 @@
         }
         let idle_since = *self.state.membership().idle_since.get_or_insert(now);
         let idle = now.since(idle_since);
+        if self.has_quit() {
+            out.push(Command::Exit);
+            return;
+        }
         let is_settled =
             self.state.charges().is_empty() && self.state.claims().is_handover_complete();
         if !is_settled && idle >= CHARGES_HANDOVER_DELAY {
@@ -57,6 +61,22 @@
         self.return_holdings(now, idle, removed, out);
     }
 
+    /// Returns whether this process has given back everything and its view shows that it has quit.
+    ///
+    /// Whatever reaches it from then on it can pass on to none: peers ignore the transfers of a
+    /// process outside the view, the ledger its operations, and no member acknowledges its
+    /// handovers, because it follows no further views. What it held is at others: it asks to quit
+    /// only once its claims were handed over and its holdings were closed. A process that is still
+    /// in the view must wait, even with nothing left: it is the second copy of the claims of its
+    /// last requests, which their arbiters copy elsewhere under the view without it.
+    fn has_quit(&self) -> bool {
+        let is_gone = {
+            let members = self.state.membership();
+            members.intent == MembershipIntent::Quit && !members.is_member()
+        };
+        is_gone && self.state.charges().is_empty()
+    }
+
     fn return_holdings(&self, now: Time, idle: Duration, removed: bool, out: &mut Outbox) {
         let closed = {
             let mut holdings = self.state.holdings();
