No report of an amount parked at a closed account (LOST)

What callers saw: as before, VMs killed at the end of the grace time.

Cause: a process that has closed its account in the ledger still accepted parked amounts, and reports of owners that ended, also of zero tokens, were kept for an operation that a closed account never makes. So its holdings never counted as closed (traced at each kill that was left: Closed, one report, no operation).

Change: an account is closed only when nothing of its budget is parked here; from then on no new amount is accepted, and no report of nothing is kept. Owners park elsewhere once their view shows that this process leaves.

--- a/crates/badgerfield-core/src/holdings/parking.rs
+++ b/crates/badgerfield-core/src/holdings/parking.rs
@@ -58,7 +58,8 @@
             let sealed_total = holding.sealed_total();
             let is_done = holding.reserved.is_zero()
                 && holding.waiters.is_empty()
-                && holding.parked_amount().is_zero();
+                && holding.parked_amount().is_zero()
+                && self.witness.total(budget).is_zero();
             let all = holding.free.saturating_add(sealed_total);
             if is_done && holding.seq + all.0 > 0 {
                 if holding.seq == 0 {
--- a/crates/badgerfield-core/src/holdings/peers.rs
+++ b/crates/badgerfield-core/src/holdings/peers.rs
@@ -160,6 +160,12 @@
     pub fn accept_parked(&mut self, from: Incarnation, items: &[ParkItem]) -> Vec<ParkItem> {
         let mut accepted = Vec::new();
         for item in items {
+            if self.is_closing_account(&item.budget)
+                && self.witness.total_of(from, &item.budget).is_zero()
+                && !item.total.is_zero()
+            {
+                continue;
+            }
             if self.witness.record(&self.view, from, item) {
                 accepted.push(item.clone());
             }
--- a/crates/badgerfield-core/src/holdings/views.rs
+++ b/crates/badgerfield-core/src/holdings/views.rs
@@ -6,6 +6,7 @@
 use super::{Holdings, Leaving};
 use crate::amount::Time;
 use crate::event::{Command, LogEntry, Outbox};
+use crate::ids::BudgetId;
 use crate::ledger::WitnessReport;
 use crate::view::View;
 
@@ -25,6 +26,10 @@
             return;
         }
         for inherited in self.witness.apply_view(view, self.me) {
+            // The ledger takes no report of a closed account, and this one says nothing.
+            if inherited.amount.is_zero() && self.is_closing_account(&inherited.budget) {
+                continue;
+            }
             let Some(holding) = self.table.get_mut(&inherited.budget) else {
                 continue;
             };
@@ -75,6 +80,19 @@
         self.changed.extend(self.table.keys().cloned());
     }
 
+    /// Returns whether the ledger closes this process's account of a budget, or has closed it.
+    ///
+    /// The ledger takes no reports of a holder whose account is closed, so an amount that is parked
+    /// here from then on would be lost, and would keep this process from ending. Its owner parks it
+    /// elsewhere once its view shows that this process leaves.
+    pub(super) fn is_closing_account(&self, budget: &BudgetId) -> bool {
+        let Some(holding) = self.table.get(budget) else {
+            return false;
+        };
+        let is_closing = holding.op.as_ref().is_some_and(|(op, _)| op.close);
+        is_closing || holding.state == HoldingState::Closed
+    }
+
     /// Returns whether all tokens are returned and nothing is parked here.
     #[must_use]
     pub fn is_closed(&self) -> bool {
--- a/crates/badgerfield-core/src/holdings/witness.rs
+++ b/crates/badgerfield-core/src/holdings/witness.rs
@@ -80,6 +80,12 @@
         self.owners.values().flat_map(BTreeMap::values).all(|d| d.total.is_zero())
     }
 
+    /// Returns how many tokens of a budget an owner has parked here.
+    pub(crate) fn total_of(&self, owner: Incarnation, budget: &BudgetId) -> Tokens {
+        let parked = self.owners.get(&owner).and_then(|amounts| amounts.get(budget));
+        parked.map_or(Tokens::ZERO, |amount| amount.total)
+    }
+
     /// Returns how many tokens of a budget are parked here.
     pub(crate) fn total(&self, budget: &BudgetId) -> Tokens {
         let amounts = self.owners.values().filter_map(|d| d.get(budget));
