--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -509,6 +509,9 @@
             Message::Fetch { epoch, version, full } => {
                 self.handle_fetch(from, epoch, version, full, out);
             }
+            Message::Departure(epoch, quits) => {
+                self.handle_departure(now, from, epoch, quits, out);
+            }
             Message::View(update) => self.receive_view_update(now, from, &update, out),
             Message::TemplateDelta(delta) => self.apply_template_delta(now, from, *delta, out),
             Message::Templates(set) => {
@@ -561,12 +564,7 @@
             }
             Message::Charges(charges) => self.take_over_charges(now, from, charges, out),
             Message::ChargesAck(ids) => self.handle_charges_ack(&ids),
-            Message::Handover(part) => {
-                let (epoch, index) = (part.epoch, part.index);
-                if self.state.claims().receive_handover(now, from, &part) {
-                    out.send(from, Message::HandoverAck { epoch, index });
-                }
-            }
+            Message::Handover(part) => self.handle_handover(now, from, &part, out),
             Message::HandoverAck { epoch, index } => {
                 self.state.claims().handle_handover_ack(now, from, epoch, index, out);
             }
