--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -23,6 +23,7 @@
 use crate::refusal::Refusal;
 use crate::request_mix::EngineDemand;
 use crate::rollout::{OrderChange, RolloutLogEntry, RolloutRules, RolloutTally};
+use crate::stop_reason::StopReason;
 use crate::stream_origins::StreamOrigin;
 use crate::template::KeyDigest;
 use crate::template_arrival::TemplateArrival;
@@ -431,26 +432,6 @@
     Exit,
 }
 
-/// Why a process stops.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StopReason {
-    /// It was asked to.
-    Signal,
-    /// Other members have removed it from the view, and what it held is written off.
-    Removal,
-}
-
-impl StopReason {
-    /// Returns the name of the reason in the log.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Signal => "signal",
-            Self::Removal => "removal",
-        }
-    }
-}
-
 /// An entry for the operators' log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LogEntry {
--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -9,7 +9,7 @@
 
 use crate::amount::Time;
 use crate::event::{
-    Command, LogEntry, Outbox, StopReason, StoreCall, StoreKey, StoreResult, Versioned, is_due,
+    Command, LogEntry, Outbox, StoreCall, StoreKey, StoreResult, Versioned, is_due,
 };
 use crate::handlers::joining;
 use crate::ids::{Epoch, Incarnation, StoreCallId, TemplateVersion};
@@ -18,6 +18,7 @@
 use crate::message::{Heartbeat, Message};
 use crate::node::Node;
 use crate::pending_calls::Purpose;
+use crate::stop_reason::StopReason;
 use crate::upstream_selection::SelectionBasis;
 use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member, MemberState, View};
 use crate::view_update::ViewUpdate;
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -100,6 +100,7 @@
 mod runs;
 pub mod seal;
 mod shared_state;
+pub mod stop_reason;
 mod stored_record;
 pub mod stream_origins;
 pub mod template;
--- a/crates/badgerfield-node/src/shutdown.rs
+++ b/crates/badgerfield-node/src/shutdown.rs
@@ -17,7 +17,7 @@
 
 use badgerfield_core::Event;
 use badgerfield_core::amount::Time;
-use badgerfield_core::event::StopReason;
+use badgerfield_core::stop_reason::StopReason;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
