--- a/crates/badgerfield-node/src/buffered_log.rs
+++ b/crates/badgerfield-node/src/buffered_log.rs
@@ -125,7 +125,7 @@
 
     /// Waits until the buffer is written, so that the last lines are not lost.
     ///
-    /// Gives up after [`MAX_FLUSH_INTERVALS`], or after one in which the reader accepted nothing.
+    /// Gives up after `MAX_FLUSH_INTERVALS`, or after one in which the reader accepted nothing.
     fn flush(&self) {
         let mut pending = lock(&self.shared.pending);
         pending.is_urgent = true;
