Stop: a process quits only once its view shows that it leaves (LOST)

Callers with a key may be refused, or served twice, if claims are lost.

Cause (found in review): while the store is away a process has nothing to hand over under the old view, counts as settled and asks to quit; a host then removes it in the first write after the outage, though its claims are handed over only under a view in which it leaves.

It asks to quit only once the view shows it as leaving.

--- a/crates/badgerfield-core/src/handlers/stopping.rs
+++ b/crates/badgerfield-core/src/handlers/stopping.rs
@@ -91,6 +91,11 @@
         }
         let has_left = {
             let mut members = self.state.membership();
+            // Claims are handed over under the view in which this process leaves. If it quit before,
+            // a host would remove it with claims that nobody else has.
+            if members.is_active() && idle < HANDOVER_TIMEOUT {
+                return;
+            }
             members.intent = MembershipIntent::Quit;
             !members.is_member()
         };
