--- a/crates/badgerfield-core/src/view.rs
+++ b/crates/badgerfield-core/src/view.rs
@@ -268,7 +268,7 @@
     /// Reduces the recent arbiters to the members and one gone arbiter of each region, if there are
     /// too many.
     ///
-    /// All keys of these regions are uncertain then, until a view is complete.
+    /// All keys of these regions are uncertain then.
     fn limit_recent_arbiters(&mut self) {
         if self.recent_arbiters.len() <= MAX_RECENT_ARBITERS {
             return;
--- a/crates/badgerfield-node/src/serving.rs
+++ b/crates/badgerfield-node/src/serving.rs
@@ -35,8 +35,9 @@
 /// to listen: the request may be on its way.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(200);
 /// How long a connection without an open request may take to end once the process has stopped to
-/// listen: its caller may read the last answer slowly, or never finish a request that it began.
-const LAST_BYTES_TIME: Duration = Duration::from_secs(10);
+/// listen: its caller may read the last answer slowly, or never finish a request that it began. The
+/// process has to end within what is left of the grace time of its stop.
+const LAST_BYTES_TIME: Duration = Duration::from_secs(3);
 
 /// The activity of one connection.
 #[derive(Debug)]
