--- a/crates/badgerfield-node/src/caller_api.rs
+++ b/crates/badgerfield-node/src/caller_api.rs
@@ -29,7 +29,6 @@
 use crate::http::{self, Body};
 use crate::logs::CALLERS;
 use crate::serving::{self, Connection};
-use crate::shutdown::ListensUntil;
 
 /// Timeout for receiving the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -85,9 +84,8 @@
 pub async fn serve(driver: Arc<Driver>) -> Result<(), StartError> {
     let address = driver.settings.caller_address;
     let listener = listen(address).await?;
-    let until = ListensUntil::HandedOver;
     let max_connections = Semaphore::MAX_PERMITS;
-    serving::spawn_listener(&driver, listener, until, max_connections, serve_connection);
+    serving::spawn_listener(&driver, listener, max_connections, serve_connection);
     Ok(())
 }
 
--- a/crates/badgerfield-node/src/gateway/directory.rs
+++ b/crates/badgerfield-node/src/gateway/directory.rs
@@ -20,7 +20,6 @@
 use crate::gateway::state::Gateway;
 use crate::http::{self, Body};
 use crate::serving::{self, Connection};
-use crate::shutdown::ListensUntil;
 
 /// How long callers cache a response of the directory.
 const CACHE_TIME: Duration = Duration::from_secs(1);
@@ -43,8 +42,7 @@
         let gateway = Arc::clone(gateway);
         let serve =
             move |driver, connection| serve_connection(driver, Arc::clone(&gateway), connection);
-        let until = ListensUntil::HandedOver;
-        serving::spawn_listener(driver, listener, until, Semaphore::MAX_PERMITS, serve);
+        serving::spawn_listener(driver, listener, Semaphore::MAX_PERMITS, serve);
     }
     Ok(())
 }
--- a/crates/badgerfield-node/src/gateway/listener.rs
+++ b/crates/badgerfield-node/src/gateway/listener.rs
@@ -9,7 +9,6 @@
 use crate::gateway::state::Gateway;
 use crate::gateway::{directory, exchange};
 use crate::serving::{self, Connection};
-use crate::shutdown::ListensUntil;
 
 /// The smallest buffer for a request head that the HTTP library accepts, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
@@ -28,8 +27,7 @@
     let listener = listen(settings.request_address).await?;
     let serve =
         move |driver, connection| serve_connection(driver, Arc::clone(&gateway), connection);
-    let until = ListensUntil::CallersKnow;
-    serving::spawn_listener(driver, listener, until, settings.max_connections, serve);
+    serving::spawn_listener(driver, listener, settings.max_connections, serve);
     Ok(())
 }
 
--- a/crates/badgerfield-node/src/operator_api.rs
+++ b/crates/badgerfield-node/src/operator_api.rs
@@ -16,7 +16,6 @@
 use crate::http::{self, Body};
 use crate::rollouts::format_allowance;
 use crate::serving::{self, Connection};
-use crate::shutdown::ListensUntil;
 
 /// Listens for operators and serves them until the process exits.
 ///
@@ -25,9 +24,8 @@
 /// Fails if the address is in use.
 pub async fn serve(driver: Arc<Driver>) -> Result<(), StartError> {
     let listener = listen(driver.settings.operator_address).await?;
-    let until = ListensUntil::HandedOver;
     let max_connections = Semaphore::MAX_PERMITS;
-    serving::spawn_listener(&driver, listener, until, max_connections, serve_connection);
+    serving::spawn_listener(&driver, listener, max_connections, serve_connection);
     Ok(())
 }
 
--- a/crates/badgerfield-node/src/serving.rs
+++ b/crates/badgerfield-node/src/serving.rs
@@ -26,7 +26,7 @@
 use crate::driver::Driver;
 use crate::gateway::connections::configure_socket;
 use crate::logs::NODE;
-use crate::shutdown::{InUse, ListensUntil, Use};
+use crate::shutdown::{InUse, Use};
 
 /// The delay after an error of accepting a connection, for example when file descriptors are
 /// exhausted.
@@ -113,7 +113,6 @@
 /// An accepted connection. The process does not end before it is dropped.
 pub(crate) struct Connection {
     stream: TcpStream,
-    until: ListensUntil,
     _in_use: InUse,
     _slot: Option<OwnedSemaphorePermit>,
 }
@@ -122,7 +121,6 @@
 pub(crate) fn spawn_listener<S, F>(
     driver: &Arc<Driver>,
     listener: TcpListener,
-    until: ListensUntil,
     max_connections: usize,
     serve: S,
 ) where
@@ -136,13 +134,13 @@
         let spawn = |stream, slot| {
             configure_socket(&stream);
             let in_use = driver.shutdown.track(Use::Connection);
-            let connection = Connection { stream, until, _in_use: in_use, _slot: slot };
+            let connection = Connection { stream, _in_use: in_use, _slot: slot };
             tokio::spawn(serve(Arc::clone(&driver), connection));
         };
         loop {
             let accepted = tokio::select! {
                 accepted = accept(&listener, &slots) => accepted,
-                () = driver.shutdown.stopped_listening(&driver.clock, until) => break,
+                () = driver.shutdown.stopped_listening() => break,
             };
             match accepted {
                 Ok((stream, slot)) => spawn(stream, slot),
@@ -153,7 +151,6 @@
             spawn(stream, None);
         }
         drop(listening);
-        driver.log_closed_listener(until);
     });
 }
 
@@ -208,7 +205,7 @@
         B: Body<Data = Bytes> + Unpin + 'static,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
-        let Self { stream, until, _in_use, _slot } = self;
+        let Self { stream, _in_use, _slot } = self;
         let activity = Arc::new(Activity {
             started: driver.now(),
             has_request: AtomicBool::new(false),
@@ -234,7 +231,7 @@
             let idle_deadline = activity.idle_deadline(driver.now(), idle);
             tokio::select! {
                 result = &mut served => return result,
-                () = driver.shutdown.stopped_listening(clock, until) => break,
+                () = driver.shutdown.stopped_listening() => break,
                 () = clock.sleep_until(idle_deadline) => {
                     let now = driver.now();
                     if activity.idle_deadline(now, idle) <= now {
--- a/crates/badgerfield-node/src/shutdown.rs
+++ b/crates/badgerfield-node/src/shutdown.rs
@@ -3,9 +3,10 @@
 //! 1. It is no longer ready, leaves the directory, and answers with `Connection: close`.
 //! 2. After a signal it admits requests for a while and then refuses them. After a removal it
 //!    refuses them at once, since what it held is written off.
-//! 3. It stops to listen for requests on routes once callers have had time to learn of the stop.
-//! 4. Once the core has handed over its state, the other listeners close too. The process waits
-//!    until the last byte of each accepted connection is written and each call of a peer is over.
+//! 3. It listens, and refuses, until the core has handed over its state, callers have had time to
+//!    learn of the stop, and no request is open: callers that find a closed port learn nothing.
+//! 4. All listeners close. The process waits until the last byte of each accepted connection is
+//!    written and each call of a peer is over.
 //! 5. It closes the connections to peers.
 //! 6. It ends, and the log is flushed.
 //!
@@ -15,9 +16,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use badgerfield_core::Event;
 use badgerfield_core::amount::Time;
 use badgerfield_core::stop_reason::StopReason;
+use badgerfield_core::{Event, TICK_INTERVAL};
 use tokio::sync::watch;
 
 use crate::clock::Clock;
@@ -27,8 +28,8 @@
 /// Share of the grace period of a stop, in percent, in which new requests are still accepted:
 /// callers cache the answer of the directory for a while.
 const ADMISSION_PERCENT: u32 = 30;
-/// How long this process listens for requests on routes after a stop starts, because callers cache
-/// responses of the directory.
+/// How long this process listens after it was removed, because callers cache responses of the
+/// directory. After a signal, the core waits longer than that before it has handed over.
 const LINGER_TIME: Duration = Duration::from_millis(3500);
 
 /// A stop of the process.
@@ -39,15 +40,6 @@
     pub(crate) reason: StopReason,
 }
 
-/// When an interface stops to listen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum ListensUntil {
-    /// Callers have had time to learn of the stop.
-    CallersKnow,
-    /// The state is handed over too.
-    HandedOver,
-}
-
 /// What the process waits for before it ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Use {
@@ -139,15 +131,10 @@
         InUse { counts: Arc::clone(&self.uses), kind }
     }
 
-    /// Waits until an interface must stop to listen.
-    pub(crate) async fn stopped_listening(&self, clock: &Clock, until: ListensUntil) {
-        match until {
-            ListensUntil::CallersKnow => self.callers_know(clock).await,
-            ListensUntil::HandedOver => {
-                // The sender lives as long as the driver.
-                let _ = self.closes_listeners.subscribe().wait_for(|closes| *closes).await;
-            }
-        }
+    /// Waits until the listeners must close.
+    pub(crate) async fn stopped_listening(&self) {
+        // The sender lives as long as the driver.
+        let _ = self.closes_listeners.subscribe().wait_for(|closes| *closes).await;
     }
 
     /// Waits until callers have had time to learn of the stop.
@@ -155,19 +142,15 @@
         let Some(stop) = self.started().await else {
             return;
         };
-        tokio::select! {
-            () = clock.sleep_until(stop.since.after(LINGER_TIME)) => {}
-            () = self.planned_handover() => {}
+        if stop.reason == StopReason::Removal {
+            clock.sleep_until(stop.since.after(LINGER_TIME)).await;
         }
     }
 
-    /// Waits until a planned stop has handed over the state, which takes longer than callers
-    /// cache the directory. After a removal the core waits for nothing.
-    async fn planned_handover(&self) {
-        self.handed_over().await;
-        if self.stop().is_some_and(|stop| stop.reason == StopReason::Removal) {
-            std::future::pending::<()>().await;
-        }
+    /// Waits until the counts of uses meet a condition.
+    async fn uses_meet(&self, condition: impl Fn(&UseCounts) -> bool) {
+        // The sender lives as long as the driver.
+        let _ = self.uses.subscribe().wait_for(condition).await;
     }
 
     /// Waits until the stop starts.
@@ -225,30 +208,20 @@
         log::info!(target: NODE, "may exit after_ms={}: all state is handed over", after.as_millis());
     }
 
-    /// Logs that the listener of requests on routes is closed.
-    pub(crate) fn log_closed_listener(&self, until: ListensUntil) {
-        if until != ListensUntil::CallersKnow {
-            return;
-        }
-        log::info!(
-            target: NODE,
-            "listeners closed open_requests={} connections={} after_ms={}",
-            self.open_request_count(),
-            self.shutdown.uses.borrow().connections,
-            self.time_since_stop().as_millis()
-        );
-    }
-
     /// Waits until the process may exit: its state is handed over, it accepts nothing more, and
     /// what it accepted is done.
     pub async fn wait_for_exit(&self) {
         let shutdown = &self.shutdown;
         shutdown.handed_over().await;
-        shutdown.stopped_listening(&self.clock, ListensUntil::CallersKnow).await;
+        shutdown.callers_know(&self.clock).await;
+        while self.open_request_count() > 0 {
+            self.clock.sleep(TICK_INTERVAL).await;
+        }
+        self.log_closed_listeners();
         shutdown.closes_listeners.send_replace(true);
-        // The sender lives as long as the driver.
-        let _ = shutdown.uses.subscribe().wait_for(|counts| counts.total() == 0).await;
-        self.peers().close().await;
+        shutdown.uses_meet(|counts| counts.calls == 0).await;
+        // Both at once: the VM has no listener until the next process starts.
+        tokio::join!(self.peers().close(), shutdown.uses_meet(|counts| counts.total() == 0));
         log::info!(
             target: NODE,
             "ends reason={} after_ms={} open={}",
@@ -258,6 +231,15 @@
         );
     }
 
+    fn log_closed_listeners(&self) {
+        log::info!(
+            target: NODE,
+            "listeners close connections={} after_ms={}",
+            self.shutdown.uses.borrow().connections,
+            self.time_since_stop().as_millis()
+        );
+    }
+
     fn time_since_stop(&self) -> Duration {
         self.shutdown.stop().map_or(Duration::ZERO, |stop| self.now().since(stop.since))
     }
