Reservations: tokens of a caller that leaves at that moment are returned

A request that ends cancels its reservation and looks for the result; if another thread has decided but not sent it yet, nobody returns the tokens, and a process with reserved tokens never hands over.

Change: the table of waiting reservations knows budget and amount, and returns tokens whose receiver is closed; the request closes it before it looks. `reservations` guards both sides. The race itself was not made to happen in a test.

--- a/crates/badgerfield-node/src/driver/commands.rs
+++ b/crates/badgerfield-node/src/driver/commands.rs
@@ -53,9 +53,10 @@
                 }
             }
             Command::AnswerReserve(id, result) => {
-                let answer = lock(&self.reservations).remove(&id);
-                // Sending fails if the request has ended; the gateway returns its reserved tokens.
-                let _ = answer.map(|answer| answer.send(result));
+                let unclaimed = lock(&self.reservations).answer(id, result);
+                if let Some(end) = unclaimed {
+                    self.handle_event(Event::ReservationEnded(end));
+                }
             }
             Command::ApplyUpstreamChanges(from, update) => self.apply_peer_update(from, update),
             Command::ApplyUpstreamList(from, list) => {
--- a/crates/badgerfield-node/src/driver/mod.rs
+++ b/crates/badgerfield-node/src/driver/mod.rs
@@ -17,10 +17,9 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
-use badgerfield_core::event::Answer;
-use badgerfield_core::ids::{Incarnation, Period, RequestId, ReservationId};
+use badgerfield_core::event::{Answer, ReserveRequest};
+use badgerfield_core::ids::{Incarnation, RequestId, ReservationId};
 use badgerfield_core::locality::Location;
-use badgerfield_core::refusal::Refusal;
 use badgerfield_core::view::{Member, MemberState};
 use badgerfield_core::vm_upstreams::VmList;
 use badgerfield_core::{Config, Event, Node};
@@ -40,6 +39,7 @@
 use crate::logs::{NODE, PLATFORM};
 use crate::metrics::{GatewayCounts, Metrics};
 use crate::peers::{PeerError, PeerTransport};
+use crate::reservations::{ReserveResult, WaitingReservations};
 use crate::settings::Settings;
 use crate::shutdown::{Shutdown, Use};
 use crate::sync::lock;
@@ -80,9 +80,6 @@
 /// A part of an answer with its index in the answer.
 pub type IndexedAnswer = (usize, Answer);
 
-/// Sends the result of a reservation to the task that waits for it.
-type ReservationAnswer = oneshot::Sender<Result<Period, Refusal>>;
-
 /// A request whose caller has not yet received the complete answer.
 #[derive(Debug)]
 struct OpenRequest {
@@ -99,7 +96,7 @@
     pub(crate) clock: Arc<Clock>,
     pub(crate) store: Arc<dyn KeyValueStore>,
     gateway: Option<Arc<Gateway>>,
-    reservations: Mutex<HashMap<ReservationId, ReservationAnswer>>,
+    reservations: Mutex<WaitingReservations>,
     next_reservation: AtomicU64,
     pub(crate) shutdown: Shutdown,
     peers: Arc<PeerTransport>,
@@ -270,14 +267,17 @@
         &self.metrics.gateway
     }
 
-    /// Assigns an id to a new reservation and returns the receiver of its result.
-    pub(crate) fn register_reservation(
+    /// Returns an id for a new reservation.
+    pub(crate) fn next_reservation(&self) -> ReservationId {
+        ReservationId(self.next_reservation.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Adds a reservation that waits for its result, and returns the receiver of the result.
+    pub(crate) fn await_reservation(
         &self,
-    ) -> (ReservationId, oneshot::Receiver<Result<Period, Refusal>>) {
-        let id = ReservationId(self.next_reservation.fetch_add(1, Ordering::Relaxed));
-        let (answer, receiver) = oneshot::channel();
-        lock(&self.reservations).insert(id, answer);
-        (id, receiver)
+        request: &ReserveRequest,
+    ) -> oneshot::Receiver<ReserveResult> {
+        lock(&self.reservations).insert(request)
     }
 
     pub(crate) fn peers(&self) -> &PeerTransport {
--- a/crates/badgerfield-node/src/gateway/reservation.rs
+++ b/crates/badgerfield-node/src/gateway/reservation.rs
@@ -33,8 +33,9 @@
         amount: Tokens,
         deadline: Time,
     ) -> Result<Self, Refusal> {
-        let (id, answer) = driver.register_reservation();
+        let id = driver.next_reservation();
         let request = ReserveRequest { id, budget: budget.clone(), amount, deadline };
+        let answer = driver.await_reservation(&request);
         let mut pending = PendingReservation { driver, request: Some(request.clone()), answer };
         driver.handle_event(Event::Reserve(request));
         let result = (&mut pending.answer).await;
@@ -84,7 +85,9 @@
             return;
         };
         self.driver.handle_event(Event::CancelReserve(request.clone()));
-        // The result is available now: the reservation was either cancelled or already made.
+        // Another thread may be about to send the result. It returns the tokens if the receiver is
+        // closed, and otherwise the result is available now.
+        self.answer.close();
         if let Ok(Ok(period)) = self.answer.try_recv() {
             self.driver.handle_event(Event::ReservationEnded(ReservationEnd {
                 budget: request.budget,
--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod operator_api;
 mod peer_traffic;
 pub mod peers;
+pub mod reservations;
 mod rollouts;
 mod serving;
 pub mod settings;
