--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -376,7 +376,10 @@
 
     async def start(self, routers=3, engines=4, apps=2, configuration=None, cold=(0.0, 0.0)):
         self.store = Store()
-        self.store_port, front, ready, directory, peers = free_ports(5)
+        ports = free_ports(5)
+        while ports[4] + 1 in ports:
+            ports = free_ports(5)
+        self.store_port, front, ready, directory, peers = ports
         self.ports = {"Front": front, "Ready": ready, "Directory": directory, "Peers": peers}
         await self.store.start(self.store_port)
         await self.store.put("op/config", configuration or config())
@@ -468,15 +471,16 @@
     async def run():
         site = Site(record)
         site.record(f"trouble={trouble}")
+        code = NOT_RUN
         try:
             held = await asyncio.wait_for(case(site, trouble), 110)
             site.record("the rule held" if held else "THE RULE WAS BROKEN")
-            return HELD if held else BROKEN
-        except (SetupFailed, asyncio.TimeoutError, OSError) as error:
+            code = HELD if held else BROKEN
+        except Exception as error:  # pylint: disable=broad-except
             site.record(f"the case could not run: {error!r}")
-            return NOT_RUN
         finally:
             site.stop()
-            if os.environ.get("KEEP"):
-                print(site.folder)
-    sys.exit(asyncio.run(run()))
+            # All processes have ended; connections and tasks of this one need no end of their own.
+            sys.stdout.flush()
+            os._exit(code)
+    asyncio.run(run())
