Review: cut streams without a length end as whole answers when all replicas crash

Script review/1/run.sh: all six replicas of the model service are killed while they stream answers that carry no length. 5 to 14 of 36 streams end at their clients as whole answers with 28 or 29 of 60 events. The routers' logs name the cause: the replica's address refuses (listening=refused), then "crash ignored .. reason=no_upstream_reached", which the relay takes for a whole answer.

The stand-ins gain a reader of the routers' logs.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -409,6 +409,14 @@
     def replica(self, name):
         return next(one for one in self.replicas if one.name == name)
 
+    def router_lines(self, text):
+        """Returns the lines of the routers' logs that contain a text, each with its router."""
+        found = []
+        for router in self.routers:
+            with open(os.path.join(self.folder, router.name + ".log"), errors="replace") as file:
+                found += [f"{router.name}: {line.strip()}" for line in file if text in line]
+        return found
+
     def new_id(self):
         self.serial += 1
         return f"{os.getpid():08x}{self.serial:08x}"
