Streams: a version begins them only once the store records it

Cause: the record of versions was written after streams had begun, on a report each second, by three members; a VM that has just started took the version with the most upstreams as established and sent to it at once. If all died in between, the record was empty or older, the list named another version only, and both were taken as proof that there had been no other. Class: absence of evidence taken as evidence, and a write that comes after what it is to protect.

Change: the record names the versions that may begin streams. A process sends a request for a stream that may be resumed only to versions that the record named when it was read or written; a version without delay that it lacks is added first, by the writers, or by any process if a service has no other. Each process reads the record when it starts, in a transaction, so the answer is not from the past, and is not ready before. Among versions that a new process lists, one that the record names is established, not merely the largest. A version leaves the record 30 s after processes stop to rely on it. An unreadable record counts as an unknown version beside those that are written anew.

--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -28,7 +28,7 @@
 use crate::template::KeyDigest;
 use crate::template_arrival::TemplateArrival;
 use crate::upstream_list::{ListVersion, UpstreamList};
-use crate::version_record::{KnownVersions, ServiceVersions};
+use crate::version_record::{KnownVersions, OpenVersions};
 use crate::vm_upstreams::{LoadReport, VmList};
 
 /// An input of the core.
@@ -309,7 +309,7 @@
     Rollout(Service),
     /// The requests that are blocked because upstreams crashed under them.
     Poison,
-    /// The versions at which streams can have begun.
+    /// The versions that may begin streams.
     Versions,
 }
 
@@ -318,6 +318,8 @@
 pub enum StoreCall {
     /// Reads a value.
     Get(StoreKey),
+    /// Reads a value in a transaction, so that the answer is not from the past.
+    GetCurrent(StoreKey),
     /// Writes a value if the stored one has the expected revision.
     CompareAndSwap {
         /// The key to write.
@@ -418,8 +420,8 @@
     /// Sends a process the changes of the list of upstreams since a revision; the complete list for
     /// revision 0.
     SendUpstreamList(Incarnation, u64),
-    /// Applies the versions that the store recorded when it was read at this time.
-    ApplyVersions(Time, ServiceVersions),
+    /// Applies the versions that the store recorded when it was called at this time.
+    ApplyVersions(Time, OpenVersions),
     /// Blocks requests and ends their running attempts.
     BlockRequests(Vec<Fingerprint>),
     /// Writes an entry to the record of charges.
--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -440,9 +440,9 @@
             }
             (Purpose::PoisonRead, result) => self.handle_poison_result(now, false, result, out),
             (Purpose::PoisonWrite, result) => self.handle_poison_result(now, true, result, out),
-            (Purpose::VersionsRead, result) => self.handle_version_result(None, result, out),
+            (Purpose::VersionsRead, result) => self.handle_version_result(now, None, result, out),
             (Purpose::VersionsWrite(content), result) => {
-                self.handle_version_result(Some(content), result, out);
+                self.handle_version_result(now, Some(content), result, out);
             }
             (Purpose::Ledger(shard), result) => self.handle_ledger_result(now, shard, result, out),
             (Purpose::Read(StoreKey::Templates), result) => {
--- a/crates/badgerfield-core/src/ids.rs
+++ b/crates/badgerfield-core/src/ids.rs
@@ -283,6 +283,10 @@
 pub struct VersionTag(u32);
 
 impl VersionTag {
+    /// Stands for versions that a process cannot tell. No version has it but by a collision of
+    /// digests, which would only keep streams from being resumed.
+    pub const UNKNOWN: Self = Self(0);
+
     /// Returns the tag of a version, or of upstreams without one.
     #[must_use]
     pub fn new(service: &Service, version: Option<&SoftwareVersion>) -> Self {
--- a/crates/badgerfield-core/src/routing.rs
+++ b/crates/badgerfield-core/src/routing.rs
@@ -36,6 +36,12 @@
         matches!(self, Self::Safe | Self::Stream { resumes: true })
     }
 
+    /// Returns whether the answer is a stream that its caller may resume.
+    #[must_use]
+    pub fn is_resumable(self) -> bool {
+        self.is_stream() && self.is_idempotent()
+    }
+
     /// Returns whether the answer is a stream of events.
     #[must_use]
     pub fn is_stream(self) -> bool {
--- a/crates/badgerfield-core/src/upstream_table/canary.rs
+++ b/crates/badgerfield-core/src/upstream_table/canary.rs
@@ -6,7 +6,7 @@
 //! that the processes of a fleet reach the share together, instead of each sending its first
 //! request at the same time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -74,6 +74,8 @@
     sent: SentCounts,
     /// The versions that the list names, and until when each is delayed.
     versions: BTreeMap<SoftwareVersion, Time>,
+    /// The version that counts as established only because it has the most upstreams.
+    assumed: Option<SoftwareVersion>,
 }
 
 /// The number of listed upstreams of each version, by service.
@@ -83,6 +85,8 @@
 #[derive(Debug, Default)]
 pub(super) struct VersionCounts<'a> {
     pub(super) named: BTreeMap<&'a SoftwareVersion, usize>,
+    /// Those that may begin streams: others have used them.
+    pub(super) open: BTreeSet<&'a SoftwareVersion>,
     /// The upstreams that name no version.
     pub(super) unnamed: usize,
 }
@@ -237,15 +241,28 @@
     }
 
     /// Records the versions that the list names. If the service is new here, the version with the
-    /// most upstreams counts as established: a process that starts during a rollout has no other
-    /// way to tell which one that is.
+    /// most upstreams counts as established, among those that may begin streams if there are any: a
+    /// process that starts during a rollout has no other way to tell which one that is.
     fn record_versions(&mut self, now: Time, listed: &VersionCounts<'_>) {
-        let VersionCounts { named: listed, unnamed } = listed;
+        let VersionCounts { named: listed, open, unnamed } = listed;
         self.versions.retain(|version, _| listed.contains_key(version));
         self.has_unnamed = *unnamed > 0;
-        let largest = listed.iter().rev().max_by_key(|(_, count)| **count);
+        let counted = listed.iter().rev();
+        let counted = counted.filter(|(version, _)| open.is_empty() || open.contains(**version));
+        let largest = counted.max_by_key(|(_, count)| **count);
         let largest = largest.filter(|(_, count)| *count >= unnamed).map(|(version, _)| *version);
-        let established = if self.versions.is_empty() { largest } else { None };
+        let is_new = self.versions.is_empty();
+        if is_new {
+            self.assumed = largest.filter(|_| open.is_empty()).cloned();
+        } else if !open.is_empty()
+            && let Some(assumed) = self.assumed.take()
+            && !open.contains(&assumed)
+            && let Some(largest) = largest
+        {
+            self.versions.insert(assumed, now.after(ORDER_DELAY));
+            self.versions.insert(largest.clone(), now);
+        }
+        let established = if is_new { largest } else { None };
         for version in listed.keys().copied() {
             if self.versions.contains_key(version) {
                 continue;
--- a/crates/badgerfield-core/src/upstream_table/choice.rs
+++ b/crates/badgerfield-core/src/upstream_table/choice.rs
@@ -120,11 +120,18 @@
             .filter(|u| !criteria.tried.contains(&u.info.id))
             .filter(|u| u.running < criteria.max_connections)
             .filter(|u| u.has_place(now))
+            .filter(|u| !criteria.begins_stream() || self.versions.is_open(u))
             .collect();
         let eligible = if let Some(version) = criteria.bound_version {
             self.canary.filter_bound(now, criteria, eligible, version)
         } else {
-            let has_unrestricted = || self.has_unrestricted(now, criteria.service);
+            let has_unrestricted = || {
+                if criteria.begins_stream() {
+                    self.has_unrestricted_open(now, criteria.service)
+                } else {
+                    self.has_unrestricted(now, criteria.service)
+                }
+            };
             self.canary.filter_by_version(now, criteria, eligible, has_unrestricted)
         };
         let available: Vec<_> = eligible.iter().copied().filter(|u| u.avoid_until <= now).collect();
--- a/crates/badgerfield-core/src/upstream_table/mod.rs
+++ b/crates/badgerfield-core/src/upstream_table/mod.rs
@@ -101,6 +101,8 @@
     /// The version that began the stream, if the request resumes one. Only upstreams of this
     /// version can continue it.
     pub bound_version: Option<VersionTag>,
+    /// Whether the answer is a stream that its caller may resume.
+    pub is_resumable: bool,
     /// The maximum number of connections from this VM to one upstream.
     pub max_connections: u32,
     /// A random number that breaks ties between equal upstreams.
@@ -112,6 +114,14 @@
     pub rendezvous_key: Option<u64>,
 }
 
+impl UpstreamCriteria<'_> {
+    /// Returns whether the request begins a stream that may be resumed. Only versions that are open
+    /// for streams may begin one.
+    fn begins_stream(&self) -> bool {
+        self.is_resumable && self.bound_version.is_none()
+    }
+}
+
 /// The chosen upstream.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ChosenUpstream {
--- a/crates/badgerfield-core/src/upstream_table/rollout.rs
+++ b/crates/badgerfield-core/src/upstream_table/rollout.rs
@@ -135,9 +135,19 @@
 
     /// Returns whether a service has a usable upstream whose version has unrestricted access.
     pub(super) fn has_unrestricted(&self, now: Time, service: &Service) -> bool {
-        let usable = self.upstreams.values().filter(|u| u.info.service == *service);
-        let mut usable = usable.filter(|u| u.is_usable(now));
-        usable.any(|u| self.canary.access(now, u) == Access::Unrestricted)
+        self.usable(now, service).any(|u| self.canary.access(now, u) == Access::Unrestricted)
+    }
+
+    /// Returns whether a version with unrestricted access that may begin streams has a usable
+    /// upstream.
+    pub(super) fn has_unrestricted_open(&self, now: Time, service: &Service) -> bool {
+        let mut open = self.usable(now, service).filter(|u| self.versions.is_open(u));
+        open.any(|u| self.canary.access(now, u) == Access::Unrestricted)
+    }
+
+    fn usable(&self, now: Time, service: &Service) -> impl Iterator<Item = &Upstream> {
+        let in_service = self.upstreams.values().filter(move |u| u.info.service == *service);
+        in_service.filter(move |u| u.is_usable(now))
     }
 
     /// Updates the versions that the list names. Entries that arrive before the first full list are
@@ -150,7 +160,12 @@
         for upstream in self.upstreams.values() {
             let versions = listed.entry(&upstream.info.service).or_default();
             match &upstream.info.version {
-                Some(version) => *versions.named.entry(version).or_default() += 1,
+                Some(version) => {
+                    *versions.named.entry(version).or_default() += 1;
+                    if self.versions.is_open(upstream) {
+                        versions.open.insert(version);
+                    }
+                }
                 None => versions.unnamed += 1,
             }
         }
--- a/crates/badgerfield-core/src/upstream_table/versions.rs
+++ b/crates/badgerfield-core/src/upstream_table/versions.rs
@@ -1,8 +1,10 @@
 //! What the list of upstreams tells about the versions at which streams can have begun.
 //!
-//! A stream needs no record if its service has had one version for as long as the stream can have
-//! lasted. A process knows that only of the time in which it followed the list without gaps. A gap
-//! matters once a version can have appeared in it and begun a stream: that takes
+//! A version begins streams only once the store records it ([`crate::version_record`]).
+//!
+//! A stream needs no record of its own if its service has had one version for as long as the stream
+//! can have lasted. A process knows that only of the time in which it followed the list without
+//! gaps. A gap matters once a version can have appeared in it and begun a stream: that takes
 //! [`super::canary::ORDER_DELAY`], for which a version that is new to a service gets no requests
 //! while others serve.
 
@@ -10,10 +12,11 @@
 use std::time::Duration;
 
 use super::UpstreamTable;
-use super::canary::ORDER_DELAY;
+use super::canary::{Access, ORDER_DELAY};
+use super::upstream::Upstream;
 use crate::amount::Time;
 use crate::ids::{Service, VersionTag};
-use crate::version_record::{KnownVersions, ServiceVersions};
+use crate::version_record::{KnownVersions, OpenVersions, ServiceVersions};
 
 /// The maximum age of a list that lacks no version which another process may already send to.
 ///
@@ -24,6 +27,9 @@
 const FRESH_LIST_AGE: Duration = Duration::from_secs(3);
 /// The maximum number of services and versions that are remembered after they left the list.
 const MAX_PAST_VERSIONS: usize = 256;
+/// How much longer the store records a version that has left the list than processes let it begin
+/// streams again without reading the record anew: they see it leave at different times.
+const RECORD_MARGIN: Duration = Duration::from_secs(30);
 
 /// The versions that the list named earlier.
 #[derive(Debug, Default)]
@@ -31,6 +37,17 @@
     /// When versions that are not in the table any more were last in it.
     past: BTreeMap<Service, BTreeMap<VersionTag, Time>>,
     followed: Followed,
+    /// The versions that may begin streams; `None` until the record is known.
+    open: Option<OpenVersions>,
+}
+
+/// What the upstreams of one service say about the versions that are to begin streams.
+#[derive(Debug, Default)]
+struct ServiceOpening {
+    /// Whether a version that may begin streams serves any request.
+    has_open: bool,
+    to_open: BTreeSet<VersionTag>,
+    delayed: BTreeSet<VersionTag>,
 }
 
 /// The time in which a process has followed the list of upstreams without gaps.
@@ -75,6 +92,37 @@
         past.filter(move |(_, last)| now.since(**last) < span).map(|(version, _)| *version)
     }
 
+    /// Drops the versions that left the list longer than `lifetime` ago. If they return, the record
+    /// may lack them.
+    fn drop_past(
+        &mut self,
+        now: Time,
+        lifetime: Duration,
+        is_listed: impl Fn(&Service, VersionTag) -> bool,
+    ) {
+        let kept = lifetime.saturating_add(RECORD_MARGIN);
+        for versions in self.past.values_mut() {
+            versions.retain(|_, last| now.since(*last) < kept);
+        }
+        self.past.retain(|_, versions| !versions.is_empty());
+        let Some(open) = &mut self.open else {
+            return;
+        };
+        let past = &self.past;
+        for (service, tags) in &mut open.versions {
+            tags.retain(|tag| {
+                let last = past.get(service).and_then(|versions| versions.get(tag));
+                is_listed(service, *tag) || last.is_some_and(|last| now.since(*last) < lifetime)
+            });
+        }
+    }
+
+    /// Returns whether an upstream has a version that may begin streams.
+    pub(super) fn is_open(&self, upstream: &Upstream) -> bool {
+        let open = self.open.as_ref();
+        open.is_some_and(|open| open.contains(&upstream.info.service, upstream.version_tag))
+    }
+
     fn is_complete(&self, now: Time, span: Duration) -> bool {
         match self.followed {
             Followed::Never => false,
@@ -128,7 +176,73 @@
         in_service.any(|u| u.version_tag == version)
     }
 
-    /// Returns the versions of all services at which streams can have begun.
+    /// Returns whether a service has several versions at which streams can have begun.
+    #[must_use]
+    pub fn has_versions(&self, now: Time, service: &Service, lifetime: Duration) -> bool {
+        self.known_versions(now, service, lifetime).len() > 1
+    }
+
+    /// Returns the versions that may begin streams; `None` until the record is known.
+    #[must_use]
+    pub fn open_versions(&self) -> Option<&OpenVersions> {
+        self.versions.open.as_ref()
+    }
+
+    /// Sets the versions that may begin streams, unless a newer record is known.
+    pub fn set_open_versions(&mut self, now: Time, open: OpenVersions) {
+        let known = self.versions.open.as_ref();
+        if known.is_some_and(|known| known.revision > open.revision) {
+            return;
+        }
+        self.versions.open = Some(open);
+        self.update_versions(now);
+    }
+
+    /// Drops what is known of versions whose streams have ended.
+    pub fn drop_past_versions(&mut self, now: Time, lifetime: Duration) {
+        let upstreams = &self.upstreams;
+        let is_listed = |service: &Service, tag: VersionTag| {
+            let mut in_service = upstreams.values().filter(|u| u.info.service == *service);
+            in_service.any(|u| u.version_tag == tag)
+        };
+        self.versions.drop_past(now, lifetime, is_listed);
+    }
+
+    /// Returns the versions that may get requests and cannot begin streams yet, and whether a
+    /// service has no others.
+    fn versions_to_open(&self, now: Time) -> (ServiceVersions, bool) {
+        let mut services: BTreeMap<&Service, ServiceOpening> = BTreeMap::new();
+        for upstream in self.upstreams.values().filter(|u| u.is_usable(now)) {
+            let opening = services.entry(&upstream.info.service).or_default();
+            let tag = upstream.version_tag;
+            match (self.canary.access(now, upstream), self.versions.is_open(upstream)) {
+                (Access::Unrestricted | Access::Delayed, true) => opening.has_open = true,
+                (Access::Unrestricted | Access::Limited, false) => {
+                    opening.to_open.insert(tag);
+                }
+                (Access::Delayed, false) => {
+                    opening.delayed.insert(tag);
+                }
+                (Access::Limited, true) | (Access::Blocked, _) => {}
+            }
+        }
+        let mut to_open = ServiceVersions::new();
+        let mut is_urgent = false;
+        for (service, opening) in services {
+            let ServiceOpening { has_open, to_open: mut tags, delayed } = opening;
+            if !has_open && tags.is_empty() {
+                tags = delayed;
+            }
+            if !tags.is_empty() {
+                is_urgent |= !has_open;
+                to_open.insert(service.clone(), tags);
+            }
+        }
+        (to_open, is_urgent)
+    }
+
+    /// Returns the versions of all services at which streams can have begun, and those that are to
+    /// begin streams.
     #[must_use]
     pub fn all_known_versions(&self, now: Time, lifetime: Duration) -> KnownVersions {
         let mut known: BTreeMap<&Service, BTreeSet<VersionTag>> = BTreeMap::new();
@@ -136,14 +250,16 @@
             known.entry(&upstream.info.service).or_default().insert(upstream.version_tag);
         }
         for service in self.versions.past.keys() {
-            let past = self.versions.past_versions(now, service, lifetime);
+            let kept = lifetime.saturating_add(RECORD_MARGIN);
+            let past = self.versions.past_versions(now, service, kept);
             known.entry(service).or_default().extend(past);
         }
         let versions =
             known.into_iter().map(|(service, versions)| (service.clone(), versions)).collect();
         let is_fresh = self.list_age(now).is_some_and(|age| age <= MAX_LIST_AGE);
         let is_complete = self.versions.is_complete(now, lifetime);
-        KnownVersions { versions, is_complete, is_fresh }
+        let (to_open, is_urgent) = self.versions_to_open(now);
+        KnownVersions { versions, to_open, is_urgent, is_complete, is_fresh }
     }
 
     /// Adds the versions that were known elsewhere at a time, when there were no others. Returns
--- a/crates/badgerfield-core/tests/announcements.rs
+++ b/crates/badgerfield-core/tests/announcements.rs
@@ -128,7 +128,7 @@
                 }
                 StoreResult::Written(self.put(key, value))
             }
-            StoreCall::Get(_) => StoreResult::Unknown,
+            StoreCall::Get(_) | StoreCall::GetCurrent(_) => StoreResult::Unknown,
         }
     }
 
--- a/crates/badgerfield-core/tests/brittle/fleet.rs
+++ b/crates/badgerfield-core/tests/brittle/fleet.rs
@@ -402,6 +402,7 @@
             residency: &EVERYWHERE,
             tried: &[],
             bound_version: None,
+            is_resumable: false,
             max_connections: 100,
             random: self.rng.random(),
             rendezvous_key: None,
--- a/crates/badgerfield-core/tests/canary.rs
+++ b/crates/badgerfield-core/tests/canary.rs
@@ -111,6 +111,7 @@
             residency: &EVERYWHERE,
             tried: &self.tried,
             bound_version: self.bound_version,
+            is_resumable: false,
             max_connections: 1000,
             random,
             rendezvous_key: None,
--- a/crates/badgerfield-core/tests/locality.rs
+++ b/crates/badgerfield-core/tests/locality.rs
@@ -107,6 +107,7 @@
         residency: &EVERYWHERE,
         tried: &[],
         bound_version: None,
+        is_resumable: false,
         max_connections: 100,
         random,
         rendezvous_key: None,
--- a/crates/badgerfield-core/tests/overload.rs
+++ b/crates/badgerfield-core/tests/overload.rs
@@ -218,6 +218,7 @@
             residency: &EVERYWHERE,
             tried: &request.tried,
             bound_version: None,
+            is_resumable: false,
             max_connections: 2,
             random: self.rng.next(),
             rendezvous_key: None,
--- a/crates/badgerfield-core/tests/queueing_delay.rs
+++ b/crates/badgerfield-core/tests/queueing_delay.rs
@@ -80,6 +80,7 @@
                         residency: &EVERYWHERE,
                         tried: &[],
                         bound_version: None,
+                        is_resumable: false,
                         max_connections: 5,
                         random: random.rotate_left(17),
                         rendezvous_key: None,
--- a/crates/badgerfield-core/tests/rate_limit.rs
+++ b/crates/badgerfield-core/tests/rate_limit.rs
@@ -77,6 +77,7 @@
         residency: &EVERYWHERE,
         tried: &[],
         bound_version: None,
+        is_resumable: false,
         max_connections: 100,
         random,
         rendezvous_key: None,
--- a/crates/badgerfield-core/tests/residency.rs
+++ b/crates/badgerfield-core/tests/residency.rs
@@ -199,6 +199,7 @@
             residency: &residency,
             tried: &request.tried,
             bound_version: None,
+            is_resumable: false,
             max_connections: 6,
             random,
             rendezvous_key: None,
--- a/crates/badgerfield-core/tests/warm_up.rs
+++ b/crates/badgerfield-core/tests/warm_up.rs
@@ -76,6 +76,7 @@
         residency: &EVERYWHERE,
         tried: &[],
         bound_version: None,
+        is_resumable: false,
         max_connections: 100,
         random,
         rendezvous_key: None,
--- a/crates/badgerfield-node/src/driver/commands.rs
+++ b/crates/badgerfield-node/src/driver/commands.rs
@@ -80,8 +80,9 @@
             Command::ApplyEvacuations(from, changes) => self.apply_evacuations(from, &changes),
             Command::ApplyRolloutRules(rules) => self.apply_rollout_rules(rules),
             Command::SendUpstreamList(to, since) => self.send_upstream_list(to, since),
-            Command::ApplyVersions(known_at, versions) => {
-                self.apply_versions(known_at, &versions, "store");
+            Command::ApplyVersions(known_at, open) => {
+                self.apply_open_versions(open.clone());
+                self.apply_versions(known_at, &open.versions, "store");
             }
             Command::BlockRequests(requests) => {
                 if let Some(gateway) = &self.gateway {
--- a/crates/badgerfield-node/src/driver/ticks.rs
+++ b/crates/badgerfield-node/src/driver/ticks.rs
@@ -11,7 +11,7 @@
 use crate::logs::NODE;
 use crate::memory::{self, MemoryWatch};
 use crate::rollouts::REPORT_INTERVAL;
-use crate::{store_calls, versions};
+use crate::store_calls;
 
 /// Number of ticks between two readings of the wall clock.
 const WALL_CLOCK_TICKS: u32 = 4;
@@ -21,7 +21,7 @@
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         let mut logged_at = self.now();
         let mut reported_at = self.now();
-        let mut versions_reported_at = Time::default();
+        let mut versions_due_at = Time::default();
         let mut ticked_at = self.now();
         let mut memory_read_at = self.now();
         let mut memory = MemoryWatch::new(self.settings.memory_limit);
@@ -59,14 +59,19 @@
                 reported_at = now;
                 self.report_rollouts();
             }
-            if now.since(versions_reported_at) >= versions::REPORT_INTERVAL {
-                versions_reported_at = now;
-                self.report_versions();
+            if now >= versions_due_at || self.has_closed_version() {
+                versions_due_at = now.after(self.report_versions());
             }
             self.handle_event(Event::Tick);
         }
     }
 
+    /// Returns whether a stream could not begin since the last tick because its version is not
+    /// recorded yet.
+    fn has_closed_version(&self) -> bool {
+        self.gateway.as_ref().is_some_and(|gateway| gateway.take_closed_version())
+    }
+
     /// Reads how much memory the process uses and how large its view is.
     fn read_memory(&self, now: Time, watch: &mut MemoryWatch) {
         let view = self.node.view_status();
--- a/crates/badgerfield-node/src/etcd.rs
+++ b/crates/badgerfield-node/src/etcd.rs
@@ -34,7 +34,8 @@
     fn call<'a>(&'a self, call: &'a StoreCall) -> BoxFuture<'a, StoreResult> {
         Box::pin(async move {
             match call {
-                StoreCall::Get(key) => self.get(key).await,
+                // Reads are linearizable.
+                StoreCall::Get(key) | StoreCall::GetCurrent(key) => self.get(key).await,
                 StoreCall::CompareAndSwap { key, expected_revision, value } => {
                     self.compare_and_swap(key, *expected_revision, value).await
                 }
--- a/crates/badgerfield-node/src/gateway/directory.rs
+++ b/crates/badgerfield-node/src/gateway/directory.rs
@@ -58,7 +58,11 @@
 
 /// Returns whether this process can serve callers.
 pub(crate) fn is_ready(gateway: &Gateway) -> bool {
-    gateway.routes().version.0 > 0 && !gateway.is_stopping() && !gateway.upstreams().is_empty()
+    if gateway.routes().version.0 == 0 || gateway.is_stopping() {
+        return false;
+    }
+    let upstreams = gateway.upstreams();
+    !upstreams.is_empty() && upstreams.open_versions().is_some()
 }
 
 fn respond(driver: &Driver, gateway: &Gateway, request: &Request<Incoming>) -> Response<Body> {
--- a/crates/badgerfield-node/src/gateway/dispatch.rs
+++ b/crates/badgerfield-node/src/gateway/dispatch.rs
@@ -272,7 +272,12 @@
         }
         let rendezvous_key = self.check_poison()?;
         let criteria = self.criteria(&residency, rendezvous_key, vm_count);
-        let chosen = upstreams.choose(now, &criteria).ok_or(Cause::NoUpstream)?;
+        let Some(chosen) = upstreams.choose(now, &criteria) else {
+            if criteria.is_resumable {
+                self.gateway.record_closed_version();
+            }
+            return Err(Cause::NoUpstream);
+        };
         let list = upstreams.last_update();
         upstreams.start_request(now, &chosen.id, &self.headers.parts);
         upstreams.record_sent(now, &criteria, &chosen.id);
@@ -298,6 +303,7 @@
             residency,
             tried: &self.tried,
             bound_version: self.stream_version.bound(),
+            is_resumable: self.route.repeat.is_resumable(),
             max_connections: connection_share(&self.spec, vm_count),
             random: rand::random(),
         }
--- a/crates/badgerfield-node/src/gateway/forward/peer_request.rs
+++ b/crates/badgerfield-node/src/gateway/forward/peer_request.rs
@@ -314,6 +314,7 @@
             residency: &residency,
             tried: &request.tried,
             bound_version: request.bound_version,
+            is_resumable: request.route.repeat.is_resumable(),
             max_connections: connection_share(&request.spec, vm_count),
             random: rand::random(),
         };
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -73,6 +73,8 @@
     overloaded: AtomicBool,
     /// Whether any service has a rollout.
     has_rollouts: AtomicBool,
+    /// Whether a stream could not begin because its version is not recorded yet.
+    has_closed_version: AtomicBool,
     /// When a bad response of a rollout's target was last reported.
     bad_answer_reported_at: Mutex<Option<Time>>,
     /// How many rounds of probes have been started.
@@ -108,6 +110,7 @@
             stopping: AtomicBool::new(false),
             overloaded: AtomicBool::new(false),
             has_rollouts: AtomicBool::new(false),
+            has_closed_version: AtomicBool::new(false),
             bad_answer_reported_at: Mutex::default(),
             probe_turn: AtomicUsize::new(0),
             delay_report_turn: AtomicUsize::new(0),
@@ -228,6 +231,16 @@
         changed
     }
 
+    /// Records that no upstream may begin a stream.
+    pub(crate) fn record_closed_version(&self) {
+        self.has_closed_version.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether that was recorded since the last call.
+    pub(crate) fn take_closed_version(&self) -> bool {
+        self.has_closed_version.swap(false, Ordering::Relaxed)
+    }
+
     /// Returns whether the process is stopping.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/badgerfield-node/src/store_calls.rs
+++ b/crates/badgerfield-node/src/store_calls.rs
@@ -89,7 +89,7 @@
             StoreCall::CompareAndSwap { key: StoreKey::Rollout(_), .. } => Self::RolloutWrite,
             StoreCall::Get(StoreKey::Poison) => Self::PoisonRead,
             StoreCall::CompareAndSwap { key: StoreKey::Poison, .. } => Self::PoisonWrite,
-            StoreCall::Get(StoreKey::Versions) => Self::VersionsRead,
+            StoreCall::Get(StoreKey::Versions) | StoreCall::GetCurrent(_) => Self::VersionsRead,
             StoreCall::CompareAndSwap { key: StoreKey::Versions, .. } => Self::VersionsWrite,
             StoreCall::CompareAndSwap { key: StoreKey::View, .. } => Self::ViewWrite,
             StoreCall::CompareAndSwap { key: StoreKey::Ledger(_), .. } => Self::LedgerWrite,
--- a/crates/badgerfield-node/src/versions.rs
+++ b/crates/badgerfield-node/src/versions.rs
@@ -1,5 +1,5 @@
 //! Keeps what is known of the versions at which streams can have begun: reports it to the core,
-//! and asks a member while this process has not followed the list for long enough.
+//! and asks a member while this process lacks something.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,7 +7,7 @@
 use badgerfield_core::Event;
 use badgerfield_core::amount::Time;
 use badgerfield_core::stream_origins::max_lifetime;
-use badgerfield_core::version_record::{KnownVersions, ServiceVersions};
+use badgerfield_core::version_record::{KnownVersions, OpenVersions, ServiceVersions};
 use serde::{Deserialize, Serialize};
 
 use crate::driver::Driver;
@@ -17,7 +17,9 @@
 use crate::peers::calls::{CallError, CallStream, read_frame, write_frame};
 
 /// The interval of reports, and the time between two questions to members.
-pub(crate) const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// The same while this process cannot begin streams, or only at some versions.
+const SHORT_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// The maximum time for which the answer of a member is awaited.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// The maximum size of an answer.
@@ -27,24 +29,41 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct VersionAnswer {
     versions: Option<ServiceVersions>,
+    /// The versions that may begin streams, if it knows the record.
+    open: Option<OpenVersions>,
 }
 
 impl Driver {
     /// Reports the versions that this process knows from the list, and asks a member if there may
-    /// be others.
-    pub(crate) fn report_versions(self: &Arc<Self>) {
+    /// be others, or others may begin streams. Returns the time until the next report.
+    pub(crate) fn report_versions(self: &Arc<Self>) -> Duration {
         let Some(gateway) = self.gateway().cloned() else {
-            return;
+            return REPORT_INTERVAL;
         };
         if gateway.upstreams().is_empty() {
-            return;
+            return Duration::ZERO;
         }
-        let known = known_versions(self.now(), &gateway);
-        let is_complete = known.is_complete;
+        let now = self.now();
+        let lifetime = max_lifetime(gateway.routes().table.max_stream_timeout());
+        let known = {
+            let mut upstreams = gateway.upstreams();
+            upstreams.drop_past_versions(now, lifetime);
+            upstreams.all_known_versions(now, lifetime)
+        };
+        let is_closed = !known.to_open.is_empty();
+        let must_ask = !known.is_complete || is_closed;
         self.handle_event(Event::KnownVersions(known));
-        if !is_complete {
+        if must_ask {
             tokio::spawn(ask_member(Arc::clone(self)));
         }
+        if is_closed { SHORT_REPORT_INTERVAL } else { REPORT_INTERVAL }
+    }
+
+    /// Applies the versions that may begin streams.
+    pub(crate) fn apply_open_versions(&self, open: OpenVersions) {
+        if let Some(gateway) = self.gateway() {
+            gateway.upstreams().set_open_versions(self.now(), open);
+        }
     }
 
     /// Applies the versions that the store or a member knew at a time.
@@ -79,10 +98,15 @@
         read_frame::<VersionAnswer>(&mut stream.receive, MAX_ANSWER_BYTES).await
     };
     match tokio::time::timeout(ANSWER_TIMEOUT, call).await {
-        Ok(Ok(VersionAnswer { versions: Some(versions) })) => {
-            driver.apply_versions(asked_at, &versions, &member.incarnation.to_string());
+        Ok(Ok(VersionAnswer { versions, open })) => {
+            if let Some(open) = open {
+                driver.apply_open_versions(open);
+            }
+            if let Some(versions) = versions {
+                driver.apply_versions(asked_at, &versions, &member.incarnation.to_string());
+            }
         }
-        Ok(Ok(VersionAnswer { versions: None })) | Err(_) => {}
+        Err(_) => {}
         Ok(Err(error)) => {
             log::debug!(target: NODE, "member {} not asked: {error}", member.incarnation);
         }
@@ -97,5 +121,6 @@
 ) -> Result<(), CallError> {
     let known = known_versions(driver.now(), gateway);
     let versions = known.is_conclusive().then_some(known.versions);
-    stream.answer(&VersionAnswer { versions }).await
+    let open = gateway.upstreams().open_versions().cloned();
+    stream.answer(&VersionAnswer { versions, open }).await
 }
--- a/crates/badgerfield-standin/src/fleet/link.rs
+++ b/crates/badgerfield-standin/src/fleet/link.rs
@@ -74,7 +74,7 @@
 /// Returns the size of a call, in bytes.
 pub(super) fn call_bytes(call: &StoreCall) -> usize {
     match call {
-        StoreCall::Get(_) => OVERHEAD_BYTES,
+        StoreCall::Get(_) | StoreCall::GetCurrent(_) => OVERHEAD_BYTES,
         StoreCall::CompareAndSwap { value, .. } => encoded_size(value.len()),
     }
 }
--- a/crates/badgerfield-standin/src/fleet/store.rs
+++ b/crates/badgerfield-standin/src/fleet/store.rs
@@ -169,6 +169,10 @@
                 }
                 (StoreResult::Value(found), false)
             }
+            StoreCall::GetCurrent(name) => {
+                self.writes += 1;
+                (StoreResult::Value(self.values.get(name).cloned().unwrap_or_default()), false)
+            }
             StoreCall::CompareAndSwap { key: name, expected_revision, value } => {
                 self.writes += 1;
                 self.view_writes += u64::from(*name == StoreKey::View);
