Streams: records of their versions go to the store

Cause: which version began a stream was kept in the memory of three processes. Class: state that must outlast a process, kept where all copies die together.

Change: records that need copies also go to the store. Streams are divided into 16 shards by their keys; the keepers are chosen by shard, and the sender of a record names the first of them to write it. That one gathers records for 250 ms and writes a segment for each of its shards in one call, at most four calls at once; a failed one is repeated as it was. Segments are never changed, and removed by their writer, or the shard's first keeper, once they have expired. Nothing waits for a write. A keeper that is asked and has no record reads the shard, at most every 2 s; if none could, the request tries again for 1.5 s or a quarter of its time. Once a service gets a second version, the records without copies are sent too. A keeper that does not know all versions counts as one that did not answer. With one version nothing is sent or written.

Tests changed: keepers follow from shards, so stream_origins checks all shards of 64 fleets in place of 1000 keys of one; a process keeps 131072 records in place of 32768, since 32 keepers now have what 64 had, and the test goes up to that.

--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -3,6 +3,7 @@
 //! The core takes an [`Event`] with the current time and returns [`Command`]s. The driver performs
 //! the I/O that the commands ask for and reports the results as events.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,7 +14,7 @@
 use crate::evacuation::DomainChange;
 use crate::ids::{
     Account, Adapter, AttemptId, BudgetId, Incarnation, Model, Period, RequestId, RequestKey,
-    ReservationId, RunId, Service, StoreCallId, UpstreamId, VmId,
+    ReservationId, RunId, Service, StoreCallId, UpstreamId, VersionTag, VmId,
 };
 use crate::ledger::HoldingPlan;
 use crate::message::{Envelope, Head, Message, UpstreamUpdate};
@@ -25,6 +26,7 @@
 use crate::rollout::{OrderChange, RolloutLogEntry, RolloutRules, RolloutTally};
 use crate::stop_reason::StopReason;
 use crate::stream_origins::StreamOrigin;
+use crate::stream_segments::{SegmentId, StreamShard};
 use crate::template::KeyDigest;
 use crate::template_arrival::TemplateArrival;
 use crate::upstream_list::{ListVersion, UpstreamList};
@@ -104,6 +106,10 @@
         /// Whether other processes keep copies of the record.
         copied: bool,
     },
+    /// Services have several versions: records of streams that began at one of these need copies.
+    StreamsNeedCopies(BTreeSet<VersionTag>),
+    /// The records of streams in a shard were read from the store.
+    StreamSegments(StreamShard, Vec<(SegmentId, Bytes)>),
     /// The versions that this process knows from the list of upstreams; sent periodically.
     KnownVersions(KnownVersions),
     /// An upstream has crashed while it ran a request of this process: the crash under the request,
@@ -311,6 +317,8 @@
     Poison,
     /// The versions that may begin streams.
     Versions,
+    /// Records of streams' beginnings.
+    StreamSegment(SegmentId),
 }
 
 /// A call to the store.
@@ -329,6 +337,13 @@
         /// The value to write.
         value: Bytes,
     },
+    /// Writes and removes values whatever their revisions, all or none.
+    WriteAll {
+        /// The values to write.
+        put: Vec<(StoreKey, Bytes)>,
+        /// The values to remove.
+        delete: Vec<StoreKey>,
+    },
 }
 
 /// A request to be sent to an upstream.
@@ -439,6 +454,8 @@
 pub enum LogEntry {
     /// A newer view is in force.
     View(crate::ids::Epoch),
+    /// So many records of streams were not written to the store, because too many waited.
+    StreamsNotWritten(u64),
     /// The view has changed the budgets that this process holds or borrows.
     Lending {
         /// The epoch of the view.
--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -444,6 +444,9 @@
             (Purpose::VersionsWrite(content), result) => {
                 self.handle_version_result(now, Some(content), result, out);
             }
+            (Purpose::StreamSegments(number), result) => {
+                self.state.stream_segments().handle_result(now, number, &result);
+            }
             (Purpose::Ledger(shard), result) => self.handle_ledger_result(now, shard, result, out),
             (Purpose::Read(StoreKey::Templates), result) => {
                 let requested_at = self.state.membership().templates_read_at.unwrap_or(now);
--- a/crates/badgerfield-core/src/handlers/streams.rs
+++ b/crates/badgerfield-core/src/handlers/streams.rs
@@ -1,18 +1,25 @@
-//! Records at which version streams began, and sends copies to their keepers.
+//! Records at which version streams began, and sends copies to their keepers and to the store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
 
 use crate::amount::Time;
-use crate::event::Outbox;
-use crate::ids::Incarnation;
+use crate::event::{Command, LogEntry, Outbox, StoreKey};
+use crate::ids::{Incarnation, VersionTag};
 use crate::message::Message;
 use crate::node::Node;
-use crate::stream_origins::{KnownOrigin, OriginSource, StreamKey, StreamOrigin};
+use crate::pending_calls::Purpose;
+use crate::stream_origins::{COPIES, KnownOrigin, OriginSource, StreamKey, StreamOrigin};
+use crate::stream_segments::{self, SegmentId, StreamShard};
 use crate::view::Member;
 
 /// The maximum number of records in one message, of some 15 bytes each.
 const MAX_BATCH: usize = 1000;
 
+/// The records to be sent, by receiver and by whether it writes them to the store.
+type Batches = BTreeMap<(Incarnation, bool), Vec<StreamOrigin>>;
+
 impl Node {
     /// Returns what this process knows of a stream's beginning.
     #[must_use]
@@ -26,7 +33,8 @@
         let members = self.state.membership();
         let silent = members.silent_members(now);
         let is_available = |id| id != self.id() && !silent.contains(&id);
-        let keepers = self.state.stream_origins().asked_keepers(key, &members.view, is_available);
+        let shard = StreamShard::of(key);
+        let keepers = self.state.stream_origins().asked_keepers(shard, &members.view, is_available);
         keepers.into_iter().filter_map(|id| members.view.member(id).cloned()).collect()
     }
 
@@ -38,37 +46,70 @@
         copied: bool,
         out: &mut Outbox,
     ) {
-        let members = self.state.membership();
-        let mut origins = self.state.stream_origins();
-        if !copied {
-            origins.record(now, origin, OriginSource::Own);
-            return;
-        }
-        origins.record_copied(now, origin);
-        let silent = members.silent_members(now);
-        let is_available = |id| id != self.id() && !silent.contains(&id);
-        for to in origins.copy_targets(origin.key, &members.view, is_available) {
-            out.send(to, Message::StreamOrigins(vec![origin]));
+        if copied {
+            self.state.stream_origins().record_copied(now, origin);
+            self.send_copies(now, vec![origin], out);
+        } else {
+            self.state.stream_origins().record(now, origin, OriginSource::Own);
         }
     }
 
+    /// Sends copies of the records without any that began at these versions: other versions have
+    /// appeared beside them.
+    pub(crate) fn copy_streams(
+        &self,
+        now: Time,
+        versions: &BTreeSet<VersionTag>,
+        out: &mut Outbox,
+    ) {
+        let origins = self.state.stream_origins().mark_copied(now, versions);
+        self.send_copies(now, origins, out);
+    }
+
     /// Sends the copied records to other processes, because this one stops.
     pub(crate) fn hand_over_streams(&self, now: Time, out: &mut Outbox) {
-        let members = self.state.membership();
-        let mut origins = self.state.stream_origins();
-        let silent = members.silent_members(now);
-        let is_available = |id| id != self.id() && !silent.contains(&id);
-        let mut batches: BTreeMap<Incarnation, Vec<StreamOrigin>> = BTreeMap::new();
-        for origin in origins.copied(now) {
-            for to in origins.copy_targets(origin.key, &members.view, is_available) {
-                batches.entry(to).or_default().push(origin);
+        let origins = self.state.stream_origins().copied(now);
+        self.send_copies(now, origins, out);
+    }
+
+    /// Sends records to their keepers. The first keeper of each also writes it to the store.
+    fn send_copies(&self, now: Time, origins: Vec<StreamOrigin>, out: &mut Outbox) {
+        let mut batches = Batches::new();
+        {
+            let members = self.state.membership();
+            let silent = members.silent_members(now);
+            let is_available = |id| !silent.contains(&id);
+            let mut known = self.state.stream_origins();
+            let mut segments = self.state.stream_segments();
+            let is_stopping = members.stopping_since.is_some();
+            for origin in origins {
+                let shard = StreamShard::of(origin.key);
+                let mut keepers = known.keepers(shard, &members.view, is_available);
+                if is_stopping {
+                    keepers.retain(|id| *id != self.id());
+                }
+                let writer = keepers.first().copied();
+                if writer.is_none_or(|writer| writer == self.id()) {
+                    segments.add(origin);
+                }
+                let others = keepers.into_iter().filter(|id| *id != self.id());
+                for to in others.take(COPIES) {
+                    batches.entry((to, Some(to) == writer)).or_default().push(origin);
+                }
             }
         }
-        for (to, batch) in batches {
+        for ((to, is_writer), batch) in batches {
             for part in batch.chunks(MAX_BATCH) {
-                out.send(to, Message::StreamOrigins(part.to_vec()));
+                let origins = part.to_vec();
+                let message = if is_writer {
+                    Message::StreamOriginsToWrite(origins)
+                } else {
+                    Message::StreamOrigins(origins)
+                };
+                out.send(to, message);
             }
         }
+        self.write_streams(now, out);
     }
 
     /// Keeps the records of another process.
@@ -84,8 +125,74 @@
         }
     }
 
-    /// Drops records that have expired.
-    pub(crate) fn sweep_stream_origins(&self, now: Time) {
+    /// Keeps the records of another process, and writes them to the store.
+    pub(crate) fn write_stream_origins(
+        &self,
+        now: Time,
+        from: Incarnation,
+        origins: Vec<StreamOrigin>,
+        out: &mut Outbox,
+    ) {
+        {
+            let mut segments = self.state.stream_segments();
+            for origin in &origins {
+                segments.add(*origin);
+            }
+        }
+        self.keep_stream_origins(now, from, origins);
+        self.write_streams(now, out);
+    }
+
+    /// Keeps the records of a shard that were read from the store. The first keeper removes their
+    /// segments once they have expired, for writers that are gone.
+    pub(crate) fn apply_segments(
+        &self,
+        now: Time,
+        shard: StreamShard,
+        found: Vec<(SegmentId, Bytes)>,
+        out: &mut Outbox,
+    ) {
+        let members = self.state.membership();
+        let silent = members.silent_members(now);
+        let mut known = self.state.stream_origins();
+        let keepers = known.keepers(shard, &members.view, |id| !silent.contains(&id));
+        let is_first = keepers.first() == Some(&self.id());
+        let mut segments = self.state.stream_segments();
+        for (id, bytes) in found {
+            let origins = match stream_segments::decode(&bytes) {
+                Ok(origins) => origins,
+                Err(error) => {
+                    let key = StoreKey::StreamSegment(id);
+                    out.push(Command::Log(LogEntry::BadValue(key, error.to_string())));
+                    Vec::new()
+                }
+            };
+            if is_first {
+                segments.adopt(id, now.after(stream_segments::kept_time(&origins)));
+            }
+            for origin in origins {
+                known.record(now, origin, OriginSource::Store);
+            }
+        }
+    }
+
+    /// Writes records to the store if a write is due, and drops those that have expired.
+    pub(crate) fn tick_streams(&self, now: Time, out: &mut Outbox) {
         self.state.stream_origins().sweep(now);
+        self.write_streams(now, out);
+    }
+
+    fn write_streams(&self, now: Time, out: &mut Outbox) {
+        let mut members = self.state.membership();
+        let mut segments = self.state.stream_segments();
+        let dropped = segments.take_dropped();
+        if dropped > 0 {
+            out.push(Command::Log(LogEntry::StreamsNotWritten(dropped)));
+        }
+        let Some((number, call)) = segments.next_call(now, self.id()) else {
+            return;
+        };
+        let ticket = members.store_calls.begin(Purpose::StreamSegments(number));
+        out.push(Command::CallStore(ticket, call));
     }
 }
--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -103,6 +103,7 @@
 pub mod stop_reason;
 mod stored_record;
 pub mod stream_origins;
+pub mod stream_segments;
 pub mod template;
 pub mod template_arrival;
 pub mod template_history;
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -223,6 +223,8 @@
     /// Asks a host to write that the sender, whose view has this epoch, leaves or (`true`) quits;
     /// repeated until the view shows it.
     Departure(Epoch, bool),
+    /// Like [`Message::StreamOrigins`]; the receiver also writes the records to the store.
+    StreamOriginsToWrite(Vec<StreamOrigin>),
 }
 
 impl Message {
@@ -244,7 +246,7 @@
             Self::Crashes(_) | Self::CompareCrashes(_) => "crashes",
             Self::LimitReports(_) => "limits",
             Self::BrittleReports(_) => "brittle",
-            Self::StreamOrigins(_) => "streams",
+            Self::StreamOrigins(_) | Self::StreamOriginsToWrite(_) => "streams",
             Self::TokenRequest(_) | Self::NoTokens { .. } => "ask",
             Self::Transfer(_) | Self::TransferAck { .. } => "transfer",
             Self::Park(_) | Self::ParkAck(_) => "park",
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -453,6 +453,8 @@
             Event::SuspectServed(request) => self.record_suspect_served(now, request, out),
             Event::KnownVersions(known) => self.handle_known_versions(now, known, out),
             Event::StreamBegun { origin, copied } => self.record_stream(now, origin, copied, out),
+            Event::StreamsNeedCopies(versions) => self.copy_streams(now, &versions, out),
+            Event::StreamSegments(shard, found) => self.apply_segments(now, shard, found, out),
             Event::Stop => self.start_stop(now, StopReason::Signal, out),
         }
     }
@@ -486,7 +488,7 @@
         self.tick_charges(now, out);
         self.tick_stop(now, out);
         self.sweep_runs(now);
-        self.sweep_stream_origins(now);
+        self.tick_streams(now, out);
     }
 
     /// Does the work that any event may make necessary.
@@ -534,6 +536,9 @@
             Message::Crashes(update) => self.receive_crash_update(now, from, update, out),
             Message::CompareCrashes(theirs) => self.reconcile_crashes(now, from, &theirs, out),
             Message::StreamOrigins(origins) => self.keep_stream_origins(now, from, origins),
+            Message::StreamOriginsToWrite(origins) => {
+                self.write_stream_origins(now, from, origins, out);
+            }
             Message::RolloutReport(report) => self.state.rollouts().apply_report(from, report),
             Message::LedgerRequest(ops) => self.handle_ledger_request(now, ops, out),
             Message::LedgerReplies(replies) => self.apply_ledger_replies(now, from, replies, out),
--- a/crates/badgerfield-core/src/pending_calls.rs
+++ b/crates/badgerfield-core/src/pending_calls.rs
@@ -5,6 +5,7 @@
 use crate::event::StoreKey;
 use crate::ids::{Service, StoreCallId};
 use crate::rollout::RolloutRecord;
+use crate::stream_segments::WriteNumber;
 use crate::version_record::ServiceVersions;
 use crate::view::View;
 
@@ -31,6 +32,8 @@
     VersionsRead,
     /// Writes this content of the record of versions.
     VersionsWrite(ServiceVersions),
+    /// Writes records of streams' beginnings.
+    StreamSegments(WriteNumber),
 }
 
 /// The calls that await a result.
@@ -66,7 +69,8 @@
             | Purpose::PoisonRead
             | Purpose::PoisonWrite
             | Purpose::VersionsRead
-            | Purpose::VersionsWrite(_) => false,
+            | Purpose::VersionsWrite(_)
+            | Purpose::StreamSegments(_) => false,
         })
     }
 }
--- a/crates/badgerfield-core/src/shared_state.rs
+++ b/crates/badgerfield-core/src/shared_state.rs
@@ -19,6 +19,7 @@
 use crate::rollout::Rollouts;
 use crate::runs::Runs;
 use crate::stream_origins::StreamOrigins;
+use crate::stream_segments::StreamSegments;
 use crate::template::TemplateSet;
 use crate::template_history::TemplateHistory;
 use crate::version_record::VersionRecord;
@@ -42,6 +43,7 @@
     holdings: Mutex<Holdings>,
     ledger_writer: Mutex<LedgerWriter>,
     stream_origins: Mutex<StreamOrigins>,
+    stream_segments: Mutex<StreamSegments>,
     version_record: Mutex<VersionRecord>,
 }
 
@@ -69,6 +71,7 @@
             holdings: Mutex::new(holdings),
             ledger_writer: Mutex::new(ledger_writer),
             stream_origins: Mutex::default(),
+            stream_segments: Mutex::default(),
             version_record: Mutex::default(),
         }
     }
@@ -149,7 +152,12 @@
         lock(&self.stream_origins)
     }
 
-    /// Locks the record of the versions at which streams can have begun.
+    /// Locks the records of streams' beginnings that this process writes to the store.
+    pub(crate) fn stream_segments(&self) -> MutexGuard<'_, StreamSegments> {
+        lock(&self.stream_segments)
+    }
+
+    /// Locks the record of the versions that may begin streams.
     pub(crate) fn version_record(&self) -> MutexGuard<'_, VersionRecord> {
         lock(&self.version_record)
     }
--- a/crates/badgerfield-core/src/stream_origins.rs
+++ b/crates/badgerfield-core/src/stream_origins.rs
@@ -4,8 +4,8 @@
 //! that began it. Each process records the streams that it begins, before the caller gets the first
 //! event. While that version does not follow from the list of upstreams
 //! ([`crate::upstream_table::UpstreamTable::only_version`]), the record is also sent to [`COPIES`] other
-//! processes, its keepers. The id of the stream determines them, so that a process that is to resume
-//! a stream can ask them.
+//! processes, its keepers, and to the store ([`crate::stream_segments`]). The shard of the stream
+//! determines them, so that a process that is to resume a stream can ask them.
 //!
 //! A record is never changed: two that contradict each other cancel out. A stream without a record
 //! is resumed only if the list shows that its service has had one version.
@@ -18,6 +18,7 @@
 
 use crate::amount::Time;
 use crate::ids::{Account, Domain, Epoch, Incarnation, VersionTag};
+use crate::stream_segments::StreamShard;
 use crate::view::{MemberState, View};
 
 /// The number of processes that keep a copy of a record. They lie in different failure domains if
@@ -30,7 +31,7 @@
 /// process opens for records.
 const MAX_CANDIDATES: usize = 64;
 /// The maximum number of records of one process, of some 120 bytes each.
-const MAX_RECORDS: usize = 32_768;
+const MAX_RECORDS: usize = 131_072;
 /// The number of timeouts of its route for which a stream is recorded: its caller may resume it
 /// three times.
 const TRIES: u32 = 4;
@@ -41,6 +42,11 @@
 pub struct StreamKey(u64);
 
 impl StreamKey {
+    /// Returns the digest.
+    pub(crate) fn digest(self) -> u64 {
+        self.0
+    }
+
     /// Returns the key of the stream that a request began.
     #[must_use]
     pub fn new(account: Option<&Account>, request: &str) -> Self {
@@ -85,6 +91,8 @@
     Own,
     /// It keeps a copy for this process.
     Peer(Incarnation),
+    /// It was read from the store.
+    Store,
 }
 
 /// What a process knows of a stream's beginning.
@@ -120,7 +128,7 @@
 impl StreamOrigins {
     /// Adds a record. If there are too many, those that expire first are dropped.
     pub fn record(&mut self, now: Time, origin: StreamOrigin, source: OriginSource) {
-        self.insert(now, origin, source, matches!(source, OriginSource::Peer(_)));
+        self.insert(now, origin, source, source != OriginSource::Own);
     }
 
     /// Adds a record of this process of which copies are sent.
@@ -182,6 +190,25 @@
         copied.filter_map(origin).collect()
     }
 
+    /// Marks the records without copies of streams that began at these versions as copied, and
+    /// returns them.
+    pub fn mark_copied(&mut self, now: Time, versions: &BTreeSet<VersionTag>) -> Vec<StreamOrigin> {
+        let mut marked = Vec::new();
+        for (key, record) in &mut self.records {
+            let Some(version) = record.version.filter(|version| versions.contains(version)) else {
+                continue;
+            };
+            if record.is_copied || record.expires_at <= now {
+                continue;
+            }
+            record.is_copied = true;
+            let remaining = record.expires_at.since(now);
+            let kept_s = u16::try_from(remaining.as_secs()).unwrap_or(u16::MAX);
+            marked.push(StreamOrigin { key: *key, version, kept_s });
+        }
+        marked
+    }
+
     /// Returns the number of records.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -194,26 +221,27 @@
         self.records.is_empty()
     }
 
-    /// Returns the processes to which copies of a record are sent.
-    pub fn copy_targets(
+    /// Returns the processes that keep the records of a shard, by their rank: one more than there
+    /// are copies, since one of them may be the sender.
+    pub fn keepers(
         &mut self,
-        key: StreamKey,
+        shard: StreamShard,
         view: &View,
         is_available: impl Fn(Incarnation) -> bool,
     ) -> Vec<Incarnation> {
-        let mut targets = self.candidates.ranked(key, view, is_available);
-        targets.truncate(COPIES);
-        targets
+        let mut keepers = self.candidates.ranked(shard, view, is_available);
+        keepers.truncate(COPIES + 1);
+        keepers
     }
 
     /// Returns the processes to ask for a record, those that are most likely to have it first.
     pub fn asked_keepers(
         &mut self,
-        key: StreamKey,
+        shard: StreamShard,
         view: &View,
         is_available: impl Fn(Incarnation) -> bool,
     ) -> Vec<Incarnation> {
-        let mut asked = self.candidates.ranked(key, view, is_available);
+        let mut asked = self.candidates.ranked(shard, view, is_available);
         asked.truncate(ASKED_KEEPERS);
         asked
     }
@@ -236,18 +264,18 @@
 }
 
 impl Candidates {
-    /// Returns the available candidates by their rank for a stream. The second one lies in another
+    /// Returns the available candidates by their rank for a shard. The second one lies in another
     /// failure domain than the first if there is one.
     fn ranked(
         &mut self,
-        key: StreamKey,
+        shard: StreamShard,
         view: &View,
         is_available: impl Fn(Incarnation) -> bool,
     ) -> Vec<Incarnation> {
         self.update(view);
         let available = self.members.iter().filter(|member| is_available(member.id));
         let mut ranked: Vec<_> = available.collect();
-        let weight = |member: &&Candidate| xxh3_64_with_seed(&key.0.to_be_bytes(), member.vm_hash);
+        let weight = |member: &&Candidate| xxh3_64_with_seed(&shard.subject(), member.vm_hash);
         ranked.sort_by_cached_key(|member| std::cmp::Reverse(weight(member)));
         let first_domain = ranked.first().map(|first| &first.domain);
         let other = ranked.iter().position(|member| Some(&member.domain) != first_domain);
--- a/crates/badgerfield-core/tests/announcements.rs
+++ b/crates/badgerfield-core/tests/announcements.rs
@@ -128,7 +128,9 @@
                 }
                 StoreResult::Written(self.put(key, value))
             }
-            StoreCall::Get(_) | StoreCall::GetCurrent(_) => StoreResult::Unknown,
+            StoreCall::Get(_) | StoreCall::GetCurrent(_) | StoreCall::WriteAll { .. } => {
+                StoreResult::Unknown
+            }
         }
     }
 
--- a/crates/badgerfield-core/tests/stream_origins.rs
+++ b/crates/badgerfield-core/tests/stream_origins.rs
@@ -9,6 +9,7 @@
 use badgerfield_core::stream_origins::{
     COPIES, KnownOrigin, OriginSource, StreamKey, StreamOrigin, StreamOrigins, max_lifetime,
 };
+use badgerfield_core::stream_segments::StreamShard;
 use badgerfield_core::view::{Member, MemberState, View};
 
 const NOW: Time = Time::from_millis(60_000);
@@ -48,6 +49,15 @@
     View { epoch: Epoch(epoch), members, ..View::default() }
 }
 
+/// Returns the view of one of several fleets of 30 VMs in 5 domains.
+fn fleet_view(epoch: u64, fleet: u64) -> View {
+    let members = (1..=30).map(|n| Member {
+        vm: format!("vm-{fleet}-{n}").parse().expect("the name is valid"),
+        ..member(n, n, 5)
+    });
+    View { epoch: Epoch(epoch), members: members.collect(), ..View::default() }
+}
+
 fn domain(view: &View, id: Incarnation) -> String {
     view.member(id).expect("a member").domain.to_string()
 }
@@ -98,14 +108,14 @@
 #[test]
 fn the_number_of_records_is_bounded() {
     let mut origins = StreamOrigins::default();
-    for n in 0..40_000 {
-        let at = NOW.after(Duration::from_millis(n));
+    for n in 0..140_000 {
+        let at = NOW.after(Duration::from_micros(n * 100));
         origins.record(at, origin(&n.to_string(), "v1"), OriginSource::Own);
     }
-    assert_eq!(origins.len(), 32_768);
-    let now = NOW.after(Duration::from_secs(40));
+    assert_eq!(origins.len(), 131_072);
+    let now = NOW.after(Duration::from_secs(14));
     assert!(origins.find(NOW, key("a", "1")).is_none(), "the first ones are dropped");
-    assert!(origins.find(now, key("a", "39999")).is_some());
+    assert!(origins.find(now, key("a", "139999")).is_some());
 }
 
 /// Guards against copies that are lost together with a failure domain, and against ones that a
@@ -114,12 +124,13 @@
 fn copies_lie_in_two_failure_domains_at_other_processes() {
     let view = view(1, 9, 3);
     let mut origins = StreamOrigins::default();
-    for n in 0..500 {
+    for shard in StreamShard::all() {
         let is_other = |id| id != Incarnation(4);
-        let targets = origins.copy_targets(key("a", &n.to_string()), &view, is_other);
-        assert_eq!(targets.len(), COPIES);
-        assert!(!targets.contains(&Incarnation(4)));
-        assert_ne!(domain(&view, targets[0]), domain(&view, targets[1]));
+        let keepers = origins.keepers(shard, &view, is_other);
+        // The sender may be one of them.
+        assert_eq!(keepers.len(), COPIES + 1);
+        assert!(!keepers.contains(&Incarnation(4)));
+        assert_ne!(domain(&view, keepers[0]), domain(&view, keepers[1]));
     }
 }
 
@@ -127,22 +138,25 @@
 /// have restarted, and does not ask itself.
 #[test]
 fn keepers_are_found_after_restarts() {
-    let before = view(1, 30, 5);
-    let mut after = view(2, 30, 5);
-    // A third of the VMs run new processes, which have no records.
-    for member in after.members.iter_mut().filter(|m| m.incarnation.0 % 3 == 0) {
-        member.incarnation = Incarnation(member.incarnation.0 + 1000);
-    }
-    after.members.sort_by_key(|member| member.incarnation);
-    let (mut writer, mut reader) = (StreamOrigins::default(), StreamOrigins::default());
-    let mut found = 0;
-    for n in 0..1000 {
-        let key = key("a", &n.to_string());
-        let targets = writer.copy_targets(key, &before, |id| id != Incarnation(1));
-        let asked = reader.asked_keepers(key, &after, |id| id != Incarnation(2));
-        found += usize::from(targets.iter().any(|target| asked.contains(target)));
+    let (mut found, mut all) = (0, 0);
+    for fleet in 0..64 {
+        let before = fleet_view(1, fleet);
+        let mut after = fleet_view(2, fleet);
+        // A third of the VMs run new processes, which have no records.
+        for member in after.members.iter_mut().filter(|m| m.incarnation.0 % 3 == 0) {
+            member.incarnation = Incarnation(member.incarnation.0 + 1000);
+        }
+        after.members.sort_by_key(|member| member.incarnation);
+        let (mut writer, mut reader) = (StreamOrigins::default(), StreamOrigins::default());
+        for shard in StreamShard::all() {
+            let keepers = writer.keepers(shard, &before, |_| true);
+            let copies = keepers.into_iter().filter(|id| *id != Incarnation(1)).take(COPIES);
+            let asked = reader.asked_keepers(shard, &after, |id| id != Incarnation(2));
+            found += usize::from(copies.into_iter().any(|keeper| asked.contains(&keeper)));
+            all += 1;
+        }
     }
-    assert!(found >= 850, "{found} of 1000 found");
+    assert!(found * 100 >= all * 85, "{found} of {all} found");
 }
 
 /// Guards against a process that opens connections to all others.
@@ -151,8 +165,8 @@
     let view = view(1, 650, 7);
     let mut origins = StreamOrigins::default();
     let mut keepers = BTreeSet::new();
-    for n in 0..5000 {
-        keepers.extend(origins.copy_targets(key("a", &n.to_string()), &view, |_| true));
+    for shard in StreamShard::all() {
+        keepers.extend(origins.keepers(shard, &view, |_| true));
     }
-    assert!(keepers.len() <= 64, "{}", keepers.len());
+    assert!(keepers.len() <= 48, "{}", keepers.len());
 }
--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -12,6 +12,7 @@
 use badgerfield_core::event::{OperatorChanges, StoreCall, StoreResult, Versioned};
 use badgerfield_core::ids::{Account, Domain, Region, UpstreamId};
 use badgerfield_core::rate_limit::RateLimit;
+use badgerfield_core::stream_segments::{SegmentId, StreamShard};
 use badgerfield_core::upstream_list::{PlatformChanges, PlatformList};
 use badgerfield_core::upstream_table::PromptPart;
 use bytes::Bytes;
@@ -103,6 +104,9 @@
     /// Reads the announcements of processes that are joining; returns `None` if the call fails.
     fn list_joiners(&self) -> BoxFuture<'_, Option<Announcements>>;
 
+    /// Reads the segments of a shard of streams' records; returns `None` if the call fails.
+    fn list_segments(&self, shard: StreamShard) -> BoxFuture<'_, Option<Vec<(SegmentId, Bytes)>>>;
+
     /// Waits for announcements of joining processes after a revision of the store.
     fn watch_joiners(&self, after: u64) -> BoxFuture<'_, WatchResult<Announcements>>;
 }
--- a/crates/badgerfield-node/src/driver/log_entries.rs
+++ b/crates/badgerfield-node/src/driver/log_entries.rs
@@ -18,9 +18,7 @@
                 self.update_warm_up_senders();
             }
             LogEntry::Templates(arrival) => self.handle_new_templates(arrival),
-            LogEntry::OperatorsLost => {
-                log::info!(target: PLATFORM, "operators' values not read");
-            }
+            LogEntry::OperatorsLost => log::info!(target: PLATFORM, "operators' values not read"),
             LogEntry::OperatorsRegained(away) => log::info!(
                 target: PLATFORM,
                 "operators' values read again away_ms={}",
@@ -30,6 +28,9 @@
                 self.metrics.bad_templates.inc();
                 log::error!(target: NODE, "templates are invalid, the previous templates stay in force: {error}");
             }
+            LogEntry::StreamsNotWritten(count) => {
+                log::warn!(target: NODE, "streams not written to the store count={count}");
+            }
             LogEntry::BadValue(key, error) => {
                 log::error!(target: PLATFORM, "invalid value of {key:?}: {error}");
             }
--- a/crates/badgerfield-node/src/driver/mod.rs
+++ b/crates/badgerfield-node/src/driver/mod.rs
@@ -40,6 +40,7 @@
 use crate::metrics::{GatewayCounts, Metrics};
 use crate::peers::{PeerError, PeerTransport};
 use crate::reservations::{ReserveResult, WaitingReservations};
+use crate::segment_loads::SegmentLoads;
 use crate::settings::Settings;
 use crate::shutdown::{Shutdown, Use};
 use crate::sync::lock;
@@ -96,6 +97,7 @@
     pub(crate) clock: Arc<Clock>,
     pub(crate) store: Arc<dyn KeyValueStore>,
     gateway: Option<Arc<Gateway>>,
+    pub(crate) segment_loads: SegmentLoads,
     reservations: Mutex<WaitingReservations>,
     next_reservation: AtomicU64,
     pub(crate) shutdown: Shutdown,
@@ -175,6 +177,7 @@
             clock,
             store,
             gateway,
+            segment_loads: SegmentLoads::default(),
             reservations: Mutex::default(),
             next_reservation: AtomicU64::new(1),
             shutdown: Shutdown::new(),
--- a/crates/badgerfield-node/src/etcd.rs
+++ b/crates/badgerfield-node/src/etcd.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use badgerfield_core::event::{OperatorChanges, StoreCall, StoreKey, StoreResult, Versioned};
+use badgerfield_core::stream_segments::{SegmentId, StreamShard};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -18,6 +19,8 @@
 
 /// Prefix of the announcements of joining processes, after the prefix of all keys.
 const JOINERS_PREFIX: &str = "joining/";
+/// Prefix of the segments of streams' records, after the prefix of all keys.
+const STREAMS_PREFIX: &str = "streams/";
 /// Interval between two reads of the announcements by a process that adds them to the view.
 const JOINERS_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -36,6 +39,7 @@
             match call {
                 // Reads are linearizable.
                 StoreCall::Get(key) | StoreCall::GetCurrent(key) => self.get(key).await,
+                StoreCall::WriteAll { put, delete } => self.write_all(put, delete).await,
                 StoreCall::CompareAndSwap { key, expected_revision, value } => {
                     self.compare_and_swap(key, *expected_revision, value).await
                 }
@@ -51,6 +55,10 @@
         Box::pin(self.read_joiners())
     }
 
+    fn list_segments(&self, shard: StreamShard) -> BoxFuture<'_, Option<Vec<(SegmentId, Bytes)>>> {
+        Box::pin(self.read_segments(shard))
+    }
+
     fn watch_joiners(&self, after: u64) -> BoxFuture<'_, WatchResult<Announcements>> {
         Box::pin(async move {
             tokio::time::sleep(JOINERS_POLL_INTERVAL).await;
@@ -112,16 +120,51 @@
         parse_range(range).map_or(StoreResult::Unknown, StoreResult::Conflict)
     }
 
-    /// Reads the announcements of all joining processes.
-    async fn read_joiners(&self) -> Option<Announcements> {
-        let prefix = format!("{}{JOINERS_PREFIX}", self.prefix);
+    /// Writes and removes values whatever their revisions.
+    async fn write_all(&self, put: &[(StoreKey, Bytes)], delete: &[StoreKey]) -> StoreResult {
+        let put = put.iter().map(|(key, value)| {
+            json!({ "request_put": { "key": self.encode_key(key), "value": STANDARD.encode(value) } })
+        });
+        let delete = delete
+            .iter()
+            .map(|key| json!({ "request_delete_range": { "key": self.encode_key(key) } }));
+        let body = json!({ "success": put.chain(delete).collect::<Vec<_>>() });
+        match self.post("/v3/kv/txn", &body).await {
+            Ok(answer) => parse_number(&answer["header"]["revision"])
+                .map_or(StoreResult::Unknown, StoreResult::Written),
+            Err(CallError::Connect(_)) => StoreResult::Refused,
+            Err(_) => StoreResult::Unknown,
+        }
+    }
+
+    /// Reads the segments of a shard of streams' records.
+    async fn read_segments(&self, shard: StreamShard) -> Option<Vec<(SegmentId, Bytes)>> {
+        let prefix = format!("{}{STREAMS_PREFIX}", self.prefix);
+        let answer = self.read_prefix(&format!("{prefix}{shard}/")).await?;
+        let pairs = answer["kvs"].as_array().map(Vec::as_slice).unwrap_or_default();
+        let segment = |pair: &Value| {
+            let decode = |name: &str| STANDARD.decode(pair[name].as_str()?).ok();
+            let key = String::from_utf8(decode("key")?).ok()?;
+            let id = key.strip_prefix(&prefix)?.parse().ok()?;
+            Some((id, Bytes::from(decode("value")?)))
+        };
+        Some(pairs.iter().filter_map(segment).collect())
+    }
+
+    /// Reads all values whose keys have a prefix.
+    async fn read_prefix(&self, prefix: &str) -> Option<Value> {
         // The range ends before the first key that does not start with the prefix.
-        let mut end = prefix.clone().into_bytes();
+        let mut end = prefix.as_bytes().to_vec();
         if let Some(last) = end.last_mut() {
             *last += 1;
         }
         let body = json!({ "key": STANDARD.encode(prefix), "range_end": STANDARD.encode(end) });
-        let answer = self.post("/v3/kv/range", &body).await.ok()?;
+        self.post("/v3/kv/range", &body).await.ok()
+    }
+
+    /// Reads the announcements of all joining processes.
+    async fn read_joiners(&self) -> Option<Announcements> {
+        let answer = self.read_prefix(&format!("{}{JOINERS_PREFIX}", self.prefix)).await?;
         let revision = parse_number(&answer["header"]["revision"])?;
         let pairs = answer["kvs"].as_array().map(Vec::as_slice).unwrap_or_default();
         Some(Announcements { revision, items: pairs.iter().filter_map(parse_pair).collect() })
@@ -145,6 +188,7 @@
             StoreKey::Rollout(service) => format!("rollout/{service}"),
             StoreKey::Poison => "poison".to_owned(),
             StoreKey::Versions => "versions".to_owned(),
+            StoreKey::StreamSegment(id) => format!("{STREAMS_PREFIX}{id}"),
         };
         STANDARD.encode(format!("{}{name}", self.prefix))
     }
--- a/crates/badgerfield-node/src/gateway/stream_origin.rs
+++ b/crates/badgerfield-node/src/gateway/stream_origin.rs
@@ -11,9 +11,12 @@
 use badgerfield_core::stream_origins::{
     KnownOrigin, OriginSource, StreamKey, StreamOrigin, max_lifetime,
 };
+use badgerfield_core::stream_segments::StreamShard;
 use badgerfield_core::view::Member;
-use futures::future::join_all;
+use futures::stream::{FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::time::Instant;
 
 use crate::driver::Driver;
 use crate::gateway::exchange::{Exchange, OtherVersion, StreamVersion};
@@ -23,8 +26,19 @@
 use crate::logs::REQUESTS;
 use crate::peers::calls::{CallError, CallStream, read_frame, write_frame};
 
-/// The maximum time for which a request waits for the answers of keepers.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// The maximum time for which a request waits for the answers of keepers, which may have to read the
+/// store first.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+/// The maximum time for which a keeper reads the store before it answers.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(600);
+/// How much longer a request waits for other answers after one that names a version.
+const FURTHER_ANSWERS_TIME: Duration = Duration::from_millis(20);
+/// The maximum time for which a request waits until the records in the store can be read, and its
+/// share of the time that is left to the request.
+const MAX_SEARCH_TIME: Duration = Duration::from_millis(1500);
+const SEARCH_TIME_DIVISOR: u32 = 4;
+/// The time between two such tries.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(150);
 /// The maximum size of an answer.
 const MAX_ANSWER_BYTES: usize = 64;
 
@@ -52,12 +66,26 @@
     Recorded { version: VersionTag, age: Duration },
     /// Two records contradict each other.
     Contradictory,
-    /// It has no record, and knows another version of the service.
+    /// Neither it nor the store has a record, and it knows other versions of the service.
     OtherVersions,
-    /// It has no record, and knows no other version of the service.
+    /// It has no record, and the service has had one version only.
     NoRecord,
+    /// It has no record, and could not read those in the store, or does not know all versions.
+    NotLoaded,
 }
 
+impl OriginAnswer {
+    fn from_record(known: KnownOrigin) -> Self {
+        let KnownOrigin { version, age, .. } = known;
+        version.map_or(Self::Contradictory, |version| Self::Recorded { version, age })
+    }
+}
+
+/// The records of a stream's shard could not be read from the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the records in the store could not be read")]
+struct NotLoaded;
+
 /// Where the version of a stream was learned, for the log and the metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LearnedFrom {
@@ -65,6 +93,8 @@
     Record,
     /// The record of a peer.
     Peer(Incarnation),
+    /// The record in the store.
+    Store,
     /// The list of upstreams, which has named only one version.
     List,
 }
@@ -74,6 +104,7 @@
         match self {
             Self::Record => "record",
             Self::Peer(_) => "peer",
+            Self::Store => "store",
             Self::List => "list",
         }
     }
@@ -95,6 +126,7 @@
         let from = match source {
             OriginSource::Own => LearnedFrom::Record,
             OriginSource::Peer(peer) => LearnedFrom::Peer(peer),
+            OriginSource::Store => LearnedFrom::Store,
         };
         version.map(|version| Self { version, from, age })
     }
@@ -108,6 +140,8 @@
     recorded: Option<FoundOrigin>,
     is_contradictory: bool,
     knows_others: bool,
+    /// Whether a keeper has all records of the store.
+    is_loaded: bool,
 }
 
 impl KeeperAnswers {
@@ -123,8 +157,13 @@
                 self.is_contradictory |= known.version != version;
             }
             OriginAnswer::Contradictory => self.is_contradictory = true,
-            OriginAnswer::OtherVersions => self.knows_others = true,
-            OriginAnswer::NoRecord => {}
+            OriginAnswer::OtherVersions => {
+                self.knows_others = true;
+                self.is_loaded = true;
+            }
+            OriginAnswer::NoRecord => self.is_loaded = true,
+            // It knows no more than a process that does not answer.
+            OriginAnswer::NotLoaded => self.answered -= 1,
         }
     }
 }
@@ -145,7 +184,7 @@
         let own = key.and_then(|key| self.driver.node.stream_origin(self.now(), key));
         let (found, answers) = match own {
             Some(known) => (FoundOrigin::from_record(known), KeeperAnswers::default()),
-            None => self.ask_keepers(key).await,
+            None => self.find_origin(key).await,
         };
         let (id, resumes) = (&self.original.id, self.headers.resumes.as_deref());
         let result = found.ok_or(Cause::StreamUnknown).and_then(|found| {
@@ -202,11 +241,30 @@
         self.driver.handle_event(Event::StreamBegun { origin, copied });
     }
 
+    /// Finds the version at which a stream began that this process has no record of. While neither
+    /// the keepers nor this process can read the records in the store, that is tried again.
+    async fn find_origin(&self, key: Option<StreamKey>) -> (Option<FoundOrigin>, KeeperAnswers) {
+        let started = self.now();
+        let remaining = self.deadline().since(started);
+        let until = started.after(MAX_SEARCH_TIME.min(remaining / SEARCH_TIME_DIVISOR));
+        loop {
+            let (found, answers) = self.ask_keepers(key).await;
+            let is_final = found.is_some() || answers.is_loaded || answers.is_contradictory;
+            if key.is_none() || is_final || self.now() >= until {
+                return (found, answers);
+            }
+            self.driver.clock.sleep(SEARCH_INTERVAL).await;
+        }
+    }
+
     /// Asks keepers for a record. If none has one, the version follows from the list if that has
     /// named only one, here and at each keeper that answers.
     async fn ask_keepers(&self, key: Option<StreamKey>) -> (Option<FoundOrigin>, KeeperAnswers) {
         let now = self.now();
         let only = self.only_version(now);
+        if key.is_none() && only.is_none() {
+            return (None, KeeperAnswers::default());
+        }
         let key = key.unwrap_or_else(|| self.stream_key(&self.original.id));
         let only_version = |found: FoundOrigin| OnlyVersion {
             service: self.service.clone(),
@@ -215,10 +273,15 @@
         };
         let query = OriginQuery { key, only: only.map(only_version) };
         let keepers = self.driver.node.stream_keepers(now, key);
-        let answers = ask(&self.driver, &keepers, &query).await;
+        let mut answers = ask(&self.driver, &keepers, &query).await;
         if answers.is_contradictory {
             return (None, answers);
         }
+        if answers.recorded.is_none() && !answers.is_loaded && only.is_none() {
+            let loaded = load_origin(&self.driver, key).await;
+            answers.is_loaded = loaded.is_ok();
+            answers.recorded = loaded.ok().flatten().and_then(FoundOrigin::from_record);
+        }
         // Without an answer this VM may be behind a cut, and its list may lack a version.
         let is_connected = keepers.is_empty() || answers.answered > 0;
         let only = only.filter(|_| is_connected && !answers.knows_others);
@@ -257,22 +320,29 @@
     }
 }
 
-/// Asks keepers at the same time, and waits for their answers.
+/// Asks keepers at the same time, and waits for their answers. Once one names a version, the others
+/// have little time left.
 async fn ask(driver: &Driver, keepers: &[Member], query: &OriginQuery) -> KeeperAnswers {
     let calls = keepers.iter().map(|keeper| async move {
-        let answer = tokio::time::timeout(ANSWER_TIMEOUT, ask_keeper(driver, keeper, query)).await;
-        match answer {
-            Ok(Ok(answer)) => Some((keeper.incarnation, answer)),
-            Ok(Err(error)) => {
+        match ask_keeper(driver, keeper, query).await {
+            Ok(answer) => Some((keeper.incarnation, answer)),
+            Err(error) => {
                 log::debug!(target: REQUESTS, "keeper {} not asked: {error}", keeper.incarnation);
                 None
             }
-            Err(_) => None,
         }
     });
+    let mut calls: FuturesUnordered<_> = calls.collect();
     let mut answers = KeeperAnswers { asked: keepers.len(), ..KeeperAnswers::default() };
-    for (keeper, answer) in join_all(calls).await.into_iter().flatten() {
+    let mut until = Instant::now() + ANSWER_TIMEOUT;
+    while let Ok(Some(answer)) = tokio::time::timeout_at(until, calls.next()).await {
+        let Some((keeper, answer)) = answer else {
+            continue;
+        };
         answers.add(keeper, answer);
+        if answers.recorded.is_some() {
+            until = until.min(Instant::now() + FURTHER_ANSWERS_TIME);
+        }
     }
     answers
 }
@@ -294,19 +364,45 @@
     query: OriginQuery,
     stream: CallStream,
 ) -> Result<(), CallError> {
+    let answer = find_answer(driver, gateway, query).await;
+    stream.answer(&answer).await
+}
+
+async fn find_answer(driver: &Arc<Driver>, gateway: &Gateway, query: OriginQuery) -> OriginAnswer {
     let now = driver.now();
-    let answer = match driver.node.stream_origin(now, query.key) {
-        Some(KnownOrigin { version: Some(version), age, .. }) => {
-            OriginAnswer::Recorded { version, age }
+    let OriginQuery { key, only } = query;
+    if let Some(known) = driver.node.stream_origin(now, key) {
+        return OriginAnswer::from_record(known);
+    }
+    if let Some(OnlyVersion { service, version, lifetime }) = only {
+        let upstreams = gateway.upstreams();
+        if upstreams.only_version(now, &service, lifetime) == Some(version) {
+            return OriginAnswer::NoRecord;
         }
-        Some(KnownOrigin { version: None, .. }) => OriginAnswer::Contradictory,
-        None => {
-            let knows_other =
-                query.only.is_some_and(|OnlyVersion { service, version, lifetime }| {
-                    gateway.upstreams().knows_other_version(now, &service, version, lifetime)
-                });
-            if knows_other { OriginAnswer::OtherVersions } else { OriginAnswer::NoRecord }
+        let knows_other = upstreams.knows_other_version(now, &service, version, lifetime);
+        drop(upstreams);
+        if !knows_other {
+            return OriginAnswer::NotLoaded;
         }
-    };
-    stream.answer(&answer).await
+    }
+    match load_origin(driver, key).await {
+        Ok(Some(known)) => OriginAnswer::from_record(known),
+        Ok(None) => OriginAnswer::OtherVersions,
+        Err(NotLoaded) => OriginAnswer::NotLoaded,
+    }
+}
+
+/// Returns the record of a stream, which is read from the store if this process has none.
+///
+/// # Errors
+///
+/// Fails if the store cannot be read in time.
+async fn load_origin(
+    driver: &Arc<Driver>,
+    key: StreamKey,
+) -> Result<Option<KnownOrigin>, NotLoaded> {
+    let loading = driver.load_segments(StreamShard::of(key));
+    let is_loaded = tokio::time::timeout(LOAD_TIMEOUT, loading).await.unwrap_or(false);
+    let known = driver.node.stream_origin(driver.now(), key);
+    if known.is_some() || is_loaded { Ok(known) } else { Err(NotLoaded) }
 }
--- a/crates/badgerfield-node/src/lib.rs
+++ b/crates/badgerfield-node/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod peers;
 pub mod reservations;
 mod rollouts;
+mod segment_loads;
 mod serving;
 pub mod settings;
 mod shutdown;
--- a/crates/badgerfield-node/src/store_calls.rs
+++ b/crates/badgerfield-node/src/store_calls.rs
@@ -53,10 +53,14 @@
     VersionsRead,
     /// Writes the record of versions.
     VersionsWrite,
+    /// Reads records of streams' beginnings.
+    StreamsRead,
+    /// Writes records of streams' beginnings.
+    StreamsWrite,
 }
 
 impl CallKind {
-    const ALL: [Self; 17] = [
+    const ALL: [Self; 19] = [
         Self::ViewRead,
         Self::ViewWrite,
         Self::JoinerWrite,
@@ -74,28 +78,41 @@
         Self::PoisonWrite,
         Self::VersionsRead,
         Self::VersionsWrite,
+        Self::StreamsRead,
+        Self::StreamsWrite,
     ];
 
     /// Returns the purpose of a call.
     pub(crate) fn of(call: &StoreCall) -> Self {
         match call {
-            StoreCall::Get(StoreKey::View) => Self::ViewRead,
-            StoreCall::Get(StoreKey::Joiner(_)) => Self::JoinersRead,
+            StoreCall::Get(key) | StoreCall::GetCurrent(key) => Self::of_read(key),
             StoreCall::CompareAndSwap { key: StoreKey::Joiner(_), .. } => Self::JoinerWrite,
-            StoreCall::Get(StoreKey::Templates)
-            | StoreCall::CompareAndSwap { key: StoreKey::Templates, .. } => Self::TemplatesRead,
-            StoreCall::Get(StoreKey::Ledger(_)) => Self::LedgerRead,
-            StoreCall::Get(StoreKey::Rollout(_)) => Self::RolloutRead,
+            StoreCall::CompareAndSwap { key: StoreKey::Templates, .. } => Self::TemplatesRead,
             StoreCall::CompareAndSwap { key: StoreKey::Rollout(_), .. } => Self::RolloutWrite,
-            StoreCall::Get(StoreKey::Poison) => Self::PoisonRead,
             StoreCall::CompareAndSwap { key: StoreKey::Poison, .. } => Self::PoisonWrite,
-            StoreCall::Get(StoreKey::Versions) | StoreCall::GetCurrent(_) => Self::VersionsRead,
             StoreCall::CompareAndSwap { key: StoreKey::Versions, .. } => Self::VersionsWrite,
+            StoreCall::WriteAll { .. }
+            | StoreCall::CompareAndSwap { key: StoreKey::StreamSegment(_), .. } => {
+                Self::StreamsWrite
+            }
             StoreCall::CompareAndSwap { key: StoreKey::View, .. } => Self::ViewWrite,
             StoreCall::CompareAndSwap { key: StoreKey::Ledger(_), .. } => Self::LedgerWrite,
         }
     }
 
+    fn of_read(key: &StoreKey) -> Self {
+        match key {
+            StoreKey::View => Self::ViewRead,
+            StoreKey::Joiner(_) => Self::JoinersRead,
+            StoreKey::Templates => Self::TemplatesRead,
+            StoreKey::Ledger(_) => Self::LedgerRead,
+            StoreKey::Rollout(_) => Self::RolloutRead,
+            StoreKey::Poison => Self::PoisonRead,
+            StoreKey::Versions => Self::VersionsRead,
+            StoreKey::StreamSegment(_) => Self::StreamsRead,
+        }
+    }
+
     fn as_str(self) -> &'static str {
         match self {
             Self::ViewRead => "view_read",
@@ -115,6 +132,8 @@
             Self::PoisonWrite => "poison_write",
             Self::VersionsRead => "versions_read",
             Self::VersionsWrite => "versions_write",
+            Self::StreamsRead => "streams_read",
+            Self::StreamsWrite => "streams_write",
         }
     }
 }
--- a/crates/badgerfield-node/src/versions.rs
+++ b/crates/badgerfield-node/src/versions.rs
@@ -1,11 +1,13 @@
 //! Keeps what is known of the versions at which streams can have begun: reports it to the core,
 //! and asks a member while this process lacks something.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use badgerfield_core::Event;
 use badgerfield_core::amount::Time;
+use badgerfield_core::ids::VersionTag;
 use badgerfield_core::stream_origins::max_lifetime;
 use badgerfield_core::version_record::{KnownVersions, OpenVersions, ServiceVersions};
 use serde::{Deserialize, Serialize};
@@ -50,6 +52,7 @@
             upstreams.drop_past_versions(now, lifetime);
             upstreams.all_known_versions(now, lifetime)
         };
+        self.copy_streams(&known);
         let is_closed = !known.to_open.is_empty();
         let must_ask = !known.is_complete || is_closed;
         self.handle_event(Event::KnownVersions(known));
@@ -59,6 +62,15 @@
         if is_closed { SHORT_REPORT_INTERVAL } else { REPORT_INTERVAL }
     }
 
+    /// Sends copies of the records of streams whose services have got a second version.
+    fn copy_streams(self: &Arc<Self>, known: &KnownVersions) {
+        let several = known.versions.values().filter(|versions| versions.len() > 1);
+        let versions: BTreeSet<VersionTag> = several.flatten().copied().collect();
+        if !versions.is_empty() {
+            self.handle_event(Event::StreamsNeedCopies(versions));
+        }
+    }
+
     /// Applies the versions that may begin streams.
     pub(crate) fn apply_open_versions(&self, open: OpenVersions) {
         if let Some(gateway) = self.gateway() {
--- a/crates/badgerfield-standin/src/fleet/link.rs
+++ b/crates/badgerfield-standin/src/fleet/link.rs
@@ -75,6 +75,7 @@
 pub(super) fn call_bytes(call: &StoreCall) -> usize {
     match call {
         StoreCall::Get(_) | StoreCall::GetCurrent(_) => OVERHEAD_BYTES,
+        StoreCall::WriteAll { put, .. } => encoded_size(put.iter().map(|(_, v)| v.len()).sum()),
         StoreCall::CompareAndSwap { value, .. } => encoded_size(value.len()),
     }
 }
--- a/crates/badgerfield-standin/src/fleet/store.rs
+++ b/crates/badgerfield-standin/src/fleet/store.rs
@@ -173,6 +173,18 @@
                 self.writes += 1;
                 (StoreResult::Value(self.values.get(name).cloned().unwrap_or_default()), false)
             }
+            StoreCall::WriteAll { put, delete } => {
+                self.writes += 1;
+                for key in delete {
+                    self.values.remove(key);
+                }
+                let mut revision = 0;
+                for (key, value) in put {
+                    self.bytes += u64::try_from(value.len()).unwrap_or(0);
+                    revision = self.put(key.clone(), value.clone());
+                }
+                (StoreResult::Written(revision), false)
+            }
             StoreCall::CompareAndSwap { key: name, expected_revision, value } => {
                 self.writes += 1;
                 self.view_writes += u64::from(*name == StoreKey::View);
