Records of streams: bounds for stores that fail, found by review

A failed read of a shard was repeated at once by each query, so a store that rejects calls quickly would have met hundreds a second; it pauses for 250 ms. The sender of a record prefers a keeper that reaches the store. Segments that a process cannot decode are left alone, not removed: a process of another version may have written them. Reading a shard extends no record and displaces none that came from peers, and a stopping process hands over only those. A write that the store keeps rejecting ends with its records. Segments are decoded before tables are locked.

--- a/crates/badgerfield-core/src/handlers/streams.rs
+++ b/crates/badgerfield-core/src/handlers/streams.rs
@@ -88,7 +88,8 @@
                 if is_stopping {
                     keepers.retain(|id| *id != self.id());
                 }
-                let writer = keepers.first().copied();
+                let reaches_store = |id: &&Incarnation| !members.has_store_failure(now, **id);
+                let writer = keepers.iter().find(reaches_store).or(keepers.first()).copied();
                 if writer.is_none_or(|writer| writer == self.id()) {
                     segments.add(origin);
                 }
@@ -152,28 +153,32 @@
         found: Vec<(SegmentId, Bytes)>,
         out: &mut Outbox,
     ) {
-        let members = self.state.membership();
-        let silent = members.silent_members(now);
-        let mut known = self.state.stream_origins();
-        let keepers = known.keepers(shard, &members.view, |id| !silent.contains(&id));
-        let is_first = keepers.first() == Some(&self.id());
-        let mut segments = self.state.stream_segments();
+        let mut segments = Vec::new();
         for (id, bytes) in found {
-            let origins = match stream_segments::decode(&bytes) {
-                Ok(origins) => origins,
+            match stream_segments::decode(&bytes) {
+                Ok(origins) => segments.push((id, origins)),
+                // A process of another version may be able to read it.
                 Err(error) => {
                     let key = StoreKey::StreamSegment(id);
                     out.push(Command::Log(LogEntry::BadValue(key, error.to_string())));
-                    Vec::new()
                 }
-            };
-            if is_first {
-                segments.adopt(id, now.after(stream_segments::kept_time(&origins)));
             }
-            for origin in origins {
-                known.record(now, origin, OriginSource::Store);
+        }
+        let members = self.state.membership();
+        let silent = members.silent_members(now);
+        let mut known = self.state.stream_origins();
+        let keepers = known.keepers(shard, &members.view, |id| !silent.contains(&id));
+        let is_first = keepers.first() == Some(&self.id());
+        drop(members);
+        if is_first {
+            let mut own = self.state.stream_segments();
+            for (id, origins) in &segments {
+                own.adopt(*id, now.after(stream_segments::kept_time(origins)));
             }
         }
+        for origin in segments.into_iter().flat_map(|(_, origins)| origins) {
+            known.record(now, origin, OriginSource::Store);
+        }
     }
 
     /// Writes records to the store if a write is due, and drops those that have expired.
--- a/crates/badgerfield-core/src/stream_origins.rs
+++ b/crates/badgerfield-core/src/stream_origins.rs
@@ -138,6 +138,11 @@
 
     fn insert(&mut self, now: Time, origin: StreamOrigin, source: OriginSource, is_copied: bool) {
         let StreamOrigin { key, version, kept_s } = origin;
+        let is_stored = source == OriginSource::Store;
+        if is_stored && self.records.len() >= MAX_RECORDS && !self.records.contains_key(&key) {
+            // What this process has learned from its peers is newer.
+            return;
+        }
         let expires_at = now.after(Duration::from_secs(u64::from(kept_s)));
         let known = self.records.entry(key).or_insert(Record {
             version: Some(version),
@@ -151,7 +156,9 @@
         }
         known.is_copied |= is_copied;
         self.expiry.remove(&(known.expires_at, key));
-        known.expires_at = known.expires_at.max(expires_at);
+        if !is_stored {
+            known.expires_at = known.expires_at.max(expires_at);
+        }
         self.expiry.insert((known.expires_at, key));
         if self.records.len() > MAX_RECORDS
             && let Some((_, dropped)) = self.expiry.pop_first()
@@ -178,10 +185,12 @@
         }
     }
 
-    /// Returns the records of which there are copies, for processes that keep them from now on.
+    /// Returns the records of which there are copies, for processes that keep them from now on; not
+    /// those that were read from the store.
     #[must_use]
     pub fn copied(&self, now: Time) -> Vec<StreamOrigin> {
-        let copied = self.records.iter().filter(|(_, record)| record.is_copied);
+        let is_sent = |record: &Record| record.is_copied && record.source != OriginSource::Store;
+        let copied = self.records.iter().filter(|(_, record)| is_sent(record));
         let origin = |(key, record): (&StreamKey, &Record)| {
             let remaining = record.expires_at.since(now);
             let kept_s = u16::try_from(remaining.as_secs()).unwrap_or(u16::MAX);
--- a/crates/badgerfield-core/src/stream_segments.rs
+++ b/crates/badgerfield-core/src/stream_segments.rs
@@ -38,6 +38,8 @@
 const MAX_SEGMENT_RECORDS: usize = 2000;
 /// The maximum number of values that the store writes and removes in one call.
 const MAX_CALL_ENTRIES: usize = 32;
+/// How long a removal of segments is tried.
+const MAX_REMOVAL_TIME: Duration = Duration::from_secs(60);
 /// The number of expired segments from which they are removed without a write.
 const MIN_REMOVED: usize = 16;
 
@@ -156,9 +158,16 @@
     delete: Vec<SegmentId>,
     is_pending: bool,
     called_at: Option<Time>,
+    gathered_at: Time,
 }
 
 impl Write {
+    /// Returns whether all its records have expired.
+    fn has_expired(&self, now: Time) -> bool {
+        let kept = self.put.iter().map(|(_, origins)| kept_time(origins)).max();
+        now.since(self.gathered_at) >= kept.unwrap_or(MAX_REMOVAL_TIME)
+    }
+
     fn call(&self) -> StoreCall {
         let put = self.put.iter();
         let put = put.map(|(id, origins)| (StoreKey::StreamSegment(*id), encode(origins)));
@@ -176,7 +185,9 @@
     writes: BTreeMap<WriteNumber, Write>,
     gathered_at: Option<Time>,
     last_number: u64,
-    /// The segments in the store that this process removes, by the time at which they expire.
+    /// The segments in the store that this process removes.
+    own: BTreeSet<SegmentId>,
+    /// The same, by the time at which they expire.
     expiry: BTreeSet<(Time, SegmentId)>,
 }
 
@@ -197,7 +208,7 @@
 
     /// Takes over the removal of a segment whose records are kept until a time.
     pub(crate) fn adopt(&mut self, id: SegmentId, expires_at: Time) {
-        if !self.expiry.iter().any(|(_, known)| *known == id) {
+        if self.own.insert(id) {
             self.expiry.insert((expires_at, id));
         }
     }
@@ -208,6 +219,7 @@
         now: Time,
         me: Incarnation,
     ) -> Option<(WriteNumber, StoreCall)> {
+        self.writes.retain(|_, write| write.is_pending || !write.has_expired(now));
         let mut failed = self.writes.iter_mut();
         let is_retry =
             |write: &Write| !write.is_pending && is_due(now, write.called_at, RETRY_INTERVAL);
@@ -251,9 +263,10 @@
         let put = shards.into_iter().map(|(shard, origins)| (id(shard), origins)).collect();
         for expired in &delete {
             self.expiry.remove(expired);
+            self.own.remove(&expired.1);
         }
         let delete = delete.into_iter().map(|(_, id)| id).collect();
-        Some(Write { put, delete, is_pending: true, called_at: Some(now) })
+        Some(Write { put, delete, is_pending: true, called_at: Some(now), gathered_at: now })
     }
 
     /// Handles the store's result for a write. One that may have failed is repeated.
@@ -265,7 +278,7 @@
             return;
         }
         for (id, origins) in self.writes.remove(&number).into_iter().flat_map(|write| write.put) {
-            self.expiry.insert((now.after(kept_time(&origins)), id));
+            self.adopt(id, now.after(kept_time(&origins)));
         }
     }
 }
--- a/crates/badgerfield-node/src/segment_loads.rs
+++ b/crates/badgerfield-node/src/segment_loads.rs
@@ -18,6 +18,9 @@
 /// before the processes started that are asked.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
+/// The minimum time between a read that failed and the next one.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The state of a read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LoadState {
@@ -57,9 +60,12 @@
         let now = self.now();
         let mut loads = lock(&self.segment_loads.loads);
         if let Some(load) = loads.get(&shard) {
-            let is_recent = now.since(load.started_at) < RELOAD_INTERVAL;
-            let state = *load.state.borrow();
-            if state == LoadState::Pending || (state == LoadState::Done && is_recent) {
+            let interval = match *load.state.borrow() {
+                LoadState::Pending => Duration::MAX,
+                LoadState::Done => RELOAD_INTERVAL,
+                LoadState::Failed => RETRY_INTERVAL,
+            };
+            if now.since(load.started_at) < interval {
                 return load.state.clone();
             }
         }
