Record of versions: a version does not leave it by ignorance

What callers would have seen: streams joined from two versions after two losses of all VMs.

Cause: a process that starts and gets the list of upstreams before the configuration took 0 s for the time in which streams can be resumed, so its list counted as complete and conclusive, and it wrote the record without the version whose streams were under way. More generally, a version that a process did not know was taken for one that has ended. Class: absence of evidence.

Change: no report and no conclusive answer without routes; that time is the longest of the process's life, at least 60 s. A version leaves the record only if the writer knew it and saw its streams end. Versions that may begin streams count as known ones. A version that is not listed when the record is read, and a record read before a gap of the list of over 30 s, allow nothing. Nothing is opened before the whole list and the record are known: the largest version may not be the established one. A smaller open version counts as established unless another has four times its upstreams. A record needs copies if the list does not show just its version, and a peer's upstream without a version has the version of those without. A conflict without the item is no proof that there is none. An unreadable record is written anew with all known versions. The directory hears at once that a process is ready, and only an upstream that is not open makes reports prompt.

--- a/crates/badgerfield-core/src/upstream_table/canary.rs
+++ b/crates/badgerfield-core/src/upstream_table/canary.rs
@@ -27,6 +27,9 @@
 /// The minimum number of target upstreams that get requests, so that a single faulty upstream can
 /// be told from a faulty version.
 const MIN_TARGET_UPSTREAMS: usize = 2;
+/// How many times as many upstreams another version may have before an open one does not count as
+/// established at the start of a process: it would get the requests of all.
+const MAX_OPEN_DISADVANTAGE: usize = 4;
 /// The number of distinct values of a random fraction: far more than a share in hundredths needs.
 const FRACTION_STEPS: u32 = 1 << 16;
 
@@ -247,9 +250,7 @@
         let VersionCounts { named: listed, open, unnamed } = listed;
         self.versions.retain(|version, _| listed.contains_key(version));
         self.has_unnamed = *unnamed > 0;
-        let counted = listed.iter().rev();
-        let counted = counted.filter(|(version, _)| open.is_empty() || open.contains(**version));
-        let largest = counted.max_by_key(|(_, count)| **count);
+        let largest = largest_version(listed, open);
         let largest = largest.filter(|(_, count)| *count >= unnamed).map(|(version, _)| *version);
         let is_new = self.versions.is_empty();
         if is_new {
@@ -258,6 +259,7 @@
             && let Some(assumed) = self.assumed.take()
             && !open.contains(&assumed)
             && let Some(largest) = largest
+            && *largest != assumed
         {
             self.versions.insert(assumed, now.after(ORDER_DELAY));
             self.versions.insert(largest.clone(), now);
@@ -429,6 +431,20 @@
     }
 }
 
+/// Returns the version with the most upstreams, among the open ones if these are not too few to
+/// serve the requests of the others, and the number of its upstreams.
+fn largest_version<'a>(
+    listed: &'a BTreeMap<&'a SoftwareVersion, usize>,
+    open: &BTreeSet<&SoftwareVersion>,
+) -> Option<(&'a &'a SoftwareVersion, &'a usize)> {
+    let largest = listed.iter().rev().max_by_key(|(_, count)| **count);
+    let open = listed.iter().rev().filter(|(version, _)| open.contains(**version));
+    let largest_open = open.max_by_key(|(_, count)| **count);
+    let is_large =
+        |count: usize| largest.is_none_or(|(_, most)| count * MAX_OPEN_DISADVANTAGE >= *most);
+    largest_open.filter(|(_, count)| is_large(**count)).or(largest)
+}
+
 /// Selects as many target upstreams as give each about the load of one of the others, since a
 /// version may be bad under load only. All processes select the same ones, by rank.
 fn select_target_upstreams(
--- a/crates/badgerfield-core/src/upstream_table/rollout.rs
+++ b/crates/badgerfield-core/src/upstream_table/rollout.rs
@@ -145,7 +145,7 @@
         open.any(|u| self.canary.access(now, u) == Access::Unrestricted)
     }
 
-    fn usable(&self, now: Time, service: &Service) -> impl Iterator<Item = &Upstream> {
+    pub(super) fn usable(&self, now: Time, service: &Service) -> impl Iterator<Item = &Upstream> {
         let in_service = self.upstreams.values().filter(move |u| u.info.service == *service);
         in_service.filter(move |u| u.is_usable(now))
     }
--- a/crates/badgerfield-core/src/upstream_table/versions.rs
+++ b/crates/badgerfield-core/src/upstream_table/versions.rs
@@ -68,6 +68,10 @@
         if last.is_none_or(|last| now.since(last) > MAX_LIST_AGE) {
             self.followed = Followed::Since(now);
         }
+        if last.is_some_and(|last| now.since(last) > RECORD_MARGIN) {
+            // Versions may have left the record and returned to the list meanwhile.
+            self.open = None;
+        }
     }
 
     /// Records that an upstream of a version leaves the table.
@@ -150,11 +154,18 @@
         only.filter(|_| known.len() == 1)
     }
 
-    /// Returns whether the records of streams that begin now need copies at other processes.
+    /// Returns whether the records of streams that begin now at a version need copies at other
+    /// processes.
     #[must_use]
-    pub fn needs_stream_copies(&self, now: Time, service: &Service, lifetime: Duration) -> bool {
+    pub fn needs_stream_copies(
+        &self,
+        now: Time,
+        service: &Service,
+        version: VersionTag,
+        lifetime: Duration,
+    ) -> bool {
         self.list_age(now).is_none_or(|age| age > FRESH_LIST_AGE)
-            || self.only_version(now, service, lifetime).is_none()
+            || self.only_version(now, service, lifetime) != Some(version)
     }
 
     /// Returns whether the list has named another version of a service.
@@ -176,12 +187,6 @@
         in_service.any(|u| u.version_tag == version)
     }
 
-    /// Returns whether a service has several versions at which streams can have begun.
-    #[must_use]
-    pub fn has_versions(&self, now: Time, service: &Service, lifetime: Duration) -> bool {
-        self.known_versions(now, service, lifetime).len() > 1
-    }
-
     /// Returns the versions that may begin streams; `None` until the record is known.
     #[must_use]
     pub fn open_versions(&self) -> Option<&OpenVersions> {
@@ -194,7 +199,12 @@
         if known.is_some_and(|known| known.revision > open.revision) {
             return;
         }
-        self.versions.open = Some(open);
+        let OpenVersions { revision, mut versions } = open;
+        // A version that is listed later may have left the record by then.
+        for (service, tags) in &mut versions {
+            tags.retain(|tag| self.has_version(service, *tag));
+        }
+        self.versions.open = Some(OpenVersions { revision, versions });
         self.update_versions(now);
     }
 
@@ -208,9 +218,19 @@
         self.versions.drop_past(now, lifetime, is_listed);
     }
 
+    /// Returns whether a usable upstream of a service has a version that cannot begin streams yet.
+    #[must_use]
+    pub fn has_closed(&self, now: Time, service: &Service) -> bool {
+        self.usable(now, service).any(|upstream| !self.versions.is_open(upstream))
+    }
+
     /// Returns the versions that may get requests and cannot begin streams yet, and whether a
     /// service has no others.
     fn versions_to_open(&self, now: Time) -> (ServiceVersions, bool) {
+        // Without the whole list and the record, it is not known which versions are established.
+        if self.revision == 0 || self.versions.open.is_none() {
+            return (ServiceVersions::new(), false);
+        }
         let mut services: BTreeMap<&Service, ServiceOpening> = BTreeMap::new();
         for upstream in self.upstreams.values().filter(|u| u.is_usable(now)) {
             let opening = services.entry(&upstream.info.service).or_default();
@@ -293,7 +313,8 @@
     ) -> BTreeSet<VersionTag> {
         let in_table = self.upstreams.values().filter(|u| u.info.service == *service);
         let past = self.versions.past_versions(now, service, lifetime);
-        in_table.map(|u| u.version_tag).chain(past).collect()
+        let open = self.versions.open.iter().filter_map(|open| open.versions.get(service));
+        in_table.map(|u| u.version_tag).chain(past).chain(open.flatten().copied()).collect()
     }
 
     fn list_age(&self, now: Time) -> Option<Duration> {
--- a/crates/badgerfield-core/src/version_record.rs
+++ b/crates/badgerfield-core/src/version_record.rs
@@ -79,6 +79,8 @@
     /// The content of the record, once it was read.
     content: Option<ServiceVersions>,
     known: KnownVersions,
+    /// The versions that this process has known, and whose streams have ended since.
+    ended: ServiceVersions,
     /// Since when this process has needed the record to be read or written.
     needed_since: Option<Time>,
     /// Whether this process writes the record.
@@ -89,20 +91,41 @@
     /// Sets what this process knows from the list; `is_writer` is whether it is one of the members
     /// that keep the record.
     pub(crate) fn set_known(&mut self, now: Time, known: KnownVersions, is_writer: bool) {
+        self.record_ended(&known);
         self.known = known;
         let is_needed = !self.known.is_complete || !self.known.to_open.is_empty();
         self.needed_since = is_needed.then(|| self.needed_since.unwrap_or(now));
         let is_overdue =
             self.needed_since.is_some_and(|since| is_due(now, Some(since), WRITER_DELAY));
-        let may_call = is_writer || is_overdue;
+        let may_call = is_writer || is_overdue || self.known.is_urgent;
         let is_complete = self.known.is_complete;
         if self.content.is_none() || (may_call && (!is_complete || self.has_reopened())) {
             self.stored.mark_unknown();
         }
-        self.may_write = may_call || self.known.is_urgent;
+        self.may_write = may_call;
         self.mark_changes();
     }
 
+    /// Records which versions are known no more. One that this process has never known may have been
+    /// opened by another one.
+    fn record_ended(&mut self, known: &KnownVersions) {
+        if !known.is_conclusive() {
+            self.ended.clear();
+            return;
+        }
+        let has_now = |service: &Service, tag: &VersionTag| {
+            known.versions.get(service).is_some_and(|tags| tags.contains(tag))
+        };
+        for (service, tags) in &self.known.versions {
+            let ended = tags.iter().filter(|tag| !has_now(service, tag));
+            self.ended.entry(service.clone()).or_default().extend(ended);
+        }
+        for (service, tags) in &mut self.ended {
+            tags.retain(|tag| !has_now(service, tag));
+        }
+        self.ended.retain(|_, tags| !tags.is_empty());
+    }
+
     /// Returns whether a version is to be opened that the record had when this process read it: it
     /// has been gone from the list for long, and may have left the record since.
     fn has_reopened(&self) -> bool {
@@ -137,24 +160,27 @@
     /// Sets that the record cannot be read: streams may have begun at any versions of the known
     /// services. The next content says so until those streams have ended.
     pub(crate) fn set_unreadable(&mut self) {
-        let services = self.known.versions.keys().chain(self.known.to_open.keys());
-        let unknown =
-            services.map(|service| (service.clone(), BTreeSet::from([VersionTag::UNKNOWN])));
-        self.content = Some(unknown.collect());
+        let mut content = self.known.versions.clone();
+        for service in self.known.to_open.keys() {
+            content.entry(service.clone()).or_default();
+        }
+        for versions in content.values_mut() {
+            versions.insert(VersionTag::UNKNOWN);
+        }
+        self.content = Some(content);
         self.mark_changes();
     }
 
     /// Returns the content to write: that of the record with the versions to open, and without
-    /// those that are known to have been gone for long.
+    /// those whose streams have ended.
     pub(crate) fn next_content(&self) -> ServiceVersions {
         let mut next = self.content.clone().unwrap_or_default();
-        if self.known.is_conclusive() {
-            let known = &self.known.versions;
-            for (service, versions) in &mut next {
-                versions.retain(|tag| known.get(service).is_some_and(|tags| tags.contains(tag)));
+        for (service, ended) in &self.ended {
+            if let Some(versions) = next.get_mut(service) {
+                versions.retain(|tag| !ended.contains(tag));
             }
-            next.retain(|_, versions| !versions.is_empty());
         }
+        next.retain(|_, versions| !versions.is_empty());
         for (service, versions) in &self.known.to_open {
             next.entry(service.clone()).or_default().extend(versions);
         }
--- a/crates/badgerfield-core/tests/versions.rs
+++ b/crates/badgerfield-core/tests/versions.rs
@@ -9,7 +9,7 @@
     ListedUpstream, UpstreamEntry, UpstreamList, UpstreamListChanges,
 };
 use badgerfield_core::upstream_table::UpstreamTable;
-use badgerfield_core::version_record::ServiceVersions;
+use badgerfield_core::version_record::{OpenVersions, ServiceVersions};
 
 const LIFETIME: Duration = Duration::from_secs(60);
 
@@ -128,8 +128,9 @@
 /// Guards against streams without copies at a process whose list may lack a version.
 #[test]
 fn streams_need_copies_unless_a_fresh_list_shows_one_version() {
-    let needs =
-        |table: &UpstreamTable, second| table.needs_stream_copies(at(second), &service(), LIFETIME);
+    let needs = |table: &UpstreamTable, second| {
+        table.needs_stream_copies(at(second), &service(), tag("v1"), LIFETIME)
+    };
     let mut table = table();
     assert!(needs(&table, 0));
     table.apply_versions(at(0), at(0), &stored(&["v1"]));
@@ -139,3 +140,47 @@
     table.apply_changes(at(4), UpstreamListChanges { revision: 20, written, gone: vec![] });
     assert!(needs(&table, 4));
 }
+
+/// Guards against a process that takes the listed version for the only one, though it has learned
+/// that another one may begin streams.
+#[test]
+fn a_version_that_may_begin_streams_is_known() {
+    let mut table = table();
+    table.apply_versions(at(0), at(0), &stored(&["v1"]));
+    let written = vec![entry(11, "v2")];
+    table.apply_changes(at(1), UpstreamListChanges { revision: 11, written, gone: vec![] });
+    table.set_open_versions(at(1), OpenVersions { revision: 5, versions: stored(&["v1", "v2"]) });
+    let gone = vec![(entry(11, "v2").info.id, 12)];
+    table.apply_changes(at(2), UpstreamListChanges { revision: 12, written: vec![], gone });
+    follow(&mut table, 3, 30);
+    assert_eq!(only(&table, 30), None);
+    assert!(table.knows_other_version(at(30), &service(), tag("v1"), LIFETIME));
+}
+
+/// Guards against a version that begins streams by a record that was read before it was listed: the
+/// record may lack it by now.
+#[test]
+fn a_version_that_is_listed_after_the_record_was_read_is_not_open() {
+    let mut table = table();
+    let open = OpenVersions { revision: 5, versions: stored(&["v1", "v2"]) };
+    table.set_open_versions(at(0), open);
+    let written = vec![entry(11, "v2")];
+    table.apply_changes(at(1), UpstreamListChanges { revision: 11, written, gone: vec![] });
+    let known = table.open_versions().expect("the record was read");
+    assert!(known.contains(&service(), tag("v1")));
+    assert!(!known.contains(&service(), tag("v2")));
+    follow(&mut table, 2, 20);
+    let to_open = table.all_known_versions(at(20), LIFETIME).to_open;
+    assert_eq!(to_open, stored(&["v2"]));
+}
+
+/// Guards against a record that is taken as the present one after the list was not followed for long.
+#[test]
+fn a_long_gap_in_the_list_ends_what_may_begin_streams() {
+    let mut table = table();
+    table.set_open_versions(at(0), OpenVersions { revision: 5, versions: stored(&["v1"]) });
+    follow(&mut table, 1, 2);
+    assert!(table.open_versions().is_some());
+    follow(&mut table, 40, 40);
+    assert!(table.open_versions().is_none());
+}
--- a/crates/badgerfield-node/src/driver/commands.rs
+++ b/crates/badgerfield-node/src/driver/commands.rs
@@ -81,8 +81,8 @@
             Command::ApplyRolloutRules(rules) => self.apply_rollout_rules(rules),
             Command::SendUpstreamList(to, since) => self.send_upstream_list(to, since),
             Command::ApplyVersions(known_at, open) => {
-                self.apply_open_versions(open.clone());
                 self.apply_versions(known_at, &open.versions, "store");
+                self.apply_open_versions(open);
             }
             Command::BlockRequests(requests) => {
                 if let Some(gateway) = &self.gateway {
--- a/crates/badgerfield-node/src/gateway/dispatch.rs
+++ b/crates/badgerfield-node/src/gateway/dispatch.rs
@@ -273,7 +273,7 @@
         let rendezvous_key = self.check_poison()?;
         let criteria = self.criteria(&residency, rendezvous_key, vm_count);
         let Some(chosen) = upstreams.choose(now, &criteria) else {
-            if criteria.is_resumable {
+            if criteria.is_resumable && upstreams.has_closed(now, &self.service) {
                 self.gateway.record_closed_version();
             }
             return Err(Cause::NoUpstream);
--- a/crates/badgerfield-node/src/gateway/forward/origin.rs
+++ b/crates/badgerfield-node/src/gateway/forward/origin.rs
@@ -192,10 +192,7 @@
                 let body = response_body(stream, call, verdict.clone());
                 let target = (upstream.clone(), address);
                 // A peer names no version if the entry of the upstream has none there.
-                let version = match version {
-                    Some(version) => Some(VersionTag::new(&self.service, Some(&version))),
-                    None => self.gateway.upstreams().version_tag(&upstream),
-                };
+                let version = Some(VersionTag::new(&self.service, version.as_ref()));
                 let guard = UpstreamGuard::through_peer(
                     &self.driver,
                     &self.gateway,
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! The state that all requests of the gateway share.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 use badgerfield_core::retry_budget::{RetryBudget, RetryLimits};
 use badgerfield_core::rollout::{RolloutRule, RolloutRules};
 use badgerfield_core::routing::RouteTable;
+use badgerfield_core::stream_origins::max_lifetime;
 use badgerfield_core::upstream_table::UpstreamTable;
 use badgerfield_core::vm_load::VmLoad;
 use tokio::sync::{Semaphore, watch};
@@ -30,6 +31,9 @@
 /// The maximum number of requests that this VM sends for peers at once: the requests of a peer that
 /// is as busy as this VM, a few of which may come through each other VM.
 const MAX_FORWARDED_REQUESTS: usize = 128;
+/// The minimum time for which streams count as resumable: callers wait for some 15 s, and the routes
+/// that are known may not be all.
+const MIN_STREAM_LIFETIME: Duration = Duration::from_secs(60);
 /// The number of other upstreams that are probed before a crash of one is reported.
 const COMPARED_UPSTREAMS: usize = 3;
 
@@ -75,6 +79,8 @@
     has_rollouts: AtomicBool,
     /// Whether a stream could not begin because its version is not recorded yet.
     has_closed_version: AtomicBool,
+    /// The longest time for which streams could be resumed, in milliseconds.
+    stream_lifetime_ms: AtomicU64,
     /// When a bad response of a rollout's target was last reported.
     bad_answer_reported_at: Mutex<Option<Time>>,
     /// How many rounds of probes have been started.
@@ -111,6 +117,7 @@
             overloaded: AtomicBool::new(false),
             has_rollouts: AtomicBool::new(false),
             has_closed_version: AtomicBool::new(false),
+            stream_lifetime_ms: AtomicU64::new(0),
             bad_answer_reported_at: Mutex::default(),
             probe_turn: AtomicUsize::new(0),
             delay_report_turn: AtomicUsize::new(0),
@@ -231,6 +238,15 @@
         changed
     }
 
+    /// Returns for how long streams that began in the time of this process can be resumed: by the
+    /// longest timeout of a route so far.
+    pub(crate) fn stream_lifetime(&self) -> Duration {
+        let present = max_lifetime(self.routes().table.max_stream_timeout());
+        let millis = u64::try_from(present.as_millis()).unwrap_or(u64::MAX);
+        let earlier = self.stream_lifetime_ms.fetch_max(millis, Ordering::Relaxed);
+        Duration::from_millis(earlier.max(millis)).max(MIN_STREAM_LIFETIME)
+    }
+
     /// Records that no upstream may begin a stream.
     pub(crate) fn record_closed_version(&self) {
         self.has_closed_version.store(true, Ordering::Relaxed);
--- a/crates/badgerfield-node/src/gateway/stream_origin.rs
+++ b/crates/badgerfield-node/src/gateway/stream_origin.rs
@@ -8,9 +8,7 @@
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::{Incarnation, Service, VersionTag};
 use badgerfield_core::refusal::Cause;
-use badgerfield_core::stream_origins::{
-    KnownOrigin, OriginSource, StreamKey, StreamOrigin, max_lifetime,
-};
+use badgerfield_core::stream_origins::{KnownOrigin, OriginSource, StreamKey, StreamOrigin};
 use badgerfield_core::stream_segments::StreamShard;
 use badgerfield_core::view::Member;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -214,7 +212,7 @@
                 self.stream_version = StreamVersion::Begun(version);
                 if self.route.repeat.is_idempotent() {
                     let key = self.stream_key(&self.original.id);
-                    self.record_origin(key, version, self.needs_copies());
+                    self.record_origin(key, version, self.needs_copies(version));
                 }
             }
             (StreamVersion::NotBegun, None) => self.stream_version = StreamVersion::Unknown,
@@ -230,10 +228,11 @@
 
     /// Returns whether the record of a stream that begins now needs copies. A route with several
     /// services needs them always, since the list does not tell which one began a stream.
-    fn needs_copies(&self) -> bool {
-        let (now, lifetime) = (self.now(), max_lifetime(self.route.timeout));
+    fn needs_copies(&self, version: VersionTag) -> bool {
+        let (now, lifetime) = (self.now(), self.gateway.stream_lifetime());
+        let upstreams = self.gateway.upstreams();
         self.route.split.len() > 1
-            || self.gateway.upstreams().needs_stream_copies(now, &self.service, lifetime)
+            || upstreams.needs_stream_copies(now, &self.service, version, lifetime)
     }
 
     fn record_origin(&self, key: StreamKey, version: VersionTag, copied: bool) {
@@ -269,7 +268,7 @@
         let only_version = |found: FoundOrigin| OnlyVersion {
             service: self.service.clone(),
             version: found.version,
-            lifetime: max_lifetime(self.route.timeout),
+            lifetime: self.gateway.stream_lifetime(),
         };
         let query = OriginQuery { key, only: only.map(only_version) };
         let keepers = self.driver.node.stream_keepers(now, key);
@@ -293,7 +292,7 @@
         if self.route.split.len() > 1 {
             return None;
         }
-        let lifetime = max_lifetime(self.route.timeout);
+        let lifetime = self.gateway.stream_lifetime();
         let upstreams = self.gateway.upstreams();
         let version = upstreams.only_version(now, &self.service, lifetime)?;
         let age = upstreams.last_update().1.map_or(Duration::ZERO, |at| now.since(at));
--- a/crates/badgerfield-node/src/versions.rs
+++ b/crates/badgerfield-node/src/versions.rs
@@ -8,11 +8,11 @@
 use badgerfield_core::Event;
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::VersionTag;
-use badgerfield_core::stream_origins::max_lifetime;
 use badgerfield_core::version_record::{KnownVersions, OpenVersions, ServiceVersions};
 use serde::{Deserialize, Serialize};
 
 use crate::driver::Driver;
+use crate::gateway::directory;
 use crate::gateway::forward::PeerCall;
 use crate::gateway::state::Gateway;
 use crate::logs::NODE;
@@ -42,18 +42,19 @@
         let Some(gateway) = self.gateway().cloned() else {
             return REPORT_INTERVAL;
         };
-        if gateway.upstreams().is_empty() {
+        // Without routes it is not known for how long streams can be resumed.
+        let has_list = gateway.upstreams().last_update().0 > 0;
+        if gateway.routes().version.0 == 0 || !has_list {
             return Duration::ZERO;
         }
-        let now = self.now();
-        let lifetime = max_lifetime(gateway.routes().table.max_stream_timeout());
+        let (now, lifetime) = (self.now(), gateway.stream_lifetime());
         let known = {
             let mut upstreams = gateway.upstreams();
             upstreams.drop_past_versions(now, lifetime);
             upstreams.all_known_versions(now, lifetime)
         };
         self.copy_streams(&known);
-        let is_closed = !known.to_open.is_empty();
+        let is_closed = !known.to_open.is_empty() || gateway.upstreams().open_versions().is_none();
         let must_ask = !known.is_complete || is_closed;
         self.handle_event(Event::KnownVersions(known));
         if must_ask {
@@ -72,9 +73,15 @@
     }
 
     /// Applies the versions that may begin streams.
-    pub(crate) fn apply_open_versions(&self, open: OpenVersions) {
+    pub(crate) fn apply_open_versions(self: &Arc<Self>, open: OpenVersions) {
         if let Some(gateway) = self.gateway() {
+            let was_ready = directory::is_ready(gateway);
             gateway.upstreams().set_open_versions(self.now(), open);
+            if !was_ready && directory::is_ready(gateway) {
+                // The versions to open follow from the record.
+                gateway.record_closed_version();
+                self.handle_event(Event::Serving(true));
+            }
         }
     }
 
@@ -89,12 +96,6 @@
     }
 }
 
-/// Returns the versions at which streams on any route can have begun.
-fn known_versions(now: Time, gateway: &Gateway) -> KnownVersions {
-    let timeout = gateway.routes().table.max_stream_timeout();
-    gateway.upstreams().all_known_versions(now, max_lifetime(timeout))
-}
-
 /// Asks a random member.
 async fn ask_member(driver: Arc<Driver>) {
     let asked_at = driver.now();
@@ -131,8 +132,10 @@
     gateway: &Gateway,
     stream: CallStream,
 ) -> Result<(), CallError> {
-    let known = known_versions(driver.now(), gateway);
-    let versions = known.is_conclusive().then_some(known.versions);
+    let (now, lifetime) = (driver.now(), gateway.stream_lifetime());
+    let known = gateway.upstreams().all_known_versions(now, lifetime);
+    let is_conclusive = known.is_conclusive() && gateway.routes().version.0 > 0;
+    let versions = is_conclusive.then_some(known.versions);
     let open = gateway.upstreams().open_versions().cloned();
     stream.answer(&VersionAnswer { versions, open }).await
 }
