Streams: one version in the record proves where a stream began

What callers saw: streams of the only version of a service were refused after the loss of all VMs because a second version was listed when these started again, 0 of 24 went on, though none of it had begun any stream.

Cause: only a list with one version counted as proof. But a version begins streams only once the record names it, so a record that names one version, read after the request arrived, proves the same.

Change: if neither the keepers nor the store have a record of the stream, and the record of versions named one when it was last read, it is read again, by four requests at a time at most. The same holds for callers without Resumes.

--- a/crates/badgerfield-core/src/upstream_table/versions.rs
+++ b/crates/badgerfield-core/src/upstream_table/versions.rs
@@ -16,7 +16,7 @@
 use super::upstream::Upstream;
 use crate::amount::Time;
 use crate::ids::{Service, VersionTag};
-use crate::version_record::{KnownVersions, OpenVersions, ServiceVersions};
+use crate::version_record::{self, KnownVersions, OpenVersions, ServiceVersions};
 
 /// The maximum age of a list that lacks no version which another process may already send to.
 ///
@@ -39,6 +39,8 @@
     followed: Followed,
     /// The versions that may begin streams; `None` until the record is known.
     open: Option<OpenVersions>,
+    /// All versions that the record named then.
+    recorded: ServiceVersions,
 }
 
 /// What the upstreams of one service say about the versions that are to begin streams.
@@ -187,6 +189,13 @@
         in_service.any(|u| u.version_tag == version)
     }
 
+    /// Returns the only version of a service that the record named when it was last read, if there
+    /// is one. Another one may have been added since.
+    #[must_use]
+    pub fn recorded_version(&self, service: &Service) -> Option<VersionTag> {
+        version_record::only_version(&self.versions.recorded, service)
+    }
+
     /// Returns the versions that may begin streams; `None` until the record is known.
     #[must_use]
     pub fn open_versions(&self) -> Option<&OpenVersions> {
@@ -200,6 +209,7 @@
             return;
         }
         let OpenVersions { revision, mut versions } = open;
+        self.versions.recorded.clone_from(&versions);
         // A version that is listed later may have left the record by then.
         for (service, tags) in &mut versions {
             tags.retain(|tag| self.has_version(service, *tag));
--- a/crates/badgerfield-core/src/version_record.rs
+++ b/crates/badgerfield-core/src/version_record.rs
@@ -27,7 +27,7 @@
 /// The value in the store is not a record of versions.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("expected versions by service, found {0}")]
-pub(crate) struct VersionRecordError(String);
+pub struct VersionRecordError(String);
 
 /// The content of the record at a revision of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -188,6 +188,13 @@
     }
 }
 
+/// Returns the version of a service in the record, if there is only one.
+#[must_use]
+pub fn only_version(content: &ServiceVersions, service: &Service) -> Option<VersionTag> {
+    let versions = content.get(service)?;
+    versions.first().copied().filter(|tag| versions.len() == 1 && *tag != VersionTag::UNKNOWN)
+}
+
 /// Encodes the content of the record.
 pub(crate) fn encode(content: &ServiceVersions) -> Bytes {
     // Serialization to JSON cannot fail for these types.
@@ -199,7 +206,7 @@
 /// # Errors
 ///
 /// Returns an error if the value is not a record of versions.
-pub(crate) fn decode(value: Option<&[u8]>) -> Result<ServiceVersions, VersionRecordError> {
+pub fn decode(value: Option<&[u8]>) -> Result<ServiceVersions, VersionRecordError> {
     let Some(bytes) = value else {
         return Ok(ServiceVersions::new());
     };
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -31,6 +31,9 @@
 /// The maximum number of requests that this VM sends for peers at once: the requests of a peer that
 /// is as busy as this VM, a few of which may come through each other VM.
 const MAX_FORWARDED_REQUESTS: usize = 128;
+/// The maximum number of reads of the record of versions at the same time, for streams that are to be
+/// resumed.
+const MAX_RECORD_READS: usize = 4;
 /// The minimum time for which streams count as resumable: callers wait for some 15 s, and the routes
 /// that are known may not be all.
 const MIN_STREAM_LIFETIME: Duration = Duration::from_secs(60);
@@ -69,6 +72,8 @@
     pub(crate) places: Arc<PlaceQueue>,
     /// Permits for requests of peers.
     pub(crate) forward_permits: Semaphore,
+    /// Permits for reads of the record of versions for streams that are to be resumed.
+    pub(crate) record_reads: Semaphore,
     /// Counts the rounds of probes. Requests that meet unreachable upstreams wait for the next ones.
     rounds: watch::Sender<usize>,
     open_requests: AtomicUsize,
@@ -111,6 +116,7 @@
             place_holders: PlaceHolders::default(),
             places: Arc::default(),
             forward_permits: Semaphore::new(MAX_FORWARDED_REQUESTS),
+            record_reads: Semaphore::new(MAX_RECORD_READS),
             rounds: watch::Sender::new(0),
             open_requests: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
--- a/crates/badgerfield-node/src/gateway/stream_origin.rs
+++ b/crates/badgerfield-node/src/gateway/stream_origin.rs
@@ -262,7 +262,7 @@
         let now = self.now();
         let only = self.only_version(now);
         if key.is_none() && only.is_none() {
-            return (None, KeeperAnswers::default());
+            return (self.read_recorded_version().await, KeeperAnswers::default());
         }
         let key = key.unwrap_or_else(|| self.stream_key(&self.original.id));
         let only_version = |found: FoundOrigin| OnlyVersion {
@@ -281,12 +281,29 @@
             answers.is_loaded = loaded.is_ok();
             answers.recorded = loaded.ok().flatten().and_then(FoundOrigin::from_record);
         }
+        if answers.recorded.is_none() && answers.is_loaded && only.is_none() {
+            answers.recorded = self.read_recorded_version().await;
+        }
         // Without an answer this VM may be behind a cut, and its list may lack a version.
         let is_connected = keepers.is_empty() || answers.answered > 0;
         let only = only.filter(|_| is_connected && !answers.knows_others);
         (answers.recorded.or(only), answers)
     }
 
+    /// Returns the version at which the stream began because the record in the store names no other
+    /// one, though the list does: versions are recorded before streams begin at them.
+    async fn read_recorded_version(&self) -> Option<FoundOrigin> {
+        let is_likely = self.route.split.len() == 1
+            && self.gateway.upstreams().recorded_version(&self.service).is_some();
+        if !is_likely {
+            return None;
+        }
+        let _permit = self.gateway.record_reads.try_acquire().ok()?;
+        let reading = self.driver.read_only_version(&self.service);
+        let version = tokio::time::timeout(LOAD_TIMEOUT, reading).await.ok()??;
+        Some(FoundOrigin { version, from: LearnedFrom::Store, age: Duration::ZERO })
+    }
+
     /// Returns the only version of the route's service, if the list has named only one.
     fn only_version(&self, now: Time) -> Option<FoundOrigin> {
         if self.route.split.len() > 1 {
--- a/crates/badgerfield-node/src/versions.rs
+++ b/crates/badgerfield-node/src/versions.rs
@@ -7,8 +7,9 @@
 
 use badgerfield_core::Event;
 use badgerfield_core::amount::Time;
-use badgerfield_core::ids::VersionTag;
-use badgerfield_core::version_record::{KnownVersions, OpenVersions, ServiceVersions};
+use badgerfield_core::event::{StoreCall, StoreKey, StoreResult};
+use badgerfield_core::ids::{Service, VersionTag};
+use badgerfield_core::version_record::{self, KnownVersions, OpenVersions, ServiceVersions};
 use serde::{Deserialize, Serialize};
 
 use crate::driver::Driver;
@@ -17,6 +18,7 @@
 use crate::gateway::state::Gateway;
 use crate::logs::NODE;
 use crate::peers::calls::{CallError, CallStream, read_frame, write_frame};
+use crate::store_calls::CallKind;
 
 /// The interval of reports, and the time between two questions to members.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -72,6 +74,31 @@
         }
     }
 
+    /// Reads from the record the version at which every stream of a service has begun that anything
+    /// of this fleet has begun before the call, if there is only one.
+    pub(crate) async fn read_only_version(
+        self: &Arc<Self>,
+        service: &Service,
+    ) -> Option<VersionTag> {
+        let requested_at = self.now();
+        let call = StoreCall::GetCurrent(StoreKey::Versions);
+        self.metrics.store_calls.count(CallKind::of(&call));
+        let StoreResult::Value(found) = self.store.call(&call).await else {
+            return None;
+        };
+        let versions = match version_record::decode(found.value.as_deref()) {
+            Ok(versions) => versions,
+            Err(error) => {
+                log::error!(target: NODE, "the record of versions cannot be read: {error}");
+                return None;
+            }
+        };
+        let only = version_record::only_version(&versions, service);
+        self.apply_versions(requested_at, &versions, "store");
+        self.apply_open_versions(OpenVersions { revision: found.revision, versions });
+        only
+    }
+
     /// Applies the versions that may begin streams.
     pub(crate) fn apply_open_versions(self: &Arc<Self>, open: OpenVersions) {
         if let Some(gateway) = self.gateway() {
