Answers without a length are whole only with proof

Callers got cut answers without a length as if they were whole: the end of the connection is the only mark of such an answer's end, and the check for a crash, which was asked then, answers "no" also when it did not or could not find out (this process stood still, no reply, no other upstream in reach, a new process at the address).

Cause: one function for two questions. Blame for a crash needs proof of the crash, and is judged as before. A whole answer needs proof of the opposite, which `unframed_end` looks for at the same time: a health check, on a new connection after the end, that the upstream answers with its id. If nothing names it, a process that answers or keeps the connection open for 1 s counts, unless this process stood still since the last contact. Refused, closed or silent connections and another id prove nothing. Without proof a stream goes on elsewhere where its route allows it, or ends visibly cut; a plain answer is repeated, or ends as broken off; a peer aborts the response.

The line `unframed_end` names the evidence of each such end.

--- a/crates/badgerfield-node/src/adapter.rs
+++ b/crates/badgerfield-node/src/adapter.rs
@@ -284,6 +284,9 @@
         head: &HeaderMap,
     ) -> Option<UpstreamAnnouncement>;
 
+    /// Parses the id that an upstream names in the head of its answer to a health check.
+    fn parse_instance<'a>(&self, head: &'a HeaderMap) -> Option<&'a str>;
+
     /// Parses a request to the directory. Returns `None` if the address is not one of the
     /// directory.
     fn parse_directory_request(&self, uri: &Uri) -> Option<DirectoryRequest>;
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -65,6 +65,9 @@
 pub(crate) const BROKEN: &str = "broken";
 /// The outcome of an attempt whose connection closed normally before the response was complete.
 pub(crate) const CUT: &str = "cut";
+/// The outcome of an attempt whose connection closed normally, without proof that the response was
+/// complete.
+pub(crate) const UNPROVED: &str = "unproved";
 /// The outcome of an attempt whose upstream sent nothing within the timeout.
 pub(crate) const SILENT: &str = "silent";
 
--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -35,13 +35,14 @@
 use crate::adapter::RequestHeaders;
 use crate::driver::Driver;
 use crate::gateway::admit::admit;
-use crate::gateway::attempt::{BROKEN, CUT, Original, UpstreamResponse};
+use crate::gateway::attempt::{BROKEN, CUT, Original, UNPROVED, UpstreamResponse};
 use crate::gateway::crash_check::Progress;
 use crate::gateway::refusals::{record_refused, refusal_response};
 use crate::gateway::relay;
 use crate::gateway::request_log::{self, Timing};
 use crate::gateway::reservation::Reservation;
 use crate::gateway::state::{Gateway, OpenRequest};
+use crate::gateway::unframed_end::UnframedEnd;
 
 /// The maximum size of a plain response, in bytes.
 const MAX_PLAIN_BYTES: usize = 16 << 20;
@@ -259,15 +260,22 @@
         let UpstreamResponse { head, body, framed, mut guard } = *response;
         let body = Limited::new(body, MAX_PLAIN_BYTES).collect();
         match self.driver.clock.timeout_at(self.deadline, body).await {
-            // Without framing, the body ends with its connection, so a crash of the upstream looks
-            // like a normal end.
-            Ok(Ok(_))
-                if !framed && self.detect_crash(&guard.id, guard.address, Progress::NONE).await =>
-            {
-                guard.record_failure();
-                Err(CUT)
-            }
             Ok(Ok(body)) => {
+                if !framed {
+                    // The body ends with its connection, so a crash of the upstream looks like a
+                    // normal end.
+                    let end =
+                        self.judge_unframed_end(&guard.id, guard.address, Progress::NONE).await;
+                    let failure = match end {
+                        UnframedEnd::Whole => None,
+                        UnframedEnd::Crashed => Some(CUT),
+                        UnframedEnd::Unproved => Some(UNPROVED),
+                    };
+                    if let Some(failure) = failure {
+                        guard.record_failure();
+                        return Err(failure);
+                    }
+                }
                 if head.status.is_server_error() {
                     guard.record_failure();
                     drop(guard);
--- a/crates/badgerfield-node/src/gateway/forward/peer_request.rs
+++ b/crates/badgerfield-node/src/gateway/forward/peer_request.rs
@@ -26,6 +26,7 @@
 use crate::gateway::places::PlaceRequest;
 use crate::gateway::request_log;
 use crate::gateway::state::Gateway;
+use crate::gateway::unframed_end::UnframedEnd;
 use crate::peers::calls::{CallError, CallStream, write_frame};
 
 /// The outcome of an attempt that the peer has withdrawn, because its caller left or the request was
@@ -203,20 +204,21 @@
         let passing = self.pass_response(&mut stream.send, &reply, (body, &mut events), &mut guard);
         let end = passing.await?;
         let has_begun = events.has_event;
-        let has_crashed = match end {
+        let (is_whole, has_crashed) = match end {
             BodyEnd::Withdrawn => {
                 self.record_end(chosen.id.as_str(), WITHDRAWN);
                 return Ok(());
             }
-            BodyEnd::Late => false,
-            BodyEnd::Broken => self.detect_crash(chosen, prior_crashes, has_begun).await,
-            // Without framing, the body ends with its connection, so a crash of the upstream looks
-            // like a normal end.
+            BodyEnd::Late => (false, false),
+            BodyEnd::Broken => (false, self.detect_crash(chosen, prior_crashes, has_begun).await),
+            BodyEnd::Complete if framed => (true, false),
+            // The body ends with its connection, so a crash of the upstream looks like a normal end.
             BodyEnd::Complete => {
-                !framed && self.detect_crash(chosen, prior_crashes, has_begun).await
+                let end = self.judge_unframed_end(chosen, prior_crashes, has_begun).await;
+                (end == UnframedEnd::Whole, end == UnframedEnd::Crashed)
             }
         };
-        if matches!(end, BodyEnd::Complete) && !has_crashed {
+        if is_whole {
             if !is_failure {
                 guard.finish();
             }
@@ -372,6 +374,18 @@
         check.detect(&chosen.id, chosen.address, progress).await
     }
 
+    async fn judge_unframed_end(
+        &self,
+        chosen: &ChosenUpstream,
+        prior_crashes: u32,
+        has_begun: bool,
+    ) -> UnframedEnd {
+        let check = self.crash_check(prior_crashes);
+        let progress = Progress { last_event: self.request.last_event, has_begun };
+        let health_path = &self.request.spec.health;
+        check.judge_unframed_end(&chosen.id, chosen.address, progress, health_path).await
+    }
+
     fn record_end(&self, upstream: &str, outcome: &str) {
         let took = self.driver.now().since(self.started);
         let request = &self.request;
--- a/crates/badgerfield-node/src/gateway/mod.rs
+++ b/crates/badgerfield-node/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! - `relay` forwards a streamed response;
 //! - `crash_check` detects crashes of upstreams that serve the request, and `poison` blocks poison
 //!   requests and parts of prompts;
+//! - `unframed_end` judges whether a response without a length is whole;
 //! - `refusals` builds the response of a refused request.
 //!
 //! `state` holds the shared state of all requests, and `request_log` writes one log line for each
@@ -46,3 +47,4 @@
 pub(crate) mod rollout_sample;
 pub(crate) mod state;
 pub(crate) mod stream_origin;
+mod unframed_end;
--- a/crates/badgerfield-node/src/gateway/poison.rs
+++ b/crates/badgerfield-node/src/gateway/poison.rs
@@ -20,6 +20,7 @@
 use crate::gateway::crash_check::{CrashCheck, Progress, crash_count};
 use crate::gateway::exchange::Exchange;
 use crate::gateway::request_log;
+use crate::gateway::unframed_end::UnframedEnd;
 
 /// Returns the fingerprint of a request, which is the same whenever the request is sent again.
 pub(super) fn fingerprint(
@@ -227,6 +228,18 @@
         self.crash_check().detect(upstream, address, progress).await
     }
 
+    /// Judges the end of a response without a length, and records a crash for the request if the
+    /// upstream has crashed.
+    pub(super) async fn judge_unframed_end(
+        &self,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+        progress: Progress,
+    ) -> UnframedEnd {
+        let health_path = &self.spec.health;
+        self.crash_check().judge_unframed_end(upstream, address, progress, health_path).await
+    }
+
     /// Watches an upstream that still works on the request after its caller disconnected.
     pub(super) fn watch_abandoned(&self, upstream: &UpstreamId, address: SocketAddr) {
         self.crash_check().watch_abandoned(upstream, address);
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -11,13 +11,14 @@
 use hyper::body::Frame;
 
 use crate::gateway::attempt::{
-    BLOCKED, BROKEN, CUT, SILENT, UpstreamBody, UpstreamGuard, UpstreamResponse,
+    BLOCKED, BROKEN, CUT, SILENT, UNPROVED, UpstreamBody, UpstreamGuard, UpstreamResponse,
 };
 use crate::gateway::crash_check::Progress;
 use crate::gateway::exchange::{
     Exchange, MAX_IN_FLIGHT_EVENTS, OtherVersion, ResponseBody, ResponseTruncated, StreamVersion,
 };
 use crate::gateway::request_log;
+use crate::gateway::unframed_end::UnframedEnd;
 
 /// The timeout for the next event of a resumable stream, in multiples of the route's target for the
 /// longest pause between two events.
@@ -97,20 +98,26 @@
                     self.finish();
                     return (!tail.is_empty()).then_some(Ok(tail));
                 }
-                ReadResult::End
-                    if self.scanner.partial_event().is_empty()
-                        && !self.has_upstream_crashed().await =>
-                {
-                    self.finish();
-                    return None;
+                ReadResult::End if self.scanner.partial_event().is_empty() => {
+                    let (reason, has_crashed) = match self.judge_unframed_end().await {
+                        UnframedEnd::Whole => {
+                            self.finish();
+                            return None;
+                        }
+                        UnframedEnd::Crashed => (CUT, true),
+                        UnframedEnd::Unproved => (UNPROVED, false),
+                    };
+                    if let Some(failure) = self.resume_elsewhere(reason, Some(has_crashed)).await {
+                        return Some(failure);
+                    }
                 }
                 ReadResult::End => {
-                    if let Some(failure) = self.resume_elsewhere(CUT).await {
+                    if let Some(failure) = self.resume_elsewhere(CUT, None).await {
                         return Some(failure);
                     }
                 }
                 ReadResult::Broken(reason) => {
-                    if let Some(failure) = self.resume_elsewhere(reason).await {
+                    if let Some(failure) = self.resume_elsewhere(reason, None).await {
                         return Some(failure);
                     }
                 }
@@ -202,21 +209,23 @@
             && self.exchange.stream_version != StreamVersion::Unknown
     }
 
-    /// Returns whether an unframed response ended because its upstream crashed.
-    async fn has_upstream_crashed(&mut self) -> bool {
+    /// Judges the end of a response without a length.
+    async fn judge_unframed_end(&mut self) -> UnframedEnd {
         let Some(source) = &self.source else {
-            return false;
+            return UnframedEnd::Unproved;
         };
         let (id, address) = (&source.guard.id, source.guard.address);
         let progress =
             Progress { last_event: self.scanner.last_event_id(), has_begun: source.has_begun };
-        self.exchange.detect_crash(id, address, progress).await
+        self.exchange.judge_unframed_end(id, address, progress).await
     }
 
-    /// Resumes the stream at another upstream. Returns the final error if that is not possible.
+    /// Resumes the stream at another upstream. `has_crashed` tells whether the earlier upstream has
+    /// crashed, if that is known. Returns the final error if the stream cannot be resumed.
     async fn resume_elsewhere(
         &mut self,
         reason: &'static str,
+        has_crashed: Option<bool>,
     ) -> Option<Result<Bytes, ResponseTruncated>> {
         let Some(mut source) = self.source.take() else {
             return Some(self.fail(reason));
@@ -232,9 +241,12 @@
         drop(source);
         let is_disconnected = reason == BROKEN || reason == CUT;
         let progress = Progress { last_event: self.scanner.last_event_id(), has_begun };
-        let has_crashed = match peer {
-            Some(verdict) => verdict.has_crashed(),
-            None => is_disconnected && self.exchange.detect_crash(&from, address, progress).await,
+        let has_crashed = match (has_crashed, peer) {
+            (Some(has_crashed), _) => has_crashed,
+            (None, Some(verdict)) => verdict.has_crashed(),
+            (None, None) => {
+                is_disconnected && self.exchange.detect_crash(&from, address, progress).await
+            }
         };
         // An upstream that has not crashed may have generated more than arrived here.
         self.exchange.has_unseen_output |= !has_crashed;
--- a/crates/badgerfield-node/src/gateway/request_log.rs
+++ b/crates/badgerfield-node/src/gateway/request_log.rs
@@ -186,6 +186,21 @@
     );
 }
 
+/// Logs by which evidence the end of a response without a length was judged.
+pub(crate) fn unframed_end(
+    id: &str,
+    upstream: &UpstreamId,
+    evidence: &str,
+    is_whole: bool,
+    took: Duration,
+) {
+    let took = took.as_millis();
+    log::info!(
+        target: REQUESTS,
+        "unframed_end id={id} upstream={upstream} evidence={evidence} whole={is_whole} took_ms={took}"
+    );
+}
+
 /// Logs that a crash is not reported, because this VM reaches no other upstream either.
 pub(crate) fn crash_ignored(request: Fingerprint, upstream: &UpstreamId) {
     log::warn!(
