Soak: answers without a length, whose upstreams end in the middle

The soak could not show one of its suspected causes: its upstreams framed each answer, and one that ended was refused for some time.

Their connections end by FIN, by RST, or stay silent. The check is the one that exists: a stream that its caller got as complete holds all events that its upstream was to write, a plain answer its whole body.

--- a/crates/badgerfield/tests/soak.rs
+++ b/crates/badgerfield/tests/soak.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use badgerfield_platform_standin::soak::schedule::{
-    self, Fault, SiteSize, StoreFault, TimedFault, Version,
+    self, End, Fault, SiteSize, StoreFault, TimedFault, Version,
 };
 use badgerfield_platform_standin::soak::{self, Plan};
 
@@ -43,6 +43,34 @@
     run_faults(seed, faults, size, Duration::from_secs(14)).await;
 }
 
+/// Runs upstreams whose answers have no length, and which end, one at a time and all of a service at
+/// once, while others listen in their place. Every rule must hold.
+async fn run_ends_of_upstreams(seed: u64) {
+    let at = schedule::FAULT_FREE_START;
+    let span = Duration::from_secs(14);
+    let size = SiteSize { vms: 3, upstreams: 5, domains: 3 };
+    let mut faults = [true, false]
+        .map(|engines| TimedFault { at, fault: Fault::WithoutLength(engines, span) })
+        .to_vec();
+    for number in 0..10 {
+        let at = at + Duration::from_millis(500) * u32::try_from(number).unwrap_or(0);
+        let fault = Fault::RestartAtOnce(number % size.upstreams, End::Close);
+        faults.push(TimedFault { at, fault });
+    }
+    let crashes = [
+        (6, true, End::Close, 1000),
+        (8, false, End::Close, 0),
+        (9, true, End::Close, 0),
+        (11, true, End::Reset, 0),
+        (13, true, End::Silence, 500),
+    ];
+    for (seconds, engines, end, downtime_ms) in crashes {
+        let fault = Fault::CrashService(engines, end, Duration::from_millis(downtime_ms));
+        faults.push(TimedFault { at: at + Duration::from_secs(seconds), fault });
+    }
+    run_faults(seed, faults, size, span).await;
+}
+
 /// Runs the soak test with a schedule of faults. Every rule must hold.
 async fn run_faults(seed: u64, faults: Vec<TimedFault>, size: SiteSize, length: Duration) {
     let program = Path::new(env!("CARGO_BIN_EXE_badgerfield"));
@@ -94,3 +122,9 @@
 async fn overlapping_series_of_stops_break_no_rule() {
     run_stop_series(104).await;
 }
+
+/// Fails if an answer without a length counts as whole though its upstream ended in the middle.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_without_a_length_end_as_whole_with_their_upstreams() {
+    run_ends_of_upstreams(105).await;
+}
