Emulator: fleets that are killed while streams of several versions run

The emulator now lets VMs begin streams and look them up as the node does (segment_loads, stream_origin), and its store keeps segments: it counts them, refuses writes, loses replies, executes writes twice, and reads from the past.

killed_fleets: 6, 72 and 300 VMs, 3 streams a second and VM at two or three versions, all killed at random moments once and three times within the lifetime of a stream; a store that is slow, behind, away, refuses or does not answer, executes late and twice; kills of all but two VMs, and of the keepers of a shard.

Segments are removed after they expire, up to 15 a process, and those of processes that are gone too once their shards were read.

--- a/crates/badgerfield-core/src/stream_segments.rs
+++ b/crates/badgerfield-core/src/stream_segments.rs
@@ -80,6 +80,20 @@
     number: u64,
 }
 
+impl SegmentId {
+    /// Returns the shard of the records.
+    #[must_use]
+    pub fn shard(self) -> StreamShard {
+        self.shard
+    }
+
+    /// Returns the process that wrote the segment.
+    #[must_use]
+    pub fn writer(self) -> Incarnation {
+        self.writer
+    }
+}
+
 /// The text is not the id of a segment.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("expected SHARD/WRITER-NUMBER in hexadecimal digits, found {0}")]
--- a/crates/badgerfield-standin/src/fleet/mod.rs
+++ b/crates/badgerfield-standin/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 mod rollouts;
 mod steps;
 mod store;
+mod streams;
 mod truth;
 mod upstreams;
 
@@ -25,12 +26,14 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::{Percent, Time, Tokens};
+use badgerfield_core::event::StoreKey;
 use badgerfield_core::ids::{Account, BudgetId, Domain, Incarnation, RequestId, TemplateVersion};
 use badgerfield_core::refusal::Refusal;
 use badgerfield_core::template::TemplateSet;
 use badgerfield_core::view::Member;
 use badgerfield_core::vm_upstreams::{VmEntry, VmList};
 use badgerfield_core::{Event, Node};
+use bytes::Bytes;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -41,6 +44,7 @@
 pub use listing::Listing;
 pub use rollouts::{RolloutTruth, Traffic, VersionFault, service, version};
 pub use store::FakeStore;
+pub use streams::{SegmentCounts, SegmentFaults, StoredSegments};
 pub use truth::{Truth, key_of};
 use upstreams::Upstreams;
 
@@ -119,6 +123,8 @@
         badgerfield_core::event::StoreCall,
         Time,
     ),
+    /// The store executes a write once more.
+    RepeatedWrite(Vec<(StoreKey, Bytes)>, Vec<StoreKey>),
     DeliverVmList,
 }
 
--- a/crates/badgerfield-standin/src/fleet/steps.rs
+++ b/crates/badgerfield-standin/src/fleet/steps.rs
@@ -57,6 +57,9 @@
             }
             ScheduledAction::ExtendStream(stream) => self.extend_stream(stream),
             ScheduledAction::StoreCall(from, id, call, at) => self.apply_call(from, id, &call, at),
+            ScheduledAction::RepeatedWrite(put, delete) => {
+                self.store.write_all(self.now, &put, &delete);
+            }
             ScheduledAction::DeliverVmList => {
                 for index in 0..self.vms.len() {
                     self.deliver(index, Event::VmList(self.list.clone()));
--- a/crates/badgerfield-standin/src/fleet/store.rs
+++ b/crates/badgerfield-standin/src/fleet/store.rs
@@ -12,7 +12,7 @@
 use badgerfield_core::view::View;
 use bytes::Bytes;
 
-use super::{Fleet, ScheduledAction, link};
+use super::{Fleet, ScheduledAction, StoredSegments, link};
 
 /// The delay of a call or an answer.
 const DELAY: Duration = Duration::from_millis(3);
@@ -53,6 +53,8 @@
     pub(super) operators_read: BTreeMap<usize, Time>,
     /// Bytes written so far.
     pub bytes: u64,
+    /// Segments of records of streams.
+    pub segments: StoredSegments,
     evacuated: BTreeMap<Domain, u64>,
     values: BTreeMap<StoreKey, Versioned>,
     previous_values: BTreeMap<StoreKey, Versioned>,
@@ -134,7 +136,7 @@
         }
     }
 
-    fn put(&mut self, name: StoreKey, value: Bytes) -> u64 {
+    pub(super) fn put(&mut self, name: StoreKey, value: Bytes) -> u64 {
         self.revision += 1;
         let revision = self.revision;
         let new = Versioned { value: Some(value), revision };
@@ -144,6 +146,10 @@
         revision
     }
 
+    pub(super) fn remove(&mut self, name: &StoreKey) {
+        self.values.remove(name);
+    }
+
     /// Returns all announcements of joining processes.
     fn announcements(&self) -> Vec<Versioned> {
         let is_joiner = |key: &StoreKey| matches!(key, StoreKey::Joiner(_));
@@ -157,7 +163,7 @@
     }
 
     /// Executes a call. Returns its result and whether the reply is lost.
-    fn execute_call(&mut self, call: &StoreCall) -> (StoreResult, bool) {
+    fn execute_call(&mut self, now: Time, call: &StoreCall) -> (StoreResult, bool) {
         match call {
             StoreCall::Get(name) => {
                 self.reads += 1;
@@ -173,18 +179,7 @@
                 self.writes += 1;
                 (StoreResult::Value(self.values.get(name).cloned().unwrap_or_default()), false)
             }
-            StoreCall::WriteAll { put, delete } => {
-                self.writes += 1;
-                for key in delete {
-                    self.values.remove(key);
-                }
-                let mut revision = 0;
-                for (key, value) in put {
-                    self.bytes += u64::try_from(value.len()).unwrap_or(0);
-                    revision = self.put(key.clone(), value.clone());
-                }
-                (StoreResult::Written(revision), false)
-            }
+            StoreCall::WriteAll { put, delete } => self.call_write_all(now, put, delete),
             StoreCall::CompareAndSwap { key: name, expected_revision, value } => {
                 self.writes += 1;
                 self.view_writes += u64::from(*name == StoreKey::View);
@@ -227,7 +222,8 @@
             if *call == StoreCall::Get(StoreKey::Templates) {
                 self.store.operators_read.insert(vm, self.now);
             }
-            let (result, is_lost) = self.store.execute_call(call);
+            let (result, is_lost) = self.store.execute_call(self.now, call);
+            self.repeat_segment_write(call);
             self.check_record_change();
             self.show_announcement(call, &result);
             match (self.with_orders(result), is_lost) {
