Record of versions: an unreadable one is written anew at once, tests follow its rules

A long-running process took its own copy of an unreadable record for complete and left the record as it was; it is written at once now, and a version that is to be opened is not taken as one that has returned.

Tests changed: a record that is read before the list opens nothing, so an_open_version_is_established reads it again after the list, and also checks that none begins before; a process that never knew a version does not remove it, so a_version_stays_recorded and a_version_stays_known use one that did, and check the other case too (review of: a version another process had just opened was removed).

--- a/crates/badgerfield-core/src/version_record.rs
+++ b/crates/badgerfield-core/src/version_record.rs
@@ -161,14 +161,17 @@
     /// services. The next content says so until those streams have ended.
     pub(crate) fn set_unreadable(&mut self) {
         let mut content = self.known.versions.clone();
-        for service in self.known.to_open.keys() {
-            content.entry(service.clone()).or_default();
+        for (service, versions) in &self.known.to_open {
+            let known = content.entry(service.clone()).or_default();
+            known.retain(|tag| !versions.contains(tag));
         }
         for versions in content.values_mut() {
             versions.insert(VersionTag::UNKNOWN);
         }
         self.content = Some(content);
-        self.mark_changes();
+        if self.may_write {
+            self.stored.mark_dirty();
+        }
     }
 
     /// Returns the content to write: that of the record with the versions to open, and without
--- a/crates/badgerfield-core/tests/open_versions.rs
+++ b/crates/badgerfield-core/tests/open_versions.rs
@@ -125,10 +125,10 @@
         }
         let entries = [old_entries(), new_entries()].concat();
         table.apply_list(START, UpstreamList { revision: 1, entries });
-        if !is_record_first {
-            assert_eq!(versions_of(&mut table, START, false, None), of("v2"), "as far as known");
-            table.set_open_versions(START, open(&["v1"]));
-        }
+        // A record that was read before the list allows nothing, so it is read again.
+        assert_eq!(versions_of(&mut table, START, true, None), BTreeSet::new());
+        assert_eq!(versions_of(&mut table, START, false, None), of("v2"), "as far as known");
+        table.set_open_versions(START, open(&["v1"]));
         assert_eq!(versions_of(&mut table, START, false, None), of("v1"));
         assert_eq!(versions_of(&mut table, START, true, None), of("v1"));
         let known = table.all_known_versions(START, LIFETIME);
--- a/crates/badgerfield-core/tests/version_record.rs
+++ b/crates/badgerfield-core/tests/version_record.rs
@@ -109,8 +109,13 @@
         assert_eq!(opened(&commands).map(|open| &open.versions), Some(&record));
         assert_eq!(written(&commands), Some(versions(&["v1", "v2", "v3"])));
     }
-    let known = known(&["v1", "v3"], &["v3"], true);
-    let commands = read_record(&node(1), at(0), known, Some(encode(&record)));
+    // Another process may have opened a version that this one has not seen yet.
+    let later = known(&["v1", "v3"], &["v3"], true);
+    let commands = read_record(&node(1), at(0), later.clone(), Some(encode(&record)));
+    assert_eq!(written(&commands), Some(versions(&["v1", "v2", "v3"])));
+    let node = node(1);
+    read_record(&node, at(0), known(&["v1", "v2"], &[], true), Some(encode(&record)));
+    let commands = node.handle(at(1), Event::KnownVersions(later));
     assert_eq!(written(&commands), Some(versions(&["v1", "v3"])));
 }
 
@@ -197,11 +202,13 @@
     let entries = vec![entry(1, "v1"), entry(1, "v2")];
     table.apply_list(at(100), UpstreamList { revision: 1, entries });
     let open = OpenVersions { revision: 7, versions: versions(&["v1", "v2"]) };
+    table.apply_versions(at(100), at(100), &open.versions);
     table.set_open_versions(at(100), open);
     let gone = vec![(entry(1, "v2").info.id, 2)];
     table.apply_changes(at(101), UpstreamListChanges { revision: 2, written: vec![], gone });
     let left = 101 + RETENTION;
     let ended = left + LIFETIME.as_secs();
+    let mut previous = table.all_known_versions(at(101), LIFETIME);
     let has_v2 = |table: &UpstreamTable| {
         table.open_versions().is_some_and(|open| open.contains(&service(), tag("v2")))
     };
@@ -213,10 +220,12 @@
         let known = table.all_known_versions(at(second), LIFETIME);
         let is_known = known.versions == versions(&["v1", "v2"]);
         assert_eq!(is_known, second < ended + MARGIN, "known at {second} s");
-        // Another version is to be written.
-        let known = KnownVersions { to_open: versions(&["v3"]), is_urgent: true, ..known };
-        let record = encode(&versions(&["v1", "v2"]));
-        let commands = read_record(&node(1), at(second), known, Some(record));
+        // A process that knew both a second ago writes another version.
+        let (node, record) = (node(1), encode(&versions(&["v1", "v2"])));
+        let next = KnownVersions { to_open: versions(&["v3"]), is_urgent: true, ..known.clone() };
+        read_record(&node, at(second - 1), previous, Some(record));
+        previous = known;
+        let commands = node.handle(at(second), Event::KnownVersions(next));
         let next = written(&commands).expect("a write");
         assert_eq!(next[&service()].contains(&tag("v2")), is_known, "recorded at {second} s");
     }
