Readiness: a process that starts waits until streams can begin

What callers saw: a VM of a new fleet was ready for some 50 ms before its first version was recorded, and refused streams as no_upstream meanwhile.

Cause: since versions are recorded before they begin streams, readiness asked only whether the record was known.

Change: it also waits until streams can begin at every service with usable upstreams, 3 s after the start at most, and once it did it does not go back.

--- a/crates/badgerfield-core/src/upstream_table/versions.rs
+++ b/crates/badgerfield-core/src/upstream_table/versions.rs
@@ -234,6 +234,12 @@
         self.usable(now, service).any(|upstream| !self.versions.is_open(upstream))
     }
 
+    /// Returns whether streams can begin at every service that has usable upstreams.
+    #[must_use]
+    pub fn can_begin_streams(&self, now: Time) -> bool {
+        self.versions.open.is_some() && !self.versions_to_open(now).1
+    }
+
     /// Returns the versions that may get requests and cannot begin streams yet, and whether a
     /// service has no others.
     fn versions_to_open(&self, now: Time) -> (ServiceVersions, bool) {
--- a/crates/badgerfield-node/src/gateway/directory.rs
+++ b/crates/badgerfield-node/src/gateway/directory.rs
@@ -61,8 +61,7 @@
     if gateway.routes().version.0 == 0 || gateway.is_stopping() {
         return false;
     }
-    let upstreams = gateway.upstreams();
-    !upstreams.is_empty() && upstreams.open_versions().is_some()
+    !gateway.upstreams().is_empty() && gateway.can_begin_streams()
 }
 
 fn respond(driver: &Driver, gateway: &Gateway, request: &Request<Incoming>) -> Response<Body> {
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -84,6 +84,8 @@
     has_rollouts: AtomicBool,
     /// Whether a stream could not begin because its version is not recorded yet.
     has_closed_version: AtomicBool,
+    /// Whether streams could begin at all services since this process started.
+    can_begin_streams: AtomicBool,
     /// The longest time for which streams could be resumed, in milliseconds.
     stream_lifetime_ms: AtomicU64,
     /// When a bad response of a rollout's target was last reported.
@@ -123,6 +125,7 @@
             overloaded: AtomicBool::new(false),
             has_rollouts: AtomicBool::new(false),
             has_closed_version: AtomicBool::new(false),
+            can_begin_streams: AtomicBool::new(false),
             stream_lifetime_ms: AtomicU64::new(0),
             bad_answer_reported_at: Mutex::default(),
             probe_turn: AtomicUsize::new(0),
@@ -253,6 +256,17 @@
         Duration::from_millis(earlier.max(millis)).max(MIN_STREAM_LIFETIME)
     }
 
+    /// Records that streams can begin. Later they may have to wait for a service whose versions are
+    /// all replaced, while others are served.
+    pub(crate) fn record_open_versions(&self) {
+        self.can_begin_streams.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether that was recorded.
+    pub(crate) fn can_begin_streams(&self) -> bool {
+        self.can_begin_streams.load(Ordering::Relaxed)
+    }
+
     /// Records that no upstream may begin a stream.
     pub(crate) fn record_closed_version(&self) {
         self.has_closed_version.store(true, Ordering::Relaxed);
--- a/crates/badgerfield-node/src/gateway/stream_origin.rs
+++ b/crates/badgerfield-node/src/gateway/stream_origin.rs
@@ -14,7 +14,6 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use tokio::time::Instant;
 
 use crate::driver::Driver;
 use crate::gateway::exchange::{Exchange, OtherVersion, StreamVersion};
@@ -350,14 +349,14 @@
     });
     let mut calls: FuturesUnordered<_> = calls.collect();
     let mut answers = KeeperAnswers { asked: keepers.len(), ..KeeperAnswers::default() };
-    let mut until = Instant::now() + ANSWER_TIMEOUT;
-    while let Ok(Some(answer)) = tokio::time::timeout_at(until, calls.next()).await {
+    let mut until = driver.now().after(ANSWER_TIMEOUT);
+    while let Ok(Some(answer)) = driver.clock.timeout_at(until, calls.next()).await {
         let Some((keeper, answer)) = answer else {
             continue;
         };
         answers.add(keeper, answer);
         if answers.recorded.is_some() {
-            until = until.min(Instant::now() + FURTHER_ANSWERS_TIME);
+            until = until.min(driver.now().after(FURTHER_ANSWERS_TIME));
         }
     }
     answers
--- a/crates/badgerfield-node/src/versions.rs
+++ b/crates/badgerfield-node/src/versions.rs
@@ -24,6 +24,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// The same while this process cannot begin streams, or only at some versions.
 const SHORT_REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// How long after its start a process that knows the record still waits until streams can begin at
+/// all services, before it serves other requests.
+const MAX_CLOSED_START: Duration = Duration::from_secs(3);
 /// The maximum time for which the answer of a member is awaited.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// The maximum size of an answer.
@@ -55,6 +58,11 @@
             upstreams.drop_past_versions(now, lifetime);
             upstreams.all_known_versions(now, lifetime)
         };
+        if now >= Time::default().after(MAX_CLOSED_START)
+            && gateway.upstreams().open_versions().is_some()
+        {
+            gateway.record_open_versions();
+        }
         self.copy_streams(&known);
         let is_closed = !known.to_open.is_empty() || gateway.upstreams().open_versions().is_none();
         let must_ask = !known.is_complete || is_closed;
@@ -102,12 +110,17 @@
     /// Applies the versions that may begin streams.
     pub(crate) fn apply_open_versions(self: &Arc<Self>, open: OpenVersions) {
         if let Some(gateway) = self.gateway() {
-            let was_ready = directory::is_ready(gateway);
-            gateway.upstreams().set_open_versions(self.now(), open);
-            if !was_ready && directory::is_ready(gateway) {
+            let now = self.now();
+            gateway.upstreams().set_open_versions(now, open);
+            if gateway.can_begin_streams() {
+                return;
+            }
+            if gateway.upstreams().can_begin_streams(now) {
+                gateway.record_open_versions();
+                self.handle_event(Event::Serving(directory::is_ready(gateway)));
+            } else {
                 // The versions to open follow from the record.
                 gateway.record_closed_version();
-                self.handle_event(Event::Serving(true));
             }
         }
     }
