--- a/crates/badgerfield-node/src/versions.rs
+++ b/crates/badgerfield-node/src/versions.rs
@@ -82,8 +82,8 @@
         }
     }
 
-    /// Reads from the record the version at which every stream of a service has begun that anything
-    /// of this fleet has begun before the call, if there is only one.
+    /// Reads the record anew. Returns the version of a service if the record names only one: all
+    /// streams that have begun there before the call have begun at it.
     pub(crate) async fn read_only_version(
         self: &Arc<Self>,
         service: &Service,
