Records of streams: the keeper that is to write a record gets it

What callers would have seen: streams refused after the loss of all VMs, because no process wrote their records while two keepers of their shard did not reach the store.

Cause: since the sender names the first keeper that reaches the store, which may be the third, but sends the record to the first two only.

Change: the writer comes first among those that get copies.

--- a/crates/badgerfield-core/src/handlers/streams.rs
+++ b/crates/badgerfield-core/src/handlers/streams.rs
@@ -72,7 +72,8 @@
         self.send_copies(now, origins, out);
     }
 
-    /// Sends records to their keepers. The first keeper of each also writes it to the store.
+    /// Sends records to their keepers. The first keeper of each that is not known to be cut off from
+    /// the store also writes it there.
     fn send_copies(&self, now: Time, origins: Vec<StreamOrigin>, out: &mut Outbox) {
         let mut batches = Batches::new();
         {
@@ -93,6 +94,7 @@
                 if writer.is_none_or(|writer| writer == self.id()) {
                     segments.add(origin);
                 }
+                keepers.sort_by_key(|id| Some(*id) != writer);
                 let others = keepers.into_iter().filter(|id| *id != self.id());
                 for to in others.take(COPIES) {
                     batches.entry((to, Some(to) == writer)).or_default().push(origin);
