--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -101,6 +101,7 @@
 pub mod seal;
 mod shared_state;
 pub mod stop_reason;
+mod store_call;
 mod stored_record;
 pub mod stream_origins;
 pub mod stream_segments;
