A store that becomes slower than the timeout is not away

Cause: the timeout of calls follows the response times, but only those of calls that were answered in time. A store that was fast and becomes slower than the configured timeout (300 ms here) never shows a longer one: each call times out for as long as the process lives, and no record of a stream is written. Class: a slow answer was taken for no answer.

Change: of the calls that have timed out one at a time is waited for until the longest timeout, in the background, and its response time counts. A silent store does not answer it, so calls to it wait no longer than before.

--- a/crates/badgerfield-core/src/adaptive_timeout.rs
+++ b/crates/badgerfield-core/src/adaptive_timeout.rs
@@ -4,7 +4,10 @@
 //! processes then repeat their calls while the responses are still in transit, the link stays
 //! congested. Therefore the timeout follows the recent response times. It does not grow if
 //! responses were fast and then stop: the store is unavailable in that case, and callers should
-//! notice soon when it is back.
+//! notice soon when it is back. A response that comes after the timeout tells a slow store from an
+//! unavailable one, so one of the calls that have timed out is waited for until [`maximum`].
+//!
+//! [`maximum`]: AdaptiveTimeout::maximum
 
 use std::time::Duration;
 
@@ -40,7 +43,13 @@
         self.current
     }
 
-    /// Records the time from a call to its complete response.
+    /// Returns the longest timeout of a call. A response that takes longer tells nothing.
+    #[must_use]
+    pub fn maximum(&self) -> Duration {
+        self.configured.saturating_mul(MAX_TIMEOUT_RATIO)
+    }
+
+    /// Records the time from a call to its complete response, which may be longer than its timeout.
     pub fn record_answer(&mut self, elapsed: Duration) {
         let decayed = self.longest.unwrap_or_default() * (100 - DECAY_PERCENT) / 100;
         let longest = decayed.max(elapsed);
@@ -59,6 +68,6 @@
     }
 
     fn clamp(&self, timeout: Duration) -> Duration {
-        timeout.clamp(self.configured, self.configured.saturating_mul(MAX_TIMEOUT_RATIO))
+        timeout.clamp(self.configured, self.maximum())
     }
 }
