Rollouts: evidence outlasts all processes

Cause: answers are counted in memory, and are gone with all processes.

Change: the first judge writes its evidence to the record, once a second at most and only if the target has answered more. A judge adds what ended processes counted; what running processes report does not count twice.

Before: failures_are_forgotten_when_all_processes_end and earlier_answers_are_lost_to_a_judge_that_starts_later were red.

--- a/crates/badgerfield-core/src/rollout/judge.rs
+++ b/crates/badgerfield-core/src/rollout/judge.rs
@@ -1,11 +1,11 @@
-//! The state of a judge for one order: the newest tally of each process, and snapshots of the
-//! evidence.
+//! The state of a judge for one order: the newest tally of each process, the evidence of processes
+//! that have ended, and snapshots of the evidence.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use super::verdict;
-use super::{Evidence, RolloutReason, RolloutTally};
+use super::{Evidence, RecordedEvidence, RolloutReason, RolloutTally};
 use crate::amount::Time;
 use crate::event::is_due;
 use crate::ids::Incarnation;
@@ -34,6 +34,8 @@
     last_snapshot: Option<Time>,
     /// The sum of all tallies.
     total: Evidence,
+    /// The evidence in the record that was read last.
+    recorded: RecordedEvidence,
     /// Whether reports have been received since the last verdict.
     has_new_reports: bool,
 }
@@ -57,6 +59,28 @@
         self.has_new_reports = true;
     }
 
+    /// Applies the evidence in the record.
+    pub fn apply_recorded(&mut self, recorded: RecordedEvidence) {
+        self.has_new_reports |= self.recorded != recorded;
+        self.recorded = recorded;
+    }
+
+    /// Returns the evidence to be recorded; `None` if it is too large or the record has all its
+    /// answers of the target.
+    #[must_use]
+    pub fn evidence_to_record(&self) -> Option<RecordedEvidence> {
+        if self.evidence().target().answers <= self.recorded.total().target().answers {
+            return None;
+        }
+        let reporters = self.tallies.keys().copied().collect();
+        RecordedEvidence::new(self.past(), self.total.clone(), reporters)
+    }
+
+    /// Returns the evidence of processes that have ended before this process became a judge.
+    fn past(&self) -> Evidence {
+        self.recorded.past(self.tallies.keys().copied())
+    }
+
     /// Takes a snapshot of the evidence when one is due, so that later answers can be judged
     /// separately.
     pub fn tick(&mut self, now: Time) {
@@ -96,7 +120,7 @@
         if self.ready_count() == 0 {
             return Some(RolloutReason::NoUpstreams);
         }
-        let lacks_evidence = self.total.target().answers == 0 || self.has_short_history(span);
+        let lacks_evidence = self.evidence().target().answers == 0 || self.has_short_history(span);
         if lacks_evidence && self.total.others().answers >= MIN_OTHER_ANSWERS {
             return Some(RolloutReason::NoEvidence);
         }
@@ -117,15 +141,15 @@
         self.tallies.get(&id).is_some_and(RolloutTally::is_confirmed)
     }
 
-    /// Returns the sum of all tallies.
+    /// Returns the evidence of all processes.
     #[must_use]
-    pub fn evidence(&self) -> &Evidence {
-        &self.total
+    pub fn evidence(&self) -> Evidence {
+        self.past().plus(&self.total)
     }
 
     fn windows(&self) -> Vec<Evidence> {
         let recent = self.snapshots.iter().map(|snapshot| self.total.since(snapshot));
-        std::iter::once(self.total.clone()).chain(recent).collect()
+        std::iter::once(self.evidence()).chain(recent).collect()
     }
 }
 
--- a/crates/badgerfield-core/src/rollout/record.rs
+++ b/crates/badgerfield-core/src/rollout/record.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::RolloutReason;
+use super::{RecordedEvidence, RolloutReason};
 use crate::ids::SoftwareVersion;
 
 /// The state of a rollout, as operators see it.
@@ -49,6 +49,10 @@
     /// Targets of earlier orders that did not complete. No request goes to them.
     #[serde(default)]
     pub refused: BTreeSet<SoftwareVersion>,
+    /// The evidence on the target while the rollout is in progress. It outlasts the processes that
+    /// have counted it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evidence: Option<Box<RecordedEvidence>>,
 }
 
 /// A value is not a record of a rollout.
--- a/crates/badgerfield-core/src/rollout/recorder.rs
+++ b/crates/badgerfield-core/src/rollout/recorder.rs
@@ -22,6 +22,8 @@
 /// Additional delay for each rank of a judge before it takes a step that is due. It is longer than
 /// a store call and the update that announces its result take.
 const RANK_DELAY: Duration = Duration::from_millis(1500);
+/// Minimum time between two writes of evidence: the evidence that is lost with all processes.
+const EVIDENCE_INTERVAL: Duration = Duration::from_secs(1);
 /// Minimum time between two calls of one judge if the first did not return the record.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -73,6 +75,8 @@
     due_step: Option<(RolloutRecord, Time)>,
     /// Since when all known members have confirmed that they have moved.
     all_moved_at: Option<Time>,
+    /// When evidence was last written.
+    evidence_at: Option<Time>,
 }
 
 impl Recorder {
@@ -101,6 +105,10 @@
         }
         // Only calls that did not return the record are spaced.
         self.last_call = None;
+        let own = record.as_ref().filter(|record| record.order == known.change.revision);
+        if let Some(evidence) = own.and_then(|record| record.evidence.clone()) {
+            self.judge.apply_recorded(*evidence);
+        }
         self.stored = Some((revision, record));
         self.progress(known)
     }
@@ -155,7 +163,7 @@
             if is_completion { self.all_moved_at.or(Some(context.now)) } else { None };
         let Some(next) = next else {
             self.due_step = None;
-            return None;
+            return self.evidence_call(context);
         };
         let since = self.due_since(context.now, &next);
         if context.now.since(since) < RANK_DELAY.saturating_mul(context.rank) {
@@ -174,6 +182,24 @@
         Some(RecorderCall::Write(revision, next))
     }
 
+    /// Returns a write of the evidence, so that it outlasts all processes, if one is due. Judges of
+    /// a higher rank know the evidence from the same reports.
+    fn evidence_call(&mut self, context: &StepContext<'_>) -> Option<RecorderCall> {
+        let (revision, record) = self.stored.as_ref()?;
+        let record = record.as_ref().filter(|record| {
+            record.order == context.known.change.revision && !record.state.is_final()
+        })?;
+        if context.rank > 0 || !is_due(context.now, self.evidence_at, EVIDENCE_INTERVAL) {
+            return None;
+        }
+        let evidence = Some(Box::new(self.judge.evidence_to_record()?));
+        let call = RecorderCall::Write(*revision, RolloutRecord { evidence, ..record.clone() });
+        self.evidence_at = Some(context.now);
+        self.last_call = Some(context.now);
+        self.is_call_pending = true;
+        Some(call)
+    }
+
     /// Records that a step is due, and returns since when it has been due without interruption.
     fn due_since(&mut self, now: Time, next: &RolloutRecord) -> Time {
         let is_same = |step: &RolloutRecord| {
@@ -249,6 +275,7 @@
         began: context.clock.time_at(context.received).map(|time| time.0),
         reason: RolloutReason::Ordered,
         refused,
+        evidence: None,
     }
 }
 
@@ -257,7 +284,7 @@
     state: RolloutState,
     reason: RolloutReason,
 ) -> RolloutRecord {
-    RolloutRecord { state, reason, ..record.clone() }
+    RolloutRecord { state, reason, evidence: None, ..record.clone() }
 }
 
 /// Returns the time since the order, by the clock of this process or by the time in the record,
--- a/crates/badgerfield-core/tests/rollout_recorder.rs
+++ b/crates/badgerfield-core/tests/rollout_recorder.rs
@@ -49,6 +49,7 @@
         began: None,
         reason: RolloutReason::Ordered,
         refused: std::collections::BTreeSet::new(),
+        evidence: None,
     }
 }
 
@@ -253,3 +254,88 @@
         "{call:?}"
     );
 }
+
+/// A life of all processes: judges start, get one report of a new process, and may write for a
+/// while. Returns the record that they leave.
+fn live(
+    stored: &mut (u64, RolloutRecord),
+    reporter: Incarnation,
+    tally: RolloutTally,
+    times_ms: std::ops::Range<u64>,
+) -> Recorder {
+    let known = known(7, Some(RolloutProgress::from_record(&stored.1)));
+    let mut recorder = Recorder::default();
+    recorder.next_call(&context(&known, times_ms.start, 0, &[reporter]));
+    recorder.apply_record(stored.0, Some(stored.1.clone()), &known);
+    recorder.judge.apply_report(reporter, tally, Duration::from_secs(20));
+    for millis in times_ms.step_by(50) {
+        let call = recorder.next_call(&context(&known, millis, 0, &[reporter]));
+        if let Some(RecorderCall::Write(revision, next)) = call {
+            assert_eq!(revision, stored.0);
+            *stored = (revision + 1, next);
+            recorder.apply_record(stored.0, Some(stored.1.clone()), &known);
+        }
+    }
+    recorder
+}
+
+/// Guards against a bad version to which all requests move because the processes that saw it fail
+/// have ended, all at once and several times.
+#[test]
+fn failures_are_forgotten_when_all_processes_end() {
+    let mut stored = (3, record(7, RolloutState::InProgress, false));
+    live(&mut stored, Incarnation(1), tally_with_answers(6, 2), 3_000..6_000);
+    live(&mut stored, Incarnation(2), tally_with_answers(8, 2), 9_000..12_000);
+    live(&mut stored, Incarnation(3), tally_with_answers(8, 2), 15_000..39_000);
+    assert_eq!(stored.1.state, RolloutState::RolledBack, "{:?}", stored.1);
+}
+
+/// Guards against answers of processes that are still running, which count twice for a judge that
+/// finds them in the record as well.
+#[test]
+fn answers_in_the_record_count_twice() {
+    let mut stored = (3, record(7, RolloutState::InProgress, false));
+    live(&mut stored, PEER, tally_with_answers(10, 1), 3_000..6_000);
+    let known = known(7, Some(RolloutProgress::from_record(&stored.1)));
+    let mut recorder = recorder_with(stored.1, &known);
+    recorder.judge.apply_report(PEER, tally_with_answers(12, 1), Duration::from_secs(8));
+    assert_eq!(recorder.judge.evidence().target().answers, 12);
+}
+
+/// Guards against answers from before the end of all processes that are lost to a judge which reads
+/// the record after another one has written the newest answers.
+#[test]
+fn earlier_answers_are_lost_to_a_judge_that_starts_later() {
+    let mut stored = (3, record(7, RolloutState::InProgress, false));
+    live(&mut stored, Incarnation(1), tally_with_answers(10, 1), 3_000..6_000);
+    live(&mut stored, Incarnation(2), tally_with_answers(20, 1), 9_000..12_000);
+    let known = known(7, Some(RolloutProgress::from_record(&stored.1)));
+    let mut recorder = recorder_with(stored.1, &known);
+    recorder.judge.apply_report(Incarnation(2), tally_with_answers(25, 1), Duration::from_secs(8));
+    assert_eq!(recorder.judge.evidence().target().answers, 35);
+}
+
+/// Guards against a store that is called each time a version answers, by each judge, or for answers
+/// that it knows.
+#[test]
+fn each_answer_is_written() {
+    let stored = record(7, RolloutState::InProgress, false);
+    let known = known(7, Some(RolloutProgress::from_record(&stored)));
+    for (rank, grows, most) in [(0, true, 21), (0, false, 1), (1, true, 0)] {
+        let mut recorder = recorder_with(stored.clone(), &known);
+        let mut revision = 3;
+        let mut writes = 0;
+        for step in 0..400_u32 {
+            let answers = if grows { step + 1 } else { 1 };
+            recorder.judge.apply_report(ME, tally_with_answers(answers, 0), Duration::ZERO);
+            let millis = 1_000 + 50 * u64::from(step);
+            let call = recorder.next_call(&context(&known, millis, rank, &[ME]));
+            if let Some(RecorderCall::Write(_, next)) = call {
+                writes += 1;
+                revision += 1;
+                recorder.apply_record(revision, Some(next), &known);
+            }
+        }
+        assert!(writes <= most, "{writes} writes by the judge of rank {rank}");
+    }
+}
