A stall or a slow store does not make the timeout long for good

Cause: response times only faded with further answers, and had no upper bound.

Change: a call that gets no answer within the longest timeout says that the store is away, and the timeout is the configured one again. A response time counts as the longest timeout at most.

--- a/crates/badgerfield-core/src/adaptive_timeout.rs
+++ b/crates/badgerfield-core/src/adaptive_timeout.rs
@@ -43,7 +43,7 @@
         self.current
     }
 
-    /// Returns the longest timeout of a call. A response that takes longer tells nothing.
+    /// Returns the longest timeout of a call.
     #[must_use]
     pub fn maximum(&self) -> Duration {
         self.configured.saturating_mul(MAX_TIMEOUT_RATIO)
@@ -52,7 +52,8 @@
     /// Records the time from a call to its complete response, which may be longer than its timeout.
     pub fn record_answer(&mut self, elapsed: Duration) {
         let decayed = self.longest.unwrap_or_default() * (100 - DECAY_PERCENT) / 100;
-        let longest = decayed.max(elapsed);
+        // A longer time may be that of a process that was stalled.
+        let longest = decayed.max(elapsed.min(self.maximum()));
         self.longest = Some(longest);
         self.current = self.clamp(longest.saturating_mul(TIMEOUT_RATIO));
     }
@@ -67,6 +68,13 @@
         }
     }
 
+    /// Records that a call had no response within the longest timeout: the store is unavailable,
+    /// however slow it was before.
+    pub fn record_silence(&mut self) {
+        self.longest = Some(Duration::ZERO);
+        self.current = self.configured;
+    }
+
     fn clamp(&self, timeout: Duration) -> Duration {
         timeout.clamp(self.configured, self.maximum())
     }
--- a/crates/badgerfield-core/tests/adaptive_timeout.rs
+++ b/crates/badgerfield-core/tests/adaptive_timeout.rs
@@ -49,6 +49,30 @@
     assert_eq!(timeout.current(), CONFIGURED);
 }
 
+/// Guards against a process that was stalled for long, takes that for the store's response time and
+/// waits for an unavailable store for as long as possible.
+#[test]
+fn timeout_stays_long_after_a_stall() {
+    let mut timeout = AdaptiveTimeout::new(CONFIGURED);
+    timeout.record_answer(Duration::from_mins(1));
+    assert_eq!(make_calls(&mut timeout, &[20; 25]), 0);
+    assert_eq!(timeout.current(), CONFIGURED);
+}
+
+/// Guards against calls that wait long for a store that was slow and is unavailable.
+#[test]
+fn timeout_stays_long_when_slow_responses_stop() {
+    let mut timeout = AdaptiveTimeout::new(CONFIGURED);
+    make_calls(&mut timeout, &[1200; 20]);
+    assert!(timeout.current() > CONFIGURED);
+    timeout.record_timeout();
+    timeout.record_silence();
+    for _ in 0..10 {
+        timeout.record_timeout();
+    }
+    assert_eq!(timeout.current(), CONFIGURED);
+}
+
 /// Guards against a timeout that exceeds its maximum, or stays long when the link is free again.
 #[test]
 fn timeout_is_bounded_and_decreases_again() {
