Slow readers are not reset

Cause: TCP_USER_TIMEOUT of 2.5 s, meant for peers that are gone. The operating system applies it to a full window, too, also if the peer answers each probe.

Change: no such limit on connections to upstreams, whose requests have deadlines of their own; keepalive probes still find an idle peer that is gone within 3 s. Callers may stall for as long as the operator lets connections be idle; without a bound, one that never reads would hold its request for good, since deadlines are checked when it reads.

--- a/crates/badgerfield-node/src/gateway/connections.rs
+++ b/crates/badgerfield-node/src/gateway/connections.rs
@@ -30,8 +30,6 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(900);
 /// The idle time before keepalive probes are sent, and the interval between them.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// How long the peer may leave sent bytes or probes unacknowledged.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// How long the address of an upstream may take to accept or refuse a connection after an earlier
 /// one failed. A reply takes one round trip, and a caller waits for it.
@@ -303,7 +301,10 @@
     }
 }
 
-/// Configures a socket so that it detects the loss of its peer.
+/// Configures a socket so that it detects the loss of an idle peer.
+///
+/// It sets no limit for unacknowledged bytes: the operating system also applies that to a peer that
+/// is there but does not read. Whoever writes to the socket limits how long that may take.
 pub(crate) fn configure_socket(stream: &TcpStream) {
     // A socket without these options still works: timeouts at higher layers detect the loss later.
     let _ = stream.set_nodelay(true);
@@ -311,7 +312,6 @@
     let probes =
         TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL).with_retries(2);
     let _ = socket.set_tcp_keepalive(&probes);
-    let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
 }
 
 /// Parses the time for which an upstream keeps an idle connection open.
--- a/crates/badgerfield-node/src/serving.rs
+++ b/crates/badgerfield-node/src/serving.rs
@@ -20,6 +20,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -186,6 +187,14 @@
     streams
 }
 
+/// Limits how long the peer may read nothing while bytes are to be sent, or leave them
+/// unacknowledged.
+fn limit_stalls(stream: &TcpStream, limit: Duration) {
+    if let Err(error) = SockRef::from(stream).set_tcp_user_timeout(Some(limit)) {
+        log::warn!(target: NODE, "a connection has no limit for stalls: {error}");
+    }
+}
+
 impl Connection {
     /// Serves the requests of the connection until its last byte is written.
     ///
@@ -206,6 +215,9 @@
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let Self { stream, _in_use, _slot } = self;
+        if let Some(idle) = idle_timeout() {
+            limit_stalls(&stream, idle);
+        }
         let activity = Arc::new(Activity {
             started: driver.now(),
             has_request: AtomicBool::new(false),
