Rollouts: a version that fails while requests move is not completed

Cause: from the move on only the proof that stops a canary counted, at least 8 bad answers; a service that moves within a second is completed before. Class: no proof reads as good.

Change: the verdict that is asked before the move is asked before the completion, too. Until that is written no upstream of another version stops, so all requests can go back.

--- a/crates/badgerfield-core/src/rollout/judge.rs
+++ b/crates/badgerfield-core/src/rollout/judge.rs
@@ -145,6 +145,13 @@
         verdict::judge_final(&self.windows())
     }
 
+    /// Returns the reason why the target should not be the only version, if there is one. No verdict
+    /// follows this one either.
+    #[must_use]
+    pub fn verdict_after_move(&self) -> Option<RolloutReason> {
+        verdict::judge_final(&self.windows())
+    }
+
     /// Returns the number of upstreams of the target that take requests: the highest number that
     /// any process reports.
     #[must_use]
--- a/crates/badgerfield-core/src/rollout/recorder.rs
+++ b/crates/badgerfield-core/src/rollout/recorder.rs
@@ -278,7 +278,13 @@
             });
         }
         let all_moved = context.members.iter().all(|id| self.judge.has_confirmed(*id));
-        all_moved.then(|| ended_record(record, RolloutState::Completed, RolloutReason::Moved))
+        if !all_moved {
+            return None;
+        }
+        Some(match self.judge.verdict_after_move() {
+            Some(reason) => ended_record(record, RolloutState::RolledBack, reason),
+            None => ended_record(record, RolloutState::Completed, RolloutReason::Moved),
+        })
     }
 }
 
--- a/crates/badgerfield-core/tests/rollout_recorder.rs
+++ b/crates/badgerfield-core/tests/rollout_recorder.rs
@@ -315,6 +315,27 @@
     assert_eq!(recorder.judge.evidence().target().answers, 35);
 }
 
+/// Guards against a version that turns out to be bad while requests move, before there is proof
+/// enough to stop a canary, and is completed all the same.
+#[test]
+fn failures_while_requests_move_do_not_count() {
+    let record = record(7, RolloutState::InProgress, true);
+    let known = known(7, Some(RolloutProgress::from_record(&record)));
+    for (failed, state) in [(6, RolloutState::RolledBack), (0, RolloutState::Completed)] {
+        let mut recorder = recorder_with(record.clone(), &known);
+        let tally = RolloutTally { moved: true, ..tally_with_answers(16, failed) };
+        recorder.judge.apply_report(ME, tally, Duration::from_secs(30));
+        // The first call for a completion reads the view.
+        let calls =
+            [35_000, 36_000].map(|millis| recorder.next_call(&context(&known, millis, 0, &[ME])));
+        let written = calls.into_iter().flatten().find_map(|call| match call {
+            RecorderCall::Write(_, next) => Some(next.state),
+            _ => None,
+        });
+        assert_eq!(written, Some(state));
+    }
+}
+
 /// Guards against answers that count twice for good because a judge writes them before it has heard
 /// the processes that counted them, which still run.
 #[test]
