Rollouts: evidence of an older order, its size, a completion under a common fault

A good version could be rolled back: evidence on an older order entered the judge of a newer one that another task applied meanwhile, and once all requests had moved three failures of a common fault sufficed however many answers were good. With many processes, routes and upstreams the record would exceed the megabyte that the store takes, and be refused without end. All found by an independent review, by reading.

Change: the revision is compared under the lock; the verdict before a completion is only for targets with few answers, of which the proof that ends a canary cannot be had; 4,096 counts are recorded at most. What a process says of its moving requests is not replaced by what the record has of it.

--- a/crates/badgerfield-core/src/handlers/rollouts.rs
+++ b/crates/badgerfield-core/src/handlers/rollouts.rs
@@ -253,6 +253,11 @@
         let max_duration = self.max_route_timeout(service);
         let members: Vec<_> = context.view.members.iter().map(|m| m.incarnation).collect();
         let mut table = self.state.rollouts();
+        // Another task may have applied a newer order since.
+        let newest = table.known(service).map(|newest| newest.change.revision);
+        if newest != Some(known.change.revision) {
+            return;
+        }
         let Some(recorder) = table.recorder_mut(service) else {
             return;
         };
--- a/crates/badgerfield-core/src/rollout/judge.rs
+++ b/crates/badgerfield-core/src/rollout/judge.rs
@@ -19,6 +19,9 @@
 const MAX_SNAPSHOTS: usize = 6;
 /// Number of answers of other versions from which the lack of answers of the target is suspicious.
 const MIN_OTHER_ANSWERS: u32 = 200;
+/// Number of answers of the target up to which a version that fails three in ten may lack the proof
+/// that ends a canary.
+const FEW_ANSWERS: u32 = 30;
 /// Divisor of the order's time. Half of the processes must have counted for at least this part of
 /// it before all requests move: if all processes restart, their latest counts are lost.
 const COUNTED_TIME_DIVISOR: u32 = 8;
@@ -58,16 +61,16 @@
         recorded: &RecordedEvidence,
     ) {
         for (reporter, counts) in recorded.tallies() {
+            let known = self.tallies.get(&reporter);
             let tally = RolloutTally {
                 service: service.clone(),
                 revision,
                 routes: counts.routes.clone(),
                 upstreams: counts.upstreams.clone(),
-                ready: 0,
-                running: 0,
-                moved: false,
+                ready: known.map_or(0, |known| known.ready),
+                running: known.map_or(0, |known| known.running),
+                moved: known.is_some_and(|known| known.moved),
             };
-            let known = self.tallies.get(&reporter);
             if known.is_none_or(|known| known.total_count() < tally.total_count()) {
                 self.replace_tally(reporter, tally);
             }
@@ -145,10 +148,14 @@
         verdict::judge_final(&self.windows())
     }
 
-    /// Returns the reason why the target should not be the only version, if there is one. No verdict
-    /// follows this one either.
+    /// Returns the reason why the target should not become the only version, if there is one. This is
+    /// the last verdict on a target that few answers are known of. One that has given more shows what
+    /// is proof enough to end a canary.
     #[must_use]
     pub fn verdict_after_move(&self) -> Option<RolloutReason> {
+        if self.total.target().answers > FEW_ANSWERS {
+            return None;
+        }
         verdict::judge_final(&self.windows())
     }
 
--- a/crates/badgerfield-core/src/rollout/recorded_evidence.rs
+++ b/crates/badgerfield-core/src/rollout/recorded_evidence.rs
@@ -8,9 +8,9 @@
 use super::{AnswerCounts, RolloutTally, RouteTally};
 use crate::ids::Incarnation;
 
-/// The maximum number of processes whose counts are recorded, which exceeds the largest supported
-/// fleet: those with the most answers of the target.
-const MAX_REPORTERS: usize = 1024;
+/// The maximum number of counts that are recorded, of some 110 bytes each in JSON: the store takes
+/// values up to a megabyte. Processes with the most answers of the target come first.
+const MAX_COUNTS: usize = 4096;
 
 /// What one process had counted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,12 +30,17 @@
         let mut counted: Vec<_> =
             tallies.iter().filter(|(_, tally)| tally.target_count() > 0).collect();
         counted.sort_by_key(|(_, tally)| Reverse(tally.target_count()));
-        counted.truncate(MAX_REPORTERS);
-        let record = |tally: &RolloutTally| RecordedTally {
-            routes: tally.routes.clone(),
-            upstreams: tally.upstreams.clone(),
-        };
-        Self(counted.into_iter().map(|(id, tally)| (*id, record(tally))).collect())
+        let mut recorded = BTreeMap::new();
+        let mut count = 0;
+        for (id, tally) in counted {
+            count += tally.routes.len() + tally.upstreams.len();
+            if count > MAX_COUNTS {
+                break;
+            }
+            let (routes, upstreams) = (tally.routes.clone(), tally.upstreams.clone());
+            recorded.insert(*id, RecordedTally { routes, upstreams });
+        }
+        Self(recorded)
     }
 
     /// Returns the counts of each process.
--- a/crates/badgerfield-core/src/rollout/verdict.rs
+++ b/crates/badgerfield-core/src/rollout/verdict.rs
@@ -13,8 +13,8 @@
 /// Share of rollouts of good versions in which the version is judged bad during the canary. The
 /// operator has to order such a rollout again.
 const FALSE_ALARM_RATE: f64 = 1e-4;
-/// The same for the final verdict before all requests move. No later verdict follows, so a bad
-/// version that got few requests is better rejected there.
+/// The same for the final verdict before all requests move, and before a version that got few
+/// requests becomes the only one: there it is better rejected.
 const FINAL_FALSE_ALARM_RATE: f64 = 0.02;
 /// Odds from which one upstream is considered worse than its siblings, so that the verdict waits
 /// for answers of the siblings.
