Silence of one call does not outweigh later answers of the store

A VM would have taken a slow store for an unavailable one, for a call or two: a call without an answer made the timeout short though later calls were answered, or though the process had been stalled; and at a start behind a congested link the timeout would no longer have grown.

--- a/crates/badgerfield-core/src/adaptive_timeout.rs
+++ b/crates/badgerfield-core/src/adaptive_timeout.rs
@@ -28,13 +28,14 @@
     /// The longest recent response time; `None` until the first response.
     longest: Option<Duration>,
     current: Duration,
+    answer_count: u64,
 }
 
 impl AdaptiveTimeout {
     /// Creates a timeout that starts at the configured value.
     #[must_use]
     pub fn new(configured: Duration) -> Self {
-        Self { configured, longest: None, current: configured }
+        Self { configured, longest: None, current: configured, answer_count: 0 }
     }
 
     /// Returns the timeout for the next call.
@@ -55,6 +56,7 @@
         // A longer time may be that of a process that was stalled.
         let longest = decayed.max(elapsed.min(self.maximum()));
         self.longest = Some(longest);
+        self.answer_count += 1;
         self.current = self.clamp(longest.saturating_mul(TIMEOUT_RATIO));
     }
 
@@ -68,11 +70,20 @@
         }
     }
 
-    /// Records that a call had no response within the longest timeout: the store is unavailable,
-    /// however slow it was before.
+    /// Returns the number of responses that were recorded.
+    #[must_use]
+    pub fn answer_count(&self) -> u64 {
+        self.answer_count
+    }
+
+    /// Records that neither a call nor any later one had a response within the longest timeout: the
+    /// store is unavailable, however slow it was before. Without any response so far the link may be
+    /// congested.
     pub fn record_silence(&mut self) {
-        self.longest = Some(Duration::ZERO);
-        self.current = self.configured;
+        if self.longest.is_some() {
+            self.longest = Some(Duration::ZERO);
+            self.current = self.configured;
+        }
     }
 
     fn clamp(&self, timeout: Duration) -> Duration {
