A caller that stalls does not hold a stop beyond its grace time

A process that stops could have waited 15 s for one caller that reads nothing, and without end on the listeners that have no idle timeout.

Change: all accepted connections have a limit for stalls, the idle timeout but three quarters of the grace time at most.

--- a/crates/badgerfield-node/src/serving.rs
+++ b/crates/badgerfield-node/src/serving.rs
@@ -40,6 +40,11 @@
 /// process has to end within what is left of the grace time of its stop.
 const LAST_BYTES_TIME: Duration = Duration::from_secs(3);
 
+/// How long a peer may stall where the operator sets no idle timeout.
+const MAX_STALL_TIME: Duration = Duration::from_secs(15);
+/// How long a peer may stall however short the idle timeout or the grace time is.
+const MIN_STALL_TIME: Duration = Duration::from_secs(3);
+
 /// The activity of one connection.
 #[derive(Debug)]
 struct Activity {
@@ -187,6 +192,15 @@
     streams
 }
 
+/// Returns how long a peer may stall: as long as its connection may be idle, and so that a process
+/// that stops is rid of it within three quarters of the grace time.
+fn stall_limit(driver: &Driver, idle: Option<Duration>) -> Duration {
+    let idle = idle.unwrap_or(MAX_STALL_TIME);
+    let grace = driver.settings.gateway.map(|gateway| gateway.shutdown_timeout);
+    let limit = grace.map_or(idle, |grace| idle.min(grace * 3 / 4));
+    limit.max(MIN_STALL_TIME)
+}
+
 /// Limits how long the peer may read nothing while bytes are to be sent, or leave them
 /// unacknowledged.
 fn limit_stalls(stream: &TcpStream, limit: Duration) {
@@ -215,9 +229,7 @@
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let Self { stream, _in_use, _slot } = self;
-        if let Some(idle) = idle_timeout() {
-            limit_stalls(&stream, idle);
-        }
+        limit_stalls(&stream, stall_limit(driver, idle_timeout()));
         let activity = Arc::new(Activity {
             started: driver.now(),
             has_request: AtomicBool::new(false),
