--- a/crates/badgerfield-core/src/rollout/judge.rs
+++ b/crates/badgerfield-core/src/rollout/judge.rs
@@ -30,7 +30,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Judge {
     tallies: BTreeMap<Incarnation, RolloutTally>,
-    /// How long each process has counted that has reported to this judge.
+    /// How long each process that has reported to this judge has counted.
     ages: BTreeMap<Incarnation, Duration>,
     /// Snapshots of `total`, the oldest first.
     snapshots: VecDeque<Evidence>,
@@ -148,9 +148,8 @@
         verdict::judge_final(&self.windows())
     }
 
-    /// Returns the reason why the target should not become the only version, if there is one. This is
-    /// the last verdict on a target that few answers are known of. One that has given more shows what
-    /// is proof enough to end a canary.
+    /// Returns the reason why the target should not become the only version, if there is one. A target
+    /// that has given more than a few answers is left to [`Self::verdict`], for which they suffice.
     #[must_use]
     pub fn verdict_after_move(&self) -> Option<RolloutReason> {
         if self.total.target().answers > FEW_ANSWERS {
