Templates: the log tells which newer version is missing, and for how long

Nothing in a log tells what that VM took for the newest version, nor how old that belief was.

Each refusal for an unknown route or key now has a line with the version in force, the newest one that any message has named, for how long that has been missing and the age of the last confirmation. No logic changes.

--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -31,7 +31,7 @@
 use crate::stream_origins::StreamOrigin;
 use crate::stream_segments::{SegmentId, StreamShard};
 use crate::template::KeyDigest;
-use crate::template_arrival::TemplateArrival;
+use crate::template_arrival::{TemplateArrival, TemplateStatus};
 use crate::upstream_list::{ListVersion, UpstreamList};
 use crate::version_record::{KnownVersions, OpenVersions};
 use crate::vm_upstreams::{LoadReport, VmList};
@@ -392,6 +392,8 @@
     Condition(ConditionReport),
     /// Newer templates are in force.
     Templates(TemplateArrival),
+    /// A newer version of the templates is known to exist and has not arrived for long.
+    TemplatesMissing(TemplateStatus),
     /// A read of operators' values from the store failed, after one that succeeded.
     OperatorsLost,
     /// A read of operators' values succeeded again, this long after the first one that failed.
--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -175,7 +175,7 @@
             }
             let has_templates = heartbeat.version > version;
             if has_templates {
-                members.pending_templates.notice(now);
+                members.pending_templates.notice(now, heartbeat.version);
             }
             let newer = heartbeat.epoch > members.view.epoch || has_templates;
             let interval = fetch_interval(members.view.members.len());
--- a/crates/badgerfield-core/src/handlers/operator_values.rs
+++ b/crates/badgerfield-core/src/handlers/operator_values.rs
@@ -15,6 +15,7 @@
 use crate::message::{Message, OperatorUpdate};
 use crate::node::Node;
 use crate::template::TemplateDelta;
+use crate::template_arrival::TemplateStatus;
 
 /// Minimum time between two broadcasts that announce a read without changes. The readers of a
 /// region read each second, so that members hear of one at least as often, well within the time
@@ -129,7 +130,7 @@
         if version <= known || known == TemplateVersion(0) {
             return;
         }
-        members.pending_templates.notice(now);
+        members.pending_templates.notice(now, version);
         if !is_due(now, members.fetch_sent_at, fetch_interval(members.view.members.len())) {
             return;
         }
@@ -139,6 +140,27 @@
         out.send(from, Message::Fetch { epoch, version: known, full: false });
     }
 
+    /// Returns how current the templates of this process are, as far as it knows.
+    #[must_use]
+    pub fn template_status(&self, now: Time) -> TemplateStatus {
+        let members = self.state.membership();
+        let version = self.state.templates().version;
+        let missing = members.pending_templates.missing(now);
+        TemplateStatus {
+            version,
+            newest: missing.map_or(version, |(newest, _)| newest),
+            missing_for: missing.map(|(_, span)| span),
+            confirmed_age: members.operators_age(now),
+        }
+    }
+
+    /// Logs that a newer version of the templates has been missing for long.
+    pub(crate) fn report_missing_templates(&self, now: Time, out: &mut Outbox) {
+        if self.state.membership().pending_templates.report_missing(now) {
+            out.push(Command::Log(LogEntry::TemplatesMissing(self.template_status(now))));
+        }
+    }
+
     fn log_operator_read(&self, now: Time, result: &StoreResult, out: &mut Outbox) {
         let is_answered = matches!(result, StoreResult::Value(_) | StoreResult::Operators(_));
         let mut members = self.state.membership();
--- a/crates/badgerfield-core/src/handlers/templates.rs
+++ b/crates/badgerfield-core/src/handlers/templates.rs
@@ -57,9 +57,10 @@
         delta: TemplateDelta,
         out: &mut Outbox,
     ) {
+        let named = delta.version;
         let (is_newer, needs_full, is_applied, version) = {
             let mut table = self.state.templates();
-            let is_newer = delta.version > table.version;
+            let is_newer = named > table.version;
             // A delta with another base does not fit the set here, but the one sent in reply to the
             // fetch may. If one with the right base does not apply, the complete set is needed.
             let needs_full = delta.base == table.version;
@@ -75,7 +76,7 @@
         }
         let epoch = {
             let mut members = self.state.membership();
-            members.pending_templates.notice(now);
+            members.pending_templates.notice(now, named);
             members.pending_templates.record_unapplied();
             members.pending_templates.record_fetch();
             members.view.epoch
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -480,6 +480,7 @@
         self.tick_availability(now, out);
         self.tick_rollouts(now, out);
         self.tick_poison(now, out);
+        self.report_missing_templates(now, out);
         self.tick_store_reads(now, out);
         self.request_bootstrap(now, out);
         self.tick_claims(now, out);
--- a/crates/badgerfield-node/src/driver/log_entries.rs
+++ b/crates/badgerfield-node/src/driver/log_entries.rs
@@ -1,6 +1,7 @@
 //! Writes the entries that the core logs, and updates the tables outside the core that depend on
 //! them.
 
+use badgerfield_core::amount::Time;
 use badgerfield_core::event::LogEntry;
 use badgerfield_core::template_arrival::TemplateArrival;
 
@@ -17,17 +18,11 @@
                 self.peers.retain_peers(|id| view.has_member(id));
                 self.update_warm_up_senders();
             }
-            LogEntry::Templates(arrival) => self.handle_new_templates(arrival),
-            LogEntry::OperatorsLost => log::info!(target: PLATFORM, "operators' values not read"),
-            LogEntry::OperatorsRegained(away) => log::info!(
-                target: PLATFORM,
-                "operators' values read again away_ms={}",
-                away.as_millis()
-            ),
-            LogEntry::BadTemplates(error) => {
-                self.metrics.bad_templates.inc();
-                log::error!(target: NODE, "templates are invalid, the previous templates stay in force: {error}");
-            }
+            LogEntry::Templates(_)
+            | LogEntry::TemplatesMissing(_)
+            | LogEntry::BadTemplates(_)
+            | LogEntry::OperatorsLost
+            | LogEntry::OperatorsRegained(_) => self.handle_operator_entry(entry),
             LogEntry::StreamsNotWritten(count) => {
                 log::warn!(target: NODE, "streams not written to the store count={count}");
             }
@@ -111,6 +106,27 @@
         }
     }
 
+    /// Writes an entry about operators' values.
+    fn handle_operator_entry(&self, entry: &LogEntry) {
+        match entry {
+            LogEntry::Templates(arrival) => self.handle_new_templates(arrival),
+            LogEntry::TemplatesMissing(status) => {
+                log::warn!(target: NODE, "templates missing {status}");
+            }
+            LogEntry::OperatorsLost => log::info!(target: PLATFORM, "operators' values not read"),
+            LogEntry::OperatorsRegained(away) => log::info!(
+                target: PLATFORM,
+                "operators' values read again away_ms={}",
+                away.as_millis()
+            ),
+            LogEntry::BadTemplates(error) => {
+                self.metrics.bad_templates.inc();
+                log::error!(target: NODE, "templates are invalid, the previous templates stay in force: {error}");
+            }
+            _ => {}
+        }
+    }
+
     /// Routes requests by newer templates, and logs how they arrived.
     fn handle_new_templates(&self, arrival: &TemplateArrival) {
         if let Some(gateway) = &self.gateway {
@@ -123,8 +139,9 @@
         log::info!(
             target: NODE,
             "templates {version} in force from={source} delay_ms={} fetches={fetches} \
-             unapplied={unapplied}",
-            delay.as_millis()
+             unapplied={unapplied} up_ms={}",
+            delay.as_millis(),
+            self.now().since(Time::default()).as_millis()
         );
     }
 }
--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -61,8 +61,11 @@
     }
     let table = &in_force.table;
     let host = request_host(&head.headers, &head.uri);
-    let route = table.route(&host, head.uri.path()).ok_or_else(|| not_run(Cause::NoRoute))?;
-    let caller = find_caller(table, route, &headers).map_err(&not_run)?;
+    let found = find_route(table, &host, head.uri.path(), &headers);
+    let (route, caller) = found.map_err(|cause| {
+        request_log::unknown(&id, cause, &driver.node.template_status(driver.now()));
+        not_run(cause)
+    })?;
     let account_id = caller.as_ref().map(|caller| &caller.account);
     let account = account_id.map(Account::as_str);
     let residency = check_residency(&gateway, &in_force, &id, route, account_id)
@@ -164,6 +167,17 @@
         .to_owned()
 }
 
+/// Returns the route of a request and its caller, or why the templates do not allow it.
+fn find_route<'a>(
+    table: &'a RouteTable,
+    host: &str,
+    path: &str,
+    headers: &RequestHeaders,
+) -> Result<(&'a Arc<Route>, Option<Caller>), Cause> {
+    let route = table.route(host, path).ok_or(Cause::NoRoute)?;
+    Ok((route, find_caller(table, route, headers)?))
+}
+
 fn find_caller(
     table: &RouteTable,
     route: &Route,
--- a/crates/badgerfield-node/src/gateway/request_log.rs
+++ b/crates/badgerfield-node/src/gateway/request_log.rs
@@ -14,6 +14,7 @@
 use badgerfield_core::refusal::{Cause, Refusal};
 use badgerfield_core::request_mix::PromptGroup;
 use badgerfield_core::residency::ResidencyError;
+use badgerfield_core::template_arrival::TemplateStatus;
 use badgerfield_core::upstream_table::{
     BrittleChange, ChosenUpstream, LimitChange, PlaceCounts, PromptPart,
 };
@@ -45,6 +46,11 @@
     );
 }
 
+/// Logs that the templates do not have the route or the key of a request, and how current they are.
+pub(crate) fn unknown(id: &str, cause: Cause, status: &TemplateStatus) {
+    log::info!(target: REQUESTS, "unknown id={id} cause={} {status}", cause.code());
+}
+
 /// Logs that a request may not be served in any known region.
 pub(crate) fn outside(id: &str, route: &str, fault: &ResidencyError, version: TemplateVersion) {
     log::warn!(target: REQUESTS, "outside id={id} route={route} templates={version} fault={fault:?}");
