--- /dev/null
+++ b/crates/badgerfield-standin/tests/partial_cuts.rs
@@ -0,0 +1,207 @@
+//! Changes of operators' values must be in force within a second at each VM that reaches the store
+//! or a member that has them, whichever of its paths to other VMs lose messages.
+
+use std::time::Duration;
+
+use badgerfield_core::ids::TemplateVersion;
+use badgerfield_core::routing::Route;
+use badgerfield_core::template::KeyDigest;
+use badgerfield_standin::fleet::Fleet;
+
+/// The number of upstreams in the platform's list.
+const UPSTREAMS: usize = 140;
+/// The number of routes that are too many for a broadcast of their change.
+const MANY_ROUTES: usize = 400;
+/// The time from the acknowledgement of a change until it must be in force.
+const BOUND: Duration = Duration::from_secs(1);
+/// The time after which a VM without a change counts as one that never has it.
+const GIVE_UP: Duration = Duration::from_secs(8);
+/// The interval at which the VMs are checked.
+const STEP: Duration = Duration::from_millis(10);
+
+/// A fleet in which the watches of the VMs that were the first to start have ended.
+fn fleet(vms: usize, seed: u64) -> Fleet {
+    Fleet::started_with_listing(vms, UPSTREAMS, seed, Duration::from_secs(28))
+}
+
+/// VMs that neither watch nor regularly read operators' values, spread over the fleet.
+fn followers(fleet: &Fleet, step: usize) -> Vec<usize> {
+    let readers = fleet.operator_readers();
+    (0..fleet.size()).filter(|vm| !readers.contains(vm)).step_by(step).collect()
+}
+
+fn replace_key(fleet: &mut Fleet, secret: &str) -> TemplateVersion {
+    let is_written = fleet.change_templates(|set| {
+        if let Some(budget) = set.budgets.get_mut(&Fleet::budget(1)) {
+            budget.keys = [KeyDigest::from_secret(secret)].into();
+        }
+    });
+    assert!(is_written, "the store has refused a change");
+    fleet.templates.version
+}
+
+fn add_routes(fleet: &mut Fleet, prefix: &str) -> TemplateVersion {
+    let is_written = fleet.change_templates(|set| {
+        let route = set.routing.routes[0].clone();
+        let new = (0..MANY_ROUTES).map(|n| {
+            let name = format!("{prefix}-{n}");
+            Route { host: format!("{name}.example"), name, ..route.clone() }
+        });
+        set.routing.routes.extend(new);
+    });
+    assert!(is_written, "the store has refused a change");
+    fleet.templates.version
+}
+
+/// Advances the time until the VMs have a version, or gives up. Returns how long it took.
+fn wait_for(fleet: &mut Fleet, vms: &[usize], version: TemplateVersion) -> Duration {
+    let mut took = Duration::ZERO;
+    let has_version =
+        |fleet: &Fleet, vm| fleet.node(vm).is_some_and(|n| n.template_version() >= version);
+    while took < GIVE_UP && !vms.iter().all(|vm| has_version(fleet, *vm)) {
+        fleet.advance_listing(STEP);
+        took += STEP;
+    }
+    took
+}
+
+/// Makes small changes around a large one, and returns how long each took to be in force.
+fn change_series(fleet: &mut Fleet, vms: &[usize]) -> Vec<Duration> {
+    let mut lags = Vec::new();
+    for change in 0..5 {
+        fleet.advance_listing(Duration::from_millis(300 + 470 * change));
+        let version = match change {
+            1 => add_routes(fleet, "new"),
+            _ => replace_key(fleet, &format!("secret {change}")),
+        };
+        lags.push(wait_for(fleet, vms, version));
+    }
+    lags
+}
+
+/// Loses what some VMs send to others.
+fn cut_outgoing(fleet: &mut Fleet, vms: &[usize]) {
+    let size = fleet.size();
+    let paths = vms.iter().flat_map(|vm| (0..size).map(move |other| (*vm, other)));
+    fleet.lost_paths.extend(paths);
+}
+
+/// Loses what others send to some VMs.
+fn cut_incoming(fleet: &mut Fleet, vms: &[usize]) {
+    let size = fleet.size();
+    let paths = vms.iter().flat_map(|vm| (0..size).map(move |other| (other, *vm)));
+    fleet.lost_paths.extend(paths);
+}
+
+fn assert_in_time(late: &[(usize, u64, Vec<Duration>)]) {
+    assert!(late.is_empty(), "in force later than {BOUND:?}: {late:?}");
+}
+
+/// Runs a series of changes in fleets of several sizes after a cut, and returns the late ones.
+fn late_series(cut: impl Fn(&mut Fleet, &[usize])) -> Vec<(usize, u64, Vec<Duration>)> {
+    let mut late = Vec::new();
+    for (vms, seed) in [(6, 1), (30, 1), (72, 1), (72, 2), (300, 1)] {
+        let mut fleet = fleet(vms, seed);
+        let affected = match vms {
+            6 => vec![4],
+            _ => followers(&fleet, 9),
+        };
+        cut(&mut fleet, &affected);
+        let lags = change_series(&mut fleet, &affected);
+        println!("{vms} VMs, seed {seed}: {lags:?}");
+        if lags.iter().any(|lag| *lag > BOUND) {
+            late.push((vms, seed, lags));
+        }
+    }
+    late
+}
+
+/// Guards against VMs that take announcements of a version that they lack for a confirmation.
+#[test]
+fn changes_reach_vms_that_cannot_send() {
+    assert_in_time(&late_series(cut_outgoing));
+}
+
+/// Guards against VMs that wait too long before they read what nobody tells them.
+#[test]
+fn changes_reach_vms_that_cannot_receive() {
+    assert_in_time(&late_series(cut_incoming));
+}
+
+/// Guards against VMs that are cut off from all others and learn it late.
+#[test]
+fn changes_reach_vms_that_reach_only_the_store() {
+    assert_in_time(&late_series(|fleet, vms| {
+        cut_incoming(fleet, vms);
+        cut_outgoing(fleet, vms);
+    }));
+}
+
+/// Guards against VMs that hear some members, and so do not count as isolated, but get no replies.
+#[test]
+fn changes_reach_vms_with_few_paths() {
+    assert_in_time(&late_series(|fleet, vms| {
+        let size = fleet.size();
+        for (i, vm) in vms.iter().enumerate() {
+            for other in 0..size {
+                // Which paths remain differs from VM to VM, and for the two directions.
+                if (other * 7 + i) % 5 != 0 {
+                    fleet.lost_paths.insert((*vm, other));
+                }
+                if (other * 3 + i) % 4 != 0 {
+                    fleet.lost_paths.insert((other, *vm));
+                }
+            }
+        }
+    }));
+}
+
+/// Guards against a VM without access to the store that does not fetch what the members that it
+/// still reaches have.
+#[test]
+fn changes_reach_vms_without_the_store_and_with_few_paths() {
+    assert_in_time(&late_series(|fleet, vms| {
+        let size = fleet.size();
+        fleet.store.partitioned_vms = vms.iter().copied().collect();
+        for (i, vm) in vms.iter().enumerate() {
+            for other in (0..size).filter(|other| (other + i) % 4 != 0) {
+                fleet.lost_paths.insert((*vm, other));
+                fleet.lost_paths.insert((other, *vm));
+            }
+        }
+    }));
+}
+
+/// Guards against a process that misses a change while it starts, cannot fetch it, and takes the
+/// announcements of that change for a confirmation of what it has.
+#[test]
+fn changes_reach_vms_that_start_and_cannot_send() {
+    let mut late = Vec::new();
+    for (vms, seed) in [(6, 1), (30, 1), (72, 1), (72, 2), (300, 1)] {
+        let mut fleet = fleet(vms, seed);
+        let started = followers(&fleet, 11);
+        let started = if vms == 6 { vec![4] } else { started };
+        for vm in &started {
+            fleet.kill(*vm);
+        }
+        fleet.advance_listing(Duration::from_millis(900));
+        for (i, vm) in started.iter().enumerate() {
+            fleet.start(*vm);
+            fleet.advance_listing(Duration::from_millis(20));
+            if i % 3 == 0 {
+                replace_key(&mut fleet, &format!("secret of {vm}"));
+            }
+        }
+        // The paths are lost as soon as the processes are members or about to become so.
+        fleet.advance_listing(Duration::from_millis(100));
+        cut_outgoing(&mut fleet, &started);
+        let last = replace_key(&mut fleet, "during the start");
+        let mut lags = vec![wait_for(&mut fleet, &started, last)];
+        lags.extend(change_series(&mut fleet, &started));
+        println!("{vms} VMs, seed {seed}: {lags:?}");
+        if lags.iter().any(|lag| *lag > BOUND) {
+            late.push((vms, seed, lags));
+        }
+    }
+    assert_in_time(&late);
+}
