A confirmation counts only for the version that it names

Cause: a member announces 'the store was read just now, it holds version 12'. A VM with version 10 took that for the age of its own values, so it never became one that reads the store. All that it did was to fetch from whoever named the version. Where its fetches were lost nothing else was tried, and every later difference had a base that it lacked. A process that starts is in nobody's view while a change is broadcast, so it is the one to miss it.

Now a confirmation counts for a VM that has the version, and is news for the others. A watch confirms nothing, as it may have stalled; a stale read neither. Heartbeats carry the age of the confirmation. A VM that nobody confirms for 0.6 to 0.9 s, or that has known of a newer version for so long, reads the store, and asks members that it has just heard and all others by turns. Members that wait for a version themselves remember who asked. The first reader of the fleet reads each 0.3 s, the next ones only if it does not (two of each region read each second before). A process that starts beside a running fleet and gets no templates reads them after as long, instead of up to 5 s.

The message formats change: a process of the version before cannot read heartbeats.

--- a/crates/badgerfield-core/src/handlers/evacuations.rs
+++ b/crates/badgerfield-core/src/handlers/evacuations.rs
@@ -12,7 +12,7 @@
 use crate::broadcast;
 use crate::evacuation::DomainChange;
 use crate::event::{Command, OperatorChanges, OperatorValues, Outbox, is_due};
-use crate::ids::Incarnation;
+use crate::ids::{Incarnation, TemplateVersion};
 use crate::message::{EvacuationUpdate, Message};
 use crate::node::Node;
 
@@ -21,16 +21,20 @@
 pub(super) const MIN_COMPARE_INTERVAL: Duration = Duration::from_millis(200);
 
 impl Node {
-    /// Applies a snapshot of all values that operators have written to the store.
-    pub(crate) fn apply_operator_values(&self, now: Time, found: OperatorValues, out: &mut Outbox) {
+    /// Applies a snapshot of all values that operators have written to the store. Returns the version
+    /// of the templates, if there are valid ones.
+    pub(crate) fn apply_operator_values(
+        &self,
+        now: Time,
+        found: OperatorValues,
+        out: &mut Outbox,
+    ) -> Option<TemplateVersion> {
         let OperatorValues { revision, templates, evacuated, rollouts } = found;
         self.apply_order_snapshot(now, revision, rollouts, out);
         let new_changes = self.state.evacuations().apply_snapshot(revision, evacuated);
         self.broadcast_evacuations(now, &new_changes, out);
         out.push_evacuations(None, new_changes);
-        if let Some(bytes) = templates {
-            self.apply_encoded_templates(now, &bytes, out);
-        }
+        templates.and_then(|bytes| self.apply_encoded_templates(now, &bytes, out))
     }
 
     /// Applies changes that operators have written to the store.
--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -85,6 +85,7 @@
                 epoch: members.view.epoch,
                 confirmations: confirmed,
                 version,
+                confirmed_age: members.confirmed_age(now),
                 serving: members.serving && members.stopping_since.is_none(),
                 upstream_list: members.upstream_list,
                 evacuations_digest: evacuations,
@@ -146,6 +147,9 @@
         self.compare_rollout_digest(now, from, heartbeat.rollouts_digest, out);
         self.compare_crash_digest(now, from, heartbeat.blocked_digest, out);
         self.apply_confirmations(now, heartbeat);
+        if let Some(age) = heartbeat.confirmed_age {
+            self.confirm_templates(now, age, heartbeat.version);
+        }
         if !heartbeat.delay_reports.is_empty() {
             out.push(Command::ApplyDelayReports(heartbeat.delay_reports.clone()));
         }
@@ -198,6 +202,7 @@
     /// Sends a member the views and templates that it lacks.
     pub(crate) fn handle_fetch(
         &self,
+        now: Time,
         from: Incarnation,
         epoch: Epoch,
         version: TemplateVersion,
@@ -210,23 +215,20 @@
                 out.send(from, Message::View(members.view_log.update_since(&members.view, epoch)));
             }
         }
-        let table = self.state.templates();
-        if table.version == TemplateVersion(0) && needs_full {
+        let known = self.state.templates().version;
+        let is_pending = {
+            let mut members = self.state.membership();
             // The sender gets the templates as soon as they arrive here. If it had to ask again,
-            // they would be late by half an interval at each level of the bootstrap tree.
-            drop(table);
-            self.state.membership().add_template_waiter(from);
-            return;
-        }
-        if table.version <= version {
-            return;
-        }
-        let delta = self.state.template_history().delta(&table, version).filter(|_| !needs_full);
-        let message = match delta {
-            Some(delta) => Message::TemplateDelta(Box::new(delta)),
-            None => Message::Templates(Box::new(table.clone())),
+            // they would be late by half an interval at each member on their way.
+            let is_pending = known <= version && members.expects_templates(now, known);
+            if is_pending && (needs_full || known > TemplateVersion(0)) {
+                members.add_template_waiter(from, version);
+            }
+            is_pending
         };
-        out.send(from, message);
+        if !is_pending {
+            self.send_templates(from, version, needs_full, out);
+        }
     }
 
     /// Applies a neighbour's handover confirmations. A process that stores claims or is in a small
@@ -311,12 +313,13 @@
             start_read(&mut members, now, StoreKey::View, out);
         }
         let reads_templates = if version == TemplateVersion(0) {
-            members.is_bootstrap_reader(now)
+            (members.is_bootstrap_reader(now) || members.must_bootstrap_alone(now))
+                && is_due(now, members.templates_read_at, READ_INTERVAL)
         } else {
-            reads_view
+            reads_view && members.is_operator_read_due(now)
         };
         let is_reading = members.store_calls.is_pending(&StoreKey::Templates);
-        if is_due(now, members.templates_read_at, READ_INTERVAL) && reads_templates && !is_reading {
+        if reads_templates && !is_reading {
             members.templates_read_at = Some(now);
             start_read(&mut members, now, StoreKey::Templates, out);
         }
--- a/crates/badgerfield-core/src/handlers/operator_values.rs
+++ b/crates/badgerfield-core/src/handlers/operator_values.rs
@@ -1,7 +1,8 @@
 //! Values that operators write: who reads them from the store, and how the others learn of it.
 //!
 //! A member that reads the values broadcasts what has changed, and otherwise, from time to time,
-//! that it has read them. Members that hear of no reader for too long read the store themselves.
+//! that it has read them, and which version it found. That confirms the values of members that have
+//! this version; the others fetch it. Members whose values nobody confirms read the store themselves.
 //! This does not depend on the list of upstreams: members that confirm the list need not have
 //! read the operators' values.
 
@@ -17,10 +18,9 @@
 use crate::template::TemplateDelta;
 use crate::template_arrival::TemplateStatus;
 
-/// Minimum time between two broadcasts that announce a read without changes. The readers of a
-/// region read each second, so that members hear of one at least as often, well within the time
-/// after which the first of them read themselves.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(600);
+/// Minimum time between two broadcasts that announce a read without changes; somewhat less than
+/// that between two reads of the first reader.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum encoded size of a difference that is broadcast. A member sends it to as many others as
 /// the fleet's size has binary digits; larger ones are fetched.
 const MAX_BROADCAST_BYTES: usize = 8 << 10;
@@ -48,12 +48,12 @@
         out: &mut Outbox,
     ) {
         self.log_operator_read(now, &result, out);
-        match result {
+        let stored = match result {
             StoreResult::Value(found) => self.apply_stored_templates(now, &found, out),
             StoreResult::Operators(found) => self.apply_operator_values(now, found, out),
             _ => return,
-        }
-        self.announce_operator_read(now, requested_at, out);
+        };
+        self.announce_operator_read(now, requested_at, stored, out);
     }
 
     /// Applies an update of operators' values and forwards it to this process's part of the ring.
@@ -66,8 +66,9 @@
     ) {
         let targets = {
             let mut members = self.state.membership();
-            members.operators_announced_at = Some(now);
-            members.record_operator_read(Time(now.0.saturating_sub(update.age)));
+            if update.age.is_some() {
+                members.operators_announced_at = Some(now);
+            }
             if update.reach == 0 {
                 Vec::new()
             } else {
@@ -81,6 +82,35 @@
             Some(delta) => self.apply_template_delta(now, from, *delta, out),
             None => self.fetch_newer_templates(now, from, update.version, out),
         }
+        if let Some(age) = update.age {
+            self.confirm_templates(now, age, update.version);
+        }
+    }
+
+    /// Records that the store was read some time ago and held a version.
+    pub(crate) fn confirm_templates(&self, now: Time, age: Duration, stored: TemplateVersion) {
+        let mut members = self.state.membership();
+        let in_force = self.state.templates().version;
+        members.confirm_templates(now, Time(now.0.saturating_sub(age)), stored, in_force);
+    }
+
+    /// Asks members for newer templates if those that should inform this process do not.
+    pub(crate) fn search_newer_templates(&self, now: Time, out: &mut Outbox) {
+        let mut members = self.state.membership();
+        let interval = fetch_interval(members.view.members.len());
+        if !is_due(now, members.fetch_sent_at, interval) {
+            return;
+        }
+        let peers = members.informed_peers(now);
+        if peers.is_empty() {
+            return;
+        }
+        members.fetch_sent_at = Some(now);
+        members.pending_templates.record_fetch();
+        let (epoch, version) = (members.view.epoch, self.state.templates().version);
+        for to in peers {
+            out.send(to, Message::Fetch { epoch, version, full: false });
+        }
     }
 
     /// Broadcasts a change of the templates that was read from the store.
@@ -88,29 +118,41 @@
         let version = delta.version;
         let size = postcard::to_stdvec(&delta).map_or(usize::MAX, |bytes| bytes.len());
         let delta = (size <= MAX_BROADCAST_BYTES).then(|| Box::new(delta));
-        let update = OperatorUpdate { delta, version, age: Duration::ZERO, reach: 0 };
+        let update = OperatorUpdate { delta, version, age: None, reach: 0 };
         self.broadcast_operator_update(now, &update, out);
     }
 
     /// Records that this process has read operators' values, and announces it if no member has done
-    /// so recently.
-    fn announce_operator_read(&self, now: Time, requested_at: Time, out: &mut Outbox) {
-        {
+    /// so recently. A stale read confirms nothing.
+    fn announce_operator_read(
+        &self,
+        now: Time,
+        requested_at: Time,
+        stored: Option<TemplateVersion>,
+        out: &mut Outbox,
+    ) {
+        let version = {
             let mut members = self.state.membership();
-            members.record_operator_read(requested_at);
-            if !is_due(now, members.operators_announced_at, ANNOUNCE_INTERVAL) {
+            let version = self.state.templates().version;
+            // Templates that cannot be used leave those in force as they are.
+            let stored = stored.unwrap_or(version);
+            members.confirm_templates(now, requested_at, stored, version);
+            if stored != version || !is_due(now, members.operators_announced_at, ANNOUNCE_INTERVAL)
+            {
                 return;
             }
-        }
-        let version = self.state.templates().version;
-        let age = now.since(requested_at);
+            version
+        };
+        let age = Some(now.since(requested_at));
         let update = OperatorUpdate { delta: None, version, age, reach: 0 };
         self.broadcast_operator_update(now, &update, out);
     }
 
     fn broadcast_operator_update(&self, now: Time, update: &OperatorUpdate, out: &mut Outbox) {
         let mut members = self.state.membership();
-        members.operators_announced_at = Some(now);
+        if update.age.is_some() {
+            members.operators_announced_at = Some(now);
+        }
         for (to, reach) in members.broadcast_targets(now, broadcast::full_reach(&members.view)) {
             out.send(to, Message::Operators(OperatorUpdate { reach, ..update.clone() }));
         }
@@ -150,10 +192,17 @@
             version,
             newest: missing.map_or(version, |(newest, _)| newest),
             missing_for: missing.map(|(_, span)| span),
-            confirmed_age: members.operators_age(now),
+            confirmed_age: members.confirmed_age(now),
         }
     }
 
+    /// Returns whether the templates in force here are known to be current: what they do not have
+    /// does not exist.
+    #[must_use]
+    pub fn has_current_templates(&self, now: Time) -> bool {
+        self.state.membership().has_current_templates(now)
+    }
+
     /// Logs that a newer version of the templates has been missing for long.
     pub(crate) fn report_missing_templates(&self, now: Time, out: &mut Outbox) {
         if self.state.membership().pending_templates.report_missing(now) {
--- a/crates/badgerfield-core/src/handlers/templates.rs
+++ b/crates/badgerfield-core/src/handlers/templates.rs
@@ -2,7 +2,7 @@
 
 use crate::amount::Time;
 use crate::event::{Command, LogEntry, Outbox, Versioned};
-use crate::ids::{BudgetId, Incarnation};
+use crate::ids::{BudgetId, Incarnation, TemplateVersion};
 use crate::ledger::BudgetTerms;
 use crate::message::Message;
 use crate::node::Node;
@@ -10,18 +10,34 @@
 use crate::template_arrival::TemplateSource;
 
 impl Node {
-    /// Applies the templates that were read from the store.
-    pub(crate) fn apply_stored_templates(&self, now: Time, found: &Versioned, out: &mut Outbox) {
-        if let Some(bytes) = &found.value {
-            self.apply_encoded_templates(now, bytes, out);
-        }
+    /// Applies the templates that were read from the store. Returns their version, if they are valid.
+    pub(crate) fn apply_stored_templates(
+        &self,
+        now: Time,
+        found: &Versioned,
+        out: &mut Outbox,
+    ) -> Option<TemplateVersion> {
+        found.value.as_ref().and_then(|bytes| self.apply_encoded_templates(now, bytes, out))
     }
 
-    /// Decodes and applies templates that operators have written.
-    pub(crate) fn apply_encoded_templates(&self, now: Time, bytes: &[u8], out: &mut Outbox) {
+    /// Decodes and applies templates that operators have written. Returns their version, if they are
+    /// valid.
+    pub(crate) fn apply_encoded_templates(
+        &self,
+        now: Time,
+        bytes: &[u8],
+        out: &mut Outbox,
+    ) -> Option<TemplateVersion> {
         match TemplateSet::decode(bytes) {
-            Ok(set) => self.apply_templates(now, set, TemplateSource::Store, out),
-            Err(error) => out.push(Command::Log(LogEntry::BadTemplates(error.to_string()))),
+            Ok(set) => {
+                let version = set.version;
+                self.apply_templates(now, set, TemplateSource::Store, out);
+                Some(version)
+            }
+            Err(error) => {
+                out.push(Command::Log(LogEntry::BadTemplates(error.to_string())));
+                None
+            }
         }
     }
 
@@ -110,6 +126,7 @@
         let arrival = {
             let mut members = self.state.membership();
             members.template_entries = entries;
+            members.begin_confirmations(now);
             members.pending_templates.finish(now, version, source)
         };
         out.push(Command::Log(LogEntry::Templates(arrival)));
@@ -128,12 +145,28 @@
     /// Sends the templates to the members that asked for them before they arrived here.
     fn send_templates_to_waiters(&self, out: &mut Outbox) {
         let waiters = self.state.membership().take_template_waiters();
-        if waiters.is_empty() {
-            return;
+        for (id, version) in waiters {
+            self.send_templates(id, version, version == TemplateVersion(0), out);
         }
-        let set = self.state.templates().clone();
-        for id in waiters {
-            out.send(id, Message::Templates(Box::new(set.clone())));
+    }
+
+    /// Sends templates to a process that has a version: the differences, or the complete set.
+    pub(crate) fn send_templates(
+        &self,
+        to: Incarnation,
+        version: TemplateVersion,
+        needs_full: bool,
+        out: &mut Outbox,
+    ) {
+        let table = self.state.templates();
+        if table.version <= version {
+            return;
         }
+        let delta = self.state.template_history().delta(&table, version).filter(|_| !needs_full);
+        let message = match delta {
+            Some(delta) => Message::TemplateDelta(Box::new(delta)),
+            None => Message::Templates(Box::new(table.clone())),
+        };
+        out.send(to, message);
     }
 }
--- /dev/null
+++ b/crates/badgerfield-core/src/membership/confirmation.rs
@@ -0,0 +1,187 @@
+//! When the operators' values in force here were last known to be those in the store, and what this
+//! process does once that was too long ago.
+//!
+//! The readers of a region read the values so often that the others hear of a read several times a
+//! second. A process that does not, or that knows of a version which does not arrive, reads the
+//! store itself, and asks other members. What a member announces about a version is a confirmation
+//! for those that have this version, and news for all others.
+
+use std::time::Duration;
+
+use super::Membership;
+use crate::amount::Time;
+use crate::event::is_due;
+use crate::ids::{Incarnation, TemplateVersion};
+use crate::template_arrival::PROPAGATION_TIME;
+use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member};
+
+/// The age of the last confirmation at which the first reader reads the values.
+const READ_AGE: Duration = Duration::from_millis(300);
+/// How much later each further reader reads. A reader that hears of a read need not read itself.
+const READER_STEP: Duration = Duration::from_millis(60);
+/// The age at which all readers read.
+const MAX_READ_AGE: Duration = Duration::from_millis(540);
+/// Minimum time between two reads that fail.
+const FAILED_READ_INTERVAL: Duration = Duration::from_secs(1);
+/// The share, in percent, of the time within which operators' values have to be in force, for which
+/// a confirmation holds.
+const CURRENT_PERCENT: u32 = 60;
+/// The share, in percent, of [`PROPAGATION_TIME`] without a confirmation after which a process that
+/// watches the values reads them: its watch may have stalled without notice.
+const STALLED_WATCH_PERCENT: u32 = 60;
+/// The same share after which a process counts as one that its peers do not keep up to date, and
+/// asks members that usually do not inform it.
+const SEARCH_PERCENT: u32 = 70;
+/// The number of entries of the templates that all members together may read at once: 450 bytes
+/// each, a second of a link of 1 Gbit/s. If there are more, members wait longer in proportion.
+const MAX_FALLBACK_ENTRIES: usize = 250_000;
+
+/// The confirmations of the operators' values in force at this process.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Confirmation {
+    /// The latest time at which the store is known to have held nothing newer.
+    valid_at: Option<Time>,
+    /// When this process learned of a later such time, or got its first values.
+    advanced_at: Option<Time>,
+}
+
+impl Confirmation {
+    /// Records that the store held nothing newer at some time.
+    fn advance(&mut self, now: Time, valid_at: Time) {
+        if self.valid_at.is_none_or(|known| valid_at > known) {
+            self.valid_at = Some(valid_at);
+            self.advanced_at = Some(now);
+        }
+    }
+}
+
+impl Membership {
+    /// Records that the store held a version at some time, and nothing newer.
+    ///
+    /// This confirms the values in force here only if they have that version. An older version comes
+    /// from a read before the latest change, or from one that is stale.
+    pub(crate) fn confirm_templates(
+        &mut self,
+        now: Time,
+        read_at: Time,
+        stored: TemplateVersion,
+        in_force: TemplateVersion,
+    ) {
+        if stored == in_force {
+            self.confirmation.advance(now, read_at);
+        }
+    }
+
+    /// Records that this process has its first values. Members that are up to date confirm them soon.
+    pub(crate) fn begin_confirmations(&mut self, now: Time) {
+        self.confirmation.advanced_at.get_or_insert(now);
+    }
+
+    /// Returns the time since the operators' values in force here were last known to be those in the
+    /// store.
+    pub(crate) fn confirmed_age(&self, now: Time) -> Option<Duration> {
+        self.confirmation.valid_at.map(|at| now.since(at))
+    }
+
+    /// Returns whether the templates in force here are known to be current: what they do not have
+    /// does not exist.
+    pub(crate) fn has_current_templates(&self, now: Time) -> bool {
+        let wait = self.apply_timeout * CURRENT_PERCENT / 100;
+        let is_confirmed = self.confirmed_age(now).is_some_and(|age| age < wait);
+        is_confirmed && !self.is_missing_templates(now)
+    }
+
+    /// Returns whether this process reads and watches operators' values in the store itself.
+    ///
+    /// The ranks are those of [`Self::watches_store`], but the age of the list of upstreams says
+    /// nothing about operators' values.
+    pub(crate) fn watches_operators(&self, now: Time) -> bool {
+        let is_small = self.view.members.len() <= MAX_SMALL_VIEW_MEMBERS;
+        let is_member = self.is_member();
+        let is_exposed = is_member && (is_small || self.is_isolated(now));
+        is_exposed || self.unconfirmed_for(now) >= self.watch_delay()
+    }
+
+    /// Returns whether a process that watches operators' values has to read them now, because it
+    /// has not heard of a read for long, or of a version that does not arrive.
+    pub(crate) fn must_read_operators(&self, now: Time) -> bool {
+        self.unconfirmed_for(now) >= PROPAGATION_TIME * STALLED_WATCH_PERCENT / 100
+    }
+
+    /// Returns whether a reader has to read operators' values now.
+    pub(crate) fn is_operator_read_due(&self, now: Time) -> bool {
+        let order = u32::try_from(self.ranks.reading_order()).unwrap_or(u32::MAX);
+        let wait = READ_AGE.saturating_add(READER_STEP.saturating_mul(order)).min(MAX_READ_AGE);
+        let has_failed = self.operators_lost_at.is_some();
+        let interval = if has_failed { FAILED_READ_INTERVAL } else { wait };
+        let is_old = self.confirmed_age(now).is_none_or(|age| age >= wait);
+        is_old && is_due(now, self.templates_read_at, interval)
+    }
+
+    /// Returns the members to ask for newer values, if this process has missed what its peers should
+    /// have told it: by turns one of those that it has just heard, and one of all.
+    pub(crate) fn informed_peers(&mut self, now: Time) -> Vec<Incarnation> {
+        let wait = PROPAGATION_TIME * SEARCH_PERCENT / 100;
+        let is_searching = self.is_missing_templates(now) || self.hears_few(now);
+        if !self.is_member() || !is_searching || self.unconfirmed_for(now) < wait {
+            return Vec::new();
+        }
+        let turn = self.search_turn;
+        self.search_turn = turn.wrapping_add(1);
+        let members = &self.view.members;
+        let is_heard =
+            |m: &&Member| self.unheard_for(now, m.incarnation) < self.unresponsive_after / 2;
+        let heard: Vec<_> = members.iter().filter(is_heard).map(|m| m.incarnation).collect();
+        let near = turn.checked_rem(heard.len()).and_then(|index| heard.get(index)).copied();
+        let index = (self.own_index() + 1 + turn).checked_rem(members.len());
+        let any = index.and_then(|index| members.get(index)).map(|m| m.incarnation);
+        let mut peers: Vec<_> = near.into_iter().chain(any).collect();
+        peers.dedup();
+        peers.retain(|id| *id != self.id());
+        peers
+    }
+
+    /// Returns whether this process has no templates though the members that it hears have had some
+    /// for long: it has started beside a running fleet, and its requests are not answered.
+    pub(crate) fn must_bootstrap_alone(&self, now: Time) -> bool {
+        let missing = self.pending_templates.missing(now);
+        missing.is_some_and(|(_, span)| span >= self.watch_delay())
+    }
+
+    /// Returns whether this process has no templates yet, or waits for newer ones.
+    pub(crate) fn expects_templates(&self, now: Time, in_force: TemplateVersion) -> bool {
+        in_force == TemplateVersion(0) || self.is_missing_templates(now)
+    }
+
+    /// Returns whether this process has not heard most of the members that it watches lately.
+    fn hears_few(&self, now: Time) -> bool {
+        let silences = self.watched().map(|(_, m)| self.silence(now, m.incarnation));
+        let (heard, silent): (Vec<_>, Vec<_>) =
+            silences.partition(|silence| *silence < self.unresponsive_after / 2);
+        heard.len() < silent.len()
+    }
+
+    /// Returns whether a newer version of the templates is known to exist.
+    fn is_missing_templates(&self, now: Time) -> bool {
+        self.pending_templates.missing(now).is_some()
+    }
+
+    /// Returns the time for which nobody has confirmed the operators' values in force here, or for
+    /// which a newer version has been known to exist, whichever is longer.
+    fn unconfirmed_for(&self, now: Time) -> Duration {
+        let missing = self.pending_templates.missing(now).map(|(_, span)| span);
+        let silent = self.confirmation.advanced_at.map_or(Duration::MAX, |at| now.since(at));
+        silent.max(missing.unwrap_or_default())
+    }
+
+    /// Returns the time without a confirmation after which this process watches operators' values.
+    fn watch_delay(&self) -> Duration {
+        let delay = PROPAGATION_TIME * self.ranks.watch_delay_percent(false).unwrap_or(100) / 100;
+        let entries = self.view.members.len().saturating_mul(self.template_entries);
+        if !self.ranks.can_probe() && entries > MAX_FALLBACK_ENTRIES {
+            let factor = entries.div_ceil(MAX_FALLBACK_ENTRIES);
+            return delay.saturating_mul(u32::try_from(factor).unwrap_or(u32::MAX));
+        }
+        delay
+    }
+}
--- a/crates/badgerfield-core/src/membership/mod.rs
+++ b/crates/badgerfield-core/src/membership/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! [`roles`] tells which values of the store this process reads and watches for others,
 //! [`liveness`] which members are silent, unavailable or to be removed, [`departures`] which members
-//! leave a large view, and [`clock`] what the clocks of the fleet agree on.
+//! leave a large view, [`confirmation`] whether operators' values are current, and [`clock`] what the clocks of the fleet agree on.
 
 mod clock;
+mod confirmation;
 pub(crate) mod departures;
 mod liveness;
 mod roles;
@@ -14,11 +15,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use self::confirmation::Confirmation;
 use self::departures::{Departures, OwnNotices};
 use crate::amount::Time;
 use crate::availability::{Availability, ConditionReport};
 use crate::broadcast::{self, BroadcastTarget};
-use crate::ids::{Epoch, Incarnation, VmId};
+use crate::ids::{Epoch, Incarnation, TemplateVersion, VmId};
 use crate::joining::Joining;
 use crate::message::Heartbeat;
 use crate::node::Pacing;
@@ -163,8 +165,8 @@
     next_peer_index: usize,
     /// How often members were asked for these values.
     bootstrap_attempts: usize,
-    /// The members that asked for templates before this process had any.
-    template_waiters: BTreeSet<Incarnation>,
+    /// The members that asked for templates before they arrived here, with their versions.
+    template_waiters: BTreeMap<Incarnation, TemplateVersion>,
     pub(crate) view_written_at: Option<Time>,
     /// When a member was last asked for the view or the templates; one member is asked at a time.
     pub(crate) fetch_sent_at: Option<Time>,
@@ -172,8 +174,10 @@
     pub(crate) pending_templates: PendingArrival,
     /// Since when reads of operators' values from the store have failed.
     pub(crate) operators_lost_at: Option<Time>,
-    /// When a member last read operators' values from the store, as far as known.
-    operators_read_at: Option<Time>,
+    /// When the operators' values in force here were last known to be those in the store.
+    confirmation: Confirmation,
+    /// How often members were asked for operators' values that this process has missed.
+    search_turn: usize,
     /// When such a read was last announced to all members, by this process or another.
     pub(crate) operators_announced_at: Option<Time>,
     /// The number of accounts, budgets and routes in the templates.
@@ -239,12 +243,13 @@
             bootstrap_at: None,
             next_peer_index: 0,
             bootstrap_attempts: 0,
-            template_waiters: BTreeSet::new(),
+            template_waiters: BTreeMap::new(),
             view_written_at: None,
             fetch_sent_at: None,
             pending_templates: PendingArrival::default(),
             operators_lost_at: None,
-            operators_read_at: None,
+            confirmation: Confirmation::default(),
+            search_turn: 0,
             operators_announced_at: None,
             template_entries: 0,
             views_pushed: HashMap::new(),
--- a/crates/badgerfield-core/src/membership/roles.rs
+++ b/crates/badgerfield-core/src/membership/roles.rs
@@ -1,12 +1,12 @@
 //! Which values of the store this process reads and watches, for itself and for other members.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::{Membership, MembershipIntent};
 use crate::amount::Time;
 use crate::bootstrap;
-use crate::ids::{Epoch, Incarnation};
+use crate::ids::{Epoch, Incarnation, TemplateVersion};
 use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member, View};
 
 /// Factor by which a process that joins waits longer between reads of the view.
@@ -17,10 +17,6 @@
 /// Maximum number of entries that all members together may read if the usual watchers of the list
 /// fail: 450 bytes each, a second of a link of 1 Gbit/s.
 const MAX_FALLBACK_ENTRIES: usize = 250_000;
-/// The share, in percent, of the time within which operators' values have to be in force, after
-/// which the members that watch them read them if no member has.
-const WATCHER_READ_PERCENT: u32 = 60;
-
 impl Membership {
     /// Returns whether this process reads the store's values for its region.
     ///
@@ -107,15 +103,16 @@
         id
     }
 
-    /// Records that a member waits for the first templates that this process gets.
-    pub(crate) fn add_template_waiter(&mut self, id: Incarnation) {
+    /// Records that a member with a version waits for the next templates that this process gets.
+    pub(crate) fn add_template_waiter(&mut self, id: Incarnation, version: TemplateVersion) {
         if self.template_waiters.len() < bootstrap::MAX_WAITERS {
-            self.template_waiters.insert(id);
+            self.template_waiters.insert(id, version);
         }
     }
 
-    /// Takes the members that wait for the first templates that this process gets.
-    pub(crate) fn take_template_waiters(&mut self) -> BTreeSet<Incarnation> {
+    /// Takes the members that wait for the next templates that this process gets, with their
+    /// versions.
+    pub(crate) fn take_template_waiters(&mut self) -> BTreeMap<Incarnation, TemplateVersion> {
         std::mem::take(&mut self.template_waiters)
     }
 
@@ -139,55 +136,17 @@
     /// watch it and forward changes, more do so if these seem to be cut off, and all members do so
     /// if no updates arrive at all.
     pub(crate) fn watches_store(&self, now: Time, list_age: Option<Duration>) -> bool {
-        self.has_watch_role(now, list_age, self.leave_notice, self.list_entries)
-    }
-
-    /// Returns whether this process reads and watches operators' values in the store itself.
-    ///
-    /// The roles are those of [`Self::watches_store`], but they depend on when a member last read
-    /// operators' values. The age of the list of upstreams says nothing about these.
-    pub(crate) fn watches_operators(&self, now: Time) -> bool {
-        let age = self.operators_age(now);
-        self.has_watch_role(now, age, self.apply_timeout, self.template_entries)
-    }
-
-    /// Returns whether no member has read operators' values for so long that a process that watches
-    /// them should do so: its watch may have stalled without notice.
-    pub(crate) fn must_read_operators(&self, now: Time) -> bool {
-        let wait = self.apply_timeout * WATCHER_READ_PERCENT / 100;
-        self.operators_age(now).is_none_or(|age| age >= wait)
-    }
-
-    /// Records that a member has read operators' values from the store.
-    pub(crate) fn record_operator_read(&mut self, at: Time) {
-        self.operators_read_at = self.operators_read_at.max(Some(at));
-    }
-
-    /// Returns the time since a member last read operators' values, as far as known.
-    pub(crate) fn operators_age(&self, now: Time) -> Option<Duration> {
-        self.operators_read_at.map(|at| now.since(at))
-    }
-
-    /// Returns whether this process watches a value of the store whose last confirmation has an age
-    /// and that has to be known in time everywhere.
-    fn has_watch_role(
-        &self,
-        now: Time,
-        age: Option<Duration>,
-        timeout: Duration,
-        entries: usize,
-    ) -> bool {
         let is_member = self.is_member();
         let is_small = self.view.members.len() <= MAX_SMALL_VIEW_MEMBERS;
         if is_member && (is_small || self.is_isolated(now)) {
             return true;
         }
-        let is_heavy = self.view.members.len() * entries > MAX_FALLBACK_ENTRIES;
+        let is_heavy = self.view.members.len() * self.list_entries > MAX_FALLBACK_ENTRIES;
         let Some(percent) = self.ranks.watch_delay_percent(is_heavy) else {
-            return age.is_none();
+            return list_age.is_none();
         };
-        let wait = timeout * percent / 100;
-        age.is_none_or(|age| age >= wait)
+        let wait = self.leave_notice * percent / 100;
+        list_age.is_none_or(|age| age >= wait)
     }
 
     /// Returns the rank of this process among the members that watch the store.
@@ -207,7 +166,7 @@
     }
 
     /// Returns whether no member that this process watches is responsive.
-    fn is_isolated(&self, now: Time) -> bool {
+    pub(super) fn is_isolated(&self, now: Time) -> bool {
         self.watched().all(|(_, m)| self.silence(now, m.incarnation) >= self.unresponsive_after)
     }
 
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -286,15 +286,17 @@
     pub reach: u32,
 }
 
-/// An update about operators' values, broadcast to all members.
+/// An update about operators' values, broadcast to all members. With an age it confirms the version
+/// to members that have it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OperatorUpdate {
     /// The change of the templates, if they have changed and it is small.
     pub delta: Option<Box<TemplateDelta>>,
     /// The version of the templates in the store.
     pub version: TemplateVersion,
-    /// The time since the values were read.
-    pub age: Duration,
+    /// The time since the values were read; `None` if a watch has shown the change, which says
+    /// nothing about later ones.
+    pub age: Option<Duration>,
     /// The number of members before the receiver in the ring to which it forwards the update.
     pub reach: u32,
 }
@@ -353,6 +355,8 @@
     pub confirmations: ConfirmationReport,
     /// The version of the templates in force at the sender.
     pub version: TemplateVersion,
+    /// The time since the store was last known to hold that version.
+    pub confirmed_age: Option<Duration>,
     /// Whether the sender serves callers.
     pub serving: bool,
     /// The version of the list of upstreams at the sender.
--- a/crates/badgerfield-core/src/node.rs
+++ b/crates/badgerfield-core/src/node.rs
@@ -481,6 +481,7 @@
         self.tick_rollouts(now, out);
         self.tick_poison(now, out);
         self.report_missing_templates(now, out);
+        self.search_newer_templates(now, out);
         self.tick_store_reads(now, out);
         self.request_bootstrap(now, out);
         self.tick_claims(now, out);
@@ -511,7 +512,7 @@
         match envelope.message {
             Message::Heartbeat(heartbeat) => self.handle_heartbeat(now, from, &heartbeat, out),
             Message::Fetch { epoch, version, full } => {
-                self.handle_fetch(from, epoch, version, full, out);
+                self.handle_fetch(now, from, epoch, version, full, out);
             }
             Message::Departure(epoch, quits) => {
                 self.handle_departure(now, from, epoch, quits, out);
--- a/crates/badgerfield-core/src/ranks.rs
+++ b/crates/badgerfield-core/src/ranks.rs
@@ -35,6 +35,8 @@
 pub(crate) struct Ranks {
     /// The rank in the region as a reader of the store's values.
     reader: Option<usize>,
+    /// The position among the readers of all regions.
+    reading_order: usize,
     /// The rank in the region as a watcher of the store.
     watcher: Option<usize>,
     /// The rank in the fleet as the writer that marks views as complete.
@@ -47,8 +49,12 @@
         let position =
             |ranked: &[&Member]| ranked.iter().position(|m| m.incarnation == me.incarnation);
         let rank_in = |subject: &[u8], region| position(&view.ranked_by_capacity(subject, region));
+        let reader = rank_in(b"reader", Some(&me.region));
+        let regions: BTreeSet<_> = view.members.iter().map(|m| &m.region).collect();
+        let region_index = regions.iter().position(|region| **region == me.region).unwrap_or(0);
         Self {
-            reader: rank_in(b"reader", Some(&me.region)),
+            reader,
+            reading_order: reader.unwrap_or(READERS_PER_REGION) * regions.len() + region_index,
             watcher: position(&spread_domains(
                 view.ranked_by_capacity(b"follower", Some(&me.region)),
             )),
@@ -61,6 +67,11 @@
         self.reader.is_some_and(|rank| rank < READERS_PER_REGION)
     }
 
+    /// Returns the position among the readers of all regions.
+    pub(crate) fn reading_order(&self) -> usize {
+        self.reading_order
+    }
+
     /// Returns whether the member is a watcher or a backup watcher of the store, or has no rank.
     pub(crate) fn can_probe(&self) -> bool {
         self.watcher.is_none_or(|rank| rank < MAX_WATCHERS_PER_REGION)
--- a/crates/badgerfield-core/tests/former_members.rs
+++ b/crates/badgerfield-core/tests/former_members.rs
@@ -61,6 +61,7 @@
         epoch: Epoch(epoch),
         confirmations: ConfirmationReport::default(),
         version: TemplateVersion(0),
+        confirmed_age: None,
         serving: true,
         upstream_list: ListVersion::default(),
         evacuations_digest: 1,
