Unknown routes and keys are refused for good only by current templates

Callers got a final 404 or 401 for a route or a key that existed, from a VM that had not heard of it: it could not know, and said so as if it did.

A refusal that rests on what the templates lack (unknown route, unknown key, what an account may not use, no common region) is now given only while they are known to be current: no newer version is known to exist, and the store held nothing newer within 60 in 100 of the time in which changes have to be in force. While a newer version is on its way the request waits for it, a second at most, and is decided by it. Otherwise its caller gets 503 not_confirmed, not run, and is asked to come back in a second. Requests on known routes with known keys go on as before, so nothing that was served is refused now.

--- a/crates/badgerfield-core/src/handlers/admission.rs
+++ b/crates/badgerfield-core/src/handlers/admission.rs
@@ -42,7 +42,8 @@
         let keyed = arrival.key.is_some();
         match self.admit(now, request, arrival) {
             Ok(run) => self.join_or_start(now, request, run, out),
-            Err(mut refusal) => {
+            Err(refusal) => {
+                let mut refusal = self.confirm_refusal(now, refusal);
                 // Only the arbiter knows whether a key has run before.
                 if keyed && refusal.cause != Cause::BadOutput {
                     refusal.outcome = Outcome::Unknown;
@@ -52,6 +53,19 @@
         }
     }
 
+    /// Returns a refusal as it is, unless it rests on what the templates lack and they may not be
+    /// current.
+    fn confirm_refusal(&self, now: Time, refusal: Refusal) -> Refusal {
+        let is_by_templates = matches!(
+            refusal.cause,
+            Cause::UnknownCaller | Cause::Forbidden | Cause::NoRegionAllowed
+        );
+        if !is_by_templates || self.has_current_templates(now) {
+            return refusal;
+        }
+        Refusal::not_run(Cause::NotConfirmed).with_retry_after(OTHER_VM_RETRY_AFTER)
+    }
+
     fn admit(
         &self,
         now: Time,
--- a/crates/badgerfield-core/src/refusal.rs
+++ b/crates/badgerfield-core/src/refusal.rs
@@ -102,6 +102,11 @@
     /// The process is stopping.
     #[error("this VM is stopping; ask the directory for another")]
     Stopping,
+    /// The templates do not have the route or the key, but may not be current.
+    #[error(
+        "no such route or key is known here, but a newer configuration may have it; come back later"
+    )]
+    NotConfirmed,
     /// The process has not joined the view or has no templates yet.
     #[error("this VM is not ready yet; ask the directory for another")]
     NotReady,
@@ -136,6 +141,7 @@
             Self::TriesSpent => "tries_spent",
             Self::EndsUpstreams => "ends_upstreams",
             Self::Stopping => "stopping",
+            Self::NotConfirmed => "not_confirmed",
             Self::NotReady => "not_ready",
         }
     }
@@ -164,6 +170,7 @@
             | Self::TriesSpent
             | Self::EndsUpstreams
             | Self::Stopping
+            | Self::NotConfirmed
             | Self::NotReady => 503,
         }
     }
--- a/crates/badgerfield-node/src/gateway/admit.rs
+++ b/crates/badgerfield-node/src/gateway/admit.rs
@@ -9,9 +9,8 @@
 use badgerfield_core::ids::Account;
 use badgerfield_core::refusal::{Cause, Refusal};
 use badgerfield_core::request_mix::PromptSize;
-use badgerfield_core::residency::{Admission, Residency, ResidencyError};
-use badgerfield_core::routing::{Caller, Route, RouteTable};
-use badgerfield_core::template::KeyDigest;
+use badgerfield_core::residency::Admission;
+use badgerfield_core::routing::Caller;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -24,7 +23,8 @@
 use crate::gateway::poison;
 use crate::gateway::request_log::{self, Timing};
 use crate::gateway::reservation::Reservation;
-use crate::gateway::state::{Gateway, OpenRequest, RouteSnapshot};
+use crate::gateway::route_lookup::{FoundRoute, RouteLookup};
+use crate::gateway::state::{Gateway, OpenRequest};
 
 /// How soon a caller should try another VM when this one is stopping.
 const STOPPING_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -40,9 +40,8 @@
     arrived_at: Time,
     open_request: OpenRequest,
 ) -> Result<Exchange, AdmitError> {
-    let in_force = gateway.routes();
     let not_run = |cause| (None, Refusal::not_run(cause));
-    if in_force.version.0 == 0 {
+    if gateway.routes().version.0 == 0 {
         return Err((None, Refusal::not_run(Cause::NotReady).with_retry_after(RETRY_DELAY)));
     }
     let (mut head, body) = request.into_parts();
@@ -59,17 +58,14 @@
             Refusal::not_run(Cause::Stopping).with_retry_after(STOPPING_RETRY_DELAY),
         ));
     }
-    let table = &in_force.table;
     let host = request_host(&head.headers, &head.uri);
-    let found = find_route(table, &host, head.uri.path(), &headers);
-    let (route, caller) = found.map_err(|cause| {
-        request_log::unknown(&id, cause, &driver.node.template_status(driver.now()));
-        not_run(cause)
-    })?;
+    let lookup = RouteLookup { id: &id, host: &host, path: head.uri.path(), headers: &headers };
+    let found = lookup.run(&driver, &gateway).await;
+    let FoundRoute { in_force, route, caller, residency } =
+        found.map_err(|refusal| (Some(id.clone()), refusal))?;
+    let table = &in_force.table;
     let account_id = caller.as_ref().map(|caller| &caller.account);
     let account = account_id.map(Account::as_str);
-    let residency = check_residency(&gateway, &in_force, &id, route, account_id)
-        .map_err(|refusal| (Some(id.clone()), refusal))?;
     request_log::admitted(&headers, &route.name, account, in_force.version);
 
     let max_wait = headers.max_wait.unwrap_or(route.timeout).min(route.timeout);
@@ -80,7 +76,7 @@
 
     let original = Original { id: id.clone(), head, body };
     let (fingerprint, part_fingerprints) =
-        poison::check_blocked(&driver, account_id, route, &headers, &original)
+        poison::check_blocked(&driver, account_id, &route, &headers, &original)
             .map_err(|refusal| (Some(id.clone()), refusal))?;
 
     let service =
@@ -99,7 +95,7 @@
         gateway.upstreams().record_arrival(now, &service, &route.name, size);
     }
     Ok(Exchange {
-        route: Arc::clone(route),
+        route: Arc::clone(&route),
         driver,
         original,
         headers,
@@ -135,31 +131,6 @@
     Some(PromptSize { total_tokens: prompt, unshared_tokens: unshared })
 }
 
-/// Returns the regions in which a request may be served, or the refusal if there are none.
-///
-/// A restriction that leaves no region holds until operators change it, so the caller is not asked
-/// to retry. A region without a known failure domain may be part of the next settings.
-fn check_residency(
-    gateway: &Gateway,
-    in_force: &RouteSnapshot,
-    id: &str,
-    route: &Route,
-    account: Option<&Account>,
-) -> Result<Residency, Refusal> {
-    let residency = in_force.table.residency(route, account);
-    let checked = residency.check(gateway.upstreams().regions());
-    checked.map_err(|fault| {
-        request_log::outside(id, &route.name, &fault, in_force.version);
-        match fault {
-            ResidencyError::NoRegion => Refusal::not_run(Cause::NoRegionAllowed),
-            ResidencyError::Unknown(_) => {
-                Refusal::not_run(Cause::RegionUnknown).with_retry_after(RETRY_DELAY)
-            }
-        }
-    })?;
-    Ok(residency)
-}
-
 fn request_host(head: &HeaderMap, uri: &hyper::Uri) -> String {
     let host = head.get(header::HOST).and_then(|value| value.to_str().ok());
     host.or_else(|| uri.authority().map(hyper::http::uri::Authority::as_str))
@@ -167,30 +138,6 @@
         .to_owned()
 }
 
-/// Returns the route of a request and its caller, or why the templates do not allow it.
-fn find_route<'a>(
-    table: &'a RouteTable,
-    host: &str,
-    path: &str,
-    headers: &RequestHeaders,
-) -> Result<(&'a Arc<Route>, Option<Caller>), Cause> {
-    let route = table.route(host, path).ok_or(Cause::NoRoute)?;
-    Ok((route, find_caller(table, route, headers)?))
-}
-
-fn find_caller(
-    table: &RouteTable,
-    route: &Route,
-    headers: &RequestHeaders,
-) -> Result<Option<Caller>, Cause> {
-    if route.anonymous {
-        return Ok(None);
-    }
-    let key = headers.key.as_ref().ok_or(Cause::UnknownCaller)?;
-    let caller = table.caller(&KeyDigest::from_secret(key)).ok_or(Cause::UnknownCaller)?;
-    Ok(Some(caller.clone()))
-}
-
 async fn read_body(
     driver: &Driver,
     body: Incoming,
--- a/crates/badgerfield-node/src/gateway/mod.rs
+++ b/crates/badgerfield-node/src/gateway/mod.rs
@@ -3,7 +3,8 @@
 //! A request passes through these modules:
 //!
 //! - [`listener`] accepts connections of callers;
-//! - `admit` admits or refuses a request; `reservation` reserves the most tokens that it can cost;
+//! - `admit` admits or refuses a request, `route_lookup` finds its route and its caller, and
+//!   `reservation` reserves the most tokens that it can cost;
 //! - `exchange` holds its state and its steps from admission to settlement;
 //! - `dispatch` chooses upstreams, one after the other where the route allows retries;
 //! - `attempt` is one attempt at one upstream, over one of the `connections`;
@@ -45,6 +46,7 @@
 pub(crate) mod request_log;
 pub(crate) mod reservation;
 pub(crate) mod rollout_sample;
+mod route_lookup;
 pub(crate) mod state;
 pub(crate) mod stream_origin;
 mod unframed_end;
