A confirmation is one of all that operators have written

A VM that had missed an evacuation or an order of a rollout never learned of it: 8 s and on at 30 and 72 VMs, if the process starts while the change is made and what it sends is lost. It heard that the store had been read, and took that for a confirmation.

Cause: the announcement names the version of the templates only, while the read that it tells of covers evacuations and orders too. The digests of those in heartbeats lead to an exchange that needs both directions.

Announcements and heartbeats now carry a digest of the templates' contents, the evacuated domains and the orders. It confirms the values of those that have the same; all others read the store after 0.6 to 0.9 s. Restored domains and withdrawn orders do not count, since a process that starts knows nothing of them.

The emulator lost the orders in one of its two ways to read the values; that is mended with it.

--- a/crates/badgerfield-core/src/evacuation.rs
+++ b/crates/badgerfield-core/src/evacuation.rs
@@ -93,6 +93,15 @@
         self.digest
     }
 
+    /// Returns a digest of the domains that are evacuated; 0 if there are none.
+    ///
+    /// Unlike [`Self::digest`] it is the same for a process that knows nothing of restored domains.
+    #[must_use]
+    pub fn active_digest(&self) -> u64 {
+        let active = self.changes.values().filter(|change| change.evacuated);
+        active.fold(0, |sum, change| sum ^ change_digest(change))
+    }
+
     fn evict_oldest(&mut self) {
         while self.changes.len() > MAX_DOMAINS {
             // Evacuated domains are dropped last: otherwise the change that restores one would not
--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -74,6 +74,7 @@
         let evacuations = self.state.evacuations().digest();
         let rollouts = self.state.rollouts().digest();
         let blocked = self.state.poison().digest(now);
+        let operators_digest = self.operators_digest();
         let (neighbours, heartbeat) = {
             let mut members = self.state.membership();
             members.heartbeat_at = Some(now);
@@ -86,6 +87,7 @@
                 confirmations: confirmed,
                 version,
                 confirmed_age: members.confirmed_age(now),
+                operators_digest,
                 serving: members.serving && members.stopping_since.is_none(),
                 upstream_list: members.upstream_list,
                 evacuations_digest: evacuations,
@@ -148,7 +150,7 @@
         self.compare_crash_digest(now, from, heartbeat.blocked_digest, out);
         self.apply_confirmations(now, heartbeat);
         if let Some(age) = heartbeat.confirmed_age {
-            self.confirm_templates(now, age, heartbeat.version);
+            self.confirm_operators(now, age, heartbeat.operators_digest);
         }
         if !heartbeat.delay_reports.is_empty() {
             out.push(Command::ApplyDelayReports(heartbeat.delay_reports.clone()));
--- a/crates/badgerfield-core/src/handlers/operator_values.rs
+++ b/crates/badgerfield-core/src/handlers/operator_values.rs
@@ -1,13 +1,15 @@
 //! Values that operators write: who reads them from the store, and how the others learn of it.
 //!
 //! A member that reads the values broadcasts what has changed, and otherwise, from time to time,
-//! that it has read them, and which version it found. That confirms the values of members that have
-//! this version; the others fetch it. Members whose values nobody confirms read the store themselves.
+//! that it has read them, and what it found. That confirms the values of members that have the same;
+//! the others fetch newer templates. Members whose values nobody confirms read the store themselves.
 //! This does not depend on the list of upstreams: members that confirm the list need not have
 //! read the operators' values.
 
 use std::time::Duration;
 
+use xxhash_rust::xxh3::Xxh3;
+
 use crate::amount::Time;
 use crate::broadcast;
 use crate::event::{Command, LogEntry, Outbox, StoreResult, is_due};
@@ -83,15 +85,31 @@
             None => self.fetch_newer_templates(now, from, update.version, out),
         }
         if let Some(age) = update.age {
-            self.confirm_templates(now, age, update.version);
+            self.confirm_operators(now, age, update.digest);
         }
     }
 
-    /// Records that the store was read some time ago and held a version.
-    pub(crate) fn confirm_templates(&self, now: Time, age: Duration, stored: TemplateVersion) {
-        let mut members = self.state.membership();
-        let in_force = self.state.templates().version;
-        members.confirm_templates(now, Time(now.0.saturating_sub(age)), stored, in_force);
+    /// Records that the store was read some time ago and held values with a digest. This confirms the
+    /// values in force here only if they are the same: older ones come from a read before the latest
+    /// change, or from one that is stale.
+    pub(crate) fn confirm_operators(&self, now: Time, age: Duration, stored: u64) {
+        if stored == self.operators_digest() {
+            let read_at = Time(now.0.saturating_sub(age));
+            self.state.membership().confirm_operators(now, read_at);
+        }
+    }
+
+    /// Returns a digest of the operators' values in force here.
+    pub(crate) fn operators_digest(&self) -> u64 {
+        let version = self.state.templates().version;
+        let templates = self.state.template_history().content_digest();
+        let evacuations = self.state.evacuations().active_digest();
+        let orders = self.state.rollouts().order_digest();
+        let mut digest = Xxh3::new();
+        for part in [version.0, templates, evacuations, orders] {
+            digest.update(&part.to_le_bytes());
+        }
+        digest.digest()
     }
 
     /// Asks members for newer templates if those that should inform this process do not.
@@ -118,7 +136,7 @@
         let version = delta.version;
         let size = postcard::to_stdvec(&delta).map_or(usize::MAX, |bytes| bytes.len());
         let delta = (size <= MAX_BROADCAST_BYTES).then(|| Box::new(delta));
-        let update = OperatorUpdate { delta, version, age: None, reach: 0 };
+        let update = OperatorUpdate { delta, version, digest: 0, age: None, reach: 0 };
         self.broadcast_operator_update(now, &update, out);
     }
 
@@ -131,20 +149,20 @@
         stored: Option<TemplateVersion>,
         out: &mut Outbox,
     ) {
-        let version = {
+        let version = self.state.templates().version;
+        // Templates that cannot be used leave those in force as they are.
+        if stored.is_some_and(|stored| stored != version) {
+            return;
+        }
+        {
             let mut members = self.state.membership();
-            let version = self.state.templates().version;
-            // Templates that cannot be used leave those in force as they are.
-            let stored = stored.unwrap_or(version);
-            members.confirm_templates(now, requested_at, stored, version);
-            if stored != version || !is_due(now, members.operators_announced_at, ANNOUNCE_INTERVAL)
-            {
+            members.confirm_operators(now, requested_at);
+            if !is_due(now, members.operators_announced_at, ANNOUNCE_INTERVAL) {
                 return;
             }
-            version
-        };
-        let age = Some(now.since(requested_at));
-        let update = OperatorUpdate { delta: None, version, age, reach: 0 };
+        }
+        let (age, digest) = (Some(now.since(requested_at)), self.operators_digest());
+        let update = OperatorUpdate { delta: None, version, digest, age, reach: 0 };
         self.broadcast_operator_update(now, &update, out);
     }
 
--- a/crates/badgerfield-core/src/membership/confirmation.rs
+++ b/crates/badgerfield-core/src/membership/confirmation.rs
@@ -56,20 +56,9 @@
 }
 
 impl Membership {
-    /// Records that the store held a version at some time, and nothing newer.
-    ///
-    /// This confirms the values in force here only if they have that version. An older version comes
-    /// from a read before the latest change, or from one that is stale.
-    pub(crate) fn confirm_templates(
-        &mut self,
-        now: Time,
-        read_at: Time,
-        stored: TemplateVersion,
-        in_force: TemplateVersion,
-    ) {
-        if stored == in_force {
-            self.confirmation.advance(now, read_at);
-        }
+    /// Records that the store held the values in force here at some time, and nothing newer.
+    pub(crate) fn confirm_operators(&mut self, now: Time, read_at: Time) {
+        self.confirmation.advance(now, read_at);
     }
 
     /// Records that this process has its first values. Members that are up to date confirm them soon.
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -286,14 +286,16 @@
     pub reach: u32,
 }
 
-/// An update about operators' values, broadcast to all members. With an age it confirms the version
-/// to members that have it.
+/// An update about operators' values, broadcast to all members. With an age it confirms the values to
+/// members that have the same.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OperatorUpdate {
     /// The change of the templates, if they have changed and it is small.
     pub delta: Option<Box<TemplateDelta>>,
     /// The version of the templates in the store.
     pub version: TemplateVersion,
+    /// Digest of all operators' values in the store.
+    pub digest: u64,
     /// The time since the values were read; `None` if a watch has shown the change, which says
     /// nothing about later ones.
     pub age: Option<Duration>,
@@ -355,8 +357,10 @@
     pub confirmations: ConfirmationReport,
     /// The version of the templates in force at the sender.
     pub version: TemplateVersion,
-    /// The time since the store was last known to hold that version.
+    /// The time since the store was last known to hold the operators' values of the sender.
     pub confirmed_age: Option<Duration>,
+    /// Digest of the operators' values in force at the sender.
+    pub operators_digest: u64,
     /// Whether the sender serves callers.
     pub serving: bool,
     /// The version of the list of upstreams at the sender.
--- a/crates/badgerfield-core/src/rollout/known_rollouts.rs
+++ b/crates/badgerfield-core/src/rollout/known_rollouts.rs
@@ -136,6 +136,17 @@
         self.digest
     }
 
+    /// Returns a digest of the orders that were not withdrawn, whatever their phase; 0 if there are
+    /// none.
+    #[must_use]
+    pub fn order_digest(&self) -> u64 {
+        let ordered = self.services.values().filter(|known| known.change.order.is_some());
+        ordered.fold(0, |sum, known| {
+            let name = known.change.service.as_str().as_bytes();
+            sum ^ xxh3_64_with_seed(name, known.change.revision)
+        })
+    }
+
     fn remove_oldest(&mut self) {
         while self.services.len() > MAX_SERVICES {
             let oldest = self.services.values().min_by_key(|known| known.change.revision);
--- a/crates/badgerfield-core/src/rollout/table.rs
+++ b/crates/badgerfield-core/src/rollout/table.rs
@@ -98,6 +98,11 @@
         self.known.digest()
     }
 
+    /// Returns a digest of the orders that were not withdrawn.
+    pub(crate) fn order_digest(&self) -> u64 {
+        self.known.order_digest()
+    }
+
     /// Returns whether callers may be routed to this process as far as rollouts are concerned.
     ///
     /// A process that has just started may know an order without knowing that all requests have
--- a/crates/badgerfield-core/src/template_history.rs
+++ b/crates/badgerfield-core/src/template_history.rs
@@ -35,6 +35,8 @@
     routes: Vec<u64>,
     /// One digest of all services, limits and ranks.
     rest: u64,
+    /// The digest of all of these.
+    total: u64,
 }
 
 impl TemplateHistory {
@@ -44,14 +46,24 @@
         let budgets = set.budgets.iter().map(|(id, t)| budget_digest(id.as_str(), t));
         let mut templates: Vec<_> = accounts.chain(budgets).collect();
         templates.sort_unstable();
-        let routes = set.routing.routes.iter().map(digest).collect();
+        let routes: Vec<_> = set.routing.routes.iter().map(digest).collect();
         let rest = rest_digest(&set.routing);
-        self.versions.push_back(VersionDigests { version: set.version, templates, routes, rest });
+        let total = digest(&(&templates, &routes, rest));
+        let version = set.version;
+        // A version whose contents were replaced is in the history once.
+        self.versions.retain(|old| old.version != version);
+        self.versions.push_back(VersionDigests { version, templates, routes, rest, total });
         while self.versions.len() > MAX_VERSIONS {
             self.versions.pop_front();
         }
     }
 
+    /// Returns the digest of the contents of the latest set; 0 if there is none.
+    #[must_use]
+    pub fn content_digest(&self) -> u64 {
+        self.versions.back().map_or(0, |latest| latest.total)
+    }
+
     /// Returns the difference between an older version and a set.
     ///
     /// Returns `None` if the version is not in the history, so that the full set must be sent.
--- a/crates/badgerfield-core/tests/former_members.rs
+++ b/crates/badgerfield-core/tests/former_members.rs
@@ -62,6 +62,7 @@
         confirmations: ConfirmationReport::default(),
         version: TemplateVersion(0),
         confirmed_age: None,
+        operators_digest: 0,
         serving: true,
         upstream_list: ListVersion::default(),
         evacuations_digest: 1,
--- a/crates/badgerfield-standin/src/fleet/operators.rs
+++ b/crates/badgerfield-standin/src/fleet/operators.rs
@@ -73,7 +73,7 @@
         } else {
             self.vms[vm].operators.watch_until = Some(self.now.after(WATCH_TIME));
             let result = self.store.read_operators(vm, self.now);
-            (result, self.now.after(self.store.delay() * 2))
+            (self.with_orders(result), self.now.after(self.store.delay() * 2))
         };
         let event = Event::OperatorsRead { requested_at, result };
         self.schedule(at, ScheduledAction::Deliver(incarnation, event));
--- a/crates/badgerfield-standin/src/fleet/store.rs
+++ b/crates/badgerfield-standin/src/fleet/store.rs
@@ -302,7 +302,8 @@
         Some(arrives.ok_or(deadline))
     }
 
-    fn with_orders(&self, result: StoreResult) -> StoreResult {
+    /// Adds the orders of rollouts to operators' values that were read.
+    pub(super) fn with_orders(&self, result: StoreResult) -> StoreResult {
         let StoreResult::Operators(mut found) = result else {
             return result;
         };
--- a/crates/badgerfield-standin/tests/partial_cuts.rs
+++ b/crates/badgerfield-standin/tests/partial_cuts.rs
@@ -3,10 +3,11 @@
 
 use std::time::Duration;
 
-use badgerfield_core::ids::TemplateVersion;
+use badgerfield_core::ids::{Domain, TemplateVersion};
+use badgerfield_core::rollout::RolloutOrder;
 use badgerfield_core::routing::Route;
 use badgerfield_core::template::KeyDigest;
-use badgerfield_standin::fleet::Fleet;
+use badgerfield_standin::fleet::{Fleet, version};
 
 /// The number of upstreams in the platform's list.
 const UPSTREAMS: usize = 140;
@@ -205,3 +206,85 @@
     }
     assert_in_time(&late);
 }
+
+/// Starts VMs again, and lets an operator make a change a while after the first of them has templates.
+/// What they send is lost from then on. Returns how long after the change the last VM that has
+/// templates knew of it.
+fn change_during_start(
+    fleet: &mut Fleet,
+    delay: Duration,
+    change: impl FnOnce(&mut Fleet),
+    knows: impl Fn(&Fleet, usize) -> bool,
+) -> Duration {
+    let has_templates = |fleet: &Fleet, vm| {
+        fleet.node(vm).is_some_and(|node| node.template_version() > TemplateVersion(0))
+    };
+    let started = followers(fleet, 11);
+    for vm in &started {
+        fleet.kill(*vm);
+    }
+    fleet.advance_listing(Duration::from_secs(2));
+    for vm in &started {
+        fleet.start(*vm);
+    }
+    while !started.iter().any(|vm| has_templates(fleet, *vm)) {
+        fleet.advance_listing(STEP);
+    }
+    fleet.advance_listing(delay);
+    cut_outgoing(fleet, &started);
+    change(fleet);
+    let mut lag = Duration::ZERO;
+    while lag < GIVE_UP {
+        fleet.advance_listing(STEP);
+        lag += STEP;
+        if started.iter().all(|vm| knows(fleet, *vm) || !has_templates(fleet, *vm)) {
+            break;
+        }
+    }
+    lag
+}
+
+/// Guards against VMs that take a confirmation of the templates for one of all that operators have
+/// written.
+#[test]
+fn evacuations_reach_vms_that_start_and_cannot_send() {
+    let mut late = Vec::new();
+    for (vms, seed, delay) in [(30, 1, 50), (72, 1, 100), (72, 2, 200), (72, 3, 400), (72, 4, 700)]
+    {
+        let mut fleet = fleet(vms, seed);
+        let domain: Domain = "d-1".parse().expect("the name is valid");
+        let evacuate = |fleet: &mut Fleet| assert!(fleet.evacuate(&domain, true));
+        let knows = |fleet: &Fleet, vm: usize| fleet.is_evacuated_at(vm, &domain);
+        let delay = Duration::from_millis(delay);
+        let lag = change_during_start(&mut fleet, delay, evacuate, knows);
+        println!("{vms} VMs, seed {seed}: {lag:?}");
+        if lag > BOUND {
+            late.push((vms, seed, lag));
+        }
+    }
+    assert!(late.is_empty(), "evacuated later than {BOUND:?}: {late:?}");
+}
+
+/// The same for orders of rollouts.
+#[test]
+fn orders_reach_vms_that_start_and_cannot_send() {
+    let mut late = Vec::new();
+    for (vms, seed, delay) in [(30, 1, 50), (72, 1, 100), (72, 2, 200), (72, 3, 400), (72, 4, 700)]
+    {
+        let mut fleet = fleet(vms, seed);
+        let order = |fleet: &mut Fleet| {
+            let order = RolloutOrder { target: version("v2"), span: Duration::from_secs(40) };
+            assert!(fleet.roll_out(Some(order)));
+        };
+        let knows = |fleet: &Fleet, vm: usize| {
+            fleet.node(vm).is_some_and(|node| !node.rollout_statuses(fleet.now).is_empty())
+        };
+        let delay = Duration::from_millis(delay);
+        let lag = change_during_start(&mut fleet, delay, order, knows);
+        println!("{vms} VMs, seed {seed}: {lag:?}");
+        if lag > BOUND {
+            late.push((vms, seed, lag));
+        }
+    }
+    assert!(late.is_empty(), "ordered later than {BOUND:?}: {late:?}");
+}
