Templates that differ from the store under their version are replaced

Evidence: operator_confirmations, on one process: what a peer sent under version 5 is replaced by what the store has under it; other values, newer and older versions and stale reads confirm nothing.

--- a/crates/badgerfield-core/src/event.rs
+++ b/crates/badgerfield-core/src/event.rs
@@ -14,7 +14,7 @@
 use crate::evacuation::DomainChange;
 use crate::ids::{
     Account, Adapter, AttemptId, BudgetId, Incarnation, Model, Period, RequestId, RequestKey,
-    ReservationId, RunId, Service, StoreCallId, UpstreamId, VersionTag, VmId,
+    ReservationId, RunId, Service, StoreCallId, TemplateVersion, UpstreamId, VersionTag, VmId,
 };
 use crate::ledger::HoldingPlan;
 use crate::message::{Envelope, Head, Message, UpstreamUpdate};
@@ -392,6 +392,9 @@
     Condition(ConditionReport),
     /// Newer templates are in force.
     Templates(TemplateArrival),
+    /// The templates in force had other contents than the store under this version; they are
+    /// replaced.
+    TemplatesDiffered(TemplateVersion),
     /// A newer version of the templates is known to exist and has not arrived for long.
     TemplatesMissing(TemplateStatus),
     /// A read of operators' values from the store failed, after one that succeeded.
--- a/crates/badgerfield-core/src/handlers/templates.rs
+++ b/crates/badgerfield-core/src/handlers/templates.rs
@@ -41,7 +41,8 @@
         }
     }
 
-    /// Applies a set of templates if it is newer and valid.
+    /// Applies a set of templates if it is valid and newer, or if the store has other contents under
+    /// the version in force.
     pub(crate) fn apply_templates(
         &self,
         now: Time,
@@ -51,12 +52,16 @@
     ) {
         let delta = {
             let mut table = self.state.templates();
-            if set.version <= table.version || !set.errors().is_empty() {
+            let is_from_store = source == TemplateSource::Store;
+            let differs = is_from_store && table.differs_from(&set);
+            if (set.version <= table.version && !differs) || !set.errors().is_empty() {
                 return;
             }
+            if differs {
+                out.push(Command::Log(LogEntry::TemplatesDiffered(set.version)));
+            }
             let base = std::mem::replace(&mut *table, set).version;
-            let is_from_store = source == TemplateSource::Store;
-            let history = is_from_store.then(|| self.state.template_history());
+            let history = (is_from_store && !differs).then(|| self.state.template_history());
             history.and_then(|history| history.delta(&table, base))
         };
         if let Some(delta) = delta {
--- a/crates/badgerfield-core/src/template.rs
+++ b/crates/badgerfield-core/src/template.rs
@@ -305,6 +305,14 @@
         Ok(wanted)
     }
 
+    /// Returns whether another set has the same version with other contents.
+    pub(crate) fn differs_from(&self, other: &Self) -> bool {
+        let is_same = self.accounts == other.accounts
+            && self.budgets == other.budgets
+            && self.routing == other.routing;
+        self.version == other.version && !is_same
+    }
+
     /// Returns whether every template counts as changed in this version.
     pub(crate) fn is_rewritten(&self) -> bool {
         let accounts = self.accounts.values().all(|t| t.changed == self.version);
--- /dev/null
+++ b/crates/badgerfield-core/tests/operator_confirmations.rs
@@ -0,0 +1,139 @@
+//! Which announcements confirm the operators' values at a process, and which contents it keeps.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use badgerfield_core::amount::{Percent, Time, Tokens};
+use badgerfield_core::event::{Event, OperatorValues, StoreResult};
+use badgerfield_core::ids::{Incarnation, Period, TemplateVersion};
+use badgerfield_core::message::{Envelope, Heartbeat, Message, OperatorUpdate};
+use badgerfield_core::residency::Residency;
+use badgerfield_core::template::{AccountTemplate, BudgetTemplate, KeyDigest, TemplateSet};
+use badgerfield_core::view::{Member, MemberState};
+use badgerfield_core::{Config, Node, Pacing};
+use bytes::Bytes;
+
+const PEER: Incarnation = Incarnation(2);
+
+fn node() -> Node {
+    let member = Member {
+        vm: "vm-1".parse().expect("the name is valid"),
+        incarnation: Incarnation(1),
+        region: "north".parse().expect("the name is valid"),
+        domain: "d".parse().expect("the name is valid"),
+        peer: ([127, 0, 0, 1], 1).into(),
+        caller: ([127, 0, 0, 1], 2).into(),
+        standing: MemberState::Active,
+        link_mbps: 0,
+    };
+    Node::new(Config {
+        member,
+        ledger_shards: 1,
+        key_retention: Duration::from_mins(15),
+        answer_retention: Duration::from_mins(2),
+        max_answer_bytes: 1_000_000,
+        directory_ttl: Duration::from_secs(2),
+        pacing: Pacing::default(),
+        seed: 1,
+    })
+}
+
+/// Returns a set of templates with one key.
+fn set(version: u64, secret: &str) -> TemplateSet {
+    let version = TemplateVersion(version);
+    let account = AccountTemplate {
+        changed: version,
+        priority: 1,
+        models: BTreeSet::from(["m".parse().expect("the name is valid")]),
+        adapters: BTreeSet::new(),
+        hardware: BTreeSet::new(),
+        services: BTreeSet::new(),
+        unrepeatable: BTreeSet::new(),
+        home: None,
+        spread: Percent::new(80).expect("a share"),
+        output_limit: Tokens(100),
+        call_cost: Tokens(1),
+        queue_wait: Duration::from_secs(5),
+        regions: Residency::default(),
+    };
+    let keys = BTreeSet::from([KeyDigest::from_secret(secret)]);
+    let budget = BudgetTemplate { changed: version, limit: Tokens(10), period: Period(1), keys };
+    let mut set = TemplateSet { version, ..TemplateSet::default() };
+    set.accounts.insert("a".parse().expect("the name is valid"), account);
+    set.budgets.insert("a/b".parse().expect("the name is valid"), budget);
+    set
+}
+
+fn receive(node: &Node, millis: u64, message: Message) {
+    let sender_address = ([127, 0, 0, 1], 3).into();
+    let envelope = Envelope { from: PEER, sender_address, to: node.id(), message };
+    node.handle(Time::from_millis(millis), Event::Peer(envelope));
+}
+
+/// Ends a read of the store that has just begun.
+fn read(node: &Node, millis: u64, set: &TemplateSet) {
+    let templates = Some(Bytes::from(set.encode()));
+    let values = OperatorValues { revision: 1, templates, ..OperatorValues::default() };
+    let (requested_at, result) = (Time::from_millis(millis), StoreResult::Operators(values));
+    node.handle(requested_at, Event::OperatorsRead { requested_at, result });
+}
+
+fn confirmed_age(node: &Node, millis: u64) -> Option<Duration> {
+    node.template_status(Time::from_millis(millis)).confirmed_age
+}
+
+fn accepts(node: &Node, secret: &str) -> bool {
+    node.find_account(&KeyDigest::from_secret(secret)).is_some()
+}
+
+/// Guards against a set that differs from the store under one version through all later differences.
+#[test]
+fn other_contents_under_one_version_are_replaced_by_the_stored_ones() {
+    let node = node();
+    receive(&node, 100, Message::Templates(Box::new(set(5, "lost"))));
+    assert!(accepts(&node, "lost"));
+    read(&node, 200, &set(5, "kept"));
+    assert!(accepts(&node, "kept") && !accepts(&node, "lost"));
+    // What a peer has under the same version does not replace it.
+    receive(&node, 300, Message::Templates(Box::new(set(5, "lost"))));
+    assert!(accepts(&node, "kept") && !accepts(&node, "lost"));
+}
+
+/// Guards against confirmations of other values than those in force.
+#[test]
+fn only_the_same_values_are_confirmed() {
+    let node = node();
+    receive(&node, 100, Message::Templates(Box::new(set(5, "key"))));
+    assert_eq!(confirmed_age(&node, 100), None);
+    let heartbeat = |version, operators_digest| {
+        let confirmed_age = Some(Duration::ZERO);
+        let version = TemplateVersion(version);
+        Heartbeat { version, confirmed_age, operators_digest, ..Heartbeat::default() }
+    };
+    for version in [4, 5, 6] {
+        receive(&node, 200, Message::Heartbeat(heartbeat(version, 7)));
+        assert_eq!(confirmed_age(&node, 200), None, "by the heartbeat of v{version}");
+        let version = TemplateVersion(version);
+        let age = Some(Duration::ZERO);
+        let update = OperatorUpdate { delta: None, version, digest: 7, age, reach: 0 };
+        receive(&node, 200, Message::Operators(update));
+        assert_eq!(confirmed_age(&node, 200), None, "by an announcement of {version}");
+    }
+    let status = node.template_status(Time::from_millis(300));
+    assert_eq!(status.newest, TemplateVersion(6));
+    assert_eq!(status.missing_for, Some(Duration::from_millis(100)));
+    assert!(!node.has_current_templates(Time::from_millis(300)));
+}
+
+/// Guards against a stale read that makes an old set count as the newest.
+#[test]
+fn stale_reads_confirm_nothing() {
+    let node = node();
+    read(&node, 100, &set(5, "new"));
+    assert!(node.has_current_templates(Time::from_millis(100)));
+    read(&node, 1100, &set(4, "old"));
+    assert_eq!(confirmed_age(&node, 1100), Some(Duration::from_secs(1)));
+    assert!(accepts(&node, "new"));
+    read(&node, 1200, &set(5, "new"));
+    assert_eq!(confirmed_age(&node, 1200), Some(Duration::ZERO));
+}
--- a/crates/badgerfield-node/src/driver/log_entries.rs
+++ b/crates/badgerfield-node/src/driver/log_entries.rs
@@ -20,6 +20,7 @@
             }
             LogEntry::Templates(_)
             | LogEntry::TemplatesMissing(_)
+            | LogEntry::TemplatesDiffered(_)
             | LogEntry::BadTemplates(_)
             | LogEntry::OperatorsLost
             | LogEntry::OperatorsRegained(_) => self.handle_operator_entry(entry),
@@ -110,6 +111,9 @@
     fn handle_operator_entry(&self, entry: &LogEntry) {
         match entry {
             LogEntry::Templates(arrival) => self.handle_new_templates(arrival),
+            LogEntry::TemplatesDiffered(version) => {
+                log::error!(target: NODE, "templates {version} differed from the store, replaced");
+            }
             LogEntry::TemplatesMissing(status) => {
                 log::warn!(target: NODE, "templates missing {status}");
             }
--- a/crates/badgerfield-node/src/gateway/state.rs
+++ b/crates/badgerfield-node/src/gateway/state.rs
@@ -140,10 +140,10 @@
         lock(&self.routes).clone()
     }
 
-    /// Replaces the routes in force if the version is newer.
+    /// Replaces the routes in force unless they have a newer version.
     pub(crate) fn update_routes(&self, version: TemplateVersion, table: RouteTable) {
         let mut routes = lock(&self.routes);
-        if version > routes.version {
+        if version >= routes.version {
             *routes = RouteSnapshot { version, table: Arc::new(table) };
         }
     }
