--- a/crates/badgerfield-standin/tests/partial_cuts.rs
+++ b/crates/badgerfield-standin/tests/partial_cuts.rs
@@ -288,3 +288,31 @@
     }
     assert!(late.is_empty(), "ordered later than {BOUND:?}: {late:?}");
 }
+
+/// Guards against reads of the store by VMs that others keep current: while nothing is lost, their
+/// number must not depend on the size of the fleet, with changes or without.
+#[test]
+fn reads_of_the_store_do_not_grow_with_the_fleet() {
+    const SPAN: Duration = Duration::from_secs(10);
+    // Two members read the view each second, and one of the readers operators' values four times.
+    const MAX_READS_PER_SECOND: u64 = 8;
+    for vms in [30, 72, 300] {
+        let mut fleet = fleet(vms, 1);
+        for is_changing in [false, true] {
+            let before = fleet.store.reads;
+            let until = fleet.now.after(SPAN);
+            let mut change = 0;
+            while fleet.now < until {
+                if is_changing {
+                    change += 1;
+                    replace_key(&mut fleet, &format!("secret {change}"));
+                }
+                fleet.advance_listing(Duration::from_millis(500));
+            }
+            let reads = fleet.store.reads - before;
+            println!("{vms} VMs, changes {is_changing}: {reads} reads in {SPAN:?}");
+            let most = MAX_READS_PER_SECOND * SPAN.as_secs();
+            assert!(reads <= most, "{vms} VMs, changes {is_changing}: {reads} reads");
+        }
+    }
+}
