--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -177,7 +177,6 @@
                     from,
                     Message::View(members.view_log.update_since(&members.view, heartbeat.epoch)),
                 );
-                return;
             }
             let has_templates = heartbeat.version > version;
             if has_templates {
