A VM that hears nobody tries the store again within a second

Members that do not probe the store wait 2.5 s after a call that failed, since those that probe it tell the others when it answers again. Nobody tells a VM that hears none of the members that it watches, so one failed call delayed each change there by 2.5 s. Such a VM now waits as one that probes, 0.2 to 1 s. By reading; the emulator repeats failed reads at once, so no test shows it.

--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -130,10 +130,10 @@
     }
 
     /// Returns whether this process is one of the few that probe the store often while it does
-    /// not answer. They notify the others once it answers again.
+    /// not answer, or hears nobody: those few notify the others once it answers again.
     #[must_use]
-    pub fn can_probe_store(&self) -> bool {
-        self.state.membership().can_probe_store()
+    pub fn can_probe_store(&self, now: Time) -> bool {
+        self.state.membership().can_probe_store(now)
     }
 
     /// Handles a heartbeat and fetches what the sender has newer.
--- a/crates/badgerfield-core/src/membership/roles.rs
+++ b/crates/badgerfield-core/src/membership/roles.rs
@@ -154,10 +154,11 @@
         self.ranks.watcher_rank()
     }
 
-    /// Returns whether this process is a watcher or a backup watcher of the store, or has no rank.
-    pub(crate) fn can_probe_store(&self) -> bool {
+    /// Returns whether this process is a watcher or a backup watcher of the store, has no rank, or
+    /// hears none of the members that it watches.
+    pub(crate) fn can_probe_store(&self, now: Time) -> bool {
         let is_small = self.view.members.len() <= MAX_SMALL_VIEW_MEMBERS;
-        is_small || self.ranks.can_probe()
+        is_small || self.ranks.can_probe() || self.is_isolated(now)
     }
 
     /// Returns the rank of this process among the hosts of joining processes, if it is one.
--- a/crates/badgerfield-node/src/follow.rs
+++ b/crates/badgerfield-node/src/follow.rs
@@ -46,7 +46,7 @@
     /// Returns the delay before the next call. The few processes that probe the platform use
     /// short delays; all others use `FOLLOWER_RETRY_DELAY`.
     fn next_delay(&mut self, driver: &Driver) -> Duration {
-        if !driver.node.can_probe_store() {
+        if !driver.node.can_probe_store(driver.now()) {
             return FOLLOWER_RETRY_DELAY;
         }
         let delay = self.0;
