A read of operators' values confirms them once

With the ages in heartbeats two members told each other of the same read by turns.

A confirmation now names the read: the process that made it and its uptime then. Each read of a process counts once at each member, and is told on for two seconds at most.

--- a/crates/badgerfield-core/src/handlers/members.rs
+++ b/crates/badgerfield-core/src/handlers/members.rs
@@ -86,7 +86,7 @@
                 epoch: members.view.epoch,
                 confirmations: confirmed,
                 version,
-                confirmed_age: members.confirmed_age(now),
+                confirmed_by: members.latest_operator_read(now),
                 operators_digest,
                 serving: members.serving && members.stopping_since.is_none(),
                 upstream_list: members.upstream_list,
@@ -149,8 +149,8 @@
         self.compare_rollout_digest(now, from, heartbeat.rollouts_digest, out);
         self.compare_crash_digest(now, from, heartbeat.blocked_digest, out);
         self.apply_confirmations(now, heartbeat);
-        if let Some(age) = heartbeat.confirmed_age {
-            self.confirm_operators(now, age, heartbeat.operators_digest);
+        if let Some(read) = heartbeat.confirmed_by {
+            self.confirm_operators(now, read, heartbeat.operators_digest);
         }
         if !heartbeat.delay_reports.is_empty() {
             out.push(Command::ApplyDelayReports(heartbeat.delay_reports.clone()));
--- a/crates/badgerfield-core/src/handlers/operator_values.rs
+++ b/crates/badgerfield-core/src/handlers/operator_values.rs
@@ -15,7 +15,7 @@
 use crate::event::{Command, LogEntry, Outbox, StoreResult, is_due};
 use crate::handlers::members::fetch_interval;
 use crate::ids::{Incarnation, TemplateVersion};
-use crate::message::{Message, OperatorUpdate};
+use crate::message::{Message, OperatorRead, OperatorUpdate};
 use crate::node::Node;
 use crate::template::TemplateDelta;
 use crate::template_arrival::TemplateStatus;
@@ -68,7 +68,7 @@
     ) {
         let targets = {
             let mut members = self.state.membership();
-            if update.age.is_some() {
+            if update.read.is_some() {
                 members.operators_announced_at = Some(now);
             }
             if update.reach == 0 {
@@ -84,23 +84,23 @@
             Some(delta) => self.apply_template_delta(now, from, *delta, out),
             None => self.fetch_newer_templates(now, from, update.version, out),
         }
-        if let Some(age) = update.age {
-            self.confirm_operators(now, age, update.digest);
+        if let Some(read) = update.read {
+            self.confirm_operators(now, read, update.digest);
         }
     }
 
-    /// Records that the store was read some time ago and held values with a digest. This confirms the
-    /// values in force here only if they are the same: older ones come from a read before the latest
-    /// change, or from one that is stale.
-    pub(crate) fn confirm_operators(&self, now: Time, age: Duration, stored: u64) {
+    /// Records a read of the store that found values with a digest. This confirms the values in force
+    /// here only if they are the same: older ones come from a read before the latest change, or from
+    /// one that is stale.
+    pub(crate) fn confirm_operators(&self, now: Time, read: OperatorRead, stored: u64) {
         if stored == self.operators_digest() {
-            let read_at = Time(now.0.saturating_sub(age));
-            self.state.membership().confirm_operators(now, read_at);
+            self.state.membership().confirm_operators(now, read);
         }
     }
 
     /// Returns a digest of the operators' values in force here.
-    pub(crate) fn operators_digest(&self) -> u64 {
+    #[must_use]
+    pub fn operators_digest(&self) -> u64 {
         let version = self.state.templates().version;
         let templates = self.state.template_history().content_digest();
         let evacuations = self.state.evacuations().active_digest();
@@ -136,7 +136,7 @@
         let version = delta.version;
         let size = postcard::to_stdvec(&delta).map_or(usize::MAX, |bytes| bytes.len());
         let delta = (size <= MAX_BROADCAST_BYTES).then(|| Box::new(delta));
-        let update = OperatorUpdate { delta, version, digest: 0, age: None, reach: 0 };
+        let update = OperatorUpdate { delta, version, digest: 0, read: None, reach: 0 };
         self.broadcast_operator_update(now, &update, out);
     }
 
@@ -154,21 +154,23 @@
         if stored.is_some_and(|stored| stored != version) {
             return;
         }
+        let age = now.since(requested_at);
+        let read = OperatorRead { reader: self.id(), uptime: requested_at.0, age };
         {
             let mut members = self.state.membership();
-            members.confirm_operators(now, requested_at);
+            members.confirm_operators(now, read);
             if !is_due(now, members.operators_announced_at, ANNOUNCE_INTERVAL) {
                 return;
             }
         }
-        let (age, digest) = (Some(now.since(requested_at)), self.operators_digest());
-        let update = OperatorUpdate { delta: None, version, digest, age, reach: 0 };
+        let (read, digest) = (Some(read), self.operators_digest());
+        let update = OperatorUpdate { delta: None, version, digest, read, reach: 0 };
         self.broadcast_operator_update(now, &update, out);
     }
 
     fn broadcast_operator_update(&self, now: Time, update: &OperatorUpdate, out: &mut Outbox) {
         let mut members = self.state.membership();
-        if update.age.is_some() {
+        if update.read.is_some() {
             members.operators_announced_at = Some(now);
         }
         for (to, reach) in members.broadcast_targets(now, broadcast::full_reach(&members.view)) {
--- a/crates/badgerfield-core/src/membership/confirmation.rs
+++ b/crates/badgerfield-core/src/membership/confirmation.rs
@@ -6,12 +6,14 @@
 //! store itself, and asks other members. What a member announces about a version is a confirmation
 //! for those that have this version, and news for all others.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::Membership;
 use crate::amount::Time;
 use crate::event::is_due;
 use crate::ids::{Incarnation, TemplateVersion};
+use crate::message::OperatorRead;
 use crate::template_arrival::PROPAGATION_TIME;
 use crate::view::{MAX_SMALL_VIEW_MEMBERS, Member};
 
@@ -32,33 +34,62 @@
 /// The same share after which a process counts as one that its peers do not keep up to date, and
 /// asks members that usually do not inform it.
 const SEARCH_PERCENT: u32 = 70;
+/// The age up to which members tell each other of a read.
+const MAX_TOLD_AGE: Duration = Duration::from_secs(2);
+/// How long a process remembers that it knows of a read: much longer than others tell of it.
+const READ_MEMORY: Duration = Duration::from_secs(20);
 /// The number of entries of the templates that all members together may read at once: 450 bytes
 /// each, a second of a link of 1 Gbit/s. If there are more, members wait longer in proportion.
 const MAX_FALLBACK_ENTRIES: usize = 250_000;
 
 /// The confirmations of the operators' values in force at this process.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Confirmation {
     /// The latest time at which the store is known to have held nothing newer.
     valid_at: Option<Time>,
     /// When this process learned of a later such time, or got its first values.
     advanced_at: Option<Time>,
+    /// The process that read the store at the latest such time, and its uptime then.
+    read_by: Option<(Incarnation, Duration)>,
+    /// The uptime of each process at its latest read that has counted here, and when it did.
+    counted: BTreeMap<Incarnation, (Duration, Time)>,
 }
 
 impl Confirmation {
-    /// Records that the store held nothing newer at some time.
-    fn advance(&mut self, now: Time, valid_at: Time) {
+    /// Records a read by which the store held the values in force, unless it has counted before.
+    fn record(&mut self, now: Time, read: OperatorRead) {
+        let OperatorRead { reader, uptime, age } = read;
+        if self.counted.get(&reader).is_some_and(|(known, _)| *known >= uptime) {
+            return;
+        }
+        self.counted.retain(|_, (_, at)| now.since(*at) < READ_MEMORY);
+        self.counted.insert(reader, (uptime, now));
+        let valid_at = Time(now.0.saturating_sub(age));
         if self.valid_at.is_none_or(|known| valid_at > known) {
             self.valid_at = Some(valid_at);
             self.advanced_at = Some(now);
+            self.read_by = Some((reader, uptime));
         }
     }
+
+    /// Returns the latest read by which the store held the values in force, unless it is too old to
+    /// tell others of it.
+    fn latest_read(&self, now: Time) -> Option<OperatorRead> {
+        let age = now.since(self.valid_at?);
+        let (reader, uptime) = self.read_by.filter(|_| age <= MAX_TOLD_AGE)?;
+        Some(OperatorRead { reader, uptime, age })
+    }
 }
 
 impl Membership {
-    /// Records that the store held the values in force here at some time, and nothing newer.
-    pub(crate) fn confirm_operators(&mut self, now: Time, read_at: Time) {
-        self.confirmation.advance(now, read_at);
+    /// Records a read by which the store held the values in force here, and nothing newer.
+    pub(crate) fn confirm_operators(&mut self, now: Time, read: OperatorRead) {
+        self.confirmation.record(now, read);
+    }
+
+    /// Returns the latest such read, to tell others of it.
+    pub(crate) fn latest_operator_read(&self, now: Time) -> Option<OperatorRead> {
+        self.confirmation.latest_read(now)
     }
 
     /// Records that this process has its first values. Members that are up to date confirm them soon.
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -286,7 +286,21 @@
     pub reach: u32,
 }
 
-/// An update about operators' values, broadcast to all members. With an age it confirms the values to
+/// A read of operators' values from the store.
+///
+/// The time that a message spends on its way is not part of the age. A process therefore counts each
+/// read once: otherwise members that tell each other of a read would make it younger each time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperatorRead {
+    /// The process that has read.
+    pub reader: Incarnation,
+    /// How long that process had run when it requested the read.
+    pub uptime: Duration,
+    /// The time since then, as far as the sender knows.
+    pub age: Duration,
+}
+
+/// An update about operators' values, broadcast to all members. With a read it confirms the values to
 /// members that have the same.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OperatorUpdate {
@@ -296,9 +310,9 @@
     pub version: TemplateVersion,
     /// Digest of all operators' values in the store.
     pub digest: u64,
-    /// The time since the values were read; `None` if a watch has shown the change, which says
-    /// nothing about later ones.
-    pub age: Option<Duration>,
+    /// The read that found the values; `None` if a watch has shown the change, which says nothing
+    /// about later ones.
+    pub read: Option<OperatorRead>,
     /// The number of members before the receiver in the ring to which it forwards the update.
     pub reach: u32,
 }
@@ -357,8 +371,8 @@
     pub confirmations: ConfirmationReport,
     /// The version of the templates in force at the sender.
     pub version: TemplateVersion,
-    /// The time since the store was last known to hold the operators' values of the sender.
-    pub confirmed_age: Option<Duration>,
+    /// The latest read by which the store held the operators' values of the sender.
+    pub confirmed_by: Option<OperatorRead>,
     /// Digest of the operators' values in force at the sender.
     pub operators_digest: u64,
     /// Whether the sender serves callers.
--- a/crates/badgerfield-core/tests/former_members.rs
+++ b/crates/badgerfield-core/tests/former_members.rs
@@ -61,7 +61,7 @@
         epoch: Epoch(epoch),
         confirmations: ConfirmationReport::default(),
         version: TemplateVersion(0),
-        confirmed_age: None,
+        confirmed_by: None,
         operators_digest: 0,
         serving: true,
         upstream_list: ListVersion::default(),
--- a/crates/badgerfield-core/tests/operator_confirmations.rs
+++ b/crates/badgerfield-core/tests/operator_confirmations.rs
@@ -6,7 +6,7 @@
 use badgerfield_core::amount::{Percent, Time, Tokens};
 use badgerfield_core::event::{Event, OperatorValues, StoreResult};
 use badgerfield_core::ids::{Incarnation, Period, TemplateVersion};
-use badgerfield_core::message::{Envelope, Heartbeat, Message, OperatorUpdate};
+use badgerfield_core::message::{Envelope, Heartbeat, Message, OperatorRead, OperatorUpdate};
 use badgerfield_core::residency::Residency;
 use badgerfield_core::template::{AccountTemplate, BudgetTemplate, KeyDigest, TemplateSet};
 use badgerfield_core::view::{Member, MemberState};
@@ -105,17 +105,17 @@
     let node = node();
     receive(&node, 100, Message::Templates(Box::new(set(5, "key"))));
     assert_eq!(confirmed_age(&node, 100), None);
+    let read = OperatorRead { reader: PEER, uptime: Duration::from_secs(9), age: Duration::ZERO };
     let heartbeat = |version, operators_digest| {
-        let confirmed_age = Some(Duration::ZERO);
-        let version = TemplateVersion(version);
-        Heartbeat { version, confirmed_age, operators_digest, ..Heartbeat::default() }
+        let (version, confirmed_by) = (TemplateVersion(version), Some(read));
+        Heartbeat { version, confirmed_by, operators_digest, ..Heartbeat::default() }
     };
     for version in [4, 5, 6] {
         receive(&node, 200, Message::Heartbeat(heartbeat(version, 7)));
         assert_eq!(confirmed_age(&node, 200), None, "by the heartbeat of v{version}");
         let version = TemplateVersion(version);
-        let age = Some(Duration::ZERO);
-        let update = OperatorUpdate { delta: None, version, digest: 7, age, reach: 0 };
+        let read = Some(read);
+        let update = OperatorUpdate { delta: None, version, digest: 7, read, reach: 0 };
         receive(&node, 200, Message::Operators(update));
         assert_eq!(confirmed_age(&node, 200), None, "by an announcement of {version}");
     }
@@ -137,3 +137,28 @@
     read(&node, 1200, &set(5, "new"));
     assert_eq!(confirmed_age(&node, 1200), Some(Duration::ZERO));
 }
+
+/// Guards against members that make a read younger each time they tell each other of it.
+#[test]
+fn a_read_counts_once() {
+    let node = node();
+    receive(&node, 100, Message::Templates(Box::new(set(5, "key"))));
+    let told = |uptime, age| {
+        let read = OperatorRead { reader: PEER, uptime: Duration::from_millis(uptime), age };
+        Message::Operators(OperatorUpdate {
+            delta: None,
+            version: TemplateVersion(5),
+            digest: node.operators_digest(),
+            read: Some(read),
+            reach: 0,
+        })
+    };
+    receive(&node, 600, told(7000, Duration::from_millis(100)));
+    assert_eq!(confirmed_age(&node, 600), Some(Duration::from_millis(100)));
+    // The same read comes again, by a way on which it has not aged, and an earlier one.
+    receive(&node, 900, told(7000, Duration::from_millis(100)));
+    receive(&node, 900, told(6000, Duration::ZERO));
+    assert_eq!(confirmed_age(&node, 900), Some(Duration::from_millis(400)));
+    receive(&node, 900, told(7300, Duration::from_millis(50)));
+    assert_eq!(confirmed_age(&node, 900), Some(Duration::from_millis(50)));
+}
