A slow store is not read by the whole fleet

While the store answers late its readers' announcements are as far apart as its answers, so members that wait 0.6 to 0.9 s for a confirmation read too, all at once: 144 reads in 10 s at 72 VMs with 1.2 s an answer, 115 at 30.

A read now tells how long the store took, and members wait that much longer for the next.

--- a/crates/badgerfield-core/src/handlers/operator_values.rs
+++ b/crates/badgerfield-core/src/handlers/operator_values.rs
@@ -154,8 +154,8 @@
         if stored.is_some_and(|stored| stored != version) {
             return;
         }
-        let age = now.since(requested_at);
-        let read = OperatorRead { reader: self.id(), uptime: requested_at.0, age };
+        let took = now.since(requested_at);
+        let read = OperatorRead { reader: self.id(), uptime: requested_at.0, took, age: took };
         {
             let mut members = self.state.membership();
             members.confirm_operators(now, read);
--- a/crates/badgerfield-core/src/membership/confirmation.rs
+++ b/crates/badgerfield-core/src/membership/confirmation.rs
@@ -49,8 +49,8 @@
     valid_at: Option<Time>,
     /// When this process learned of a later such time, or got its first values.
     advanced_at: Option<Time>,
-    /// The process that read the store at the latest such time, and its uptime then.
-    read_by: Option<(Incarnation, Duration)>,
+    /// The latest read that counted, with its age at that time.
+    read: Option<OperatorRead>,
     /// The uptime of each process at its latest read that has counted here, and when it did.
     counted: BTreeMap<Incarnation, (Duration, Time)>,
 }
@@ -58,7 +58,7 @@
 impl Confirmation {
     /// Records a read by which the store held the values in force, unless it has counted before.
     fn record(&mut self, now: Time, read: OperatorRead) {
-        let OperatorRead { reader, uptime, age } = read;
+        let OperatorRead { reader, uptime, age, .. } = read;
         if self.counted.get(&reader).is_some_and(|(known, _)| *known >= uptime) {
             return;
         }
@@ -68,7 +68,7 @@
         if self.valid_at.is_none_or(|known| valid_at > known) {
             self.valid_at = Some(valid_at);
             self.advanced_at = Some(now);
-            self.read_by = Some((reader, uptime));
+            self.read = Some(read);
         }
     }
 
@@ -76,8 +76,15 @@
     /// tell others of it.
     fn latest_read(&self, now: Time) -> Option<OperatorRead> {
         let age = now.since(self.valid_at?);
-        let (reader, uptime) = self.read_by.filter(|_| age <= MAX_TOLD_AGE)?;
-        Some(OperatorRead { reader, uptime, age })
+        let read = self.read.filter(|_| age <= MAX_TOLD_AGE)?;
+        Some(OperatorRead { age, ..read })
+    }
+
+    /// Returns for how long no read has counted, beyond the response time of the store: while that
+    /// is long, reads of the same few members are as far apart.
+    fn silence(&self, now: Time) -> Duration {
+        let took = self.read.map_or(Duration::ZERO, |read| read.took);
+        self.advanced_at.map_or(Duration::MAX, |at| now.since(at).saturating_sub(took))
     }
 }
 
@@ -190,8 +197,7 @@
     /// which a newer version has been known to exist, whichever is longer.
     fn unconfirmed_for(&self, now: Time) -> Duration {
         let missing = self.pending_templates.missing(now).map(|(_, span)| span);
-        let silent = self.confirmation.advanced_at.map_or(Duration::MAX, |at| now.since(at));
-        silent.max(missing.unwrap_or_default())
+        self.confirmation.silence(now).max(missing.unwrap_or_default())
     }
 
     /// Returns the time without a confirmation after which this process watches operators' values.
--- a/crates/badgerfield-core/src/message.rs
+++ b/crates/badgerfield-core/src/message.rs
@@ -296,7 +296,9 @@
     pub reader: Incarnation,
     /// How long that process had run when it requested the read.
     pub uptime: Duration,
-    /// The time since then, as far as the sender knows.
+    /// The response time of the store.
+    pub took: Duration,
+    /// The time since the read was requested, as far as the sender knows.
     pub age: Duration,
 }
 
--- a/crates/badgerfield-core/tests/operator_confirmations.rs
+++ b/crates/badgerfield-core/tests/operator_confirmations.rs
@@ -105,7 +105,12 @@
     let node = node();
     receive(&node, 100, Message::Templates(Box::new(set(5, "key"))));
     assert_eq!(confirmed_age(&node, 100), None);
-    let read = OperatorRead { reader: PEER, uptime: Duration::from_secs(9), age: Duration::ZERO };
+    let read = OperatorRead {
+        reader: PEER,
+        uptime: Duration::from_secs(9),
+        took: Duration::ZERO,
+        age: Duration::ZERO,
+    };
     let heartbeat = |version, operators_digest| {
         let (version, confirmed_by) = (TemplateVersion(version), Some(read));
         Heartbeat { version, confirmed_by, operators_digest, ..Heartbeat::default() }
@@ -144,7 +149,8 @@
     let node = node();
     receive(&node, 100, Message::Templates(Box::new(set(5, "key"))));
     let told = |uptime, age| {
-        let read = OperatorRead { reader: PEER, uptime: Duration::from_millis(uptime), age };
+        let uptime = Duration::from_millis(uptime);
+        let read = OperatorRead { reader: PEER, uptime, took: Duration::ZERO, age };
         Message::Operators(OperatorUpdate {
             delta: None,
             version: TemplateVersion(5),
--- a/crates/badgerfield-standin/tests/partial_cuts.rs
+++ b/crates/badgerfield-standin/tests/partial_cuts.rs
@@ -289,6 +289,26 @@
     assert!(late.is_empty(), "ordered later than {BOUND:?}: {late:?}");
 }
 
+/// Guards against reads by all VMs of a fleet while the store answers late.
+#[test]
+fn reads_of_a_slow_store_do_not_grow_with_the_fleet() {
+    const SPAN: Duration = Duration::from_secs(10);
+    // The watchers, their backups and the readers may read all the time.
+    const MAX_READS: u64 = 14 * 10;
+    for slow_ms in [150, 300, 600] {
+        for vms in [30, 72, 200] {
+            let mut fleet = fleet(vms, 1);
+            fleet.store.slow = Duration::from_millis(slow_ms);
+            fleet.advance_listing(Duration::from_secs(3));
+            let before = fleet.store.reads;
+            fleet.advance_listing(SPAN);
+            let reads = fleet.store.reads - before;
+            println!("{vms} VMs, {slow_ms} ms each way: {reads} reads in {SPAN:?}");
+            assert!(reads <= MAX_READS, "{vms} VMs, {slow_ms} ms each way: {reads} reads");
+        }
+    }
+}
+
 /// Guards against reads of the store by VMs that others keep current: while nothing is lost, their
 /// number must not depend on the size of the fleet, with changes or without.
 #[test]
