A version that has come into force does not count as missing

By reading: a heartbeat's version is compared before the lock under which it is noted as missing. What is noted is now compared under the same lock. The race was not made to happen; operator_confirmations::versions_in_force_are_not_missing holds what is noted.

--- a/crates/badgerfield-core/src/template_arrival.rs
+++ b/crates/badgerfield-core/src/template_arrival.rs
@@ -71,6 +71,8 @@
 /// What has happened since a process first heard of a version newer than its own.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct PendingArrival {
+    /// The newest version that has come into force.
+    in_force: TemplateVersion,
     newest: TemplateVersion,
     noticed_at: Option<Time>,
     is_reported: bool,
@@ -79,8 +81,12 @@
 }
 
 impl PendingArrival {
-    /// Records that a message names a version newer than the one in force.
+    /// Records that a message names a version, if it is newer than the one in force. Another thread
+    /// may have put it into force since it was compared.
     pub(crate) fn notice(&mut self, now: Time, version: TemplateVersion) {
+        if version <= self.in_force {
+            return;
+        }
         self.newest = self.newest.max(version);
         self.noticed_at.get_or_insert(now);
     }
@@ -116,10 +122,9 @@
         version: TemplateVersion,
         source: TemplateSource,
     ) -> TemplateArrival {
-        let Self { newest, noticed_at, fetches, unapplied, .. } = std::mem::take(self);
-        if newest > version {
-            self.notice(now, newest);
-        }
+        let Self { in_force, newest, noticed_at, fetches, unapplied, .. } = std::mem::take(self);
+        self.in_force = in_force.max(version);
+        self.notice(now, newest);
         let delay = noticed_at.map_or(Duration::ZERO, |at| now.since(at));
         TemplateArrival { version, source, delay, fetches, unapplied }
     }
--- a/crates/badgerfield-core/tests/operator_confirmations.rs
+++ b/crates/badgerfield-core/tests/operator_confirmations.rs
@@ -1,43 +1,23 @@
 //! Which announcements confirm the operators' values at a process, and which contents it keeps.
 
+#[path = "support/lone_node.rs"]
+mod lone_node;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use badgerfield_core::Node;
 use badgerfield_core::amount::{Percent, Time, Tokens};
 use badgerfield_core::event::{Event, OperatorValues, StoreResult};
 use badgerfield_core::ids::{Incarnation, Period, TemplateVersion};
 use badgerfield_core::message::{Envelope, Heartbeat, Message, OperatorRead, OperatorUpdate};
 use badgerfield_core::residency::Residency;
 use badgerfield_core::template::{AccountTemplate, BudgetTemplate, KeyDigest, TemplateSet};
-use badgerfield_core::view::{Member, MemberState};
-use badgerfield_core::{Config, Node, Pacing};
 use bytes::Bytes;
+use lone_node::node;
 
 const PEER: Incarnation = Incarnation(2);
 
-fn node() -> Node {
-    let member = Member {
-        vm: "vm-1".parse().expect("the name is valid"),
-        incarnation: Incarnation(1),
-        region: "north".parse().expect("the name is valid"),
-        domain: "d".parse().expect("the name is valid"),
-        peer: ([127, 0, 0, 1], 1).into(),
-        caller: ([127, 0, 0, 1], 2).into(),
-        standing: MemberState::Active,
-        link_mbps: 0,
-    };
-    Node::new(Config {
-        member,
-        ledger_shards: 1,
-        key_retention: Duration::from_mins(15),
-        answer_retention: Duration::from_mins(2),
-        max_answer_bytes: 1_000_000,
-        directory_ttl: Duration::from_secs(2),
-        pacing: Pacing::default(),
-        seed: 1,
-    })
-}
-
 /// Returns a set of templates with one key.
 fn set(version: u64, secret: &str) -> TemplateSet {
     let version = TemplateVersion(version);
@@ -89,7 +69,7 @@
 /// Guards against a set that differs from the store under one version through all later differences.
 #[test]
 fn other_contents_under_one_version_are_replaced_by_the_stored_ones() {
-    let node = node();
+    let node = node(1);
     receive(&node, 100, Message::Templates(Box::new(set(5, "lost"))));
     assert!(accepts(&node, "lost"));
     read(&node, 200, &set(5, "kept"));
@@ -102,7 +82,7 @@
 /// Guards against confirmations of other values than those in force.
 #[test]
 fn only_the_same_values_are_confirmed() {
-    let node = node();
+    let node = node(1);
     receive(&node, 100, Message::Templates(Box::new(set(5, "key"))));
     assert_eq!(confirmed_age(&node, 100), None);
     let read = OperatorRead {
@@ -133,7 +113,7 @@
 /// Guards against a stale read that makes an old set count as the newest.
 #[test]
 fn stale_reads_confirm_nothing() {
-    let node = node();
+    let node = node(1);
     read(&node, 100, &set(5, "new"));
     assert!(node.has_current_templates(Time::from_millis(100)));
     read(&node, 1100, &set(4, "old"));
@@ -146,7 +126,7 @@
 /// Guards against members that make a read younger each time they tell each other of it.
 #[test]
 fn a_read_counts_once() {
-    let node = node();
+    let node = node(1);
     receive(&node, 100, Message::Templates(Box::new(set(5, "key"))));
     let told = |uptime, age| {
         let uptime = Duration::from_millis(uptime);
@@ -168,3 +148,23 @@
     receive(&node, 900, told(7300, Duration::from_millis(50)));
     assert_eq!(confirmed_age(&node, 900), Some(Duration::from_millis(50)));
 }
+
+/// Guards against a version that counts as missing after it has come into force.
+#[test]
+fn versions_in_force_are_not_missing() {
+    let node = node(1);
+    receive(&node, 100, Message::Templates(Box::new(set(5, "key"))));
+    receive(&node, 200, Message::Templates(Box::new(set(4, "key"))));
+    for version in [4, 5] {
+        let heartbeat = Heartbeat { version: TemplateVersion(version), ..Heartbeat::default() };
+        receive(&node, 300, Message::Heartbeat(heartbeat));
+        assert_eq!(node.template_status(Time::from_millis(400)).missing_for, None);
+    }
+    let heartbeat = Heartbeat { version: TemplateVersion(7), ..Heartbeat::default() };
+    receive(&node, 500, Message::Heartbeat(heartbeat));
+    // A version between the two arrives, so the newest is still missing.
+    receive(&node, 600, Message::Templates(Box::new(set(6, "key"))));
+    assert!(node.template_status(Time::from_millis(700)).missing_for.is_some());
+    receive(&node, 800, Message::Templates(Box::new(set(7, "key"))));
+    assert_eq!(node.template_status(Time::from_millis(900)).missing_for, None);
+}
