Log: what the ends of answers without a length could not be told apart by

A sound end, one of an upstream that breaks answers off and one of an upstream that is ending read the same. unframed_end now names how the upstream's answers to this VM ended lately (whole, failed, broken off, with a half-life), and each resumption says what it brought. No decision reads the record yet.

--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -59,6 +59,7 @@
 
 pub mod adaptive_timeout;
 pub mod amount;
+pub mod answer_record;
 pub mod availability;
 mod bootstrap;
 pub mod brittle;
--- a/crates/badgerfield-core/src/upstream_table/mod.rs
+++ b/crates/badgerfield-core/src/upstream_table/mod.rs
@@ -11,6 +11,7 @@
 //! ([`crate::brittle`]).
 
 mod announcements;
+mod answers;
 mod brittle;
 mod canary;
 mod choice;
--- a/crates/badgerfield-core/src/upstream_table/upstream.rs
+++ b/crates/badgerfield-core/src/upstream_table/upstream.rs
@@ -7,6 +7,7 @@
 
 use super::{AttemptOutcome, PromptPart, UpstreamCriteria};
 use crate::amount::Time;
+use crate::answer_record::AnswerRecord;
 use crate::brittle::{Places, RejectionTolerance};
 use crate::ids::{Region, SoftwareVersion, VersionTag};
 use crate::locality::{Distance, Location};
@@ -85,6 +86,8 @@
     outcome_at: Time,
     pub(super) consecutive_failures: u32,
     pub(super) avoid_until: Time,
+    /// How the answers of its process have ended lately.
+    pub(super) answers: AnswerRecord,
     pub(super) parts: HashMap<u64, Time>,
     /// The queueing delay at the upstream.
     pub(super) queueing_delay: QueueingDelay,
@@ -173,6 +176,7 @@
             outcome_at: Time::default(),
             consecutive_failures: 0,
             avoid_until: Time::default(),
+            answers: AnswerRecord::default(),
             parts: HashMap::new(),
             queueing_delay: QueueingDelay::default(),
             evacuated: false,
@@ -210,6 +214,7 @@
         self.rejected_share = 0.0;
         self.consecutive_failures = 0;
         self.avoid_until = Time::default();
+        self.answers = AnswerRecord::default();
         self.queueing_delay = QueueingDelay::default();
     }
 
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
+use badgerfield_core::answer_record::AnswerEnd;
 use badgerfield_core::ids::{UpstreamId, VersionTag};
 use badgerfield_core::routing::{Route, ServiceSpec};
 use badgerfield_core::upstream_table::{AttemptOutcome, ChosenUpstream};
@@ -258,6 +259,15 @@
         self.update_sample(RolloutSample::record_answer);
     }
 
+    /// Records how an answer of the upstream has ended. A process that was stalled may have broken it
+    /// off itself.
+    pub(crate) fn record_answer_end(&self, end: AnswerEnd) {
+        if self.peer.is_none() && !self.gateway.clock.has_stalled_since(self.sent_at) {
+            let now = self.driver.now();
+            self.gateway.upstreams().record_answer_end(now, &self.id, end);
+        }
+    }
+
     /// Records that no response arrived or that the response ended early.
     pub(crate) fn record_failure(&mut self) {
         self.set_outcome(AttemptOutcome::Failed);
@@ -336,6 +346,7 @@
     /// Ends the attempt successfully: the response is complete, and the connection may be reused.
     pub(crate) fn finish(mut self) {
         self.outcome = AttemptOutcome::Answered;
+        self.record_answer_end(AnswerEnd::Whole);
         self.record_first_event();
         let Some(connection) = self.connection.take() else {
             return;
@@ -409,6 +420,7 @@
         }
         Err(AttemptError::Broken) => {
             guard.wait = None;
+            guard.record_answer_end(AnswerEnd::Failed);
             guard.record_failure();
             return AttemptEnd::Broken(BROKEN);
         }
@@ -417,6 +429,7 @@
     let protocol = &gateway.adapter.protocol;
     if !is_final(head.0) {
         guard.wait = None;
+        guard.record_answer_end(AnswerEnd::Failed);
         guard.record_failure();
         return AttemptEnd::Broken("invalid_status");
     }
@@ -432,11 +445,15 @@
         }
         ResponseKind::Foreign => {
             guard.wait = None;
+            guard.record_answer_end(AnswerEnd::Failed);
             guard.record_failure();
             return AttemptEnd::Broken("foreign");
         }
         ResponseKind::Answer => {}
     }
+    if response.status().is_server_error() {
+        guard.record_answer_end(AnswerEnd::Failed);
+    }
     guard.keep_alive = keep_alive_timeout(response.headers());
     guard.closes_connection = closes_connection(response.headers());
     let is_framed = is_framed(response.headers(), response.body());
--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::{Time, Tokens};
+use badgerfield_core::answer_record::AnswerEnd;
 use badgerfield_core::ids::{Service, UpstreamId, VersionTag};
 use badgerfield_core::overload;
 use badgerfield_core::poison::Fingerprint;
@@ -283,6 +284,7 @@
                 Ok((head, body.to_bytes()))
             }
             Ok(Err(_)) => {
+                guard.record_answer_end(AnswerEnd::BrokenOff);
                 guard.record_failure();
                 Err(BROKEN)
             }
--- a/crates/badgerfield-node/src/gateway/forward/peer_request.rs
+++ b/crates/badgerfield-node/src/gateway/forward/peer_request.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
+use badgerfield_core::answer_record::AnswerEnd;
 use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::poison::Fingerprint;
 use badgerfield_core::residency::Residency;
@@ -212,6 +213,7 @@
             }
             (BodyEnd::Late, _) => (false, false),
             (BodyEnd::Broken, _) => {
+                guard.record_answer_end(AnswerEnd::BrokenOff);
                 (false, self.detect_crash(chosen, prior_crashes, has_begun).await)
             }
             (BodyEnd::Complete, Framing::Explicit) => (true, false),
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 //! allows that.
 
 use badgerfield_core::amount::{Time, Tokens};
+use badgerfield_core::answer_record::AnswerEnd;
 use badgerfield_core::event_stream::{EventScanner, MAX_EVENT_BYTES};
 use badgerfield_core::upstream_table::AttemptOutcome;
 use bytes::Bytes;
@@ -45,6 +46,9 @@
     guard: UpstreamGuard,
     /// Whether an event has arrived from this upstream.
     has_begun: bool,
+    /// The number of events that had been passed on when it resumed the stream; `None` if it began
+    /// the stream.
+    resumed_at: Option<u64>,
 }
 
 /// The result of reading from the upstream.
@@ -60,7 +64,7 @@
     let UpstreamResponse { head, body, framing, guard } = *response;
     let scanner = EventScanner::resume_after(exchange.headers.last_event);
     let status = head.status.as_u16();
-    let source = Some(Source { body, framing, guard, has_begun: false });
+    let source = Some(Source { body, framing, guard, has_begun: false, resumed_at: None });
     let relay = Relay { exchange, source, scanner, status, ended: false };
     let parts = stream::unfold(relay, |mut relay| async move {
         let part = relay.next().await?;
@@ -234,11 +238,16 @@
         let Some(mut source) = self.source.take() else {
             return Some(self.fail(reason));
         };
+        self.log_resumption(&source, reason);
         if reason == BLOCKED {
             source.guard.record_not_run(AttemptOutcome::Unknown);
         } else {
             source.guard.record_failure();
         }
+        let is_partial = !self.scanner.partial_event().is_empty();
+        if reason == BROKEN || (reason == CUT && is_partial) {
+            source.guard.record_answer_end(AnswerEnd::BrokenOff);
+        }
         let (from, address) = (source.guard.id.clone(), source.guard.address);
         let (peer, has_begun) = (source.guard.peer_verdict(), source.has_begun);
         // The earlier upstream stops its work when the connection closes.
@@ -263,7 +272,8 @@
         match self.exchange.dispatch(last).await {
             Ok(response) if response.head.status.is_success() => {
                 let UpstreamResponse { body, framing, guard, .. } = *response;
-                self.source = Some(Source { body, framing, guard, has_begun: false });
+                let resumed_at = Some(self.scanner.event_count());
+                self.source = Some(Source { body, framing, guard, has_begun: false, resumed_at });
                 None
             }
             Ok(_) => Some(self.fail("resume_failed")),
@@ -271,6 +281,15 @@
         }
     }
 
+    /// Logs what an upstream that resumed the stream has added to it.
+    fn log_resumption(&self, source: &Source, outcome: &str) {
+        let Some(resumed_at) = source.resumed_at else {
+            return;
+        };
+        let events = self.scanner.event_count().saturating_sub(resumed_at);
+        request_log::resumption(&self.exchange.original.id, &source.guard.id, events, outcome);
+    }
+
     /// Records the tokens that were generated, including `in_flight` events that may not have
     /// arrived.
     fn record_usage(&mut self, in_flight: u64) {
@@ -288,6 +307,7 @@
         let source = self.source.take();
         let upstream = source.as_ref().map(|source| source.guard.id.clone());
         if let Some(source) = source {
+            self.log_resumption(&source, "served");
             source.guard.finish();
         }
         self.exchange.record_stream_timing();
@@ -302,7 +322,11 @@
 
     fn fail(&mut self, reason: &str) -> Result<Bytes, ResponseTruncated> {
         self.ended = true;
-        let upstream = self.source.take().map(|source| source.guard.id.clone());
+        let source = self.source.take();
+        if let Some(source) = &source {
+            self.log_resumption(source, reason);
+        }
+        let upstream = source.map(|source| source.guard.id.clone());
         self.record_usage(MAX_IN_FLIGHT_EVENTS);
         self.exchange.record_end(
             reason,
--- a/crates/badgerfield-node/src/gateway/request_log.rs
+++ b/crates/badgerfield-node/src/gateway/request_log.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
+use badgerfield_core::answer_record::AnswerRecord;
 use badgerfield_core::brittle::RejectionTolerance;
 use badgerfield_core::ids::{
     Incarnation, Service, SoftwareVersion, TemplateVersion, UpstreamId, VersionTag,
@@ -193,19 +194,27 @@
 }
 
 /// Logs by which evidence the end of a response without a length was judged, on what kind of
-/// connection it was found, and whether this process was stalled since it had last heard of the
-/// upstream.
+/// connection it was found, how other answers of the upstream had ended, and whether this process was
+/// stalled since it had last heard of the upstream.
 pub(crate) fn unframed_end(
     id: &str,
     upstream: &UpstreamId,
-    (evidence, connection): (&str, &str),
+    (evidence, connection, record): (&str, &str, AnswerRecord),
     (is_whole, has_stalled): (bool, bool),
     took: Duration,
 ) {
     let took = took.as_millis();
     log::info!(
         target: REQUESTS,
-        "unframed_end id={id} upstream={upstream} evidence={evidence} connection={connection} stalled={has_stalled} whole={is_whole} took_ms={took}"
+        "unframed_end id={id} upstream={upstream} evidence={evidence} connection={connection} record={record} stalled={has_stalled} whole={is_whole} took_ms={took}"
+    );
+}
+
+/// Logs what the upstream at which a stream was resumed has added to it, and how that ended.
+pub(crate) fn resumption(id: &str, upstream: &UpstreamId, events: u64, outcome: &str) {
+    log::info!(
+        target: REQUESTS,
+        "resumption id={id} upstream={upstream} events={events} outcome={outcome}"
     );
 }
 
--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -89,9 +89,11 @@
             (false, true) => UnframedEnd::Whole,
             (false, false) => UnframedEnd::Unproved,
         };
-        let took = self.driver.now().since(started);
+        let now = self.driver.now();
+        let took = now.since(started);
         let is_whole = end == UnframedEnd::Whole;
-        let found = (testimony_code(testimony), link_code(link));
+        let record = self.gateway.upstreams().answer_record(now, upstream);
+        let found = (testimony_code(testimony), link_code(link), record);
         request_log::unframed_end(&self.id, upstream, found, (is_whole, has_stalled), took);
         end
     }
