A process must outlive the end of an answer without a length by a while

Cause: the witness was asked right after the end. Its answer proves that the process lived then, which is not what is asked: a process that ends closes its answers before it is gone. Class: a sign of life is taken for a sign that the work was finished.

The witness is asked a second time, 750 ms after the end; if its connection is closed before, or its address refuses connections, nothing is proved. What was proved so far is still needed first, so this only narrows what counts as whole. The events of a stream are not held back, only its end. The upstream's place counts as free from the end on, not from the verdict. On the own interface the witness of a server that closes it is not opened again before the second question: one that serves a connection at a time would wait for it.

--- a/crates/badgerfield-core/src/upstream_table/mod.rs
+++ b/crates/badgerfield-core/src/upstream_table/mod.rs
@@ -433,17 +433,30 @@
 
     /// Records the outcome of a request at an upstream.
     pub fn end_request(&mut self, now: Time, id: &UpstreamId, outcome: AttemptOutcome) {
+        self.release_place(now, id, outcome);
+        self.record_outcome(now, id, outcome);
+    }
+
+    /// Records that an upstream no longer works on a request, whose outcome may be found out later. At
+    /// a brittle service, its place there is free.
+    pub fn release_place(&mut self, now: Time, id: &UpstreamId, outcome: AttemptOutcome) {
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
         upstream.running = upstream.running.saturating_sub(1);
-        upstream.record_outcome(now, outcome);
         let tolerance = self.brittle.get(&upstream.info.service).and_then(Brittleness::tolerance);
         if let Some(tolerance) = tolerance {
             upstream.record_place_outcome(now, outcome, tolerance);
         }
     }
 
+    /// Records what the outcome of a request says about an upstream.
+    pub fn record_outcome(&mut self, now: Time, id: &UpstreamId, outcome: AttemptOutcome) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.record_outcome(now, outcome);
+        }
+    }
+
     /// Returns whether any upstream of a service is usable.
     #[must_use]
     pub fn serves(&self, now: Time, service: &Service) -> bool {
--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -138,6 +138,8 @@
     /// When the request was sent to the upstream.
     sent_at: Time,
     outcome: AttemptOutcome,
+    /// Whether the upstream no longer works on the request.
+    is_released: bool,
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
     closes_connection: bool,
@@ -198,6 +200,7 @@
             is_bound: chosen.is_bound,
             sent_at: now,
             outcome: AttemptOutcome::Unknown,
+            is_released: false,
             connection: None,
             keep_alive: None,
             closes_connection: false,
@@ -229,6 +232,7 @@
             is_bound: false,
             sent_at: driver.now(),
             outcome: AttemptOutcome::Unknown,
+            is_released: false,
             connection: None,
             keep_alive: None,
             closes_connection: false,
@@ -338,6 +342,22 @@
         }
     }
 
+    /// Records that the upstream has ended its response, before the outcome is known.
+    pub(crate) fn release(&mut self) {
+        if self.peer.is_none() && !std::mem::replace(&mut self.is_released, true) {
+            let now = self.driver.now();
+            self.gateway.upstreams().release_place(now, &self.id, AttemptOutcome::Answered);
+            self.notify_places();
+        }
+    }
+
+    /// Wakes up requests that wait for a place at a brittle service.
+    fn notify_places(&self) {
+        if self.gateway.upstreams().has_brittle() {
+            self.gateway.places.notify();
+        }
+    }
+
     /// Sets the outcome that is reported on drop.
     pub(crate) fn set_outcome(&mut self, outcome: AttemptOutcome) {
         self.outcome = outcome;
@@ -375,14 +395,12 @@
             && self.gateway.clock.has_stalled_since(self.sent_at);
         let outcome = if is_uncertain { AttemptOutcome::Unknown } else { self.outcome };
         let now = self.driver.now();
-        let is_brittle = {
-            let mut upstreams = self.gateway.upstreams();
-            upstreams.end_request(now, &self.id, outcome);
-            upstreams.has_brittle()
-        };
-        if is_brittle {
-            self.gateway.places.notify();
+        if self.is_released {
+            self.gateway.upstreams().record_outcome(now, &self.id, outcome);
+            return;
         }
+        self.gateway.upstreams().end_request(now, &self.id, outcome);
+        self.notify_places();
     }
 }
 
--- a/crates/badgerfield-node/src/gateway/connections.rs
+++ b/crates/badgerfield-node/src/gateway/connections.rs
@@ -216,6 +216,11 @@
         matches!(self.probe_once(address).await, ProbeResult::Open(_))
     }
 
+    /// Returns whether an address refuses a connection. One that it accepts is closed at once.
+    pub(crate) async fn is_refused(&self, address: SocketAddr) -> bool {
+        matches!(self.probe_once(address).await, ProbeResult::Refused)
+    }
+
     async fn probe_once(&self, address: SocketAddr) -> ProbeResult {
         match tokio::time::timeout(LISTEN_TIMEOUT, self.open(address)).await {
             Ok(Ok(connection)) => ProbeResult::Open(connection),
--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -263,6 +263,7 @@
         match self.driver.clock.timeout_at(self.deadline, body).await {
             Ok(Ok(body)) => {
                 if let Framing::Connection(witness) = &framing {
+                    guard.release();
                     let upstream = (&guard.id, guard.address);
                     let end = self.judge_unframed_end(upstream, Progress::NONE, witness).await;
                     let failure = match end {
--- a/crates/badgerfield-node/src/gateway/forward/peer_request.rs
+++ b/crates/badgerfield-node/src/gateway/forward/peer_request.rs
@@ -221,7 +221,9 @@
                 let check = self.crash_check(prior_crashes);
                 let progress = Progress { last_event: self.request.last_event, has_begun };
                 let (id, address) = (&chosen.id, chosen.address);
-                let end = check.judge_unframed_end(id, address, progress, witness).await;
+                guard.release();
+                let end =
+                    check.judge_unframed_end(id, address, progress, witness, self.deadline).await;
                 (end == UnframedEnd::Whole, end == UnframedEnd::Crashed)
             }
         };
--- a/crates/badgerfield-node/src/gateway/poison.rs
+++ b/crates/badgerfield-node/src/gateway/poison.rs
@@ -237,7 +237,9 @@
         progress: Progress,
         witness: &ResponseWitness,
     ) -> UnframedEnd {
-        self.crash_check().judge_unframed_end(upstream, address, progress, witness).await
+        self.crash_check()
+            .judge_unframed_end(upstream, address, progress, witness, self.deadline)
+            .await
     }
 
     /// Watches an upstream that still works on the request after its caller disconnected.
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -220,10 +220,11 @@
     /// Judges the end of a response without a length.
     async fn judge_unframed_end(&mut self) -> UnframedEnd {
         let Some(Source { framing: Framing::Connection(witness), guard, has_begun, .. }) =
-            &self.source
+            &mut self.source
         else {
             return UnframedEnd::Unproved;
         };
+        guard.release();
         let progress = Progress { last_event: self.scanner.last_event_id(), has_begun: *has_begun };
         self.exchange.judge_unframed_end((&guard.id, guard.address), progress, witness).await
     }
--- a/crates/badgerfield-node/src/gateway/request_log.rs
+++ b/crates/badgerfield-node/src/gateway/request_log.rs
@@ -193,20 +193,37 @@
     );
 }
 
-/// Logs by which evidence the end of a response without a length was judged, on what kind of
-/// connection it was found, how other answers of the upstream had ended, and whether this process was
-/// stalled since it had last heard of the upstream.
-pub(crate) fn unframed_end(
-    id: &str,
-    upstream: &UpstreamId,
-    (evidence, connection, record): (&str, &str, AnswerRecord),
-    (is_whole, has_stalled): (bool, bool),
-    took: Duration,
-) {
-    let took = took.as_millis();
+/// What the log says of the end of a response without a length.
+#[derive(Debug)]
+pub(crate) struct UnframedEndEntry<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) upstream: &'a UpstreamId,
+    /// What the witness showed last.
+    pub(crate) evidence: &'static str,
+    /// How the connection of the witness is related to the response.
+    pub(crate) connection: &'static str,
+    /// How long after the end the witness was asked again; `None` if it was not.
+    pub(crate) outlived: Option<Duration>,
+    /// Whether the address of the upstream refused connections then.
+    pub(crate) is_refused: bool,
+    /// How the other answers of the upstream ended.
+    pub(crate) record: AnswerRecord,
+    /// Whether this process was stalled since it had last heard of the upstream.
+    pub(crate) has_stalled: bool,
+    pub(crate) is_whole: bool,
+    pub(crate) took: Duration,
+}
+
+/// Logs by which evidence the end of a response without a length was judged.
+pub(crate) fn unframed_end(entry: &UnframedEndEntry<'_>) {
+    let UnframedEndEntry { id, upstream, evidence, connection, record, .. } = entry;
+    let (is_refused, has_stalled, is_whole) = (entry.is_refused, entry.has_stalled, entry.is_whole);
+    let outlived =
+        entry.outlived.map_or_else(|| "-".to_owned(), |span| span.as_millis().to_string());
+    let took = entry.took.as_millis();
     log::info!(
         target: REQUESTS,
-        "unframed_end id={id} upstream={upstream} evidence={evidence} connection={connection} record={record} stalled={has_stalled} whole={is_whole} took_ms={took}"
+        "unframed_end id={id} upstream={upstream} evidence={evidence} connection={connection} outlived_ms={outlived} refused={is_refused} record={record} stalled={has_stalled} whole={is_whole} took_ms={took}"
     );
 }
 
--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -2,11 +2,13 @@
 //!
 //! A crash of the upstream ends the connection in the same way as the end of the response. Blaming
 //! the request needs proof of a crash ([`super::crash_check`]), and passing the response on as whole
-//! needs proof that the process that sent it has outlived its end ([`super::witness`]). What could
-//! not be found out proves neither.
+//! needs proof that the process that sent it has outlived its end by a while ([`super::witness`]): a
+//! process that ends closes its responses first. What could not be found out proves neither.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use badgerfield_core::amount::Time;
 use badgerfield_core::ids::UpstreamId;
 use futures::future;
 
@@ -14,6 +16,9 @@
 use crate::gateway::request_log;
 use crate::gateway::witness::{Instance, Link, ResponseWitness, Testimony};
 
+/// How long before its deadline a response must be passed on to arrive in time.
+const RELEASE_TIME: Duration = Duration::from_millis(50);
+
 /// The verdict on the end of a response without a length.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum UnframedEnd {
@@ -67,8 +72,9 @@
         address: SocketAddr,
         progress: Progress,
         witness: &ResponseWitness,
+        deadline: Time,
     ) -> UnframedEnd {
-        let started = self.driver.now();
+        let ended_at = self.driver.now();
         // A linked witness answers soon or is closed. Otherwise an upstream that crashed may have
         // started again by the time that the witness has been asked.
         let ((testimony, link), crashed) = if witness.link() == Link::SameProcess {
@@ -78,23 +84,39 @@
             let (answer, has_crashed) = future::join(witness.ask(), detected).await;
             (answer, Some(has_crashed))
         };
-        let has_stalled = witness.has_stalled();
-        let is_running = proves_running(testimony, link, has_stalled);
+        let is_running = proves_running(testimony, link, witness.has_stalled());
+        let survival = if is_running && crashed != Some(true) {
+            let remaining = deadline.since(ended_at).saturating_sub(RELEASE_TIME);
+            Some(witness.ask_later(ended_at, ended_at.after(remaining)).await)
+        } else {
+            None
+        };
+        let is_running = survival.is_some_and(|survival| survival.is_proved());
         let has_crashed = match crashed {
-            Some(has_crashed) => has_crashed,
-            None => !is_running && self.detect(upstream, address, progress).await,
+            Some(true) => true,
+            _ if is_running => false,
+            Some(false) if survival.is_none() => false,
+            _ => self.detect(upstream, address, progress).await,
         };
+        let now = self.driver.now();
+        let record = self.gateway.upstreams().answer_record(now, upstream);
         let end = match (has_crashed, is_running) {
             (true, _) => UnframedEnd::Crashed,
             (false, true) => UnframedEnd::Whole,
             (false, false) => UnframedEnd::Unproved,
         };
-        let now = self.driver.now();
-        let took = now.since(started);
-        let is_whole = end == UnframedEnd::Whole;
-        let record = self.gateway.upstreams().answer_record(now, upstream);
-        let found = (testimony_code(testimony), link_code(link), record);
-        request_log::unframed_end(&self.id, upstream, found, (is_whole, has_stalled), took);
+        request_log::unframed_end(&request_log::UnframedEndEntry {
+            id: &self.id,
+            upstream,
+            evidence: testimony_code(survival.map_or(testimony, |survival| survival.testimony)),
+            connection: link_code(link),
+            outlived: survival.map(|survival| survival.span),
+            is_refused: survival.is_some_and(|survival| survival.is_refused),
+            record,
+            has_stalled: witness.has_stalled(),
+            is_whole: end == UnframedEnd::Whole,
+            took: now.since(ended_at),
+        });
         end
     }
 }
--- a/crates/badgerfield-node/src/gateway/witness.rs
+++ b/crates/badgerfield-node/src/gateway/witness.rs
@@ -19,6 +19,7 @@
 use badgerfield_core::amount::Time;
 use badgerfield_core::ids::UpstreamId;
 use bytes::Bytes;
+use futures::future;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
@@ -35,6 +36,13 @@
 /// How long an upstream may take to answer a health check. An upstream that has no place for the
 /// check must keep the connection open for that long instead.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a process must outlive the end of a response. One that ends may close its responses some
+/// time before it is gone.
+const OUTLIVE_TIME: Duration = Duration::from_millis(750);
+/// How long an upstream that has outlived the end of a response may take to answer once more.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(200);
+/// How much later than another response ends one may end that shares the probe of the address.
+const PROBE_SHARING_TIME: Duration = Duration::from_millis(50);
 /// How long a response must stay open after its witness was opened. The connections of a process that
 /// ends are not all seen to close at the same time.
 const OVERLAP: Duration = Duration::from_millis(20);
@@ -118,6 +126,31 @@
     Closed,
 }
 
+/// What a witness has shown some time after the end of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Survival {
+    pub(crate) testimony: Testimony,
+    pub(crate) link: Link,
+    /// Whether the connection of the witness has been the same since the end of the response.
+    pub(crate) is_kept: bool,
+    /// Whether the address refuses new connections.
+    pub(crate) is_refused: bool,
+    /// How long after the end of the response the process was asked.
+    pub(crate) span: Duration,
+}
+
+impl Survival {
+    /// Returns whether nothing shows that a process that had outlived the response has ended since.
+    pub(crate) fn is_proved(&self) -> bool {
+        let is_answered = match self.testimony {
+            Testimony::Answered(Instance::Other) | Testimony::Closed => false,
+            Testimony::Answered(_) => self.is_kept || self.link != Link::Doubtful,
+            Testimony::Open => self.is_kept,
+        };
+        is_answered && !self.is_refused
+    }
+}
+
 /// Whether the connection of a witness is known to lead to the process that sends a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Link {
@@ -147,6 +180,8 @@
     closed_at: Option<Time>,
     /// The number of requests and responses that use the witness.
     users: usize,
+    /// The number of these whose response has ended.
+    ended_users: usize,
     /// How often the witness was asked.
     questions: u64,
     /// The numbers of the last health checks that were wanted, sent and answered.
@@ -173,6 +208,7 @@
         was_closed: false,
         closed_at: None,
         users: 0,
+        ended_users: 0,
         questions: 0,
         wanted: 0,
         sent: 0,
@@ -192,6 +228,11 @@
         self.wanted > self.answered
     }
 
+    /// Returns whether a response that uses the witness has not ended.
+    fn has_open_responses(&self) -> bool {
+        self.users > self.ended_users
+    }
+
     /// Returns how a connection is related to a response whose request was sent at one time and
     /// which was certainly open at others.
     ///
@@ -214,6 +255,11 @@
         if is_doubtful { Link::Doubtful } else { Link::Unknown }
     }
 
+    /// Returns when the connection that is open was opened; `None` if none is.
+    fn connection(&self) -> Option<Time> {
+        self.opened.map(|opened| opened.at).filter(|_| self.phase == Phase::Open)
+    }
+
     fn set_closed(&mut self) {
         self.phase = Phase::Opening;
         self.opened = None;
@@ -228,6 +274,8 @@
     state: watch::Sender<State>,
     /// The connections of the responses that use the witness.
     responses: Mutex<Vec<Weak<OpenTime>>>,
+    /// When the address was last probed, and whether it refused the connection.
+    probe: tokio::sync::Mutex<Option<(Time, bool)>>,
 }
 
 impl Witness {
@@ -269,6 +317,7 @@
 pub(crate) struct WitnessGuard {
     witness: Arc<Witness>,
     clock: Arc<Clock>,
+    connections: Arc<Connections>,
 }
 
 impl Drop for WitnessGuard {
@@ -287,6 +336,12 @@
         let _ = self.clock.timeout_at(deadline, state.wait_for(State::is_settled)).await;
     }
 
+    /// Counts a response as ended until the result is dropped.
+    fn count_ended(&self) -> EndedUser<'_> {
+        self.witness.state.send_modify(|state| state.ended_users += 1);
+        EndedUser(&self.witness)
+    }
+
     /// Uses the witness for the response that has begun on a connection.
     pub(crate) fn watch(self, connection: &Connection) -> ResponseWitness {
         let open_time = Arc::clone(&connection.open_time);
@@ -301,6 +356,16 @@
     }
 }
 
+/// A response that has ended and still uses its witness.
+struct EndedUser<'a>(&'a Witness);
+
+impl Drop for EndedUser<'_> {
+    fn drop(&mut self) {
+        let decrement = |state: &mut State| state.ended_users = state.ended_users.saturating_sub(1);
+        self.0.state.send_modify(decrement);
+    }
+}
+
 /// The use of a witness by one response without a length.
 #[derive(Debug)]
 pub(crate) struct ResponseWitness {
@@ -326,6 +391,52 @@
 
     /// Finds out whether the process lives on now that the response has ended.
     pub(crate) async fn ask(&self) -> (Testimony, Link) {
+        self.ask_until(self.user.clock.now().after(HEALTH_TIMEOUT)).await
+    }
+
+    /// Finds out whether a process that lived on after the response had ended still does some time
+    /// later, `deadline` at the latest, and takes connections.
+    pub(crate) async fn ask_later(&self, ended_at: Time, deadline: Time) -> Survival {
+        let clock = &self.user.clock;
+        let due = ended_at.after(OUTLIVE_TIME).min(deadline);
+        let before = self.user.witness.state.borrow().connection();
+        {
+            let _ended = self.user.count_ended();
+            self.wait_for_close(before, due).await;
+        }
+        let asked_at = clock.now();
+        let limit = ended_at.after(HEALTH_TIMEOUT).max(asked_at.after(MIN_ANSWER_TIME));
+        let asked = self.ask_until(limit.min(deadline.max(asked_at)));
+        let ((testimony, link), is_refused) = future::join(asked, self.is_refused(asked_at)).await;
+        let is_kept = self.user.witness.state.borrow().connection() == before;
+        Survival { testimony, link, is_kept, is_refused, span: asked_at.since(ended_at) }
+    }
+
+    /// Waits until a connection of the witness is closed or another one is open, or a deadline passes.
+    async fn wait_for_close(&self, connection: Option<Time>, deadline: Time) {
+        let mut state = self.user.witness.state.subscribe();
+        let closed = state.wait_for(|state| state.connection() != connection);
+        // Both ends of the wait are followed by the same question.
+        let _ = self.user.clock.timeout_at(deadline, closed).await;
+    }
+
+    /// Returns whether the address of the upstream refuses connections. Responses that end together
+    /// share the answer.
+    async fn is_refused(&self, now: Time) -> bool {
+        let WitnessGuard { witness, connections, clock } = &self.user;
+        let mut probe = witness.probe.lock().await;
+        if let Some((at, is_refused)) = *probe
+            && at.after(PROBE_SHARING_TIME) >= now
+        {
+            return is_refused;
+        }
+        let at = clock.now();
+        let is_refused = connections.is_refused(witness.address).await;
+        *probe = Some((at, is_refused));
+        is_refused
+    }
+
+    async fn ask_until(&self, deadline: Time) -> (Testimony, Link) {
         let mut state = self.user.witness.state.subscribe();
         let mut number = 0;
         self.user.witness.state.send_modify(|state| {
@@ -333,7 +444,7 @@
             state.questions += 1;
             state.wanted = state.wanted.max(number);
         });
-        let testimony = self.wait_for_answer(&mut state, number).await;
+        let testimony = self.wait_for_answer(&mut state, number, deadline).await;
         let last = *state.borrow();
         let opened = match testimony {
             Testimony::Answered(_) => last.answered_on,
@@ -343,16 +454,22 @@
     }
 
     /// Waits until a health check is answered, the witness is closed, or the time is over.
-    async fn wait_for_answer(&self, state: &mut watch::Receiver<State>, number: u64) -> Testimony {
+    async fn wait_for_answer(
+        &self,
+        state: &mut watch::Receiver<State>,
+        number: u64,
+        mut deadline: Time,
+    ) -> Testimony {
         let clock = &self.user.clock;
+        let span = deadline.since(clock.now());
         loop {
             let started = clock.now();
             let ended =
                 state.wait_for(|state| state.answered >= number || state.phase == Phase::Closed);
-            let deadline = started.after(HEALTH_TIMEOUT);
             let is_late = clock.timeout_at(deadline, ended).await.is_err();
             // The end of the connection may not have arrived while this process was stalled.
             if is_late && clock.has_stalled_since(started) {
+                deadline = clock.now().after(span);
                 continue;
             }
             let last = *state.borrow();
@@ -407,7 +524,13 @@
         }
         let witness = self.start(id, address, question);
         table.insert(id.clone(), Arc::clone(&witness));
-        WitnessGuard { witness, clock: Arc::clone(&self.clock) }
+        self.guard(witness)
+    }
+
+    /// Returns the handle of one of the users of a witness.
+    fn guard(&self, witness: Arc<Witness>) -> WitnessGuard {
+        let (clock, connections) = (Arc::clone(&self.clock), Arc::clone(&self.connections));
+        WitnessGuard { witness, clock, connections }
     }
 
     fn find(
@@ -417,7 +540,7 @@
         address: SocketAddr,
     ) -> Option<WitnessGuard> {
         let known = table.get(id).filter(|known| known.address == address && known.add_user())?;
-        Some(WitnessGuard { witness: Arc::clone(known), clock: Arc::clone(&self.clock) })
+        Some(self.guard(Arc::clone(known)))
     }
 
     /// Starts a witness with one user.
@@ -429,7 +552,12 @@
     ) -> Arc<Witness> {
         let state = State { wanted: u64::from(question.is_asked_early()), ..State::NEW };
         let state = watch::Sender::new(state);
-        let witness = Arc::new(Witness { address, state, responses: Mutex::default() });
+        let witness = Arc::new(Witness {
+            address,
+            state,
+            responses: Mutex::default(),
+            probe: tokio::sync::Mutex::default(),
+        });
         witness.add_user();
         let keeper = Keeper {
             witnesses: Arc::clone(self),
--- a/crates/badgerfield-node/src/gateway/witness/keeper.rs
+++ b/crates/badgerfield-node/src/gateway/witness/keeper.rs
@@ -139,6 +139,13 @@
             return;
         }
         let questions = state.borrow().questions;
+        if !self.question.is_asked_early() {
+            // A server that serves one connection at a time would wait for the next question.
+            let is_needed =
+                |state: &State| state.has_open_responses() || state.questions > questions;
+            // The sender lives as long as this task.
+            let _ = state.wait_for(is_needed).await;
+        }
         let is_asked = state.wait_for(|state| state.questions > questions);
         // The delay is over, or it no longer matters.
         let _ = self.clock().timeout_at(self.clock().now().after(delay), is_asked).await;
--- a/crates/badgerfield-node/src/service_calls.rs
+++ b/crates/badgerfield-node/src/service_calls.rs
@@ -31,6 +31,9 @@
 /// one. The next one after that may be unproved.
 const EXPECTED_FOR: Duration = Duration::from_mins(60);
 
+/// How long the end of an answer may be held back until it is proved.
+const OUTLIVE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The connections for calls, the upstreams that send answers without a length, and their witnesses.
 #[derive(Debug)]
 pub(crate) struct ServiceCalls {
@@ -125,15 +128,23 @@
             witness.unwrap_or_else(|| self.witnesses.attach(id, address, &Question::Options));
         let witness = witness.watch(&connection);
         let result = read.await?;
+        let ended_at = self.clock.now();
         let (testimony, link) = witness.ask().await;
         let has_stalled = witness.has_stalled();
-        if proves_running(testimony, link, has_stalled) {
+        let survival = if proves_running(testimony, link, has_stalled) {
+            Some(witness.ask_later(ended_at, ended_at.after(OUTLIVE_TIMEOUT)).await)
+        } else {
+            None
+        };
+        if survival.is_some_and(|survival| survival.is_proved()) {
             return Some(result);
         }
-        let (evidence, connection) = (testimony_code(testimony), link_code(link));
+        let evidence = testimony_code(survival.map_or(testimony, |survival| survival.testimony));
+        let connection = link_code(link);
+        let is_refused = survival.is_some_and(|survival| survival.is_refused);
         log::warn!(
             target: UPSTREAMS,
-            "unproved upstream={id} evidence={evidence} connection={connection} stalled={has_stalled}"
+            "unproved upstream={id} evidence={evidence} connection={connection} refused={is_refused} stalled={has_stalled}"
         );
         None
     }
