A stream that ends within an event is not whole, however it is framed

Callers got half an event as the end of a stream that looked complete: an upstream ended its chunks in good order in the middle of an event, or was cut there and the upstream that resumed the stream sent nothing.

Cause: the framing was taken for proof that the response is complete, whatever its content. The scanner now says why a stream cannot be whole: it ends within an event, or lacks one that had begun. It is resumed where its route allows that, and visibly cut otherwise. Comments and empty lines after the last event are no part of an event, and a response in another format is passed on as before.

--- a/crates/badgerfield-core/src/event_stream.rs
+++ b/crates/badgerfield-core/src/event_stream.rs
@@ -5,16 +5,30 @@
 //! The format is specified in the HTML standard, section 9.2 (server-sent events).
 
 use bytes::{Bytes, BytesMut};
+use thiserror::Error;
 
 /// The maximum size of an event that is buffered until it is complete, in bytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Splits a stream into complete events.
+/// Splits a stream into complete events, and finds out whether it can be whole.
 #[derive(Debug, Default)]
 pub struct EventScanner {
     partial: BytesMut,
     last_id: Option<u64>,
     event_count: u64,
+    /// Whether the current source must continue an event that an earlier one had begun.
+    owes_event: bool,
+}
+
+/// Why a stream whose source has ended in good order is not whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum StreamFault {
+    /// It ends within an event.
+    #[error("ends within an event")]
+    PartialEvent,
+    /// It was broken off within an event that its source does not contain.
+    #[error("lacks an event that had begun")]
+    MissingEvent,
 }
 
 impl EventScanner {
@@ -40,12 +54,34 @@
             if id.is_some() {
                 self.last_id = id;
                 self.event_count += 1;
+                self.owes_event = false;
             }
             complete.extend_from_slice(&event);
         }
         complete.freeze()
     }
 
+    /// Prepares for events of another source, which resumes the stream. Discards an incomplete event.
+    pub fn start_source(&mut self) {
+        self.owes_event |= has_content(&self.partial);
+        self.partial.clear();
+    }
+
+    /// Checks that the stream can be whole if it ends now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the events show that it is not.
+    pub fn check_end(&self) -> Result<(), StreamFault> {
+        if has_content(&self.partial) {
+            Err(StreamFault::PartialEvent)
+        } else if self.owes_event {
+            Err(StreamFault::MissingEvent)
+        } else {
+            Ok(())
+        }
+    }
+
     /// Returns the received bytes of an incomplete event.
     #[must_use]
     pub fn partial_event(&self) -> &[u8] {
@@ -58,11 +94,6 @@
         self.partial.split().freeze()
     }
 
-    /// Discards the received bytes of an incomplete event.
-    pub fn discard_partial(&mut self) {
-        self.partial.clear();
-    }
-
     /// Returns the id of the last complete event.
     #[must_use]
     pub fn last_event_id(&self) -> Option<u64> {
@@ -92,6 +123,12 @@
     None
 }
 
+/// Returns whether the lines of an event are more than comments.
+fn has_content(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii);
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// Returns the numeric value of an event's `id` field.
 fn event_id(event: &[u8]) -> Option<u64> {
     for line in event.split(|b| *b == b'\n') {
--- a/crates/badgerfield-core/tests/event_stream.rs
+++ b/crates/badgerfield-core/tests/event_stream.rs
@@ -1,7 +1,7 @@
 //! Tests of the event scanner: wherever the bytes of a stream are split, it forwards only complete
 //! events, each once and in order.
 
-use badgerfield_core::event_stream::EventScanner;
+use badgerfield_core::event_stream::{EventScanner, StreamFault};
 use proptest::prelude::*;
 
 fn stream(events: u64) -> Vec<u8> {
@@ -53,7 +53,7 @@
         let bytes = stream(events);
         let mut scanner = EventScanner::default();
         let mut out = scanner.push(&bytes[..broken_at.min(bytes.len())]).to_vec();
-        scanner.discard_partial();
+        scanner.start_source();
         // The second upstream starts after the last event or at an earlier one.
         let last = scanner.last_event_id().unwrap_or(0);
         let from = resume_from.min(last);
@@ -81,3 +81,30 @@
     let complete = scanner.push(&stream(4));
     assert_eq!(event_ids(&complete), vec![3, 4]);
 }
+
+fn scan(scanner: &mut EventScanner, text: &str) -> Vec<u64> {
+    event_ids(&scanner.push(text.as_bytes()))
+}
+
+/// Guards against a stream that counts as whole though it ends within an event, or an event of an
+/// earlier source is missing.
+#[test]
+fn a_stream_that_lacks_an_event_is_not_whole() {
+    let mut scanner = EventScanner::default();
+    assert_eq!(scan(&mut scanner, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"), [1, 2]);
+    assert_eq!(scanner.check_end(), Err(StreamFault::PartialEvent));
+    scanner.start_source();
+    assert_eq!(scanner.check_end(), Err(StreamFault::MissingEvent));
+    assert_eq!(scan(&mut scanner, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"), [3]);
+    assert_eq!(scanner.check_end(), Ok(()));
+}
+
+/// Guards against whole streams that count as cut for what is no event.
+#[test]
+fn comments_and_empty_lines_are_no_part_of_an_event() {
+    for tail in ["", "\n", "\r\n", ": bye", ": bye\n", ": bye\n\n"] {
+        let mut scanner = EventScanner::default();
+        scan(&mut scanner, &format!("id: 1\ndata: a\n\n{tail}"));
+        assert_eq!(scanner.check_end(), Ok(()), "{tail:?}");
+    }
+}
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -3,13 +3,14 @@
 
 use badgerfield_core::amount::{Time, Tokens};
 use badgerfield_core::answer_record::AnswerEnd;
-use badgerfield_core::event_stream::{EventScanner, MAX_EVENT_BYTES};
+use badgerfield_core::event_stream::{EventScanner, MAX_EVENT_BYTES, StreamFault};
 use badgerfield_core::upstream_table::AttemptOutcome;
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 
 use crate::gateway::attempt::{
     BLOCKED, BROKEN, CUT, Framing, SILENT, UNPROVED, UpstreamBody, UpstreamGuard, UpstreamResponse,
@@ -27,6 +28,10 @@
 
 /// The outcome of a stream whose next events come from another version than the one that began it.
 const OTHER_VERSION: &str = "other_version";
+/// The outcome of a response that ended in good order within an event.
+const PARTIAL_EVENT: &str = "partial_event";
+/// The outcome of a response without events that resumed a stream within an event.
+const MISSING_EVENT: &str = "missing_event";
 
 /// A stream that is forwarded to the caller.
 #[derive(Debug)]
@@ -34,6 +39,8 @@
     exchange: Exchange,
     source: Option<Source>,
     scanner: EventScanner,
+    /// The format of the first response.
+    content_type: Option<HeaderValue>,
     status: u16,
     ended: bool,
 }
@@ -65,7 +72,8 @@
     let scanner = EventScanner::resume_after(exchange.headers.last_event);
     let status = head.status.as_u16();
     let source = Some(Source { body, framing, guard, has_begun: false, resumed_at: None });
-    let relay = Relay { exchange, source, scanner, status, ended: false };
+    let content_type = head.headers.get(CONTENT_TYPE).cloned();
+    let relay = Relay { exchange, source, scanner, content_type, status, ended: false };
     let parts = stream::unfold(relay, |mut relay| async move {
         let part = relay.next().await?;
         Some((part.map(Frame::data), relay))
@@ -73,6 +81,13 @@
     Response::from_parts(head, StreamBody::new(parts).boxed_unsync())
 }
 
+/// Returns whether a format is that of a stream of events.
+fn is_event_stream(content_type: Option<&HeaderValue>) -> bool {
+    let value = content_type.and_then(|value| value.to_str().ok());
+    let essence = value.and_then(|value| value.split(';').next());
+    essence.is_some_and(|essence| essence.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
 impl Relay {
     /// Returns the next bytes for the caller, or `None` after the last.
     async fn next(&mut self) -> Option<Result<Bytes, ResponseTruncated>> {
@@ -96,30 +111,18 @@
                     self.record_usage(0);
                     return Some(Ok(events));
                 }
-                // The framing shows that the response is complete, whatever its format.
-                ReadResult::End if self.is_framed() => {
-                    let tail = self.scanner.take_partial();
-                    self.finish();
-                    return (!tail.is_empty()).then_some(Ok(tail));
-                }
-                ReadResult::End if self.scanner.partial_event().is_empty() => {
-                    let (reason, has_crashed) = match self.judge_unframed_end().await {
-                        UnframedEnd::Whole => {
-                            self.finish();
-                            return None;
-                        }
-                        UnframedEnd::Crashed => (CUT, true),
-                        UnframedEnd::Unproved => (UNPROVED, false),
-                    };
-                    if let Some(failure) = self.resume_elsewhere(reason, Some(has_crashed)).await {
-                        return Some(failure);
+                ReadResult::End => match self.judge_end().await {
+                    Ok(()) => {
+                        let tail = self.scanner.take_partial();
+                        self.finish();
+                        return (!tail.is_empty()).then_some(Ok(tail));
                     }
-                }
-                ReadResult::End => {
-                    if let Some(failure) = self.resume_elsewhere(CUT, None).await {
-                        return Some(failure);
+                    Err((reason, has_crashed)) => {
+                        if let Some(failure) = self.resume_elsewhere(reason, has_crashed).await {
+                            return Some(failure);
+                        }
                     }
-                }
+                },
                 ReadResult::Broken(reason) => {
                     if let Some(failure) = self.resume_elsewhere(reason, None).await {
                         return Some(failure);
@@ -130,6 +133,44 @@
         }
     }
 
+    /// Judges the end of the response of an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream is not whole, and whether the upstream has crashed, if that is known.
+    async fn judge_end(&mut self) -> Result<(), (&'static str, Option<bool>)> {
+        let fault = self.content_fault();
+        if self.is_framed() {
+            // The upstream has ended its response itself.
+            return fault.map_or(Ok(()), |reason| Err((reason, Some(false))));
+        }
+        if !self.scanner.partial_event().is_empty() {
+            return Err((CUT, None));
+        }
+        if let Some(reason) = fault {
+            return Err((reason, None));
+        }
+        match self.judge_unframed_end().await {
+            UnframedEnd::Whole => Ok(()),
+            UnframedEnd::Crashed => Err((CUT, Some(true))),
+            UnframedEnd::Unproved => Err((UNPROVED, Some(false))),
+        }
+    }
+
+    /// Returns why the events show that the stream is not whole. A response in another format is
+    /// passed on as it is.
+    fn content_fault(&self) -> Option<&'static str> {
+        let is_resumed = self.source.as_ref().is_some_and(|source| source.resumed_at.is_some());
+        let has_events = is_resumed
+            || self.scanner.event_count() > 0
+            || is_event_stream(self.content_type.as_ref());
+        let fault = has_events.then(|| self.scanner.check_end().err()).flatten()?;
+        Some(match fault {
+            StreamFault::PartialEvent => PARTIAL_EVENT,
+            StreamFault::MissingEvent => MISSING_EVENT,
+        })
+    }
+
     /// Records the arrival of events. The first event shows that the upstream runs the request.
     ///
     /// # Errors
@@ -226,7 +267,8 @@
         };
         guard.release();
         let progress = Progress { last_event: self.scanner.last_event_id(), has_begun: *has_begun };
-        self.exchange.judge_unframed_end((&guard.id, guard.address), progress, witness).await
+        let upstream = (&guard.id, guard.address);
+        self.exchange.judge_unframed_end(upstream, progress, witness).await
     }
 
     /// Resumes the stream at another upstream. `has_crashed` tells whether the earlier upstream has
@@ -245,9 +287,8 @@
         } else {
             source.guard.record_failure();
         }
-        let is_partial = !self.scanner.partial_event().is_empty();
-        if reason == BROKEN || (reason == CUT && is_partial) {
-            source.guard.record_answer_end(AnswerEnd::BrokenOff);
+        if let Some(end) = self.proved_end(reason) {
+            source.guard.record_answer_end(end);
         }
         let (from, address) = (source.guard.id.clone(), source.guard.address);
         let (peer, has_begun) = (source.guard.peer_verdict(), source.has_begun);
@@ -267,18 +308,36 @@
         if !self.can_resume() {
             return Some(self.fail(reason));
         }
-        self.scanner.discard_partial();
+        self.scanner.start_source();
         let last = self.scanner.last_event_id();
         request_log::resumed(&self.exchange.original.id, &from, last, reason);
-        match self.exchange.dispatch(last).await {
-            Ok(response) if response.head.status.is_success() => {
-                let UpstreamResponse { body, framing, guard, .. } = *response;
-                let resumed_at = Some(self.scanner.event_count());
-                self.source = Some(Source { body, framing, guard, has_begun: false, resumed_at });
-                None
-            }
-            Ok(_) => Some(self.fail("resume_failed")),
-            Err(refusal) => Some(self.fail(refusal.cause.code())),
+        self.dispatch_rest(last).await
+    }
+
+    /// Sends the request to upstreams until one sends the rest of the stream. Returns the final error
+    /// if none does.
+    async fn dispatch_rest(
+        &mut self,
+        last: Option<u64>,
+    ) -> Option<Result<Bytes, ResponseTruncated>> {
+        let response = match self.exchange.dispatch(last).await {
+            Ok(response) if response.head.status.is_success() => response,
+            Ok(_) => return Some(self.fail("resume_failed")),
+            Err(refusal) => return Some(self.fail(refusal.cause.code())),
+        };
+        let UpstreamResponse { body, framing, guard, .. } = *response;
+        let resumed_at = Some(self.scanner.event_count());
+        self.source = Some(Source { body, framing, guard, has_begun: false, resumed_at });
+        None
+    }
+
+    /// Returns how the response of an upstream has provably ended.
+    fn proved_end(&self, reason: &str) -> Option<AnswerEnd> {
+        match reason {
+            BROKEN | PARTIAL_EVENT => Some(AnswerEnd::BrokenOff),
+            CUT if !self.scanner.partial_event().is_empty() => Some(AnswerEnd::BrokenOff),
+            MISSING_EVENT => Some(AnswerEnd::Failed),
+            _ => None,
         }
     }
 
