A resumption that ends before the last event that has arrived is not whole

An upstream that was asked to resume a stream started it over and ended before the last event that the caller had; the stream ended as complete. Its own events contradict that nothing was left. The scanner keeps the greatest id of each source, and a source whose events end before one that has arrived has not ended the stream.

Red before: stream_contents::a_resumption_that_ends_before_the_last_event.

--- a/crates/badgerfield-core/src/event_stream.rs
+++ b/crates/badgerfield-core/src/event_stream.rs
@@ -16,6 +16,8 @@
     partial: BytesMut,
     last_id: Option<u64>,
     event_count: u64,
+    /// The greatest id of an event of the current source.
+    source_id: Option<u64>,
     /// Whether the current source must continue an event that an earlier one had begun.
     owes_event: bool,
 }
@@ -26,6 +28,9 @@
     /// It ends within an event.
     #[error("ends within an event")]
     PartialEvent,
+    /// Its source has sent events, but not all that had arrived before.
+    #[error("ends before an event that has arrived")]
+    EndsEarly,
     /// It was broken off within an event that its source does not contain.
     #[error("lacks an event that had begun")]
     MissingEvent,
@@ -48,6 +53,7 @@
         while let Some(end) = event_end(&self.partial) {
             let event = self.partial.split_to(end);
             let id = event_id(&event);
+            self.source_id = self.source_id.max(id);
             if id.is_some() && id <= self.last_id {
                 continue;
             }
@@ -65,6 +71,7 @@
     pub fn start_source(&mut self) {
         self.owes_event |= has_content(&self.partial);
         self.partial.clear();
+        self.source_id = None;
     }
 
     /// Checks that the stream can be whole if it ends now.
@@ -75,6 +82,8 @@
     pub fn check_end(&self) -> Result<(), StreamFault> {
         if has_content(&self.partial) {
             Err(StreamFault::PartialEvent)
+        } else if self.source_id.is_some() && self.source_id < self.last_id {
+            Err(StreamFault::EndsEarly)
         } else if self.owes_event {
             Err(StreamFault::MissingEvent)
         } else {
--- a/crates/badgerfield-core/tests/event_stream.rs
+++ b/crates/badgerfield-core/tests/event_stream.rs
@@ -95,6 +95,8 @@
     assert_eq!(scanner.check_end(), Err(StreamFault::PartialEvent));
     scanner.start_source();
     assert_eq!(scanner.check_end(), Err(StreamFault::MissingEvent));
+    assert!(scan(&mut scanner, "id: 1\ndata: a\n\n").is_empty());
+    assert_eq!(scanner.check_end(), Err(StreamFault::EndsEarly));
     assert_eq!(scan(&mut scanner, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"), [3]);
     assert_eq!(scanner.check_end(), Ok(()));
 }
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -30,6 +30,8 @@
 const OTHER_VERSION: &str = "other_version";
 /// The outcome of a response that ended in good order within an event.
 const PARTIAL_EVENT: &str = "partial_event";
+/// The outcome of a response that resumed a stream and ended before an event that had arrived.
+const ENDS_EARLY: &str = "ends_early";
 /// The outcome of a response without events that resumed a stream within an event.
 const MISSING_EVENT: &str = "missing_event";
 
@@ -167,6 +169,7 @@
         let fault = has_events.then(|| self.scanner.check_end().err()).flatten()?;
         Some(match fault {
             StreamFault::PartialEvent => PARTIAL_EVENT,
+            StreamFault::EndsEarly => ENDS_EARLY,
             StreamFault::MissingEvent => MISSING_EVENT,
         })
     }
@@ -336,7 +339,7 @@
         match reason {
             BROKEN | PARTIAL_EVENT => Some(AnswerEnd::BrokenOff),
             CUT if !self.scanner.partial_event().is_empty() => Some(AnswerEnd::BrokenOff),
-            MISSING_EVENT => Some(AnswerEnd::Failed),
+            ENDS_EARLY | MISSING_EVENT => Some(AnswerEnd::Failed),
             _ => None,
         }
     }
