A response in another format does not resume a stream

The JSON text of an upstream that was asked to resume a stream was put behind the caller's events, and the stream ended as complete. A response that names another format than a stream of events, or that of the response that began the stream, is a failed attempt; another upstream is tried where the route allows it. One without a format, or with status 204, is taken as before.

Red before: stream_contents::a_resumption_that_is_no_stream.

--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -8,9 +8,10 @@
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::Response;
 use hyper::body::Frame;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::http::response;
+use hyper::{Response, StatusCode};
 
 use crate::gateway::attempt::{
     BLOCKED, BROKEN, CUT, Framing, SILENT, UNPROVED, UpstreamBody, UpstreamGuard, UpstreamResponse,
@@ -34,6 +35,8 @@
 const ENDS_EARLY: &str = "ends_early";
 /// The outcome of a response without events that resumed a stream within an event.
 const MISSING_EVENT: &str = "missing_event";
+/// The outcome of a response that should resume a stream and is in another format.
+const NO_STREAM: &str = "no_stream";
 
 /// A stream that is forwarded to the caller.
 #[derive(Debug)]
@@ -174,6 +177,16 @@
         })
     }
 
+    /// Returns whether the head of a response can be that of the rest of the stream.
+    fn continues_stream(&self, head: &response::Parts) -> bool {
+        head.status == StatusCode::NO_CONTENT
+            || is_event_stream(head.headers.get(CONTENT_TYPE))
+            || head
+                .headers
+                .get(CONTENT_TYPE)
+                .is_none_or(|kind| Some(kind) == self.content_type.as_ref())
+    }
+
     /// Records the arrival of events. The first event shows that the upstream runs the request.
     ///
     /// # Errors
@@ -323,15 +336,29 @@
         &mut self,
         last: Option<u64>,
     ) -> Option<Result<Bytes, ResponseTruncated>> {
-        let response = match self.exchange.dispatch(last).await {
-            Ok(response) if response.head.status.is_success() => response,
-            Ok(_) => return Some(self.fail("resume_failed")),
-            Err(refusal) => return Some(self.fail(refusal.cause.code())),
-        };
-        let UpstreamResponse { body, framing, guard, .. } = *response;
-        let resumed_at = Some(self.scanner.event_count());
-        self.source = Some(Source { body, framing, guard, has_begun: false, resumed_at });
-        None
+        loop {
+            let response = match self.exchange.dispatch(last).await {
+                Ok(response) if response.head.status.is_success() => response,
+                Ok(_) => return Some(self.fail("resume_failed")),
+                Err(refusal) => return Some(self.fail(refusal.cause.code())),
+            };
+            if self.continues_stream(&response.head) {
+                let UpstreamResponse { body, framing, guard, .. } = *response;
+                let resumed_at = Some(self.scanner.event_count());
+                let has_begun = false;
+                self.source = Some(Source { body, framing, guard, has_begun, resumed_at });
+                return None;
+            }
+            let mut guard = response.guard;
+            guard.record_answer_end(AnswerEnd::Failed);
+            guard.record_failure();
+            let (exchange, elapsed) = (&self.exchange, self.exchange.elapsed());
+            let (id, attempts) = (&exchange.original.id, exchange.attempts);
+            request_log::attempt_failed(id, attempts, Some(&guard.id), NO_STREAM, elapsed);
+            if !self.can_resume() {
+                return Some(self.fail(NO_STREAM));
+            }
+        }
     }
 
     /// Returns how the response of an upstream has provably ended.
