A source whose events go back has not continued its stream

The ids of a stream rise. An upstream that went back to an earlier event within one response started a second run; its repeated events were dropped and those beyond the last one joined to the first run, or the stream ended as complete. Nothing is passed on from that event on, and the stream is visibly cut: no other upstream can tell which run it belongs to.

--- a/crates/badgerfield-core/src/event_stream.rs
+++ b/crates/badgerfield-core/src/event_stream.rs
@@ -20,6 +20,8 @@
     source_id: Option<u64>,
     /// Whether the current source must continue an event that an earlier one had begun.
     owes_event: bool,
+    /// Whether an event had a smaller id than one before it from the same source.
+    has_fallen_back: bool,
 }
 
 /// Why a stream whose source has ended in good order is not whole.
@@ -46,13 +48,19 @@
     /// Appends bytes and returns all new complete events.
     ///
     /// Events whose id is not greater than the last one are skipped: they were already received
-    /// from an earlier upstream.
+    /// from an earlier upstream. None is returned from the one on whose id is smaller than that of
+    /// the event before it.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
         while let Some(end) = event_end(&self.partial) {
             let event = self.partial.split_to(end);
             let id = event_id(&event);
+            if id.is_some() && id < self.source_id {
+                self.has_fallen_back = true;
+                self.partial.clear();
+                break;
+            }
             self.source_id = self.source_id.max(id);
             if id.is_some() && id <= self.last_id {
                 continue;
@@ -74,6 +82,18 @@
         self.source_id = None;
     }
 
+    /// Returns whether a source went back to an earlier event.
+    #[must_use]
+    pub fn has_fallen_back(&self) -> bool {
+        self.has_fallen_back
+    }
+
+    /// Returns whether another source can continue the stream.
+    #[must_use]
+    pub fn is_resumable(&self) -> bool {
+        !self.has_fallen_back
+    }
+
     /// Checks that the stream can be whole if it ends now.
     ///
     /// # Errors
--- a/crates/badgerfield-core/tests/event_stream.rs
+++ b/crates/badgerfield-core/tests/event_stream.rs
@@ -108,5 +108,15 @@
         let mut scanner = EventScanner::default();
         scan(&mut scanner, &format!("id: 1\ndata: a\n\n{tail}"));
         assert_eq!(scanner.check_end(), Ok(()), "{tail:?}");
+        assert!(scanner.is_resumable(), "{tail:?}");
     }
 }
+
+/// Guards against events of a second run that are joined to those of the first.
+#[test]
+fn no_events_are_forwarded_after_a_source_goes_back() {
+    let mut scanner = EventScanner::default();
+    let text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 1\ndata: c\n\nid: 3\ndata: d\n\n";
+    assert_eq!(scan(&mut scanner, text), [1, 2]);
+    assert!(scanner.has_fallen_back() && !scanner.is_resumable());
+}
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -35,6 +35,8 @@
 const ENDS_EARLY: &str = "ends_early";
 /// The outcome of a response without events that resumed a stream within an event.
 const MISSING_EVENT: &str = "missing_event";
+/// The outcome of a response whose events went back to an earlier one.
+const FALLEN_BACK: &str = "events_go_back";
 /// The outcome of a response that should resume a stream and is in another format.
 const NO_STREAM: &str = "no_stream";
 
@@ -100,6 +102,9 @@
             if self.ended {
                 return None;
             }
+            if self.scanner.has_fallen_back() {
+                return self.resume_elsewhere(FALLEN_BACK, Some(false)).await;
+            }
             match self.read().await {
                 ReadResult::Data(bytes) => {
                     let events = self.scanner.push(&bytes);
@@ -268,6 +273,7 @@
         self.exchange.route.repeat.is_idempotent()
             && self.exchange.has_attempts_left()
             && self.exchange.stream_version != StreamVersion::Unknown
+            && self.scanner.is_resumable()
     }
 
     fn is_framed(&self) -> bool {
@@ -364,7 +370,7 @@
     /// Returns how the response of an upstream has provably ended.
     fn proved_end(&self, reason: &str) -> Option<AnswerEnd> {
         match reason {
-            BROKEN | PARTIAL_EVENT => Some(AnswerEnd::BrokenOff),
+            BROKEN | PARTIAL_EVENT | FALLEN_BACK => Some(AnswerEnd::BrokenOff),
             CUT if !self.scanner.partial_event().is_empty() => Some(AnswerEnd::BrokenOff),
             ENDS_EARLY | MISSING_EVENT => Some(AnswerEnd::Failed),
             _ => None,
