A stream with events without ids is not resumed

An upstream that resumes a stream is told after which event. Events without an id cannot be named, so they came twice. Such a stream is visibly cut when it breaks off; comments do not count as events.

--- a/crates/badgerfield-core/src/event_stream.rs
+++ b/crates/badgerfield-core/src/event_stream.rs
@@ -22,6 +22,8 @@
     owes_event: bool,
     /// Whether an event had a smaller id than one before it from the same source.
     has_fallen_back: bool,
+    /// Whether an event without an id has arrived.
+    has_unnumbered: bool,
 }
 
 /// Why a stream whose source has ended in good order is not whole.
@@ -69,6 +71,8 @@
                 self.last_id = id;
                 self.event_count += 1;
                 self.owes_event = false;
+            } else {
+                self.has_unnumbered |= has_content(&event);
             }
             complete.extend_from_slice(&event);
         }
@@ -88,10 +92,11 @@
         self.has_fallen_back
     }
 
-    /// Returns whether another source can continue the stream.
+    /// Returns whether another source can continue the stream. It cannot if an event has arrived
+    /// after which it cannot be told to continue.
     #[must_use]
     pub fn is_resumable(&self) -> bool {
-        !self.has_fallen_back
+        !self.has_unnumbered && !self.has_fallen_back
     }
 
     /// Checks that the stream can be whole if it ends now.
--- a/crates/badgerfield-core/tests/event_stream.rs
+++ b/crates/badgerfield-core/tests/event_stream.rs
@@ -120,3 +120,11 @@
     assert_eq!(scan(&mut scanner, text), [1, 2]);
     assert!(scanner.has_fallen_back() && !scanner.is_resumable());
 }
+
+/// Guards against events that are forwarded twice because they have no id to resume after.
+#[test]
+fn a_stream_with_events_without_ids_is_not_resumed() {
+    let mut scanner = EventScanner::default();
+    scan(&mut scanner, "data: a\n\n");
+    assert!(!scanner.is_resumable());
+}
