An end without a length is doubted if its upstream breaks off other answers

Nothing of the answer itself tells; how the upstream's other answers ended says how likely it is.

What the resumption brings is recorded, so that an upstream that fails requests is found out by the first part that it broke off. A doubted end does not count as a failure in routing.

Not known, and not to be known: the first answers that such an upstream breaks off before it has failed or broken off another visibly, and on routes that may not be resumed. Through a peer, failures alone raise no doubt: the peer cannot tell whether the request may be sent again.

--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -70,6 +70,9 @@
 /// The outcome of an attempt whose connection closed normally, without proof that the response was
 /// complete.
 pub(crate) const UNPROVED: &str = "unproved";
+/// The outcome of an attempt whose connection closed normally at an upstream that breaks off
+/// responses.
+pub(crate) const DOUBTED: &str = "doubted";
 /// The outcome of an attempt whose upstream sent nothing within the timeout.
 pub(crate) const SILENT: &str = "silent";
 
@@ -267,11 +270,16 @@
     /// off itself.
     pub(crate) fn record_answer_end(&self, end: AnswerEnd) {
         if self.peer.is_none() && !self.gateway.clock.has_stalled_since(self.sent_at) {
-            let now = self.driver.now();
-            self.gateway.upstreams().record_answer_end(now, &self.id, end);
+            self.record_end_of_other(&self.id, end);
         }
     }
 
+    /// Records how an answer of another upstream has ended, which this one has told.
+    pub(crate) fn record_end_of_other(&self, upstream: &UpstreamId, end: AnswerEnd) {
+        let now = self.driver.now();
+        self.gateway.upstreams().record_answer_end(now, upstream, end);
+    }
+
     /// Records that no response arrived or that the response ended early.
     pub(crate) fn record_failure(&mut self) {
         self.set_outcome(AttemptOutcome::Failed);
--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -36,7 +36,9 @@
 use crate::adapter::RequestHeaders;
 use crate::driver::Driver;
 use crate::gateway::admit::admit;
-use crate::gateway::attempt::{BROKEN, CUT, Framing, Original, UNPROVED, UpstreamResponse};
+use crate::gateway::attempt::{
+    BROKEN, CUT, DOUBTED, Framing, Original, UNPROVED, UpstreamResponse,
+};
 use crate::gateway::crash_check::Progress;
 use crate::gateway::refusals::{record_refused, refusal_response};
 use crate::gateway::relay;
@@ -265,11 +267,13 @@
                 if let Framing::Connection(witness) = &framing {
                     guard.release();
                     let upstream = (&guard.id, guard.address);
-                    let end = self.judge_unframed_end(upstream, Progress::NONE, witness).await;
+                    let end =
+                        self.judge_unframed_end(upstream, Progress::NONE, witness, false).await;
                     let failure = match end {
                         UnframedEnd::Whole => None,
                         UnframedEnd::Crashed => Some(CUT),
                         UnframedEnd::Unproved => Some(UNPROVED),
+                        UnframedEnd::Doubted => Some(DOUBTED),
                     };
                     if let Some(failure) = failure {
                         guard.record_failure();
--- a/crates/badgerfield-node/src/gateway/forward/peer_request.rs
+++ b/crates/badgerfield-node/src/gateway/forward/peer_request.rs
@@ -27,7 +27,7 @@
 use crate::gateway::places::PlaceRequest;
 use crate::gateway::request_log;
 use crate::gateway::state::Gateway;
-use crate::gateway::unframed_end::UnframedEnd;
+use crate::gateway::unframed_end::{EndLimits, UnframedEnd};
 use crate::peers::calls::{CallError, CallStream, write_frame};
 
 /// The outcome of an attempt that the peer has withdrawn, because its caller left or the request was
@@ -222,8 +222,9 @@
                 let progress = Progress { last_event: self.request.last_event, has_begun };
                 let (id, address) = (&chosen.id, chosen.address);
                 guard.release();
-                let end =
-                    check.judge_unframed_end(id, address, progress, witness, self.deadline).await;
+                // Whether the request may be sent again is known to the peer only.
+                let limits = EndLimits { deadline: self.deadline, can_confirm: false };
+                let end = check.judge_unframed_end(id, address, progress, witness, limits).await;
                 (end == UnframedEnd::Whole, end == UnframedEnd::Crashed)
             }
         };
--- a/crates/badgerfield-node/src/gateway/poison.rs
+++ b/crates/badgerfield-node/src/gateway/poison.rs
@@ -20,7 +20,7 @@
 use crate::gateway::crash_check::{CrashCheck, Progress, crash_count};
 use crate::gateway::exchange::Exchange;
 use crate::gateway::request_log;
-use crate::gateway::unframed_end::UnframedEnd;
+use crate::gateway::unframed_end::{EndLimits, UnframedEnd};
 use crate::gateway::witness::ResponseWitness;
 
 /// Returns the fingerprint of a request, which is the same whenever the request is sent again.
@@ -236,10 +236,10 @@
         (upstream, address): (&UpstreamId, SocketAddr),
         progress: Progress,
         witness: &ResponseWitness,
+        can_confirm: bool,
     ) -> UnframedEnd {
-        self.crash_check()
-            .judge_unframed_end(upstream, address, progress, witness, self.deadline)
-            .await
+        let limits = EndLimits { deadline: self.deadline, can_confirm };
+        self.crash_check().judge_unframed_end(upstream, address, progress, witness, limits).await
     }
 
     /// Watches an upstream that still works on the request after its caller disconnected.
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -4,6 +4,7 @@
 use badgerfield_core::amount::{Time, Tokens};
 use badgerfield_core::answer_record::AnswerEnd;
 use badgerfield_core::event_stream::{EventScanner, MAX_EVENT_BYTES, StreamFault};
+use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::upstream_table::AttemptOutcome;
 use bytes::Bytes;
 use futures::stream;
@@ -14,7 +15,8 @@
 use hyper::{Response, StatusCode};
 
 use crate::gateway::attempt::{
-    BLOCKED, BROKEN, CUT, Framing, SILENT, UNPROVED, UpstreamBody, UpstreamGuard, UpstreamResponse,
+    BLOCKED, BROKEN, CUT, DOUBTED, Framing, SILENT, UNPROVED, UpstreamBody, UpstreamGuard,
+    UpstreamResponse,
 };
 use crate::gateway::crash_check::Progress;
 use crate::gateway::exchange::{
@@ -63,6 +65,17 @@
     /// The number of events that had been passed on when it resumed the stream; `None` if it began
     /// the stream.
     resumed_at: Option<u64>,
+    /// The upstream whose end of the stream was doubted, until this one tells whether it was whole.
+    doubted: Option<UpstreamId>,
+}
+
+impl Source {
+    /// Records how the stream of the upstream before has ended, if that was doubted.
+    fn settle_doubt(&mut self, end: AnswerEnd) {
+        if let Some(upstream) = self.doubted.take() {
+            self.guard.record_end_of_other(&upstream, end);
+        }
+    }
 }
 
 /// The result of reading from the upstream.
@@ -78,7 +91,8 @@
     let UpstreamResponse { head, body, framing, guard } = *response;
     let scanner = EventScanner::resume_after(exchange.headers.last_event);
     let status = head.status.as_u16();
-    let source = Some(Source { body, framing, guard, has_begun: false, resumed_at: None });
+    let source =
+        Some(Source { body, framing, guard, has_begun: false, resumed_at: None, doubted: None });
     let content_type = head.headers.get(CONTENT_TYPE).cloned();
     let relay = Relay { exchange, source, scanner, content_type, status, ended: false };
     let parts = stream::unfold(relay, |mut relay| async move {
@@ -164,6 +178,7 @@
             UnframedEnd::Whole => Ok(()),
             UnframedEnd::Crashed => Err((CUT, Some(true))),
             UnframedEnd::Unproved => Err((UNPROVED, Some(false))),
+            UnframedEnd::Doubted => Err((DOUBTED, Some(false))),
         }
     }
 
@@ -203,6 +218,7 @@
         };
         source.has_begun = true;
         source.guard.record_first_event();
+        source.settle_doubt(AnswerEnd::BrokenOff);
         let version = source.guard.version;
         let exchange = &mut self.exchange;
         exchange.record_begun_parts();
@@ -282,6 +298,8 @@
 
     /// Judges the end of a response without a length.
     async fn judge_unframed_end(&mut self) -> UnframedEnd {
+        let can_confirm =
+            self.can_resume() && self.exchange.has_other_upstream(self.exchange.attempts);
         let Some(Source { framing: Framing::Connection(witness), guard, has_begun, .. }) =
             &mut self.source
         else {
@@ -290,7 +308,7 @@
         guard.release();
         let progress = Progress { last_event: self.scanner.last_event_id(), has_begun: *has_begun };
         let upstream = (&guard.id, guard.address);
-        self.exchange.judge_unframed_end(upstream, progress, witness).await
+        self.exchange.judge_unframed_end(upstream, progress, witness, can_confirm).await
     }
 
     /// Resumes the stream at another upstream. `has_crashed` tells whether the earlier upstream has
@@ -304,10 +322,11 @@
             return Some(self.fail(reason));
         };
         self.log_resumption(&source, reason);
-        if reason == BLOCKED {
-            source.guard.record_not_run(AttemptOutcome::Unknown);
-        } else {
-            source.guard.record_failure();
+        match reason {
+            BLOCKED => source.guard.record_not_run(AttemptOutcome::Unknown),
+            // It may be whole.
+            DOUBTED => source.guard.set_outcome(AttemptOutcome::Unknown),
+            _ => source.guard.record_failure(),
         }
         if let Some(end) = self.proved_end(reason) {
             source.guard.record_answer_end(end);
@@ -333,7 +352,8 @@
         self.scanner.start_source();
         let last = self.scanner.last_event_id();
         request_log::resumed(&self.exchange.original.id, &from, last, reason);
-        self.dispatch_rest(last).await
+        let doubted = (reason == DOUBTED).then_some(from);
+        self.dispatch_rest(last, doubted).await
     }
 
     /// Sends the request to upstreams until one sends the rest of the stream. Returns the final error
@@ -341,6 +361,7 @@
     async fn dispatch_rest(
         &mut self,
         last: Option<u64>,
+        doubted: Option<UpstreamId>,
     ) -> Option<Result<Bytes, ResponseTruncated>> {
         loop {
             let response = match self.exchange.dispatch(last).await {
@@ -352,7 +373,7 @@
                 let UpstreamResponse { body, framing, guard, .. } = *response;
                 let resumed_at = Some(self.scanner.event_count());
                 let has_begun = false;
-                self.source = Some(Source { body, framing, guard, has_begun, resumed_at });
+                self.source = Some(Source { body, framing, guard, has_begun, resumed_at, doubted });
                 return None;
             }
             let mut guard = response.guard;
@@ -402,8 +423,9 @@
         self.ended = true;
         let source = self.source.take();
         let upstream = source.as_ref().map(|source| source.guard.id.clone());
-        if let Some(source) = source {
+        if let Some(mut source) = source {
             self.log_resumption(&source, "served");
+            source.settle_doubt(AnswerEnd::Whole);
             source.guard.finish();
         }
         self.exchange.record_stream_timing();
--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -4,11 +4,15 @@
 //! the request needs proof of a crash ([`super::crash_check`]), and passing the response on as whole
 //! needs proof that the process that sent it has outlived its end by a while ([`super::witness`]): a
 //! process that ends closes its responses first. What could not be found out proves neither.
+//!
+//! An upstream that lives may break off responses as well. Whether it does can only be told from its
+//! other responses ([`badgerfield_core::answer_record`]).
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
+use badgerfield_core::answer_record::Reliability;
 use badgerfield_core::ids::UpstreamId;
 use futures::future;
 
@@ -28,6 +32,29 @@
     Crashed,
     /// Neither is proved.
     Unproved,
+    /// The upstream still ran, but other responses of it were broken off or failed lately.
+    Doubted,
+}
+
+/// What limits the judgement of an end.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EndLimits {
+    /// The time until which the caller waits.
+    pub(super) deadline: Time,
+    /// Whether another upstream can tell if anything is missing.
+    pub(super) can_confirm: bool,
+}
+
+/// Returns whether the other responses of an upstream cast doubt on the end of one.
+///
+/// Asking another upstream costs a prompt that is read again. Without one, the response would be cut,
+/// for which failures are not reason enough.
+fn is_doubtful(reliability: Reliability, can_confirm: bool) -> bool {
+    match reliability {
+        Reliability::Sound => false,
+        Reliability::Fails => can_confirm,
+        Reliability::BreaksOff => true,
+    }
 }
 
 /// Returns whether the process that sent the response has outlived its end.
@@ -72,7 +99,7 @@
         address: SocketAddr,
         progress: Progress,
         witness: &ResponseWitness,
-        deadline: Time,
+        limits: EndLimits,
     ) -> UnframedEnd {
         let ended_at = self.driver.now();
         // A linked witness answers soon or is closed. Otherwise an upstream that crashed may have
@@ -86,7 +113,7 @@
         };
         let is_running = proves_running(testimony, link, witness.has_stalled());
         let survival = if is_running && crashed != Some(true) {
-            let remaining = deadline.since(ended_at).saturating_sub(RELEASE_TIME);
+            let remaining = limits.deadline.since(ended_at).saturating_sub(RELEASE_TIME);
             Some(witness.ask_later(ended_at, ended_at.after(remaining)).await)
         } else {
             None
@@ -102,6 +129,9 @@
         let record = self.gateway.upstreams().answer_record(now, upstream);
         let end = match (has_crashed, is_running) {
             (true, _) => UnframedEnd::Crashed,
+            (false, true) if is_doubtful(record.reliability(now), limits.can_confirm) => {
+                UnframedEnd::Doubted
+            }
             (false, true) => UnframedEnd::Whole,
             (false, false) => UnframedEnd::Unproved,
         };
