A stream through a peer is not silent while the peer judges its end

A peer holds back the end of a response without a length for up to 1.2 s. With a short target for pauses the VM of the caller took that for silence and sent the stream to another upstream: two runs of one prompt for a whole stream (red before this change, with a target of 110 ms). The timeout for a stream through a peer allows for it.

--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -1,6 +1,8 @@
 //! Forwards a streamed response event by event, and resumes it at another upstream where the route
 //! allows that.
 
+use std::time::Duration;
+
 use badgerfield_core::amount::{Time, Tokens};
 use badgerfield_core::answer_record::AnswerEnd;
 use badgerfield_core::event_stream::{EventScanner, MAX_EVENT_BYTES, StreamFault};
@@ -23,7 +25,7 @@
     Exchange, MAX_IN_FLIGHT_EVENTS, OtherVersion, ResponseBody, ResponseTruncated, StreamVersion,
 };
 use crate::gateway::request_log;
-use crate::gateway::unframed_end::UnframedEnd;
+use crate::gateway::unframed_end::{MAX_JUDGE_TIME, UnframedEnd};
 
 /// The timeout for the next event of a resumable stream, in multiples of the route's target for the
 /// longest pause between two events.
@@ -282,7 +284,11 @@
             return deadline;
         };
         let span = if self.scanner.event_count() == 0 { route.objective.max(pause) } else { pause };
-        now.after(span.saturating_mul(PAUSE_TIMEOUT_FACTOR))
+        // A peer holds back the end of a response until it has judged it.
+        let is_forwarded =
+            self.source.as_ref().is_some_and(|source| source.guard.peer_verdict().is_some());
+        let judge_time = if is_forwarded { MAX_JUDGE_TIME } else { Duration::ZERO };
+        now.after(span.saturating_mul(PAUSE_TIMEOUT_FACTOR).saturating_add(judge_time))
     }
 
     fn can_resume(&self) -> bool {
--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -20,6 +20,8 @@
 use crate::gateway::request_log;
 use crate::gateway::witness::{Instance, Link, ResponseWitness, Testimony};
 
+/// How long the end of a response may be held back until it is judged.
+pub(super) const MAX_JUDGE_TIME: Duration = Duration::from_millis(1200);
 /// How long before its deadline a response must be passed on to arrive in time.
 const RELEASE_TIME: Duration = Duration::from_millis(50);
 
