The second question waits its time if checks close their connections

Cause: the wait ended when another connection of the witness was open, so the second question came some 10 ms after the end; and its answer counted on a connection that was not known to lead to the process, even without a name: evidence about an address again. Only a close without notice ends the wait now, and on a connection that is not linked only the name counts; on the own interface, whose answers never name a process, any answer does after an announced close. For an upstream that closes its connection after a check the next one is opened before the check is sent: both are open when it answers, so the witness stays linked.

--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -120,7 +120,7 @@
         } else {
             None
         };
-        let is_running = survival.is_some_and(|survival| survival.is_proved());
+        let is_running = survival.is_some_and(|survival| survival.is_proved(false));
         let has_crashed = match crashed {
             Some(true) => true,
             _ if is_running => false,
--- a/crates/badgerfield-node/src/gateway/witness.rs
+++ b/crates/badgerfield-node/src/gateway/witness.rs
@@ -140,11 +140,18 @@
 }
 
 impl Survival {
-    /// Returns whether nothing shows that a process that had outlived the response has ended since.
-    pub(crate) fn is_proved(&self) -> bool {
+    /// Returns whether a process that had outlived the response still runs.
+    ///
+    /// On another connection its name tells, or `allows_unnamed`: the upstream announced that it would
+    /// close the one before, and its answers never name a process.
+    pub(crate) fn is_proved(&self, allows_unnamed: bool) -> bool {
+        let is_linked = self.is_kept || self.link == Link::SameProcess;
         let is_answered = match self.testimony {
             Testimony::Answered(Instance::Other) | Testimony::Closed => false,
-            Testimony::Answered(_) => self.is_kept || self.link != Link::Doubtful,
+            Testimony::Answered(Instance::Same) => is_linked || self.link == Link::Unknown,
+            Testimony::Answered(Instance::Unnamed) => {
+                is_linked || (allows_unnamed && self.link == Link::Unknown)
+            }
             Testimony::Open => self.is_kept,
         };
         is_answered && !self.is_refused
@@ -402,7 +409,7 @@
         let before = self.user.witness.state.borrow().connection();
         {
             let _ended = self.user.count_ended();
-            self.wait_for_close(before, due).await;
+            self.wait_for_close(due).await;
         }
         let asked_at = clock.now();
         let limit = ended_at.after(HEALTH_TIMEOUT).max(asked_at.after(MIN_ANSWER_TIME));
@@ -412,10 +419,12 @@
         Survival { testimony, link, is_kept, is_refused, span: asked_at.since(ended_at) }
     }
 
-    /// Waits until a connection of the witness is closed or another one is open, or a deadline passes.
-    async fn wait_for_close(&self, connection: Option<Time>, deadline: Time) {
+    /// Waits until a connection of the witness is closed without notice, or a deadline passes.
+    async fn wait_for_close(&self, deadline: Time) {
         let mut state = self.user.witness.state.subscribe();
-        let closed = state.wait_for(|state| state.connection() != connection);
+        let closed_at = state.borrow().closed_at;
+        let closed =
+            state.wait_for(|state| state.phase == Phase::Closed || state.closed_at != closed_at);
         // Both ends of the wait are followed by the same question.
         let _ = self.user.clock.timeout_at(deadline, closed).await;
     }
--- a/crates/badgerfield-node/src/gateway/witness/keeper.rs
+++ b/crates/badgerfield-node/src/gateway/witness/keeper.rs
@@ -51,6 +51,14 @@
     Ended(ConnectionEnd),
 }
 
+/// What is known of how an upstream treats connections.
+struct Habits {
+    /// The idle time after which a connection in use is checked.
+    refresh: Duration,
+    /// Whether it closed the last connection after an answer.
+    closes_after_answer: bool,
+}
+
 /// Opens the connection of a witness, and sends health checks on it.
 pub(super) struct Keeper {
     pub(super) witnesses: Arc<Witnesses>,
@@ -94,14 +102,14 @@
     async fn keep(&self) {
         // A connection that was opened before the request was sent proves most.
         let mut idle = self.witnesses.connections.take_idle(&self.id, self.witness.address);
-        let mut refresh = DEFAULT_KEEP_ALIVE / 2;
         let mut delay = FIRST_DELAY;
+        let mut habits = Habits { refresh: DEFAULT_KEEP_ALIVE / 2, closes_after_answer: false };
         loop {
             let started = self.clock().now();
             let end = match idle.take() {
-                Some(connection) => self.use_connection(connection, &mut refresh).await,
+                Some(connection) => self.use_connection(connection, &mut habits).await,
                 None => match self.witnesses.connections.open(self.witness.address).await {
-                    Ok(connection) => self.use_connection(connection, &mut refresh).await,
+                    Ok(connection) => self.use_connection(connection, &mut habits).await,
                     Err(ConnectError::Refused) => return,
                     Err(ConnectError::Failed) => ConnectionEnd::Closed,
                 },
@@ -155,7 +163,7 @@
     async fn use_connection(
         &self,
         mut connection: Connection,
-        refresh: &mut Duration,
+        habits: &mut Habits,
     ) -> ConnectionEnd {
         let opened_at = connection.opened_at;
         self.witness.state.send_modify(|state| {
@@ -170,16 +178,27 @@
                 () = connection.wait_until_closed() => {
                     let idle = self.clock().now().since(idle_since);
                     if idle / 2 >= MIN_REFRESH {
-                        *refresh = (*refresh).min(idle / 2);
+                        habits.refresh = habits.refresh.min(idle / 2);
                     }
                     return ConnectionEnd::Closed;
                 }
-                () = self.wait_until_due(idle_since.after(*refresh)) => {}
+                () = self.wait_until_due(idle_since.after(habits.refresh)) => {}
             }
-            match self.check(&mut connection).await {
+            let spare = self.open_spare(habits).await;
+            match self.check(&mut connection, spare.is_some()).await {
+                CheckResult::Ended(ConnectionEnd::Announced) => {
+                    habits.closes_after_answer = true;
+                    let Some(next) = spare else {
+                        return ConnectionEnd::Announced;
+                    };
+                    connection = next;
+                    idle_since = self.clock().now();
+                    self.clock().sleep(CHECK_INTERVAL).await;
+                }
                 CheckResult::Ended(end) => return end,
                 CheckResult::Answered { keep_alive, is_rejected } => {
-                    *refresh = (*refresh).min(keep_alive / 2).max(MIN_REFRESH);
+                    habits.closes_after_answer = false;
+                    habits.refresh = habits.refresh.min(keep_alive / 2).max(MIN_REFRESH);
                     idle_since = self.clock().now();
                     let interval = if is_rejected { REJECTED_INTERVAL } else { CHECK_INTERVAL };
                     self.clock().sleep(interval).await;
@@ -188,6 +207,15 @@
         }
     }
 
+    /// Opens the connection that replaces one that the upstream will close after its answer. Both are
+    /// open when it answers, so that they lead to the same process.
+    async fn open_spare(&self, habits: &Habits) -> Option<Connection> {
+        if !habits.closes_after_answer || !self.question.is_asked_early() {
+            return None;
+        }
+        self.witnesses.connections.open(self.witness.address).await.ok()
+    }
+
     /// Waits until a health check is wanted, or due to keep an idle connection that is in use.
     async fn wait_until_due(&self, deadline: Time) {
         let mut state = self.witness.state.subscribe();
@@ -201,8 +229,8 @@
         }
     }
 
-    /// Sends a health check.
-    async fn check(&self, connection: &mut Connection) -> CheckResult {
+    /// Sends a health check. If there is a spare connection, the witness stays open.
+    async fn check(&self, connection: &mut Connection, has_spare: bool) -> CheckResult {
         let Some(request) = self.question.request(self.witness.address) else {
             return CheckResult::Ended(ConnectionEnd::Closed);
         };
@@ -222,7 +250,7 @@
             state.answered = number;
             state.instance = instance;
             state.answered_on = state.opened;
-            if closes {
+            if closes && !has_spare {
                 state.set_closed();
             }
         });
