An upstream that outlived an answer has not crashed under its request

An upstream that stops as planned closes its listener and finishes its answers.

The crash is looked for only if the first question, right after the end, proves nothing: a process that answered it had not crashed. An upstream that has said that it leaves, or has left the list, may refuse connections. One that refuses them without a word still proves nothing, and its answers are resumed or visibly cut.

--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -18,7 +18,7 @@
 
 use crate::gateway::crash_check::{CrashCheck, Progress};
 use crate::gateway::request_log;
-use crate::gateway::witness::{Instance, Link, ResponseWitness, Testimony};
+use crate::gateway::witness::{Instance, Link, ResponseWitness, Survival, Testimony};
 
 /// How long the end of a response may be held back until it is judged.
 pub(super) const MAX_JUDGE_TIME: Duration = Duration::from_millis(1200);
@@ -120,14 +120,16 @@
         } else {
             None
         };
-        let is_running = survival.is_some_and(|survival| survival.is_proved(false));
+        let now = self.driver.now();
+        // A planned end closes the listener first, and lets answers finish.
+        let may_refuse = self.gateway.upstreams().is_leaving(upstream);
+        let is_proved = |survival: Survival| survival.is_proved(false, may_refuse);
+        let is_running = survival.is_some_and(is_proved);
+        // A process that has outlived the response has not crashed under its request.
         let has_crashed = match crashed {
-            Some(true) => true,
-            _ if is_running => false,
-            Some(false) if survival.is_none() => false,
-            _ => self.detect(upstream, address, progress).await,
+            Some(has_crashed) => has_crashed,
+            None => survival.is_none() && self.detect(upstream, address, progress).await,
         };
-        let now = self.driver.now();
         let record = self.gateway.upstreams().answer_record(now, upstream);
         let end = match (has_crashed, is_running) {
             (true, _) => UnframedEnd::Crashed,
--- a/crates/badgerfield-node/src/gateway/witness.rs
+++ b/crates/badgerfield-node/src/gateway/witness.rs
@@ -143,8 +143,9 @@
     /// Returns whether a process that had outlived the response still runs.
     ///
     /// On another connection its name tells, or `allows_unnamed`: the upstream announced that it would
-    /// close the one before, and its answers never name a process.
-    pub(crate) fn is_proved(&self, allows_unnamed: bool) -> bool {
+    /// close the one before, and its answers never name a process. An upstream that is leaving
+    /// `may_refuse` new connections.
+    pub(crate) fn is_proved(&self, allows_unnamed: bool, may_refuse: bool) -> bool {
         let is_linked = self.is_kept || self.link == Link::SameProcess;
         let is_answered = match self.testimony {
             Testimony::Answered(Instance::Other) | Testimony::Closed => false,
@@ -154,7 +155,7 @@
             }
             Testimony::Open => self.is_kept,
         };
-        is_answered && !self.is_refused
+        is_answered && (may_refuse || !self.is_refused)
     }
 }
 
--- a/crates/badgerfield-node/src/service_calls.rs
+++ b/crates/badgerfield-node/src/service_calls.rs
@@ -136,7 +136,7 @@
         } else {
             None
         };
-        if survival.is_some_and(|survival| survival.is_proved(true)) {
+        if survival.is_some_and(|survival| survival.is_proved(true, false)) {
             return Some(result);
         }
         let evidence = testimony_code(survival.map_or(testimony, |survival| survival.testimony));
