A reset under an answer is no proof that its upstream breaks answers off

A connection that its upstream ends before the end of the answer (FIN) counts as broken off; one that fails otherwise may be the fault of a link and counts as a failure, which raises doubt only where another upstream can be asked.

--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt to serve a request at one upstream.
 
+use std::error::Error as _;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -98,9 +100,31 @@
 }
 
 /// The error of a response that broke off.
-#[derive(Debug, Clone, Copy, Error)]
-#[error("the upstream broke off its response")]
-pub(crate) struct BodyBroken;
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub(crate) enum BodyBroken {
+    /// The upstream ended its connection before the end of the response.
+    #[error("the upstream broke off its response")]
+    Ended,
+    /// The connection failed, which may be the fault of a link.
+    #[error("the connection of the response failed")]
+    Failed,
+}
+
+impl BodyBroken {
+    fn new(error: &hyper::Error) -> Self {
+        let cause = error.source().and_then(|cause| cause.downcast_ref::<std::io::Error>());
+        let is_ended = cause.is_some_and(|cause| cause.kind() == ErrorKind::UnexpectedEof);
+        if is_ended || error.is_incomplete_message() { Self::Ended } else { Self::Failed }
+    }
+
+    /// Returns what the error says about the upstream.
+    pub(crate) fn answer_end(self) -> AnswerEnd {
+        match self {
+            Self::Ended => AnswerEnd::BrokenOff,
+            Self::Failed => AnswerEnd::Failed,
+        }
+    }
+}
 
 /// The body of an upstream's response.
 pub(crate) type UpstreamBody = UnsyncBoxBody<Bytes, BodyBroken>;
@@ -485,7 +509,7 @@
     let is_framed = is_framed(response.headers(), response.body());
     strip_hop_by_hop(response.headers_mut());
     let (head, body) = response.into_parts();
-    let body = body.map_err(|_| BodyBroken).boxed_unsync();
+    let body = body.map_err(|error| BodyBroken::new(&error)).boxed_unsync();
     let framing = if is_framed {
         Framing::Explicit
     } else {
--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -37,7 +37,7 @@
 use crate::driver::Driver;
 use crate::gateway::admit::admit;
 use crate::gateway::attempt::{
-    BROKEN, CUT, DOUBTED, Framing, Original, UNPROVED, UpstreamResponse,
+    BROKEN, BodyBroken, CUT, DOUBTED, Framing, Original, UNPROVED, UpstreamResponse,
 };
 use crate::gateway::crash_check::Progress;
 use crate::gateway::refusals::{record_refused, refusal_response};
@@ -288,8 +288,10 @@
                 }
                 Ok((head, body.to_bytes()))
             }
-            Ok(Err(_)) => {
-                guard.record_answer_end(AnswerEnd::BrokenOff);
+            Ok(Err(error)) => {
+                let broken = error.downcast_ref::<BodyBroken>();
+                let end = broken.map_or(AnswerEnd::Failed, |broken| broken.answer_end());
+                guard.record_answer_end(end);
                 guard.record_failure();
                 Err(BROKEN)
             }
--- a/crates/badgerfield-node/src/gateway/forward/origin.rs
+++ b/crates/badgerfield-node/src/gateway/forward/origin.rs
@@ -251,7 +251,7 @@
             if matches!(error, ReadError::Reset(code) if code == CRASHED_CODE.into()) {
                 verdict.record_crash();
             }
-            Some(Err(BodyBroken))
+            Some(Err(BodyBroken::Failed))
         }
     }
 }
--- a/crates/badgerfield-node/src/gateway/forward/peer_request.rs
+++ b/crates/badgerfield-node/src/gateway/forward/peer_request.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
-use badgerfield_core::answer_record::AnswerEnd;
 use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::poison::Fingerprint;
 use badgerfield_core::residency::Residency;
@@ -213,7 +212,6 @@
             }
             (BodyEnd::Late, _) => (false, false),
             (BodyEnd::Broken, _) => {
-                guard.record_answer_end(AnswerEnd::BrokenOff);
                 (false, self.detect_crash(chosen, prior_crashes, has_begun).await)
             }
             (BodyEnd::Complete, Framing::Explicit) => (true, false),
@@ -271,8 +269,12 @@
     ) -> Result<BodyEnd, CallError> {
         let mut has_begun = !self.request.route.repeat.is_stream();
         while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else {
-                return Ok(BodyEnd::Broken);
+            let frame = match frame {
+                Ok(frame) => frame,
+                Err(error) => {
+                    guard.record_answer_end(error.answer_end());
+                    return Ok(BodyEnd::Broken);
+                }
             };
             // Trailers are not passed on, as for requests that are sent directly.
             let Ok(bytes) = frame.into_data() else {
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -257,7 +257,10 @@
             };
             return match frame {
                 Ok(Some(Ok(frame))) => ReadResult::Data(frame.into_data().unwrap_or_default()),
-                Ok(Some(Err(_))) => ReadResult::Broken(BROKEN),
+                Ok(Some(Err(error))) => {
+                    source.guard.record_answer_end(error.answer_end());
+                    ReadResult::Broken(BROKEN)
+                }
                 Ok(None) => ReadResult::End,
                 Err(_) if exchange.now() >= deadline => ReadResult::OutOfTime,
                 // The upstream may have sent data while this process was stalled.
@@ -397,7 +400,7 @@
     /// Returns how the response of an upstream has provably ended.
     fn proved_end(&self, reason: &str) -> Option<AnswerEnd> {
         match reason {
-            BROKEN | PARTIAL_EVENT | FALLEN_BACK => Some(AnswerEnd::BrokenOff),
+            PARTIAL_EVENT | FALLEN_BACK => Some(AnswerEnd::BrokenOff),
             CUT if !self.scanner.partial_event().is_empty() => Some(AnswerEnd::BrokenOff),
             ENDS_EARLY | MISSING_EVENT => Some(AnswerEnd::Failed),
             _ => None,
