A slight doubt does not cut a stream that nobody can confirm

A doubted plain answer is no failure in routing either, and a 504 at the deadline is no failure of its upstream.

--- a/crates/badgerfield-node/src/gateway/attempt.rs
+++ b/crates/badgerfield-node/src/gateway/attempt.rs
@@ -75,6 +75,8 @@
 /// The outcome of an attempt whose connection closed normally at an upstream that breaks off
 /// responses.
 pub(crate) const DOUBTED: &str = "doubted";
+/// The outcome of an attempt whose connection closed normally at an upstream that fails requests.
+pub(crate) const UNCONFIRMED: &str = "unconfirmed";
 /// The outcome of an attempt whose upstream sent nothing within the timeout.
 pub(crate) const SILENT: &str = "silent";
 
@@ -501,7 +503,8 @@
         }
         ResponseKind::Answer => {}
     }
-    if response.status().is_server_error() {
+    // An upstream that answers so at the deadline has not failed.
+    if response.status().is_server_error() && response.status() != StatusCode::GATEWAY_TIMEOUT {
         guard.record_answer_end(AnswerEnd::Failed);
     }
     guard.keep_alive = keep_alive_timeout(response.headers());
--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -25,6 +25,7 @@
 use badgerfield_core::request_mix::ObservedTiming;
 use badgerfield_core::residency::Admission;
 use badgerfield_core::routing::{Caller, Route, ServiceSpec};
+use badgerfield_core::upstream_table::AttemptOutcome;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, Limited};
@@ -270,13 +271,18 @@
                     let end =
                         self.judge_unframed_end(upstream, Progress::NONE, witness, false).await;
                     let failure = match end {
-                        UnframedEnd::Whole => None,
+                        UnframedEnd::Whole | UnframedEnd::Unconfirmed => None,
                         UnframedEnd::Crashed => Some(CUT),
                         UnframedEnd::Unproved => Some(UNPROVED),
                         UnframedEnd::Doubted => Some(DOUBTED),
                     };
                     if let Some(failure) = failure {
-                        guard.record_failure();
+                        if failure == DOUBTED {
+                            // It may be whole.
+                            guard.set_outcome(AttemptOutcome::Unknown);
+                        } else {
+                            guard.record_failure();
+                        }
                         return Err(failure);
                     }
                 }
--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -34,8 +34,11 @@
     Crashed,
     /// Neither is proved.
     Unproved,
-    /// The upstream still ran, but other responses of it were broken off or failed lately.
+    /// The upstream still ran, but it breaks off other responses.
     Doubted,
+    /// The upstream still ran, but it fails other requests. The response counts as whole unless another
+    /// upstream tells otherwise.
+    Unconfirmed,
 }
 
 /// What limits the judgement of an end.
@@ -47,15 +50,12 @@
     pub(super) can_confirm: bool,
 }
 
-/// Returns whether the other responses of an upstream cast doubt on the end of one.
-///
-/// Asking another upstream costs a prompt that is read again. Without one, the response would be cut,
-/// for which failures are not reason enough.
-fn is_doubtful(reliability: Reliability, can_confirm: bool) -> bool {
+/// Returns the verdict on the end of a response of an upstream that still ran, by its other responses.
+fn judge_by_others(reliability: Reliability, can_confirm: bool) -> UnframedEnd {
     match reliability {
-        Reliability::Sound => false,
-        Reliability::Fails => can_confirm,
-        Reliability::BreaksOff => true,
+        Reliability::Fails if can_confirm => UnframedEnd::Unconfirmed,
+        Reliability::Sound | Reliability::Fails => UnframedEnd::Whole,
+        Reliability::BreaksOff => UnframedEnd::Doubted,
     }
 }
 
@@ -133,10 +133,7 @@
         let record = self.gateway.upstreams().answer_record(now, upstream);
         let end = match (has_crashed, is_running) {
             (true, _) => UnframedEnd::Crashed,
-            (false, true) if is_doubtful(record.reliability(now), limits.can_confirm) => {
-                UnframedEnd::Doubted
-            }
-            (false, true) => UnframedEnd::Whole,
+            (false, true) => judge_by_others(record.reliability(now), limits.can_confirm),
             (false, false) => UnframedEnd::Unproved,
         };
         request_log::unframed_end(&request_log::UnframedEndEntry {
