Tests: answers of services that are closed before their upstream exits

An upstream of the own interface closes an answer without a length and exits 5, 20, 100 or 400 ms later, its listener first or not, with and without an earlier answer, at upstreams that answer `OPTIONS *` and at ones that reject it.

--- a/crates/badgerfield/tests/cut_answers.rs
+++ b/crates/badgerfield/tests/cut_answers.rs
@@ -9,7 +9,7 @@
 use anyhow::Result;
 use badgerfield_standin::site::Site;
 
-use support::{Options, PlainUpstream, RawAnswer, call};
+use support::{Options, PlainUpstream, RawAnswer, call, close_then_exit_path};
 
 /// An address with a port that the system chooses.
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -20,6 +20,13 @@
 const MAX_CALL_TIME: Duration = Duration::from_secs(1);
 /// Longer than a witness is kept after the last answer that used it.
 const WITNESS_EXPIRY: Duration = Duration::from_secs(6);
+/// How long after the end of its answer a process that ends is gone.
+const EXIT_DELAYS: [Duration; 4] = [
+    Duration::from_millis(5),
+    Duration::from_millis(20),
+    Duration::from_millis(100),
+    Duration::from_millis(400),
+];
 
 fn program_directory() -> PathBuf {
     let program = Path::new(env!("CARGO_BIN_EXE_badgerfield"));
@@ -94,6 +101,46 @@
     Ok(())
 }
 
+/// Calls services whose upstream closes its answer and exits some time later. Returns the cases
+/// whose part of an answer looked whole.
+async fn find_parts_taken_for_whole(options: Options) -> Result<Vec<String>> {
+    let mut found = Vec::new();
+    for delay in EXIT_DELAYS {
+        for (is_warm, is_deaf) in [(false, false), (false, true), (true, false), (true, true)] {
+            let case = format!("{delay:?}, witness before: {is_warm}, listener first: {is_deaf}");
+            let (site, _upstream) = start(options).await?;
+            let vm = site.caller_address(0);
+            if is_warm {
+                assert!(call(vm, "/unframed").await?.is_whole, "{case}");
+            }
+            let answer = call(vm, &close_then_exit_path(delay, is_deaf)).await?;
+            assert_eq!((answer.status, answer.body.as_str()), (200, "first "), "{case}");
+            if answer.is_whole {
+                found.push(case);
+            }
+        }
+    }
+    Ok(found)
+}
+
+/// Guards against parts of answers that look whole because their upstream closed them some time
+/// before it was gone.
+#[tokio::test]
+async fn answer_that_is_closed_before_its_upstream_exits_does_not_look_whole() -> Result<()> {
+    let found = find_parts_taken_for_whole(Options::Answered).await?;
+    assert!(found.is_empty(), "{found:#?}");
+    Ok(())
+}
+
+/// Guards against the same at an upstream that rejects the question of the witness.
+#[tokio::test]
+async fn answer_that_is_closed_before_a_rejecting_upstream_exits_does_not_look_whole() -> Result<()>
+{
+    let found = find_parts_taken_for_whole(Options::Rejected).await?;
+    assert!(found.is_empty(), "{found:#?}");
+    Ok(())
+}
+
 /// Fails if an answer without a length of an upstream that runs on is cut.
 #[tokio::test]
 async fn answer_without_a_length_of_a_running_upstream_stays_whole() -> Result<()> {
--- a/crates/badgerfield/tests/support/mod.rs
+++ b/crates/badgerfield/tests/support/mod.rs
@@ -26,6 +26,24 @@
     Close,
     /// Its process ends: all its connections close, and its listener too.
     Exit,
+    /// It closes the connection, and its process ends some time later.
+    CloseThenExit { delay: Duration, closes_listener_first: bool },
+}
+
+impl End {
+    /// Parses a path of [`close_then_exit_path`].
+    fn parse_delayed_exit(path: &str) -> Self {
+        let mut words = path.rsplit('-');
+        let millis = words.next().and_then(|word| word.parse().ok()).unwrap_or_default();
+        let closes_listener_first = words.next() == Some("deaf");
+        Self::CloseThenExit { delay: Duration::from_millis(millis), closes_listener_first }
+    }
+}
+
+/// Returns the path whose answer an upstream closes some time before its process ends.
+pub(crate) fn close_then_exit_path(delay: Duration, closes_listener_first: bool) -> String {
+    let listener = if closes_listener_first { "deaf" } else { "listening" };
+    format!("/unframed-close-exit-{listener}-{}", delay.as_millis())
 }
 
 /// An answer: its head, its parts with a pause before each but the first, and its end.
@@ -51,6 +69,9 @@
             "/unframed" => answer("", &["first ", "second"], End::Close),
             "/unframed-at-once" => answer("", &["all of it"], End::Close),
             "/unframed-exit" => answer("", &["first ", ""], End::Exit),
+            path if path.starts_with("/unframed-close-exit-") => {
+                answer("", &["first ", ""], End::parse_delayed_exit(path))
+            }
             path => {
                 let status = path.trim_start_matches("/status-");
                 let head = format!("HTTP/1.1 {status} Text\r\ncontent-length: 2\r\n\r\n");
@@ -94,6 +115,8 @@
     options: Options,
     /// Whether the process has ended.
     exited: watch::Sender<bool>,
+    /// Whether its listener is closed.
+    is_deaf: watch::Sender<bool>,
     connections: AtomicUsize,
     checks: AtomicUsize,
 }
@@ -113,6 +136,7 @@
         let shared = Arc::new(Shared {
             options,
             exited: watch::Sender::new(false),
+            is_deaf: watch::Sender::new(false),
             connections: AtomicUsize::new(0),
             checks: AtomicUsize::new(0),
         });
@@ -150,7 +174,15 @@
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    while let Ok((stream, _)) = listener.accept().await {
+    let mut is_deaf = shared.is_deaf.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = is_deaf.wait_for(|is_deaf| *is_deaf) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            return;
+        };
         shared.connections.fetch_add(1, Ordering::Relaxed);
         let connection = serve(stream, Arc::clone(&shared));
         // An error ends the connection.
@@ -192,6 +224,14 @@
                 shared.exited.send_replace(true);
                 return Ok(());
             }
+            End::CloseThenExit { delay, closes_listener_first } => {
+                shared.is_deaf.send_replace(closes_listener_first);
+                tokio::spawn(async move {
+                    sleep(delay).await;
+                    shared.exited.send_replace(true);
+                });
+                return Ok(());
+            }
         }
     }
     Ok(())
