Tests: holes in the proof that a process outlived its answer

Callers of the own interface get the part of an answer as whole if its process dies and the witness was accepted by another process with the same listener.

--- a/crates/badgerfield/tests/cut_answers.rs
+++ b/crates/badgerfield/tests/cut_answers.rs
@@ -8,6 +8,7 @@
 
 use anyhow::Result;
 use badgerfield_standin::site::Site;
+use futures::future::join_all;
 
 use support::{Options, PlainUpstream, RawAnswer, call, close_then_exit_path};
 
@@ -16,6 +17,8 @@
 /// How often, and at what interval, a service without a usable upstream is called.
 const MAX_CALLS: usize = 30;
 const CALL_INTERVAL: Duration = Duration::from_millis(500);
+/// The number of calls that are made at the same time.
+const CONCURRENT_CALLS: usize = 8;
 /// The maximum time of a call that is answered at once. Without a witness it takes some 10 ms.
 const MAX_CALL_TIME: Duration = Duration::from_secs(1);
 /// Longer than a witness is kept after the last answer that used it.
@@ -113,7 +116,7 @@
             if is_warm {
                 assert!(call(vm, "/unframed").await?.is_whole, "{case}");
             }
-            let answer = call(vm, &close_then_exit_path(delay, is_deaf)).await?;
+            let answer = call(vm, &close_then_exit_path("unframed", delay, is_deaf)).await?;
             assert_eq!((answer.status, answer.body.as_str()), (200, "first "), "{case}");
             if answer.is_whole {
                 found.push(case);
@@ -141,6 +144,31 @@
     Ok(())
 }
 
+/// Guards against parts of answers that look whole because another process that shares the listener
+/// answers for the one that has ended.
+#[tokio::test]
+async fn answer_of_a_worker_that_ended_does_not_look_whole() -> Result<()> {
+    let upstream = PlainUpstream::start_pair(ANY_PORT, Options::Answered).await?;
+    let site = Site::start_with_service(&program_directory(), upstream.address).await?;
+    let answer = call(site.caller_address(0), "/unframed-exit").await?;
+    assert_eq!((answer.status, answer.is_whole), (200, false), "{answer:?}");
+    Ok(())
+}
+
+/// Guards against whole answers that are cut because others of the same upstream, which closes the
+/// connections of witnesses, end at the same time.
+#[tokio::test]
+async fn answers_that_end_together_at_a_rejecting_upstream_stay_whole() -> Result<()> {
+    let (site, _upstream) = start(Options::Rejected).await?;
+    let vm = site.caller_address(0);
+    assert!(call(vm, "/unframed").await?.is_whole);
+    let calls = (0..CONCURRENT_CALLS).map(|_| call(vm, "/unframed-at-once"));
+    let answers = join_all(calls).await.into_iter().collect::<Result<Vec<_>>>()?;
+    let whole = answers.iter().filter(|answer| answer.is_whole && answer.status == 200).count();
+    assert_eq!(whole, CONCURRENT_CALLS, "{answers:?}");
+    Ok(())
+}
+
 /// Fails if an answer without a length of an upstream that runs on is cut.
 #[tokio::test]
 async fn answer_without_a_length_of_a_running_upstream_stays_whole() -> Result<()> {
--- a/crates/badgerfield/tests/support/mod.rs
+++ b/crates/badgerfield/tests/support/mod.rs
@@ -40,10 +40,15 @@
     }
 }
 
-/// Returns the path whose answer an upstream closes some time before its process ends.
-pub(crate) fn close_then_exit_path(delay: Duration, closes_listener_first: bool) -> String {
+/// Returns the path whose answer an upstream closes some time before its process ends. The answer is
+/// a part of a text (`unframed`), of a JSON document (`json-part`), or two of these (`json-row`).
+pub(crate) fn close_then_exit_path(
+    answer: &str,
+    delay: Duration,
+    closes_listener_first: bool,
+) -> String {
     let listener = if closes_listener_first { "deaf" } else { "listening" };
-    format!("/unframed-close-exit-{listener}-{}", delay.as_millis())
+    format!("/{answer}-close-exit-{listener}-{}", delay.as_millis())
 }
 
 /// An answer: its head, its parts with a pause before each but the first, and its end.
@@ -56,11 +61,13 @@
 impl Script {
     /// Returns the answer to a request for a path.
     fn for_path(path: &str) -> Self {
-        let answer = |fields: &str, parts, end| Self {
-            head: format!("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n{fields}\r\n"),
+        let typed = |content_type: &str, fields: &str, parts, end| Self {
+            head: format!("HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\n{fields}\r\n"),
             parts,
             end,
         };
+        let answer = |fields: &str, parts, end| typed("text/plain", fields, parts, end);
+        let json = |parts, end| typed("application/json; charset=utf-8", "", parts, end);
         match path {
             "/cut-length" => answer("content-length: 100\r\n", &["part of it"], End::Close),
             "/cut-chunks" => {
@@ -69,6 +76,14 @@
             "/unframed" => answer("", &["first ", "second"], End::Close),
             "/unframed-at-once" => answer("", &["all of it"], End::Close),
             "/unframed-exit" => answer("", &["first ", ""], End::Exit),
+            "/json" => json(&["{\"text\": \"]}\", ", "\"list\": []}\n"], End::Close),
+            "/json-at-once" => json(&["[{}]"], End::Close),
+            path if path.starts_with("/json-part-close-exit-") => {
+                json(&["{\"text\": \"]}\", ", "\"list\": []"], End::parse_delayed_exit(path))
+            }
+            path if path.starts_with("/json-row-close-exit-") => {
+                json(&["{\"text\": 1}\n", "{\"text\": 2}\n"], End::parse_delayed_exit(path))
+            }
             path if path.starts_with("/unframed-close-exit-") => {
                 answer("", &["first ", ""], End::parse_delayed_exit(path))
             }
@@ -121,6 +136,18 @@
     checks: AtomicUsize,
 }
 
+impl Shared {
+    fn new(options: Options) -> Arc<Self> {
+        Arc::new(Self {
+            options,
+            exited: watch::Sender::new(false),
+            is_deaf: watch::Sender::new(false),
+            connections: AtomicUsize::new(0),
+            checks: AtomicUsize::new(0),
+        })
+    }
+}
+
 /// A plain upstream whose answers depend on the path.
 #[derive(Debug)]
 pub(crate) struct PlainUpstream {
@@ -133,14 +160,20 @@
     pub(crate) async fn start(address: SocketAddr, options: Options) -> Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let shared = Arc::new(Shared {
-            options,
-            exited: watch::Sender::new(false),
-            is_deaf: watch::Sender::new(false),
-            connections: AtomicUsize::new(0),
-            checks: AtomicUsize::new(0),
-        });
-        tokio::spawn(run_until_exit(Arc::clone(&shared), accept(listener, Arc::clone(&shared))));
+        let shared = Shared::new(options);
+        let workers = vec![Arc::clone(&shared)];
+        tokio::spawn(run_until_exit(Arc::clone(&shared), accept(listener, workers)));
+        Ok(Self { address, shared })
+    }
+
+    /// Starts an upstream of two processes that share a listener and accept connections in turn. The
+    /// result is the second one.
+    pub(crate) async fn start_pair(address: SocketAddr, options: Options) -> Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let shared = Shared::new(options);
+        let workers = vec![Shared::new(options), Arc::clone(&shared)];
+        tokio::spawn(run_until_exit(Arc::clone(&shared), accept(listener, workers)));
         Ok(Self { address, shared })
     }
 
@@ -173,9 +206,15 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    let mut is_deaf = shared.is_deaf.subscribe();
-    loop {
+/// Accepts connections for the processes that share a listener, in turn. The last one closes it.
+async fn accept(listener: TcpListener, workers: Vec<Arc<Shared>>) {
+    let Some(mut is_deaf) = workers.last().map(|shared| shared.is_deaf.subscribe()) else {
+        return;
+    };
+    for shared in workers.iter().cycle() {
+        if *shared.exited.borrow() {
+            continue;
+        }
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = is_deaf.wait_for(|is_deaf| *is_deaf) => return,
@@ -184,13 +223,13 @@
             return;
         };
         shared.connections.fetch_add(1, Ordering::Relaxed);
-        let connection = serve(stream, Arc::clone(&shared));
+        let connection = serve(stream, Arc::clone(shared));
         // An error ends the connection.
         let connection = async { drop(connection.await) };
         if shared.options == Options::RejectedInTurn {
             connection.await;
         } else {
-            tokio::spawn(run_until_exit(Arc::clone(&shared), connection));
+            tokio::spawn(run_until_exit(Arc::clone(shared), connection));
         }
     }
 }
