A whole JSON document need not be outlived by its upstream

Callers of the own interface got the end of every sound answer without a length 750 ms late, since its upstream must provably outlive it.

A text of type application/json or +json that is one object or array in full cannot be a part of a longer one, so the first answer of the witness, right after the end, is enough. A scanner in the core follows brackets and strings and rejects whatever else is no JSON; several documents in a row do not count, nor do coded texts. Left: a service that sends several documents in a row under this type and dies some milliseconds after it closed one between two of them.

--- a/crates/badgerfield-core/src/lib.rs
+++ b/crates/badgerfield-core/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod holdings;
 pub mod ids;
 mod joining;
+pub mod json_document;
 pub mod ledger;
 pub mod ledger_writer;
 mod lenders;
--- a/crates/badgerfield-node/src/service_calls.rs
+++ b/crates/badgerfield-node/src/service_calls.rs
@@ -4,6 +4,9 @@
 //! process has provably outlived its end ([`crate::gateway::witness`]). Many of them are short and
 //! end before a witness can be opened, so the upstreams that have sent one are remembered: their
 //! witness is open before the next request is sent.
+//!
+//! A process that ends may close an answer some time before it is gone, so it must outlive the end
+//! by a while. A whole JSON document shows by itself that nothing is missing, so it need not wait.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -52,6 +55,15 @@
     witness: Option<WitnessGuard>,
 }
 
+/// A body whose connection has ended in good order.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EndedBody {
+    /// The number of its parts.
+    pub(crate) parts: u64,
+    /// Whether it is one whole JSON object or array.
+    pub(crate) is_whole_document: bool,
+}
+
 impl ServiceCalls {
     pub(crate) fn new(clock: &Arc<Clock>) -> Self {
         let connections = Arc::new(Connections::new(Arc::clone(clock), Arc::new(SystemDialer)));
@@ -114,30 +126,34 @@
         }
     }
 
-    /// Reads an answer without a length by the given future, and returns its result if the process
+    /// Reads an answer without a length by the given future, and returns its body if the process
     /// that sent it has provably outlived its end.
-    pub(crate) async fn read_unframed<T>(
+    pub(crate) async fn read_unframed(
         &self,
         (id, address): (&UpstreamId, SocketAddr),
         call: CallConnection,
-        read: impl Future<Output = Option<T>>,
-    ) -> Option<T> {
+        read: impl Future<Output = Option<EndedBody>>,
+    ) -> Option<EndedBody> {
         self.record_sender(id);
         let CallConnection { connection, witness } = call;
         let witness =
             witness.unwrap_or_else(|| self.witnesses.attach(id, address, &Question::Options));
         let witness = witness.watch(&connection);
-        let result = read.await?;
+        let body = read.await?;
         let ended_at = self.clock.now();
         let (testimony, link) = witness.ask().await;
         let has_stalled = witness.has_stalled();
-        let survival = if proves_running(testimony, link, has_stalled) {
+        let is_running = proves_running(testimony, link, has_stalled);
+        if is_running && body.is_whole_document {
+            return Some(body);
+        }
+        let survival = if is_running {
             Some(witness.ask_later(ended_at, ended_at.after(OUTLIVE_TIMEOUT)).await)
         } else {
             None
         };
         if survival.is_some_and(|survival| survival.is_proved(true, false)) {
-            return Some(result);
+            return Some(body);
         }
         let evidence = testimony_code(survival.map_or(testimony, |survival| survival.testimony));
         let connection = link_code(link);
--- a/crates/badgerfield-node/src/upstream_client.rs
+++ b/crates/badgerfield-node/src/upstream_client.rs
@@ -13,13 +13,14 @@
 use badgerfield_core::Event;
 use badgerfield_core::event::{Chunk, Dispatch, UpstreamEvent, Usage};
 use badgerfield_core::ids::{AttemptId, UpstreamId};
+use badgerfield_core::json_document::{DocumentScanner, is_json};
 use badgerfield_core::message::Head;
 use badgerfield_core::vm_upstreams::LoadReport;
 use bytes::{Buf, Bytes, BytesMut};
 use futures::future::join_all;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode, header};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
 use serde_json::Value;
 use tokio::sync::oneshot;
 
@@ -31,7 +32,7 @@
 use crate::gateway::connections::SendError;
 use crate::http::{self, HttpClient};
 use crate::logs::UPSTREAMS;
-use crate::service_calls::{CallConnection, ServiceCalls};
+use crate::service_calls::{CallConnection, EndedBody, ServiceCalls};
 use crate::sync::lock;
 
 /// The header that names a stream.
@@ -301,30 +302,43 @@
         self.send_event(driver, UpstreamEvent::Head(Head { status, content_type }));
         let is_framed = is_framed(response.headers(), response.body());
         let (head, body) = response.into_parts();
-        let reading = self.read_body(driver, body);
-        let parts = if is_framed {
-            let parts = reading.await;
-            if parts.is_some() {
+        let reading = self.read_body(driver, body, has_json(&head.headers));
+        let ended = if is_framed {
+            let ended = reading.await;
+            if ended.is_some() {
                 self.calls.finish(&self.dispatch.upstream, call, &head.headers);
             }
-            parts
+            ended
         } else {
             self.calls.read_unframed(self.upstream(), call, reading).await
         };
         let usage = Some(Usage::default());
-        parts.map_or(UpstreamEvent::Broken, |parts| UpstreamEvent::Ended { parts, usage })
+        ended
+            .map_or(UpstreamEvent::Broken, |body| UpstreamEvent::Ended { parts: body.parts, usage })
     }
 
-    /// Reads a body to its end, passes on its parts and returns their number; `None` if it broke off.
-    async fn read_body(&self, driver: &Arc<Driver>, mut body: Incoming) -> Option<u64> {
+    /// Reads a body to its end, and passes on its parts; returns `None` if it broke off.
+    async fn read_body(
+        &self,
+        driver: &Arc<Driver>,
+        mut body: Incoming,
+        is_json: bool,
+    ) -> Option<EndedBody> {
         let mut offset = 0;
+        let mut document = DocumentScanner::default();
         loop {
             match tokio::time::timeout(self.idle_timeout, body.frame()).await {
-                Ok(None) => return Some(offset),
+                Ok(None) => {
+                    let is_whole_document = is_json && document.is_whole();
+                    return Some(EndedBody { parts: offset, is_whole_document });
+                }
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    if is_json {
+                        document.push(&data);
+                    }
                     self.send_event(
                         driver,
                         UpstreamEvent::Chunk(Chunk { offset, data, usage: None }),
@@ -354,6 +368,14 @@
     }
 }
 
+/// Returns whether the body of a response is one JSON document, without any coding.
+fn has_json(head: &HeaderMap) -> bool {
+    let is_coded =
+        head.contains_key(header::CONTENT_ENCODING) || head.contains_key(header::TRANSFER_ENCODING);
+    let content_type = head.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    !is_coded && content_type.is_some_and(is_json)
+}
+
 /// Returns whether a request is blocked. A stream that is resumed is never blocked, since the
 /// request is already running.
 fn is_blocked(driver: &Driver, dispatch: &Dispatch, outgoing: Option<&Outgoing>) -> bool {
--- a/crates/badgerfield/tests/cut_answers.rs
+++ b/crates/badgerfield/tests/cut_answers.rs
@@ -21,6 +21,8 @@
 const CONCURRENT_CALLS: usize = 8;
 /// The maximum time of a call that is answered at once. Without a witness it takes some 10 ms.
 const MAX_CALL_TIME: Duration = Duration::from_secs(1);
+/// The maximum time of the fastest of some calls that are answered at once by a whole document.
+const MAX_DOCUMENT_TIME: Duration = Duration::from_millis(500);
 /// Longer than a witness is kept after the last answer that used it.
 const WITNESS_EXPIRY: Duration = Duration::from_secs(6);
 /// How long after the end of its answer a process that ends is gone.
@@ -169,6 +171,42 @@
     Ok(())
 }
 
+/// Guards against a part of a JSON document, or one of several, that is taken for a whole answer.
+#[tokio::test]
+async fn part_of_a_json_answer_does_not_look_whole() -> Result<()> {
+    for answer in ["json-part", "json-row"] {
+        for delay in EXIT_DELAYS {
+            let (site, _upstream) = start(Options::Answered).await?;
+            let vm = site.caller_address(0);
+            assert!(call(vm, "/json").await?.is_whole, "{answer} {delay:?}");
+            let part = call(vm, &close_then_exit_path(answer, delay, false)).await?;
+            assert_eq!((part.status, part.is_whole), (200, false), "{delay:?}: {part:?}");
+        }
+    }
+    Ok(())
+}
+
+/// Guards against whole JSON documents that wait for their upstream to outlive them.
+#[tokio::test]
+async fn whole_json_answers_are_not_held_back() -> Result<()> {
+    for options in [Options::Answered, Options::Rejected, Options::RejectedInTurn] {
+        let (site, _upstream) = start(options).await?;
+        let vm = site.caller_address(0);
+        let first = call(vm, "/json").await?;
+        assert!(first.is_whole, "{options:?}: {first:?}");
+        assert_eq!(first.body, "{\"text\": \"]}\", \"list\": []}\n", "{options:?}");
+        let mut fastest = Duration::MAX;
+        for _ in 0..5 {
+            let started = Instant::now();
+            let answer = call(vm, "/json-at-once").await?;
+            fastest = fastest.min(started.elapsed());
+            assert!(answer.is_whole && answer.body == "[{}]", "{options:?}: {answer:?}");
+        }
+        assert!(fastest < MAX_DOCUMENT_TIME, "{options:?}: {fastest:?}");
+    }
+    Ok(())
+}
+
 /// Fails if an answer without a length of an upstream that runs on is cut.
 #[tokio::test]
 async fn answer_without_a_length_of_a_running_upstream_stays_whole() -> Result<()> {
