--- a/crates/badgerfield/tests/cut_answers.rs
+++ b/crates/badgerfield/tests/cut_answers.rs
@@ -157,6 +157,23 @@
     Ok(())
 }
 
+/// Guards against parts of answers that look whole because the checks for others, which end at the
+/// same time, ended the wait for their upstream to outlive them.
+#[tokio::test]
+async fn answers_that_a_rejecting_upstream_closes_together_do_not_look_whole() -> Result<()> {
+    for delay in [Duration::from_millis(100), Duration::from_millis(400)] {
+        let (site, _upstream) = start(Options::Rejected).await?;
+        let vm = site.caller_address(0);
+        assert!(call(vm, "/unframed").await?.is_whole);
+        let path = close_then_exit_path("unframed", delay, false);
+        let answers = join_all((0..CONCURRENT_CALLS).map(|_| call(vm, &path))).await;
+        let answers = answers.into_iter().collect::<Result<Vec<_>>>()?;
+        let taken_for_whole = answers.iter().filter(|a| a.is_whole && a.status == 200).count();
+        assert_eq!(taken_for_whole, 0, "{delay:?}: {answers:?}");
+    }
+    Ok(())
+}
+
 /// Guards against whole answers that are cut because others of the same upstream, which closes the
 /// connections of witnesses, end at the same time.
 #[tokio::test]
