Events are read as their format has it: line ends, marks, ids, times

Callers got the first event of a resumption twice, and a byte order mark in the middle of their stream, if the upstream that resumed it began with one: the mark hid the id. A stream with CR line ends was held back to its end and then cut, though whole. A stream with `retry:` or `event:` lines on their own was not resumed: they counted as an event without an id. Of several `id` lines the first one counted, for readers the last one does.

Cause: the scanner knew LF and CRLF only, no mark, and took all but comments for events. The mark of the response that begins a stream is passed on as before; other text without an id still prevents a resumption.

--- a/crates/badgerfield-core/src/event_stream.rs
+++ b/crates/badgerfield-core/src/event_stream.rs
@@ -4,11 +4,25 @@
 //! off within an event can resume at another upstream.
 //! The format is specified in the HTML standard, section 9.2 (server-sent events).
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use thiserror::Error;
 
 /// The maximum size of an event that is buffered until it is complete, in bytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
+/// A byte order mark, which may precede the first event of a source.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
+/// What a source is to the stream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum SourceKind {
+    /// It began the stream.
+    #[default]
+    First,
+    /// It resumes the stream, and a byte order mark may still precede its first event.
+    Unread,
+    /// It resumes the stream.
+    Resumed,
+}
 
 /// Splits a stream into complete events, and finds out whether it can be whole.
 #[derive(Debug, Default)]
@@ -18,6 +32,7 @@
     event_count: u64,
     /// The greatest id of an event of the current source.
     source_id: Option<u64>,
+    source_kind: SourceKind,
     /// Whether the current source must continue an event that an earlier one had begun.
     owes_event: bool,
     /// Whether an event had a smaller id than one before it from the same source.
@@ -54,6 +69,7 @@
     /// the event before it.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
+        self.skip_mark();
         let mut complete = BytesMut::new();
         while let Some(end) = event_end(&self.partial) {
             let event = self.partial.split_to(end);
@@ -72,18 +88,32 @@
                 self.event_count += 1;
                 self.owes_event = false;
             } else {
-                self.has_unnumbered |= has_content(&event);
+                self.has_unnumbered |= needs_id(&event);
             }
             complete.extend_from_slice(&event);
         }
         complete.freeze()
     }
 
+    /// Removes the byte order mark of a source that resumes the stream.
+    fn skip_mark(&mut self) {
+        if self.source_kind != SourceKind::Unread {
+            return;
+        }
+        if self.partial.starts_with(BYTE_ORDER_MARK) {
+            self.partial.advance(BYTE_ORDER_MARK.len());
+            self.source_kind = SourceKind::Resumed;
+        } else if !BYTE_ORDER_MARK.starts_with(&self.partial) {
+            self.source_kind = SourceKind::Resumed;
+        }
+    }
+
     /// Prepares for events of another source, which resumes the stream. Discards an incomplete event.
     pub fn start_source(&mut self) {
         self.owes_event |= has_content(&self.partial);
         self.partial.clear();
         self.source_id = None;
+        self.source_kind = SourceKind::Unread;
     }
 
     /// Returns whether a source went back to an earlier event.
@@ -141,35 +171,54 @@
     }
 }
 
-/// Returns the end of the first event, which is the offset after its final empty line.
+/// Returns the end of the first event, which is the offset after its final empty line. A line ends
+/// with a carriage return, a line feed or both.
 fn event_end(bytes: &[u8]) -> Option<usize> {
     let mut line_start = 0;
-    for (i, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = bytes.get(line_start..i)?;
-        if line.is_empty() || line == b"\r" {
-            return Some(i + 1);
+    while let Some(length) = bytes.get(line_start..)?.iter().position(|byte| is_line_end(*byte)) {
+        let end = line_start + length;
+        let has_both = bytes.get(end..end + 2) == Some(b"\r\n");
+        let next_line = end + if has_both { 2 } else { 1 };
+        if length == 0 {
+            return Some(next_line);
         }
-        line_start = i + 1;
+        line_start = next_line;
     }
     None
 }
 
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\r' | b'\n')
+}
+
+/// Returns the lines of an event that are neither empty nor comments.
+fn field_lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let event = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
+    let lines = event.split(|byte| is_line_end(*byte));
+    lines.filter(|line| !line.trim_ascii().is_empty() && !line.starts_with(b":"))
+}
+
+/// Returns the name and the value of a field.
+fn split_field(line: &[u8]) -> (&[u8], &[u8]) {
+    let colon = line.iter().position(|byte| *byte == b':').unwrap_or(line.len());
+    let (name, value) = line.split_at(colon);
+    (name, value.strip_prefix(b":").unwrap_or(value))
+}
+
 /// Returns whether the lines of an event are more than comments.
 fn has_content(event: &[u8]) -> bool {
-    let mut lines = event.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii);
-    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+    field_lines(event).next().is_some()
 }
 
-/// Returns the numeric value of an event's `id` field.
+/// Returns whether the lines must have an id for the stream to be resumed after them. Lines that only
+/// set the time to reconnect or the type are no event.
+fn needs_id(event: &[u8]) -> bool {
+    field_lines(event).any(|line| !matches!(split_field(line).0, b"retry" | b"event"))
+}
+
+/// Returns the numeric value of an event's last `id` field.
 fn event_id(event: &[u8]) -> Option<u64> {
-    for line in event.split(|b| *b == b'\n') {
-        let Some(value) = line.strip_prefix(b"id:") else {
-            continue;
-        };
-        return std::str::from_utf8(value).ok()?.trim().parse().ok();
-    }
-    None
+    let (_, value) =
+        field_lines(event).map(split_field).filter(|(name, _)| *name == b"id").last()?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/badgerfield-core/tests/event_stream.rs
+++ b/crates/badgerfield-core/tests/event_stream.rs
@@ -128,3 +128,43 @@
     scan(&mut scanner, "data: a\n\n");
     assert!(!scanner.is_resumable());
 }
+
+/// Guards against other text that is forwarded twice.
+#[test]
+fn a_stream_with_other_text_is_not_resumed() {
+    for text in ["{\"text\": \"a\"}\n\n", "a\n\n", "badgerfield-weight-versions: 7\n\n"] {
+        let mut scanner = EventScanner::default();
+        scan(&mut scanner, text);
+        assert!(!scanner.is_resumable(), "{text:?}");
+    }
+}
+
+/// Guards against ids that are read in another way than callers read them.
+#[test]
+fn the_last_id_line_counts() {
+    for (text, id) in [
+        ("id: 1\nid: 2\ndata: a\n\n", Some(2)),
+        ("id: x\nid: 2\ndata: a\n\n", Some(2)),
+        ("id:2\ndata: a\ndata: id: 3\n\n", Some(2)),
+        ("badgerfield-weight-versions: 7\nid:  2 \ndata: a\n\n", Some(2)),
+        ("\u{feff}id: 2\rdata: a\r\r", Some(2)),
+        ("id: 2\nid\ndata: a\n\n", None),
+        ("id:\ndata: a\n\n", None),
+        ("id: 18446744073709551616\ndata: a\n\n", None),
+    ] {
+        let mut scanner = EventScanner::default();
+        assert_eq!(scanner.push(text.as_bytes()), text, "{text:?}");
+        assert_eq!(scanner.last_event_id(), id, "{text:?}");
+        assert_eq!(scanner.is_resumable(), id.is_some(), "{text:?}");
+    }
+}
+
+/// Guards against streams that cannot be resumed because of lines that are no event.
+#[test]
+fn lines_that_are_no_event_need_no_id() {
+    for lines in ["retry: 500\n\n", "event: open\n\n", ": hello\n\n", "\u{feff}\n"] {
+        let mut scanner = EventScanner::default();
+        assert_eq!(scan(&mut scanner, &format!("{lines}id: 1\ndata: a\n\n")), [1]);
+        assert!(scanner.is_resumable(), "{lines:?}");
+    }
+}
