An event that had begun and is left out is missing

A stream was cut within event 4, the upstream that resumed it began with event 5, and the stream ended as complete without the fourth. And a whole stream was cut: its resumption started over and was cut in an event that the caller had, which then counted as missing.

Cause: the scanner kept only that some event had begun; any later one settled it. It keeps the ids of events that had begun now. A source that goes on behind one of them is a failed attempt from there on, nothing of it is passed on, and another upstream is asked where the route allows it.

Ids only have to rise: a resumption that leaves out an event of which nothing had arrived is not seen.

Two properties, 4,000 cases each: events of up to five sources, cut anywhere, with any line ends, come once and in order, and a stream that lacks an event that had begun is not whole; one that is resumed in order is whole.

--- a/crates/badgerfield-core/src/event_stream.rs
+++ b/crates/badgerfield-core/src/event_stream.rs
@@ -4,6 +4,8 @@
 //! off within an event can resume at another upstream.
 //! The format is specified in the HTML standard, section 9.2 (server-sent events).
 
+use std::collections::BTreeSet;
+
 use bytes::{Buf, Bytes, BytesMut};
 use thiserror::Error;
 
@@ -33,14 +35,27 @@
     /// The greatest id of an event of the current source.
     source_id: Option<u64>,
     source_kind: SourceKind,
-    /// Whether the current source must continue an event that an earlier one had begun.
+    /// The ids of events that had begun to arrive from earlier sources and are missing.
+    owed_ids: BTreeSet<u64>,
+    /// Whether an event is missing that had begun to arrive without its id.
     owes_event: bool,
-    /// Whether an event had a smaller id than one before it from the same source.
-    has_fallen_back: bool,
+    /// Why the current source does not continue the stream.
+    source_fault: Option<SourceFault>,
     /// Whether an event without an id has arrived.
     has_unnumbered: bool,
 }
 
+/// Why the events of a source are not those of the stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum SourceFault {
+    /// An event has a smaller id than one before it.
+    #[error("goes back to an earlier event")]
+    FallenBack,
+    /// The first new event is a later one than the one that had begun to arrive.
+    #[error("leaves out an event that had begun")]
+    LeavesOut,
+}
+
 /// Why a stream whose source has ended in good order is not whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum StreamFault {
@@ -65,8 +80,8 @@
     /// Appends bytes and returns all new complete events.
     ///
     /// Events whose id is not greater than the last one are skipped: they were already received
-    /// from an earlier upstream. None is returned from the one on whose id is smaller than that of
-    /// the event before it.
+    /// from an earlier upstream. None is returned from the one on that shows that the source does
+    /// not continue the stream.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
         self.skip_mark();
@@ -74,18 +89,19 @@
         while let Some(end) = event_end(&self.partial) {
             let event = self.partial.split_to(end);
             let id = event_id(&event);
-            if id.is_some() && id < self.source_id {
-                self.has_fallen_back = true;
-                self.partial.clear();
-                break;
+            self.source_fault = self.source_fault.or_else(|| self.find_fault(id));
+            if self.source_fault.is_some() {
+                self.owed_ids.extend(id.filter(|_| id > self.last_id));
+                continue;
             }
             self.source_id = self.source_id.max(id);
             if id.is_some() && id <= self.last_id {
                 continue;
             }
-            if id.is_some() {
+            if let Some(number) = id {
                 self.last_id = id;
                 self.event_count += 1;
+                self.owed_ids.remove(&number);
                 self.owes_event = false;
             } else {
                 self.has_unnumbered |= needs_id(&event);
@@ -108,25 +124,52 @@
         }
     }
 
+    /// Returns why an event cannot be the next one of its source.
+    fn find_fault(&self, id: Option<u64>) -> Option<SourceFault> {
+        let owed = self.owed_ids.first().copied();
+        if id.is_some() && id < self.source_id {
+            Some(SourceFault::FallenBack)
+        } else if owed.is_some() && id > owed {
+            Some(SourceFault::LeavesOut)
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether the current source has not yet reached the last event that had arrived.
+    fn is_behind(&self) -> bool {
+        self.source_id.is_some() && self.source_id < self.last_id
+    }
+
     /// Prepares for events of another source, which resumes the stream. Discards an incomplete event.
     pub fn start_source(&mut self) {
-        self.owes_event |= has_content(&self.partial);
+        let id = event_id(whole_lines(&self.partial));
+        let is_unknown = id.is_none() && !self.is_behind();
+        self.owes_event |= is_unknown && has_content(&self.partial);
+        self.owed_ids.extend(id.filter(|_| id > self.last_id));
         self.partial.clear();
         self.source_id = None;
         self.source_kind = SourceKind::Unread;
+        self.source_fault = self.source_fault.filter(|fault| *fault == SourceFault::FallenBack);
+    }
+
+    /// Returns why the events of the current source are not those of the stream.
+    #[must_use]
+    pub fn source_fault(&self) -> Option<SourceFault> {
+        self.source_fault
     }
 
     /// Returns whether a source went back to an earlier event.
     #[must_use]
     pub fn has_fallen_back(&self) -> bool {
-        self.has_fallen_back
+        self.source_fault == Some(SourceFault::FallenBack)
     }
 
     /// Returns whether another source can continue the stream. It cannot if an event has arrived
     /// after which it cannot be told to continue.
     #[must_use]
     pub fn is_resumable(&self) -> bool {
-        !self.has_unnumbered && !self.has_fallen_back
+        !self.has_unnumbered && !self.has_fallen_back()
     }
 
     /// Checks that the stream can be whole if it ends now.
@@ -135,11 +178,13 @@
     ///
     /// Fails if the events show that it is not.
     pub fn check_end(&self) -> Result<(), StreamFault> {
-        if has_content(&self.partial) {
+        if self.source_fault.is_some() {
+            Err(StreamFault::MissingEvent)
+        } else if has_content(&self.partial) {
             Err(StreamFault::PartialEvent)
-        } else if self.source_id.is_some() && self.source_id < self.last_id {
+        } else if self.is_behind() {
             Err(StreamFault::EndsEarly)
-        } else if self.owes_event {
+        } else if self.owes_event || !self.owed_ids.is_empty() {
             Err(StreamFault::MissingEvent)
         } else {
             Ok(())
@@ -187,6 +232,12 @@
     None
 }
 
+/// Returns the lines of an incomplete event that have arrived whole.
+fn whole_lines(partial: &[u8]) -> &[u8] {
+    let end = partial.iter().rposition(|byte| is_line_end(*byte)).map_or(0, |last| last + 1);
+    partial.get(..end).unwrap_or_default()
+}
+
 fn is_line_end(byte: u8) -> bool {
     matches!(byte, b'\r' | b'\n')
 }
--- a/crates/badgerfield-core/tests/event_stream.rs
+++ b/crates/badgerfield-core/tests/event_stream.rs
@@ -1,7 +1,7 @@
 //! Tests of the event scanner: wherever the bytes of a stream are split, it forwards only complete
 //! events, each once and in order.
 
-use badgerfield_core::event_stream::{EventScanner, StreamFault};
+use badgerfield_core::event_stream::{EventScanner, SourceFault, StreamFault};
 use proptest::prelude::*;
 
 fn stream(events: u64) -> Vec<u8> {
@@ -139,6 +139,135 @@
     }
 }
 
+/// What a source sends of a stream.
+#[derive(Debug, Clone)]
+struct Part {
+    /// The number of its first event.
+    from: u64,
+    /// The offset at which it is cut.
+    cut: usize,
+    has_mark: bool,
+    line_end: &'static str,
+    /// The size of the pieces in which it arrives.
+    piece: usize,
+}
+
+fn parts() -> impl Strategy<Value = Vec<Part>> {
+    let line_end = prop_oneof![Just("\n"), Just("\r\n"), Just("\r")];
+    let part = (1_u64..14, 0_usize..200, any::<bool>(), line_end, 1_usize..40);
+    let part = part.prop_map(|(from, cut, has_mark, line_end, piece)| Part {
+        from,
+        cut,
+        has_mark,
+        line_end,
+        piece,
+    });
+    prop::collection::vec(part, 1..6)
+}
+
+/// Returns the events of a part with its comments and line ends.
+fn format_part(part: &Part, last: u64) -> Vec<u8> {
+    let mark = if part.has_mark { "\u{feff}" } else { "" };
+    let event = |n: u64| {
+        format!("{}id: {n}\ndata: {n}\n\n", if n.is_multiple_of(3) { ": -\n\n" } else { "" })
+    };
+    let events = (part.from..=last).map(event).collect::<String>();
+    format!("{mark}{events}").replace('\n', part.line_end).into_bytes()
+}
+
+/// Returns the ids that have arrived whole, in events of any line ends.
+fn whole_ids(bytes: &[u8]) -> Vec<u64> {
+    let text = String::from_utf8_lossy(bytes).replace('\u{feff}', "");
+    let ends = text.rfind(['\r', '\n']).map_or(0, |end| end + 1);
+    event_ids(text[..ends].replace('\r', "\n").as_bytes())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, cases: 4000, ..ProptestConfig::default() })]
+
+    /// Guards against events that come twice, and against streams that count as whole though an
+    /// event is missing that had begun, wherever they are cut and wherever they are resumed.
+    #[test]
+    fn a_stream_from_any_sources_has_each_event_once_or_is_not_whole(parts in parts(), last in 1_u64..12) {
+        let mut scanner = EventScanner::default();
+        let (mut out, mut begun) = (Vec::new(), Vec::new());
+        for (number, part) in parts.iter().enumerate() {
+            if number > 0 {
+                scanner.start_source();
+            }
+            let before = scanner.last_event_id();
+            let mut bytes = format_part(part, last);
+            bytes.truncate(part.cut);
+            let mut read = 0;
+            // The rest of a source that does not continue the stream is not read.
+            while scanner.source_fault().is_none() && read < bytes.len() {
+                let end = bytes.len().min(read + part.piece);
+                out.extend_from_slice(&scanner.push(&bytes[read..end]));
+                read = end;
+            }
+            bytes.truncate(read);
+            // Events before the last one may be left out by ids that rise in larger steps.
+            let last = before.unwrap_or(0);
+            begun.extend(whole_ids(&bytes).into_iter().filter(|id| *id > last));
+        }
+        let ids = whole_ids(&out);
+        prop_assert!(ids.is_sorted_by(|one, next| one < next), "{:?}", ids);
+        if scanner.check_end().is_ok() {
+            prop_assert!(begun.iter().all(|id| ids.contains(id)), "{:?} of {:?}", ids, begun);
+        }
+    }
+
+    /// Guards against streams that count as cut though the last of several sources has sent all that
+    /// was left, and something was.
+    #[test]
+    fn a_stream_that_is_resumed_in_order_is_whole(parts in parts(), last in 1_u64..12) {
+        let mut scanner = EventScanner::default();
+        let mut out = Vec::new();
+        let end = Part { from: last + 1, cut: usize::MAX, has_mark: true, line_end: "\n", piece: 7 };
+        for (number, part) in parts.iter().chain([&end]).enumerate() {
+            if number > 0 {
+                scanner.start_source();
+            }
+            let last = if number == parts.len() { last + 1 } else { last };
+            let next = scanner.last_event_id().unwrap_or(0) + 1;
+            let part = Part { from: part.from.min(next), ..part.clone() };
+            let mut bytes = format_part(&part, last);
+            bytes.truncate(part.cut);
+            bytes.chunks(part.piece).for_each(|piece| out.extend_from_slice(&scanner.push(piece)));
+            prop_assert!(scanner.is_resumable());
+        }
+        prop_assert_eq!(scanner.check_end(), Ok(()));
+        prop_assert_eq!(whole_ids(&out), (1..=last + 1).collect::<Vec<_>>());
+    }
+}
+
+/// Guards against a missing event in a stream that counts as whole because later ones came.
+#[test]
+fn a_source_that_leaves_out_an_event_that_had_begun_is_not_forwarded() {
+    let mut scanner = EventScanner::default();
+    assert_eq!(scan(&mut scanner, "id: 1\ndata: a\n\nid: 2\nda"), [1]);
+    scanner.start_source();
+    assert!(scan(&mut scanner, "id: 3\ndata: c\n\n").is_empty());
+    assert_eq!(scanner.source_fault(), Some(SourceFault::LeavesOut));
+    assert!(scanner.check_end().is_err() && scanner.is_resumable());
+    scanner.start_source();
+    assert_eq!(scan(&mut scanner, "id: 2\ndata: b\n\n"), [2]);
+    assert!(scanner.check_end().is_err(), "the third event had arrived");
+    assert_eq!(scan(&mut scanner, "id: 3\ndata: c\n\n"), [3]);
+    assert_eq!(scanner.check_end(), Ok(()));
+}
+
+/// Guards against a whole stream that counts as cut because a source was cut that repeated it.
+#[test]
+fn half_a_repeated_event_is_not_missing() {
+    let mut scanner = EventScanner::default();
+    assert_eq!(scan(&mut scanner, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), [1, 2]);
+    scanner.start_source();
+    assert!(scan(&mut scanner, "id: 1\nda").is_empty());
+    scanner.start_source();
+    assert_eq!(scanner.check_end(), Ok(()));
+}
+
 /// Guards against ids that are read in another way than callers read them.
 #[test]
 fn the_last_id_line_counts() {
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 
 use badgerfield_core::amount::{Time, Tokens};
 use badgerfield_core::answer_record::AnswerEnd;
-use badgerfield_core::event_stream::{EventScanner, MAX_EVENT_BYTES, StreamFault};
+use badgerfield_core::event_stream::{EventScanner, MAX_EVENT_BYTES, SourceFault, StreamFault};
 use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::upstream_table::AttemptOutcome;
 use bytes::Bytes;
@@ -37,7 +37,7 @@
 const PARTIAL_EVENT: &str = "partial_event";
 /// The outcome of a response that resumed a stream and ended before an event that had arrived.
 const ENDS_EARLY: &str = "ends_early";
-/// The outcome of a response without events that resumed a stream within an event.
+/// The outcome of a response that resumed a stream within an event and does not contain that event.
 const MISSING_EVENT: &str = "missing_event";
 /// The outcome of a response whose events went back to an earlier one.
 const FALLEN_BACK: &str = "events_go_back";
@@ -126,8 +126,12 @@
             if self.ended {
                 return None;
             }
-            if self.scanner.has_fallen_back() {
-                if let Some(failure) = self.resume_elsewhere(FALLEN_BACK, Some(false)).await {
+            if let Some(fault) = self.scanner.source_fault() {
+                let reason = match fault {
+                    SourceFault::FallenBack => FALLEN_BACK,
+                    SourceFault::LeavesOut => MISSING_EVENT,
+                };
+                if let Some(failure) = self.resume_elsewhere(reason, Some(false)).await {
                     return Some(failure);
                 }
                 continue;
