A source that repeats an id, or sends no events, has not continued its stream

Three ways in which callers got a stream that looked complete: - Two events of one source had the same id: the second was dropped. An equal one is dropped as before; another one cuts the stream visibly. - A response without a format resumed it with other text, as JSON, which was put behind the caller's events. Lines that can be no fields of an event make it a failed attempt. - A stream was started over for a caller that resumed it: events without ids came again. They are skipped up to the last event of the caller.

--- a/crates/badgerfield-core/src/event_stream.rs
+++ b/crates/badgerfield-core/src/event_stream.rs
@@ -5,6 +5,7 @@
 //! The format is specified in the HTML standard, section 9.2 (server-sent events).
 
 use std::collections::BTreeSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use bytes::{Buf, Bytes, BytesMut};
 use thiserror::Error;
@@ -34,6 +35,8 @@
     event_count: u64,
     /// The greatest id of an event of the current source.
     source_id: Option<u64>,
+    /// The hash of that event.
+    source_digest: u64,
     source_kind: SourceKind,
     /// The ids of events that had begun to arrive from earlier sources and are missing.
     owed_ids: BTreeSet<u64>,
@@ -48,12 +51,15 @@
 /// Why the events of a source are not those of the stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum SourceFault {
-    /// An event has a smaller id than one before it.
+    /// An event has a smaller id than one before it, or the id of another event.
     #[error("goes back to an earlier event")]
     FallenBack,
     /// The first new event is a later one than the one that had begun to arrive.
     #[error("leaves out an event that had begun")]
     LeavesOut,
+    /// It resumes the stream with lines that are no fields of events.
+    #[error("sends no events")]
+    NoEvents,
 }
 
 /// Why a stream whose source has ended in good order is not whole.
@@ -89,12 +95,15 @@
         while let Some(end) = event_end(&self.partial) {
             let event = self.partial.split_to(end);
             let id = event_id(&event);
-            self.source_fault = self.source_fault.or_else(|| self.find_fault(id));
+            self.source_fault = self.source_fault.or_else(|| self.find_fault(&event, id));
             if self.source_fault.is_some() {
                 self.owed_ids.extend(id.filter(|_| id > self.last_id));
                 continue;
             }
-            self.source_id = self.source_id.max(id);
+            if id.is_some() {
+                self.source_id = id;
+                self.source_digest = digest(&event);
+            }
             if id.is_some() && id <= self.last_id {
                 continue;
             }
@@ -103,8 +112,11 @@
                 self.event_count += 1;
                 self.owed_ids.remove(&number);
                 self.owes_event = false;
-            } else {
-                self.has_unnumbered |= needs_id(&event);
+            } else if needs_id(&event) {
+                if self.is_behind() {
+                    continue;
+                }
+                self.has_unnumbered = true;
             }
             complete.extend_from_slice(&event);
         }
@@ -125,12 +137,15 @@
     }
 
     /// Returns why an event cannot be the next one of its source.
-    fn find_fault(&self, id: Option<u64>) -> Option<SourceFault> {
+    fn find_fault(&self, event: &[u8], id: Option<u64>) -> Option<SourceFault> {
+        let is_other = id == self.source_id && digest(event) != self.source_digest;
         let owed = self.owed_ids.first().copied();
-        if id.is_some() && id < self.source_id {
+        if id.is_some() && (id < self.source_id || is_other) {
             Some(SourceFault::FallenBack)
         } else if owed.is_some() && id > owed {
             Some(SourceFault::LeavesOut)
+        } else if self.source_kind != SourceKind::First && has_content(event) && !has_field(event) {
+            Some(SourceFault::NoEvents)
         } else {
             None
         }
@@ -261,6 +276,12 @@
     field_lines(event).next().is_some()
 }
 
+/// Returns whether one of the lines can be a field of an event.
+fn has_field(event: &[u8]) -> bool {
+    let mut names = field_lines(event).map(|line| split_field(line).0);
+    names.any(|name| name.iter().all(|byte| byte.is_ascii_alphanumeric() || *byte == b'-'))
+}
+
 /// Returns whether the lines must have an id for the stream to be resumed after them. Lines that only
 /// set the time to reconnect or the type are no event.
 fn needs_id(event: &[u8]) -> bool {
@@ -273,3 +294,9 @@
         field_lines(event).map(split_field).filter(|(name, _)| *name == b"id").last()?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
+
+fn digest(event: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    event.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/badgerfield-core/tests/event_stream.rs
+++ b/crates/badgerfield-core/tests/event_stream.rs
@@ -268,6 +268,26 @@
     assert_eq!(scanner.check_end(), Ok(()));
 }
 
+/// Guards against an event that is dropped because the one before it has the same id, and against a
+/// stream that is cut for an event that was sent twice.
+#[test]
+fn only_an_equal_event_may_repeat_an_id() {
+    let mut scanner = EventScanner::default();
+    assert_eq!(scan(&mut scanner, "id: 1\ndata: a\n\nid: 1\ndata: a\n\n"), [1]);
+    assert!(scanner.source_fault().is_none());
+    assert!(scan(&mut scanner, "id: 1\ndata: b\n\n").is_empty());
+    assert_eq!(scanner.source_fault(), Some(SourceFault::FallenBack));
+}
+
+/// Guards against events without ids that a caller gets again when the stream is started over.
+#[test]
+fn events_without_ids_before_the_last_one_of_the_caller_are_skipped() {
+    let mut scanner = EventScanner::resume_after(Some(2));
+    let text = "id: 1\ndata: a\n\ndata: x\n\nid: 2\ndata: b\n\ndata: y\n\nid: 3\ndata: c\n\n";
+    let events = scanner.push(text.as_bytes());
+    assert_eq!(events.as_ref(), b"data: y\n\nid: 3\ndata: c\n\n");
+}
+
 /// Guards against ids that are read in another way than callers read them.
 #[test]
 fn the_last_id_line_counts() {
@@ -297,3 +317,15 @@
         assert!(scanner.is_resumable(), "{lines:?}");
     }
 }
+
+/// Guards against the text of an answer that is no stream behind the events of one.
+#[test]
+fn a_source_without_events_does_not_resume_a_stream() {
+    for text in ["{\"text\": \"b\"}\n\n", "answer of another server\n\n", "<p>: no\r\n\r\n"] {
+        let mut scanner = EventScanner::default();
+        scan(&mut scanner, "id: 1\ndata: a\n\n");
+        scanner.start_source();
+        assert!(scanner.push(text.as_bytes()).is_empty(), "{text:?}");
+        assert_eq!(scanner.source_fault(), Some(SourceFault::NoEvents), "{text:?}");
+    }
+}
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -41,7 +41,7 @@
 const MISSING_EVENT: &str = "missing_event";
 /// The outcome of a response whose events went back to an earlier one.
 const FALLEN_BACK: &str = "events_go_back";
-/// The outcome of a response that should resume a stream and is in another format.
+/// The outcome of a response that should resume a stream and is none, by its head or its text.
 const NO_STREAM: &str = "no_stream";
 
 /// A stream that is forwarded to the caller.
@@ -130,6 +130,7 @@
                 let reason = match fault {
                     SourceFault::FallenBack => FALLEN_BACK,
                     SourceFault::LeavesOut => MISSING_EVENT,
+                    SourceFault::NoEvents => NO_STREAM,
                 };
                 if let Some(failure) = self.resume_elsewhere(reason, Some(false)).await {
                     return Some(failure);
@@ -447,7 +448,7 @@
         match reason {
             PARTIAL_EVENT | FALLEN_BACK => Some(AnswerEnd::BrokenOff),
             CUT if !self.scanner.partial_event().is_empty() => Some(AnswerEnd::BrokenOff),
-            ENDS_EARLY | MISSING_EVENT => Some(AnswerEnd::Failed),
+            ENDS_EARLY | MISSING_EVENT | NO_STREAM => Some(AnswerEnd::Failed),
             _ => None,
         }
     }
