A comment, or another format, does not cut an answer without a length

Whole streams without a length were visibly cut if a comment without its empty line followed the last event, and so was each answer without a length in another format on the route of a stream.

Cause: any bytes behind the last event counted as a part of one. Half a line and half an event still do, also where no format is named; the end of others is judged by the witness, as that of any answer without a length.

--- a/crates/badgerfield-core/src/event_stream.rs
+++ b/crates/badgerfield-core/src/event_stream.rs
@@ -212,6 +212,12 @@
         &self.partial
     }
 
+    /// Returns whether the received bytes end within a line.
+    #[must_use]
+    pub fn is_within_line(&self) -> bool {
+        self.partial.last().is_some_and(|byte| !is_line_end(*byte))
+    }
+
     /// Removes and returns the received bytes of an incomplete event.
     #[must_use]
     pub fn take_partial(&mut self) -> Bytes {
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -187,7 +187,8 @@
             // The upstream has ended its response itself.
             return fault.map_or(Ok(()), |reason| Err((reason, Some(false))));
         }
-        if !self.scanner.partial_event().is_empty() {
+        let names_other_format = self.content_type.is_some() && !self.has_events();
+        if !names_other_format && self.is_within_event() {
             return Err((CUT, None));
         }
         if let Some(reason) = fault {
@@ -202,14 +203,22 @@
         }
     }
 
+    /// Returns whether the response is a stream of events.
+    fn has_events(&self) -> bool {
+        let is_resumed = self.source.as_ref().is_some_and(|source| source.resumed_at.is_some());
+        is_resumed || self.scanner.event_count() > 0 || is_event_stream(self.content_type.as_ref())
+    }
+
+    /// Returns whether the received bytes end within a line or an event. A comment that has arrived
+    /// whole is no part of an event.
+    fn is_within_event(&self) -> bool {
+        self.scanner.is_within_line() || self.scanner.check_end() == Err(StreamFault::PartialEvent)
+    }
+
     /// Returns why the events show that the stream is not whole. A response in another format is
     /// passed on as it is.
     fn content_fault(&self) -> Option<&'static str> {
-        let is_resumed = self.source.as_ref().is_some_and(|source| source.resumed_at.is_some());
-        let has_events = is_resumed
-            || self.scanner.event_count() > 0
-            || is_event_stream(self.content_type.as_ref());
-        let fault = has_events.then(|| self.scanner.check_end().err()).flatten()?;
+        let fault = self.has_events().then(|| self.scanner.check_end().err()).flatten()?;
         Some(match fault {
             StreamFault::PartialEvent => PARTIAL_EVENT,
             StreamFault::EndsEarly => ENDS_EARLY,
@@ -446,8 +455,8 @@
     /// Returns how the response of an upstream has provably ended.
     fn proved_end(&self, reason: &str) -> Option<AnswerEnd> {
         match reason {
-            PARTIAL_EVENT | FALLEN_BACK => Some(AnswerEnd::BrokenOff),
-            CUT if !self.scanner.partial_event().is_empty() => Some(AnswerEnd::BrokenOff),
+            BROKEN | PARTIAL_EVENT | FALLEN_BACK => Some(AnswerEnd::BrokenOff),
+            CUT if self.is_within_event() => Some(AnswerEnd::BrokenOff),
             ENDS_EARLY | MISSING_EVENT | NO_STREAM => Some(AnswerEnd::Failed),
             _ => None,
         }
