A chat is not whole if its engine does not resume its stream

A chat on the own interface ended as complete, with [DONE], after 3 of 20 tokens: its engine broke the stream off, and answered the request to resume it with 202, 204, 206, 400, 410, 500 or 502. The end of that answer counted as the end of the chat.

Cause: only 200, 404, 429 and 503 were told apart for a resumption; all other statuses were read as a plain answer. They are a failed attempt now: the stream is resumed again, or the caller sees that it is cut. The log names the status (`not_resumed`).

--- a/crates/badgerfield-node/src/upstream_client.rs
+++ b/crates/badgerfield-node/src/upstream_client.rs
@@ -181,6 +181,11 @@
             (resume, StatusCode::OK) if self.is_chat() => {
                 self.read_stream(driver, response, resume).await
             }
+            (Some(_), status) => {
+                let upstream = &self.dispatch.upstream;
+                log::warn!(target: UPSTREAMS, "not_resumed upstream={upstream} status={status}");
+                UpstreamEvent::Broken
+            }
             _ => self.read_response(driver, response, call).await,
         }
     }
--- a/crates/badgerfield-standin/src/engine.rs
+++ b/crates/badgerfield-standin/src/engine.rs
@@ -71,6 +71,10 @@
     retry_after_s: Option<u64>,
     /// Break the connection of every stream after this number of events.
     break_after: Option<usize>,
+    /// Answer requests to resume a stream with this status and a text.
+    resume_status: Option<StatusCode>,
+    /// End lines of streams with a carriage return and a line feed.
+    has_carriage_returns: bool,
     /// Report in `/load` that the engine is leaving.
     leaving: bool,
     /// Exit shortly after a prompt that contains this text arrives.
@@ -168,6 +172,10 @@
             if request.method == Method::DELETE {
                 return json_reply(&cancel_stream(&stream));
             }
+            let resume_status = lock(&self.state).faults.resume_status;
+            if let Some(status) = resume_status {
+                return error_reply(status);
+            }
             let from =
                 request.query_number("from").and_then(|n| usize::try_from(n).ok()).unwrap_or(0);
             return Some(self.stream_response(stream, from));
@@ -256,7 +264,10 @@
     }
 
     fn stream_response(self: &Arc<Self>, stream: Arc<Stream>, from: usize) -> Response<Body> {
-        let break_after = lock(&self.state).faults.break_after;
+        let (break_after, has_carriage_returns) = {
+            let faults = &lock(&self.state).faults;
+            (faults.break_after, faults.has_carriage_returns)
+        };
         let frames =
             stream::unfold((stream, from, false), move |(stream, next, done)| async move {
                 if done {
@@ -270,6 +281,8 @@
                     Some(event) => (event, false),
                     None => (Bytes::from_static(b"data: [DONE]\n\n"), true),
                 };
+                let event =
+                    if has_carriage_returns { with_carriage_returns(&event) } else { event };
                 Some((Ok(Frame::data(event)), (stream, next + 1, done)))
             });
         let mut response = Response::new(body_until_error(frames));
@@ -298,10 +311,14 @@
                 let body = request.json();
                 let flag = |name: &str| body[name].as_bool().unwrap_or(false);
                 let limit = body["break_after"].as_u64().and_then(|n| usize::try_from(n).ok());
+                let status = body["resume_status"].as_u64().and_then(|n| u16::try_from(n).ok());
+                let status = status.and_then(|status| StatusCode::from_u16(status).ok());
                 state.faults = Faults {
                     busy: flag("busy"),
                     retry_after_s: body["rest"].as_u64(),
                     break_after: limit,
+                    resume_status: status,
+                    has_carriage_returns: flag("carriage_returns"),
                     leaving: flag("leaving"),
                     crash_text: body["ends_under"].as_str().map(str::to_owned),
                 };
@@ -389,6 +406,10 @@
 }
 
 /// Returns a reply with status 503, with a `Retry-After` header if one is configured.
+fn with_carriage_returns(event: &[u8]) -> Bytes {
+    String::from_utf8_lossy(event).replace('\n', "\r\n").into()
+}
+
 fn busy_reply(retry_after_s: Option<u64>) -> Reply {
     let mut reply = error_reply(StatusCode::SERVICE_UNAVAILABLE)?;
     if let Some(seconds) = retry_after_s {
