A chat whose engine ends lines with CRLF is not cut

A whole chat stream with CRLF line ends was never split into events and broke off at its end. The client of engines splits events and reads their data by the scanner's rules now, so a byte order mark does not hide the first event either (no test).

--- a/crates/badgerfield-core/src/event_stream.rs
+++ b/crates/badgerfield-core/src/event_stream.rs
@@ -237,6 +237,24 @@
     }
 }
 
+/// Removes and returns the first complete event of a buffer.
+#[must_use]
+pub fn split_event(buffer: &mut BytesMut) -> Option<Bytes> {
+    event_end(buffer).map(|end| buffer.split_to(end).freeze())
+}
+
+/// Returns the `data` lines of an event without their line ends.
+#[must_use]
+pub fn event_data(event: &[u8]) -> Bytes {
+    let mut data = BytesMut::new();
+    for (name, value) in field_lines(event).map(split_field) {
+        if name == b"data" {
+            data.extend_from_slice(value.strip_prefix(b" ").unwrap_or(value));
+        }
+    }
+    data.freeze()
+}
+
 /// Returns the end of the first event, which is the offset after its final empty line. A line ends
 /// with a carriage return, a line feed or both.
 fn event_end(bytes: &[u8]) -> Option<usize> {
--- a/crates/badgerfield-node/src/upstream_client.rs
+++ b/crates/badgerfield-node/src/upstream_client.rs
@@ -12,11 +12,12 @@
 
 use badgerfield_core::Event;
 use badgerfield_core::event::{Chunk, Dispatch, UpstreamEvent, Usage};
+use badgerfield_core::event_stream;
 use badgerfield_core::ids::{AttemptId, UpstreamId};
 use badgerfield_core::json_document::{DocumentScanner, is_json};
 use badgerfield_core::message::Head;
 use badgerfield_core::vm_upstreams::LoadReport;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use futures::future::join_all;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -392,21 +393,13 @@
 ///
 /// Specification: <https://html.spec.whatwg.org/multipage/server-sent-events.html>.
 pub(crate) fn next_event(buffer: &mut BytesMut) -> Option<Bytes> {
-    loop {
-        let end = buffer.windows(2).position(|w| w == b"\n\n")?;
-        let event = buffer.split_to(end).freeze();
-        buffer.advance(2);
-        let mut data = BytesMut::new();
-        for line in event.split(|b| *b == b'\n') {
-            let Some(value) = line.strip_prefix(b"data:") else {
-                continue;
-            };
-            data.extend_from_slice(value.strip_prefix(b" ").unwrap_or(value));
-        }
+    while let Some(event) = event_stream::split_event(buffer) {
+        let data = event_stream::event_data(&event);
         if !data.is_empty() {
-            return Some(data.freeze());
+            return Some(data);
         }
     }
+    None
 }
 
 impl Driver {
--- a/crates/badgerfield/tests/resumed_chats.rs
+++ b/crates/badgerfield/tests/resumed_chats.rs
@@ -41,3 +41,14 @@
     assert!(whole.is_some() && whole == resumed, "{whole:?} {resumed:?}");
     Ok(())
 }
+
+/// Guards against a whole chat that is cut because its engine ends lines in another way.
+#[tokio::test]
+async fn chat_with_carriage_returns_is_whole() -> Result<()> {
+    let site = Site::start_with_engines(&program_directory(), (1, 1), 100_000, 200).await?;
+    let whole = site.send_chat(0, None, "the same prompt", 5).await.streamed_text();
+    site.set_faults(site.engine_admins[0], &json!({ "carriage_returns": true })).await;
+    let other = site.send_chat(0, None, "the same prompt", 5).await;
+    assert!(whole.is_some() && whole == other.streamed_text(), "{whole:?} {other:?}");
+    Ok(())
+}
