A sound answer is not cut because its upstream closes an idle connection

Callers saw whole answers without a length as cut, and streams ran twice, at upstreams that close idle connections after 300 to 700 ms: the witness was checked at the end of the answer and closed by the upstream in the 750 ms for which its process must outlive the end (evidence=same_instance connection=earlier outlived_ms=302 to 704 whole=false).

While an end is judged, a witness that has been idle for 250 ms is checked, unless its last check was rejected: such an upstream may be overloaded. Idle times below 250 ms are still too short.

--- a/crates/badgerfield-node/src/gateway/witness/keeper.rs
+++ b/crates/badgerfield-node/src/gateway/witness/keeper.rs
@@ -172,7 +172,13 @@
         });
         self.witness.sample_after(self.clock(), OVERLAP);
         let mut idle_since = opened_at;
+        let mut is_rejecting = false;
         loop {
+            // An upstream that rejects checks may be overloaded, and one that closes its connections
+            // after them costs a connection each.
+            let is_spared = is_rejecting || habits.closes_after_answer;
+            let judge_refresh =
+                if is_spared { habits.refresh } else { MIN_REFRESH.min(habits.refresh) };
             tokio::select! {
                 biased;
                 () = connection.wait_until_closed() => {
@@ -183,6 +189,7 @@
                     return ConnectionEnd::Closed;
                 }
                 () = self.wait_until_due(idle_since.after(habits.refresh)) => {}
+                () = self.wait_until_judged(idle_since.after(judge_refresh)) => {}
             }
             let spare = self.open_spare(habits).await;
             match self.check(&mut connection, spare.is_some()).await {
@@ -200,6 +207,7 @@
                     habits.closes_after_answer = false;
                     habits.refresh = habits.refresh.min(keep_alive / 2).max(MIN_REFRESH);
                     idle_since = self.clock().now();
+                    is_rejecting = is_rejected;
                     let interval = if is_rejected { REJECTED_INTERVAL } else { CHECK_INTERVAL };
                     self.clock().sleep(interval).await;
                 }
@@ -229,6 +237,18 @@
         }
     }
 
+    /// Waits until a deadline has passed and the end of a response is being judged. If the upstream
+    /// closed the idle connection meanwhile, nothing would be proved.
+    async fn wait_until_judged(&self, deadline: Time) {
+        if !self.question.is_asked_early() {
+            return std::future::pending().await;
+        }
+        let mut state = self.witness.state.subscribe();
+        self.clock().sleep_until(deadline).await;
+        // The sender lives as long as this task.
+        let _ = state.wait_for(|state| state.ended_users > 0).await;
+    }
+
     /// Sends a health check. If there is a spare connection, the witness stays open.
     async fn check(&self, connection: &mut Connection, has_spare: bool) -> CheckResult {
         let Some(request) = self.question.request(self.witness.address) else {
