--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -116,7 +116,9 @@
         let is_running = proves_running(testimony, link, witness.has_stalled());
         let survival = if is_running && crashed != Some(true) {
             let remaining = limits.deadline.since(ended_at).saturating_sub(RELEASE_TIME);
-            Some(witness.ask_later(ended_at, ended_at.after(remaining)).await)
+            // A rejected check counts like a rejected request.
+            let may_check = !self.gateway.upstreams().has_brittle();
+            Some(witness.ask_later(ended_at, ended_at.after(remaining), may_check).await)
         } else {
             None
         };
--- a/crates/badgerfield-node/src/gateway/witness.rs
+++ b/crates/badgerfield-node/src/gateway/witness.rs
@@ -190,6 +190,8 @@
     users: usize,
     /// The number of these whose response has ended.
     ended_users: usize,
+    /// The number of ends that are being judged and for which an idle connection is checked.
+    checked_ends: usize,
     /// How often the witness was asked.
     questions: u64,
     /// The numbers of the last health checks that were wanted, sent and answered.
@@ -217,6 +219,7 @@
         closed_at: None,
         users: 0,
         ended_users: 0,
+        checked_ends: 0,
         questions: 0,
         wanted: 0,
         sent: 0,
@@ -344,10 +347,14 @@
         let _ = self.clock.timeout_at(deadline, state.wait_for(State::is_settled)).await;
     }
 
-    /// Counts a response as ended until the result is dropped.
-    fn count_ended(&self) -> EndedUser<'_> {
-        self.witness.state.send_modify(|state| state.ended_users += 1);
-        EndedUser(&self.witness)
+    /// Counts a response as ended until the result is dropped. Meanwhile an idle connection may be
+    /// checked, so that the upstream keeps it.
+    fn count_ended(&self, may_check: bool) -> EndedUser<'_> {
+        self.witness.state.send_modify(|state| {
+            state.ended_users += 1;
+            state.checked_ends += usize::from(may_check);
+        });
+        EndedUser { witness: &self.witness, may_check }
     }
 
     /// Uses the witness for the response that has begun on a connection.
@@ -365,12 +372,18 @@
 }
 
 /// A response that has ended and still uses its witness.
-struct EndedUser<'a>(&'a Witness);
+struct EndedUser<'a> {
+    witness: &'a Witness,
+    may_check: bool,
+}
 
 impl Drop for EndedUser<'_> {
     fn drop(&mut self) {
-        let decrement = |state: &mut State| state.ended_users = state.ended_users.saturating_sub(1);
-        self.0.state.send_modify(decrement);
+        let checked = usize::from(self.may_check);
+        self.witness.state.send_modify(|state| {
+            state.ended_users = state.ended_users.saturating_sub(1);
+            state.checked_ends = state.checked_ends.saturating_sub(checked);
+        });
     }
 }
 
@@ -403,13 +416,19 @@
     }
 
     /// Finds out whether a process that lived on after the response had ended still does some time
-    /// later, `deadline` at the latest, and takes connections.
-    pub(crate) async fn ask_later(&self, ended_at: Time, deadline: Time) -> Survival {
+    /// later, `deadline` at the latest, and takes connections. `may_check` tells whether the upstream
+    /// may be checked more often meanwhile.
+    pub(crate) async fn ask_later(
+        &self,
+        ended_at: Time,
+        deadline: Time,
+        may_check: bool,
+    ) -> Survival {
         let clock = &self.user.clock;
         let due = ended_at.after(OUTLIVE_TIME).min(deadline);
         let before = self.user.witness.state.borrow().connection();
         {
-            let _ended = self.user.count_ended();
+            let _ended = self.user.count_ended(may_check);
             self.wait_for_close(due).await;
         }
         let asked_at = clock.now();
--- a/crates/badgerfield-node/src/gateway/witness/keeper.rs
+++ b/crates/badgerfield-node/src/gateway/witness/keeper.rs
@@ -246,7 +246,7 @@
         let mut state = self.witness.state.subscribe();
         self.clock().sleep_until(deadline).await;
         // The sender lives as long as this task.
-        let _ = state.wait_for(|state| state.ended_users > 0).await;
+        let _ = state.wait_for(|state| state.checked_ends > 0).await;
     }
 
     /// Sends a health check. If there is a spare connection, the witness stays open.
--- a/crates/badgerfield-node/src/service_calls.rs
+++ b/crates/badgerfield-node/src/service_calls.rs
@@ -148,7 +148,7 @@
             return Some(body);
         }
         let survival = if is_running {
-            Some(witness.ask_later(ended_at, ended_at.after(OUTLIVE_TIMEOUT)).await)
+            Some(witness.ask_later(ended_at, ended_at.after(OUTLIVE_TIMEOUT), false).await)
         } else {
             None
         };
