--- a/crates/badgerfield/tests/soak.rs
+++ b/crates/badgerfield/tests/soak.rs
@@ -80,6 +80,15 @@
     run_faults(seed, faults, size, length).await;
 }
 
+/// Runs upstreams whose answers have no length, and which close their streams some time before they
+/// exit. Every rule must hold.
+async fn run_slow_exits(seed: u64) {
+    let length = Duration::from_secs(20);
+    let size = SiteSize { vms: 3, upstreams: 5, domains: 3 };
+    let faults = schedule::overlapping_slow_exits(seed, length, size);
+    run_faults(seed, faults, size, length).await;
+}
+
 /// Runs the soak test with a schedule of faults. Every rule must hold.
 async fn run_faults(seed: u64, faults: Vec<TimedFault>, size: SiteSize, length: Duration) {
     let program = Path::new(env!("CARGO_BIN_EXE_badgerfield"));
@@ -143,3 +152,9 @@
 async fn successors_prove_the_answers_of_upstreams_that_ended() {
     run_successions(106).await;
 }
+
+/// Guards against a sign of life of an upstream that ends counting as proof of its answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstreams_that_close_their_streams_before_they_exit_prove_them() {
+    run_slow_exits(107).await;
+}
