Only another upstream can tell if an address that refuses connections cut an answer

A process that ends its answers early and exits later than the wait gives the same evidence, so it cannot decide.

Such an end is confirmed by another upstream where one can be asked, and counts as whole if none can tell.

--- a/crates/badgerfield-core/src/upstream_table/answers.rs
+++ b/crates/badgerfield-core/src/upstream_table/answers.rs
@@ -1,4 +1,4 @@
-//! What is known of the ends of upstreams' answers.
+//! How the answers of upstreams have ended lately.
 
 use super::UpstreamTable;
 use crate::amount::Time;
@@ -13,14 +13,6 @@
         }
     }
 
-    /// Returns whether an upstream has said that it is about to leave, or has left the list.
-    #[must_use]
-    pub fn is_leaving(&self, id: &UpstreamId) -> bool {
-        self.upstreams.get(id).is_none_or(|upstream| {
-            upstream.info.leaving || upstream.announced.is_leaving || upstream.removed_at.is_some()
-        })
-    }
-
     /// Returns how the recent answers of an upstream have ended. Nothing is known of one that is not
     /// listed.
     #[must_use]
--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -18,7 +18,7 @@
 
 use crate::gateway::crash_check::{CrashCheck, Progress};
 use crate::gateway::request_log;
-use crate::gateway::witness::{Instance, Link, ResponseWitness, Survival, Testimony};
+use crate::gateway::witness::{Instance, Link, ResponseWitness, Testimony};
 
 /// How long the end of a response may be held back until it is judged.
 pub(super) const MAX_JUDGE_TIME: Duration = Duration::from_millis(1200);
@@ -36,8 +36,8 @@
     Unproved,
     /// The upstream still ran, but it breaks off other responses.
     Doubted,
-    /// The upstream still ran, but it fails other requests. The response counts as whole unless another
-    /// upstream tells otherwise.
+    /// The upstream still ran, but it fails other requests, or accepts no more connections. The response
+    /// counts as whole unless another upstream tells otherwise.
     Unconfirmed,
 }
 
@@ -123,10 +123,8 @@
             None
         };
         let now = self.driver.now();
-        // A planned end closes the listener first, and lets answers finish.
-        let may_refuse = self.gateway.upstreams().is_leaving(upstream);
-        let is_proved = |survival: Survival| survival.is_proved(false, may_refuse);
-        let is_running = survival.is_some_and(is_proved);
+        let is_running = survival.is_some_and(|survival| survival.is_proved(false));
+        let is_refused = survival.is_some_and(|survival| survival.is_refused);
         // A process that has outlived the response has not crashed under its request.
         let has_crashed = match crashed {
             Some(has_crashed) => has_crashed,
@@ -135,6 +133,8 @@
         let record = self.gateway.upstreams().answer_record(now, upstream);
         let end = match (has_crashed, is_running) {
             (true, _) => UnframedEnd::Crashed,
+            // A planned end closes the listener first as well, and lets answers finish.
+            (false, true) if is_refused && limits.can_confirm => UnframedEnd::Unconfirmed,
             (false, true) => judge_by_others(record.reliability(now), limits.can_confirm),
             (false, false) => UnframedEnd::Unproved,
         };
@@ -144,7 +144,7 @@
             evidence: testimony_code(survival.map_or(testimony, |survival| survival.testimony)),
             connection: link_code(link),
             outlived: survival.map(|survival| survival.span),
-            is_refused: survival.is_some_and(|survival| survival.is_refused),
+            is_refused,
             record,
             has_stalled: witness.has_stalled(),
             is_whole: end == UnframedEnd::Whole,
--- a/crates/badgerfield-node/src/gateway/witness.rs
+++ b/crates/badgerfield-node/src/gateway/witness.rs
@@ -143,19 +143,17 @@
     /// Returns whether a process that had outlived the response still runs.
     ///
     /// On another connection its name tells, or `allows_unnamed`: the upstream announced that it would
-    /// close the one before, and its answers never name a process. An upstream that is leaving
-    /// `may_refuse` new connections.
-    pub(crate) fn is_proved(&self, allows_unnamed: bool, may_refuse: bool) -> bool {
+    /// close the one before, and its answers never name a process.
+    pub(crate) fn is_proved(&self, allows_unnamed: bool) -> bool {
         let is_linked = self.is_kept || self.link == Link::SameProcess;
-        let is_answered = match self.testimony {
+        match self.testimony {
             Testimony::Answered(Instance::Other) | Testimony::Closed => false,
             Testimony::Answered(Instance::Same) => is_linked || self.link == Link::Unknown,
             Testimony::Answered(Instance::Unnamed) => {
                 is_linked || (allows_unnamed && self.link == Link::Unknown)
             }
             Testimony::Open => self.is_kept,
-        };
-        is_answered && (may_refuse || !self.is_refused)
+        }
     }
 }
 
--- a/crates/badgerfield-node/src/service_calls.rs
+++ b/crates/badgerfield-node/src/service_calls.rs
@@ -152,7 +152,7 @@
         } else {
             None
         };
-        if survival.is_some_and(|survival| survival.is_proved(true, false)) {
+        if survival.is_some_and(|survival| survival.is_proved(true)) {
             return Some(body);
         }
         let evidence = testimony_code(survival.map_or(testimony, |survival| survival.testimony));
