A brittle upstream is not checked after the end of an answer

While a service is brittle, a witness whose connection has stayed open for the wait is enough. The address is asked for a connection only where another upstream could confirm the end.

--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -18,7 +18,7 @@
 
 use crate::gateway::crash_check::{CrashCheck, Progress};
 use crate::gateway::request_log;
-use crate::gateway::witness::{Instance, Link, ResponseWitness, Testimony};
+use crate::gateway::witness::{Instance, Link, ResponseWitness, SecondQuestion, Testimony};
 
 /// How long the end of a response may be held back until it is judged.
 pub(super) const MAX_JUDGE_TIME: Duration = Duration::from_millis(1200);
@@ -117,8 +117,13 @@
         let survival = if is_running && crashed != Some(true) {
             let remaining = limits.deadline.since(ended_at).saturating_sub(RELEASE_TIME);
             // A rejected check counts like a rejected request.
-            let may_check = !self.gateway.upstreams().has_brittle();
-            Some(witness.ask_later(ended_at, ended_at.after(remaining), may_check).await)
+            let is_brittle = self.gateway.upstreams().has_brittle();
+            let question = SecondQuestion {
+                keeps_open: !is_brittle,
+                spares_checks: is_brittle,
+                probes: limits.can_confirm,
+            };
+            Some(witness.ask_later(ended_at, ended_at.after(remaining), question).await)
         } else {
             None
         };
--- a/crates/badgerfield-node/src/gateway/witness.rs
+++ b/crates/badgerfield-node/src/gateway/witness.rs
@@ -126,6 +126,17 @@
     Closed,
 }
 
+/// How a witness finds out whether a process outlives the end of a response by a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct SecondQuestion {
+    /// Whether its connection is checked if it is idle meanwhile, so that the upstream keeps it.
+    pub(crate) keeps_open: bool,
+    /// Whether a connection that has stayed open is enough, since a rejected check may end the upstream.
+    pub(crate) spares_checks: bool,
+    /// Whether the address of the upstream is asked for another connection.
+    pub(crate) probes: bool,
+}
+
 /// What a witness has shown some time after the end of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Survival {
@@ -414,26 +425,35 @@
     }
 
     /// Finds out whether a process that lived on after the response had ended still does some time
-    /// later, `deadline` at the latest, and takes connections. `may_check` tells whether the upstream
-    /// may be checked more often meanwhile.
+    /// later, `deadline` at the latest.
     pub(crate) async fn ask_later(
         &self,
         ended_at: Time,
         deadline: Time,
-        may_check: bool,
+        question: SecondQuestion,
     ) -> Survival {
         let clock = &self.user.clock;
         let due = ended_at.after(OUTLIVE_TIME).min(deadline);
         let before = self.user.witness.state.borrow().connection();
         {
-            let _ended = self.user.count_ended(may_check);
+            let _ended = self.user.count_ended(question.keeps_open);
             self.wait_for_close(due).await;
         }
         let asked_at = clock.now();
         let limit = ended_at.after(HEALTH_TIMEOUT).max(asked_at.after(MIN_ANSWER_TIME));
-        let asked = self.ask_until(limit.min(deadline.max(asked_at)));
-        let ((testimony, link), is_refused) = future::join(asked, self.is_refused(asked_at)).await;
-        let is_kept = self.user.witness.state.borrow().connection() == before;
+        let is_kept = || {
+            let connection = self.user.witness.state.borrow().connection();
+            connection.is_some() && connection == before
+        };
+        let asked = async {
+            if question.spares_checks && is_kept() {
+                return (Testimony::Open, self.link());
+            }
+            self.ask_until(limit.min(deadline.max(asked_at))).await
+        };
+        let probed = async { question.probes && self.is_refused(asked_at).await };
+        let ((testimony, link), is_refused) = future::join(asked, probed).await;
+        let is_kept = is_kept();
         Survival { testimony, link, is_kept, is_refused, span: asked_at.since(ended_at) }
     }
 
--- a/crates/badgerfield-node/src/service_calls.rs
+++ b/crates/badgerfield-node/src/service_calls.rs
@@ -26,7 +26,7 @@
 use crate::gateway::attempt::closes_connection;
 use crate::gateway::connections::{Connection, Connections, SendError, keep_alive_timeout};
 use crate::gateway::unframed_end::{link_code, proves_running, testimony_code};
-use crate::gateway::witness::{Question, WitnessGuard, Witnesses};
+use crate::gateway::witness::{Question, SecondQuestion, WitnessGuard, Witnesses};
 use crate::logs::UPSTREAMS;
 use crate::sync::lock;
 
@@ -148,7 +148,9 @@
             return Some(body);
         }
         let survival = if is_running {
-            Some(witness.ask_later(ended_at, ended_at.after(OUTLIVE_TIMEOUT), false).await)
+            let question =
+                SecondQuestion { keeps_open: false, spares_checks: false, probes: false };
+            Some(witness.ask_later(ended_at, ended_at.after(OUTLIVE_TIMEOUT), question).await)
         } else {
             None
         };
@@ -157,10 +159,9 @@
         }
         let evidence = testimony_code(survival.map_or(testimony, |survival| survival.testimony));
         let connection = link_code(link);
-        let is_refused = survival.is_some_and(|survival| survival.is_refused);
         log::warn!(
             target: UPSTREAMS,
-            "unproved upstream={id} evidence={evidence} connection={connection} refused={is_refused} stalled={has_stalled}"
+            "unproved upstream={id} evidence={evidence} connection={connection} stalled={has_stalled}"
         );
         None
     }
