A plain answer that was written at once need not be outlived by a while

A process that ends breaks off an answer that takes 20 ms from its head to its end only if it ends in that moment; the first question, right after the end, is asked as before. Longer plain answers and all streams wait.

--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -46,7 +46,7 @@
 use crate::gateway::request_log::{self, Timing};
 use crate::gateway::reservation::Reservation;
 use crate::gateway::state::{Gateway, OpenRequest};
-use crate::gateway::unframed_end::UnframedEnd;
+use crate::gateway::unframed_end::{AT_ONCE, UnframedEnd};
 
 /// The maximum size of a plain response, in bytes.
 const MAX_PLAIN_BYTES: usize = 16 << 20;
@@ -262,14 +262,16 @@
         response: Box<UpstreamResponse>,
     ) -> Result<(response::Parts, Bytes), &'static str> {
         let UpstreamResponse { head, body, framing, mut guard } = *response;
+        let started = self.now();
         let body = Limited::new(body, MAX_PLAIN_BYTES).collect();
         match self.driver.clock.timeout_at(self.deadline, body).await {
             Ok(Ok(body)) => {
                 if let Framing::Connection(witness) = &framing {
                     guard.release();
                     let upstream = (&guard.id, guard.address);
+                    let kind = (false, self.now().since(started) <= AT_ONCE);
                     let end =
-                        self.judge_unframed_end(upstream, Progress::NONE, witness, false).await;
+                        self.judge_unframed_end(upstream, Progress::NONE, witness, kind).await;
                     let failure = match end {
                         UnframedEnd::Whole | UnframedEnd::Unconfirmed => None,
                         UnframedEnd::Crashed => Some(CUT),
--- a/crates/badgerfield-node/src/gateway/forward/peer_request.rs
+++ b/crates/badgerfield-node/src/gateway/forward/peer_request.rs
@@ -26,7 +26,7 @@
 use crate::gateway::places::PlaceRequest;
 use crate::gateway::request_log;
 use crate::gateway::state::Gateway;
-use crate::gateway::unframed_end::{EndLimits, UnframedEnd};
+use crate::gateway::unframed_end::{AT_ONCE, EndLimits, UnframedEnd};
 use crate::peers::calls::{CallError, CallStream, write_frame};
 
 /// The outcome of an attempt that the peer has withdrawn, because its caller left or the request was
@@ -202,8 +202,11 @@
         }
         let reply = answered(chosen, &head);
         let mut events = EventDetector::default();
+        let passing_from = self.driver.now();
         let passing = self.pass_response(&mut stream.send, &reply, (body, &mut events), &mut guard);
         let end = passing.await?;
+        let is_plain = !self.request.route.repeat.is_stream();
+        let is_brief = is_plain && self.driver.now().since(passing_from) <= AT_ONCE;
         let has_begun = events.has_event;
         let (is_whole, has_crashed) = match (end, &framing) {
             (BodyEnd::Withdrawn, _) => {
@@ -221,7 +224,7 @@
                 let (id, address) = (&chosen.id, chosen.address);
                 guard.release();
                 // Whether the request may be sent again is known to the peer only.
-                let limits = EndLimits { deadline: self.deadline, can_confirm: false };
+                let limits = EndLimits { deadline: self.deadline, can_confirm: false, is_brief };
                 let end = check.judge_unframed_end(id, address, progress, witness, limits).await;
                 (end == UnframedEnd::Whole, end == UnframedEnd::Crashed)
             }
--- a/crates/badgerfield-node/src/gateway/poison.rs
+++ b/crates/badgerfield-node/src/gateway/poison.rs
@@ -236,9 +236,9 @@
         (upstream, address): (&UpstreamId, SocketAddr),
         progress: Progress,
         witness: &ResponseWitness,
-        can_confirm: bool,
+        (can_confirm, is_brief): (bool, bool),
     ) -> UnframedEnd {
-        let limits = EndLimits { deadline: self.deadline, can_confirm };
+        let limits = EndLimits { deadline: self.deadline, can_confirm, is_brief };
         self.crash_check().judge_unframed_end(upstream, address, progress, witness, limits).await
     }
 
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -354,7 +354,7 @@
         guard.release();
         let progress = Progress { last_event: self.scanner.last_event_id(), has_begun: *has_begun };
         let upstream = (&guard.id, guard.address);
-        self.exchange.judge_unframed_end(upstream, progress, witness, can_confirm).await
+        self.exchange.judge_unframed_end(upstream, progress, witness, (can_confirm, false)).await
     }
 
     /// Resumes the stream at another upstream. `has_crashed` tells whether the earlier upstream has
--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -22,6 +22,9 @@
 
 /// How long the end of a response may be held back until it is judged.
 pub(super) const MAX_JUDGE_TIME: Duration = Duration::from_millis(1200);
+/// How long a plain response may take from its head to its end to count as written at once. A process
+/// that ends breaks off such a response only in the moment in which it writes it.
+pub(crate) const AT_ONCE: Duration = Duration::from_millis(20);
 /// How long before its deadline a response must be passed on to arrive in time.
 const RELEASE_TIME: Duration = Duration::from_millis(50);
 
@@ -48,6 +51,8 @@
     pub(super) deadline: Time,
     /// Whether another upstream can tell if anything is missing.
     pub(super) can_confirm: bool,
+    /// Whether the response was written at once, so that its process need not outlive it by a while.
+    pub(super) is_brief: bool,
 }
 
 /// Returns the verdict on the end of a response of an upstream that still ran, by its other responses.
@@ -113,8 +118,10 @@
             let (answer, has_crashed) = future::join(witness.ask(), detected).await;
             (answer, Some(has_crashed))
         };
-        let is_running = proves_running(testimony, link, witness.has_stalled());
-        let survival = if is_running && crashed != Some(true) {
+        let has_stalled = witness.has_stalled();
+        let was_running = proves_running(testimony, link, has_stalled) && crashed != Some(true);
+        let is_brief = limits.is_brief && !has_stalled;
+        let survival = if was_running && !is_brief {
             let remaining = limits.deadline.since(ended_at).saturating_sub(RELEASE_TIME);
             // A rejected check counts like a rejected request.
             let is_brittle = self.gateway.upstreams().has_brittle();
@@ -128,12 +135,15 @@
             None
         };
         let now = self.driver.now();
-        let is_running = survival.is_some_and(|survival| survival.is_proved(false));
+        let is_running = match survival {
+            Some(survival) => survival.is_proved(false),
+            None => was_running,
+        };
         let is_refused = survival.is_some_and(|survival| survival.is_refused);
         // A process that has outlived the response has not crashed under its request.
         let has_crashed = match crashed {
             Some(has_crashed) => has_crashed,
-            None => survival.is_none() && self.detect(upstream, address, progress).await,
+            None => !was_running && self.detect(upstream, address, progress).await,
         };
         let record = self.gateway.upstreams().answer_record(now, upstream);
         let end = match (has_crashed, is_running) {
--- a/crates/badgerfield-node/src/service_calls.rs
+++ b/crates/badgerfield-node/src/service_calls.rs
@@ -25,7 +25,7 @@
 use crate::clock::Clock;
 use crate::gateway::attempt::closes_connection;
 use crate::gateway::connections::{Connection, Connections, SendError, keep_alive_timeout};
-use crate::gateway::unframed_end::{link_code, proves_running, testimony_code};
+use crate::gateway::unframed_end::{AT_ONCE, link_code, proves_running, testimony_code};
 use crate::gateway::witness::{Question, SecondQuestion, WitnessGuard, Witnesses};
 use crate::logs::UPSTREAMS;
 use crate::sync::lock;
@@ -139,12 +139,14 @@
         let witness =
             witness.unwrap_or_else(|| self.witnesses.attach(id, address, &Question::Options));
         let witness = witness.watch(&connection);
+        let started = self.clock.now();
         let body = read.await?;
         let ended_at = self.clock.now();
         let (testimony, link) = witness.ask().await;
         let has_stalled = witness.has_stalled();
         let is_running = proves_running(testimony, link, has_stalled);
-        if is_running && body.is_whole_document {
+        let is_brief = ended_at.since(started) <= AT_ONCE && !has_stalled;
+        if is_running && (body.is_whole_document || is_brief) {
             return Some(body);
         }
         let survival = if is_running {
