--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -455,7 +455,7 @@
     /// Returns how the response of an upstream has provably ended.
     fn proved_end(&self, reason: &str) -> Option<AnswerEnd> {
         match reason {
-            BROKEN | PARTIAL_EVENT | FALLEN_BACK => Some(AnswerEnd::BrokenOff),
+            PARTIAL_EVENT | FALLEN_BACK => Some(AnswerEnd::BrokenOff),
             CUT if self.is_within_event() => Some(AnswerEnd::BrokenOff),
             ENDS_EARLY | MISSING_EVENT | NO_STREAM => Some(AnswerEnd::Failed),
             _ => None,
--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -24,7 +24,7 @@
 pub(super) const MAX_JUDGE_TIME: Duration = Duration::from_millis(1200);
 /// How long a plain response may take from its head to its end to count as written at once. A process
 /// that ends breaks off such a response only in the moment in which it writes it.
-pub(crate) const AT_ONCE: Duration = Duration::from_millis(20);
+pub(crate) const AT_ONCE: Duration = Duration::from_millis(5);
 /// How long before its deadline a response must be passed on to arrive in time.
 const RELEASE_TIME: Duration = Duration::from_millis(50);
 
