--- a/crates/badgerfield-node/src/gateway/exchange.rs
+++ b/crates/badgerfield-node/src/gateway/exchange.rs
@@ -25,6 +25,7 @@
 use badgerfield_core::request_mix::ObservedTiming;
 use badgerfield_core::residency::Admission;
 use badgerfield_core::routing::{Caller, Route, ServiceSpec};
+use badgerfield_core::upstream_table::AttemptOutcome;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, Limited};
@@ -37,7 +38,7 @@
 use crate::driver::Driver;
 use crate::gateway::admit::admit;
 use crate::gateway::attempt::{
-    BROKEN, CUT, DOUBTED, Framing, Original, UNPROVED, UpstreamResponse,
+    BROKEN, BodyBroken, CUT, DOUBTED, Framing, Original, UNPROVED, UpstreamResponse,
 };
 use crate::gateway::crash_check::Progress;
 use crate::gateway::refusals::{record_refused, refusal_response};
@@ -45,7 +46,7 @@
 use crate::gateway::request_log::{self, Timing};
 use crate::gateway::reservation::Reservation;
 use crate::gateway::state::{Gateway, OpenRequest};
-use crate::gateway::unframed_end::UnframedEnd;
+use crate::gateway::unframed_end::{AT_ONCE, UnframedEnd};
 
 /// The maximum size of a plain response, in bytes.
 const MAX_PLAIN_BYTES: usize = 16 << 20;
@@ -261,22 +262,29 @@
         response: Box<UpstreamResponse>,
     ) -> Result<(response::Parts, Bytes), &'static str> {
         let UpstreamResponse { head, body, framing, mut guard } = *response;
+        let started = self.now();
         let body = Limited::new(body, MAX_PLAIN_BYTES).collect();
         match self.driver.clock.timeout_at(self.deadline, body).await {
             Ok(Ok(body)) => {
                 if let Framing::Connection(witness) = &framing {
                     guard.release();
                     let upstream = (&guard.id, guard.address);
+                    let kind = (false, self.now().since(started) <= AT_ONCE);
                     let end =
-                        self.judge_unframed_end(upstream, Progress::NONE, witness, false).await;
+                        self.judge_unframed_end(upstream, Progress::NONE, witness, kind).await;
                     let failure = match end {
-                        UnframedEnd::Whole => None,
+                        UnframedEnd::Whole | UnframedEnd::Unconfirmed => None,
                         UnframedEnd::Crashed => Some(CUT),
                         UnframedEnd::Unproved => Some(UNPROVED),
                         UnframedEnd::Doubted => Some(DOUBTED),
                     };
                     if let Some(failure) = failure {
-                        guard.record_failure();
+                        if failure == DOUBTED {
+                            // It may be whole.
+                            guard.set_outcome(AttemptOutcome::Unknown);
+                        } else {
+                            guard.record_failure();
+                        }
                         return Err(failure);
                     }
                 }
@@ -288,8 +296,10 @@
                 }
                 Ok((head, body.to_bytes()))
             }
-            Ok(Err(_)) => {
-                guard.record_answer_end(AnswerEnd::BrokenOff);
+            Ok(Err(error)) => {
+                let broken = error.downcast_ref::<BodyBroken>();
+                let end = broken.map_or(AnswerEnd::Failed, |broken| broken.answer_end());
+                guard.record_answer_end(end);
                 guard.record_failure();
                 Err(BROKEN)
             }
--- a/crates/badgerfield-node/src/gateway/forward/peer_request.rs
+++ b/crates/badgerfield-node/src/gateway/forward/peer_request.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use badgerfield_core::amount::Time;
-use badgerfield_core::answer_record::AnswerEnd;
 use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::poison::Fingerprint;
 use badgerfield_core::residency::Residency;
@@ -27,7 +26,7 @@
 use crate::gateway::places::PlaceRequest;
 use crate::gateway::request_log;
 use crate::gateway::state::Gateway;
-use crate::gateway::unframed_end::{EndLimits, UnframedEnd};
+use crate::gateway::unframed_end::{AT_ONCE, EndLimits, UnframedEnd};
 use crate::peers::calls::{CallError, CallStream, write_frame};
 
 /// The outcome of an attempt that the peer has withdrawn, because its caller left or the request was
@@ -203,8 +202,11 @@
         }
         let reply = answered(chosen, &head);
         let mut events = EventDetector::default();
+        let passing_from = self.driver.now();
         let passing = self.pass_response(&mut stream.send, &reply, (body, &mut events), &mut guard);
         let end = passing.await?;
+        let is_plain = !self.request.route.repeat.is_stream();
+        let is_brief = is_plain && self.driver.now().since(passing_from) <= AT_ONCE;
         let has_begun = events.has_event;
         let (is_whole, has_crashed) = match (end, &framing) {
             (BodyEnd::Withdrawn, _) => {
@@ -213,7 +215,6 @@
             }
             (BodyEnd::Late, _) => (false, false),
             (BodyEnd::Broken, _) => {
-                guard.record_answer_end(AnswerEnd::BrokenOff);
                 (false, self.detect_crash(chosen, prior_crashes, has_begun).await)
             }
             (BodyEnd::Complete, Framing::Explicit) => (true, false),
@@ -223,7 +224,7 @@
                 let (id, address) = (&chosen.id, chosen.address);
                 guard.release();
                 // Whether the request may be sent again is known to the peer only.
-                let limits = EndLimits { deadline: self.deadline, can_confirm: false };
+                let limits = EndLimits { deadline: self.deadline, can_confirm: false, is_brief };
                 let end = check.judge_unframed_end(id, address, progress, witness, limits).await;
                 (end == UnframedEnd::Whole, end == UnframedEnd::Crashed)
             }
@@ -271,8 +272,12 @@
     ) -> Result<BodyEnd, CallError> {
         let mut has_begun = !self.request.route.repeat.is_stream();
         while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else {
-                return Ok(BodyEnd::Broken);
+            let frame = match frame {
+                Ok(frame) => frame,
+                Err(error) => {
+                    guard.record_answer_end(error.answer_end());
+                    return Ok(BodyEnd::Broken);
+                }
             };
             // Trailers are not passed on, as for requests that are sent directly.
             let Ok(bytes) = frame.into_data() else {
--- a/crates/badgerfield-node/src/gateway/relay.rs
+++ b/crates/badgerfield-node/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 
 use badgerfield_core::amount::{Time, Tokens};
 use badgerfield_core::answer_record::AnswerEnd;
-use badgerfield_core::event_stream::{EventScanner, MAX_EVENT_BYTES, StreamFault};
+use badgerfield_core::event_stream::{EventScanner, MAX_EVENT_BYTES, SourceFault, StreamFault};
 use badgerfield_core::ids::UpstreamId;
 use badgerfield_core::upstream_table::AttemptOutcome;
 use bytes::Bytes;
@@ -17,8 +17,8 @@
 use hyper::{Response, StatusCode};
 
 use crate::gateway::attempt::{
-    BLOCKED, BROKEN, CUT, DOUBTED, Framing, SILENT, UNPROVED, UpstreamBody, UpstreamGuard,
-    UpstreamResponse,
+    BLOCKED, BROKEN, CUT, DOUBTED, Framing, SILENT, UNCONFIRMED, UNPROVED, UpstreamBody,
+    UpstreamGuard, UpstreamResponse,
 };
 use crate::gateway::crash_check::Progress;
 use crate::gateway::exchange::{
@@ -37,11 +37,11 @@
 const PARTIAL_EVENT: &str = "partial_event";
 /// The outcome of a response that resumed a stream and ended before an event that had arrived.
 const ENDS_EARLY: &str = "ends_early";
-/// The outcome of a response without events that resumed a stream within an event.
+/// The outcome of a response that resumed a stream within an event and does not contain that event.
 const MISSING_EVENT: &str = "missing_event";
 /// The outcome of a response whose events went back to an earlier one.
 const FALLEN_BACK: &str = "events_go_back";
-/// The outcome of a response that should resume a stream and is in another format.
+/// The outcome of a response that should resume a stream and is none, by its head or its text.
 const NO_STREAM: &str = "no_stream";
 
 /// A stream that is forwarded to the caller.
@@ -67,15 +67,23 @@
     /// The number of events that had been passed on when it resumed the stream; `None` if it began
     /// the stream.
     resumed_at: Option<u64>,
-    /// The upstream whose end of the stream was doubted, until this one tells whether it was whole.
-    doubted: Option<UpstreamId>,
+    /// The doubt about the end of the stream of the upstream before, until this one settles it.
+    doubt: Option<Doubt>,
+}
+
+/// The doubt whether a stream was whole when its upstream ended it.
+#[derive(Debug, Clone)]
+struct Doubt {
+    upstream: UpstreamId,
+    /// Whether the stream counts as whole if nobody tells otherwise.
+    is_slight: bool,
 }
 
 impl Source {
     /// Records how the stream of the upstream before has ended, if that was doubted.
     fn settle_doubt(&mut self, end: AnswerEnd) {
-        if let Some(upstream) = self.doubted.take() {
-            self.guard.record_end_of_other(&upstream, end);
+        if let Some(doubt) = self.doubt.take() {
+            self.guard.record_end_of_other(&doubt.upstream, end);
         }
     }
 }
@@ -94,7 +102,7 @@
     let scanner = EventScanner::resume_after(exchange.headers.last_event);
     let status = head.status.as_u16();
     let source =
-        Some(Source { body, framing, guard, has_begun: false, resumed_at: None, doubted: None });
+        Some(Source { body, framing, guard, has_begun: false, resumed_at: None, doubt: None });
     let content_type = head.headers.get(CONTENT_TYPE).cloned();
     let relay = Relay { exchange, source, scanner, content_type, status, ended: false };
     let parts = stream::unfold(relay, |mut relay| async move {
@@ -118,8 +126,16 @@
             if self.ended {
                 return None;
             }
-            if self.scanner.has_fallen_back() {
-                return self.resume_elsewhere(FALLEN_BACK, Some(false)).await;
+            if let Some(fault) = self.scanner.source_fault() {
+                let reason = match fault {
+                    SourceFault::FallenBack => FALLEN_BACK,
+                    SourceFault::LeavesOut => MISSING_EVENT,
+                    SourceFault::NoEvents => NO_STREAM,
+                };
+                if let Some(failure) = self.resume_elsewhere(reason, Some(false)).await {
+                    return Some(failure);
+                }
+                continue;
             }
             match self.read().await {
                 ReadResult::Data(bytes) => {
@@ -131,6 +147,7 @@
                         continue;
                     }
                     self.exchange.record_events();
+                    self.record_continued();
                     if self.record_begun().is_err() {
                         return Some(self.fail(OTHER_VERSION));
                     }
@@ -170,7 +187,8 @@
             // The upstream has ended its response itself.
             return fault.map_or(Ok(()), |reason| Err((reason, Some(false))));
         }
-        if !self.scanner.partial_event().is_empty() {
+        let names_other_format = self.content_type.is_some() && !self.has_events();
+        if !names_other_format && self.is_within_event() {
             return Err((CUT, None));
         }
         if let Some(reason) = fault {
@@ -181,17 +199,26 @@
             UnframedEnd::Crashed => Err((CUT, Some(true))),
             UnframedEnd::Unproved => Err((UNPROVED, Some(false))),
             UnframedEnd::Doubted => Err((DOUBTED, Some(false))),
+            UnframedEnd::Unconfirmed => Err((UNCONFIRMED, Some(false))),
         }
     }
 
+    /// Returns whether the response is a stream of events.
+    fn has_events(&self) -> bool {
+        let is_resumed = self.source.as_ref().is_some_and(|source| source.resumed_at.is_some());
+        is_resumed || self.scanner.event_count() > 0 || is_event_stream(self.content_type.as_ref())
+    }
+
+    /// Returns whether the received bytes end within a line or an event. A comment that has arrived
+    /// whole is no part of an event.
+    fn is_within_event(&self) -> bool {
+        self.scanner.is_within_line() || self.scanner.check_end() == Err(StreamFault::PartialEvent)
+    }
+
     /// Returns why the events show that the stream is not whole. A response in another format is
     /// passed on as it is.
     fn content_fault(&self) -> Option<&'static str> {
-        let is_resumed = self.source.as_ref().is_some_and(|source| source.resumed_at.is_some());
-        let has_events = is_resumed
-            || self.scanner.event_count() > 0
-            || is_event_stream(self.content_type.as_ref());
-        let fault = has_events.then(|| self.scanner.check_end().err()).flatten()?;
+        let fault = self.has_events().then(|| self.scanner.check_end().err()).flatten()?;
         Some(match fault {
             StreamFault::PartialEvent => PARTIAL_EVENT,
             StreamFault::EndsEarly => ENDS_EARLY,
@@ -220,7 +247,6 @@
         };
         source.has_begun = true;
         source.guard.record_first_event();
-        source.settle_doubt(AnswerEnd::BrokenOff);
         let version = source.guard.version;
         let exchange = &mut self.exchange;
         exchange.record_begun_parts();
@@ -229,6 +255,17 @@
         exchange.bind_stream(version)
     }
 
+    /// Records that the stream has gone on after an end that was doubted.
+    fn record_continued(&mut self) {
+        let event_count = self.scanner.event_count();
+        let Some(source) = self.source.as_mut() else {
+            return;
+        };
+        if source.resumed_at.is_some_and(|resumed_at| event_count > resumed_at) {
+            source.settle_doubt(AnswerEnd::BrokenOff);
+        }
+    }
+
     /// Reads the next part of the response from the upstream.
     async fn read(&mut self) -> ReadResult {
         let (started, deadline) = (self.exchange.now(), self.exchange.deadline());
@@ -257,7 +294,10 @@
             };
             return match frame {
                 Ok(Some(Ok(frame))) => ReadResult::Data(frame.into_data().unwrap_or_default()),
-                Ok(Some(Err(_))) => ReadResult::Broken(BROKEN),
+                Ok(Some(Err(error))) => {
+                    source.guard.record_answer_end(error.answer_end());
+                    ReadResult::Broken(BROKEN)
+                }
                 Ok(None) => ReadResult::End,
                 Err(_) if exchange.now() >= deadline => ReadResult::OutOfTime,
                 // The upstream may have sent data while this process was stalled.
@@ -314,7 +354,7 @@
         guard.release();
         let progress = Progress { last_event: self.scanner.last_event_id(), has_begun: *has_begun };
         let upstream = (&guard.id, guard.address);
-        self.exchange.judge_unframed_end(upstream, progress, witness, can_confirm).await
+        self.exchange.judge_unframed_end(upstream, progress, witness, (can_confirm, false)).await
     }
 
     /// Resumes the stream at another upstream. `has_crashed` tells whether the earlier upstream has
@@ -331,7 +371,7 @@
         match reason {
             BLOCKED => source.guard.record_not_run(AttemptOutcome::Unknown),
             // It may be whole.
-            DOUBTED => source.guard.set_outcome(AttemptOutcome::Unknown),
+            DOUBTED | UNCONFIRMED => source.guard.set_outcome(AttemptOutcome::Unknown),
             _ => source.guard.record_failure(),
         }
         if let Some(end) = self.proved_end(reason) {
@@ -339,6 +379,7 @@
         }
         let (from, address) = (source.guard.id.clone(), source.guard.address);
         let (peer, has_begun) = (source.guard.peer_verdict(), source.has_begun);
+        let pending = source.doubt.take().filter(|_| self.scanner.check_end().is_ok());
         // The earlier upstream stops its work when the connection closes.
         drop(source);
         let is_disconnected = reason == BROKEN || reason == CUT;
@@ -352,14 +393,18 @@
         };
         // An upstream that has not crashed may have generated more than arrived here.
         self.exchange.has_unseen_output |= !has_crashed;
+        let doubt = match reason {
+            DOUBTED => Some(Doubt { upstream: from.clone(), is_slight: false }),
+            UNCONFIRMED => Some(Doubt { upstream: from.clone(), is_slight: true }),
+            _ => pending,
+        };
         if !self.can_resume() {
-            return Some(self.fail(reason));
+            return self.give_up(reason, doubt);
         }
         self.scanner.start_source();
         let last = self.scanner.last_event_id();
         request_log::resumed(&self.exchange.original.id, &from, last, reason);
-        let doubted = (reason == DOUBTED).then_some(from);
-        self.dispatch_rest(last, doubted).await
+        self.dispatch_rest(last, doubt).await
     }
 
     /// Sends the request to upstreams until one sends the rest of the stream. Returns the final error
@@ -367,19 +412,19 @@
     async fn dispatch_rest(
         &mut self,
         last: Option<u64>,
-        doubted: Option<UpstreamId>,
+        doubt: Option<Doubt>,
     ) -> Option<Result<Bytes, ResponseTruncated>> {
         loop {
             let response = match self.exchange.dispatch(last).await {
                 Ok(response) if response.head.status.is_success() => response,
-                Ok(_) => return Some(self.fail("resume_failed")),
-                Err(refusal) => return Some(self.fail(refusal.cause.code())),
+                Ok(_) => return self.give_up("resume_failed", doubt),
+                Err(refusal) => return self.give_up(refusal.cause.code(), doubt),
             };
             if self.continues_stream(&response.head) {
                 let UpstreamResponse { body, framing, guard, .. } = *response;
                 let resumed_at = Some(self.scanner.event_count());
                 let has_begun = false;
-                self.source = Some(Source { body, framing, guard, has_begun, resumed_at, doubted });
+                self.source = Some(Source { body, framing, guard, has_begun, resumed_at, doubt });
                 return None;
             }
             let mut guard = response.guard;
@@ -389,17 +434,30 @@
             let (id, attempts) = (&exchange.original.id, exchange.attempts);
             request_log::attempt_failed(id, attempts, Some(&guard.id), NO_STREAM, elapsed);
             if !self.can_resume() {
-                return Some(self.fail(NO_STREAM));
+                return self.give_up(NO_STREAM, doubt);
             }
         }
     }
 
+    /// Ends a stream that no upstream resumes. With no more than a slight doubt it counts as whole.
+    fn give_up(
+        &mut self,
+        reason: &str,
+        doubt: Option<Doubt>,
+    ) -> Option<Result<Bytes, ResponseTruncated>> {
+        let Some(doubt) = doubt.filter(|doubt| doubt.is_slight) else {
+            return Some(self.fail(reason));
+        };
+        self.finish_at(Some(&doubt.upstream));
+        None
+    }
+
     /// Returns how the response of an upstream has provably ended.
     fn proved_end(&self, reason: &str) -> Option<AnswerEnd> {
         match reason {
-            BROKEN | PARTIAL_EVENT | FALLEN_BACK => Some(AnswerEnd::BrokenOff),
-            CUT if !self.scanner.partial_event().is_empty() => Some(AnswerEnd::BrokenOff),
-            ENDS_EARLY | MISSING_EVENT => Some(AnswerEnd::Failed),
+            PARTIAL_EVENT | FALLEN_BACK => Some(AnswerEnd::BrokenOff),
+            CUT if self.is_within_event() => Some(AnswerEnd::BrokenOff),
+            ENDS_EARLY | MISSING_EVENT | NO_STREAM => Some(AnswerEnd::Failed),
             _ => None,
         }
     }
@@ -426,7 +484,6 @@
     }
 
     fn finish(&mut self) {
-        self.ended = true;
         let source = self.source.take();
         let upstream = source.as_ref().map(|source| source.guard.id.clone());
         if let Some(mut source) = source {
@@ -435,13 +492,14 @@
             source.guard.finish();
         }
         self.exchange.record_stream_timing();
+        self.finish_at(upstream.as_ref());
+    }
+
+    /// Records that the stream is whole, by its last upstream.
+    fn finish_at(&mut self, upstream: Option<&UpstreamId>) {
+        self.ended = true;
         self.exchange.record_served();
-        self.exchange.record_end(
-            "served",
-            self.status,
-            upstream.as_ref(),
-            self.scanner.event_count(),
-        );
+        self.exchange.record_end("served", self.status, upstream, self.scanner.event_count());
     }
 
     fn fail(&mut self, reason: &str) -> Result<Bytes, ResponseTruncated> {
--- a/crates/badgerfield-node/src/gateway/unframed_end.rs
+++ b/crates/badgerfield-node/src/gateway/unframed_end.rs
@@ -18,10 +18,13 @@
 
 use crate::gateway::crash_check::{CrashCheck, Progress};
 use crate::gateway::request_log;
-use crate::gateway::witness::{Instance, Link, ResponseWitness, Testimony};
+use crate::gateway::witness::{Instance, Link, ResponseWitness, SecondQuestion, Testimony};
 
 /// How long the end of a response may be held back until it is judged.
 pub(super) const MAX_JUDGE_TIME: Duration = Duration::from_millis(1200);
+/// How long a plain response may take from its head to its end to count as written at once. A process
+/// that ends breaks off such a response only in the moment in which it writes it.
+pub(crate) const AT_ONCE: Duration = Duration::from_millis(5);
 /// How long before its deadline a response must be passed on to arrive in time.
 const RELEASE_TIME: Duration = Duration::from_millis(50);
 
@@ -34,8 +37,11 @@
     Crashed,
     /// Neither is proved.
     Unproved,
-    /// The upstream still ran, but other responses of it were broken off or failed lately.
+    /// The upstream still ran, but it breaks off other responses.
     Doubted,
+    /// The upstream still ran, but it fails other requests, or accepts no more connections. The response
+    /// counts as whole unless another upstream tells otherwise.
+    Unconfirmed,
 }
 
 /// What limits the judgement of an end.
@@ -45,17 +51,16 @@
     pub(super) deadline: Time,
     /// Whether another upstream can tell if anything is missing.
     pub(super) can_confirm: bool,
+    /// Whether the response was written at once, so that its process need not outlive it by a while.
+    pub(super) is_brief: bool,
 }
 
-/// Returns whether the other responses of an upstream cast doubt on the end of one.
-///
-/// Asking another upstream costs a prompt that is read again. Without one, the response would be cut,
-/// for which failures are not reason enough.
-fn is_doubtful(reliability: Reliability, can_confirm: bool) -> bool {
+/// Returns the verdict on the end of a response of an upstream that still ran, by its other responses.
+fn judge_by_others(reliability: Reliability, can_confirm: bool) -> UnframedEnd {
     match reliability {
-        Reliability::Sound => false,
-        Reliability::Fails => can_confirm,
-        Reliability::BreaksOff => true,
+        Reliability::Fails if can_confirm => UnframedEnd::Unconfirmed,
+        Reliability::Sound | Reliability::Fails => UnframedEnd::Whole,
+        Reliability::BreaksOff => UnframedEnd::Doubted,
     }
 }
 
@@ -113,28 +118,39 @@
             let (answer, has_crashed) = future::join(witness.ask(), detected).await;
             (answer, Some(has_crashed))
         };
-        let is_running = proves_running(testimony, link, witness.has_stalled());
-        let survival = if is_running && crashed != Some(true) {
+        let has_stalled = witness.has_stalled();
+        let was_running = proves_running(testimony, link, has_stalled) && crashed != Some(true);
+        let is_brief = limits.is_brief && !has_stalled;
+        let survival = if was_running && !is_brief {
             let remaining = limits.deadline.since(ended_at).saturating_sub(RELEASE_TIME);
-            Some(witness.ask_later(ended_at, ended_at.after(remaining)).await)
+            // A rejected check counts like a rejected request.
+            let is_brittle = self.gateway.upstreams().has_brittle();
+            let question = SecondQuestion {
+                keeps_open: !is_brittle,
+                spares_checks: is_brittle,
+                probes: limits.can_confirm,
+            };
+            Some(witness.ask_later(ended_at, ended_at.after(remaining), question).await)
         } else {
             None
         };
-        let is_running = survival.is_some_and(|survival| survival.is_proved());
+        let now = self.driver.now();
+        let is_running = match survival {
+            Some(survival) => survival.is_proved(false),
+            None => was_running,
+        };
+        let is_refused = survival.is_some_and(|survival| survival.is_refused);
+        // A process that has outlived the response has not crashed under its request.
         let has_crashed = match crashed {
-            Some(true) => true,
-            _ if is_running => false,
-            Some(false) if survival.is_none() => false,
-            _ => self.detect(upstream, address, progress).await,
+            Some(has_crashed) => has_crashed,
+            None => !was_running && self.detect(upstream, address, progress).await,
         };
-        let now = self.driver.now();
         let record = self.gateway.upstreams().answer_record(now, upstream);
         let end = match (has_crashed, is_running) {
             (true, _) => UnframedEnd::Crashed,
-            (false, true) if is_doubtful(record.reliability(now), limits.can_confirm) => {
-                UnframedEnd::Doubted
-            }
-            (false, true) => UnframedEnd::Whole,
+            // A planned end closes the listener first as well, and lets answers finish.
+            (false, true) if is_refused && limits.can_confirm => UnframedEnd::Unconfirmed,
+            (false, true) => judge_by_others(record.reliability(now), limits.can_confirm),
             (false, false) => UnframedEnd::Unproved,
         };
         request_log::unframed_end(&request_log::UnframedEndEntry {
@@ -143,7 +159,7 @@
             evidence: testimony_code(survival.map_or(testimony, |survival| survival.testimony)),
             connection: link_code(link),
             outlived: survival.map(|survival| survival.span),
-            is_refused: survival.is_some_and(|survival| survival.is_refused),
+            is_refused,
             record,
             has_stalled: witness.has_stalled(),
             is_whole: end == UnframedEnd::Whole,
--- a/crates/badgerfield-node/src/gateway/witness.rs
+++ b/crates/badgerfield-node/src/gateway/witness.rs
@@ -126,6 +126,17 @@
     Closed,
 }
 
+/// How a witness finds out whether a process outlives the end of a response by a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct SecondQuestion {
+    /// Whether its connection is checked if it is idle meanwhile, so that the upstream keeps it.
+    pub(crate) keeps_open: bool,
+    /// Whether a connection that has stayed open is enough, since a rejected check may end the upstream.
+    pub(crate) spares_checks: bool,
+    /// Whether the address of the upstream is asked for another connection.
+    pub(crate) probes: bool,
+}
+
 /// What a witness has shown some time after the end of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Survival {
@@ -140,14 +151,20 @@
 }
 
 impl Survival {
-    /// Returns whether nothing shows that a process that had outlived the response has ended since.
-    pub(crate) fn is_proved(&self) -> bool {
-        let is_answered = match self.testimony {
+    /// Returns whether a process that had outlived the response still runs.
+    ///
+    /// On another connection its name tells, or `allows_unnamed`: the upstream announced that it would
+    /// close the one before, and its answers never name a process.
+    pub(crate) fn is_proved(&self, allows_unnamed: bool) -> bool {
+        let is_linked = self.is_kept || self.link == Link::SameProcess;
+        match self.testimony {
             Testimony::Answered(Instance::Other) | Testimony::Closed => false,
-            Testimony::Answered(_) => self.is_kept || self.link != Link::Doubtful,
+            Testimony::Answered(Instance::Same) => is_linked || self.link == Link::Unknown,
+            Testimony::Answered(Instance::Unnamed) => {
+                is_linked || (allows_unnamed && self.link == Link::Unknown)
+            }
             Testimony::Open => self.is_kept,
-        };
-        is_answered && !self.is_refused
+        }
     }
 }
 
@@ -182,6 +199,8 @@
     users: usize,
     /// The number of these whose response has ended.
     ended_users: usize,
+    /// The number of ends that are being judged and for which an idle connection is checked.
+    checked_ends: usize,
     /// How often the witness was asked.
     questions: u64,
     /// The numbers of the last health checks that were wanted, sent and answered.
@@ -209,6 +228,7 @@
         closed_at: None,
         users: 0,
         ended_users: 0,
+        checked_ends: 0,
         questions: 0,
         wanted: 0,
         sent: 0,
@@ -336,10 +356,14 @@
         let _ = self.clock.timeout_at(deadline, state.wait_for(State::is_settled)).await;
     }
 
-    /// Counts a response as ended until the result is dropped.
-    fn count_ended(&self) -> EndedUser<'_> {
-        self.witness.state.send_modify(|state| state.ended_users += 1);
-        EndedUser(&self.witness)
+    /// Counts a response as ended until the result is dropped. Meanwhile an idle connection may be
+    /// checked, so that the upstream keeps it.
+    fn count_ended(&self, may_check: bool) -> EndedUser<'_> {
+        self.witness.state.send_modify(|state| {
+            state.ended_users += 1;
+            state.checked_ends += usize::from(may_check);
+        });
+        EndedUser { witness: &self.witness, may_check }
     }
 
     /// Uses the witness for the response that has begun on a connection.
@@ -357,12 +381,18 @@
 }
 
 /// A response that has ended and still uses its witness.
-struct EndedUser<'a>(&'a Witness);
+struct EndedUser<'a> {
+    witness: &'a Witness,
+    may_check: bool,
+}
 
 impl Drop for EndedUser<'_> {
     fn drop(&mut self) {
-        let decrement = |state: &mut State| state.ended_users = state.ended_users.saturating_sub(1);
-        self.0.state.send_modify(decrement);
+        let checked = usize::from(self.may_check);
+        self.witness.state.send_modify(|state| {
+            state.ended_users = state.ended_users.saturating_sub(1);
+            state.checked_ends = state.checked_ends.saturating_sub(checked);
+        });
     }
 }
 
@@ -395,27 +425,44 @@
     }
 
     /// Finds out whether a process that lived on after the response had ended still does some time
-    /// later, `deadline` at the latest, and takes connections.
-    pub(crate) async fn ask_later(&self, ended_at: Time, deadline: Time) -> Survival {
+    /// later, `deadline` at the latest.
+    pub(crate) async fn ask_later(
+        &self,
+        ended_at: Time,
+        deadline: Time,
+        question: SecondQuestion,
+    ) -> Survival {
         let clock = &self.user.clock;
         let due = ended_at.after(OUTLIVE_TIME).min(deadline);
         let before = self.user.witness.state.borrow().connection();
         {
-            let _ended = self.user.count_ended();
-            self.wait_for_close(before, due).await;
+            let _ended = self.user.count_ended(question.keeps_open);
+            self.wait_for_close(due).await;
         }
         let asked_at = clock.now();
         let limit = ended_at.after(HEALTH_TIMEOUT).max(asked_at.after(MIN_ANSWER_TIME));
-        let asked = self.ask_until(limit.min(deadline.max(asked_at)));
-        let ((testimony, link), is_refused) = future::join(asked, self.is_refused(asked_at)).await;
-        let is_kept = self.user.witness.state.borrow().connection() == before;
+        let is_kept = || {
+            let connection = self.user.witness.state.borrow().connection();
+            connection.is_some() && connection == before
+        };
+        let asked = async {
+            if question.spares_checks && is_kept() {
+                return (Testimony::Open, self.link());
+            }
+            self.ask_until(limit.min(deadline.max(asked_at))).await
+        };
+        let probed = async { question.probes && self.is_refused(asked_at).await };
+        let ((testimony, link), is_refused) = future::join(asked, probed).await;
+        let is_kept = is_kept();
         Survival { testimony, link, is_kept, is_refused, span: asked_at.since(ended_at) }
     }
 
-    /// Waits until a connection of the witness is closed or another one is open, or a deadline passes.
-    async fn wait_for_close(&self, connection: Option<Time>, deadline: Time) {
+    /// Waits until a connection of the witness is closed without notice, or a deadline passes.
+    async fn wait_for_close(&self, deadline: Time) {
         let mut state = self.user.witness.state.subscribe();
-        let closed = state.wait_for(|state| state.connection() != connection);
+        let closed_at = state.borrow().closed_at;
+        let closed =
+            state.wait_for(|state| state.phase == Phase::Closed || state.closed_at != closed_at);
         // Both ends of the wait are followed by the same question.
         let _ = self.user.clock.timeout_at(deadline, closed).await;
     }
